The whole path, thin, as separate processes

A caller asks a host which host to use, connects with a key and is answered by an engine or a plain service; an operator writes records. Shown over processes on loopback: locate, a completion, a stream, a service call and the list of models, with two hosts, a platform, an engine and a service.

--- /dev/null
+++ b/configstore/configstore.go
@@ -0,0 +1,135 @@
+// Package configstore keeps the operators' records in the platform's table
+// service and reads them back.
+//
+// Tables: "records" holds each record under "kind/name"; "changes" holds each
+// accepted change under its revision, with the records that it wrote; "head"
+// holds the newest revision. A change is one transaction, conditional on the
+// head that it was made against, so that revisions follow one another without
+// gaps and a change is accepted whole or not at all.
+package configstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/record"
+)
+
+// The tables and the one key of the head's table.
+const (
+	tableRecords = "records"
+	tableChanges = "changes"
+	tableHead    = "head"
+	headKey      = "config"
+)
+
+// Limits of one read and one change.
+const (
+	// pageRows is how many rows one read asks for.
+	pageRows = 1000
+	// maxChangeRecords is how many records one change may write.
+	maxChangeRecords = 10000
+)
+
+// Change is one accepted change.
+type Change struct {
+	Revision int64 `json:"revision"`
+	// Operation is the operator's id of the change, by which a lost answer is
+	// resolved.
+	Operation string `json:"operation"`
+	// Operator says who made the change.
+	Operator string `json:"operator,omitempty"`
+	// Time is the operator's clock, RFC 3339. It is shown and never compared.
+	Time    string            `json:"time,omitempty"`
+	Records []record.Envelope `json:"records"`
+}
+
+// head is the row that every change moves.
+type head struct {
+	Revision  int64  `json:"revision"`
+	Operation string `json:"operation"`
+}
+
+func readHead(ctx context.Context, t platform.TableService) (head, int64, error) {
+	var h head
+	row, err := t.Get(ctx, tableHead, headKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return h, 0, nil
+	}
+	if err != nil {
+		return h, 0, err
+	}
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return h, 0, fmt.Errorf("configstore: head: %w", err)
+	}
+	return h, row.Version, nil
+}
+
+// changeKeyWidth makes the keys of changes sort as their numbers do.
+const changeKeyWidth = 19
+
+func changeKey(revision int64) string {
+	return fmt.Sprintf("%0*d", changeKeyWidth, revision)
+}
+
+// ReadChanges returns up to limit changes after the given revision, oldest first.
+func ReadChanges(ctx context.Context, t platform.TableService, after int64, limit int) ([]Change, error) {
+	rows, err := t.List(ctx, tableChanges, "", changeKey(after), limit)
+	if err != nil {
+		return nil, err
+	}
+	changes := make([]Change, 0, len(rows))
+	for _, row := range rows {
+		var c Change
+		if err := json.Unmarshal(row.Value, &c); err != nil {
+			return nil, fmt.Errorf("configstore: change %s: %w", row.Key, err)
+		}
+		changes = append(changes, c)
+	}
+	return changes, nil
+}
+
+// Reader follows the configuration.
+type Reader struct {
+	tables platform.TableService
+	config *record.Config
+}
+
+// NewReader returns a reader that has seen nothing.
+func NewReader(t platform.TableService) *Reader {
+	return &Reader{tables: t, config: record.NewConfig()}
+}
+
+// Poll returns the newest configuration, or nil where nothing has changed.
+// Problems are records that were left out since they are not valid.
+func (r *Reader) Poll(ctx context.Context) (*record.Config, []error, error) {
+	h, _, err := readHead(ctx, r.tables)
+	if err != nil || h.Revision <= r.config.Revision {
+		return nil, nil, err
+	}
+	next := r.config
+	var problems []error
+	for next.Revision < h.Revision {
+		changes, err := ReadChanges(ctx, r.tables, next.Revision, pageRows)
+		if err != nil {
+			return nil, nil, err
+		}
+		if len(changes) == 0 {
+			return nil, nil, fmt.Errorf("configstore: no change after revision %s below head %s",
+				strconv.FormatInt(next.Revision, 10), strconv.FormatInt(h.Revision, 10))
+		}
+		var records []record.Envelope
+		for _, c := range changes {
+			records = append(records, c.Records...)
+		}
+		var left []error
+		next, left = next.Apply(changes[len(changes)-1].Revision, records)
+		problems = append(problems, left...)
+	}
+	r.config = next
+	return next, problems, nil
+}
--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,77 @@
+// Package core is the seam of every decision that a host makes: events go in,
+// decisions come out.
+//
+// The daemon, the tests and the policy benchmark drive the same Core. It holds
+// each request's state machine and composes the limiter and the scheduler. It
+// imports no network, no operating system and no clock, and it starts no
+// goroutine. Handle must be called by one goroutine at a time.
+package core
+
+import (
+	"time"
+
+	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/blackboard"
+	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/sched"
+)
+
+// Core is one host's decisions.
+type Core struct {
+	board     *blackboard.Board
+	limiter   limit.Limiter
+	scheduler sched.Scheduler
+	config    *record.Config
+	requests  map[sched.RequestID]*entry
+	budget    loadBudget
+	draining  bool
+}
+
+// Options are the parts that a Core is made of.
+type Options struct {
+	Board     *blackboard.Board
+	Limiter   limit.Limiter
+	Scheduler sched.Scheduler
+}
+
+// New returns a core without configuration.
+func New(o Options) *Core {
+	c := &Core{
+		board:     o.Board,
+		limiter:   o.Limiter,
+		scheduler: o.Scheduler,
+		config:    record.NewConfig(),
+		requests:  map[sched.RequestID]*entry{},
+	}
+	c.scheduler.UseBudget(&c.budget)
+	c.budget.limiter = o.Limiter
+	return c
+}
+
+// Handle takes an event and returns what is to be done, in order.
+func (c *Core) Handle(now time.Time, ev Event) []Decision {
+	var out decisions
+	switch e := ev.(type) {
+	case requestEvent:
+		c.onRequestEvent(now, e, &out)
+	case upstreamEvent:
+		c.onUpstreamEvent(now, e, &out)
+	case fleetEvent:
+		c.onFleetEvent(now, e, &out)
+	}
+	out.limited(c.budget.take())
+	return out
+}
+
+// InFlight returns how many requests have not ended.
+func (c *Core) InFlight() int { return len(c.requests) }
+
+// Explain says how a request would be decided now, without deciding it.
+func (c *Core) Explain(now time.Time, r Request) (sched.Reason, *apierr.Error) {
+	e := &entry{request: r}
+	if err := c.authorise(e); err != nil {
+		return sched.Reason{Rule: "authorise"}, err
+	}
+	return c.scheduler.Explain(now, e.work), nil
+}
--- /dev/null
+++ b/core/fleet.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/record"
+)
+
+func (c *Core) onFleetEvent(now time.Time, ev fleetEvent, out *decisions) {
+	switch e := ev.(type) {
+	case ConfigSeen:
+		c.onConfig(now, e.Config, out)
+	case HostsSeen:
+		c.onHosts(now, e.Hosts, out)
+	case PeerReceived:
+		out.limited(c.limiter.Receive(now, e.From, e.Message))
+		c.onScheduled(now, c.scheduler.Receive(now, e.From, e.Message), out)
+	case StoreEnded:
+		out.limited(c.limiter.StoreEnded(now, e.End))
+	case DrainStarted:
+		c.draining = true
+	case Tick:
+		out.limited(c.limiter.Tick(now))
+		c.onScheduled(now, c.scheduler.Tick(now), out)
+	}
+}
+
+func (c *Core) onConfig(now time.Time, config *record.Config, out *decisions) {
+	if config.Revision < c.config.Revision {
+		return
+	}
+	c.config = config
+	c.budget.config = config
+	c.board.Config.Publish(config)
+	out.limited(c.limiter.Configure(now, withLoadBudgets(config)))
+	c.onScheduled(now, c.scheduler.Configure(now, config), out)
+}
+
+func (c *Core) onHosts(now time.Time, hosts []platform.Host, out *decisions) {
+	c.board.Hosts.Publish(hosts)
+	names := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		names = append(names, h.Name)
+	}
+	slices.Sort(names)
+	out.limited(c.limiter.Members(now, names))
+	c.onScheduled(now, c.scheduler.Members(now, names), out)
+}
--- /dev/null
+++ b/core/requests.go
@@ -0,0 +1,227 @@
+package core
+
+import (
+	"time"
+
+	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/request"
+	"github.com/jasminelock/jasminelock/sched"
+)
+
+// MaxAttempts bounds how often one request is given to an upstream.
+const MaxAttempts = 3
+
+// entry is one request that has not ended.
+type entry struct {
+	request  Request
+	machine  request.Machine
+	org      string
+	adapter  record.AdapterRef
+	route    *record.Route
+	work     sched.Request
+	reserved int64
+	upstream string
+	// ranBefore is what was known of execution when the attempt was dispatched.
+	ranBefore apierr.Ran
+}
+
+func (c *Core) onRequestEvent(now time.Time, ev requestEvent, out *decisions) {
+	switch e := ev.(type) {
+	case RequestArrived:
+		c.onArrival(now, e.Request, out)
+	case CallerLeft:
+		c.onCallerLeft(now, e.ID, out)
+	case AnswerStarted:
+		c.onAnswerStarted(e)
+	case AttemptEnded:
+		c.onAttemptEnded(now, e, out)
+	case ClaimEnded:
+		c.onClaimEnded(now, e, out)
+	}
+}
+
+func (c *Core) onArrival(now time.Time, r Request, out *decisions) {
+	e := &entry{request: r}
+	if err := c.authorise(e); err != nil {
+		e.machine.To(request.Failed)
+		out.finish(r.ID, err, "authorise")
+		return
+	}
+	e.machine.To(request.Authorised)
+	if err := c.reserve(now, e, out); err != nil {
+		e.machine.To(request.Failed)
+		out.finish(r.ID, err, "rate")
+		return
+	}
+	e.machine.To(request.Reserved)
+	c.requests[r.ID] = e
+	if r.IdempotencyKey != "" && !e.repeatable() {
+		e.machine.To(request.Claiming)
+		*out = append(*out, Claim{ID: r.ID, Key: r.IdempotencyKey, Organisation: e.org})
+		return
+	}
+	c.enqueue(now, e, out)
+}
+
+// reserve sets the request's tokens aside. Open routes belong to no
+// organisation and are not counted.
+func (c *Core) reserve(now time.Time, e *entry, out *decisions) *apierr.Error {
+	tokens := e.request.Tokens
+	if e.route != nil {
+		tokens = e.route.CostTokens
+	}
+	if e.org == "" || tokens == 0 {
+		return nil
+	}
+	v, messages := c.limiter.Reserve(now, e.org, tokens)
+	out.limited(messages)
+	switch {
+	case v.OverBurst:
+		return apierr.New(apierr.CostOverBurst, "%d tokens asked for, burst %d", tokens, v.Limit)
+	case !v.OK:
+		return apierr.New(apierr.RateLimited, "%d tokens asked for", tokens).WithRetryAfter(v.RetryAfter)
+	}
+	e.reserved = tokens
+	return nil
+}
+
+func (c *Core) enqueue(now time.Time, e *entry, out *decisions) {
+	e.machine.To(request.Queued)
+	c.onScheduled(now, c.scheduler.Enqueue(now, e.work), out)
+}
+
+func (c *Core) onClaimEnded(now time.Time, end ClaimEnded, out *decisions) {
+	e, ok := c.requests[end.ID]
+	if !ok || e.machine.State() != request.Claiming {
+		return
+	}
+	switch {
+	case end.Err != nil:
+		c.fail(now, e, end.Err, "claim", out)
+	case end.Replayed:
+		c.done(now, e, 0, out)
+	default:
+		c.enqueue(now, e, out)
+	}
+}
+
+func (c *Core) onCallerLeft(now time.Time, id sched.RequestID, out *decisions) {
+	e, ok := c.requests[id]
+	if !ok {
+		return
+	}
+	if e.machine.State() == request.Dispatched || e.machine.State() == request.Streaming {
+		return // the attempt is cancelled and ends by itself
+	}
+	c.onScheduled(now, c.scheduler.Cancel(now, id), out)
+	c.fail(now, e, apierr.New(apierr.CallerGone, ""), "caller_left", out)
+}
+
+func (c *Core) onAnswerStarted(a AnswerStarted) {
+	e, ok := c.requests[a.ID]
+	if ok && e.machine.State() == request.Dispatched {
+		e.machine.To(request.Streaming)
+	}
+}
+
+func (c *Core) onAttemptEnded(now time.Time, a AttemptEnded, out *decisions) {
+	e, ok := c.requests[a.ID]
+	if !ok || (e.machine.State() != request.Dispatched && e.machine.State() != request.Streaming) {
+		return
+	}
+	e.machine.AttemptEnded(a.Outcome, e.ranBefore)
+	end := sched.AttemptEnd{ID: a.ID, Upstream: e.upstream, Outcome: a.Outcome, NotLoaded: a.NotLoaded, FirstToken: a.FirstToken}
+	freed := c.scheduler.Ended(now, end)
+	c.afterAttempt(now, e, a, out)
+	c.onScheduled(now, freed, out)
+}
+
+func (c *Core) afterAttempt(now time.Time, e *entry, a AttemptEnded, out *decisions) {
+	if a.Outcome == request.Completed {
+		c.done(now, e, a.UsedTokens, out)
+		return
+	}
+	if c.retry(now, e, a) {
+		if !a.NotLoaded {
+			e.work.Avoid = append(e.work.Avoid, e.upstream)
+		}
+		c.enqueue(now, e, out)
+		return
+	}
+	if a.UsedTokens >= 0 {
+		c.settle(now, e, a.UsedTokens, out)
+	}
+	c.fail(now, e, e.failure(a), a.Outcome.String(), out)
+}
+
+func (c *Core) retry(now time.Time, e *entry, a AttemptEnded) bool {
+	switch {
+	case a.Outcome == request.CallerLeft, a.Outcome == request.Rejected, a.Outcome == request.Errored:
+		return false
+	case e.machine.Attempts() >= MaxAttempts, !now.Before(e.request.Deadline):
+		return false
+	}
+	return e.machine.MayRetry(e.repeatable(), a.AnswerStarted)
+}
+
+// done ends a request whose whole answer was given.
+func (c *Core) done(now time.Time, e *entry, used int64, out *decisions) {
+	c.settle(now, e, used, out)
+	e.machine.To(request.Done)
+	delete(c.requests, e.request.ID)
+	*out = append(*out, Finish{ID: e.request.ID})
+}
+
+// fail ends a request with an error. What has not run costs nothing.
+func (c *Core) fail(now time.Time, e *entry, err *apierr.Error, rule string, out *decisions) {
+	if e.machine.Ran() == apierr.NotRun {
+		c.settle(now, e, 0, out)
+	}
+	e.machine.To(request.Failed)
+	delete(c.requests, e.request.ID)
+	out.finish(e.request.ID, err, rule)
+}
+
+// settle replaces the reservation by what was used. A negative used means that
+// it is not known: the whole reservation stays spent.
+func (c *Core) settle(now time.Time, e *entry, used int64, out *decisions) {
+	if e.reserved == 0 || used < 0 {
+		return
+	}
+	if e.route != nil && used > 0 {
+		used = e.route.CostTokens
+	}
+	out.limited(c.limiter.Settle(now, e.org, e.reserved, used))
+	e.reserved = 0
+}
+
+// onDispatch checks the key again, since it may have been withdrawn while the
+// request waited.
+func (c *Core) onDispatch(now time.Time, d sched.Dispatch, out *decisions) {
+	e, ok := c.requests[d.ID]
+	u, known := c.config.Upstream(d.Upstream)
+	if !ok {
+		return
+	}
+	if err := c.stillAuthorised(e); err != nil {
+		c.undispatch(now, d, out)
+		c.fail(now, e, e.truthful(err), "authorise", out)
+		return
+	}
+	if !known {
+		c.undispatch(now, d, out)
+		c.fail(now, e, e.truthful(apierr.New(apierr.NoUpstream, "")), "upstream_removed", out)
+		return
+	}
+	e.ranBefore = e.machine.Ran()
+	e.upstream = d.Upstream
+	e.machine.To(request.Dispatched)
+	*out = append(*out, Dispatch{ID: d.ID, Upstream: u, Adapter: e.adapter, Route: e.route, Attempt: e.machine.Attempts(), Why: d.Why})
+}
+
+// undispatch tells the scheduler that a dispatch did not take place.
+func (c *Core) undispatch(now time.Time, d sched.Dispatch, out *decisions) {
+	end := sched.AttemptEnd{ID: d.ID, Upstream: d.Upstream, Outcome: request.CallerLeft}
+	c.onScheduled(now, c.scheduler.Ended(now, end), out)
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,188 @@
+// Package daemon puts a host together: listeners, the runtime of the core, and
+// the controllers that read the platform and the upstreams.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/jasminelock/jasminelock/blackboard"
+	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/gateway"
+	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/settings"
+	"github.com/jasminelock/jasminelock/upstream"
+)
+
+// Daemon is one host.
+type Daemon struct {
+	settings *settings.Settings
+	log      hclog.Logger
+	board    *blackboard.Board
+	runtime  *Runtime
+	work     *workQueue
+	platform *platform.Client
+	upstream *upstream.Client
+
+	callers   net.Listener
+	operators net.Listener
+
+	drainOnce sync.Once
+	draining  chan struct{}
+}
+
+// New returns a host that listens but does not yet serve.
+func New(s *settings.Settings, log hclog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		log:      log.With("host", s.Host, "zone", s.Zone),
+		board:    blackboard.New(),
+		work:     newWorkQueue(),
+		platform: platform.NewClient(s.Platform.URL, time.Duration(s.Platform.Timeout)),
+		upstream: upstream.NewClient(),
+		draining: make(chan struct{}),
+	}
+	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded()})
+	d.runtime = newRuntime(d.log, c, d.work)
+	var err error
+	var listen net.ListenConfig
+	if d.callers, err = listen.Listen(context.Background(), "tcp", s.Listen.Callers); err != nil {
+		return nil, eris.Wrap(err, "listen.callers")
+	}
+	if d.operators, err = listen.Listen(context.Background(), "tcp", s.Listen.Operators); err != nil {
+		_ = d.callers.Close()
+		return nil, eris.Wrap(err, "listen.operators")
+	}
+	return d, nil
+}
+
+// CallerURL returns where callers connect.
+func (d *Daemon) CallerURL() string {
+	if d.settings.Advertise.Callers != "" {
+		return d.settings.Advertise.Callers
+	}
+	return "http://" + d.callers.Addr().String()
+}
+
+// OperatorURL returns where operators connect.
+func (d *Daemon) OperatorURL() string {
+	return "http://" + d.operators.Addr().String()
+}
+
+// Drain starts a graceful shutdown. Run returns once every request has ended.
+func (d *Daemon) Drain() {
+	d.drainOnce.Do(func() { close(d.draining) })
+}
+
+// Run serves until the context ends, which cuts what still runs, or until a
+// graceful shutdown is complete.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	callers := d.callerServer()
+	operators := &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: gateway.DefaultReadTimeout}
+	var group sync.WaitGroup
+	group.Go(func() { _ = callers.Serve(d.callers) })
+	group.Go(func() { _ = operators.Serve(d.operators) })
+	group.Go(func() { d.work.run(ctx, d.carryOut) })
+	group.Go(func() { d.tick(ctx) })
+	group.Go(func() { d.watchConfig(ctx) })
+	group.Go(func() { d.watchHosts(ctx) })
+	group.Go(func() { d.watchUpstreams(ctx) })
+	d.log.Info("serving", "callers", d.CallerURL(), "operators", d.OperatorURL())
+	select {
+	case <-ctx.Done():
+	case <-d.draining:
+		d.shutdown(ctx, callers)
+	}
+	_ = callers.Close()
+	_ = operators.Close()
+	cancel()
+	group.Wait()
+	d.log.Info("stopped")
+	return nil
+}
+
+func (d *Daemon) callerServer() *http.Server {
+	r := d.settings.Requests
+	handler := gateway.New(gateway.Options{
+		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready,
+		Limits: gateway.Limits{
+			MaxBodyBytes: r.MaxBodyBytes, MaxHeaderBytes: r.MaxHeaderBytes,
+			ReadTimeout: time.Duration(r.ReadTimeout), RequestTimeout: time.Duration(r.Timeout),
+		},
+	})
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: time.Duration(r.ReadTimeout),
+		ReadTimeout:       time.Duration(r.ReadTimeout),
+		MaxHeaderBytes:    r.MaxHeaderBytes,
+	}
+}
+
+// ready reports whether the host may be given callers.
+func (d *Daemon) ready() bool {
+	select {
+	case <-d.draining:
+		return false
+	default:
+		return d.board.Config.Snapshot().Revision > 0
+	}
+}
+
+// shutdown waits until callers no longer keep an answer that names this host,
+// and then until every request has ended.
+func (d *Daemon) shutdown(ctx context.Context, callers *http.Server) {
+	d.log.Info("draining", "in_flight", d.runtime.InFlight())
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Drain.Timeout))
+	defer cancel()
+	if err := d.announce(ctx); err != nil {
+		d.log.Warn("host list not told of the shutdown", "error", err)
+	}
+	sleep(ctx, time.Duration(d.settings.Drain.LocateWait))
+	d.runtime.Handle(core.DrainStarted{})
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.Warn("requests cut", "count", d.runtime.InFlight())
+	}
+	withdraw, stop := context.WithTimeout(context.Background(), time.Duration(d.settings.Platform.Timeout))
+	defer stop()
+	if err := d.platform.Withdraw(withdraw, d.settings.Host); err != nil {
+		d.log.Warn("host not withdrawn from the host list", "error", err)
+	}
+}
+
+func (d *Daemon) tick(ctx context.Context) {
+	every(ctx, core.TickInterval, func() { d.runtime.Handle(core.Tick{}) })
+}
+
+// every calls f at once and then at each interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// sleep waits for d or for the context's end.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/daemon/hosts.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/platform"
+)
+
+// Intervals of the host list.
+const (
+	hostListInterval = time.Second
+	announceTTL      = 10 * time.Second
+)
+
+// watchHosts announces this host and reads the host list.
+func (d *Daemon) watchHosts(ctx context.Context) {
+	every(ctx, hostListInterval, func() {
+		if err := d.announce(ctx); err != nil {
+			d.log.Warn("host not announced", "error", err)
+		}
+		hosts, err := d.platform.Hosts(ctx)
+		if err != nil {
+			d.log.Warn("host list not read", "error", err)
+			return
+		}
+		d.runtime.Handle(core.HostsSeen{Hosts: hosts})
+	})
+}
+
+func (d *Daemon) announce(ctx context.Context) error {
+	h := platform.Host{Name: d.settings.Host, Zone: d.settings.Zone, CallerURL: d.CallerURL(), Leaving: !d.ready()}
+	return d.platform.Announce(ctx, h, announceTTL)
+}
--- /dev/null
+++ b/daemon/log.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/sched"
+)
+
+// logDecision writes one line for each routing or placement decision. Neither
+// a key nor a prompt is part of a decision, so that none can be logged.
+func logDecision(log hclog.Logger, d core.Decision) {
+	switch d := d.(type) {
+	case core.Dispatch:
+		log.Info("route", "request", d.ID, "attempt", d.Attempt, "adapter", d.Adapter.String(), "upstream", d.Upstream.Name,
+			"rule", d.Why.Rule, "alternatives", alternatives(d.Why))
+	case core.Order:
+		log.Info("place", "order", d.Order.ID, "operation", d.Order.Operation.String(), "adapter", d.Order.Adapter.String(),
+			"upstream", d.Upstream.Name, "fence", d.Order.Fence, "rule", d.Order.Why.Rule, "alternatives", alternatives(d.Order.Why))
+	case core.Finish:
+		if d.Err != nil {
+			log.Info("refuse", "request", d.ID, "kind", d.Err.Kind.String(), "ran", d.Err.Ran.String(), "rule", d.Why.Rule)
+		}
+	}
+}
+
+// alternatives writes what a decision weighed as "name=expected/note", best
+// first.
+func alternatives(why sched.Reason) string {
+	parts := make([]string, 0, len(why.Alternatives))
+	for _, a := range why.Alternatives {
+		parts = append(parts, fmt.Sprintf("%s=%s/%s", a.Upstream, a.Expected, a.Note))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,79 @@
+// Package limit counts each organisation's rate and burst in tokens over all
+// hosts together.
+package limit
+
+import (
+	"time"
+
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// Verdict is the answer to a reservation.
+type Verdict struct {
+	// OK says that the tokens were set aside.
+	OK bool
+	// OverBurst says that the request can never be admitted: it costs more than
+	// the organisation's burst.
+	OverBurst bool
+	// RetryAfter is when the same reservation is expected to succeed.
+	RetryAfter time.Duration
+	// Remaining and Limit are told to callers in x-ratelimit headers, in tokens.
+	Remaining int64
+	Limit     int64
+}
+
+// Decision is what a limiter wants done: Send, Read or Commit.
+type Decision interface{ isDecision() }
+
+// Send sends a message to another host.
+type Send struct{ wire.Outgoing }
+
+// StoreCallID names a call of the table service on this host.
+type StoreCallID uint64
+
+// Read reads a row of the table service. StoreEnded brings the answer.
+type Read struct {
+	ID    StoreCallID
+	Table string
+	Key   string
+}
+
+// Commit writes a transaction. StoreEnded brings the answer.
+type Commit struct {
+	ID  StoreCallID
+	Txn platform.Txn
+}
+
+func (Send) isDecision()   {}
+func (Read) isDecision()   {}
+func (Commit) isDecision() {}
+
+// StoreEnd is the answer to a Read or a Commit. Err is one of the platform's
+// errors; after any other than platform.ErrConflict a commit may have taken
+// effect.
+type StoreEnd struct {
+	ID  StoreCallID
+	Row platform.Row
+	Err error
+}
+
+// Limiter decides whether an organisation may spend tokens on this host.
+// Implementations are driven by one goroutine at a time and import no clock.
+type Limiter interface {
+	// Configure takes the rates of a new configuration.
+	Configure(now time.Time, rates map[string]*record.Rate) []Decision
+	// Members takes the names of the hosts that are live, this one included.
+	Members(now time.Time, hosts []string) []Decision
+	// Reserve sets tokens aside for a request.
+	Reserve(now time.Time, org string, tokens int64) (Verdict, []Decision)
+	// Settle replaces a reservation by what was used. Less gives the rest back.
+	Settle(now time.Time, org string, reserved, used int64) []Decision
+	// Receive takes a message from another host.
+	Receive(now time.Time, from string, m wire.Message) []Decision
+	// StoreEnded takes the answer of the table service.
+	StoreEnded(now time.Time, e StoreEnd) []Decision
+	// Tick lets time pass.
+	Tick(now time.Time) []Decision
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,316 @@
+// Package engine is a stand-in for a model engine: OpenAI-compatible, with few
+// adapter slots, continuous batching in the form of a fixed time per token,
+// orders in the shape known from vLLM, and faults that a test can switch.
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jasminelock/jasminelock/standin"
+	"github.com/jasminelock/jasminelock/upstream"
+)
+
+// Settings are an engine's fixed properties.
+type Settings struct {
+	// Model is the base model.
+	Model string `json:"model"`
+	// AdapterSlots is how many adapters it holds at once.
+	AdapterSlots int `json:"adapter_slots"`
+	// LoadTime is how long a load takes.
+	LoadTime time.Duration `json:"load_time"`
+	// FirstToken and TokenTime are the times to the first and to each next token.
+	FirstToken time.Duration `json:"first_token"`
+	TokenTime  time.Duration `json:"token_time"`
+	// ChecksFence refuses an order with an old fencing number.
+	ChecksFence bool `json:"checks_fence"`
+	// ReportLag is how old a load report is.
+	ReportLag time.Duration `json:"report_lag"`
+}
+
+// Faults are what a test can ask of the engine.
+type Faults struct {
+	// FailLoads fails this many loads.
+	FailLoads int `json:"fail_loads"`
+	// Poison makes a request whose body holds this text crash the engine.
+	Poison string `json:"poison"`
+	// CutAfterTokens breaks every stream off after this many tokens, 0 for never.
+	CutAfterTokens int `json:"cut_after_tokens"`
+}
+
+// Execution is one request that the engine has executed.
+type Execution struct {
+	Attempt string `json:"attempt"`
+	Model   string `json:"model"`
+	// Body and Header are what the engine was sent.
+	Body   string      `json:"body"`
+	Header http.Header `json:"header"`
+	URL    string      `json:"url"`
+}
+
+// Engine serves one base model with adapters.
+type Engine struct {
+	settings Settings
+	mux      *http.ServeMux
+
+	// mu guards all below.
+	mu          sync.Mutex
+	faults      Faults
+	incarnation int
+	sequence    int64
+	fence       int64
+	adapters    map[string]*adapter
+	running     int
+	executions  []Execution
+	crashed     bool
+	reports     []pastReport
+}
+
+type adapter struct {
+	loading bool
+	running int
+}
+
+type pastReport struct {
+	at     time.Time
+	report upstream.Report
+}
+
+// New returns an engine that holds no adapter.
+func New(s Settings) *Engine {
+	e := &Engine{settings: s, mux: http.NewServeMux(), incarnation: 1, adapters: map[string]*adapter{}}
+	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	e.mux.HandleFunc("POST /v1/completions", e.complete)
+	e.mux.HandleFunc("POST /v1/load_lora_adapter", e.load)
+	e.mux.HandleFunc("POST /v1/unload_lora_adapter", e.unload)
+	e.mux.HandleFunc("GET /v1/load_report", e.report)
+	e.mux.HandleFunc("GET /executions", e.listExecutions)
+	e.mux.HandleFunc("PUT /faults", e.putFaults)
+	e.mux.HandleFunc("POST /restart", func(http.ResponseWriter, *http.Request) { e.Restart() })
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	crashed := e.crashed
+	e.mu.Unlock()
+	if crashed && r.URL.Path != "/restart" && r.URL.Path != "/executions" {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Restart starts the engine anew, without adapters.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = false
+	e.incarnation++
+	e.sequence = 0
+	e.running = 0
+	e.adapters = map[string]*adapter{}
+}
+
+// Executions returns the requests executed so far.
+func (e *Engine) Executions() []Execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Execution{}, e.executions...)
+}
+
+func (e *Engine) listExecutions(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, http.StatusOK, e.Executions())
+}
+
+func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+}
+
+// errorBody is an error in vLLM's shape.
+type errorBody struct {
+	Error errorInside `json:"error"`
+}
+
+type errorInside struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    int    `json:"code"`
+}
+
+func writeError(w http.ResponseWriter, status int, kind, message string) {
+	standin.WriteJSON(w, status, errorBody{errorInside{message, kind, status}})
+}
+
+// checkFence refuses an order with an old fencing number.
+func (e *Engine) checkFence(w http.ResponseWriter, r *http.Request) bool {
+	if !e.settings.ChecksFence {
+		return true
+	}
+	fence, err := strconv.ParseInt(r.Header.Get(upstream.HeaderFence), 10, 64)
+	if err != nil || fence < e.fence {
+		writeError(w, http.StatusPreconditionFailed, "FencedError", "old fencing number")
+		return false
+	}
+	e.fence = fence
+	return true
+}
+
+type loraOrder struct {
+	Name string `json:"lora_name"`
+	Path string `json:"lora_path"`
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	var order loraOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Name == "" {
+		writeError(w, http.StatusBadRequest, "InvalidUserInput", "lora_name is missing")
+		return
+	}
+	a, ok := e.startLoad(w, r, order)
+	if !ok {
+		return
+	}
+	time.Sleep(e.settings.LoadTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.adapters[order.Name] != a {
+		writeError(w, http.StatusServiceUnavailable, "LoadError", "the engine has restarted")
+		return
+	}
+	if e.faults.FailLoads > 0 {
+		e.faults.FailLoads--
+		delete(e.adapters, order.Name)
+		writeError(w, http.StatusInternalServerError, "LoadError", "the weights could not be read")
+		return
+	}
+	a.loading = false
+}
+
+// startLoad takes a slot.
+func (e *Engine) startLoad(w http.ResponseWriter, r *http.Request, order loraOrder) (*adapter, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.checkFence(w, r) {
+		return nil, false
+	}
+	if _, held := e.adapters[order.Name]; held {
+		return nil, false // already there: an order may be repeated
+	}
+	if len(e.adapters) >= e.settings.AdapterSlots {
+		writeError(w, http.StatusInsufficientStorage, "NoSlotError", "no free adapter slot")
+		return nil, false
+	}
+	a := &adapter{loading: true}
+	e.adapters[order.Name] = a
+	return a, true
+}
+
+func (e *Engine) unload(w http.ResponseWriter, r *http.Request) {
+	var order loraOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		writeError(w, http.StatusBadRequest, "InvalidUserInput", err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.checkFence(w, r) {
+		delete(e.adapters, order.Name)
+	}
+}
+
+func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	current := upstream.Report{Incarnation: strconv.Itoa(e.incarnation), Sequence: e.sequence, Running: e.running, KVFree: 1, Role: "mixed"}
+	for name, a := range e.adapters {
+		current.Adapters = append(current.Adapters, upstream.AdapterState{Name: name, Running: a.running, Loading: a.loading})
+	}
+	e.reports = append(e.reports, pastReport{time.Now(), current})
+	for len(e.reports) > 1 && time.Since(e.reports[1].at) >= e.settings.ReportLag {
+		e.reports = e.reports[1:]
+	}
+	standin.WriteJSON(w, http.StatusOK, e.reports[0].report)
+}
+
+type completionRequest struct {
+	Model         string          `json:"model"`
+	Stream        bool            `json:"stream"`
+	MaxTokens     int             `json:"max_tokens"`
+	Messages      json.RawMessage `json:"messages"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// answerTokens is the length of an answer where the request allows it.
+const answerTokens = 8
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(r.Body)
+	var req completionRequest
+	if err != nil || json.Unmarshal(raw, &req) != nil {
+		writeError(w, http.StatusBadRequest, "BadRequestError", "the body is not valid")
+		return
+	}
+	w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+	a, ok := e.start(w, r, req, raw)
+	if !ok {
+		return
+	}
+	defer e.end(a)
+	tokens := answerTokens
+	if req.MaxTokens > 0 {
+		tokens = min(tokens, req.MaxTokens)
+	}
+	answer := &answer{engine: e, w: w, r: r, request: req, tokens: tokens, prompt: len(raw) / 4}
+	answer.write()
+}
+
+// start takes a request into the batch.
+func (e *Engine) start(w http.ResponseWriter, r *http.Request, req completionRequest, raw []byte) (*adapter, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a, held := e.adapters[req.Model]
+	if !held || a.loading {
+		w.Header().Set(upstream.HeaderNotRun, "true")
+		writeError(w, http.StatusNotFound, "NotFoundError", fmt.Sprintf("The model `%s` does not exist.", req.Model))
+		return nil, false
+	}
+	e.executions = append(e.executions, Execution{
+		Attempt: r.Header.Get(upstream.HeaderAttempt), Model: req.Model, Body: string(raw), Header: r.Header.Clone(), URL: r.URL.String(),
+	})
+	if e.faults.Poison != "" && strings.Contains(string(raw), e.faults.Poison) {
+		e.crashed = true
+		panic(http.ErrAbortHandler)
+	}
+	a.running++
+	e.running++
+	return a, true
+}
+
+func (e *Engine) end(a *adapter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a.running--
+	e.running--
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,319 @@
+// Package platform is a stand-in for the platform's table service, object
+// store, weight store and host list, with faults that a test can switch.
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	api "github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/standin"
+)
+
+// Faults are what a test can ask of the stand-in.
+type Faults struct {
+	// Down answers every call with 503, before anything is done.
+	Down bool `json:"down"`
+	// Delay is added before every call.
+	Delay time.Duration `json:"delay"`
+	// LoseAnswers lets writes take effect and then breaks the connection off,
+	// for this many writes.
+	LoseAnswers int `json:"lose_answers"`
+	// HostListLag is how old the host list is.
+	HostListLag time.Duration `json:"host_list_lag"`
+}
+
+// Counts are the calls that the stand-in has served.
+type Counts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+// Platform keeps everything in memory.
+type Platform struct {
+	mux *http.ServeMux
+
+	// mu guards all below.
+	mu      sync.Mutex
+	faults  Faults
+	counts  Counts
+	tables  map[string]map[string]api.Row
+	objects map[string][]byte
+	weights map[string]api.WeightInfo
+	hosts   map[string]hostEntry
+	history []hostList
+}
+
+type hostEntry struct {
+	host    api.Host
+	expires time.Time
+}
+
+// hostList is the host list as it was at one time.
+type hostList struct {
+	at    time.Time
+	hosts []api.Host
+}
+
+// New returns an empty platform.
+func New() *Platform {
+	p := &Platform{
+		mux:     http.NewServeMux(),
+		tables:  map[string]map[string]api.Row{},
+		objects: map[string][]byte{},
+		weights: map[string]api.WeightInfo{},
+		hosts:   map[string]hostEntry{},
+	}
+	p.mux.HandleFunc("GET /tables/{table}/row", p.getRow)
+	p.mux.HandleFunc("GET /tables/{table}/rows", p.listRows)
+	p.mux.HandleFunc("POST /tables/commit", p.commit)
+	p.mux.HandleFunc("PUT /objects/{name}", p.putObject)
+	p.mux.HandleFunc("GET /objects/{name}", p.getObject)
+	p.mux.HandleFunc("DELETE /objects/{name}", p.deleteObject)
+	p.mux.HandleFunc("GET /weights/{source}", p.statWeight)
+	p.mux.HandleFunc("GET /hosts", p.listHosts)
+	p.mux.HandleFunc("PUT /hosts/{name}", p.putHost)
+	p.mux.HandleFunc("DELETE /hosts/{name}", p.deleteHost)
+	return p
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Counts returns the calls served so far.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// ServeHTTP implements http.Handler. PUT /faults switches the faults and GET
+// /counts reads the counts; neither is subject to faults.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/faults":
+		p.serveFaults(w, r)
+		return
+	case "/counts":
+		standin.WriteJSON(w, http.StatusOK, p.Counts())
+		return
+	}
+	p.mu.Lock()
+	faults := p.faults
+	if r.Method == http.MethodGet {
+		p.counts.Reads++
+	} else {
+		p.counts.Writes++
+	}
+	p.mu.Unlock()
+	time.Sleep(faults.Delay)
+	if faults.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	p.mux.ServeHTTP(w, r)
+	if r.Method != http.MethodGet && p.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(f)
+	standin.WriteJSON(w, http.StatusOK, f)
+}
+
+// loseAnswer reports whether the answer of a write that took effect is lost.
+func (p *Platform) loseAnswer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseAnswers == 0 {
+		return false
+	}
+	p.faults.LoseAnswers--
+	return true
+}
+
+func (p *Platform) getRow(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	row, ok := p.tables[r.PathValue("table")][r.URL.Query().Get("key")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, row)
+}
+
+func (p *Platform) listRows(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 {
+		http.Error(w, "limit", http.StatusBadRequest)
+		return
+	}
+	rows := []api.Row{}
+	p.mu.Lock()
+	for key, row := range p.tables[r.PathValue("table")] {
+		if key > q.Get("after") && strings.HasPrefix(key, q.Get("prefix")) {
+			rows = append(rows, row)
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(rows, func(a, b api.Row) int { return strings.Compare(a.Key, b.Key) })
+	standin.WriteJSON(w, http.StatusOK, rows[:min(limit, len(rows))])
+}
+
+func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
+	var txn api.Txn
+	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range txn.Conditions {
+		if p.tables[c.Table][c.Key].Version != c.Version {
+			http.Error(w, "condition", http.StatusConflict)
+			return
+		}
+	}
+	for _, write := range txn.Writes {
+		p.write(write)
+	}
+}
+
+func (p *Platform) write(w api.Write) {
+	table, ok := p.tables[w.Table]
+	if !ok {
+		table = map[string]api.Row{}
+		p.tables[w.Table] = table
+	}
+	if w.Delete {
+		delete(table, w.Key)
+		return
+	}
+	table[w.Key] = api.Row{Key: w.Key, Value: w.Value, Version: table[w.Key].Version + 1}
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, exists := p.objects[r.PathValue("name")]; exists && r.Header.Get("If-None-Match") == "*" {
+		http.Error(w, "exists", http.StatusPreconditionFailed)
+		return
+	}
+	p.objects[r.PathValue("name")] = data
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	data, ok := p.objects[r.PathValue("name")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (p *Platform) deleteObject(_ http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.objects, r.PathValue("name"))
+}
+
+// AddWeight puts an adapter version into the weight store.
+func (p *Platform) AddWeight(info api.WeightInfo) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.weights[info.Source] = info
+}
+
+func (p *Platform) statWeight(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	info, ok := p.weights[r.PathValue("source")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, info)
+}
+
+func (p *Platform) putHost(w http.ResponseWriter, r *http.Request) {
+	var h api.Host
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil || json.NewDecoder(r.Body).Decode(&h) != nil {
+		http.Error(w, "host", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts[h.Name] = hostEntry{host: h, expires: time.Now().Add(ttl)}
+	p.remember()
+}
+
+func (p *Platform) deleteHost(_ http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.hosts, r.PathValue("name"))
+	p.remember()
+}
+
+// historyLength bounds how many past host lists are kept.
+const historyLength = 1024
+
+// remember notes the host list as it is now. It is called with mu held.
+func (p *Platform) remember() {
+	p.history = append(p.history, hostList{at: time.Now(), hosts: p.currentHosts()})
+	if len(p.history) > historyLength {
+		p.history = p.history[1:]
+	}
+}
+
+func (p *Platform) currentHosts() []api.Host {
+	hosts := []api.Host{}
+	for _, e := range p.hosts {
+		if time.Now().Before(e.expires) {
+			hosts = append(hosts, e.host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b api.Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts
+}
+
+func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.HostListLag == 0 {
+		standin.WriteJSON(w, http.StatusOK, p.currentHosts())
+		return
+	}
+	seen := []api.Host{}
+	for _, past := range p.history {
+		if time.Since(past.at) >= p.faults.HostListLag {
+			seen = past.hosts
+		}
+	}
+	standin.WriteJSON(w, http.StatusOK, seen)
+}
--- /dev/null
+++ b/wire/config.go
@@ -0,0 +1,3 @@
+package wire
+
+var configDecoders = map[Type]func() Message{}
--- /dev/null
+++ b/wire/limit.go
@@ -0,0 +1,3 @@
+package wire
+
+var limitDecoders = map[Type]func() Message{}
--- /dev/null
+++ b/wire/link.go
@@ -0,0 +1,24 @@
+package wire
+
+// The numbers of the message types of peer links. Each file of messages has a
+// block of 100: membership from 100, configuration spread from 200, limits from
+// 300, scheduling from 400, outcomes from 500.
+const (
+	TypeHello Type = 1
+)
+
+var linkDecoders = map[Type]func() Message{
+	TypeHello: func() Message { return &Hello{} },
+}
+
+// Hello is the first message on a peer link, in both directions.
+type Hello struct {
+	Host        string `cbor:"1,keyasint"`
+	Zone        string `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint"`
+	MinVersion  int    `cbor:"4,keyasint"`
+	MaxVersion  int    `cbor:"5,keyasint"`
+}
+
+// WireType implements Message.
+func (*Hello) WireType() Type { return TypeHello }
--- /dev/null
+++ b/wire/membership.go
@@ -0,0 +1,3 @@
+package wire
+
+var membershipDecoders = map[Type]func() Message{}
--- /dev/null
+++ b/wire/outcome.go
@@ -0,0 +1,3 @@
+package wire
+
+var outcomeDecoders = map[Type]func() Message{}
--- /dev/null
+++ b/wire/sched.go
@@ -0,0 +1,3 @@
+package wire
+
+var schedDecoders = map[Type]func() Message{}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,126 @@
+// Package wire holds the messages that hosts send one another, and their CBOR
+// encoding. It has no logic and opens no connection.
+package wire
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Version is the frame version written by this build. Frames of MinVersion up
+// to Version are read.
+const (
+	Version    = 1
+	MinVersion = 1
+)
+
+// MaxFrameBytes bounds an encoded frame.
+const MaxFrameBytes = 1 << 20
+
+// Type tells a frame's message type. Numbers are never used again.
+type Type uint16
+
+// Message is one message between hosts.
+type Message interface {
+	// WireType returns the message's number.
+	WireType() Type
+}
+
+// Outgoing is a message with the host it is for.
+type Outgoing struct {
+	To      string
+	Message Message
+}
+
+// frame is the envelope of a message.
+type frame struct {
+	Version int             `cbor:"1,keyasint"`
+	Type    Type            `cbor:"2,keyasint"`
+	Body    cbor.RawMessage `cbor:"3,keyasint"`
+}
+
+// decoders makes an empty message of each type. Each file of messages has its
+// own part.
+var decoders = merge(linkDecoders, membershipDecoders, configDecoders, limitDecoders, schedDecoders, outcomeDecoders)
+
+func merge(parts ...map[Type]func() Message) map[Type]func() Message {
+	all := map[Type]func() Message{}
+	for _, part := range parts {
+		for number, newMessage := range part {
+			if _, twice := all[number]; twice {
+				panic(fmt.Sprintf("wire: type %d has two messages", number))
+			}
+			all[number] = newMessage
+		}
+	}
+	return all
+}
+
+var (
+	encMode = mustEnc()
+	decMode = mustDec()
+)
+
+// Bounds on what a decoder accepts, against frames made to exhaust memory.
+const (
+	maxNesting  = 8
+	maxElements = 64 << 10
+)
+
+func mustEnc() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDec() cbor.DecMode {
+	o := cbor.DecOptions{MaxNestedLevels: maxNesting, MaxArrayElements: maxElements, MaxMapPairs: maxElements}
+	m, err := o.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Encode returns a message's frame.
+func Encode(m Message) ([]byte, error) {
+	body, err := encMode.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := encMode.Marshal(frame{Version: Version, Type: m.WireType(), Body: body})
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > MaxFrameBytes {
+		return nil, fmt.Errorf("wire: frame of %d bytes, at most %d", len(raw), MaxFrameBytes)
+	}
+	return raw, nil
+}
+
+// Decode reads a frame. A frame of an unknown type gives nil and no error, so
+// that a newer host may send what this one does not know.
+func Decode(raw []byte) (Message, error) {
+	if len(raw) > MaxFrameBytes {
+		return nil, fmt.Errorf("wire: frame of %d bytes, at most %d", len(raw), MaxFrameBytes)
+	}
+	var f frame
+	if err := decMode.Unmarshal(raw, &f); err != nil {
+		return nil, fmt.Errorf("wire: %w", err)
+	}
+	if f.Version < MinVersion {
+		return nil, fmt.Errorf("wire: frame version %d, at least %d", f.Version, MinVersion)
+	}
+	newMessage, ok := decoders[f.Type]
+	if !ok {
+		return nil, nil
+	}
+	m := newMessage()
+	if err := decMode.Unmarshal(f.Body, m); err != nil {
+		return nil, fmt.Errorf("wire: type %d: %w", f.Type, err)
+	}
+	return m, nil
+}
