Let reservations wait for another host, and carry the load budget on leads

A budget without a rate is kept as a list of who holds what. A leaving host passes on what it leads.

--- a/core/core.go
+++ b/core/core.go
@@ -25,6 +25,7 @@
 	config    *record.Config
 	requests  map[sched.RequestID]*entry
 	budget    loadBudget
+	waiting   waiting
 	draining  bool
 }
 
@@ -44,8 +45,9 @@
 		config:    record.NewConfig(),
 		requests:  map[sched.RequestID]*entry{},
 	}
+	c.budget = newLoadBudget(o.Limiter)
 	c.scheduler.UseBudget(&c.budget)
-	c.budget.limiter = o.Limiter
+	c.waiting.tickets = map[limit.Ticket]waitingRequest{}
 	return c
 }
 
@@ -60,7 +62,8 @@
 	case fleetEvent:
 		c.onFleetEvent(now, e, &out)
 	}
-	out.limited(c.budget.take())
+	c.limited(c.budget.take(), &out)
+	c.onResolved(now, &out)
 	return out
 }
 
--- a/core/events.go
+++ b/core/events.go
@@ -105,6 +105,10 @@
 	Message wire.Message
 }
 
+// LeaveStarted says that this host is about to stop. It passes on what it keeps
+// for others, and goes on serving until DrainStarted.
+type LeaveStarted struct{}
+
 // DrainStarted says that this host is leaving: it takes no new request.
 type DrainStarted struct{}
 
@@ -139,6 +143,7 @@
 func (HostsSeen) isEvent()    {}
 func (PeerReceived) isEvent() {}
 func (StoreEnded) isEvent()   {}
+func (LeaveStarted) isEvent() {}
 func (DrainStarted) isEvent() {}
 func (Tick) isEvent()         {}
 
@@ -146,6 +151,7 @@
 func (HostsSeen) isFleetEvent()    {}
 func (PeerReceived) isFleetEvent() {}
 func (StoreEnded) isFleetEvent()   {}
+func (LeaveStarted) isFleetEvent() {}
 func (DrainStarted) isFleetEvent() {}
 func (Tick) isFleetEvent()         {}
 
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -15,14 +15,17 @@
 	case HostsSeen:
 		c.onHosts(now, e.Hosts, out)
 	case PeerReceived:
-		out.limited(c.limiter.Receive(now, e.From, e.Message))
+		c.limited(c.limiter.Receive(now, e.From, e.Message), out)
 		c.onScheduled(now, c.scheduler.Receive(now, e.From, e.Message), out)
 	case StoreEnded:
-		out.limited(c.limiter.StoreEnded(now, e.End))
+		c.limited(c.limiter.StoreEnded(now, e.End), out)
+	case LeaveStarted:
+		c.limited(c.limiter.Leave(now), out)
 	case DrainStarted:
 		c.draining = true
 	case Tick:
-		out.limited(c.limiter.Tick(now))
+		c.limited(c.limiter.Tick(now), out)
+		c.budget.tick(now)
 		c.onScheduled(now, c.scheduler.Tick(now), out)
 	}
 }
@@ -34,7 +37,7 @@
 	c.config = config
 	c.budget.config = config
 	c.board.Config.Publish(config)
-	out.limited(c.limiter.Configure(now, withLoadBudgets(config)))
+	c.limited(c.limiter.Configure(now, withLoadBudgets(config)), out)
 	c.onScheduled(now, c.scheduler.Configure(now, config), out)
 }
 
@@ -45,6 +48,6 @@
 		names = append(names, h.Name)
 	}
 	slices.Sort(names)
-	out.limited(c.limiter.Members(now, names))
+	c.limited(c.limiter.Members(now, names), out)
 	c.onScheduled(now, c.scheduler.Members(now, names), out)
 }
--- a/core/requests.go
+++ b/core/requests.go
@@ -49,41 +49,7 @@
 		return
 	}
 	e.machine.To(request.Authorised)
-	if err := c.reserve(now, e, out); err != nil {
-		e.machine.To(request.Failed)
-		out.finish(r.ID, err, "rate")
-		return
-	}
-	e.machine.To(request.Reserved)
-	c.requests[r.ID] = e
-	if r.IdempotencyKey != "" && !e.repeatable() {
-		e.machine.To(request.Claiming)
-		*out = append(*out, Claim{ID: r.ID, Key: r.IdempotencyKey, Organisation: e.org})
-		return
-	}
-	c.enqueue(now, e, out)
-}
-
-// reserve sets the request's tokens aside. Open routes belong to no
-// organisation and are not counted.
-func (c *Core) reserve(now time.Time, e *entry, out *decisions) *apierr.Error {
-	tokens := e.request.Tokens
-	if e.route != nil {
-		tokens = e.route.CostTokens
-	}
-	if e.org == "" || tokens == 0 {
-		return nil
-	}
-	v, messages := c.limiter.Reserve(now, e.org, tokens)
-	out.limited(messages)
-	switch {
-	case v.OverBurst:
-		return apierr.New(apierr.CostOverBurst, "%d tokens asked for, burst %d", tokens, v.Limit)
-	case !v.OK:
-		return apierr.New(apierr.RateLimited, "%d tokens asked for", tokens).WithRetryAfter(v.RetryAfter)
-	}
-	e.reserved = tokens
-	return nil
+	c.reserve(now, e, out)
 }
 
 func (c *Core) enqueue(now time.Time, e *entry, out *decisions) {
@@ -192,7 +158,7 @@
 	if e.route != nil && used > 0 {
 		used = e.route.CostTokens
 	}
-	out.limited(c.limiter.Settle(now, e.org, e.reserved, used))
+	c.limited(c.limiter.Settle(now, e.org, e.reserved, used), out)
 	e.reserved = 0
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,7 +15,6 @@
 	"github.com/jasminelock/jasminelock/blackboard"
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/gateway"
-	"github.com/jasminelock/jasminelock/limit"
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/sched"
 	"github.com/jasminelock/jasminelock/settings"
@@ -50,7 +49,7 @@
 		upstream: upstream.NewClient(),
 		draining: make(chan struct{}),
 	}
-	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded()})
+	c := core.New(core.Options{Board: d.board, Limiter: newLimiter(s), Scheduler: sched.NewLeastLoaded()})
 	d.runtime = newRuntime(d.log, c, d.work)
 	var err error
 	var listen net.ListenConfig
@@ -147,6 +146,7 @@
 	if err := d.announce(ctx); err != nil {
 		d.log.Warn("host list not told of the shutdown", "error", err)
 	}
+	d.runtime.Handle(core.LeaveStarted{})
 	sleep(ctx, time.Duration(d.settings.Drain.LocateWait))
 	d.runtime.Handle(core.DrainStarted{})
 	if err := callers.Shutdown(ctx); err != nil {
--- a/limit/ask.go
+++ b/limit/ask.go
@@ -70,11 +70,11 @@
 		}
 		own := l.held[a.org]
 		v.OK = s.others()+own.held+a.tokens <= s.burst
-		if v.OK {
-			own.held += a.tokens
-		} else {
-			v.RetryAfter = unknownRetry
+		if !v.OK {
+			return v, false // what is given back within the wait may serve it
 		}
+		own.held += a.tokens
+		own.idleReports = 0
 		v.Remaining = max(0, s.burst-s.others()-own.held)
 		return v, true
 	}
@@ -169,10 +169,13 @@
 	if !ready {
 		return false
 	}
-	v := Verdict{RetryAfter: unknownRetry}
+	v := Verdict{OK: true}
 	own := l.held[m.Organisation].held
-	if m.Epoch == l.view.epoch && l.view.members.has(r.from) {
-		v.OK = s.grant(r.from, m.ID, m.Tokens, own)
+	switch {
+	case m.Epoch != l.view.epoch || !l.view.members.has(r.from):
+		v = Verdict{RetryAfter: unknownRetry}
+	case !s.grant(r.from, m.ID, m.Tokens, own):
+		return false // what is given back within the wait may serve it
 	}
 	v.Remaining = max(0, s.burst-s.others()-own)
 	l.reply(r, v)
@@ -220,6 +223,7 @@
 	}
 	l.stamps[a.lead] = max(l.stamps[a.lead], m.Stamp)
 	if !l.now.Before(a.deadline) {
+		l.expire(a)
 		return
 	}
 	v := Verdict{
@@ -266,14 +270,23 @@
 		l.serveQueued(now)
 	}
 	for _, a := range l.waiting() {
-		if now.Before(a.deadline) {
-			continue
+		if !now.Before(a.deadline) {
+			l.expire(a)
 		}
-		v := Verdict{RetryAfter: unknownRetry}
-		if rate, known := l.rates[a.org]; known {
-			v.Limit = rate.BurstTokens
-		}
-		l.resolve(a, v)
+	}
+}
+
+// expire refuses an ask that has waited for too long. The lead of a budget in
+// flight is told at once, should its answer still come.
+func (l *Lead) expire(a *ask) {
+	v := Verdict{RetryAfter: unknownRetry}
+	rate, known := l.rates[a.org]
+	if known {
+		v.Limit = rate.BurstTokens
+	}
+	l.resolve(a, v)
+	if known && inFlightOnly(rate) && l.view != nil {
+		l.reportHeld(a.org)
 	}
 }
 
--- a/limit/handover.go
+++ b/limit/handover.go
@@ -250,7 +250,11 @@
 	own := l.held[org]
 	own.held = max(0, own.held-n)
 	own.idleReports = 0
+	if l.view == nil {
+		return
+	}
 	l.reportHeld(org)
+	l.serveQueued(l.now)
 }
 
 // tickHeld repeats what this host holds, since a report may be lost.
--- a/limit/safety_test.go
+++ b/limit/safety_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,7 +70,11 @@
 	}
 }
 
-const faultKinds = 9
+// The kinds of fault.
+const (
+	kindRates  = 5
+	faultKinds = 9
+)
 
 // fault returns what one kind of fault does.
 func (s *sim) fault(kind int, h *simHost, lasts time.Duration) func() {
@@ -87,14 +92,14 @@
 			s.kill(h)
 			s.after(0, restart)
 		case 2:
-			s.pause(h, "acme", lasts)
+			s.pause(h, anyOrg(s.rates), lasts)
 		case 3:
 			s.down = true
 			s.after(lasts, func() { s.down = false })
 		case 4:
 			s.isolate(h, true)
 			s.after(lasts, func() { s.isolate(h, false) })
-		case 5:
+		case kindRates:
 			changed := maps.Clone(s.rates)
 			changed["acme"] = &record.Rate{TokensPerSecond: 10 + s.rand.Float64()*100, BurstTokens: 100 + s.rand.Int64N(500)}
 			s.publish(changed)
@@ -222,3 +227,8 @@
 		})
 	}
 }
+
+// anyOrg returns the first of the organisations with a rate.
+func anyOrg(rates map[string]*record.Rate) string {
+	return slices.Min(slices.Collect(maps.Keys(rates)))
+}
