Free a grant's room once it is spent, and date late returns by the lead's stamps

Cause: an organisation near its rate lost the room of each grant for 110 ms, and a return to a lead seldom asked was cut too far. Ruled out: shorter grants, which would bound the wait for another host. Change: hosts say when a grant is spent; a return carries the lead's last stamp plus the time since, less clock drift. A waiting ask is sent to the new lead before anything is served: the checker found a bucket opened on the old one.

--- a/limit/account.go
+++ b/limit/account.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 // account is one organisation's token bucket on its lead. Tokens and grants
@@ -26,8 +28,11 @@
 	creating bool
 }
 
-// grant is an amount that another host may spend until it expires.
+// grant is an amount that another host may spend until it expires, or says that
+// it has.
 type grant struct {
+	to      wire.LimitMember
+	id      uint64
 	tokens  float64
 	expires time.Time
 }
@@ -91,11 +96,25 @@
 }
 
 // lend records that tokens just taken are on their way to another host.
-func (a *account) lend(now time.Time, tokens int64) {
-	a.granted = append(a.granted, grant{tokens: float64(tokens), expires: now.Add(grantTTL)})
+func (a *account) lend(now time.Time, to wire.LimitMember, id uint64, tokens int64) {
+	a.granted = append(a.granted, grant{to: to, id: id, tokens: float64(tokens), expires: now.Add(grantTTL)})
 	a.inFlight += float64(tokens)
 }
 
+// spent frees the room of a grant that its host has spent.
+func (a *account) spent(now time.Time, by wire.LimitMember, id uint64) {
+	a.refill(now)
+	i := slices.IndexFunc(a.granted, func(g grant) bool { return g.to == by && g.id == id })
+	if i < 0 {
+		return
+	}
+	a.inFlight -= a.granted[i].tokens
+	a.granted = slices.Delete(a.granted, i, i+1)
+	if len(a.granted) == 0 {
+		a.granted, a.inFlight = nil, 0
+	}
+}
+
 // credit adds tokens given back at some time since then. A negative amount is a
 // debt. Had they come at once, they would have counted only up to the room that
 // there was, so what has since been refilled is not given out twice.
--- a/limit/ask.go
+++ b/limit/ask.go
@@ -154,7 +154,7 @@
 	var v Verdict
 	v.OK, v.RetryAfter = acct.take(now, m.Tokens)
 	if v.OK {
-		acct.lend(now, m.Tokens)
+		acct.lend(now, r.from, m.ID, m.Tokens)
 	}
 	v.Remaining = max(0, int64(acct.tokens))
 	l.reply(r, v)
@@ -186,7 +186,7 @@
 	millis := (v.RetryAfter + time.Millisecond - 1) / time.Millisecond
 	l.send(r.from.Host, &wire.LimitAnswer{
 		ID: r.message.ID, Incarnation: r.message.Incarnation, Epoch: l.view.epoch,
-		OK: v.OK, RetryMillis: int64(millis), Remaining: v.Remaining, Stamp: l.stamp(),
+		OK: v.OK, RetryMillis: int64(millis), Remaining: v.Remaining, Stamp: l.ownStamp(),
 	})
 }
 
@@ -221,7 +221,9 @@
 	if !ok {
 		return
 	}
-	l.stamps[a.lead] = max(l.stamps[a.lead], m.Stamp)
+	if m.Stamp > l.stamps[a.lead].millis(l.now) {
+		l.stamps[a.lead] = stamp{lead: m.Stamp, at: l.now}
+	}
 	if !l.now.Before(a.deadline) {
 		l.expire(a)
 		return
@@ -233,15 +235,35 @@
 	}
 	if rate, known := l.rates[a.org]; known {
 		v.Limit = rate.BurstTokens
-		if inFlightOnly(rate) && m.OK {
-			if m.Epoch != l.view.epoch {
-				return
-			}
-			l.held[a.org].held += a.tokens
-			l.held[a.org].idleReports = 0
+		if inFlightOnly(rate) {
+			l.onSlotAnswer(a, m, v)
+			return
 		}
 	}
 	l.resolve(a, v)
+	if m.OK {
+		l.send(a.lead.Host, &wire.LimitSpent{ID: m.ID, Incarnation: l.self.Incarnation, Organisation: a.org})
+	}
+}
+
+// onSlotAnswer takes the answer to an ask for a budget in flight. It counts only
+// in the view that it was given in: the next lead has been told what was held.
+func (l *Lead) onSlotAnswer(a *ask, m *wire.LimitAnswer, v Verdict) {
+	if m.Epoch != l.view.epoch {
+		return
+	}
+	if m.OK {
+		l.held[a.org].held += a.tokens
+		l.held[a.org].idleReports = 0
+	}
+	l.resolve(a, v)
+}
+
+// onSpent frees the room that a grant keeps.
+func (l *Lead) onSpent(now time.Time, from string, m *wire.LimitSpent) {
+	if acct, ok := l.accounts[m.Organisation]; ok {
+		acct.spent(now, wire.LimitMember{Host: from, Incarnation: m.Incarnation}, m.ID)
+	}
 }
 
 // rerouteAsks sends the asks under way to the leads of a new view.
@@ -308,11 +330,3 @@
 		acct.credit(now, l.stamped(m.Stamp), float64(m.Tokens))
 	}
 }
-
-// stamp is this host's clock as other hosts give it back.
-func (l *Lead) stamp() int64 { return l.now.Sub(l.started).Milliseconds() }
-
-// stamped is the time of a stamp. Without one it is before all else.
-func (l *Lead) stamped(stamp int64) time.Time {
-	return l.started.Add(time.Duration(stamp) * time.Millisecond)
-}
--- a/limit/checker_test.go
+++ b/limit/checker_test.go
@@ -24,21 +24,24 @@
 	reading time.Time
 
 	// ideal are buckets that get the same requests and admit what they can.
-	ideal map[string]*idealBucket
-	score
+	ideal  map[string]*idealBucket
+	scores map[string]*score
 }
 
-// score compares the fleet with one ideal bucket for each organisation.
+// score compares the fleet with an ideal bucket, for one organisation.
 type score struct {
 	arrived, admitted, ideals int
+	// used and idealUsed are the tokens that admitted requests used.
+	used, idealUsed int64
 	// wrongful are the requests refused that the ideal bucket admitted.
 	wrongful     int
 	lastWrongful time.Time
 }
 
-// shortfall is by how much fewer requests were admitted than ideally.
+// shortfall is by how much fewer tokens were used than ideally. It judges
+// demand above the rate, where which requests are refused is a matter of chance.
 func (s score) shortfall() float64 {
-	return math.Max(0, float64(s.ideals-s.admitted)) / float64(max(1, s.ideals))
+	return math.Max(0, float64(s.idealUsed-s.used)) / float64(max(1, s.idealUsed))
 }
 
 // wrongfulShare is the share of wrongful refusals in what was ideally admitted.
@@ -83,6 +86,7 @@
 func newChecker() *checker {
 	return &checker{
 		log: map[string][]logEntry{}, inForce: map[string]record.Rate{}, ideal: map[string]*idealBucket{},
+		scores: map[string]*score{},
 	}
 }
 
@@ -108,20 +112,30 @@
 	c.ideal[org].apply(logEntry{at: now, rate: &r})
 }
 
-func (c *checker) admit(org string, tokens int64) {
-	c.admitted++
+func (c *checker) score(org string) *score {
+	if c.scores[org] == nil {
+		c.scores[org] = &score{}
+	}
+	return c.scores[org]
+}
+
+func (c *checker) admit(org string, tokens, used int64) {
+	c.score(org).admitted++
+	c.score(org).used += used
 	c.add(org, logEntry{at: c.reading, tokens: float64(tokens)})
 }
 
 // arrive gives a request to the ideal bucket.
-func (c *checker) arrive(org string, tokens int64, now time.Time) bool {
-	c.arrived++
+func (c *checker) arrive(org string, tokens, used int64, now time.Time) bool {
+	sc := c.score(org)
+	sc.arrived++
 	b := c.ideal[org]
 	b.advance(now)
 	if b.tokens < float64(tokens) {
 		return false
 	}
-	c.ideals++
+	sc.ideals++
+	sc.idealUsed += used
 	b.tokens -= float64(tokens)
 	return true
 }
@@ -135,10 +149,10 @@
 }
 
 // refuse counts a refusal, ideal being what the ideal bucket said.
-func (c *checker) refuse(ideal bool, now time.Time) {
+func (c *checker) refuse(org string, ideal bool, now time.Time) {
 	if ideal {
-		c.wrongful++
-		c.lastWrongful = now
+		c.score(org).wrongful++
+		c.score(org).lastWrongful = now
 	}
 }
 
--- a/limit/handover.go
+++ b/limit/handover.go
@@ -33,7 +33,7 @@
 	l.fence.reset(now)
 	l.returns = map[string]uint64{}
 	l.returned = map[wire.LimitMember]uint64{}
-	maps.DeleteFunc(l.stamps, func(m wire.LimitMember, _ int64) bool { return !l.view.members.has(m) })
+	maps.DeleteFunc(l.stamps, func(m wire.LimitMember, _ stamp) bool { return !l.view.members.has(m) })
 	l.fence.join(now, l.view, l.self)
 	l.handedOver = map[wire.LimitMember]bool{}
 	if !continuous {
@@ -45,12 +45,12 @@
 	l.wantHead()
 	l.nextResend = time.Time{}
 	l.nextRound = now.Add(resendInterval)
+	l.rerouteAsks(now)
 	if own, ok := l.handovers[l.self.Host]; ok {
 		delete(l.handovers, l.self.Host)
 		l.takeHandover(now, l.self, own)
 	}
 	l.tickResend(now)
-	l.rerouteAsks(now)
 	l.serveQueued(now)
 }
 
@@ -174,10 +174,13 @@
 	l.accounts[moved.Organisation] = a
 }
 
-// account returns the bucket of an organisation that this host leads. It is not
+// account returns the bucket of an organisation if this host leads it. It is not
 // ready while the lead before may still act, or the table service is being
 // asked for the first burst. A bucket that nobody has passed on starts empty.
 func (l *Lead) account(now time.Time, org string) (a *account, ready bool) {
+	if lead, ok := l.leadOf(org); !ok || lead != l.self {
+		return nil, false
+	}
 	if a, ok := l.accounts[org]; ok {
 		return a, !a.creating
 	}
--- a/limit/lead.go
+++ b/limit/lead.go
@@ -87,7 +87,7 @@
 	returns  map[string]uint64 // last sequence sent, by lead's host
 	returned map[wire.LimitMember]uint64
 	// stamps are the latest stamps of leads.
-	stamps  map[wire.LimitMember]int64
+	stamps  map[wire.LimitMember]stamp
 	leaving bool
 	// newcomers are hosts that have asked and are in no view.
 	newcomers map[string]uint64
@@ -123,7 +123,7 @@
 		asks:       map[uint64]*ask{},
 		returns:    map[string]uint64{},
 		returned:   map[wire.LimitMember]uint64{},
-		stamps:     map[wire.LimitMember]int64{},
+		stamps:     map[wire.LimitMember]stamp{},
 		newcomers:  map[string]uint64{},
 	}
 	l.fence.reset(time.Time{})
@@ -235,7 +235,7 @@
 	l.returns[lead.Host]++
 	l.send(lead.Host, &wire.LimitReturn{
 		Sequence: l.returns[lead.Host], Incarnation: l.self.Incarnation, Epoch: l.view.epoch,
-		Organisation: org, Tokens: tokens, Stamp: l.stamps[lead],
+		Organisation: org, Tokens: tokens, Stamp: l.stamps[lead].millis(now),
 	})
 }
 
@@ -268,6 +268,8 @@
 		l.onAsk(now, from, m)
 	case *wire.LimitAnswer:
 		l.onAnswer(m)
+	case *wire.LimitSpent:
+		l.onSpent(now, from, m)
 	case *wire.LimitReturn:
 		l.onReturn(now, from, m)
 	case *wire.LimitHeld:
--- a/limit/rounds.go
+++ b/limit/rounds.go
@@ -1,11 +1,16 @@
 package limit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jasminelock/jasminelock/wire"
 )
 
+// sparePart is the part of the members that may be gone for a round to succeed,
+// besides those that are not asked.
+const sparePart = 8
+
 // tickRound asks other hosts for their view: all members where the table
 // service does not answer, and those of the previous view that have not joined
 // this one while that is still of use.
@@ -27,7 +32,7 @@
 		}
 	}
 	if outage {
-		for _, m := range l.view.members.list {
+		for _, m := range l.someMembers() {
 			ask(m)
 		}
 	}
@@ -39,6 +44,15 @@
 	l.confirmSelf()
 }
 
+// someMembers returns a majority of the members and a few more, other ones each
+// time, so that some may be gone.
+func (l *Lead) someMembers() []wire.LimitMember {
+	all := l.view.members.list
+	n := min(len(all), l.view.members.majority()+len(all)/sparePart+1)
+	first := l.rand.IntN(len(all))
+	return slices.Concat(all, all)[first : first+n]
+}
+
 // wantsVotes says that it is of use to know who has joined this view.
 func (l *Lead) wantsVotes(now time.Time) bool {
 	if l.wantsNext(now) && !l.fence.settled(now, l.view) {
--- a/limit/safety_test.go
+++ b/limit/safety_test.go
@@ -138,7 +138,7 @@
 	admitted := 0
 	rapid.Check(t, func(t *rapid.T) {
 		s := chaos(rapid.Uint64().Draw(t, "seed"), leadLimiter)
-		admitted += s.check.admitted
+		admitted += s.check.score("acme").admitted
 		if err := s.check.verify(); err != nil {
 			t.Fatal(err)
 		}
@@ -146,6 +146,17 @@
 	require.Positive(t, admitted)
 }
 
+// TestFoundSeeds keeps runs in which the checker found faults that are mended.
+func TestFoundSeeds(t *testing.T) {
+	t.Parallel()
+	for seed, fault := range map[uint64]string{
+		0x2:       "room kept by a grant was refilled for the time before it expired",
+		0xdea8cae: "a waiting ask opened a bucket on a host that leads it no more",
+	} {
+		require.NoError(t, chaos(seed, leadLimiter).check.verify(), "seed %#x: %s", seed, fault)
+	}
+}
+
 // broken is a limiter whose mechanism is broken: spoil is called around each call.
 type broken struct {
 	*Lead
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -106,7 +106,7 @@
 		s.faults.storeTime = simStore
 	}
 	for i := range hosts {
-		h := &simHost{index: i, name: fmt.Sprintf("host-%d", i+1)}
+		h := &simHost{index: i, name: simName(i)}
 		s.hosts = append(s.hosts, h)
 		s.start(h)
 	}
@@ -374,7 +374,7 @@
 // negative used is not settled.
 func (s *sim) request(h *simHost, org string, tokens, used int64, runs time.Duration, done func(Verdict)) {
 	run := h.run
-	ideal := s.check.arrive(org, tokens, s.now)
+	ideal := s.check.arrive(org, tokens, used, s.now)
 	if ideal && used >= 0 {
 		s.after(runs, func() { s.check.idealRefund(org, tokens-used, s.now) })
 	}
@@ -383,10 +383,10 @@
 			done(v)
 		}
 		if !v.OK {
-			s.check.refuse(ideal, s.now)
+			s.check.refuse(org, ideal, s.now)
 			return
 		}
-		s.check.admit(org, tokens)
+		s.check.admit(org, tokens, used)
 		s.after(runs, func() {
 			if used < 0 {
 				return
@@ -410,3 +410,5 @@
 		return decisions
 	})
 }
+
+func simName(i int) string { return fmt.Sprintf("host-%d", i+1) }
--- a/limit/slots_test.go
+++ b/limit/slots_test.go
@@ -270,7 +270,7 @@
 			}
 			s.run(lasts)
 			require.NoError(t, s.check.verify())
-			used := float64(s.check.admitted) / (loadRate * lasts.Seconds())
+			used := float64(s.check.score(rateBudget).admitted) / (loadRate * lasts.Seconds())
 			t.Logf("%.1f%% of the load rate used", 100*used)
 			require.Greater(t, used, 0.9)
 		})
--- a/wire/limit.go
+++ b/wire/limit.go
@@ -11,6 +11,7 @@
 	TypeLimitHeld        Type = 306
 	TypeLimitHandover    Type = 307
 	TypeLimitHandoverAck Type = 308
+	TypeLimitSpent       Type = 309
 )
 
 var limitDecoders = map[Type]func() Message{
@@ -23,6 +24,7 @@
 	TypeLimitHeld:        func() Message { return &LimitHeld{} },
 	TypeLimitHandover:    func() Message { return &LimitHandover{} },
 	TypeLimitHandoverAck: func() Message { return &LimitHandoverAck{} },
+	TypeLimitSpent:       func() Message { return &LimitSpent{} },
 }
 
 // LimitMember is one run of a host's process.
@@ -81,6 +83,14 @@
 	Stamp int64
 }
 
+// LimitSpent says that a grant has been spent, or will not be.
+type LimitSpent struct {
+	_            struct{} `cbor:",toarray"`
+	ID           uint64   // of the LimitAsk
+	Incarnation  uint64   // of the sender
+	Organisation string
+}
+
 // LimitReturn gives tokens back to a lead. A negative amount is usage beyond
 // what was reserved.
 type LimitReturn struct {
@@ -156,3 +166,6 @@
 
 // WireType implements Message.
 func (*LimitHandoverAck) WireType() Type { return TypeLimitHandoverAck }
+
+// WireType implements Message.
+func (*LimitSpent) WireType() Type { return TypeLimitSpent }
