--- a/limit/ask.go
+++ b/limit/ask.go
@@ -207,6 +207,9 @@
 
 // waiting returns this host's asks in the order they came.
 func (l *Lead) waiting() []*ask {
+	if len(l.asks) == 0 {
+		return nil
+	}
 	byTicket := func(a, b *ask) int { return cmp.Compare(a.ticket, b.ticket) }
 	return slices.SortedFunc(maps.Values(l.asks), byTicket)
 }
