--- a/limit/ask.go
+++ b/limit/ask.go
@@ -80,7 +80,8 @@
 	}
 	acct, ready := l.account(now, a.org)
 	if !ready {
-		return v, false
+		v.RetryAfter = l.blocked(now, a.org, a.tokens)
+		return v, v.RetryAfter > 0
 	}
 	v.OK, v.RetryAfter = acct.take(now, a.tokens)
 	v.Remaining = max(0, int64(acct.tokens))
@@ -149,7 +150,11 @@
 	}
 	acct, ready := l.account(now, m.Organisation)
 	if !ready {
-		return false
+		wait := l.blocked(now, m.Organisation, m.Tokens)
+		if wait > 0 {
+			l.reply(r, Verdict{RetryAfter: wait})
+		}
+		return wait > 0
 	}
 	var v Verdict
 	v.OK, v.RetryAfter = acct.take(now, m.Tokens)
--- a/limit/fence.go
+++ b/limit/fence.go
@@ -101,10 +101,15 @@
 	if len(v.previous.list) == 0 {
 		return true
 	}
-	if !f.majorityAt.IsZero() && !now.Before(f.majorityAt.Add(voidAfter)) {
-		return true
+	return !now.Before(f.voidAt())
+}
+
+// voidAt is when no host acts in an earlier view any more, if there was one.
+func (f *fence) voidAt() time.Time {
+	if !f.majorityAt.IsZero() {
+		return f.majorityAt.Add(voidAfter)
 	}
-	return !now.Before(f.adoptedAt.Add(peerTTL + peerTTL/10 + voidAfter))
+	return f.adoptedAt.Add(peerTTL + peerTTL/10 + voidAfter)
 }
 
 // settled says that the view may be replaced by a next one.
--- a/limit/handover.go
+++ b/limit/handover.go
@@ -184,17 +184,36 @@
 	if a, ok := l.accounts[org]; ok {
 		return a, !a.creating
 	}
+	quietSince := now
 	before, had := l.view.previous.lead(org)
-	if had && before != l.self && !l.handedOver[before] && !l.fence.void(now, l.view) {
-		return nil, false
+	if had && before != l.self && !l.handedOver[before] {
+		if !l.fence.void(now, l.view) {
+			return nil, false
+		}
+		quietSince = l.fence.voidAt()
 	}
-	a = newAccount(now, l.rates[org])
+	a = newAccount(quietSince, l.rates[org])
 	a.creating = true
 	l.accounts[org] = a
 	l.create(org)
 	return a, false
 }
 
+// blocked is how long it takes until a bucket that is not ready holds tokens, if
+// that is longer than a request may wait: the lead before is lost, so its time has
+// to run out, and the bucket starts empty. Otherwise it is 0.
+func (l *Lead) blocked(now time.Time, org string, tokens int64) time.Duration {
+	if _, started := l.accounts[org]; started || now.Before(l.fence.adoptedAt.Add(handoverGrace)) {
+		return 0
+	}
+	wait := voidAfter
+	if !l.fence.majorityAt.IsZero() {
+		wait = l.fence.voidAt().Sub(now)
+	}
+	fill := float64(tokens) / l.rates[org].TokensPerSecond
+	return wait + time.Duration(math.Ceil(fill*float64(time.Second)))
+}
+
 // ledSlots returns a budget in flight that this host leads, ready or not.
 func (l *Lead) ledSlots(org string) (*slots, bool) {
 	rate, known := l.rates[org]
--- a/limit/lead.go
+++ b/limit/lead.go
@@ -31,6 +31,9 @@
 	// rankDelay is how much longer each further member waits before it leaves
 	// out a gone one, so that mostly a single host writes.
 	rankDelay = 2 * time.Second
+	// handoverGrace is how long a handover of a live host may take. Where it has
+	// not come by then, only time helps.
+	handoverGrace = 500 * time.Millisecond
 	// grantTTL is how long a grant counts on its lead. An asker gives up after
 	// MaxWait, counted from when it asked.
 	grantTTL = MaxWait + MaxWait/10
