Let members write newcomers into a view, and tell of views instead of sending them

Cause: 100 hosts took 33 s to become members one by one, and the host that wrote a view sent 18 934 B/s when one of 100 was killed. Change: a new host tells two members; views are read from the table service, and sent only to a host that it does not answer.

--- a/limit/ask.go
+++ b/limit/ask.go
@@ -25,7 +25,7 @@
 	from     wire.LimitMember
 	message  *wire.LimitAsk
 	deadline time.Time
-	// told is true once the asking host has been sent a newer view.
+	// told is true once the asking host has been told of a newer view.
 	told bool
 }
 
@@ -134,7 +134,7 @@
 	}
 	if l.view.epoch > m.Epoch && !r.told {
 		r.told = true
-		l.send(r.from.Host, l.view.message())
+		l.send(r.from.Host, l.probe(0))
 	}
 	lead, _ := l.leadOf(m.Organisation)
 	rate, known := l.rates[m.Organisation]
--- a/limit/handover.go
+++ b/limit/handover.go
@@ -42,6 +42,9 @@
 	l.slots = wasReady
 	l.handovers = l.collect(now)
 	l.newcomers = map[string]uint64{}
+	if before == nil {
+		l.joinAlone = now.Add(l.jitter(aloneAfter))
+	}
 	l.wantHead()
 	l.nextResend = time.Time{}
 	l.nextRound = now.Add(resendInterval)
--- a/limit/lead.go
+++ b/limit/lead.go
@@ -23,8 +23,14 @@
 	// roundInterval is how often other hosts are asked for their view, where
 	// the table service does not answer or a view is not settled.
 	roundInterval = 2 * time.Second
+	// outageInterval is the same while the table service is silent, when a
+	// majority is asked.
+	outageInterval = 4 * time.Second
 	// joinInterval is how often a host that is no member tries to become one.
 	joinInterval = 300 * time.Millisecond
+	// aloneAfter is how long a host that is no member leaves it to members to make
+	// it one.
+	aloneAfter = 3 * time.Second
 	// goneAfter is how long a member is missing from the host list before it is
 	// left out of the next view.
 	goneAfter = 5 * time.Second
@@ -92,6 +98,8 @@
 	// stamps are the latest stamps of leads.
 	stamps  map[wire.LimitMember]stamp
 	leaving bool
+	// joinAlone is when this host writes itself into a view.
+	joinAlone time.Time
 	// newcomers are hosts that have asked and are in no view.
 	newcomers map[string]uint64
 
--- a/limit/rounds.go
+++ b/limit/rounds.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -11,19 +12,31 @@
 // besides those that are not asked.
 const sparePart = 8
 
+// askedForView is how many hosts a new one asks for their view in a round.
+const askedForView = 3
+
 // tickRound asks other hosts for their view: all members where the table
 // service does not answer, and those of the previous view that have not joined
 // this one while that is still of use.
 func (l *Lead) tickRound(now time.Time) {
-	if l.view == nil || now.Before(l.nextRound) {
+	if now.Before(l.nextRound) {
 		return
 	}
-	outage := l.isMember() && now.Sub(l.store.headAt) > 2*headInterval
+	if l.view == nil {
+		l.nextRound = now.Add(l.jitter(roundInterval))
+		l.seekView(now)
+		return
+	}
+	outage := l.isMember() && l.storeSilent(now)
 	if !outage && !l.wantsVotes(now) {
 		return
 	}
-	l.nextRound = now.Add(l.jitter(roundInterval))
-	probe := &wire.LimitProbe{Round: l.fence.startRound(now), Incarnation: l.self.Incarnation, Epoch: l.view.epoch}
+	interval := roundInterval
+	if outage {
+		interval = outageInterval
+	}
+	l.nextRound = now.Add(l.jitter(interval))
+	probe := l.probe(l.fence.startRound(now))
 	asked := map[string]bool{l.self.Host: true}
 	ask := func(m wire.LimitMember) {
 		if !asked[m.Host] {
@@ -44,6 +57,30 @@
 	l.confirmSelf()
 }
 
+// probe returns the question of a round, 0 for a mere notice of this host's view.
+func (l *Lead) probe(round uint64) *wire.LimitProbe {
+	return &wire.LimitProbe{
+		Round: round, Incarnation: l.self.Incarnation, Epoch: l.epoch(), WantView: l.storeSilent(l.now),
+	}
+}
+
+// storeSilent says that the table service has not answered for a while.
+func (l *Lead) storeSilent(now time.Time) bool { return now.Sub(l.store.headAt) > 2*headInterval }
+
+// seekView asks some hosts for their view where the table service is silent.
+func (l *Lead) seekView(now time.Time) {
+	if !l.storeSilent(now) {
+		return
+	}
+	asked := 0
+	for _, name := range slices.Sorted(maps.Keys(l.hosts.seen)) {
+		if name != l.self.Host && asked < askedForView {
+			asked++
+			l.send(name, l.probe(0))
+		}
+	}
+}
+
 // someMembers returns a majority of the members and a few more, other ones each
 // time, so that some may be gone.
 func (l *Lead) someMembers() []wire.LimitMember {
@@ -87,7 +124,7 @@
 	epoch := l.epoch()
 	l.send(from, &wire.LimitProbeAnswer{Round: m.Round, Incarnation: l.self.Incarnation, Epoch: epoch})
 	switch {
-	case l.view != nil && m.Epoch < epoch:
+	case m.WantView && m.Epoch < epoch:
 		l.send(from, l.view.message())
 	case m.Epoch > epoch:
 		l.wantHead()
@@ -104,7 +141,7 @@
 	member := wire.LimitMember{Host: from, Incarnation: m.Incarnation}
 	switch {
 	case m.Epoch < l.view.epoch:
-		l.send(from, l.view.message())
+		l.send(from, l.probe(0))
 		return
 	case m.Epoch == l.view.epoch && m.Round == l.fence.round:
 		l.fence.confirm(l.view, member)
--- a/limit/store.go
+++ b/limit/store.go
@@ -178,10 +178,25 @@
 		l.propose(&wire.LimitView{Epoch: 1, Members: []wire.LimitMember{l.self}})
 		return
 	}
-	if !l.fence.settled(now, l.view) {
+	if !l.isMember() && now.Before(l.joinAlone) {
+		l.announce(now)
 		return
 	}
-	l.propose(l.nextView(now))
+	if l.fence.settled(now, l.view) {
+		l.propose(l.nextView(now))
+	}
+}
+
+// announce tells the first members that this host is new. They write it into the
+// next view together with others.
+func (l *Lead) announce(now time.Time) {
+	told := 0
+	for _, m := range l.view.members.list {
+		if told < toldOfNewcomer && !l.hosts.gone(now, m.Host) {
+			told++
+			l.send(m.Host, l.probe(0))
+		}
+	}
 }
 
 // wantsNext says that this host would write another view.
@@ -194,7 +209,18 @@
 	case !l.isMember():
 		return l.hosts.seen[l.self.Host]
 	}
-	return l.anyGone(now.Add(-l.rankWait(now)))
+	wait := l.rankWait(now)
+	return l.anyGone(now.Add(-wait)) || wait == 0 && l.anyNew()
+}
+
+// anyNew says that a listed host has asked to become a member.
+func (l *Lead) anyNew() bool {
+	for host := range l.newcomers {
+		if l.hosts.seen[host] {
+			return true
+		}
+	}
+	return false
 }
 
 // holdsAny says that this host holds a part of a budget in flight, which the
@@ -272,17 +298,27 @@
 		l.wantHead()
 		return
 	}
-	for _, m := range slices.Concat(c.view.Members, c.view.Previous) {
+	l.adopt(now, &c.view)
+	if l.view.epoch != c.view.Epoch {
+		return
+	}
+	l.fence.provenByStore(c.sentAt)
+	notice := l.probe(0)
+	for _, m := range c.view.Members {
 		if m != l.self {
-			l.send(m.Host, &c.view)
+			l.send(m.Host, notice)
 		}
 	}
-	l.adopt(now, &c.view)
-	if l.view.epoch == c.view.Epoch {
-		l.fence.provenByStore(c.sentAt)
+	for _, m := range c.view.Previous {
+		if !l.view.members.hasHost(m.Host) {
+			l.send(m.Host, notice)
+		}
 	}
 }
 
+// toldOfNewcomer is how many members a new host tells.
+const toldOfNewcomer = 2
+
 // create asks whether an organisation's first burst is still to be given out.
 func (l *Lead) create(org string) {
 	key := createdPrefix + org
--- a/wire/limit.go
+++ b/wire/limit.go
@@ -34,12 +34,16 @@
 	Incarnation uint64
 }
 
-// LimitProbe asks a host for the view that it has joined.
+// LimitProbe tells a host the view that the sender has joined, and asks for the
+// host's own.
 type LimitProbe struct {
 	_           struct{} `cbor:",toarray"`
 	Round       uint64
 	Incarnation uint64
 	Epoch       int64
+	// WantView asks for a later view itself, since the table service does not
+	// give it.
+	WantView bool
 }
 
 // LimitProbeAnswer says which view the sender has joined, 0 for none.
