A policy benchmark on virtual time, with baselines

The real core is driven by small fakes: engines with continuous batching, a weight store with the users' rate and slow-down, a table service with outages, peer messages in their encoded form. Baselines (random, least loaded with LRU, consistent hashing with bounded loads) run as one host that sees everything, which flatters them. A placement that knows the future gives a lower bound.

--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,127 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/bench/baseline"
+	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/sched"
+)
+
+func policyNamed(t *testing.T, name string) Policy {
+	t.Helper()
+	for _, p := range Policies() {
+		if p.Name == name {
+			return p
+		}
+	}
+	t.Fatalf("no policy %s", name)
+	return Policy{}
+}
+
+func TestSameSeedSameFigures(t *testing.T) {
+	d, s := Deployments()[0], Scenarios()[0]
+	p := policyNamed(t, "random")
+	require.Equal(t, Run(d, s, p, 7), Run(d, s, p, 7))
+	require.NotEqual(t, Run(d, s, p, 7), Run(d, s, p, 8))
+}
+
+func TestClockRunsInOrder(t *testing.T) {
+	c := newClock()
+	var got []int
+	c.after(2*time.Second, func() { got = append(got, 3) })
+	c.after(time.Second, func() {
+		got = append(got, 1)
+		c.after(0, func() { got = append(got, 2) })
+	})
+	c.after(time.Minute, func() { got = append(got, 4) })
+	c.runUntil(epoch.Add(30 * time.Second))
+	require.Equal(t, []int{1, 2, 3}, got)
+	require.Equal(t, epoch.Add(30*time.Second), c.now)
+}
+
+func TestLowerBoundEvictsWhatIsUsedLatest(t *testing.T) {
+	d := Deployment{Engines: 1, AdapterSlots: 2}
+	var arrivals []arrival
+	for i, adapter := range []int{1, 2, 3, 1, 2, 3} {
+		arrivals = append(arrivals, arrival{at: warmUp + time.Duration(i), adapter: adapter})
+	}
+	// 1, 2 and 3 miss; 3 replaces 2, so that 1 hits, 2 misses in the place of 1
+	// and 3 hits.
+	require.Equal(t, 4, lowerBoundStalls(d, arrivals))
+}
+
+func TestStoreSlowsDownBeyondItsBound(t *testing.T) {
+	c := newClock()
+	d := Deployment{LoadsPerSecond: 1000, LoadsInFlight: 2, LoadTime: time.Second}
+	s := &weightStore{clock: c, rng: rand.New(rand.NewPCG(1, 1)), d: d, stats: newStats()}
+	var ends []time.Duration
+	for range 4 {
+		s.fetch(func(error) { ends = append(ends, c.now.Sub(epoch).Round(100*time.Millisecond)) })
+	}
+	c.runUntil(epoch.Add(time.Minute))
+	require.Equal(t, []time.Duration{time.Second, time.Second, 1500 * time.Millisecond, 2 * time.Second}, ends)
+	require.Equal(t, 4, s.stats.loadsInFlight)
+}
+
+// careless evicts whatever it likes and serves what it likes.
+type careless struct{ *baseline.Scheduler }
+
+func (c careless) Enqueue(now time.Time, r sched.Request) []sched.Decision {
+	out := c.Scheduler.Enqueue(now, r)
+	if r.Pool == "" {
+		out = append(out, sched.Order{ID: sched.OrderID(1e6 + int(r.ID)), Upstream: "engine-0", Operation: sched.Unload, Adapter: r.Adapter, Fence: 1})
+	}
+	return out
+}
+
+func TestEvictionOfAServingAdapterIsSeen(t *testing.T) {
+	p := Policy{Name: OwnPolicy, OneHost: true, Make: func(string, string, *rand.Rand) (limit.Limiter, sched.Scheduler) {
+		return limit.NewStatic(1), careless{baseline.New(baseline.LeastLoaded{})}
+	}}
+	r := Run(Deployments()[0], Scenarios()[0], p, 1)
+	require.Positive(t, r.ServingEvictions)
+	require.NotEmpty(t, Broken([]Result{r}))
+}
+
+// deaf does not hear that an upstream is leaving.
+type deaf struct{ *baseline.Scheduler }
+
+func (d deaf) Configure(now time.Time, c *record.Config) []sched.Decision {
+	if c.Revision > 1 {
+		return nil
+	}
+	return d.Scheduler.Configure(now, c)
+}
+
+func TestWorkToALeavingUpstreamIsSeen(t *testing.T) {
+	p := Policy{Name: OwnPolicy, OneHost: true, Make: func(string, string, *rand.Rand) (limit.Limiter, sched.Scheduler) {
+		return limit.NewStatic(1), deaf{baseline.New(baseline.LeastLoaded{})}
+	}}
+	leaving := Scenarios()[len(Scenarios())-1]
+	r := Run(Deployments()[0], leaving, p, 1)
+	require.Positive(t, r.ToLeaving)
+	require.NotEmpty(t, Broken([]Result{r}))
+}
+
+func TestBoundsAreCompared(t *testing.T) {
+	good := Result{Deployment: "d", Scenario: "shifting", Policy: OwnPolicy, Requests: 1000, StallSeconds: 10}
+	base := Result{Deployment: "d", Scenario: "shifting", Policy: "least-loaded-lru", StallSeconds: 20}
+	require.Empty(t, Broken([]Result{good, base}))
+	for name, spoil := range map[string]func(r *Result){
+		"stalls":   func(r *Result) { r.StallSeconds = 11 },
+		"wrongful": func(r *Result) { r.Wrongful = 2 },
+		"loads":    func(r *Result) { r.LoadsInFlight = 9 },
+		"adapter":  func(r *Result) { r.WrongAdapter = 1 },
+		"first":    func(r *Result) { r.Scenario = "steady"; r.FirstTokenP95 = 1.1 },
+	} {
+		bad := good
+		spoil(&bad)
+		require.NotEmpty(t, Broken([]Result{bad, base}), name)
+	}
+}
--- /dev/null
+++ b/bench/clock.go
@@ -0,0 +1,75 @@
+package bench
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is where virtual time starts. Its value has no meaning.
+var epoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// clock runs functions at virtual times. Two functions for the same time run in
+// the order in which they were added.
+type clock struct {
+	now    time.Time
+	added  int64
+	events eventHeap
+}
+
+type event struct {
+	at    time.Time
+	order int64
+	run   func()
+}
+
+func newClock() *clock {
+	return &clock{now: epoch}
+}
+
+// after runs f once d has passed.
+func (c *clock) after(d time.Duration, f func()) {
+	c.added++
+	heap.Push(&c.events, event{at: c.now.Add(max(d, 0)), order: c.added, run: f})
+}
+
+// every runs f at each interval, first after offset.
+func (c *clock) every(offset, interval time.Duration, f func()) {
+	c.after(offset, func() {
+		f()
+		c.every(interval, interval, f)
+	})
+}
+
+// runUntil runs all events up to the given time.
+func (c *clock) runUntil(end time.Time) {
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.run()
+	}
+	c.now = end
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].order < h[j].order
+}
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return e
+}
--- /dev/null
+++ b/bench/fleet.go
@@ -0,0 +1,319 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/jasminelock/jasminelock/blackboard"
+	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/request"
+	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/upstream"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// Times on the way and of the platform.
+const (
+	// zoneInside is the time for one way inside a zone.
+	zoneInside = 200 * time.Microsecond
+	// storeTime is one call of the table service.
+	storeTime = 5 * time.Millisecond
+	// hostListInterval is how often hosts read the host list.
+	hostListInterval = time.Second
+	// hostListAge is how late the host list is.
+	hostListAge = 3 * time.Second
+)
+
+// fakeHost is one host: the real core with its events and decisions carried by
+// the clock.
+type fakeHost struct {
+	fleet *fleet
+	name  string
+	zone  string
+	core  *core.Core
+	dead  bool
+	calls map[sched.RequestID]*call
+	// cacheSeen is the newest cache event read of each engine.
+	cacheSeen map[string]int64
+}
+
+// call is one caller's request on its way through a host.
+type call struct {
+	arrival arrival
+	host    *fakeHost
+	id      sched.RequestID
+	at      time.Time
+	// cold says that no engine held the adapter when the request arrived.
+	cold     bool
+	wrongful bool // an ideal bucket admits the request
+	// dispatched is when the request was last given to an upstream.
+	dispatched time.Time
+	firstToken time.Time
+	ended      bool
+}
+
+// fleet is everything of one run.
+type fleet struct {
+	clock     *clock
+	d         Deployment
+	s         Scenario
+	hosts     []*fakeHost
+	engines   []*fakeEngine
+	upstreams map[string]*fakeEngine
+	tables    *tables
+	stats     *stats
+	config    *record.Config
+	ideal     map[int]*idealBucket
+	nextID    sched.RequestID
+	listed    []platform.Host
+}
+
+// Policy makes the parts of one host's core.
+type Policy struct {
+	Name string
+	// OneHost runs the policy as one host that sees everything. Baselines run
+	// so, which flatters them: nothing needs to be agreed.
+	OneHost bool
+	// Make returns the parts for a host. The random source is seeded.
+	Make func(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler)
+}
+
+func newFleet(d Deployment, s Scenario, p Policy, seed uint64) *fleet {
+	c := newClock()
+	f := &fleet{
+		clock: c, d: d, s: s, upstreams: map[string]*fakeEngine{}, tables: newTables(c),
+		stats: newStats(), ideal: map[int]*idealBucket{},
+	}
+	store := &weightStore{clock: c, rng: rand.New(rand.NewPCG(seed, 2)), d: d, fail: s.FailLoads, stats: f.stats}
+	f.config = f.makeConfig(nil)
+	for i := range d.Engines + d.Services {
+		f.addUpstream(i, store)
+	}
+	n := d.Hosts
+	if p.OneHost {
+		n = 1
+	}
+	for i := range n {
+		f.addHost(i, p, rand.New(rand.NewPCG(seed, uint64(100+i))))
+	}
+	for i, o := range d.Organisations {
+		f.ideal[i] = newIdealBucket(f.rate(o))
+	}
+	return f
+}
+
+func (f *fleet) addUpstream(i int, store *weightStore) {
+	u, ok := f.config.Upstream(upstreamName(f.d, i))
+	if !ok {
+		return
+	}
+	e := &fakeEngine{clock: f.clock, record: u, store: store, incarnation: 1, adapters: map[record.AdapterRef]*loaded{}, updated: f.clock.now, stats: f.stats}
+	if u.Class == record.ClassService {
+		e.adapters[record.AdapterRef{}] = &loaded{}
+		e.stats = newStats() // a service's work is not an engine's
+	} else {
+		f.engines = append(f.engines, e)
+	}
+	f.upstreams[u.Name] = e
+}
+
+func (f *fleet) addHost(i int, p Policy, rng *rand.Rand) {
+	h := &fakeHost{
+		fleet: f, name: "host-" + strconv.Itoa(i), zone: f.d.Zones[i%len(f.d.Zones)],
+		calls: map[sched.RequestID]*call{}, cacheSeen: map[string]int64{},
+	}
+	limiter, scheduler := p.Make(h.name, h.zone, rng)
+	h.core = core.New(core.Options{Board: blackboard.New(), Limiter: limiter, Scheduler: scheduler})
+	f.hosts = append(f.hosts, h)
+	f.listed = append(f.listed, platform.Host{Name: h.name, Zone: h.zone, CallerURL: "http://" + h.name})
+}
+
+// start sets the repeating events going. Hosts are spread over each interval.
+func (f *fleet) start() {
+	for i, h := range f.hosts {
+		offset := time.Duration(i) * time.Millisecond
+		f.clock.after(offset, func() {
+			h.handle(core.HostsSeen{Hosts: f.listed})
+			h.handle(core.ConfigSeen{Config: f.config})
+		})
+		f.clock.every(offset+time.Millisecond, core.TickInterval, func() { h.handle(core.Tick{}) })
+		f.clock.every(offset+2*time.Millisecond, upstream.ReportInterval, h.readReports)
+		f.clock.every(offset+3*time.Millisecond, hostListInterval, func() { h.handle(core.HostsSeen{Hosts: f.listed}) })
+	}
+}
+
+// distance is the time for one way between zones.
+func (f *fleet) distance(a, b string) time.Duration {
+	if a == b {
+		return zoneInside
+	}
+	return f.d.ZoneDistance
+}
+
+// handle brings an event to the core and carries its decisions out.
+func (h *fakeHost) handle(ev core.Event) {
+	if h.dead {
+		return
+	}
+	for _, d := range h.core.Handle(h.fleet.clock.now, ev) {
+		h.carryOut(d)
+	}
+}
+
+func (h *fakeHost) carryOut(d core.Decision) {
+	c := h.fleet.clock
+	switch d := d.(type) {
+	case core.Dispatch:
+		h.dispatch(d)
+	case core.Claim:
+		c.after(storeTime, func() { h.handle(core.ClaimEnded{ID: d.ID}) })
+	case core.Finish:
+		h.finish(d)
+	case core.Order:
+		h.order(d)
+	case core.Send:
+		h.send(d.Outgoing)
+	case core.StoreRead:
+		c.after(storeTime, func() {
+			row, err := h.fleet.tables.get(d.Table, d.Key)
+			h.handle(core.StoreEnded{End: limit.StoreEnd{ID: d.ID, Row: row, Err: err}})
+		})
+	case core.StoreCommit:
+		c.after(storeTime, func() {
+			h.handle(core.StoreEnded{End: limit.StoreEnd{ID: d.ID, Err: h.fleet.tables.commit(d.Txn)}})
+		})
+	case core.ClaimLease:
+		sent := c.now
+		c.after(storeTime, func() {
+			h.handle(core.LeaseSeen{Result: h.fleet.tables.claim(h.name, d.ClaimLease, sent)})
+		})
+	}
+}
+
+// send carries a message in its encoded form, as between real hosts.
+func (h *fakeHost) send(o wire.Outgoing) {
+	raw, err := wire.Encode(o.Message)
+	if err != nil {
+		panic(err)
+	}
+	h.fleet.stats.peerBytes += int64(len(raw))
+	h.fleet.stats.peerMessages++
+	for _, to := range h.fleet.hosts {
+		if to.name != o.To {
+			continue
+		}
+		h.fleet.clock.after(h.fleet.distance(h.zone, to.zone), func() {
+			m, err := wire.Decode(raw)
+			if err != nil {
+				panic(err)
+			}
+			to.handle(core.PeerReceived{From: h.name, Message: m})
+		})
+	}
+}
+
+func (h *fakeHost) dispatch(d core.Dispatch) {
+	cl, ok := h.calls[d.ID]
+	if !ok {
+		return
+	}
+	f := h.fleet
+	e := f.upstreams[d.Upstream.Name]
+	cl.dispatched = f.clock.now
+	way := f.distance(h.zone, d.Upstream.Zone)
+	f.clock.after(way, func() {
+		f.checkDispatch(d, cl)
+		j := f.newJob(cl, d, way)
+		if !e.run(j) {
+			f.stats.notLoaded++
+			f.clock.after(way, func() {
+				h.handle(core.AttemptEnded{ID: d.ID, Outcome: request.NotExecuted, NotLoaded: true})
+			})
+		}
+	})
+}
+
+func (f *fleet) newJob(cl *call, d core.Dispatch, way time.Duration) *job {
+	h := cl.host
+	a := cl.arrival
+	j := &job{adapter: d.Adapter, prefix: a.prefix, tokens: a.tokens(), prefill: float64(a.prompt)/prefillPerStep + 1, answer: float64(a.answer)}
+	j.first = func() {
+		f.clock.after(way, func() {
+			if cl.firstToken.IsZero() {
+				cl.firstToken = f.clock.now
+			}
+			h.handle(core.AnswerStarted{ID: d.ID, FirstToken: f.clock.now.Sub(cl.dispatched)})
+		})
+	}
+	j.end = func(o request.Outcome, used int64) {
+		f.clock.after(way, func() {
+			h.handle(core.AttemptEnded{ID: d.ID, Outcome: o, AnswerStarted: !cl.firstToken.IsZero(), UsedTokens: used, FirstToken: cl.firstToken.Sub(cl.dispatched)})
+		})
+	}
+	return j
+}
+
+// leavingBound is when a leaving upstream must get no more new work.
+const leavingBound = 2 * time.Second
+
+// checkDispatch counts work that runs on another adapter than was asked for, or
+// reaches a leaving upstream after the bound.
+func (f *fleet) checkDispatch(d core.Dispatch, c *call) {
+	if !c.arrival.service() && d.Adapter != adapterRef(c.arrival.adapter) {
+		f.stats.wrongAdapter++
+	}
+	since := f.clock.now.Sub(epoch.Add(f.s.LeaveAt))
+	if f.s.LeaveAt > 0 && d.Upstream.Name == upstreamName(f.d, 0) && since > leavingBound {
+		f.stats.toLeaving++
+	}
+}
+
+func (h *fakeHost) order(d core.Order) {
+	f := h.fleet
+	e := f.upstreams[d.Upstream.Name]
+	way := f.distance(h.zone, d.Upstream.Zone)
+	done := func(err error) {
+		f.clock.after(way, func() { h.handle(core.OrderEnded{End: sched.OrderEnd{ID: d.Order.ID, Err: err}}) })
+	}
+	f.clock.after(way, func() {
+		switch d.Order.Operation {
+		case sched.Load:
+			e.load(d.Order.Adapter, d.Order.Fence, done)
+		case sched.Unload:
+			done(e.unload(d.Order.Adapter, d.Order.Fence))
+		case sched.SetRole:
+			done(nil)
+		}
+	})
+}
+
+// readReports reads every upstream's report, and every engine's cache events.
+func (h *fakeHost) readReports() {
+	if h.dead {
+		return
+	}
+	for i := range h.fleet.d.Engines + h.fleet.d.Services {
+		name := upstreamName(h.fleet.d, i)
+		e := h.fleet.upstreams[name]
+		way := 2 * h.fleet.distance(h.zone, e.record.Zone)
+		report := e.report()
+		h.fleet.clock.after(way, func() { h.handle(core.LoadReported{Upstream: name, Report: report}) })
+		if events := e.eventsAfter(h.cacheSeen[name]); len(events) > 0 {
+			h.cacheSeen[name] = events[len(events)-1].Sequence
+			h.fleet.clock.after(way+reportLag, func() { h.handle(core.CacheReported{Upstream: name, Events: events}) })
+		}
+	}
+}
+
+func (e *fakeEngine) eventsAfter(sequence int64) []upstream.CacheEvent {
+	for i, ev := range e.events {
+		if ev.Sequence > sequence {
+			return e.events[i:len(e.events):len(e.events)]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/policies.go
@@ -0,0 +1,33 @@
+package bench
+
+import (
+	"math/rand/v2"
+
+	"github.com/jasminelock/jasminelock/bench/baseline"
+	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/sched"
+)
+
+// OwnPolicy is the name of the policy that the daemon runs.
+const OwnPolicy = "jasminelock"
+
+// Policies returns our policy and the baselines.
+func Policies() []Policy {
+	return []Policy{
+		{Name: OwnPolicy, Make: own},
+		oneHost("random", func(rng *rand.Rand) baseline.Ranker { return baseline.Random{Rand: rng} }),
+		oneHost("least-loaded-lru", func(*rand.Rand) baseline.Ranker { return baseline.LeastLoaded{} }),
+		oneHost("bounded-hash", func(*rand.Rand) baseline.Ranker { return baseline.BoundedHash{} }),
+	}
+}
+
+// own makes the parts that the daemon makes.
+func own(string, string, *rand.Rand) (limit.Limiter, sched.Scheduler) {
+	return limit.NewStatic(hosts), sched.NewLeastLoaded()
+}
+
+func oneHost(name string, ranker func(*rand.Rand) baseline.Ranker) Policy {
+	return Policy{Name: name, OneHost: true, Make: func(_, _ string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
+		return limit.NewStatic(1), baseline.New(ranker(rng))
+	}}
+}
--- /dev/null
+++ b/bench/result.go
@@ -0,0 +1,90 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Result is what one run measured. Times are in seconds.
+type Result struct {
+	Deployment string `json:"deployment"`
+	Scenario   string `json:"scenario"`
+	Policy     string `json:"policy"`
+	Requests   int    `json:"requests"`
+	// Stalls counts requests whose adapter no engine held when they arrived.
+	Stalls int64 `json:"load_stalls"`
+	// LowerBoundStalls is what a placement that knows the future, in one pool of
+	// all slots, would still have to load on demand.
+	LowerBoundStalls int     `json:"load_stalls_lower_bound"`
+	StallSeconds     float64 `json:"stall_seconds"`
+	StallP50         float64 `json:"stall_p50"`
+	StallP95         float64 `json:"stall_p95"`
+	StallP99         float64 `json:"stall_p99"`
+	// TokensPerBusySecond is batch efficiency: tokens made for each second that
+	// an engine was busy.
+	TokensPerBusySecond float64 `json:"tokens_per_busy_second"`
+	// WorstP99 is the worst-served organisation's first token, prompt work, of
+	// organisations inside their rate.
+	WorstP99 float64 `json:"worst_organisation_p99"`
+	// Wrongful counts refusals inside the organisation's rate.
+	Wrongful         int            `json:"wrongful_refusals"`
+	Refused          map[string]int `json:"refused"`
+	FirstTokenP95    float64        `json:"first_token_p95"`
+	BatchP99         float64        `json:"batch_first_token_p99"`
+	Loads            int            `json:"loads"`
+	Evictions        int            `json:"evictions"`
+	NotLoaded        int            `json:"not_loaded"`
+	LoadsInFlight    int            `json:"loads_in_flight_most"`
+	CutByKill        int            `json:"cut_by_kill"`
+	PeerBytesPerHost float64        `json:"peer_bytes_per_host_second"`
+	StoreWrites      float64        `json:"store_writes_second"`
+	// Violations of what must always hold.
+	ServingEvictions int `json:"serving_evictions"`
+	ToLeaving        int `json:"work_to_leaving"`
+	WrongAdapter     int `json:"wrong_adapter"`
+}
+
+func (f *fleet) result(p Policy) Result {
+	s := f.stats
+	all := (warmUp + measured + drain).Seconds()
+	r := Result{
+		Deployment: f.d.Name, Scenario: f.s.Name, Policy: p.Name, Requests: s.requests,
+		Stalls: s.stalls.TotalCount(), StallSeconds: s.stalls.Mean() * float64(s.stalls.TotalCount()) / microseconds,
+		StallP50: quantile(s.stalls, 50), StallP95: quantile(s.stalls, 95), StallP99: quantile(s.stalls, 99),
+		Wrongful: s.wrongful, Refused: s.refused, FirstTokenP95: quantile(s.firstToken, 95), BatchP99: quantile(s.batchFirst, 99),
+		Loads: s.loads, Evictions: s.evictions, NotLoaded: s.notLoaded, LoadsInFlight: s.loadsInFlight, CutByKill: s.cutByKill,
+		PeerBytesPerHost: float64(s.peerBytes) / float64(len(f.hosts)) / all, StoreWrites: float64(f.tables.writes) / all,
+		ServingEvictions: s.servingEvictions, ToLeaving: s.toLeaving, WrongAdapter: s.wrongAdapter,
+	}
+	for _, h := range s.byOrganisation {
+		r.WorstP99 = max(r.WorstP99, quantile(h, 99))
+	}
+	if s.engineBusy > 0 {
+		r.TokensPerBusySecond = float64(s.tokens) / s.engineBusy.Seconds()
+	}
+	return r
+}
+
+// microseconds in a second.
+const microseconds = float64(time.Second / time.Microsecond)
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / microseconds
+}
+
+// WriteTable writes results as a table.
+func WriteTable(w io.Writer, results []Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "deployment\tscenario\tpolicy\trequests\tstalls\tbound\tstall s\tp50\tp95\tp99\ttok/busy s\tworst p99\twrongful\tfirst p95\tbatch p99\tloads\tevict\tnot loaded\tviolations\t")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%.1f\t%.2f\t%.2f\t%.2f\t%.0f\t%.2f\t%d\t%.2f\t%.2f\t%d\t%d\t%d\t%d\t\n",
+			r.Deployment, r.Scenario, r.Policy, r.Requests, r.Stalls, r.LowerBoundStalls, r.StallSeconds, r.StallP50, r.StallP95, r.StallP99,
+			r.TokensPerBusySecond, r.WorstP99, r.Wrongful, r.FirstTokenP95, r.BatchP99, r.Loads, r.Evictions, r.NotLoaded,
+			r.ServingEvictions+r.ToLeaving+r.WrongAdapter)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/bench/run.go
@@ -0,0 +1,180 @@
+package bench
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/locate"
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/record"
+)
+
+// Run puts a policy through a scenario of a deployment.
+func Run(d Deployment, s Scenario, p Policy, seed uint64) Result {
+	f := newFleet(d, s, p, seed)
+	f.start()
+	f.schedFaults()
+	arrivals := newWorkload(d, s, seed).arrivals()
+	for _, a := range arrivals {
+		f.clock.after(a.at, func() { f.arrive(a) })
+	}
+	f.clock.runUntil(epoch.Add(warmUp + measured + drain))
+	r := f.result(p)
+	r.LowerBoundStalls = lowerBoundStalls(d, arrivals)
+	return r
+}
+
+// schedFaults plans what the scenario breaks.
+func (f *fleet) schedFaults() {
+	s := f.s
+	if s.RestartEngines > 0 {
+		f.clock.after(s.RestartAt, func() {
+			for _, e := range f.engines[:s.RestartEngines] {
+				e.restart()
+			}
+		})
+	}
+	if s.OutageFor > 0 {
+		f.clock.after(s.OutageFrom, func() { f.tables.down = true })
+		f.clock.after(s.OutageFrom+s.OutageFor, func() { f.tables.down = false })
+	}
+	if s.KillHostAt > 0 && len(f.hosts) > 1 {
+		f.clock.after(s.KillHostAt, func() { f.kill(f.hosts[len(f.hosts)-1]) })
+	}
+	if s.LeaveAt > 0 {
+		f.clock.after(s.LeaveAt, func() {
+			f.config = f.makeConfig([]string{upstreamName(f.d, 0)})
+			for _, h := range f.hosts {
+				h.handle(core.ConfigSeen{Config: f.config})
+			}
+		})
+	}
+}
+
+// kill stops a host. Its requests end as callers see it: the connection breaks.
+func (f *fleet) kill(h *fakeHost) {
+	h.dead = true
+	for _, c := range h.calls {
+		c.ended = true
+		f.stats.cutByKill++
+	}
+	f.clock.after(hostListAge, func() {
+		f.listed = slices.DeleteFunc(slices.Clone(f.listed), func(l platform.Host) bool { return l.Name == h.name })
+	})
+}
+
+// arrive sends a caller's request to the first live host that locate names.
+func (f *fleet) arrive(a arrival) {
+	h := f.hostFor(a)
+	c := &call{arrival: a, host: h, at: f.clock.now}
+	c.cold = !a.service() && !f.held(adapterRef(a.adapter))
+	c.wrongful = f.ideal[a.organisation].take(f.clock.now, reserve(a))
+	f.nextID++
+	c.id = f.nextID
+	f.clock.after(f.d.CallerDistance, func() {
+		if h.dead {
+			return
+		}
+		h.calls[c.id] = c
+		h.handle(core.RequestArrived{Request: f.request(c)})
+	})
+}
+
+// reserve is what a caller's bound makes the request cost until it is settled.
+func reserve(a arrival) int64 {
+	if a.service() {
+		return serviceTokens
+	}
+	return int64(a.prompt + 2*a.answer)
+}
+
+func (f *fleet) request(c *call) core.Request {
+	a := c.arrival
+	r := core.Request{
+		ID: c.id, HasKey: true, KeyHash: record.HashSecret(secretOf(f.d.Organisations[a.organisation].Name)),
+		Tokens: reserve(a), Prefix: a.prefix, Priority: a.priority, Deadline: f.clock.now.Add(deadline),
+	}
+	if a.service() {
+		r.Path, r.Safe = servicePrefix, true
+		return r
+	}
+	r.Model = adapterName(a.adapter)
+	return r
+}
+
+// hostFor asks locate. A caller that finds a dead host goes on to the next.
+func (f *fleet) hostFor(a arrival) *fakeHost {
+	q := locate.Query{Zone: f.d.Zones[a.zone]}
+	if !a.service() {
+		q.Model = adapterName(a.adapter)
+	}
+	for _, choice := range locate.Decide(f.listed, q) {
+		for _, h := range f.hosts {
+			if h.name == choice.Host && !h.dead {
+				return h
+			}
+		}
+	}
+	panic("bench: no live host")
+}
+
+func (f *fleet) held(ref record.AdapterRef) bool {
+	return slices.ContainsFunc(f.engines, func(e *fakeEngine) bool { return e.holds(ref) })
+}
+
+// finish counts how a request ended.
+func (h *fakeHost) finish(d core.Finish) {
+	c, ok := h.calls[d.ID]
+	if !ok {
+		return
+	}
+	delete(h.calls, d.ID)
+	c.ended = true
+	f := h.fleet
+	if d.Err == nil {
+		f.ideal[c.arrival.organisation].giveBack(reserve(c.arrival) - c.arrival.tokens())
+	}
+	if c.arrival.at < warmUp {
+		return
+	}
+	f.stats.count(c, d.Err, f.clock.now, f.greedy(c))
+}
+
+// greedy reports whether the request is of the organisation that asks for more
+// than its rate.
+func (f *fleet) greedy(c *call) bool {
+	return f.s.Greedy > 0 && c.arrival.organisation == 0
+}
+
+// idealBucket is one exact bucket for the whole fleet. It judges whether a
+// refused request was inside its organisation's rate.
+type idealBucket struct {
+	rate, burst, tokens float64
+	at                  time.Time
+}
+
+func newIdealBucket(rate float64, burst int64) *idealBucket {
+	return &idealBucket{rate: rate, burst: float64(burst), tokens: float64(burst), at: epoch}
+}
+
+func (b *idealBucket) take(now time.Time, tokens int64) bool {
+	b.tokens = min(b.burst, b.tokens+now.Sub(b.at).Seconds()*b.rate)
+	b.at = now
+	if float64(tokens) > b.tokens {
+		return false
+	}
+	b.tokens -= float64(tokens)
+	return true
+}
+
+func (b *idealBucket) giveBack(tokens int64) {
+	b.tokens = min(b.burst, b.tokens+float64(tokens))
+}
+
+// refusalName is the name under which a refusal is counted.
+func refusalName(err *apierr.Error) string {
+	return fmt.Sprintf("%s/%s", err.Kind, err.Ran)
+}
--- /dev/null
+++ b/bench/stats.go
@@ -0,0 +1,107 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/record"
+)
+
+// The range and precision of histograms, in microseconds.
+const (
+	histogramLowest  = 1
+	histogramHighest = int64(5 * time.Minute / time.Microsecond)
+	histogramDigits  = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)
+}
+
+// stats is what one run counts.
+type stats struct {
+	requests int
+	refused  map[string]int
+	// wrongful are refusals inside the organisation's rate.
+	wrongful   int
+	stalls     *hdrhistogram.Histogram
+	firstToken *hdrhistogram.Histogram
+	batchFirst *hdrhistogram.Histogram
+	// byOrganisation holds the first token of prompt work of each organisation.
+	byOrganisation map[int]*hdrhistogram.Histogram
+	loads          int
+	evictions      int
+	loadsInFlight  int
+	notLoaded      int
+	cutByKill      int
+	engineBusy     time.Duration
+	tokens         int64
+	peerBytes      int64
+	peerMessages   int64
+	// Violations of what must always hold.
+	servingEvictions int
+	toLeaving        int
+	wrongAdapter     int
+}
+
+func newStats() *stats {
+	return &stats{
+		refused: map[string]int{}, stalls: newHistogram(), firstToken: newHistogram(), batchFirst: newHistogram(),
+		byOrganisation: map[int]*hdrhistogram.Histogram{},
+	}
+}
+
+// count takes a request that has ended. A request that was given no first
+// token counts with the time until it was given up.
+func (s *stats) count(c *call, err *apierr.Error, now time.Time, greedy bool) {
+	s.requests++
+	if err != nil {
+		s.refused[refusalName(err)]++
+		if c.wrongful {
+			s.wrongful++
+		}
+		if err.Kind == apierr.RateLimited || err.Kind == apierr.CostOverBurst {
+			return
+		}
+	}
+	if c.arrival.service() {
+		return
+	}
+	first := c.firstToken
+	if first.IsZero() {
+		first = now
+	}
+	wait := first.Sub(c.at)
+	s.record(c, wait, greedy)
+	if !c.cold {
+		return
+	}
+	stalled := now
+	if !c.dispatched.IsZero() {
+		stalled = c.dispatched
+	}
+	observe(s.stalls, stalled.Sub(c.at))
+}
+
+func (s *stats) record(c *call, wait time.Duration, greedy bool) {
+	if c.arrival.priority == record.PriorityBatch {
+		observe(s.batchFirst, wait)
+		return
+	}
+	observe(s.firstToken, wait)
+	if greedy {
+		return
+	}
+	h, ok := s.byOrganisation[c.arrival.organisation]
+	if !ok {
+		h = newHistogram()
+		s.byOrganisation[c.arrival.organisation] = h
+	}
+	observe(h, wait)
+}
+
+func observe(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), histogramLowest), histogramHighest))
+}
--- /dev/null
+++ b/bench/store.go
@@ -0,0 +1,132 @@
+package bench
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/sched"
+)
+
+// Errors of the fakes.
+var (
+	errRestarted  = errors.New("bench: the engine has restarted")
+	errInUse      = errors.New("bench: the adapter serves")
+	errLoadFailed = errors.New("bench: the weights could not be read")
+)
+
+// weightStore gives a few loads a second. A load takes the deployment's load
+// time while no more than the bound are in flight, and longer in proportion
+// beyond.
+type weightStore struct {
+	clock    *clock
+	rng      *rand.Rand
+	d        Deployment
+	fail     float64
+	inFlight int
+	// free is when the store's rate allows the next load to start.
+	free  time.Time
+	stats *stats
+}
+
+func (s *weightStore) fetch(done func(error)) {
+	start := s.clock.now
+	if s.free.After(start) {
+		start = s.free
+	}
+	s.free = start.Add(time.Duration(float64(time.Second) / s.d.LoadsPerSecond))
+	s.clock.after(start.Sub(s.clock.now), func() {
+		s.inFlight++
+		s.stats.loadsInFlight = max(s.stats.loadsInFlight, s.inFlight)
+		slower := max(1, float64(s.inFlight)/float64(s.d.LoadsInFlight))
+		s.clock.after(time.Duration(float64(s.d.LoadTime)*slower), func() {
+			s.inFlight--
+			if s.rng.Float64() < s.fail {
+				done(errLoadFailed)
+				return
+			}
+			done(nil)
+		})
+	})
+}
+
+// tables is the platform's table service in memory.
+type tables struct {
+	clock  *clock
+	down   bool
+	rows   map[tableKey]platform.Row
+	leases map[string]*lease
+	writes int
+	reads  int
+}
+
+type tableKey struct{ table, key string }
+
+type lease struct {
+	holder  string
+	fence   int64
+	expires time.Time
+}
+
+func newTables(c *clock) *tables {
+	return &tables{clock: c, rows: map[tableKey]platform.Row{}, leases: map[string]*lease{}}
+}
+
+func (t *tables) get(table, key string) (platform.Row, error) {
+	t.reads++
+	if t.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := t.rows[tableKey{table, key}]
+	if !ok {
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (t *tables) commit(txn platform.Txn) error {
+	t.writes++
+	if t.down {
+		return platform.ErrUnavailable
+	}
+	for _, c := range txn.Conditions {
+		if t.rows[tableKey{c.Table, c.Key}].Version != c.Version {
+			return platform.ErrConflict
+		}
+	}
+	for _, w := range txn.Writes {
+		key := tableKey{w.Table, w.Key}
+		if w.Delete {
+			delete(t.rows, key)
+			continue
+		}
+		t.rows[key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[key].Version + 1}
+	}
+	return nil
+}
+
+// claim grants a lease that is free, has run out, or is held by the claimer.
+func (t *tables) claim(holder string, c sched.ClaimLease, sentAt time.Time) sched.LeaseResult {
+	t.writes++
+	r := sched.LeaseResult{Resource: c.Resource, SentAt: sentAt, TTL: c.TTL}
+	if t.down {
+		return r
+	}
+	l, ok := t.leases[c.Resource]
+	if !ok {
+		l = &lease{}
+		t.leases[c.Resource] = l
+	}
+	if l.holder != holder && t.clock.now.Before(l.expires) {
+		r.Holder = l.holder
+		return r
+	}
+	if l.holder != holder {
+		l.fence++
+	}
+	l.holder = holder
+	l.expires = t.clock.now.Add(c.TTL)
+	r.Granted, r.Fence, r.Holder = true, l.fence, holder
+	return r
+}
--- /dev/null
+++ b/bench/workload.go
@@ -0,0 +1,165 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/jasminelock/jasminelock/record"
+)
+
+// Times of one run.
+const (
+	// warmUp is run before anything is counted.
+	warmUp = 60 * time.Second
+	// measured is how long requests arrive that are counted.
+	measured = 300 * time.Second
+	// drain lets the last requests end.
+	drain = 60 * time.Second
+)
+
+// Sizes of sessions and requests.
+const (
+	requestsPerSession = 4.0
+	thinkTime          = 10 * time.Second
+	promptTokensLow    = 100
+	promptTokensHigh   = 1200
+	answerTokensLow    = 20
+	answerTokensHigh   = 160
+	// deadline is how long a caller waits.
+	deadline = 30 * time.Second
+	// serviceTokens is what one call of a plain service costs.
+	serviceTokens = 20
+	// batchShare is the share of sessions whose work may wait.
+	batchShare = 0.2
+)
+
+// arrival is one request of a caller.
+type arrival struct {
+	at           time.Duration
+	organisation int
+	// adapter is the adapter's number, -1 for a call of a plain service.
+	adapter  int
+	zone     int
+	prompt   int
+	answer   int
+	prefix   uint64
+	priority record.Priority
+}
+
+func (a arrival) service() bool { return a.adapter < 0 }
+
+// tokens is what the request may cost at the most.
+func (a arrival) tokens() int64 {
+	if a.service() {
+		return serviceTokens
+	}
+	return int64(a.prompt + a.answer)
+}
+
+// workload makes the arrivals of one run.
+type workload struct {
+	d   Deployment
+	s   Scenario
+	rng *rand.Rand
+	// zipf holds the cumulative popularity of ranks.
+	zipf []float64
+}
+
+func newWorkload(d Deployment, s Scenario, seed uint64) *workload {
+	w := &workload{d: d, s: s, rng: rand.New(rand.NewPCG(seed, 1))}
+	sum := 0.0
+	for rank := range d.Adapters {
+		sum += math.Pow(float64(rank+1), -s.Skew)
+		w.zipf = append(w.zipf, sum)
+	}
+	return w
+}
+
+// arrivals returns every request of the run, in the order of their times.
+func (w *workload) arrivals() []arrival {
+	var all []arrival
+	end := warmUp + measured
+	for i, org := range w.d.Organisations {
+		rate := w.d.SessionRate * org.Share * w.greed(i)
+		for at := w.gap(rate); at < end; at += w.gap(rate) {
+			all = w.session(all, i, at)
+		}
+		rate = w.d.ServiceRate * org.Share * w.greed(i)
+		for at := w.gap(rate); at < end; at += w.gap(rate) {
+			all = append(all, arrival{at: at, organisation: i, adapter: -1, zone: w.rng.IntN(len(w.d.Zones))})
+		}
+	}
+	all = slices.DeleteFunc(all, func(a arrival) bool { return a.at >= end })
+	slices.SortStableFunc(all, func(a, b arrival) int { return int(a.at - b.at) })
+	return all
+}
+
+// greed is how many times its usual rate an organisation asks for.
+func (w *workload) greed(organisation int) float64 {
+	if w.s.Greedy > 0 && organisation == 0 {
+		return w.s.Greedy * w.d.Organisations[0].Headroom
+	}
+	return 1
+}
+
+// gap is an exponential time between arrivals.
+func (w *workload) gap(rate float64) time.Duration {
+	return time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
+}
+
+// session adds the requests of one caller, who thinks between them.
+func (w *workload) session(all []arrival, organisation int, at time.Duration) []arrival {
+	adapter := w.adapter(organisation, at)
+	zone := w.rng.IntN(len(w.d.Zones))
+	prefix := w.rng.Uint64() | 1
+	priority := record.PriorityPrompt
+	if w.rng.Float64() < batchShare {
+		priority = record.PriorityBatch
+	}
+	for {
+		all = append(all, arrival{
+			at: at, organisation: organisation, adapter: adapter, zone: zone, prefix: prefix, priority: priority,
+			prompt: promptTokensLow + w.rng.IntN(promptTokensHigh-promptTokensLow),
+			answer: answerTokensLow + w.rng.IntN(answerTokensHigh-answerTokensLow),
+		})
+		if w.rng.Float64() < 1/requestsPerSession {
+			return all
+		}
+		at += w.gap(1 / thinkTime.Seconds())
+	}
+}
+
+// adapter draws an adapter of the organisation by popularity. Adapters belong
+// to organisations by number; a shift makes other numbers popular.
+func (w *workload) adapter(organisation int, at time.Duration) int {
+	u := w.rng.Float64() * w.zipf[len(w.zipf)-1]
+	rank, _ := slices.BinarySearch(w.zipf, u)
+	shift := 0
+	if w.s.ShiftEvery > 0 {
+		shift = int(at/w.s.ShiftEvery) * shiftStride
+	}
+	n := len(w.d.Organisations)
+	perOrg := w.d.Adapters / n
+	return ((rank+shift)%perOrg)*n + organisation
+}
+
+// shiftStride is how many ranks the popularity moves at a shift.
+const shiftStride = 97
+
+// adapterRef names an adapter's version.
+func adapterRef(number int) record.AdapterRef {
+	return record.AdapterRef{Name: adapterName(number), Version: "1"}
+}
+
+func adapterName(number int) string {
+	return "adapter-" + strconv.Itoa(number)
+}
+
+// meanTokens is an organisation's mean use, tokens a second.
+func (d Deployment) meanTokens(o Organisation) float64 {
+	request := float64(promptTokensLow+promptTokensHigh)/2 + float64(answerTokensLow+answerTokensHigh)/2
+	return o.Share * (d.SessionRate*requestsPerSession*request + d.ServiceRate*serviceTokens)
+}
--- a/cmd/jasminelock/main.go
+++ b/cmd/jasminelock/main.go
@@ -9,7 +9,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "jasminelock", Short: "Operate a jasminelock fleet", SilenceUsage: true}
-	root.AddCommand(applyCommand())
+	root.AddCommand(applyCommand(), benchCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
