--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -48,8 +48,9 @@
 	id      sched.RequestID
 	at      time.Time
 	// cold says that no engine held the adapter when the request arrived.
-	cold     bool
-	wrongful bool // an ideal bucket admits the request
+	cold bool
+	// insideRate says that one exact bucket for the whole fleet admits the request.
+	insideRate bool
 	// dispatched is when the request was last given to an upstream.
 	dispatched time.Time
 	firstToken time.Time
--- a/bench/run.go
+++ b/bench/run.go
@@ -71,7 +71,7 @@
 	h := f.hostFor(a)
 	c := &call{arrival: a, host: h, at: f.clock.now}
 	c.cold = !a.service() && !f.held(adapterRef(a.adapter))
-	c.wrongful = f.ideal[a.organisation].take(f.clock.now, reserve(a))
+	c.insideRate = f.ideal[a.organisation].take(f.clock.now, reserve(a))
 	f.nextID++
 	c.id = f.nextID
 	f.clock.after(f.d.CallerDistance, func() {
--- a/bench/stats.go
+++ b/bench/stats.go
@@ -24,11 +24,13 @@
 type stats struct {
 	requests int
 	refused  map[string]int
-	// wrongful are refusals inside the organisation's rate.
-	wrongful   int
-	stalls     *hdrhistogram.Histogram
-	firstToken *hdrhistogram.Histogram
-	batchFirst *hdrhistogram.Histogram
+	// wrongful are refusals inside the organisation's rate. Those of an
+	// organisation that asks for more than its rate are counted apart.
+	wrongful       int
+	wrongfulGreedy int
+	stalls         *hdrhistogram.Histogram
+	firstToken     *hdrhistogram.Histogram
+	batchFirst     *hdrhistogram.Histogram
 	// byOrganisation holds the first token of prompt work of each organisation.
 	byOrganisation map[int]*hdrhistogram.Histogram
 	loads          int
@@ -59,9 +61,7 @@
 	s.requests++
 	if err != nil {
 		s.refused[refusalName(err)]++
-		if c.wrongful {
-			s.wrongful++
-		}
+		s.countWrongful(c, greedy)
 		if err.Kind == apierr.RateLimited || err.Kind == apierr.CostOverBurst {
 			return
 		}
@@ -85,6 +85,16 @@
 	observe(s.stalls, stalled.Sub(c.at))
 }
 
+func (s *stats) countWrongful(c *call, greedy bool) {
+	switch {
+	case !c.insideRate:
+	case greedy:
+		s.wrongfulGreedy++
+	default:
+		s.wrongful++
+	}
+}
+
 func (s *stats) record(c *call, wait time.Duration, greedy bool) {
 	if c.arrival.priority == record.PriorityBatch {
 		observe(s.batchFirst, wait)
