--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,6 +45,8 @@
 	// Advertise holds the addresses that are told to others. Each defaults to
 	// the address listened on.
 	Advertise Advertise `json:"advertise,omitzero"`
+	// TLS secures the links between hosts.
+	TLS TLS `json:"tls,omitzero"`
 	// Platform says where the platform's services are.
 	Platform Platform `json:"platform"`
 	// Fleet says what all hosts share.
@@ -74,6 +76,20 @@
 	Peers   string `json:"peers,omitempty"`
 }
 
+// TLS names the PEM files by which hosts prove themselves to one another. All
+// three are set, or none. Without them listen.peers must be a loopback address.
+type TLS struct {
+	// Cert is the file of this host's certificate.
+	Cert string `json:"cert,omitempty"`
+	// Key is the file of the certificate's private key.
+	Key string `json:"key,omitempty"`
+	// CA is the file of the authority that signs every host's certificate.
+	CA string `json:"ca,omitempty"`
+}
+
+// Enabled reports whether links between hosts are secured.
+func (t TLS) Enabled() bool { return t != TLS{} }
+
 // Platform says where the platform's services are.
 type Platform struct {
 	// URL is the services' base address.
