Settings are checked strictly and every problem is told at once

Cause: an unknown field was ignored, a wrong type was told without its line, and only the first problem was reported. Change: the file's syntax tree is walked against the settings' fields, so that each problem has file, line, field and what is expected; unknown fields name the nearest known one. Ruled out: json.Decoder with DisallowUnknownFields, which stops at the first problem and knows no line. Checked by: go test ./settings

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,12 +4,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
-	"net/url"
 	"os"
 	"time"
-
-	"github.com/tailscale/hujson"
 )
 
 // Duration is a time.Duration written as a string such as "250ms".
@@ -29,6 +25,9 @@
 	return nil
 }
 
+// String returns the duration as it is written in a file.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // MarshalJSON implements json.Marshaler.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
@@ -144,19 +143,18 @@
 	return Parse(path, raw)
 }
 
-// Parse completes and checks settings. The name is used in errors.
+// Parse completes and checks settings. The name is used in errors. Where the
+// settings are not valid, the error is a Problems that holds every problem.
 func Parse(name string, raw []byte) (*Settings, error) {
-	std, err := hujson.Standardize(raw)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
-	}
 	var s Settings
-	if err := json.Unmarshal(std, &s); err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+	tree, problems := decode(name, raw, &s)
+	if len(problems) > 0 {
+		return nil, problems
 	}
 	s.complete()
-	if err := s.Validate(); err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+	problems = s.Validate()
+	if len(problems) > 0 {
+		return nil, tree.locate(problems)
 	}
 	return &s, nil
 }
@@ -180,34 +178,3 @@
 		*field = value
 	}
 }
-
-// Validate reports the first field that is not valid.
-func (s *Settings) Validate() error {
-	switch {
-	case s.Host == "":
-		return fmt.Errorf("host: want the host's name")
-	case s.Zone == "":
-		return fmt.Errorf("zone: want the host's availability zone")
-	case s.Fleet.Hosts < 1:
-		return fmt.Errorf("fleet.hosts: want the number of hosts, 1 or more")
-	}
-	if err := checkAddress("listen.callers", s.Listen.Callers); err != nil {
-		return err
-	}
-	if err := checkAddress("listen.operators", s.Listen.Operators); err != nil {
-		return err
-	}
-	u, err := url.Parse(s.Platform.URL)
-	if err != nil || u.Host == "" {
-		return fmt.Errorf("platform.url: want an address such as http://10.0.0.1:9000, not %q", s.Platform.URL)
-	}
-	return nil
-}
-
-func checkAddress(field, address string) error {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil || net.ParseIP(host) == nil {
-		return fmt.Errorf("%s: want ip:port, not %q", field, address)
-	}
-	return nil
-}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,66 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const valid = `{
+  // a host
+  "host": "a1",
+  "zone": "a",
+  "listen": {
+    "callers": "127.0.0.1:8100",
+    "operators": "127.0.0.1:8101",
+  },
+  "platform": {"url": "http://127.0.0.1:9000", "timeout": "1s"},
+  "fleet": {"hosts": 7},
+}`
+
+func TestValidSettingsAreCompleted(t *testing.T) {
+	s, err := Parse("host.jsonc", []byte(valid))
+	require.NoError(t, err)
+	require.Equal(t, Duration(time.Second), s.Platform.Timeout)
+	require.Equal(t, Duration(500*time.Millisecond), s.Platform.PollInterval)
+	require.Equal(t, "info", s.Log.Level)
+}
+
+func TestEachProblemNamesFileLineFieldAndWhatIsExpected(t *testing.T) {
+	for _, tc := range []struct{ name, old, new, want string }{
+		{"unknown field", `"zone": "a"`, `"zone": "a", "zome": "b"`, `host.jsonc:4: field zome: unknown field, did you mean zone?`},
+		{"unknown inner field", `"timeout": "1s"`, `"time_out": "1s"`, `host.jsonc:9: field platform.time_out: unknown field, did you mean timeout?`},
+		{"wrong type", `"hosts": 7`, `"hosts": "7"`, `host.jsonc:10: field fleet.hosts: want a whole number without quotes`},
+		{"text wanted", `"host": "a1"`, `"host": 1`, `host.jsonc:3: field host: want text in quotes`},
+		{"object wanted", `{"hosts": 7}`, `7`, `host.jsonc:10: field fleet: want an object in braces`},
+		{"number as duration", `"timeout": "1s"`, `"timeout": 1`, `host.jsonc:9: field platform.timeout: want a duration in quotes with its unit, such as "2s"`},
+		{"wrong unit", `"timeout": "1s"`, `"timeout": "1 second"`, `host.jsonc:9: field platform.timeout: want a duration above 0 with its unit, such as "2s", not "1 second"`},
+		{"twice", `"zone": "a"`, `"zone": "a", "zone": "a"`, `host.jsonc:4: field zone: the field is set twice`},
+		{"missing address", `"callers": "127.0.0.1:8100",`, ``, `host.jsonc:5: field listen.callers: want ip:port, such as 127.0.0.1:8100, not ""`},
+		{"name for ip", `127.0.0.1:8100`, `localhost:8100`, `host.jsonc:6: field listen.callers: want ip:port, such as 127.0.0.1:8100, not "localhost:8100"`},
+		{"missing section", `"fleet": {"hosts": 7},`, ``, `host.jsonc:1: field fleet.hosts: want the number of hosts, 1 or more`},
+		{"no ip told", `127.0.0.1:8100`, `0.0.0.0:8100`, `host.jsonc:1: field advertise.callers: want the address told to others, since 0.0.0.0:8100 names no IP number`},
+		{"peers without tls", `"callers":`, `"peers": "10.0.0.1:8102", "callers":`, `host.jsonc:6: field listen.peers: want a loopback address such as 127.0.0.1:8102, or tls`},
+		{"half of tls", `"fleet"`, `"tls": {"cert": "c.pem", "key": "k.pem"}, "fleet"`, `host.jsonc:10: field tls.ca: want the authority's file, since tls is set`},
+		{"level", `"fleet"`, `"log": {"level": "loud"}, "fleet"`, `host.jsonc:10: field log.level: want one of [trace debug info warn error], not "loud"`},
+		{"not JSON", `"zone": "a",`, `"zone" "a",`, `host.jsonc:4: not JSON with comments: `},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			changed := strings.Replace(valid, tc.old, tc.new, 1)
+			require.NotEqual(t, valid, changed)
+			_, err := Parse("host.jsonc", []byte(changed))
+			require.ErrorContains(t, err, tc.want)
+			require.NotContains(t, err.Error(), "\n", "one problem")
+		})
+	}
+}
+
+func TestAllProblemsAreReportedAtOnce(t *testing.T) {
+	_, err := Parse("host.jsonc", []byte(`{"hosst": 1, "zone": 2, "platform": {"timeout": 3}}`))
+	var problems Problems
+	require.True(t, errors.As(err, &problems))
+	require.Len(t, problems, 3)
+}
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"slices"
+)
+
+// logLevels are the values of log.level.
+var logLevels = []string{"trace", "debug", "info", "warn", "error"}
+
+// Validate reports every field that is missing or not valid.
+func (s *Settings) Validate() Problems {
+	var c checker
+	c.check(s.Host != "", "host", "want the host's name")
+	c.check(s.Zone != "", "zone", "want the host's availability zone")
+	c.check(s.Fleet.Hosts >= 1, "fleet.hosts", "want the number of hosts, 1 or more")
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.operators", s.Listen.Operators)
+	c.peers(s)
+	c.advertised("advertise.callers", s.Advertise.Callers, s.Listen.Callers)
+	c.advertised("advertise.peers", s.Advertise.Peers, s.Listen.Peers)
+	c.check(isBaseURL(s.Platform.URL), "platform.url", "want an address such as http://10.0.0.1:9000, not %q", s.Platform.URL)
+	c.check(s.Requests.MaxBodyBytes > 0, "requests.max_body_bytes", "want a number of bytes above 0")
+	c.check(s.Requests.MaxHeaderBytes > 0, "requests.max_header_bytes", "want a number of bytes above 0")
+	c.check(slices.Contains(logLevels, s.Log.Level), "log.level", "want one of %v, not %q", logLevels, s.Log.Level)
+	c.check(s.Drain.LocateWait < s.Drain.Timeout, "drain.timeout", "want more than drain.locate_wait, which is %s", s.Drain.LocateWait)
+	return c.problems
+}
+
+// checker collects problems.
+type checker struct{ problems Problems }
+
+func (c *checker) check(ok bool, field, format string, args ...any) {
+	if !ok {
+		c.problems = append(c.problems, Problem{Field: field, Want: fmt.Sprintf(format, args...)})
+	}
+}
+
+func (c *checker) address(field, address string) {
+	_, _, ok := splitAddress(address)
+	c.check(ok, field, "want ip:port, such as 127.0.0.1:8100, not %q", address)
+}
+
+// peers checks the links between hosts: without TLS anybody who reaches the
+// listener could speak as a host, so that it must stay on loopback.
+func (c *checker) peers(s *Settings) {
+	c.check(!s.TLS.Enabled() || s.TLS.Cert != "", "tls.cert", "want the certificate's file, since tls is set")
+	c.check(!s.TLS.Enabled() || s.TLS.Key != "", "tls.key", "want the private key's file, since tls is set")
+	c.check(!s.TLS.Enabled() || s.TLS.CA != "", "tls.ca", "want the authority's file, since tls is set")
+	if s.Listen.Peers == "" {
+		return
+	}
+	c.address("listen.peers", s.Listen.Peers)
+	ip, _, ok := splitAddress(s.Listen.Peers)
+	c.check(!ok || s.TLS.Enabled() || ip.IsLoopback(), "listen.peers", "want a loopback address such as 127.0.0.1:8102, or tls")
+}
+
+// advertised checks the address told to others. It is needed where the
+// listener's own address says no IP number.
+func (c *checker) advertised(field, base, listen string) {
+	if base != "" {
+		c.check(isBaseURL(base), field, "want an address such as http://10.0.0.1:8100, not %q", base)
+		return
+	}
+	ip, _, ok := splitAddress(listen)
+	c.check(!ok || !ip.IsUnspecified(), field, "want the address told to others, since %s names no IP number", listen)
+}
+
+// splitAddress splits "ip:port".
+func splitAddress(address string) (net.IP, string, bool) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, "", false
+	}
+	ip := net.ParseIP(host)
+	_, err = net.LookupPort("tcp", port)
+	return ip, port, ip != nil && err == nil
+}
+
+func isBaseURL(base string) bool {
+	u, err := url.Parse(base)
+	return err == nil && u.Host != "" && (u.Scheme == "http" || u.Scheme == "https")
+}
