The demo runs a whole deployment and checks it

The demo sends requests through locate and streaming, rolls an adapter version, withdraws the key of a connected caller, drains a host under streams, and looks for keys in what the upstreams were sent.

Structure tests keep the stand-ins out of the product and clocks out of the decision packages.

--- /dev/null
+++ b/cmd/jasminelock/demo.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jasminelock/jasminelock"
+	"github.com/jasminelock/jasminelock/demo"
+	"github.com/jasminelock/jasminelock/settings"
+)
+
+var errDemo = errors.New("a check of the demo did not hold")
+
+func demoCommand() *cobra.Command {
+	var serve bool
+	var state, level string
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a whole deployment on loopback and check the main job",
+		Long:  "Run entry hosts over three zones with stand-ins for the platform, model engines and a plain\nservice in this process, send real requests, and check what comes back.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			log := jasminelock.NewLogger(settings.Log{Level: level})
+			if serve {
+				return demo.Serve(ctx, os.Stdout, log, state)
+			}
+			ok, err := demo.Run(ctx, os.Stdout, log)
+			if err == nil && !ok {
+				err = errDemo
+			}
+			return err
+		},
+	}
+	cmd.Flags().BoolVar(&serve, "serve", false, "stay up until a signal")
+	cmd.Flags().StringVar(&state, "state", "", "with --serve: file to write the addresses and keys to, as JSON")
+	cmd.Flags().StringVar(&level, "log", "error", "level of the hosts' log")
+	return cmd
+}
--- a/cmd/jasminelock/main.go
+++ b/cmd/jasminelock/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -9,8 +10,8 @@
 
 func main() {
 	root := &cobra.Command{Use: "jasminelock", Short: "Operate a jasminelock fleet", SilenceUsage: true}
-	root.AddCommand(applyCommand())
-	if err := root.Execute(); err != nil {
+	root.AddCommand(applyCommand(), demoCommand())
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,89 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// changeBound is how soon a change must be in force on every host.
+const changeBound = 3 * time.Second
+
+// run is one run of the demo.
+type run struct {
+	*cluster
+	out     io.Writer
+	failed  int
+	started time.Time
+	// bound is how soon a change must be in force on every host.
+	bound time.Duration
+}
+
+// Run brings a deployment up, shows the main job step by step on out, and
+// reports whether every check held.
+func Run(ctx context.Context, out io.Writer, log hclog.Logger) (bool, error) {
+	c, err := start(ctx, log, configInterval)
+	if err != nil {
+		return false, err
+	}
+	defer c.stop()
+	return check(ctx, out, c, changeBound), nil
+}
+
+// check takes every step on a deployment and reports whether all checks held.
+func check(ctx context.Context, out io.Writer, c *cluster, bound time.Duration) bool {
+	r := &run{cluster: c, out: out, started: time.Now(), bound: bound}
+	r.say("up: %d hosts in %d zones, %d engines, 1 plain service, %d organisations", len(c.hosts), len(zones), len(c.engines), len(organisations))
+	for _, step := range []func(context.Context){
+		r.serveEveryAdapter, r.refuseForeign, r.callService, r.rollVersion, r.withdrawKey, r.drainHost, r.searchForKeys,
+	} {
+		step(ctx)
+	}
+	if r.failed > 0 {
+		r.say("%d checks failed", r.failed)
+		return false
+	}
+	r.say("every check held")
+	return true
+}
+
+func (r *run) say(format string, args ...any) {
+	at := time.Since(r.started).Seconds()
+	_, _ = fmt.Fprintf(r.out, "%6.2fs  %s\n", at, fmt.Sprintf(format, args...))
+}
+
+// check prints a check's result and remembers a failure.
+func (r *run) check(ok bool, format string, args ...any) {
+	result := "ok  "
+	if !ok {
+		result = "FAIL"
+		r.failed++
+	}
+	r.say("%s  %s", result, fmt.Sprintf(format, args...))
+}
+
+func (r *run) anyHost() string { return r.hosts[0].daemon.CallerURL() }
+
+// find asks a host which host to use.
+func (r *run) find(ctx context.Context, c *caller, model, zone string) (string, error) {
+	answer, err := c.locate(ctx, r.anyHost(), model, zone)
+	if err != nil {
+		return "", err
+	}
+	if len(answer.Hosts) == 0 {
+		return "", fmt.Errorf("locate knows no host for %s", model)
+	}
+	return answer.Hosts[0].URL, nil
+}
+
+// ask locates a host and sends a chat completion there.
+func (r *run) ask(ctx context.Context, c *caller, model string, stream bool) (reply, error) {
+	base, err := r.find(ctx, c, model, zones[0])
+	if err != nil {
+		return reply{}, err
+	}
+	return c.chat(ctx, base, model, stream)
+}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"net"
+	"net/netip"
 	"net/url"
 	"slices"
 )
@@ -39,8 +39,8 @@
 }
 
 func (c *checker) address(field, address string) {
-	_, _, ok := splitAddress(address)
-	c.check(ok, field, "want ip:port, such as 127.0.0.1:8100, not %q", address)
+	_, err := netip.ParseAddrPort(address)
+	c.check(err == nil, field, "want ip:port, such as 127.0.0.1:8100, not %q", address)
 }
 
 // peers checks the links between hosts: without TLS anybody who reaches the
@@ -53,8 +53,8 @@
 		return
 	}
 	c.address("listen.peers", s.Listen.Peers)
-	ip, _, ok := splitAddress(s.Listen.Peers)
-	c.check(!ok || s.TLS.Enabled() || ip.IsLoopback(), "listen.peers", "want a loopback address such as 127.0.0.1:8102, or tls")
+	address, err := netip.ParseAddrPort(s.Listen.Peers)
+	c.check(err != nil || s.TLS.Enabled() || address.Addr().IsLoopback(), "listen.peers", "want a loopback address such as 127.0.0.1:8102, or tls")
 }
 
 // advertised checks the address told to others. It is needed where the
@@ -64,19 +64,8 @@
 		c.check(isBaseURL(base), field, "want an address such as http://10.0.0.1:8100, not %q", base)
 		return
 	}
-	ip, _, ok := splitAddress(listen)
-	c.check(!ok || !ip.IsUnspecified(), field, "want the address told to others, since %s names no IP number", listen)
-}
-
-// splitAddress splits "ip:port".
-func splitAddress(address string) (net.IP, string, bool) {
-	host, port, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, "", false
-	}
-	ip := net.ParseIP(host)
-	_, err = net.LookupPort("tcp", port)
-	return ip, port, ip != nil && err == nil
+	address, err := netip.ParseAddrPort(listen)
+	c.check(err != nil || !address.Addr().IsUnspecified(), field, "want the address told to others, since %s names no IP number", listen)
 }
 
 func isBaseURL(base string) bool {
--- /dev/null
+++ b/structure_test.go
@@ -0,0 +1,112 @@
+package jasminelock_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const module = "github.com/jasminelock/jasminelock"
+
+// standinUsers are the packages that may import a stand-in.
+var standinUsers = []string{"demo", "cmd/jasminelock-standin"}
+
+// decisionPackages have time and random source passed in.
+var decisionPackages = []string{"core", "sched", "limit", "locate", "request"}
+
+// forbiddenImports are what a decision package may not import.
+var forbiddenImports = []string{"net", "net/http", "os", "math/rand", "crypto/rand"}
+
+// forbiddenClock are the functions of package time that read a clock.
+var forbiddenClock = []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTimer", "NewTicker"}
+
+// source is one file that is not a test.
+type source struct {
+	dir  string
+	path string
+	file *ast.File
+}
+
+func sources(t *testing.T) []source {
+	t.Helper()
+	var all []source
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		all = append(all, source{filepath.ToSlash(filepath.Dir(path)), path, file})
+		return err
+	})
+	require.NoError(t, err)
+	return all
+}
+
+func imports(f *ast.File) []string {
+	var paths []string
+	for _, i := range f.Imports {
+		path, _ := strconv.Unquote(i.Path.Value)
+		paths = append(paths, path)
+	}
+	return paths
+}
+
+func importsStandin(f *ast.File) bool {
+	return slices.ContainsFunc(imports(f), func(path string) bool { return strings.HasPrefix(path, module+"/standin") })
+}
+
+// readsOutside lists what a file takes from outside: imports and clocks.
+func readsOutside(f *ast.File) []string {
+	var found []string
+	for _, path := range imports(f) {
+		if slices.Contains(forbiddenImports, path) {
+			found = append(found, path)
+		}
+	}
+	ast.Inspect(f, func(n ast.Node) bool {
+		call, ok := n.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		if pkg, ok := call.X.(*ast.Ident); ok && pkg.Name == "time" && slices.Contains(forbiddenClock, call.Sel.Name) {
+			found = append(found, "time."+call.Sel.Name)
+		}
+		return true
+	})
+	return found
+}
+
+func TestStandinsStayOutOfTheProduct(t *testing.T) {
+	for _, s := range sources(t) {
+		if strings.HasPrefix(s.dir, "standin") || slices.Contains(standinUsers, s.dir) {
+			continue
+		}
+		require.False(t, importsStandin(s.file), s.path)
+	}
+}
+
+func TestDecisionPackagesReadNothingFromOutside(t *testing.T) {
+	for _, s := range sources(t) {
+		if slices.Contains(decisionPackages, s.dir) {
+			require.Empty(t, readsOutside(s.file), s.path)
+		}
+	}
+}
+
+func TestStructureChecksFindBreaches(t *testing.T) {
+	const breach = `package core
+import ("os"; "time"; _ "github.com/jasminelock/jasminelock/standin/engine")
+var _, _ = os.Args, time.Now()`
+	file, err := parser.ParseFile(token.NewFileSet(), "breach.go", breach, 0)
+	require.NoError(t, err)
+	require.True(t, importsStandin(file))
+	require.Equal(t, []string{"os", "time.Now"}, readsOutside(file))
+}
