Records: compact configuration, all problems at once, shared secrets

A record's problems were told one at a time. Two key records of one secret were decided by the order in which they were read, so that hosts could differ and a withdrawal could be undone.

Ruled out: shards of ordinary maps (40 bytes a row before any text), interning every text by package unique (its tables cost more than the texts), keeping only a part of the records on each host (any host must answer for any adapter while the store is down).

Change: adapters and versions are rows without pointers in 1,024 shards, with the texts of a shard in one string; a change copies one shard. A version's source is packed against its name. Other tables are copied only when they change. Where several keys share a secret, one that withdraws it wins, and the reference check reports it.

--- a/gateway/lists.go
+++ b/gateway/lists.go
@@ -45,13 +45,11 @@
 	add := func(id, owner string) {
 		entries = append(entries, modelEntry{ID: id, Object: "model", OwnedBy: owner})
 	}
-	for name, a := range config.Adapters() {
-		if config.MayUse(org, a) && a.DefaultVersion != "" {
-			add(name, a.Organisation)
+	for a := range config.UsableBy(org) {
+		if a.DefaultVersion != "" {
+			add(a.Name, a.Organisation)
 		}
-	}
-	for ref := range config.Versions() {
-		if a, ok := config.Adapter(ref.Name); ok && config.MayUse(org, a) {
+		for ref := range config.VersionsOf(a.Name) {
 			add(ref.String(), a.Organisation)
 		}
 	}
--- a/record/config.go
+++ b/record/config.go
@@ -1,145 +1,87 @@
 package record
 
 import (
-	"fmt"
-	"maps"
-	"slices"
+	"iter"
 	"strings"
 )
 
 // Config is the compiled configuration of one revision. It is immutable: a
 // change makes a new Config, which shares what did not change.
+//
+// Adapters and their versions are by far the most numerous records. They are
+// kept in packed tables, and an Adapter or a Version is made of its row when
+// it is asked for.
 type Config struct {
 	// Revision is the head that the configuration was read at.
 	Revision int64
 
 	organisations map[string]*Organisation
 	keys          map[KeyHash]*Key
-	keyNames      map[string]KeyHash
+	keysByName    map[string]*Key
 	rates         map[string]*Rate
 	models        map[string]*Model
-	adapters      map[string]*Adapter
-	versions      map[AdapterRef]*Version
 	upstreams     map[string]*Upstream
 	routesByName  map[string]*Route
 	routes        []*Route // longest prefix first
+
+	adapters packed[adapterRow] // the extra text is the default version
+	versions packed[versionRow] // the extra text is the packed source
+	interner *interner
+	// names are the interned names, by id, as of this revision.
+	names []string
+}
+
+// adapterRow is an adapter without its texts.
+type adapterRow struct {
+	organisation nameID
+	model        nameID
+	public       bool
 }
 
+// versionRow is empty: a version is nothing but texts.
+type versionRow struct{}
+
 // NewConfig returns an empty configuration at revision 0.
 func NewConfig() *Config {
 	return &Config{
 		organisations: map[string]*Organisation{},
 		keys:          map[KeyHash]*Key{},
-		keyNames:      map[string]KeyHash{},
+		keysByName:    map[string]*Key{},
 		rates:         map[string]*Rate{},
 		models:        map[string]*Model{},
-		adapters:      map[string]*Adapter{},
-		versions:      map[AdapterRef]*Version{},
 		upstreams:     map[string]*Upstream{},
 		routesByName:  map[string]*Route{},
+		adapters:      newPacked[adapterRow](),
+		versions:      newPacked[versionRow](),
+		interner:      newInterner(),
 	}
 }
 
-// Apply returns the configuration after the given records, at the given
-// revision. The receiver is not changed. A record that cannot be decoded is
-// left out and reported; the others take effect.
-func (c *Config) Apply(revision int64, changes []Envelope) (*Config, []error) {
-	next := c.clone()
-	next.Revision = revision
-	var problems []error
-	for _, e := range changes {
-		d, err := Decode(e)
-		if err != nil {
-			problems = append(problems, err)
-			continue
-		}
-		next.put(e, d)
-	}
-	next.sortRoutes()
-	return next, problems
-}
-
-func (c *Config) clone() *Config {
-	return &Config{
-		Revision:      c.Revision,
-		organisations: maps.Clone(c.organisations),
-		keys:          maps.Clone(c.keys),
-		keyNames:      maps.Clone(c.keyNames),
-		rates:         maps.Clone(c.rates),
-		models:        maps.Clone(c.models),
-		adapters:      maps.Clone(c.adapters),
-		versions:      maps.Clone(c.versions),
-		upstreams:     maps.Clone(c.upstreams),
-		routesByName:  maps.Clone(c.routesByName),
-	}
-}
-
-func (c *Config) put(e Envelope, d Decoded) {
-	switch e.Kind {
-	case KindOrganisation:
-		setOrDelete(c.organisations, e.Name, d.Organisation)
-	case KindKey:
-		c.putKey(e.Name, d.Key)
-	case KindRate:
-		setOrDelete(c.rates, e.Name, d.Rate)
-	case KindModel:
-		setOrDelete(c.models, e.Name, d.Model)
-	case KindAdapter:
-		setOrDelete(c.adapters, e.Name, d.Adapter)
-	case KindVersion:
-		ref, _ := ParseAdapterRef(e.Name)
-		setOrDelete(c.versions, ref, d.Version)
-	case KindRoute:
-		setOrDelete(c.routesByName, e.Name, d.Route)
-	case KindUpstream:
-		setOrDelete(c.upstreams, e.Name, d.Upstream)
-	}
-}
-
-func (c *Config) putKey(name string, k *Key) {
-	if old, ok := c.keyNames[name]; ok {
-		delete(c.keys, old)
-		delete(c.keyNames, name)
-	}
-	if k == nil {
-		return
-	}
-	c.keys[k.Hash] = k
-	c.keyNames[name] = k.Hash
-}
-
-func setOrDelete[K comparable, V any](m map[K]*V, key K, v *V) {
-	if v == nil {
-		delete(m, key)
-		return
-	}
-	m[key] = v
-}
-
-func (c *Config) sortRoutes() {
-	c.routes = slices.Collect(maps.Values(c.routesByName))
-	slices.SortFunc(c.routes, func(a, b *Route) int {
-		if len(a.Prefix) != len(b.Prefix) {
-			return len(b.Prefix) - len(a.Prefix)
-		}
-		return strings.Compare(a.Name, b.Name)
-	})
-}
-
 // Organisation returns the organisation of that name.
 func (c *Config) Organisation(name string) (*Organisation, bool) {
 	o, ok := c.organisations[name]
 	return o, ok
 }
 
-// KeyByHash returns the key whose secret has the given hash. A hash carries no
-// order that helps to guess a secret, so that a map look-up by hash gives
-// nothing away by its timing.
+// KeyByHash returns the key whose secret has the given hash. A look-up in a
+// map takes a time that depends on the hash, not on the secret: who measures it
+// learns at most bits of a SHA-256, from which no secret can be found.
 func (c *Config) KeyByHash(h KeyHash) (*Key, bool) {
 	k, ok := c.keys[h]
 	return k, ok
 }
 
+// KeyOf returns a key of the organisation that works, the first by name.
+func (c *Config) KeyOf(org string) (*Key, bool) {
+	var found *Key
+	for _, k := range c.keysByName {
+		if k.Organisation == org && !k.Withdrawn && (found == nil || k.Name < found.Name) {
+			found = k
+		}
+	}
+	return found, found != nil
+}
+
 // Authorised reports whether the key with the given hash may be used now, and
 // by which organisation.
 func (c *Config) Authorised(h KeyHash) (org string, ok bool) {
@@ -174,21 +116,89 @@
 
 // Adapter returns the adapter of that name.
 func (c *Config) Adapter(name string) (*Adapter, bool) {
-	a, ok := c.adapters[name]
-	return a, ok
+	row, defaultVersion, ok := c.adapters.get(name)
+	if !ok {
+		return nil, false
+	}
+	return c.adapter(entry[adapterRow]{name, defaultVersion, row}), true
+}
+
+func (c *Config) adapter(e entry[adapterRow]) *Adapter {
+	return &Adapter{
+		Name: e.key, Organisation: c.names[e.value.organisation], Model: c.names[e.value.model],
+		DefaultVersion: e.extra, Public: e.value.public,
+	}
+}
+
+// Adapters gives every adapter by name, in no particular order.
+func (c *Config) Adapters() iter.Seq2[string, *Adapter] {
+	return func(yield func(string, *Adapter) bool) {
+		for e := range c.adapters.all() {
+			if !yield(e.key, c.adapter(e)) {
+				return
+			}
+		}
+	}
 }
 
-// Adapters returns every adapter by name. The map must not be changed.
-func (c *Config) Adapters() map[string]*Adapter { return c.adapters }
+// AdapterCount returns the number of adapters.
+func (c *Config) AdapterCount() int { return c.adapters.count }
+
+// UsableBy gives the adapters that the organisation may use, in no particular
+// order.
+func (c *Config) UsableBy(org string) iter.Seq[*Adapter] {
+	id, known := c.interner.find(org)
+	return func(yield func(*Adapter) bool) {
+		for e := range c.adapters.all() {
+			own := known && e.value.organisation == id
+			if (own || e.value.public) && !yield(c.adapter(e)) {
+				return
+			}
+		}
+	}
+}
 
 // Version returns one version of an adapter.
 func (c *Config) Version(ref AdapterRef) (*Version, bool) {
-	v, ok := c.versions[ref]
-	return v, ok
+	if ref.Version == "" {
+		return nil, false
+	}
+	_, source, ok := c.versions.get(ref.String())
+	if !ok {
+		return nil, false
+	}
+	return newVersion(ref, source), true
+}
+
+func (c *Config) hasVersion(ref AdapterRef) bool {
+	_, _, ok := c.versions.get(ref.String())
+	return ok && ref.Version != ""
+}
+
+func newVersion(ref AdapterRef, packedSource string) *Version {
+	return &Version{Adapter: ref.Name, Version: ref.Version, Source: unpackSource(ref, packedSource)}
+}
+
+// Versions gives every version, in no particular order.
+func (c *Config) Versions() iter.Seq2[AdapterRef, *Version] {
+	return versionSeq(c.versions.all())
+}
+
+// VersionsOf gives the versions of one adapter, in the order of their names.
+func (c *Config) VersionsOf(adapter string) iter.Seq2[AdapterRef, *Version] {
+	return versionSeq(c.versions.withPrefix(adapter + "@"))
 }
 
-// Versions returns every version. The map must not be changed.
-func (c *Config) Versions() map[AdapterRef]*Version { return c.versions }
+func versionSeq(rows iter.Seq[entry[versionRow]]) iter.Seq2[AdapterRef, *Version] {
+	return func(yield func(AdapterRef, *Version) bool) {
+		for e := range rows {
+			ref, _ := ParseAdapterRef(e.key)
+			if !yield(ref, newVersion(ref, e.extra)) {
+				return
+			}
+		}
+	}
+}
 
 // Resolve turns a request's model into an adapter and one version of it.
 func (c *Config) Resolve(model string) (*Adapter, AdapterRef, bool) {
@@ -196,15 +206,14 @@
 	if !ok {
 		return nil, ref, false
 	}
-	a, ok := c.adapters[ref.Name]
+	a, ok := c.Adapter(ref.Name)
 	if !ok {
 		return nil, ref, false
 	}
 	if ref.Version == "" {
 		ref.Version = a.DefaultVersion
 	}
-	_, ok = c.versions[ref]
-	return a, ref, ok
+	return a, ref, c.hasVersion(ref)
 }
 
 // MayUse reports whether the organisation may use the adapter.
@@ -233,44 +242,3 @@
 
 // Upstreams returns every upstream by name. The map must not be changed.
 func (c *Config) Upstreams() map[string]*Upstream { return c.upstreams }
-
-// Check reports references to records that do not exist.
-func (c *Config) Check() []error {
-	var problems []error
-	missing := func(from Ref, kind Kind, name string) {
-		problems = append(problems, &DecodeError{from, string(kind), fmt.Sprintf("a record that exists, not %q", name)})
-	}
-	for _, k := range c.keys {
-		if _, ok := c.organisations[k.Organisation]; !ok {
-			missing(Ref{KindKey, k.Name}, KindOrganisation, k.Organisation)
-		}
-	}
-	for name := range c.rates {
-		if _, ok := c.organisations[name]; !ok {
-			missing(Ref{KindRate, name}, KindOrganisation, name)
-		}
-	}
-	for name, a := range c.adapters {
-		if _, ok := c.organisations[a.Organisation]; !ok {
-			missing(Ref{KindAdapter, name}, KindOrganisation, a.Organisation)
-		}
-		if _, ok := c.models[a.Model]; !ok {
-			missing(Ref{KindAdapter, name}, KindModel, a.Model)
-		}
-		if _, ok := c.versions[AdapterRef{name, a.DefaultVersion}]; a.DefaultVersion != "" && !ok {
-			missing(Ref{KindAdapter, name}, KindVersion, name+"@"+a.DefaultVersion)
-		}
-	}
-	for ref, v := range c.versions {
-		if _, ok := c.adapters[v.Adapter]; !ok {
-			missing(Ref{KindVersion, ref.String()}, KindAdapter, v.Adapter)
-		}
-	}
-	for name, u := range c.upstreams {
-		if _, ok := c.models[u.Model]; u.Class == ClassEngine && !ok {
-			missing(Ref{KindUpstream, name}, KindModel, u.Model)
-		}
-	}
-	slices.SortFunc(problems, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
-	return problems
-}
--- /dev/null
+++ b/record/config_test.go
@@ -0,0 +1,274 @@
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func apply(t testing.TB, c *Config, records ...Envelope) *Config {
+	t.Helper()
+	next, problems := c.Apply(c.Revision+1, records)
+	require.Empty(t, problems)
+	return next
+}
+
+func keyEnvelope(name, org, secret string, withdrawn bool) Envelope {
+	return envelope(SchemaV2, KindKey, name, fmt.Sprintf(`{"organisation": %q, "hash": %q, "withdrawn": %t}`, org, HashSecret(secret), withdrawn))
+}
+
+func smallConfig(t testing.TB) *Config {
+	return apply(t, NewConfig(),
+		envelope(2, KindOrganisation, "north", `{}`), envelope(2, KindOrganisation, "south", `{}`),
+		envelope(2, KindModel, "m", `{}`),
+		envelope(2, KindAdapter, "a", `{"organisation": "north", "model": "m", "default_version": "1"}`),
+		envelope(2, KindAdapter, "shared", `{"organisation": "north", "model": "m", "public": true}`),
+		envelope(2, KindVersion, "a@1", `{}`), envelope(2, KindVersion, "a@2", `{"source": "elsewhere"}`),
+		envelope(2, KindRoute, "s", `{"prefix": "/s", "pool": "p"}`), envelope(2, KindRoute, "st", `{"prefix": "/s/t", "pool": "p"}`),
+		keyEnvelope("k", "north", "secret", false),
+	)
+}
+
+func TestResolve(t *testing.T) {
+	c := smallConfig(t)
+	for model, want := range map[string]string{"a": "a@1", "a@1": "a@1", "a@2": "a@2"} {
+		a, ref, ok := c.Resolve(model)
+		require.True(t, ok, model)
+		require.Equal(t, want, ref.String())
+		require.Equal(t, Adapter{Name: "a", Organisation: "north", Model: "m", DefaultVersion: "1"}, *a)
+	}
+	for _, model := range []string{"", "b", "a@3", "a@", "shared", "a@1@2"} {
+		_, _, ok := c.Resolve(model)
+		require.False(t, ok, model)
+	}
+	v, ok := c.Version(AdapterRef{"a", "2"})
+	require.True(t, ok)
+	require.Equal(t, Version{Adapter: "a", Version: "2", Source: "elsewhere"}, *v)
+	v, _ = c.Version(AdapterRef{"a", "1"})
+	require.Equal(t, "a@1", v.Source)
+}
+
+func TestUsableBy(t *testing.T) {
+	c := smallConfig(t)
+	for org, want := range map[string][]string{"north": {"a", "shared"}, "south": {"shared"}, "unknown": {"shared"}} {
+		var names []string
+		for a := range c.UsableBy(org) {
+			require.True(t, c.MayUse(org, a))
+			names = append(names, a.Name)
+		}
+		slices.Sort(names)
+		require.Equal(t, want, names, org)
+	}
+	require.Equal(t, 2, c.AdapterCount())
+}
+
+func TestAuthorised(t *testing.T) {
+	c := smallConfig(t)
+	for name, tc := range map[string]struct {
+		change Envelope
+		ok     bool
+	}{
+		"unchanged":              {envelope(2, KindModel, "n", `{}`), true},
+		"withdrawn":              {keyEnvelope("k", "north", "secret", true), false},
+		"removed":                {Envelope{Schema: 2, Kind: KindKey, Name: "k", Deleted: true}, false},
+		"another secret":         {keyEnvelope("k", "north", "other", false), false},
+		"suspended":              {envelope(2, KindOrganisation, "north", `{"suspended": true}`), false},
+		"organisation removed":   {Envelope{Schema: 2, Kind: KindOrganisation, Name: "north", Deleted: true}, false},
+		"withdrawn under a name": {keyEnvelope("z", "north", "secret", true), false},
+	} {
+		_, ok := apply(t, c, tc.change).Authorised(HashSecret("secret"))
+		require.Equal(t, tc.ok, ok, name)
+	}
+	_, ok := c.Authorised(HashSecret("secret"))
+	require.True(t, ok, "the configuration itself has not changed")
+}
+
+// A secret that two records share: every host decides alike, whatever order it
+// read them in, and the withdrawal holds.
+func TestASharedSecretIsDecidedAlikeInEveryOrder(t *testing.T) {
+	live, withdrawn := keyEnvelope("a", "north", "secret", false), keyEnvelope("b", "south", "secret", true)
+	org := []Envelope{envelope(2, KindOrganisation, "north", `{}`), envelope(2, KindOrganisation, "south", `{}`)}
+	for _, order := range [][]Envelope{{live, withdrawn}, {withdrawn, live}, {withdrawn, live, live}} {
+		c := apply(t, apply(t, NewConfig(), org...), order...)
+		_, ok := c.Authorised(HashSecret("secret"))
+		require.False(t, ok)
+		require.Len(t, c.Check(), 1)
+		removed := apply(t, c, Envelope{Schema: 2, Kind: KindKey, Name: "b", Deleted: true})
+		_, ok = removed.Authorised(HashSecret("secret"))
+		require.True(t, ok)
+	}
+}
+
+func TestTheLongestRouteWins(t *testing.T) {
+	c := smallConfig(t)
+	for path, want := range map[string]string{"/s": "s", "/s/x": "s", "/s/t": "st", "/s/t/x": "st", "/s/tx": "s", "/sx": ""} {
+		r, ok := c.Route(path)
+		require.Equal(t, want != "", ok, path)
+		if ok {
+			require.Equal(t, want, r.Name, path)
+		}
+	}
+}
+
+func TestCheckFindsEachMissingReference(t *testing.T) {
+	c := smallConfig(t)
+	require.Empty(t, c.Check())
+	for _, tc := range []struct {
+		change Envelope
+		want   string
+	}{
+		{keyEnvelope("x", "east", "s", false), `record key/x: field organisation: want a record that exists, not "east"`},
+		{envelope(2, KindRate, "east", `{"tokens_per_second": 1, "burst_tokens": 1}`), "record rate/east: field organisation"},
+		{envelope(2, KindAdapter, "b", `{"organisation": "east", "model": "m"}`), "record adapter/b: field organisation"},
+		{envelope(2, KindAdapter, "b", `{"organisation": "north", "model": "n"}`), "record adapter/b: field model"},
+		{envelope(2, KindAdapter, "a", `{"organisation": "north", "model": "m", "default_version": "9"}`), `field version: want a record that exists, not "a@9"`},
+		{envelope(2, KindVersion, "b@1", `{}`), "record version/b@1: field adapter"},
+		{envelope(2, KindUpstream, "e", `{"class": "engine", "url": "http://10.0.0.1:1", "model": "n"}`), "record upstream/e: field model"},
+	} {
+		problems := apply(t, c, tc.change).Check()
+		require.Len(t, problems, 1, tc.want)
+		require.ErrorContains(t, problems[0], tc.want)
+	}
+}
+
+func TestARecordThatIsNotValidIsLeftOut(t *testing.T) {
+	c, problems := smallConfig(t).Apply(2, []Envelope{envelope(9, KindModel, "x", `{}`), envelope(2, KindModel, "y", `{}`)})
+	require.Len(t, problems, 1)
+	_, ok := c.Model("y")
+	require.True(t, ok)
+}
+
+// The size to design for.
+const (
+	designAdapters      = 110_000
+	designOrganisations = 5_000
+	designControlBytes  = 64 << 20
+	// configShare is the configuration's part of a host's memory for control,
+	// half of it, while the collector lets the heap grow to twice what is live.
+	configShare = designControlBytes / 2 / 2
+	pageRecords = 1000
+)
+
+// designConfig returns a configuration of the size to design for.
+func designConfig(t testing.TB) *Config {
+	var records []Envelope
+	add := func(kind Kind, name, format string, args ...any) {
+		records = append(records, envelope(2, kind, name, fmt.Sprintf(format, args...)))
+	}
+	for m := range 5 {
+		add(KindModel, fmt.Sprintf("model-%d", m), `{"max_context_tokens": 8192}`)
+	}
+	for o := range designOrganisations {
+		org := fmt.Sprintf("organisation-%04d", o)
+		add(KindOrganisation, org, `{"display_name": "Organisation %d"}`, o)
+		add(KindRate, org, `{"tokens_per_second": 1000, "burst_tokens": 10000}`)
+		records = append(records, keyEnvelope(org+"-main", org, org, false))
+	}
+	c := NewConfig()
+	for a := range designAdapters {
+		name := fmt.Sprintf("customer-adapter-%06d", a)
+		add(KindAdapter, name, `{"organisation": "organisation-%04d", "model": "model-%d", "default_version": "2026-01-15"}`, a%designOrganisations, a%5)
+		add(KindVersion, name+"@2026-01-15", `{"source": "weights/%s/2026-01-15"}`, name)
+		if len(records) >= pageRecords {
+			c = apply(t, c, records...)
+			records = nil
+		}
+	}
+	return apply(t, c, records...)
+}
+
+func liveBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func TestTheConfigurationKeepsToItsShareOfMemory(t *testing.T) {
+	before := liveBytes()
+	c := designConfig(t)
+	used := liveBytes() - before
+	t.Logf("%d adapters with a version each, %d organisations: %d bytes, %d for each adapter", designAdapters, designOrganisations, used, used/designAdapters)
+	require.Less(t, used, uint64(configShare))
+	require.Equal(t, designAdapters, c.AdapterCount())
+}
+
+// One change must not copy the whole: it allocates less than a hundredth of
+// what the configuration holds, and so costs less than a hundredth of building it.
+func TestOneChangeCopiesLittle(t *testing.T) {
+	c := designConfig(t)
+	var before, after runtime.MemStats
+	const changes = 100
+	runtime.ReadMemStats(&before)
+	for i := range changes {
+		c = apply(t, c, changedAdapter(i))
+	}
+	runtime.ReadMemStats(&after)
+	perChange := (after.TotalAlloc - before.TotalAlloc) / changes
+	t.Logf("%d bytes allocated for each change", perChange)
+	require.Less(t, perChange, uint64(configShare/100))
+}
+
+func changedAdapter(i int) Envelope {
+	return envelope(2, KindAdapter, fmt.Sprintf("customer-adapter-%06d", i%designAdapters), `{"organisation": "organisation-0001", "model": "model-1"}`)
+}
+
+func BenchmarkChange(b *testing.B) {
+	c := designConfig(b)
+	for _, bc := range []struct {
+		name   string
+		change func(i int) Envelope
+	}{
+		{"adapter", changedAdapter},
+		{"key", func(i int) Envelope {
+			return keyEnvelope(fmt.Sprintf("key-%d", i), "organisation-0001", fmt.Sprint(i), false)
+		}},
+		{"rate", func(i int) Envelope {
+			return envelope(2, KindRate, fmt.Sprintf("organisation-%04d", i%designOrganisations), `{"tokens_per_second": 2, "burst_tokens": 5}`)
+		}},
+	} {
+		b.Run(bc.name, func(b *testing.B) {
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				apply(b, c, bc.change(i))
+				i++
+			}
+		})
+	}
+}
+
+func BenchmarkResolve(b *testing.B) {
+	c := designConfig(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, ok := c.Resolve("customer-adapter-054321"); !ok {
+			b.Fatal("not found")
+		}
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		designConfig(b)
+	}
+}
+
+func TestNamesAndSecrets(t *testing.T) {
+	for name, ok := range map[string]bool{"a": true, "a-1.b_c": true, "": false, "A": false, "-a": false, "a-": false, "a@1": false, strings.Repeat("a", 129): false} {
+		require.Equal(t, ok, ValidateName(name) == nil, name)
+	}
+	secret := NewSecret()
+	require.True(t, strings.HasPrefix(secret, SecretPrefix))
+	require.NotEqual(t, secret, NewSecret())
+	raw, err := json.Marshal(HashSecret(secret).String())
+	require.NoError(t, err)
+	require.NotContains(t, string(raw), secret)
+}
--- a/record/decode.go
+++ b/record/decode.go
@@ -1,28 +1,16 @@
 package record
 
 import (
-	"bytes"
+	"cmp"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 )
 
-// DecodeError says which record and field is not valid.
-type DecodeError struct {
-	Ref   Ref
-	Field string
-	Want  string
-}
-
-// Error implements the error interface.
-func (e *DecodeError) Error() string {
-	return fmt.Sprintf("record %s: field %s: want %s", e.Ref, e.Field, e.Want)
-}
-
 // Decoded is a record in its internal form. Exactly one pointer is set, the
 // one of the envelope's kind, and none for a deleted record.
 type Decoded struct {
@@ -53,7 +41,6 @@
 	Model            string  `json:"model"`
 	DefaultVersion   string  `json:"default_version"`
 	Public           bool    `json:"public"`
-	Adapter          string  `json:"adapter"`
 	Source           string  `json:"source"`
 	Class            string  `json:"class"`
 	URL              string  `json:"url"`
@@ -80,66 +67,86 @@
 	secondsPerMinute    = 60
 )
 
-// Decode converts a record of either schema into the internal form.
+// decoder decodes one record and collects its problems.
+type decoder struct {
+	envelope Envelope
+	fields   specFields
+	problems Problems
+}
+
+// Decode converts a record of either schema into the internal form. Fields
+// that this version does not know are no error. The error is a Problems that
+// holds all that is wrong.
 func Decode(e Envelope) (Decoded, error) {
-	var d Decoded
-	if err := checkEnvelope(e); err != nil {
-		return d, err
+	d := decoder{envelope: e}
+	d.checkEnvelope()
+	if len(d.problems) > 0 {
+		return Decoded{}, d.problems
 	}
 	if e.Deleted {
-		return d, nil
+		return Decoded{}, nil
 	}
-	var f specFields
-	if err := json.NewDecoder(bytes.NewReader(e.Spec)).Decode(&f); err != nil {
-		return d, &DecodeError{e.Ref(), "spec", "an object with the kind's fields: " + err.Error()}
+	if err := json.Unmarshal(e.Spec, &d.fields); err != nil {
+		d.fail("spec", "an object with the kind's fields: "+err.Error())
+		return Decoded{}, d.problems
 	}
-	return d, decodeSpec(e, f, &d)
+	decoded := d.decode()
+	if len(d.problems) > 0 {
+		return Decoded{}, d.problems
+	}
+	return decoded, nil
 }
 
-func checkEnvelope(e Envelope) error {
-	switch {
-	case e.Schema != SchemaV1 && e.Schema != SchemaV2:
-		return &DecodeError{e.Ref(), "schema", "1 or 2"}
-	case len(e.Spec) > MaxRecordBytes:
-		return &DecodeError{e.Ref(), "spec", fmt.Sprintf("at most %d bytes", MaxRecordBytes)}
-	case !e.Deleted && len(e.Spec) == 0:
-		return &DecodeError{e.Ref(), "spec", "an object"}
+func (d *decoder) fail(field, want string) {
+	d.problems = append(d.problems, &DecodeError{d.envelope.Ref(), field, want})
+}
+
+// want reports a problem with a field unless ok.
+func (d *decoder) want(ok bool, field, want string) {
+	if !ok {
+		d.fail(field, want)
 	}
+}
+
+func (d *decoder) checkEnvelope() {
+	e := d.envelope
+	d.want(e.Schema == SchemaV1 || e.Schema == SchemaV2, "schema", "1 or 2")
+	d.want(slices.Contains(Kinds(), e.Kind), "kind", "one of "+kindNames())
+	d.want(len(e.Spec) <= MaxRecordBytes, "spec", fmt.Sprintf("at most %d bytes", MaxRecordBytes))
+	d.want(e.Deleted || len(e.Spec) > 0, "spec", "an object")
 	name := e.Name
 	if e.Kind == KindVersion {
 		ref, ok := ParseAdapterRef(name)
-		if !ok || ref.Version == "" {
-			return &DecodeError{e.Ref(), "name", "adapter@version"}
+		if !ok || ValidateName(ref.Version) != nil {
+			d.fail("name", "adapter@version")
+			return
 		}
 		name = ref.Name
 	}
 	if err := ValidateName(name); err != nil {
-		return &DecodeError{e.Ref(), "name", err.Error()}
+		d.fail("name", err.Error())
 	}
-	return nil
 }
 
-func decodeSpec(e Envelope, f specFields, d *Decoded) error {
+func (d *decoder) decode() Decoded {
+	e, f := d.envelope, d.fields
 	switch e.Kind {
 	case KindOrganisation:
-		d.Organisation = &Organisation{Name: e.Name, DisplayName: f.DisplayName, Suspended: f.Suspended}
-		return nil
+		return Decoded{Organisation: &Organisation{Name: e.Name, DisplayName: f.DisplayName, Suspended: f.Suspended}}
 	case KindKey:
-		return decodeKey(e, f, d)
+		return Decoded{Key: d.key()}
 	case KindRate:
-		return decodeRate(e, f, d)
+		return Decoded{Rate: d.rate()}
 	case KindModel:
-		return decodeModel(e, f, d)
+		return Decoded{Model: d.model()}
 	case KindAdapter:
-		return decodeAdapter(e, f, d)
+		return Decoded{Adapter: d.adapter()}
 	case KindVersion:
-		return decodeVersion(e, f, d)
+		return Decoded{Version: d.version()}
 	case KindRoute:
-		return decodeRoute(e, f, d)
-	case KindUpstream:
-		return decodeUpstream(e, f, d)
+		return Decoded{Route: d.route()}
 	}
-	return &DecodeError{e.Ref(), "kind", "one of " + kindNames()}
+	return Decoded{Upstream: d.upstream()}
 }
 
 func kindNames() string {
@@ -150,141 +157,103 @@
 	return strings.Join(names, ", ")
 }
 
-func decodeKey(e Envelope, f specFields, d *Decoded) error {
+func (d *decoder) key() *Key {
+	f := d.fields
 	raw, err := hex.DecodeString(f.Hash)
+	d.want(f.Organisation != "", "spec.organisation", "an organisation's name")
 	if err != nil || len(raw) != len(KeyHash{}) {
-		return &DecodeError{e.Ref(), "spec.hash", "64 hexadecimal digits (SHA-256 of the secret)"}
-	}
-	if f.Organisation == "" {
-		return &DecodeError{e.Ref(), "spec.organisation", "an organisation's name"}
+		d.fail("spec.hash", "64 hexadecimal digits (SHA-256 of the secret)")
+		return nil
 	}
-	d.Key = &Key{Name: e.Name, Organisation: f.Organisation, Hash: KeyHash(raw), Withdrawn: f.Withdrawn}
-	return nil
+	return &Key{Name: d.envelope.Name, Organisation: f.Organisation, Hash: KeyHash(raw), Withdrawn: f.Withdrawn}
 }
 
-func decodeRate(e Envelope, f specFields, d *Decoded) error {
+func (d *decoder) rate() *Rate {
+	f := d.fields
 	perSecond := f.TokensPerSecond
 	field := "spec.tokens_per_second"
-	if e.Schema == SchemaV1 {
+	if d.envelope.Schema == SchemaV1 {
 		perSecond = f.TokensPerMinute / secondsPerMinute
 		field = "spec.tokens_per_minute"
 	}
-	if perSecond <= 0 || math.IsInf(perSecond, 0) || math.IsNaN(perSecond) {
-		return &DecodeError{e.Ref(), field, "a number above 0"}
-	}
-	if f.BurstTokens <= 0 {
-		return &DecodeError{e.Ref(), "spec.burst_tokens", "a whole number above 0"}
-	}
-	d.Rate = &Rate{Organisation: e.Name, TokensPerSecond: perSecond, BurstTokens: f.BurstTokens}
-	return nil
+	d.want(perSecond > 0, field, "a number above 0")
+	d.want(f.BurstTokens > 0, "spec.burst_tokens", "a whole number above 0")
+	return &Rate{Organisation: d.envelope.Name, TokensPerSecond: perSecond, BurstTokens: f.BurstTokens}
 }
 
-func decodeModel(e Envelope, f specFields, d *Decoded) error {
-	if f.LoadsPerSecond < 0 || f.LoadsInFlight < 0 || f.MaxContextTokens < 0 {
-		return &DecodeError{e.Ref(), "spec", "bounds of 0 or more"}
-	}
-	d.Model = &Model{Name: e.Name, MaxContextTokens: f.MaxContextTokens, LoadsPerSecond: f.LoadsPerSecond, LoadsInFlight: f.LoadsInFlight}
-	return nil
+func (d *decoder) model() *Model {
+	f := d.fields
+	d.want(f.MaxContextTokens >= 0, "spec.max_context_tokens", "a whole number of 0 or more")
+	d.want(f.LoadsPerSecond >= 0, "spec.loads_per_second", "a number of 0 or more")
+	d.want(f.LoadsInFlight >= 0, "spec.loads_in_flight", "a whole number of 0 or more")
+	return &Model{Name: d.envelope.Name, MaxContextTokens: f.MaxContextTokens, LoadsPerSecond: f.LoadsPerSecond, LoadsInFlight: f.LoadsInFlight}
 }
 
-func decodeAdapter(e Envelope, f specFields, d *Decoded) error {
-	if f.Organisation == "" {
-		return &DecodeError{e.Ref(), "spec.organisation", "an organisation's name"}
-	}
-	if f.Model == "" {
-		return &DecodeError{e.Ref(), "spec.model", "a model's name"}
-	}
-	d.Adapter = &Adapter{Name: e.Name, Organisation: f.Organisation, Model: f.Model, DefaultVersion: f.DefaultVersion, Public: f.Public}
-	return nil
+func (d *decoder) adapter() *Adapter {
+	f := d.fields
+	d.want(f.Organisation != "", "spec.organisation", "an organisation's name")
+	d.want(f.Model != "", "spec.model", "a model's name")
+	return &Adapter{Name: d.envelope.Name, Organisation: f.Organisation, Model: f.Model, DefaultVersion: f.DefaultVersion, Public: f.Public}
 }
 
-func decodeVersion(e Envelope, f specFields, d *Decoded) error {
-	ref, _ := ParseAdapterRef(e.Name)
-	source := f.Source
-	if source == "" {
-		source = e.Name
-	}
-	d.Version = &Version{Adapter: ref.Name, Version: ref.Version, Source: source}
-	return nil
+func (d *decoder) version() *Version {
+	ref, _ := ParseAdapterRef(d.envelope.Name)
+	return &Version{Adapter: ref.Name, Version: ref.Version, Source: cmp.Or(d.fields.Source, ref.String())}
 }
 
-func decodeRoute(e Envelope, f specFields, d *Decoded) error {
-	if !strings.HasPrefix(f.Prefix, "/") || len(f.Prefix) < 2 || strings.HasPrefix(f.Prefix+"/", "/v1/") {
-		return &DecodeError{e.Ref(), "spec.prefix", "a path such as /stock, outside /v1"}
-	}
-	if f.Pool == "" {
-		return &DecodeError{e.Ref(), "spec.pool", "the pool of the service's upstreams"}
-	}
-	timeout, err := decodeTimeout(e, f)
-	if err != nil {
-		return err
-	}
-	priority, err := decodePriority(e, f)
-	if err != nil {
-		return err
+func (d *decoder) route() *Route {
+	f := d.fields
+	prefix := strings.TrimSuffix(f.Prefix, "/")
+	inside := strings.HasPrefix(prefix, "/") && len(prefix) > 1
+	d.want(inside && !strings.HasPrefix(prefix+"/", "/v1/"), "spec.prefix", "a path such as /stock, outside /v1")
+	d.want(f.Pool != "", "spec.pool", "the pool of the service's upstreams")
+	d.want(f.CostTokens >= 0, "spec.cost_tokens", "a whole number of 0 or more")
+	return &Route{
+		Name: d.envelope.Name, Prefix: prefix, Pool: f.Pool, Open: f.Open, Repeatable: f.Repeatable,
+		CostTokens: f.CostTokens, Timeout: d.timeout(), Priority: d.priority(),
 	}
-	d.Route = &Route{
-		Name: e.Name, Prefix: strings.TrimSuffix(f.Prefix, "/"), Pool: f.Pool, Open: f.Open,
-		Repeatable: f.Repeatable, CostTokens: max(f.CostTokens, 0), Timeout: timeout, Priority: priority,
-	}
-	return nil
 }
 
-func decodeTimeout(e Envelope, f specFields) (time.Duration, error) {
-	if e.Schema == SchemaV1 {
-		if f.TimeoutSeconds < 0 {
-			return 0, &DecodeError{e.Ref(), "spec.timeout_seconds", "a number above 0"}
-		}
+func (d *decoder) timeout() time.Duration {
+	f := d.fields
+	if d.envelope.Schema == SchemaV1 {
+		d.want(f.TimeoutSeconds >= 0, "spec.timeout_seconds", "a number above 0")
 		if f.TimeoutSeconds == 0 {
-			return DefaultRouteTimeout, nil
+			return DefaultRouteTimeout
 		}
-		return time.Duration(f.TimeoutSeconds * float64(time.Second)), nil
+		return time.Duration(f.TimeoutSeconds * float64(time.Second))
 	}
 	if f.Timeout == "" {
-		return DefaultRouteTimeout, nil
+		return DefaultRouteTimeout
 	}
 	timeout, err := time.ParseDuration(f.Timeout)
-	if err != nil || timeout <= 0 {
-		return 0, &DecodeError{e.Ref(), "spec.timeout", `a duration such as "30s"`}
-	}
-	return timeout, nil
+	d.want(err == nil && timeout > 0, "spec.timeout", `a duration such as "30s"`)
+	return timeout
 }
 
-func decodePriority(e Envelope, f specFields) (Priority, error) {
-	switch f.Priority {
-	case "", PriorityPrompt.String():
-		return PriorityPrompt, nil
-	case PriorityBatch.String():
-		return PriorityBatch, nil
+// priority is known to schema 2 only. Schema 1 has prompt work alone.
+func (d *decoder) priority() Priority {
+	if d.envelope.Schema == SchemaV1 || d.fields.Priority == "" || d.fields.Priority == PriorityPrompt.String() {
+		return PriorityPrompt
 	}
-	return 0, &DecodeError{e.Ref(), "spec.priority", `"prompt" or "batch"`}
+	d.want(d.fields.Priority == PriorityBatch.String(), "spec.priority", `"prompt" or "batch"`)
+	return PriorityBatch
 }
 
-func decodeUpstream(e Envelope, f specFields, d *Decoded) error {
+func (d *decoder) upstream() *Upstream {
+	f := d.fields
 	u, err := url.Parse(f.URL)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		return &DecodeError{e.Ref(), "spec.url", "an address such as http://10.0.0.1:8000"}
-	}
-	up := Upstream{
-		Name: e.Name, Class: UpstreamClass(f.Class), URL: strings.TrimSuffix(f.URL, "/"), Zone: f.Zone, Model: f.Model, Pool: f.Pool,
-		AdapterSlots: f.AdapterSlots, MaxBatch: f.MaxBatch, ChecksFence: f.ChecksFence, Leaving: f.Leaving,
-	}
-	switch {
-	case up.Class != ClassEngine && up.Class != ClassService:
-		return &DecodeError{e.Ref(), "spec.class", `"engine" or "service"`}
-	case up.Class == ClassEngine && up.Model == "":
-		return &DecodeError{e.Ref(), "spec.model", "the engine's base model"}
-	case up.Class == ClassService && up.Pool == "":
-		return &DecodeError{e.Ref(), "spec.pool", "the service's pool"}
-	case up.AdapterSlots < 0 || up.MaxBatch < 0:
-		return &DecodeError{e.Ref(), "spec.adapter_slots or spec.max_batch", "a whole number above 0"}
-	}
-	if up.AdapterSlots == 0 {
-		up.AdapterSlots = DefaultAdapterSlots
-	}
-	if up.MaxBatch == 0 {
-		up.MaxBatch = DefaultMaxBatch
+	valid := err == nil && u.Host != "" && (u.Scheme == "http" || u.Scheme == "https")
+	d.want(valid, "spec.url", "an address such as http://10.0.0.1:8000")
+	class := UpstreamClass(f.Class)
+	d.want(class == ClassEngine || class == ClassService, "spec.class", `"engine" or "service"`)
+	d.want(class != ClassEngine || f.Model != "", "spec.model", "the engine's base model")
+	d.want(class != ClassService || f.Pool != "", "spec.pool", "the service's pool")
+	d.want(f.AdapterSlots >= 0, "spec.adapter_slots", "a whole number above 0")
+	d.want(f.MaxBatch >= 0, "spec.max_batch", "a whole number above 0")
+	return &Upstream{
+		Name: d.envelope.Name, Class: class, URL: strings.TrimSuffix(f.URL, "/"), Zone: f.Zone, Model: f.Model, Pool: f.Pool,
+		AdapterSlots: cmp.Or(f.AdapterSlots, DefaultAdapterSlots), MaxBatch: cmp.Or(f.MaxBatch, DefaultMaxBatch),
+		ChecksFence: f.ChecksFence, Leaving: f.Leaving,
 	}
-	d.Upstream = &up
-	return nil
 }
