Links between hosts over WebSocket and CBOR

Cause: the core's messages to other hosts were dropped. Ruled out: one standing link to every other host, which at 390 hosts costs 388 connections a host for traffic that most pairs never have. Change: package peer opens a link when there is something to send and closes it when unused. The daemon hands the core's messages to the links and theirs to the core. Conclusion: hosts can talk; who talks to whom follows with the roster.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/gateway"
 	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/sched"
 	"github.com/jasminelock/jasminelock/settings"
@@ -32,6 +33,9 @@
 	platform *platform.Client
 	upstream *upstream.Client
 
+	// links carry messages to other hosts. They are nil where listen.peers is empty.
+	links *peer.Links
+
 	callers   net.Listener
 	operators net.Listener
 
@@ -51,7 +55,7 @@
 		draining: make(chan struct{}),
 	}
 	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded()})
-	d.runtime = newRuntime(d.log, c, d.work)
+	d.runtime = newRuntime(d.log, c, d.work, d.send)
 	var err error
 	var listen net.ListenConfig
 	if d.callers, err = listen.Listen(context.Background(), "tcp", s.Listen.Callers); err != nil {
@@ -61,6 +65,11 @@
 		_ = d.callers.Close()
 		return nil, eris.Wrap(err, "listen.operators")
 	}
+	if err := d.listenPeers(); err != nil {
+		_ = d.callers.Close()
+		_ = d.operators.Close()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -93,6 +102,9 @@
 	group.Go(func() { _ = callers.Serve(d.callers) })
 	group.Go(func() { _ = operators.Serve(d.operators) })
 	group.Go(func() { d.work.run(ctx, d.carryOut) })
+	if d.links != nil {
+		group.Go(func() { d.links.Run(ctx) })
+	}
 	group.Go(func() { d.tick(ctx) })
 	group.Go(func() { d.watchConfig(ctx) })
 	group.Go(func() { d.watchHosts(ctx) })
--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -30,6 +30,8 @@
 }
 
 func (d *Daemon) announce(ctx context.Context) error {
-	h := platform.Host{Name: d.settings.Host, Zone: d.settings.Zone, CallerURL: d.CallerURL(), Leaving: !d.ready()}
+	h := platform.Host{
+		Name: d.settings.Host, Zone: d.settings.Zone, CallerURL: d.CallerURL(), PeerURL: d.PeerURL(), Leaving: !d.ready(),
+	}
 	return d.platform.Announce(ctx, h, announceTTL)
 }
--- a/daemon/runtime.go
+++ b/daemon/runtime.go
@@ -10,6 +10,7 @@
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/gateway"
 	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 // ticketBuffer is the number of decisions that a ticket can hold. The core has
@@ -22,6 +23,8 @@
 	log    hclog.Logger
 	nextID atomic.Uint64
 	work   *workQueue
+	// send queues a message for another host. It never waits.
+	send func(m wire.Outgoing)
 
 	// mu is the state lock of the lock order in package blackboard. It guards
 	// core and tickets.
@@ -41,8 +44,8 @@
 // Decisions implements gateway.Ticket.
 func (t *ticket) Decisions() <-chan core.Decision { return t.decisions }
 
-func newRuntime(log hclog.Logger, c *core.Core, work *workQueue) *Runtime {
-	return &Runtime{log: log, core: c, work: work, tickets: map[sched.RequestID]*ticket{}}
+func newRuntime(log hclog.Logger, c *core.Core, work *workQueue, send func(wire.Outgoing)) *Runtime {
+	return &Runtime{log: log, core: c, work: work, send: send, tickets: map[sched.RequestID]*ticket{}}
 }
 
 // NewTicket implements gateway.Runtime.
@@ -85,6 +88,8 @@
 		case core.Finish:
 			r.tell(d.ID, d)
 			delete(r.tickets, d.ID)
+		case core.Send:
+			r.send(d.Outgoing)
 		default:
 			r.work.add(d)
 		}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,221 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// link is one open WebSocket connection after its Hello.
+type link struct {
+	conn   *websocket.Conn
+	counts *counters
+	// dialled says that this side opened the connection.
+	dialled bool
+	// lastUse is when a frame last passed, in nanoseconds of Unix time.
+	lastUse atomic.Int64
+}
+
+func (l *Links) newLink(conn *websocket.Conn, dialled bool) *link {
+	conn.SetReadLimit(wire.MaxFrameBytes)
+	k := &link{conn: conn, counts: &l.counts, dialled: dialled}
+	k.used()
+	return k
+}
+
+func (k *link) used() { k.lastUse.Store(time.Now().UnixNano()) }
+
+func (k *link) idleSince(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, k.lastUse.Load()))
+}
+
+// Sizes of WebSocket headers.
+const (
+	headerBytes      = 2
+	header16Bytes    = 4
+	header64Bytes    = 10
+	maskBytes        = 4
+	largestOneByte   = 125
+	largestTwoBytes  = 1<<16 - 1
+	closeReasonBytes = 120
+)
+
+// frameBytes returns a frame's size on the connection. What the side that
+// opened the connection sends is masked.
+func frameBytes(payload int, masked bool) int64 {
+	n := payload + headerBytes
+	switch {
+	case payload > largestTwoBytes:
+		n = payload + header64Bytes
+	case payload > largestOneByte:
+		n = payload + header16Bytes
+	}
+	if masked {
+		n += maskBytes
+	}
+	return int64(n)
+}
+
+// read hands messages on until the link ends.
+func (k *link) read(ctx context.Context, r *remote) {
+	defer r.detach(k)
+	defer k.close()
+	for {
+		kind, raw, err := k.conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		k.used()
+		k.counts.receivedFrames.Add(1)
+		k.counts.receivedBytes.Add(frameBytes(len(raw), !k.dialled))
+		m, err := decodeFrame(kind, raw)
+		if err != nil {
+			k.counts.malformed.Add(1)
+			r.links.options.Log.Warn("frame not read; link closed", "peer", r.host, "error", err)
+			return
+		}
+		if m != nil {
+			r.links.options.Receive(r.host, m)
+		}
+	}
+}
+
+func decodeFrame(kind websocket.MessageType, raw []byte) (wire.Message, error) {
+	if kind != websocket.MessageBinary {
+		return nil, errors.New("peer: want a binary message")
+	}
+	return wire.Decode(raw)
+}
+
+// open dials a host and exchanges Hello with it.
+func (l *Links) open(ctx context.Context, host, url string) (*link, error) {
+	transport := &http.Transport{DisableKeepAlives: true}
+	if l.options.Certificates != nil {
+		transport.TLSClientConfig = l.options.Certificates.clientConfig(host)
+	}
+	conn, resp, err := websocket.Dial(ctx, url+Path, &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}})
+	if err != nil {
+		return nil, err
+	}
+	if resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	k := l.newLink(conn, true)
+	hello, err := l.greet(ctx, k)
+	if err == nil && hello.Host != host {
+		err = fmt.Errorf("peer: host %q answers at the address of %q", hello.Host, host)
+	}
+	if err != nil {
+		l.refuse(k, err)
+		return nil, err
+	}
+	return k, nil
+}
+
+// greet sends this host's Hello and reads the other's.
+func (l *Links) greet(ctx context.Context, k *link) (*wire.Hello, error) {
+	self := l.options.Self
+	frame, err := wire.Encode(&self)
+	if err != nil {
+		return nil, err
+	}
+	if err := k.send(ctx, frame); err != nil {
+		return nil, err
+	}
+	kind, raw, err := k.conn.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	m, err := decodeFrame(kind, raw)
+	if err != nil {
+		return nil, err
+	}
+	hello, ok := m.(*wire.Hello)
+	if !ok {
+		return nil, errors.New("peer: the first frame is not Hello")
+	}
+	return hello, checkHello(hello, &self)
+}
+
+// checkHello refuses a host that shares no frame version with this one.
+func checkHello(other, self *wire.Hello) error {
+	switch {
+	case other.Host == "" || other.Host == self.Host:
+		return fmt.Errorf("peer: Hello with the name %q", other.Host)
+	case other.MaxVersion < self.MinVersion || other.MinVersion > self.MaxVersion:
+		return fmt.Errorf("peer: host %q speaks versions %d to %d, this one %d to %d",
+			other.Host, other.MinVersion, other.MaxVersion, self.MinVersion, self.MaxVersion)
+	}
+	return nil
+}
+
+// refuse closes a link that failed its check and tells the other side why.
+func (l *Links) refuse(k *link, err error) {
+	l.counts.refused.Add(1)
+	reason := err.Error()
+	if len(reason) > closeReasonBytes {
+		reason = reason[:closeReasonBytes]
+	}
+	_ = k.conn.Close(websocket.StatusPolicyViolation, reason)
+}
+
+// serve accepts links until the server is closed.
+func (l *Links) serve() {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+Path, l.accept)
+	l.server = &http.Server{Handler: mux, ReadHeaderTimeout: dialTimeout, MaxHeaderBytes: maxHeaderBytes}
+	listener := l.options.Listener
+	if l.options.Certificates != nil {
+		listener = tls.NewListener(listener, l.options.Certificates.serverConfig())
+	}
+	l.group.Go(func() { _ = l.server.Serve(listener) })
+}
+
+func (l *Links) accept(w http.ResponseWriter, r *http.Request) {
+	if l.counts.open.Load() >= maxLinks {
+		http.Error(w, "too many links", http.StatusServiceUnavailable)
+		return
+	}
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	k := l.newLink(conn, false)
+	ctx, cancel := context.WithTimeout(r.Context(), dialTimeout)
+	hello, err := l.greet(ctx, k)
+	cancel()
+	if err == nil {
+		err = provesName(r.TLS, hello.Host)
+	}
+	if err != nil {
+		l.options.Log.Warn("link refused", "from", r.RemoteAddr, "error", err)
+		l.refuse(k, err)
+		return
+	}
+	remote, err := l.remote(hello.Host)
+	if err != nil || !remote.attach(k) {
+		k.close()
+		return
+	}
+	k.read(remote.ctx, remote)
+}
+
+// provesName checks that the certificate is that of the host it claims to be.
+// A plain link on loopback proves nothing.
+func provesName(state *tls.ConnectionState, host string) error {
+	if state == nil {
+		return nil
+	}
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("peer: no certificate")
+	}
+	return state.PeerCertificates[0].VerifyHostname(host)
+}
