The roster and the spread of the configuration as state machines

Cause: hosts knew one another only from the platform's lagging list, and each read every change from the table service itself. Ruled out: a full mesh of heartbeats, 389 a second and host at 390 hosts; a lease for who reads the table service, which needs the service to elect; a wall clock in confirmations, which differ between hosts. All are driven by messages and the time.

--- /dev/null
+++ b/spread/archive.go
@@ -0,0 +1,125 @@
+package spread
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// Sizes of the archive.
+const (
+	// archiveBuckets is the number of parts that all records are kept in. A
+	// change rewrites only the parts that it touches.
+	archiveBuckets = 256
+	// maxBucketBytes bounds an unpacked bucket, against data made to exhaust
+	// memory.
+	maxBucketBytes = 64 << 20
+)
+
+// archive keeps every record as it was written, packed, so that a host without
+// state can be given all of them, fields unknown to this version included.
+type archive struct {
+	buckets [archiveBuckets][]byte
+}
+
+func archiveBucket(kind, name string) int {
+	return int(xxhash.Sum64String(kind+"/"+name) % archiveBuckets)
+}
+
+// put adds, replaces or removes records.
+func (a *archive) put(records []wire.ConfigRecord) error {
+	var byBucket [archiveBuckets][]wire.ConfigRecord
+	for _, r := range records {
+		b := archiveBucket(r.Kind, r.Name)
+		byBucket[b] = append(byBucket[b], r)
+	}
+	for b, changes := range byBucket {
+		if len(changes) == 0 {
+			continue
+		}
+		if err := a.putBucket(b, changes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *archive) putBucket(b int, changes []wire.ConfigRecord) error {
+	old, err := unpack(a.buckets[b])
+	if err != nil {
+		return err
+	}
+	byName := make(map[string]wire.ConfigRecord, len(old)+len(changes))
+	for _, r := range old {
+		byName[r.Kind+"/"+r.Name] = r
+	}
+	for _, r := range changes {
+		if r.Deleted {
+			delete(byName, r.Kind+"/"+r.Name)
+			continue
+		}
+		byName[r.Kind+"/"+r.Name] = r
+	}
+	next := make([]wire.ConfigRecord, 0, len(byName))
+	for _, r := range byName {
+		next = append(next, r)
+	}
+	slices.SortFunc(next, func(x, y wire.ConfigRecord) int {
+		return strings.Compare(x.Kind+"/"+x.Name, y.Kind+"/"+y.Name)
+	})
+	a.buckets[b], err = pack(next)
+	return err
+}
+
+// bytes returns the size of the archive.
+func (a *archive) bytes() int {
+	n := 0
+	for _, b := range a.buckets {
+		n += len(b)
+	}
+	return n
+}
+
+// pack encodes and compresses records.
+func pack(records []wire.ConfigRecord) ([]byte, error) {
+	raw, err := wire.EncodeRecords(records)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+var errTooLarge = errors.New("spread: a bucket is larger than its bound")
+
+// unpack reverses pack. An empty bucket holds no records.
+func unpack(packed []byte) ([]wire.ConfigRecord, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxBucketBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > maxBucketBytes {
+		return nil, errTooLarge
+	}
+	return wire.DecodeRecords(raw)
+}
--- /dev/null
+++ b/spread/changes.go
@@ -0,0 +1,143 @@
+package spread
+
+import (
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// Bounds of the changes that are kept for hosts that missed some.
+const (
+	keptChanges     = 512
+	keptChangeBytes = 1 << 20
+	// partBytes bounds the records of one frame.
+	partBytes = 256 << 10
+	// maxParts bounds the frames of one change or bucket.
+	maxParts = 4096
+)
+
+// Change is one accepted change.
+type Change struct {
+	Revision int64
+	Records  []wire.ConfigRecord
+}
+
+// FromEnvelopes returns the change that wrote records.
+func FromEnvelopes(revision int64, envelopes []record.Envelope) Change {
+	c := Change{Revision: revision, Records: make([]wire.ConfigRecord, 0, len(envelopes))}
+	for _, e := range envelopes {
+		c.Records = append(c.Records, wire.ConfigRecord{
+			Schema: e.Schema, Kind: string(e.Kind), Name: e.Name, Revision: revision, Deleted: e.Deleted, Spec: e.Spec,
+		})
+	}
+	return c
+}
+
+func envelopes(records []wire.ConfigRecord) []record.Envelope {
+	all := make([]record.Envelope, 0, len(records))
+	for _, r := range records {
+		all = append(all, record.Envelope{
+			Schema: r.Schema, Kind: record.Kind(r.Kind), Name: r.Name, Revision: r.Revision, Deleted: r.Deleted, Spec: r.Spec,
+		})
+	}
+	return all
+}
+
+// recordOverhead is the size of a record's encoding without its texts.
+const recordOverhead = 32
+
+func recordBytes(r wire.ConfigRecord) int {
+	return len(r.Kind) + len(r.Name) + len(r.Spec) + recordOverhead
+}
+
+func (c Change) bytes() int {
+	n := 0
+	for _, r := range c.Records {
+		n += recordBytes(r)
+	}
+	return n
+}
+
+// frames returns the change in messages of bounded size.
+func (c Change) frames() []*wire.ConfigChange {
+	var parts [][]wire.ConfigRecord
+	size := partBytes
+	for _, r := range c.Records {
+		if size+recordBytes(r) > partBytes {
+			parts = append(parts, nil)
+			size = 0
+		}
+		parts[len(parts)-1] = append(parts[len(parts)-1], r)
+		size += recordBytes(r)
+	}
+	if len(parts) == 0 {
+		parts = append(parts, nil)
+	}
+	messages := make([]*wire.ConfigChange, 0, len(parts))
+	for i, records := range parts {
+		messages = append(messages, &wire.ConfigChange{Revision: c.Revision, Part: i, Parts: len(parts), Records: records})
+	}
+	return messages
+}
+
+// changeLog keeps the newest changes, without gaps.
+type changeLog struct {
+	changes []Change
+	bytes   int
+}
+
+func (l *changeLog) add(c Change) {
+	l.changes = append(l.changes, c)
+	l.bytes += c.bytes()
+	for len(l.changes) > 1 && (len(l.changes) > keptChanges || l.bytes > keptChangeBytes) {
+		l.bytes -= l.changes[0].bytes()
+		l.changes[0] = Change{}
+		l.changes = l.changes[1:]
+	}
+}
+
+func (l *changeLog) clear() {
+	l.changes, l.bytes = nil, 0
+}
+
+// after returns the changes that follow a revision, and false where the first
+// of them is no longer kept.
+func (l *changeLog) after(revision int64) ([]Change, bool) {
+	if len(l.changes) == 0 || l.changes[0].Revision > revision+1 {
+		return nil, false
+	}
+	from := int(revision + 1 - l.changes[0].Revision)
+	if from >= len(l.changes) {
+		return nil, true
+	}
+	return l.changes[from:], true
+}
+
+// assembly collects the parts of one change or bucket.
+type assembly struct {
+	revision int64
+	parts    [][]wire.ConfigRecord
+	missing  int
+}
+
+// add takes a part and returns all records once none is missing.
+func (a *assembly) add(c *wire.ConfigChange) ([]wire.ConfigRecord, bool) {
+	if c.Parts < 1 || c.Parts > maxParts || c.Part < 0 || c.Part >= c.Parts {
+		return nil, false
+	}
+	if a.revision != c.Revision || len(a.parts) != c.Parts {
+		*a = assembly{revision: c.Revision, parts: make([][]wire.ConfigRecord, c.Parts), missing: c.Parts}
+	}
+	if a.parts[c.Part] == nil {
+		a.parts[c.Part] = append([]wire.ConfigRecord{}, c.Records...)
+		a.missing--
+	}
+	if a.missing > 0 {
+		return nil, false
+	}
+	var all []wire.ConfigRecord
+	for _, part := range a.parts {
+		all = append(all, part...)
+	}
+	*a = assembly{}
+	return all, true
+}
--- /dev/null
+++ b/spread/snapshot.go
@@ -0,0 +1,211 @@
+package spread
+
+import (
+	"math"
+	"time"
+
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// bucketsAtOnce is how many buckets are asked for at a time.
+const bucketsAtOnce = 16
+
+// fetch is the state of a host that is given all records by another. The
+// buckets may be of different revisions, where changes are accepted meanwhile;
+// they are put in force once the changes between are there too.
+type fetch struct {
+	from    string
+	heardAt time.Time
+	buckets [archiveBuckets]*bucket
+	missing int
+	// asked is the number of buckets asked for.
+	asked int
+	parts map[int]*bucketParts
+}
+
+type bucket struct {
+	revision int64
+	packed   []byte
+	records  []wire.ConfigRecord
+}
+
+type bucketParts struct {
+	revision int64
+	parts    [][]byte
+	missing  int
+}
+
+func newFetch(from string, now time.Time) *fetch {
+	return &fetch{from: from, heardAt: now, missing: archiveBuckets, parts: map[int]*bucketParts{}}
+}
+
+func (f *fetch) complete() bool { return f.missing == 0 }
+
+// base is the lowest revision of the buckets: every change after it is needed.
+func (f *fetch) base() int64 {
+	lowest := int64(math.MaxInt64)
+	for _, b := range f.buckets {
+		lowest = min(lowest, b.revision)
+	}
+	return lowest
+}
+
+// target is the highest revision of the buckets: below it, they are not of one
+// state.
+func (f *fetch) target() int64 {
+	highest := int64(0)
+	for _, b := range f.buckets {
+		highest = max(highest, b.revision)
+	}
+	return highest
+}
+
+func (m *Machine) onOffer(now time.Time, from string, o *wire.SnapshotOffer) {
+	if o.Revision <= m.config.Revision || o.Buckets != archiveBuckets {
+		return
+	}
+	if m.fetch != nil && now.Sub(m.fetch.heardAt) < snapshotTimeout {
+		return
+	}
+	m.fetch = newFetch(from, now)
+	m.askBuckets()
+}
+
+// askBuckets asks for the next buckets.
+func (m *Machine) askBuckets() {
+	f := m.fetch
+	for range bucketsAtOnce {
+		if f.asked == archiveBuckets {
+			return
+		}
+		m.send(f.from, &wire.SnapshotPull{Bucket: f.asked})
+		f.asked++
+	}
+}
+
+func (m *Machine) onSnapshotPull(from string, p *wire.SnapshotPull) {
+	if p.Bucket < 0 || p.Bucket >= archiveBuckets {
+		return
+	}
+	packed := m.archive.buckets[p.Bucket]
+	parts := max(1, (len(packed)+partBytes-1)/partBytes)
+	for i := range parts {
+		end := min(len(packed), (i+1)*partBytes)
+		m.send(from, &wire.SnapshotPart{
+			Revision: m.config.Revision, Bucket: p.Bucket, Part: i, Parts: parts, Data: packed[i*partBytes : end],
+		})
+	}
+}
+
+func (m *Machine) onSnapshotPart(now time.Time, from string, p *wire.SnapshotPart) {
+	f := m.fetch
+	if f == nil || f.from != from || p.Bucket < 0 || p.Bucket >= archiveBuckets || f.buckets[p.Bucket] != nil {
+		return
+	}
+	f.heardAt = now
+	packed, whole := f.add(p)
+	if !whole {
+		return
+	}
+	records, err := unpack(packed)
+	if err != nil {
+		m.fetch = nil // another host is asked with the next heartbeat
+		return
+	}
+	f.buckets[p.Bucket] = &bucket{revision: p.Revision, packed: packed, records: records}
+	f.missing--
+	if (archiveBuckets-f.missing)%bucketsAtOnce == 0 {
+		m.askBuckets()
+	}
+	if f.complete() {
+		m.advance()
+		if m.fetch != nil {
+			delete(m.pulled, from)
+			m.pull(now, from)
+		}
+	}
+}
+
+// add takes a part and returns the packed bucket once none is missing.
+func (f *fetch) add(p *wire.SnapshotPart) ([]byte, bool) {
+	if p.Parts < 1 || p.Parts > maxParts || p.Part < 0 || p.Part >= p.Parts {
+		return nil, false
+	}
+	b, ok := f.parts[p.Bucket]
+	if !ok || b.revision != p.Revision || len(b.parts) != p.Parts {
+		b = &bucketParts{revision: p.Revision, parts: make([][]byte, p.Parts), missing: p.Parts}
+		f.parts[p.Bucket] = b
+	}
+	if b.parts[p.Part] == nil {
+		b.parts[p.Part] = append([]byte{}, p.Data...)
+		b.missing--
+	}
+	if b.missing > 0 {
+		return nil, false
+	}
+	delete(f.parts, p.Bucket)
+	var packed []byte
+	for _, part := range b.parts {
+		packed = append(packed, part...)
+	}
+	return packed, true
+}
+
+// advanceFetched puts fetched records in force, once every change between the
+// oldest and the newest of them is there.
+func (m *Machine) advanceFetched() {
+	f := m.fetch
+	if f == nil || !f.complete() {
+		return
+	}
+	if f.target() <= m.config.Revision {
+		m.fetch = nil
+		return
+	}
+	records, between, ok := m.fetched()
+	if !ok {
+		return
+	}
+	m.fetch = nil
+	m.replace(f, records, between)
+}
+
+// fetched returns the records of all buckets, and the changes that are needed
+// on top of them.
+func (m *Machine) fetched() ([]wire.ConfigRecord, []Change, bool) {
+	var between []Change
+	for r := m.fetch.base() + 1; r <= m.fetch.target(); r++ {
+		c, ok := m.waiting[r]
+		if !ok {
+			return nil, nil, false
+		}
+		between = append(between, c)
+	}
+	var records []wire.ConfigRecord
+	for _, b := range m.fetch.buckets {
+		records = append(records, b.records...)
+	}
+	return records, between, true
+}
+
+// replace takes a whole configuration in place of the present one.
+func (m *Machine) replace(f *fetch, records []wire.ConfigRecord, between []Change) {
+	var next archive
+	for i, b := range f.buckets {
+		next.buckets[i] = b.packed
+	}
+	m.archive = next
+	m.changes.clear()
+	for _, c := range between {
+		records = append(records, c.Records...)
+		m.changes.add(c)
+	}
+	config, problems := record.NewConfig().Apply(f.target(), envelopes(records))
+	for _, c := range between {
+		if err := m.archive.put(c.Records); err != nil {
+			problems = append(problems, err)
+		}
+	}
+	m.force(config, problems)
+}
