Hosts follow the roster and the relayed configuration

Cause: each host polled the table service and took the platform's lagging list for the truth. Ruled out: driving the roster inside core.Core, whose lock every request takes; a switch for staleness, which a host that was paused would read before it is set. Change: a fleet controller drives fleet.Node. The core is told the live names and until when the configuration may be taken to be in force; past that time work with a key is refused at arrival, at dispatch and before each retry. A leaving host tells the others first.

--- a/bench/run.go
+++ b/bench/run.go
@@ -111,7 +111,7 @@
 	if !a.service() {
 		q.Model = adapterName(a.adapter)
 	}
-	for _, choice := range locate.Decide(f.listed, q) {
+	for _, choice := range locate.Decide(locate.FromHostList(f.listed), q) {
 		for _, h := range f.hosts {
 			if h.name == choice.Host && !h.dead {
 				return h
--- a/blackboard/blackboard.go
+++ b/blackboard/blackboard.go
@@ -5,17 +5,20 @@
 //
 // Lock order. A goroutine that holds one of these may take only those below it:
 //
-//  1. daemon.Runtime's state lock, held while core.Core handles one event;
-//  2. a table's writer lock, held while a snapshot is published;
-//  3. a watcher's channel, which is never waited on.
+//  1. the fleet controller's lock, held while fleet.Node handles one event;
+//  2. daemon.Runtime's state lock, held while core.Core handles one event;
+//  3. a table's writer lock, held while a snapshot is published, or the lock of
+//     the peer links, held while a message is queued;
+//  4. a watcher's channel, which is never waited on.
 //
-// No lock is held during network traffic.
+// No lock of these is held during network traffic.
 package blackboard
 
 import (
 	"sync"
 	"sync/atomic"
 
+	"github.com/jasminelock/jasminelock/membership"
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 )
@@ -26,6 +29,9 @@
 	Config *Table[*record.Config]
 	// Hosts is the platform's host list as last seen. Written by core.Core.
 	Hosts *Table[[]platform.Host]
+	// Roster is the hosts that have not left, as this one knows them. Empty
+	// without peer links. Written by the daemon's fleet controller.
+	Roster *Table[[]membership.Member]
 }
 
 // New returns a board whose tables hold an empty configuration and no hosts.
@@ -33,6 +39,7 @@
 	return &Board{
 		Config: NewTable(record.NewConfig()),
 		Hosts:  NewTable[[]platform.Host](nil),
+		Roster: NewTable[[]membership.Member](nil),
 	}
 }
 
--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -13,7 +13,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strconv"
 
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
@@ -27,10 +26,8 @@
 	headKey      = "config"
 )
 
-// Limits of one read and one change.
+// Limits of one change.
 const (
-	// pageRows is how many rows one read asks for.
-	pageRows = 1000
 	// maxChangeRecords is how many records one change may write.
 	maxChangeRecords = 10000
 )
@@ -69,6 +66,12 @@
 	return h, row.Version, nil
 }
 
+// ReadHead returns the newest revision, 0 where nothing was ever written.
+func ReadHead(ctx context.Context, t platform.TableService) (int64, error) {
+	h, _, err := readHead(ctx, t)
+	return h.Revision, err
+}
+
 // changeKeyWidth makes the keys of changes sort as their numbers do.
 const changeKeyWidth = 19
 
@@ -92,44 +95,3 @@
 	}
 	return changes, nil
 }
-
-// Reader follows the configuration.
-type Reader struct {
-	tables platform.TableService
-	config *record.Config
-}
-
-// NewReader returns a reader that has seen nothing.
-func NewReader(t platform.TableService) *Reader {
-	return &Reader{tables: t, config: record.NewConfig()}
-}
-
-// Poll returns the newest configuration, or nil where nothing has changed.
-// Problems are records that were left out since they are not valid.
-func (r *Reader) Poll(ctx context.Context) (*record.Config, []error, error) {
-	h, _, err := readHead(ctx, r.tables)
-	if err != nil || h.Revision <= r.config.Revision {
-		return nil, nil, err
-	}
-	next := r.config
-	var problems []error
-	for next.Revision < h.Revision {
-		changes, err := ReadChanges(ctx, r.tables, next.Revision, pageRows)
-		if err != nil {
-			return nil, nil, err
-		}
-		if len(changes) == 0 {
-			return nil, nil, fmt.Errorf("configstore: no change after revision %s below head %s",
-				strconv.FormatInt(next.Revision, 10), strconv.FormatInt(h.Revision, 10))
-		}
-		var records []record.Envelope
-		for _, c := range changes {
-			records = append(records, c.Records...)
-		}
-		var left []error
-		next, left = next.Apply(changes[len(changes)-1].Revision, records)
-		problems = append(problems, left...)
-	}
-	r.config = next
-	return next, problems, nil
-}
--- a/core/authorise.go
+++ b/core/authorise.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/request"
 	"github.com/jasminelock/jasminelock/sched"
@@ -8,7 +10,7 @@
 
 // authorise finds the request's organisation and what it asks for, and checks
 // that the one may use the other.
-func (c *Core) authorise(e *entry) *apierr.Error {
+func (c *Core) authorise(now time.Time, e *entry) *apierr.Error {
 	switch {
 	case c.draining:
 		return apierr.New(apierr.Draining, "")
@@ -16,29 +18,32 @@
 		return apierr.New(apierr.NotReady, "")
 	}
 	if e.request.Model == "" {
-		return c.authoriseRoute(e)
+		return c.authoriseRoute(now, e)
 	}
-	return c.authoriseAdapter(e)
+	return c.authoriseAdapter(now, e)
 }
 
-func (c *Core) organisation(e *entry) (string, *apierr.Error) {
+func (c *Core) organisation(now time.Time, e *entry) (string, *apierr.Error) {
 	if !e.request.HasKey {
 		return "", apierr.New(apierr.MissingKey, "send it as Authorization: Bearer")
 	}
 	org, ok := c.config.Authorised(e.request.KeyHash)
-	if !ok {
+	switch {
+	case c.stale(now):
+		return "", errStale()
+	case !ok:
 		return "", apierr.New(apierr.InvalidKey, "")
 	}
 	return org, nil
 }
 
-func (c *Core) authoriseRoute(e *entry) *apierr.Error {
+func (c *Core) authoriseRoute(now time.Time, e *entry) *apierr.Error {
 	route, ok := c.config.Route(e.request.Path)
 	if !ok {
 		return apierr.New(apierr.UnknownRoute, "")
 	}
 	if !route.Open {
-		org, err := c.organisation(e)
+		org, err := c.organisation(now, e)
 		if err != nil {
 			return err
 		}
@@ -52,8 +57,8 @@
 	return nil
 }
 
-func (c *Core) authoriseAdapter(e *entry) *apierr.Error {
-	org, err := c.organisation(e)
+func (c *Core) authoriseAdapter(now time.Time, e *entry) *apierr.Error {
+	org, err := c.organisation(now, e)
 	if err != nil {
 		return err
 	}
@@ -74,10 +79,13 @@
 }
 
 // stillAuthorised checks the key of a request that has waited.
-func (c *Core) stillAuthorised(e *entry) *apierr.Error {
+func (c *Core) stillAuthorised(now time.Time, e *entry) *apierr.Error {
 	if e.route != nil && e.route.Open {
 		return nil
 	}
+	if c.stale(now) {
+		return errStale()
+	}
 	org, ok := c.config.Authorised(e.request.KeyHash)
 	if !ok || org != e.org {
 		return apierr.New(apierr.InvalidKey, "it was withdrawn while the request waited")
--- a/core/core.go
+++ b/core/core.go
@@ -26,6 +26,10 @@
 	requests  map[sched.RequestID]*entry
 	budget    loadBudget
 	draining  bool
+	// freshness says until when the configuration may be taken to be in force.
+	freshness freshness
+	// rosterSeen says that the roster, not the host list, tells who is live.
+	rosterSeen bool
 }
 
 // Options are the parts that a Core is made of.
@@ -70,7 +74,7 @@
 // Explain says how a request would be decided now, without deciding it.
 func (c *Core) Explain(now time.Time, r Request) (sched.Reason, *apierr.Error) {
 	e := &entry{request: r}
-	if err := c.authorise(e); err != nil {
+	if err := c.authorise(now, e); err != nil {
 		return sched.Reason{Rule: "authorise"}, err
 	}
 	return c.scheduler.Explain(now, e.work), nil
--- a/core/events.go
+++ b/core/events.go
@@ -42,6 +42,14 @@
 // HostsSeen brings the platform's host list, which lags.
 type HostsSeen struct{ Hosts []platform.Host }
 
+// RosterSeen brings the names of the hosts on the roster, this one included,
+// in their order. From the first one on, the host list no longer counts.
+type RosterSeen struct{ Live []string }
+
+// ConfigConfirmed says until when the configuration may be taken to be in force.
+// Without any, it may be for ever.
+type ConfigConfirmed struct{ Until time.Time }
+
 // RequestArrived brings a caller's request.
 type RequestArrived struct{ Request Request }
 
@@ -135,19 +143,23 @@
 func (OrderEnded) isUpstreamEvent()          {}
 func (LeaseSeen) isUpstreamEvent()           {}
 
-func (ConfigSeen) isEvent()   {}
-func (HostsSeen) isEvent()    {}
-func (PeerReceived) isEvent() {}
-func (StoreEnded) isEvent()   {}
-func (DrainStarted) isEvent() {}
-func (Tick) isEvent()         {}
-
-func (ConfigSeen) isFleetEvent()   {}
-func (HostsSeen) isFleetEvent()    {}
-func (PeerReceived) isFleetEvent() {}
-func (StoreEnded) isFleetEvent()   {}
-func (DrainStarted) isFleetEvent() {}
-func (Tick) isFleetEvent()         {}
+func (ConfigSeen) isEvent()      {}
+func (HostsSeen) isEvent()       {}
+func (RosterSeen) isEvent()      {}
+func (ConfigConfirmed) isEvent() {}
+func (PeerReceived) isEvent()    {}
+func (StoreEnded) isEvent()      {}
+func (DrainStarted) isEvent()    {}
+func (Tick) isEvent()            {}
+
+func (ConfigSeen) isFleetEvent()      {}
+func (HostsSeen) isFleetEvent()       {}
+func (RosterSeen) isFleetEvent()      {}
+func (ConfigConfirmed) isFleetEvent() {}
+func (PeerReceived) isFleetEvent()    {}
+func (StoreEnded) isFleetEvent()      {}
+func (DrainStarted) isFleetEvent()    {}
+func (Tick) isFleetEvent()            {}
 
 // Request is a caller's request as the core sees it.
 type Request struct {
--- a/core/requests.go
+++ b/core/requests.go
@@ -43,7 +43,7 @@
 
 func (c *Core) onArrival(now time.Time, r Request, out *decisions) {
 	e := &entry{request: r}
-	if err := c.authorise(e); err != nil {
+	if err := c.authorise(now, e); err != nil {
 		e.machine.To(request.Failed)
 		out.finish(r.ID, err, "authorise")
 		return
@@ -204,7 +204,7 @@
 	if !ok {
 		return
 	}
-	if err := c.stillAuthorised(e); err != nil {
+	if err := c.stillAuthorised(now, e); err != nil {
 		c.undispatch(now, d, out)
 		c.fail(now, e, e.truthful(err), "authorise", out)
 		return
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -35,10 +36,19 @@
 
 	// links carry messages to other hosts. They are nil where listen.peers is empty.
 	links *peer.Links
+	fleet *fleetController
+	// incarnation grows with each start, since hosts keep nothing.
+	incarnation uint64
+	// freshUntil is until when the configuration may be taken to be in force.
+	freshUntil atomic.Pointer[time.Time]
 
 	callers   net.Listener
 	operators net.Listener
 
+	// announceMu orders announcements, so that none follows the withdrawal.
+	announceMu sync.Mutex
+	withdrawn  bool
+
 	drainOnce sync.Once
 	draining  chan struct{}
 }
@@ -53,6 +63,8 @@
 		platform: platform.NewClient(s.Platform.URL, time.Duration(s.Platform.Timeout)),
 		upstream: upstream.NewClient(),
 		draining: make(chan struct{}),
+
+		incarnation: uint64(time.Now().UnixMilli()),
 	}
 	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded()})
 	d.runtime = newRuntime(d.log, c, d.work, d.send)
@@ -70,6 +82,7 @@
 		_ = d.operators.Close()
 		return nil, err
 	}
+	d.fleet = newFleetController(d, d.entry())
 	return d, nil
 }
 
@@ -106,6 +119,7 @@
 		group.Go(func() { d.links.Run(ctx) })
 	}
 	group.Go(func() { d.tick(ctx) })
+	group.Go(func() { d.fleet.run(ctx) })
 	group.Go(func() { d.watchConfig(ctx) })
 	group.Go(func() { d.watchHosts(ctx) })
 	group.Go(func() { d.watchUpstreams(ctx) })
@@ -146,16 +160,19 @@
 	case <-d.draining:
 		return false
 	default:
-		return d.board.Config.Snapshot().Revision > 0
+		until := d.freshUntil.Load()
+		return d.board.Config.Snapshot().Revision > 0 && until != nil && time.Now().Before(*until)
 	}
 }
 
-// shutdown waits until callers no longer keep an answer that names this host,
+// shutdown tells the other hosts first, so that callers are no longer sent
+// here. It waits until callers no longer keep an answer that names this host,
 // and then until every request has ended.
 func (d *Daemon) shutdown(ctx context.Context, callers *http.Server) {
 	d.log.Info("draining", "in_flight", d.runtime.InFlight())
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Drain.Timeout))
 	defer cancel()
+	d.fleet.leave()
 	if err := d.announce(ctx); err != nil {
 		d.log.Warn("host list not told of the shutdown", "error", err)
 	}
@@ -164,9 +181,10 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("requests cut", "count", d.runtime.InFlight())
 	}
+	d.fleet.leaveForGood()
 	withdraw, stop := context.WithTimeout(context.Background(), time.Duration(d.settings.Platform.Timeout))
 	defer stop()
-	if err := d.platform.Withdraw(withdraw, d.settings.Host); err != nil {
+	if err := d.withdraw(withdraw); err != nil {
 		d.log.Warn("host not withdrawn from the host list", "error", err)
 	}
 }
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
+	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/platform"
 )
 
@@ -15,6 +17,24 @@
 	Ready    bool            `json:"ready"`
 	InFlight int             `json:"in_flight"`
 	Hosts    []platform.Host `json:"hosts"`
+	// Roster is the hosts that have not left, as this one knows them.
+	Roster []RosterEntry `json:"roster"`
+	// ConfirmedForSeconds is for how long the configuration may still be taken to
+	// be in force. Below 0, requests with a key are refused.
+	ConfirmedForSeconds float64 `json:"confirmed_for_seconds"`
+	// Peers is the traffic with other hosts since the start.
+	Peers peer.Counts `json:"peers"`
+}
+
+// RosterEntry is one host of the roster.
+type RosterEntry struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Suspected   bool   `json:"suspected,omitempty"`
+	// Load is the number of requests in flight, -1 where it is not known.
+	Load int `json:"load"`
 }
 
 func (d *Daemon) operatorHandler() http.Handler {
@@ -28,8 +48,20 @@
 
 // Status returns what the host says of itself to operators.
 func (d *Daemon) Status() Status {
-	return Status{
+	s := Status{
 		Host: d.settings.Host, Zone: d.settings.Zone, Revision: d.board.Config.Snapshot().Revision,
 		Ready: d.ready(), InFlight: d.runtime.InFlight(), Hosts: d.board.Hosts.Snapshot(),
 	}
+	for _, m := range d.board.Roster.Snapshot() {
+		s.Roster = append(s.Roster, RosterEntry{
+			Name: m.Name, Zone: m.Zone, State: m.State.String(), Incarnation: m.Incarnation, Suspected: m.Suspected, Load: m.Load,
+		})
+	}
+	if until := d.freshUntil.Load(); until != nil && !until.IsZero() {
+		s.ConfirmedForSeconds = time.Until(*until).Seconds()
+	}
+	if d.links != nil {
+		s.Peers = d.links.Counts()
+	}
+	return s
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -25,14 +24,15 @@
 			return err
 		}
 	}
+	self := d.hello()
 	var listen net.ListenConfig
 	listener, err := listen.Listen(context.Background(), "tcp", d.settings.Listen.Peers)
 	if err != nil {
 		return eris.Wrap(err, "listen.peers")
 	}
 	d.links, err = peer.New(peer.Options{
-		Log: d.log, Self: d.hello(), Listener: listener, Certificates: certificates,
-		Lookup: d.peerURL, Receive: d.receive,
+		Log: d.log, Self: self, Listener: listener, Certificates: certificates,
+		Lookup: func(host string) (string, bool) { return d.fleet.address(host) }, Receive: d.receive,
 	})
 	if err != nil {
 		_ = listener.Close()
@@ -40,15 +40,22 @@
 	return err
 }
 
-// hello is what this host says of itself when a link opens. The incarnation
-// grows with each start, since hosts keep nothing.
+// hello is what this host says of itself when a link opens.
 func (d *Daemon) hello() wire.Hello {
 	return wire.Hello{
-		Host: d.settings.Host, Zone: d.settings.Zone, Incarnation: uint64(time.Now().UnixMilli()),
+		Host: d.settings.Host, Zone: d.settings.Zone, Incarnation: d.incarnation,
 		MinVersion: wire.MinVersion, MaxVersion: wire.Version,
 	}
 }
 
+// entry is this host's entry on the roster.
+func (d *Daemon) entry() wire.HostEntry {
+	return wire.HostEntry{
+		Name: d.settings.Host, Zone: d.settings.Zone, Incarnation: d.incarnation,
+		CallerURL: d.CallerURL(), PeerURL: d.PeerURL(),
+	}
+}
+
 // PeerURL returns where other hosts connect, "" where there are no links.
 func (d *Daemon) PeerURL() string {
 	switch {
@@ -60,16 +67,6 @@
 	return d.links.URL()
 }
 
-// peerURL returns where the named host accepts links.
-func (d *Daemon) peerURL(host string) (string, bool) {
-	for _, h := range d.board.Hosts.Snapshot() {
-		if h.Name == host && h.PeerURL != "" {
-			return h.PeerURL, true
-		}
-	}
-	return "", false
-}
-
 // send queues a message for another host. What cannot be sent is lost, which
 // every protocol between hosts allows for.
 func (d *Daemon) send(m wire.Outgoing) {
@@ -83,5 +80,10 @@
 
 // receive takes a message of another host.
 func (d *Daemon) receive(from string, m wire.Message) {
-	d.runtime.Handle(core.PeerReceived{From: from, Message: m})
+	switch {
+	case m.WireType() >= wire.FirstLimitType:
+		d.runtime.Handle(core.PeerReceived{From: from, Message: m})
+	default:
+		d.fleet.receive(from, m)
+	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,9 @@
 // Members returns the roster without hosts that are gone.
 func (n *Node) Members() []membership.Member { return n.roster.Members() }
 
+// Joined reports whether the roster tells who there is.
+func (n *Node) Joined(now time.Time) bool { return n.roster.Joined(now) }
+
 // RosterVersion grows with every change of Members.
 func (n *Node) RosterVersion() uint64 { return n.roster.Version() }
 
@@ -66,6 +69,9 @@
 // FreshUntil returns until when the configuration may be taken to be in force.
 func (n *Node) FreshUntil() time.Time { return n.spread.FreshUntil() }
 
+// ConfirmedAt returns when the revision in force was last known to be the newest.
+func (n *Node) ConfirmedAt() time.Time { return n.spread.ConfirmedAt() }
+
 // ArchiveBytes returns the memory that the packed records take.
 func (n *Node) ArchiveBytes() int { return n.spread.ArchiveBytes() }
 
--- a/gateway/lists.go
+++ b/gateway/lists.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/jasminelock/jasminelock/apierr"
@@ -70,11 +72,24 @@
 // locate needs no key: it tells addresses that a caller must know before it
 // can present one, and nothing of any organisation.
 func (s *Server) locate(w http.ResponseWriter, r *http.Request) {
-	q := locate.Query{Model: r.URL.Query().Get("model"), Zone: r.URL.Query().Get("zone")}
-	hosts := locate.Decide(s.board.Hosts.Snapshot(), q)
+	asked := r.URL.Query()
+	q := locate.Query{
+		Model: asked.Get("model"), Organisation: asked.Get("organisation"), Zone: asked.Get("zone"), Spread: rand.Uint64(),
+	}
+	hosts := locate.Decide(s.located(), q)
 	if len(hosts) == 0 {
 		writeError(w, apierr.New(apierr.NotReady, "no host is known"))
 		return
 	}
+	w.Header().Set("Cache-Control", "max-age="+strconv.Itoa(int(locate.KeepFor.Seconds())))
 	writeJSON(w, http.StatusOK, locateAnswer{Hosts: hosts, KeepSeconds: int(locate.KeepFor.Seconds())})
 }
+
+// located returns the hosts that callers may be sent to. Without links to
+// others, there is no roster and the platform's list has to do.
+func (s *Server) located() []locate.Host {
+	if roster := s.board.Roster.Snapshot(); len(roster) > 0 {
+		return locate.FromRoster(roster)
+	}
+	return locate.FromHostList(s.board.Hosts.Snapshot())
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -128,14 +128,16 @@
 	// askers are the hosts that wait for news of another, by its name.
 	askers map[string][]asker
 	// changed are the entries to be flooded, by name.
-	changed  map[string]change
-	rand     *rand.Rand
-	sequence uint32
-	tickedAt time.Time
-	nextPing time.Time
-	refuted  time.Time
-	version  uint64
-	retarget bool
+	changed map[string]change
+	// startedAt is when the machine was made.
+	startedAt time.Time
+	rand      *rand.Rand
+	sequence  uint32
+	tickedAt  time.Time
+	nextPing  time.Time
+	refuted   time.Time
+	version   uint64
+	retarget  bool
 	// hashes are those of the buckets, nil where they must be reckoned anew.
 	hashes []uint64
 	out    []wire.Outgoing
@@ -158,16 +160,17 @@
 	own := &entry{HostEntry: self, since: now}
 	own.State = wire.HostJoining
 	return &Machine{
-		self:     own,
-		entries:  map[string]*entry{self.Name: own},
-		contacts: map[string]*contact{},
-		hinted:   map[string]platform.Host{},
-		askers:   map[string][]asker{},
-		changed:  map[string]change{},
-		rand:     random,
-		tickedAt: now,
-		nextPing: now,
-		version:  1,
+		self:      own,
+		entries:   map[string]*entry{self.Name: own},
+		contacts:  map[string]*contact{},
+		hinted:    map[string]platform.Host{},
+		askers:    map[string][]asker{},
+		changed:   map[string]change{},
+		rand:      random,
+		startedAt: now,
+		tickedAt:  now,
+		nextPing:  now,
+		version:   1,
 	}
 }
 
@@ -268,6 +271,21 @@
 	}
 }
 
+// joinTimeout is how long a host that finds nobody waits for others.
+const joinTimeout = 5 * time.Second
+
+// Joined reports whether the roster tells who there is: another host has been
+// heard, or there seems to be none.
+func (m *Machine) Joined(now time.Time) bool {
+	for _, e := range m.entries {
+		if e != m.self && e.State != wire.HostGone {
+			return true
+		}
+	}
+	alone := len(m.hinted) == 0 || now.Sub(m.startedAt) >= joinTimeout
+	return m.hintSeen && alone
+}
+
 // send queues a message.
 func (m *Machine) send(to string, message wire.Message) {
 	m.out = append(m.out, wire.Outgoing{To: to, Message: message})
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -62,18 +62,18 @@
 // Counts is the traffic of all links since the start. Bytes are those of
 // frames with their WebSocket headers.
 type Counts struct {
-	SentFrames     int64
-	SentBytes      int64
-	ReceivedFrames int64
-	ReceivedBytes  int64
+	SentFrames     int64 `json:"sent_frames"`
+	SentBytes      int64 `json:"sent_bytes"`
+	ReceivedFrames int64 `json:"received_frames"`
+	ReceivedBytes  int64 `json:"received_bytes"`
 	// Dropped counts frames that gave way in a full queue or had no link.
-	Dropped int64
+	Dropped int64 `json:"dropped"`
 	// Refused counts links that failed authentication or the version check.
-	Refused int64
+	Refused int64 `json:"refused"`
 	// Malformed counts frames that could not be decoded.
-	Malformed int64
+	Malformed int64 `json:"malformed"`
 	// Open is the number of links open now.
-	Open int64
+	Open int64 `json:"open"`
 }
 
 // counters are the live form of Counts.
@@ -153,6 +153,33 @@
 	return r, nil
 }
 
+// flushInterval is how often Flush looks at the queues.
+const flushInterval = 10 * time.Millisecond
+
+// Flush waits until no frame waits any more, or until the context ends.
+func (l *Links) Flush(ctx context.Context) {
+	t := time.NewTicker(flushInterval)
+	defer t.Stop()
+	for l.queued() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// queued returns how many frames wait.
+func (l *Links) queued() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.remotes {
+		n += r.queue.len()
+	}
+	return n
+}
+
 // Run carries messages until the context ends.
 func (l *Links) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/spread/freshness.go
+++ b/spread/freshness.go
@@ -153,6 +153,9 @@
 	return until
 }
 
+// ConfirmedAt returns when the revision in force was last known to be the newest.
+func (m *Machine) ConfirmedAt() time.Time { return m.fresh.confirmedAt }
+
 // storeDownUntil returns until when the table service is taken to be down.
 func (f *freshness) storeDownUntil() time.Time {
 	if f.failedAt.IsZero() || len(f.zones) == 0 {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -20,6 +20,9 @@
 type Faults struct {
 	// Down answers every call with 503, before anything is done.
 	Down bool `json:"down"`
+	// TablesDown answers calls of the table service with 503. The host list and
+	// the stores go on.
+	TablesDown bool `json:"tables_down"`
 	// Delay is added before every call.
 	Delay time.Duration `json:"delay"`
 	// LoseAnswers lets writes take effect and then breaks the connection off,
@@ -117,7 +120,7 @@
 	}
 	p.mu.Unlock()
 	time.Sleep(faults.Delay)
-	if faults.Down {
+	if faults.Down || (faults.TablesDown && strings.HasPrefix(r.URL.Path, "/tables/")) {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
--- a/wire/link.go
+++ b/wire/link.go
@@ -7,6 +7,10 @@
 	TypeHello Type = 1
 )
 
+// FirstLimitType is the lowest number of a message that is meant for the
+// decisions on requests, not for the roster or the configuration.
+const FirstLimitType Type = 300
+
 var linkDecoders = map[Type]func() Message{
 	TypeHello: func() Message { return &Hello{} },
 }
