Outcomes: retry budget, idempotency records, redaction, resumed streams

Cause: retries had no budget, idempotency keys were not recorded, keys were only taken out of bodies in their plain form, and a cut stream ended at once.

--- a/core/authorise.go
+++ b/core/authorise.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/request"
 	"github.com/jasminelock/jasminelock/sched"
@@ -107,11 +109,11 @@
 }
 
 // failure is the error for an attempt that ended the request.
-func (e *entry) failure(a AttemptEnded) *apierr.Error {
+func (e *entry) failure(now time.Time, a AttemptEnded) *apierr.Error {
 	ran := e.machine.Ran()
 	kind := apierr.UpstreamFailed
 	switch {
-	case a.Outcome == request.CallerLeft:
+	case a.Outcome == request.CallerLeft || e.callerLeft:
 		kind = apierr.CallerGone
 	case a.Outcome == request.Rejected:
 		kind = apierr.UpstreamRejected
@@ -119,6 +121,8 @@
 		kind = apierr.AnswerCut
 	case ran != apierr.NotRun && !e.repeatable():
 		kind = apierr.OutcomeUnknown
+	case !now.Before(e.request.Deadline):
+		kind = apierr.DeadlineExceeded
 	}
 	return e.truthful(apierr.New(kind, "upstream %s", e.upstream))
 }
--- a/core/core.go
+++ b/core/core.go
@@ -8,6 +8,7 @@
 package core
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
@@ -26,6 +27,10 @@
 	requests  map[sched.RequestID]*entry
 	budget    loadBudget
 	draining  bool
+
+	random     *rand.Rand
+	retries    retryBudget
+	backingOff []sched.RequestID
 }
 
 // Options are the parts that a Core is made of.
@@ -33,6 +38,8 @@
 	Board     *blackboard.Board
 	Limiter   limit.Limiter
 	Scheduler sched.Scheduler
+	// Random spreads retries. Nil takes a source with a fixed seed.
+	Random *rand.Rand
 }
 
 // New returns a core without configuration.
@@ -43,6 +50,11 @@
 		scheduler: o.Scheduler,
 		config:    record.NewConfig(),
 		requests:  map[sched.RequestID]*entry{},
+		random:    o.Random,
+		retries:   newRetryBudget(),
+	}
+	if c.random == nil {
+		c.random = rand.New(rand.NewPCG(1, 1))
 	}
 	c.scheduler.UseBudget(&c.budget)
 	c.budget.limiter = o.Limiter
--- a/core/decisions.go
+++ b/core/decisions.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/limit"
 	"github.com/jasminelock/jasminelock/record"
@@ -22,7 +24,10 @@
 	Route *record.Route
 	// Attempt counts the request's attempts, from 1.
 	Attempt int
-	Why     sched.Reason
+	// Repeatable says that the request may be executed more than once.
+	Repeatable bool
+	Quota      Quota
+	Why        sched.Reason
 }
 
 // Claim asks that a request's idempotency key be recorded before dispatch.
@@ -31,13 +36,18 @@
 	Key string
 	// Organisation owns the key: two organisations may use the same one.
 	Organisation string
+	// Fingerprint tells the request from another one under the same key.
+	Fingerprint Fingerprint
+	Deadline    time.Time
+	Quota       Quota
 }
 
 // Finish ends a request: Err is nil where the whole answer was given.
 type Finish struct {
-	ID  sched.RequestID
-	Err *apierr.Error
-	Why sched.Reason
+	ID    sched.RequestID
+	Err   *apierr.Error
+	Quota Quota
+	Why   sched.Reason
 }
 
 // Order gives an engine an order.
@@ -85,6 +95,6 @@
 	}
 }
 
-func (d *decisions) finish(id sched.RequestID, err *apierr.Error, rule string) {
-	*d = append(*d, Finish{ID: id, Err: err, Why: sched.Reason{Rule: rule}})
+func (d *decisions) finish(e *entry, err *apierr.Error, rule string) {
+	*d = append(*d, Finish{ID: e.request.ID, Err: err, Quota: e.quota, Why: sched.Reason{Rule: rule}})
 }
--- a/core/events.go
+++ b/core/events.go
@@ -62,6 +62,9 @@
 	NotLoaded bool
 	// AnswerStarted says that the caller has been given a part of the answer.
 	AnswerStarted bool
+	// ConnectionLost says that the connection to the upstream broke, as it does
+	// when the upstream crashes.
+	ConnectionLost bool
 	// UsedTokens is the usage that the upstream reported, -1 where it is not known.
 	UsedTokens int64
 	FirstToken time.Duration
@@ -167,8 +170,10 @@
 	Prefix uint64
 	// IdempotencyKey is the caller's, "" where there was none.
 	IdempotencyKey string
-	Priority       record.Priority
-	Deadline       time.Time
+	// Fingerprint is a hash of the method, the path and the body.
+	Fingerprint Fingerprint
+	Priority    record.Priority
+	Deadline    time.Time
 }
 
 // TickInterval is how often a Tick must come.
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -22,6 +22,7 @@
 	case DrainStarted:
 		c.draining = true
 	case Tick:
+		c.resume(now, out)
 		out.limited(c.limiter.Tick(now))
 		c.onScheduled(now, c.scheduler.Tick(now), out)
 	}
@@ -33,6 +34,7 @@
 	}
 	c.config = config
 	c.budget.config = config
+	c.retries.forget(c.ownsRetryBudget)
 	c.board.Config.Publish(config)
 	out.limited(c.limiter.Configure(now, withLoadBudgets(config)))
 	c.onScheduled(now, c.scheduler.Configure(now, config), out)
--- a/core/requests.go
+++ b/core/requests.go
@@ -9,9 +9,6 @@
 	"github.com/jasminelock/jasminelock/sched"
 )
 
-// MaxAttempts bounds how often one request is given to an upstream.
-const MaxAttempts = 3
-
 // entry is one request that has not ended.
 type entry struct {
 	request  Request
@@ -24,6 +21,11 @@
 	upstream string
 	// ranBefore is what was known of execution when the attempt was dispatched.
 	ranBefore apierr.Ran
+	quota     Quota
+	// retryAt is when a request that is backing off is enqueued again.
+	retryAt time.Time
+	// callerLeft says that nobody waits for the answer any more.
+	callerLeft bool
 }
 
 func (c *Core) onRequestEvent(now time.Time, ev requestEvent, out *decisions) {
@@ -45,20 +47,20 @@
 	e := &entry{request: r}
 	if err := c.authorise(e); err != nil {
 		e.machine.To(request.Failed)
-		out.finish(r.ID, err, "authorise")
+		out.finish(e, err, "authorise")
 		return
 	}
 	e.machine.To(request.Authorised)
 	if err := c.reserve(now, e, out); err != nil {
 		e.machine.To(request.Failed)
-		out.finish(r.ID, err, "rate")
+		out.finish(e, err, "rate")
 		return
 	}
 	e.machine.To(request.Reserved)
 	c.requests[r.ID] = e
 	if r.IdempotencyKey != "" && !e.repeatable() {
 		e.machine.To(request.Claiming)
-		*out = append(*out, Claim{ID: r.ID, Key: r.IdempotencyKey, Organisation: e.org})
+		*out = append(*out, e.claim())
 		return
 	}
 	c.enqueue(now, e, out)
@@ -76,6 +78,7 @@
 	}
 	v, messages := c.limiter.Reserve(now, e.org, tokens)
 	out.limited(messages)
+	e.quota = quotaOf(v)
 	switch {
 	case v.OverBurst:
 		return apierr.New(apierr.CostOverBurst, "%d tokens asked for, burst %d", tokens, v.Limit)
@@ -112,7 +115,8 @@
 		return
 	}
 	if e.machine.State() == request.Dispatched || e.machine.State() == request.Streaming {
-		return // the attempt is cancelled and ends by itself
+		e.callerLeft = true
+		return // the attempt ends by itself
 	}
 	c.onScheduled(now, c.scheduler.Cancel(now, id), out)
 	c.fail(now, e, apierr.New(apierr.CallerGone, ""), "caller_left", out)
@@ -130,6 +134,7 @@
 	if !ok || (e.machine.State() != request.Dispatched && e.machine.State() != request.Streaming) {
 		return
 	}
+	a.AnswerStarted = a.AnswerStarted || e.machine.State() == request.Streaming
 	e.machine.AttemptEnded(a.Outcome, e.ranBefore)
 	end := sched.AttemptEnd{ID: a.ID, Upstream: e.upstream, Outcome: a.Outcome, NotLoaded: a.NotLoaded, FirstToken: a.FirstToken}
 	freed := c.scheduler.Ended(now, end)
@@ -142,27 +147,23 @@
 		c.done(now, e, a.UsedTokens, out)
 		return
 	}
-	if c.retry(now, e, a) {
-		if !a.NotLoaded {
-			e.work.Avoid = append(e.work.Avoid, e.upstream)
-		}
-		c.enqueue(now, e, out)
+	if c.mayRetry(now, e, a) {
+		c.retry(now, e, a, out)
 		return
 	}
-	if a.UsedTokens >= 0 {
+	executed := a.Outcome != request.NotExecuted && a.Outcome != request.Rejected
+	if executed && a.UsedTokens >= 0 {
 		c.settle(now, e, a.UsedTokens, out)
 	}
-	c.fail(now, e, e.failure(a), a.Outcome.String(), out)
+	c.fail(now, e, e.failure(now, a), a.Outcome.String(), out)
 }
 
-func (c *Core) retry(now time.Time, e *entry, a AttemptEnded) bool {
-	switch {
-	case a.Outcome == request.CallerLeft, a.Outcome == request.Rejected, a.Outcome == request.Errored:
-		return false
-	case e.machine.Attempts() >= MaxAttempts, !now.Before(e.request.Deadline):
-		return false
+// claim asks for the request's idempotency key to be recorded.
+func (e *entry) claim() Claim {
+	return Claim{
+		ID: e.request.ID, Key: e.request.IdempotencyKey, Organisation: e.org,
+		Fingerprint: e.request.Fingerprint, Deadline: e.request.Deadline, Quota: e.quota,
 	}
-	return e.machine.MayRetry(e.repeatable(), a.AnswerStarted)
 }
 
 // done ends a request whose whole answer was given.
@@ -170,7 +171,7 @@
 	c.settle(now, e, used, out)
 	e.machine.To(request.Done)
 	delete(c.requests, e.request.ID)
-	*out = append(*out, Finish{ID: e.request.ID})
+	*out = append(*out, Finish{ID: e.request.ID, Quota: e.quota})
 }
 
 // fail ends a request with an error. What has not run costs nothing.
@@ -180,7 +181,7 @@
 	}
 	e.machine.To(request.Failed)
 	delete(c.requests, e.request.ID)
-	out.finish(e.request.ID, err, rule)
+	out.finish(e, err, rule)
 }
 
 // settle replaces the reservation by what was used. A negative used means that
@@ -217,7 +218,14 @@
 	e.ranBefore = e.machine.Ran()
 	e.upstream = d.Upstream
 	e.machine.To(request.Dispatched)
-	*out = append(*out, Dispatch{ID: d.ID, Upstream: u, Adapter: e.adapter, Route: e.route, Attempt: e.machine.Attempts(), Why: d.Why})
+	if e.machine.Attempts() == 1 {
+		c.retries.earn(organisationBudget(e.org))
+		c.retries.earn(upstreamBudget(e.upstream))
+	}
+	*out = append(*out, Dispatch{
+		ID: d.ID, Upstream: u, Adapter: e.adapter, Route: e.route, Attempt: e.machine.Attempts(),
+		Repeatable: e.repeatable(), Quota: e.quota, Why: d.Why,
+	})
 }
 
 // undispatch tells the scheduler that a dispatch did not take place.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,12 +17,16 @@
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/gateway"
 	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/sched"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
+// callerIdleTimeout is how long a caller's connection is kept without a request.
+const callerIdleTimeout = 2 * time.Minute
+
 // Daemon is one host.
 type Daemon struct {
 	settings *settings.Settings
@@ -31,6 +36,7 @@
 	work     *workQueue
 	platform *platform.Client
 	upstream *upstream.Client
+	outcomes *outcome.Store
 
 	callers   net.Listener
 	operators net.Listener
@@ -50,7 +56,11 @@
 		upstream: upstream.NewClient(),
 		draining: make(chan struct{}),
 	}
-	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded()})
+	d.outcomes = outcome.New(d.platform, d.platform.Objects())
+	c := core.New(core.Options{
+		Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded(),
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
 	d.runtime = newRuntime(d.log, c, d.work)
 	var err error
 	var listen net.ListenConfig
@@ -97,6 +107,7 @@
 	group.Go(func() { d.watchConfig(ctx) })
 	group.Go(func() { d.watchHosts(ctx) })
 	group.Go(func() { d.watchUpstreams(ctx) })
+	group.Go(func() { d.sweepOutcomes(ctx) })
 	d.log.Info("serving", "callers", d.CallerURL(), "operators", d.OperatorURL())
 	select {
 	case <-ctx.Done():
@@ -114,7 +125,7 @@
 func (d *Daemon) callerServer() *http.Server {
 	r := d.settings.Requests
 	handler := gateway.New(gateway.Options{
-		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready,
+		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready, Claims: d.outcomes,
 		Limits: gateway.Limits{
 			MaxBodyBytes: r.MaxBodyBytes, MaxHeaderBytes: r.MaxHeaderBytes,
 			ReadTimeout: time.Duration(r.ReadTimeout), RequestTimeout: time.Duration(r.Timeout),
@@ -123,7 +134,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(r.ReadTimeout),
-		ReadTimeout:       time.Duration(r.ReadTimeout),
+		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    r.MaxHeaderBytes,
 	}
 }
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"bytes"
+	"context"
+	"errors"
 	"io"
 	"net/http"
 
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/record"
-	"github.com/jasminelock/jasminelock/request"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
@@ -28,22 +28,27 @@
 	}
 	ctx, cancel, deadline := s.deadline(r.Context(), s.limits.RequestTimeout)
 	defer cancel()
-	secret := bearer(r.Header)
-	x := &exchange{server: s, w: w, ticket: s.runtime.NewTicket(), sse: parsed.Stream}
+	secrets := newRedactor(r.Header)
+	x := s.newExchange(w)
+	x.sse = parsed.Stream
+	x.promptTokens = parsed.promptTokens
 	x.call = func(d core.Dispatch) (upstream.Call, error) {
 		body, err := parsed.body(d.Adapter.String())
 		header := http.Header{"Content-Type": {"application/json"}}
 		return upstream.Call{
 			Method: http.MethodPost, Path: r.URL.Path, Header: header,
-			Body: redact(body, secret), Priority: priorityOf(r.Header),
+			Body: secrets.redact(body), Priority: priorityOf(r.Header),
 		}, err
 	}
 	x.relay = relayWhole
 	if parsed.Stream {
 		wantsUsage := parsed.wantsUsage()
-		x.relay = func(x *exchange, a *upstream.Answer) attemptResult { return relayStream(x, a, wantsUsage) }
+		x.relay = func(ctx context.Context, x *exchange, a *upstream.Answer) attemptResult {
+			return relayStream(ctx, x, a, wantsUsage)
+		}
 	}
-	req := newRequest(x.ticket, secret, deadline, r.Header.Get("Idempotency-Key"))
+	req := newRequest(x.ticket, r.Header, deadline)
+	req.Fingerprint = fingerprint(r, raw)
 	req.Model = parsed.Model
 	req.Tokens = parsed.tokens
 	req.Prefix = parsed.prefix
@@ -58,26 +63,27 @@
 	return record.PriorityPrompt
 }
 
-// redacted stands in the place of a caller's key in whatever is passed on.
-const redacted = "[redacted]"
+// maxAnswerBytes bounds an answer that is held whole before it is passed on.
+const maxAnswerBytes = 16 << 20
 
-// redact replaces the caller's key in what is passed on to an upstream.
-func redact(body []byte, secret string) []byte {
-	if secret == "" {
-		return body
+// errAnswerTooLarge says that an answer is over maxAnswerBytes.
+var errAnswerTooLarge = errors.New("gateway: the answer is too large")
+
+// readAnswer reads an answer that is passed on whole.
+func readAnswer(a *upstream.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		return nil, errAnswerTooLarge
 	}
-	return bytes.ReplaceAll(body, []byte(secret), []byte(redacted))
+	return body, err
 }
 
-// maxAnswerBytes bounds an answer that is held whole before it is passed on.
-const maxAnswerBytes = 16 << 20
-
 // relayWhole reads an engine's whole answer and then writes it, so that an
 // attempt which breaks off midway can be made again.
-func relayWhole(x *exchange, a *upstream.Answer) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+func relayWhole(ctx context.Context, x *exchange, a *upstream.Answer) attemptResult {
+	body, err := readAnswer(a)
 	if err != nil {
-		return attemptResult{outcome: request.Lost, used: unknownUsage}
+		return failedResult(ctx, err)
 	}
 	if result, failed := statusOutcome(a, body); failed {
 		return result
@@ -85,9 +91,5 @@
 	x.started()
 	x.wrote = true
 	x.w.Header().Set("Content-Type", a.Header.Get("Content-Type"))
-	x.w.WriteHeader(a.Status)
-	if _, err := x.w.Write(body); err != nil {
-		return attemptResult{outcome: request.CallerLeft, used: usageOf(body)}
-	}
-	return attemptResult{outcome: request.Completed, used: usageOf(body)}
+	return x.writeWhole(a.Status, body, usageOf(body))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,17 +14,26 @@
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/blackboard"
 	"github.com/jasminelock/jasminelock/core"
-	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/sched"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
+// attemptPrefixLength is how much of a UUID starts each attempt id.
+const attemptPrefixLength = 18
+
+// Request headers that are read here and not passed on.
+const (
+	headerAPIKey         = "X-Api-Key"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
 // Defaults of Limits.
 const (
 	DefaultMaxBodyBytes   = 4 << 20
 	DefaultMaxHeaderBytes = 32 << 10
 	DefaultReadTimeout    = 15 * time.Second
 	DefaultRequestTimeout = 2 * time.Minute
+	DefaultWriteTimeout   = 30 * time.Second
 )
 
 // Limits bound what one caller can use.
@@ -37,6 +46,8 @@
 	ReadTimeout time.Duration
 	// RequestTimeout is a request's deadline, counted from its arrival.
 	RequestTimeout time.Duration
+	// WriteTimeout bounds how long a caller may take over one part of an answer.
+	WriteTimeout time.Duration
 }
 
 // Ticket follows one request through the core.
@@ -67,6 +78,10 @@
 	limits  Limits
 	mux     *http.ServeMux
 	ready   func() bool
+	claims  Claims
+	// attemptPrefix keeps the attempt ids of two hosts, or of one host before
+	// and after a restart, apart.
+	attemptPrefix string
 }
 
 // Options are the parts that a Server is made of.
@@ -78,6 +93,8 @@
 	Limits  Limits
 	// Ready reports whether the host may be given callers.
 	Ready func() bool
+	// Claims records idempotency keys.
+	Claims Claims
 }
 
 // New returns a server.
@@ -85,6 +102,10 @@
 	s := &Server{
 		log: o.Log, runtime: o.Runtime, board: o.Board, caller: o.Caller,
 		limits: o.Limits, ready: o.Ready, mux: http.NewServeMux(),
+		claims: o.Claims, attemptPrefix: uuid.NewString()[:attemptPrefixLength] + "-",
+	}
+	if s.limits.WriteTimeout <= 0 {
+		s.limits.WriteTimeout = DefaultWriteTimeout
 	}
 	s.mux.HandleFunc("/v1/chat/completions", s.method(http.MethodPost, s.completions))
 	s.mux.HandleFunc("/v1/completions", s.method(http.MethodPost, s.completions))
@@ -99,21 +120,26 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
-	if !validRequestID(id) {
+	if !validToken(id, maxRequestIDBytes) || newRedactor(r.Header).holdsKey(id) {
 		id = uuid.NewString()
 	}
 	w.Header().Set("X-Request-Id", id)
+	// Set here and not at the http.Server: its ReadTimeout would go on while the
+	// answer is written, and would end long answers.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.limits.ReadTimeout))
 	s.mux.ServeHTTP(w, r)
 }
 
 // maxRequestIDBytes bounds a request id that a caller chose.
 const maxRequestIDBytes = 128
 
-func validRequestID(id string) bool {
-	if id == "" || len(id) > maxRequestIDBytes || strings.Contains(id, record.SecretPrefix) {
+// validToken reports whether text that a caller chose is printable ASCII
+// without spaces and not too long.
+func validToken(text string, maxBytes int) bool {
+	if text == "" || len(text) > maxBytes {
 		return false
 	}
-	for _, c := range id {
+	for _, c := range text {
 		if c <= ' ' || c > '~' {
 			return false
 		}
@@ -155,7 +181,7 @@
 	if scheme, secret, ok := strings.Cut(h.Get("Authorization"), " "); ok && strings.EqualFold(scheme, "Bearer") {
 		return strings.TrimSpace(secret)
 	}
-	return h.Get("X-Api-Key")
+	return h.Get(headerAPIKey)
 }
 
 // retryAfterSeconds rounds up, so that a caller does not come back too early.
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -21,6 +21,16 @@
 	return request.Lost
 }
 
+// failedResult is the result of an attempt that ended in an error of the call.
+func failedResult(ctx context.Context, err error) attemptResult {
+	if errors.Is(err, errAnswerTooLarge) || errors.Is(err, errEventTooLarge) {
+		return attemptResult{outcome: request.Errored, used: unknownUsage}
+	}
+	r := attemptResult{outcome: callOutcome(ctx, err), used: unknownUsage}
+	r.connectionLost = r.outcome == request.Lost && ctx.Err() == nil && !errors.Is(err, upstream.ErrCrossed)
+	return r
+}
+
 // statusOutcome says what an engine's error status tells of the request's
 // execution. ok is false for a status that starts an answer.
 func statusOutcome(a *upstream.Answer, body []byte) (result attemptResult, ok bool) {
--- /dev/null
+++ b/gateway/redact.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"encoding/base64"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/jasminelock/jasminelock/record"
+)
+
+// redacted stands in the place of a key in whatever is passed on.
+const redacted = "[redacted]"
+
+const (
+	// minSecretBytes is the shortest secret that is searched for. Anything
+	// shorter cannot be a key and would be found in ordinary text.
+	minSecretBytes = 16
+	// minKeyTail is how many characters must follow record.SecretPrefix for the
+	// text to be taken for a key, whether or not it is the caller's.
+	minKeyTail = 32
+)
+
+// redactor takes keys out of what is passed on to an upstream: the secrets that
+// came with the request, and whatever has the form of a key.
+type redactor struct {
+	secrets []string
+	// encoded are the secrets as they look inside base64.
+	encoded []string
+}
+
+func newRedactor(h http.Header) *redactor {
+	r := &redactor{}
+	for _, secret := range []string{bearer(h), h.Get(headerAPIKey)} {
+		if len(secret) < minSecretBytes {
+			continue
+		}
+		r.secrets = append(r.secrets, secret)
+		r.encoded = append(r.encoded, insideBase64(secret)...)
+	}
+	return r
+}
+
+// insideBase64 returns how a secret looks inside longer text in base64, at each
+// of the three alignments, without the characters that its neighbours share.
+func insideBase64(secret string) []string {
+	var forms []string
+	for _, encoding := range []*base64.Encoding{base64.RawStdEncoding, base64.RawURLEncoding} {
+		for lead := range 3 {
+			text := encoding.EncodeToString([]byte(strings.Repeat("\x00", lead) + secret))
+			from := (lead*8 + 5) / 6
+			to := (lead + len(secret)) * 8 / 6
+			forms = append(forms, text[from:to])
+		}
+	}
+	return forms
+}
+
+// redact returns text without keys. The text itself is not changed.
+func (r *redactor) redact(text []byte) []byte {
+	var out []byte
+	copied := 0
+	for i := 0; i < len(text); i++ {
+		n := r.match(text[i:])
+		if n == 0 {
+			continue
+		}
+		out = append(out, text[copied:i]...)
+		out = append(out, redacted...)
+		copied = i + n
+		i = copied - 1
+	}
+	if copied == 0 {
+		return text
+	}
+	return append(out, text[copied:]...)
+}
+
+// match returns the length of the key that text starts with, 0 for none.
+func (r *redactor) match(text []byte) int {
+	for _, secret := range r.secrets {
+		if n := matchEncoded(text, secret); n > 0 {
+			return n
+		}
+	}
+	for _, form := range r.encoded {
+		if len(text) >= len(form) && text[0] == form[0] && string(text[:len(form)]) == form {
+			return len(form)
+		}
+	}
+	return matchAnyKey(text)
+}
+
+// matchAnyKey returns the length of a text in the form of a key.
+func matchAnyKey(text []byte) int {
+	n := matchEncoded(text, record.SecretPrefix)
+	if n == 0 {
+		return 0
+	}
+	tail := 0
+	for n < len(text) {
+		c, width := decodeOne(text[n:])
+		if !isKeyByte(c) {
+			break
+		}
+		n += width
+		tail++
+	}
+	if tail < minKeyTail {
+		return 0
+	}
+	return n
+}
+
+// matchEncoded returns the length of text's start that spells want, each
+// character as itself, percent-encoded or as a JSON escape.
+func matchEncoded(text []byte, want string) int {
+	n := 0
+	for i := range len(want) {
+		if n >= len(text) {
+			return 0
+		}
+		c, width := decodeOne(text[n:])
+		if c != want[i] {
+			return 0
+		}
+		n += width
+	}
+	return n
+}
+
+// decodeOne returns the character that text starts with and its encoded length.
+func decodeOne(text []byte) (c byte, width int) {
+	switch {
+	case text[0] == '%' && len(text) >= 3:
+		if v, ok := hexByte(text[1], text[2]); ok {
+			return v, 3
+		}
+	case text[0] == '\\' && len(text) >= 6 && text[1] == 'u' && text[2] == '0' && text[3] == '0':
+		if v, ok := hexByte(text[4], text[5]); ok {
+			return v, 6
+		}
+	}
+	return text[0], 1
+}
+
+func hexByte(high, low byte) (byte, bool) {
+	h, okHigh := hexDigit(high)
+	l, okLow := hexDigit(low)
+	return h<<4 | l, okHigh && okLow
+}
+
+func hexDigit(c byte) (byte, bool) {
+	switch {
+	case c >= '0' && c <= '9':
+		return c - '0', true
+	case c >= 'a' && c <= 'f':
+		return c - 'a' + 10, true
+	case c >= 'A' && c <= 'F':
+		return c - 'A' + 10, true
+	}
+	return 0, false
+}
+
+func isKeyByte(c byte) bool {
+	return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_'
+}
+
+// path returns the path and query for a service, without keys.
+func (r *redactor) path(u *url.URL) string {
+	path := u.EscapedPath()
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return string(r.redact([]byte(path)))
+}
+
+// headers returns the allowed headers, without those that hold a key.
+func (r *redactor) headers(h http.Header) http.Header {
+	kept := http.Header{}
+	for _, name := range requestHeaders {
+		for _, v := range h.Values(name) {
+			if !r.holdsKey(v) {
+				kept.Add(name, v)
+			}
+		}
+	}
+	return kept
+}
+
+// holdsKey reports whether text holds a key in any form that is looked for.
+func (r *redactor) holdsKey(text string) bool {
+	return string(r.redact([]byte(text))) != text
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -1,10 +1,9 @@
 package gateway
 
 import (
-	"io"
+	"context"
+	"maps"
 	"net/http"
-	"net/url"
-	"strings"
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/core"
@@ -31,64 +30,48 @@
 		writeError(w, apiErr)
 		return
 	}
+	if apiErr := checkIdempotencyKey(r.Header); apiErr != nil {
+		writeError(w, apiErr)
+		return
+	}
 	ctx, cancel, deadline := s.deadline(r.Context(), route.Timeout)
 	defer cancel()
-	secret := bearer(r.Header)
-	x := &exchange{server: s, w: w, ticket: s.runtime.NewTicket(), relay: relayService}
+	secrets := newRedactor(r.Header)
+	x := s.newExchange(w)
+	x.relay = relayService
 	x.call = func(d core.Dispatch) (upstream.Call, error) {
 		return upstream.Call{
-			Method: r.Method, Path: servicePath(r.URL, secret), Header: keepHeaders(r.Header, secret),
-			Body: redact(body, secret), Priority: d.Route.Priority,
+			Method: r.Method, Path: secrets.path(r.URL), Header: secrets.headers(r.Header),
+			Body: secrets.redact(body), Priority: d.Route.Priority, Once: !d.Repeatable,
 		}, nil
 	}
-	req := newRequest(x.ticket, secret, deadline, r.Header.Get("Idempotency-Key"))
+	req := newRequest(x.ticket, r.Header, deadline)
+	req.IdempotencyKey = r.Header.Get(headerIdempotencyKey)
+	req.Fingerprint = fingerprint(r, body)
 	req.Path = r.URL.Path
 	req.Safe = r.Method == http.MethodGet || r.Method == http.MethodHead
 	x.run(ctx, req)
 }
 
-// servicePath returns the path and query for a service, without the key.
-func servicePath(u *url.URL, secret string) string {
-	path := u.EscapedPath()
-	if u.RawQuery != "" {
-		path += "?" + u.RawQuery
-	}
-	return string(redact([]byte(path), secret))
-}
-
-// keepHeaders returns the allowed headers, without the key.
-func keepHeaders(h http.Header, secret string) http.Header {
-	kept := http.Header{}
-	for _, name := range requestHeaders {
-		for _, v := range h.Values(name) {
-			if secret == "" || !strings.Contains(v, secret) {
-				kept.Add(name, v)
-			}
-		}
-	}
-	return kept
-}
-
 // relayService passes a service's answer on as it is. Any status is the
 // service's own answer, but for one that says the call was not executed.
-func relayService(x *exchange, a *upstream.Answer) attemptResult {
+func relayService(ctx context.Context, x *exchange, a *upstream.Answer) attemptResult {
 	if a.Header.Get(upstream.HeaderNotRun) == "true" {
 		return attemptResult{outcome: request.NotExecuted}
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	body, err := readAnswer(a)
 	if err != nil {
-		return attemptResult{outcome: request.Lost, used: unknownUsage}
+		return failedResult(ctx, err)
 	}
 	x.started()
-	x.wrote = true
+	kept := http.Header{}
 	for _, name := range answerHeaders {
 		if v := a.Header.Get(name); v != "" {
-			x.w.Header().Set(name, v)
+			kept.Set(name, v)
 		}
 	}
-	x.w.WriteHeader(a.Status)
-	if _, err := x.w.Write(body); err != nil {
-		return attemptResult{outcome: request.CallerLeft, used: unknownUsage}
-	}
-	return attemptResult{outcome: request.Completed, used: unknownUsage}
+	x.keepOutcome(ctx, a.Status, kept, body)
+	x.wrote = true
+	maps.Copy(x.w.Header(), kept)
+	return x.writeWhole(a.Status, body, unknownUsage)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -31,45 +32,102 @@
 // errEventTooLarge says that an event of a stream is over the bound.
 var errEventTooLarge = errors.New("gateway: event too large")
 
-// relayStream passes an engine's event stream on, event by event. The stream
-// is whole only once "[DONE]" has come.
-func relayStream(x *exchange, a *upstream.Answer, wantsUsage bool) attemptResult {
+// streamRelay passes one engine's event stream on, event by event. It reads no
+// further event before the last one was taken by the caller.
+type streamRelay struct {
+	exchange   *exchange
+	wantsUsage bool
+	// used is the usage that the engine reported.
+	used int64
+	// events counts the data events read, which is the offset to resume at.
+	events int
+	// resumes counts the times that the stream was resumed.
+	resumes int
+}
+
+// relayStream passes an engine's event stream on. The stream is whole only once
+// "[DONE]" has come. One that breaks off is resumed where the engine can.
+func relayStream(ctx context.Context, x *exchange, a *upstream.Answer, wantsUsage bool) attemptResult {
 	if a.Status >= http.StatusBadRequest {
 		body, _ := io.ReadAll(io.LimitReader(a.Body, maxErrorBytes))
 		result, _ := statusOutcome(a, body)
 		return result
 	}
-	r := bufio.NewReaderSize(a.Body, streamBufferBytes)
-	used := int64(unknownUsage)
+	relay := &streamRelay{exchange: x, wantsUsage: wantsUsage, used: unknownUsage}
+	body := a.Body
+	for {
+		result, err := relay.pass(ctx, body)
+		if err == nil {
+			return result
+		}
+		next, ok := relay.resume(ctx)
+		if !ok {
+			return relay.cut(ctx, err)
+		}
+		defer func() { _ = next.Close() }()
+		body = next
+	}
+}
+
+// pass passes events on until the stream ends. An error says that it broke off.
+func (s *streamRelay) pass(ctx context.Context, body io.Reader) (attemptResult, error) {
+	reader := eventReader{in: bufio.NewReaderSize(body, streamBufferBytes)}
 	for {
-		event, err := readEvent(r)
+		event, err := reader.next()
 		if err != nil {
-			return cutResult(x, used)
+			return attemptResult{}, err
 		}
 		data := eventData(event)
-		if bytes.Contains(data, usageField) {
-			if u := usageOf(data); u >= 0 {
-				used = u
-			}
-			if !wantsUsage && isUsageOnly(data) {
-				continue
-			}
+		if len(data) > 0 {
+			s.events++
+		}
+		if bytes.Contains(data, usageField) && s.onUsage(data) {
+			continue
 		}
-		if err := x.writeEvent(event); err != nil {
-			return attemptResult{outcome: request.CallerLeft, used: used}
+		if err := s.exchange.writeEvent(event); err != nil {
+			s.exchange.cancelUpstream(ctx)
+			return attemptResult{outcome: request.CallerLeft, used: s.usage()}, nil
 		}
 		if bytes.Equal(data, doneData) {
-			return attemptResult{outcome: request.Completed, used: used}
+			return attemptResult{outcome: request.Completed, used: s.used}, nil
 		}
 	}
 }
 
-// cutResult is the result of a stream that ended before "[DONE]".
-func cutResult(x *exchange, used int64) attemptResult {
-	if x.wrote {
-		return attemptResult{outcome: request.Cut, used: used}
+// onUsage notes the usage of an event and reports whether the caller, who did
+// not ask for usage, is to be spared the event.
+func (s *streamRelay) onUsage(data []byte) bool {
+	var u usageBody
+	if json.Unmarshal(data, &u) != nil || u.Usage == nil {
+		return false
 	}
-	return attemptResult{outcome: request.Lost, used: used}
+	s.used = u.Usage.TotalTokens
+	return !s.wantsUsage && len(u.Choices) == 0
+}
+
+// usage returns the usage that the engine reported. Where the stream was cut
+// before that, it is estimated: the prompt and a token for each event.
+func (s *streamRelay) usage() int64 {
+	if s.used >= 0 {
+		return s.used
+	}
+	return s.exchange.promptTokens + int64(s.events)
+}
+
+// cut is the result of a stream that ended before "[DONE]".
+func (s *streamRelay) cut(ctx context.Context, err error) attemptResult {
+	result := failedResult(ctx, err)
+	if result.outcome == request.CallerLeft || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		s.exchange.cancelUpstream(ctx)
+	}
+	if !s.exchange.wrote {
+		return result
+	}
+	result.used = s.usage()
+	if result.outcome == request.Lost {
+		result.outcome = request.Cut
+	}
+	return result
 }
 
 // writeEvent writes one event and passes it on at once.
@@ -82,28 +140,42 @@
 		h.Set("Cache-Control", "no-cache")
 		x.w.WriteHeader(http.StatusOK)
 	}
+	x.extendWrite()
 	if _, err := x.w.Write(event); err != nil {
 		return err
 	}
-	return http.NewResponseController(x.w).Flush()
+	return x.out.Flush()
 }
 
-// readEvent reads up to and including the blank line that ends an event.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
+// eventReader splits a stream into events. It keeps one buffer for all of them.
+type eventReader struct {
+	in  *bufio.Reader
+	buf []byte
+}
+
+// next reads up to and including the blank line that ends an event. The event
+// is valid until the next call.
+func (r *eventReader) next() ([]byte, error) {
+	r.buf = r.buf[:0]
+	lineStart := 0
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := r.in.ReadSlice('\n')
+		r.buf = append(r.buf, part...)
 		switch {
-		case len(event) > maxEventBytes:
+		case len(r.buf) > maxEventBytes:
 			return nil, errEventTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err != nil:
 			return nil, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			return event, nil
+		blank := len(bytes.TrimRight(r.buf[lineStart:], "\r\n")) == 0
+		if blank && lineStart > 0 {
+			return r.buf, nil
+		}
+		lineStart = len(r.buf)
+		if blank {
+			r.buf, lineStart = r.buf[:0], 0 // a blank line before an event
 		}
 	}
 }
@@ -135,12 +207,6 @@
 	return u.Usage.TotalTokens
 }
 
-// isUsageOnly reports whether an event was sent only for its usage.
-func isUsageOnly(data []byte) bool {
-	var u usageBody
-	return json.Unmarshal(data, &u) == nil && u.Usage != nil && len(u.Choices) == 0
-}
-
 // writeErrorEvent ends a stream that has begun with an error, in the shape
 // that OpenAI client libraries raise.
 func writeErrorEvent(w http.ResponseWriter, e *apierr.Error) {
--- a/gateway/write.go
+++ b/gateway/write.go
@@ -21,8 +21,6 @@
 
 // writeError writes a refusal as the table of kinds says.
 func writeError(w http.ResponseWriter, e *apierr.Error) {
-	if e.RetryAfter > 0 {
-		w.Header().Set("Retry-After", retryAfterSeconds(e.RetryAfter))
-	}
+	tellRetry(w.Header(), e)
 	writeJSON(w, e.Kind.Answer().Status, e.Body())
 }
--- a/request/machine.go
+++ b/request/machine.go
@@ -26,6 +26,8 @@
 	Claiming
 	// Queued requests wait for an upstream.
 	Queued
+	// BackingOff requests wait before they are tried again.
+	BackingOff
 	// Dispatched requests have been given to an upstream.
 	Dispatched
 	// Streaming requests have received the start of an answer.
@@ -36,7 +38,7 @@
 	Failed
 )
 
-var stateNames = [...]string{"received", "authorised", "reserved", "claiming", "queued", "dispatched", "streaming", "done", "failed"}
+var stateNames = [...]string{"received", "authorised", "reserved", "claiming", "queued", "backing_off", "dispatched", "streaming", "done", "failed"}
 
 // String returns the state's name in logs.
 func (s State) String() string { return stateNames[s] }
@@ -48,8 +50,9 @@
 	Reserved:   {Claiming, Queued, Failed},
 	Claiming:   {Queued, Done, Failed},
 	Queued:     {Dispatched, Failed},
-	Dispatched: {Streaming, Queued, Done, Failed},
-	Streaming:  {Queued, Done, Failed},
+	BackingOff: {Queued, Failed},
+	Dispatched: {Streaming, Queued, BackingOff, Done, Failed},
+	Streaming:  {Done, Failed},
 }
 
 // Outcome is how one attempt ended.
--- a/standin/engine/answer.go
+++ b/standin/engine/answer.go
@@ -68,7 +68,7 @@
 
 func (a *answer) write() {
 	if a.request.Stream {
-		a.stream()
+		a.writeStream()
 		return
 	}
 	if !a.wait(a.engine.settings.FirstToken + time.Duration(a.tokens)*a.engine.settings.TokenTime) {
@@ -88,30 +88,15 @@
 	}
 	body := a.completion(object, c)
 	body.Usage = a.usage()
-	standin.WriteJSON(a.w, http.StatusOK, body)
-}
-
-func (a *answer) stream() {
-	a.w.Header().Set("Content-Type", "text/event-stream")
-	cut := a.engine.cutAfter()
-	if !a.wait(a.engine.settings.FirstToken) {
-		return
-	}
-	for i := range a.tokens {
-		if cut > 0 && i >= cut {
-			panic(http.ErrAbortHandler)
-		}
-		if !a.event(a.chunk(i)) || !a.wait(a.engine.settings.TokenTime) {
-			return
-		}
-	}
-	if a.request.StreamOptions.IncludeUsage {
-		last := a.completion("chat.completion.chunk")
-		last.Choices = []choice{}
-		last.Usage = a.usage()
-		a.event(last)
+	raw, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
 	}
-	_, _ = a.w.Write([]byte("data: [DONE]\n\n"))
+	a.w.Header().Set("Content-Type", "application/json")
+	_, _ = a.w.Write(raw[:len(raw)/2])
+	_ = http.NewResponseController(a.w).Flush()
+	a.engine.calls.Strike(standin.MidAnswer, a.w)
+	_, _ = a.w.Write(raw[len(raw)/2:])
 }
 
 func (a *answer) chunk(i int) completion {
@@ -129,17 +114,6 @@
 	return a.completion(object, c)
 }
 
-func (a *answer) event(c completion) bool {
-	raw, err := json.Marshal(c)
-	if err != nil {
-		return false
-	}
-	if _, err := fmt.Fprintf(a.w, "data: %s\n\n", raw); err != nil {
-		return false
-	}
-	return http.NewResponseController(a.w).Flush() == nil
-}
-
 // wait reports false where the caller has cancelled.
 func (a *answer) wait(d time.Duration) bool {
 	select {
@@ -149,9 +123,3 @@
 		return true
 	}
 }
-
-func (e *Engine) cutAfter() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.faults.CutAfterTokens
-}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -32,6 +32,9 @@
 	ChecksFence bool `json:"checks_fence"`
 	// ReportLag is how old a load report is.
 	ReportLag time.Duration `json:"report_lag"`
+	// Resumable keeps a stream after its connection has closed, so that it can
+	// be resumed until it is cancelled.
+	Resumable bool `json:"resumable"`
 }
 
 // Faults are what a test can ask of the engine.
@@ -42,6 +45,12 @@
 	Poison string `json:"poison"`
 	// CutAfterTokens breaks every stream off after this many tokens, 0 for never.
 	CutAfterTokens int `json:"cut_after_tokens"`
+	// LoadDelay is added to every load.
+	LoadDelay time.Duration `json:"load_delay"`
+	// CacheGap drops every so-manieth cache event, 0 for none.
+	CacheGap int64 `json:"cache_gap"`
+	// Call is the fault that calls meet.
+	Call standin.Fault `json:"call"`
 }
 
 // Execution is one request that the engine has executed.
@@ -49,15 +58,17 @@
 	Attempt string `json:"attempt"`
 	Model   string `json:"model"`
 	// Body and Header are what the engine was sent.
-	Body   string      `json:"body"`
-	Header http.Header `json:"header"`
-	URL    string      `json:"url"`
+	Body     string      `json:"body"`
+	Header   http.Header `json:"header"`
+	URL      string      `json:"url"`
+	Priority string      `json:"priority"`
 }
 
 // Engine serves one base model with adapters.
 type Engine struct {
 	settings Settings
 	mux      *http.ServeMux
+	calls    standin.FaultSwitch
 
 	// mu guards all below.
 	mu          sync.Mutex
@@ -70,6 +81,10 @@
 	executions  []Execution
 	crashed     bool
 	reports     []pastReport
+	role        string
+	streams     map[string]*stream
+	cancelled   []string
+	cache       prefixCache
 }
 
 type adapter struct {
@@ -84,7 +99,11 @@
 
 // New returns an engine that holds no adapter.
 func New(s Settings) *Engine {
-	e := &Engine{settings: s, mux: http.NewServeMux(), incarnation: 1, adapters: map[string]*adapter{}}
+	e := &Engine{settings: s, mux: http.NewServeMux(), incarnation: 1, adapters: map[string]*adapter{}, streams: map[string]*stream{}, role: "mixed"}
+	e.mux.HandleFunc("GET /v1/streams/{attempt}", e.resumeStream)
+	e.mux.HandleFunc("DELETE /v1/streams/{attempt}", e.cancelStream)
+	e.mux.HandleFunc("GET /v1/cache_events", e.cacheEvents)
+	e.mux.HandleFunc("POST /v1/role", e.setRole)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/load_lora_adapter", e.load)
@@ -112,6 +131,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults = f
+	e.calls.Set(f.Call)
 }
 
 // Restart starts the engine anew, without adapters.
@@ -123,6 +143,8 @@
 	e.sequence = 0
 	e.running = 0
 	e.adapters = map[string]*adapter{}
+	e.streams = map[string]*stream{}
+	e.cache = prefixCache{}
 }
 
 // Executions returns the requests executed so far.
@@ -189,7 +211,7 @@
 	if !ok {
 		return
 	}
-	time.Sleep(e.settings.LoadTime)
+	time.Sleep(e.settings.LoadTime + e.currentFaults().LoadDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.adapters[order.Name] != a {
@@ -241,7 +263,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	current := upstream.Report{Incarnation: strconv.Itoa(e.incarnation), Sequence: e.sequence, Running: e.running, KVFree: 1, Role: "mixed"}
+	current := upstream.Report{Incarnation: strconv.Itoa(e.incarnation), Sequence: e.sequence, Running: e.running, KVFree: 1, Role: e.role}
 	for name, a := range e.adapters {
 		current.Adapters = append(current.Adapters, upstream.AdapterState{Name: name, Running: a.running, Loading: a.loading})
 	}
@@ -273,6 +295,9 @@
 		return
 	}
 	w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+	if !e.calls.Strike(standin.BeforeExecution, w) {
+		return
+	}
 	a, ok := e.start(w, r, req, raw)
 	if !ok {
 		return
@@ -282,6 +307,7 @@
 	if req.MaxTokens > 0 {
 		tokens = min(tokens, req.MaxTokens)
 	}
+	e.calls.Strike(standin.AfterExecution, w)
 	answer := &answer{engine: e, w: w, r: r, request: req, tokens: tokens, prompt: len(raw) / 4}
 	answer.write()
 }
@@ -297,8 +323,10 @@
 		return nil, false
 	}
 	e.executions = append(e.executions, Execution{
-		Attempt: r.Header.Get(upstream.HeaderAttempt), Model: req.Model, Body: string(raw), Header: r.Header.Clone(), URL: r.URL.String(),
+		Attempt: r.Header.Get(upstream.HeaderAttempt), Model: req.Model, Body: string(raw), Header: r.Header.Clone(),
+		URL: r.URL.String(), Priority: r.Header.Get(upstream.HeaderPriority),
 	})
+	e.cache.store(req.Model, raw, e.faults.CacheGap)
 	if e.faults.Poison != "" && strings.Contains(string(raw), e.faults.Poison) {
 		e.crashed = true
 		panic(http.ErrAbortHandler)
@@ -308,6 +336,12 @@
 	return a, true
 }
 
+func (e *Engine) currentFaults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
 func (e *Engine) end(a *adapter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -3,6 +3,7 @@
 package service
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -24,13 +25,25 @@
 
 // Service answers every path.
 type Service struct {
-	delay time.Duration
+	delay  time.Duration
+	faults standin.FaultSwitch
 
 	// mu guards all below.
 	mu         sync.Mutex
 	sequence   int64
 	running    int
 	executions []Execution
+	answer     []byte
+}
+
+// SetFault replaces the fault that calls meet.
+func (s *Service) SetFault(f standin.Fault) { s.faults.Set(f) }
+
+// SetAnswer replaces the receipt by a body of the test's own.
+func (s *Service) SetAnswer(body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = body
 }
 
 // New returns a service that takes delay for each call.
@@ -56,6 +69,8 @@
 	switch r.URL.Path {
 	case "/v1/load_report":
 		s.report(w)
+	case "/fault":
+		s.putFault(w, r)
 	case "/executions":
 		standin.WriteJSON(w, http.StatusOK, s.Executions())
 	default:
@@ -75,16 +90,47 @@
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	s.running++
-	s.executions = append(s.executions, Execution{r.Header.Get(upstream.HeaderAttempt), r.Method, r.URL.String(), string(body), r.Header.Clone()})
-	number := len(s.executions)
-	s.mu.Unlock()
+	w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+	if !s.faults.Strike(standin.BeforeExecution, w) {
+		return
+	}
+	number, answer := s.record(r, string(body))
 	time.Sleep(s.delay)
 	s.mu.Lock()
 	s.running--
 	s.mu.Unlock()
-	w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
-	w.Header().Set("X-Receipt", strconv.Itoa(number))
-	standin.WriteJSON(w, http.StatusOK, receipt{Number: number, Path: r.URL.Path})
+	s.faults.Strike(standin.AfterExecution, w)
+	if answer == nil {
+		answer, _ = json.Marshal(receipt{Number: number, Path: r.URL.Path}) // a receipt always encodes
+	}
+	s.write(w, answer)
+}
+
+// record notes an execution and returns its number and the answer to give.
+func (s *Service) record(r *http.Request, body string) (int, []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	s.executions = append(s.executions, Execution{r.Header.Get(upstream.HeaderAttempt), r.Method, r.URL.String(), body, r.Header.Clone()})
+	return len(s.executions), s.answer
+}
+
+// write writes the answer in two parts, so that it can be cut between them.
+func (s *Service) write(w http.ResponseWriter, answer []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	half := len(answer) / 2
+	_, _ = w.Write(answer[:half])
+	_ = http.NewResponseController(w).Flush()
+	s.faults.Strike(standin.MidAnswer, w)
+	_, _ = w.Write(answer[half:])
+}
+
+func (s *Service) putFault(w http.ResponseWriter, r *http.Request) {
+	var f standin.Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFault(f)
 }
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -25,6 +25,8 @@
 // Client speaks HTTP to upstreams. It implements Caller and Controller.
 type Client struct {
 	http *http.Client
+	// once opens a connection for each call.
+	once *http.Client
 }
 
 // NewClient returns a client. It never follows redirects and never retries:
@@ -37,8 +39,13 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
+	single := transport.Clone()
+	single.DisableKeepAlives = true
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	return &Client{
+		http: &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		once: &http.Client{Transport: single, CheckRedirect: noRedirect},
+	}
 }
 
 // Call implements Caller.
@@ -53,7 +60,11 @@
 	}
 	req.Header.Set(HeaderAttempt, call.Attempt)
 	req.Header.Set(HeaderPriority, call.Priority.String())
-	resp, err := c.http.Do(req)
+	client := c.http
+	if call.Once {
+		client = c.once
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, classify(err)
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,6 +26,10 @@
 	HeaderNotRun = "X-Not-Run"
 )
 
+// StreamPath is where an engine resumes a stream, by GET with the number of
+// events already received in "after", and cancels it, by DELETE.
+func StreamPath(attempt string) string { return "/v1/streams/" + attempt }
+
 // Call is one attempt of a request.
 type Call struct {
 	// Attempt is the attempt's id.
@@ -37,6 +41,10 @@
 	Header   http.Header
 	Body     []byte
 	Priority record.Priority
+	// Once asks for a connection of its own. One that was kept open may have
+	// been closed by the upstream meanwhile, which leaves it unknown whether a
+	// call sent on it was executed.
+	Once bool
 }
 
 // Answer is an upstream's answer to a call. Body must be closed.
