--- a/core/authorise.go
+++ b/core/authorise.go
@@ -117,10 +117,10 @@
 		kind = apierr.CallerGone
 	case a.Outcome == request.Rejected:
 		kind = apierr.UpstreamRejected
-	case a.AnswerStarted:
-		kind = apierr.AnswerCut
 	case ran != apierr.NotRun && !e.repeatable():
 		kind = apierr.OutcomeUnknown
+	case a.AnswerStarted:
+		kind = apierr.AnswerCut
 	case !now.Before(e.request.Deadline):
 		kind = apierr.DeadlineExceeded
 	}
--- a/core/requests.go
+++ b/core/requests.go
@@ -119,7 +119,7 @@
 		return // the attempt ends by itself
 	}
 	c.onScheduled(now, c.scheduler.Cancel(now, id), out)
-	c.fail(now, e, apierr.New(apierr.CallerGone, ""), "caller_left", out)
+	c.fail(now, e, e.truthful(apierr.New(apierr.CallerGone, "")), "caller_left", out)
 }
 
 func (c *Core) onAnswerStarted(a AnswerStarted) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -129,6 +129,7 @@
 		Limits: gateway.Limits{
 			MaxBodyBytes: r.MaxBodyBytes, MaxHeaderBytes: r.MaxHeaderBytes,
 			ReadTimeout: time.Duration(r.ReadTimeout), RequestTimeout: time.Duration(r.Timeout),
+			WriteTimeout: time.Duration(r.WriteTimeout),
 		},
 	})
 	return &http.Server{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -98,6 +98,9 @@
 	MaxHeaderBytes int `json:"max_header_bytes,omitzero"`
 	// ReadTimeout bounds how long a request may take to arrive. Default 15s.
 	ReadTimeout Duration `json:"read_timeout,omitzero"`
+	// WriteTimeout bounds how long a caller may take over one part of an
+	// answer. Default 30s.
+	WriteTimeout Duration `json:"write_timeout,omitzero"`
 	// Timeout is a request's deadline. Default 2m.
 	Timeout Duration `json:"timeout,omitzero"`
 }
@@ -152,6 +155,7 @@
 	setDefault(&s.Requests.MaxBodyBytes, 4<<20)
 	setDefault(&s.Requests.MaxHeaderBytes, 32<<10)
 	setDefault(&s.Requests.ReadTimeout, Duration(15*time.Second))
+	setDefault(&s.Requests.WriteTimeout, Duration(30*time.Second))
 	setDefault(&s.Requests.Timeout, Duration(2*time.Minute))
 	setDefault(&s.Log.Level, "info")
 	setDefault(&s.Drain.Timeout, Duration(3*time.Minute))
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -154,6 +154,13 @@
 	return append([]Execution{}, e.executions...)
 }
 
+// Running returns how many requests run.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 func (e *Engine) listExecutions(w http.ResponseWriter, _ *http.Request) {
 	standin.WriteJSON(w, http.StatusOK, e.Executions())
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -25,11 +25,11 @@
 
 // Service answers every path.
 type Service struct {
-	delay  time.Duration
 	faults standin.FaultSwitch
 
 	// mu guards all below.
 	mu         sync.Mutex
+	delay      time.Duration
 	sequence   int64
 	running    int
 	executions []Execution
@@ -39,6 +39,13 @@
 // SetFault replaces the fault that calls meet.
 func (s *Service) SetFault(f standin.Fault) { s.faults.Set(f) }
 
+// SetDelay replaces the time that a call takes.
+func (s *Service) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
 // SetAnswer replaces the receipt by a body of the test's own.
 func (s *Service) SetAnswer(body []byte) {
 	s.mu.Lock()
@@ -94,8 +101,8 @@
 	if !s.faults.Strike(standin.BeforeExecution, w) {
 		return
 	}
-	number, answer := s.record(r, string(body))
-	time.Sleep(s.delay)
+	number, answer, delay := s.record(r, string(body))
+	time.Sleep(delay)
 	s.mu.Lock()
 	s.running--
 	s.mu.Unlock()
@@ -106,13 +113,14 @@
 	s.write(w, answer)
 }
 
-// record notes an execution and returns its number and the answer to give.
-func (s *Service) record(r *http.Request, body string) (int, []byte) {
+// record notes an execution and returns its number, the answer to give and
+// the time to take for it.
+func (s *Service) record(r *http.Request, body string) (number int, answer []byte, delay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running++
 	s.executions = append(s.executions, Execution{r.Header.Get(upstream.HeaderAttempt), r.Method, r.URL.String(), body, r.Header.Clone()})
-	return len(s.executions), s.answer
+	return len(s.executions), s.answer, s.delay
 }
 
 // write writes the answer in two parts, so that it can be cut between them.
