Faults at every step of a call, checked against the service's own count

Cause: found by the test: a request whose deadline passed before its dispatch was told caller_gone; one whose only upstream had failed once waited for its deadline.

--- a/core/retry.go
+++ b/core/retry.go
@@ -3,9 +3,11 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/request"
 	"github.com/jasminelock/jasminelock/sched"
 )
@@ -112,11 +114,29 @@
 		return
 	}
 	e.work.Avoid = append(e.work.Avoid, e.upstream)
+	if !c.hasOther(e) {
+		e.work.Avoid = nil
+	}
 	e.machine.To(request.BackingOff)
 	e.retryAt = now.Add(backoff(c.random, e.machine.Attempts()))
 	c.backingOff = append(c.backingOff, e.request.ID)
 }
 
+// hasOther reports whether the configuration has an upstream for the request
+// that has not failed it.
+func (c *Core) hasOther(e *entry) bool {
+	for name, u := range c.config.Upstreams() {
+		serves := u.Class == record.ClassEngine && u.Model == e.work.Model
+		if e.work.Pool != "" {
+			serves = u.Class == record.ClassService && u.Pool == e.work.Pool
+		}
+		if serves && !u.Leaving && !slices.Contains(e.work.Avoid, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // resume enqueues the requests whose wait has passed, in the order in which
 // they began to wait.
 func (c *Core) resume(now time.Time, out *decisions) {
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -53,7 +53,7 @@
 	req.Tokens = parsed.tokens
 	req.Prefix = parsed.prefix
 	req.Priority = priorityOf(r.Header)
-	x.run(ctx, req)
+	x.run(ctx, r.Context(), req)
 }
 
 func priorityOf(h http.Header) record.Priority {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -55,9 +55,11 @@
 const unknownUsage = -1
 
 // run brings a request to the core and follows the core's decisions to the end.
-func (x *exchange) run(ctx context.Context, r core.Request) {
+// The caller's context ends when the caller has left; ctx ends with it and at
+// the request's deadline.
+func (x *exchange) run(ctx, caller context.Context, r core.Request) {
 	x.server.runtime.Submit(x.ticket, r)
-	gone := ctx.Done()
+	gone := caller.Done()
 	for {
 		select {
 		case d := <-x.ticket.Decisions():
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -50,7 +50,7 @@
 	req.Fingerprint = fingerprint(r, body)
 	req.Path = r.URL.Path
 	req.Safe = r.Method == http.MethodGet || r.Method == http.MethodHead
-	x.run(ctx, req)
+	x.run(ctx, r.Context(), req)
 }
 
 // relayService passes a service's answer on as it is. Any status is the
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jasminelock/jasminelock/standin"
@@ -26,6 +27,8 @@
 // Service answers every path.
 type Service struct {
 	faults standin.FaultSwitch
+	// active counts the calls that have arrived and not ended.
+	active atomic.Int64
 
 	// mu guards all below.
 	mu         sync.Mutex
@@ -39,6 +42,9 @@
 // SetFault replaces the fault that calls meet.
 func (s *Service) SetFault(f standin.Fault) { s.faults.Set(f) }
 
+// Active returns how many calls have arrived and not ended, executed or not.
+func (s *Service) Active() int64 { return s.active.Load() }
+
 // SetDelay replaces the time that a call takes.
 func (s *Service) SetDelay(d time.Duration) {
 	s.mu.Lock()
@@ -93,6 +99,8 @@
 }
 
 func (s *Service) execute(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
