--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,110 @@
+package gateway_test
+
+import (
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/standin"
+	"github.com/jasminelock/jasminelock/standin/engine"
+)
+
+var contentPattern = regexp.MustCompile(`"content":"([^"]*)"`)
+
+// streamText joins the content of a stream's events.
+func streamText(body string) string {
+	var b strings.Builder
+	for _, m := range contentPattern.FindAllStringSubmatch(body, -1) {
+		b.WriteString(m[1])
+	}
+	return b.String()
+}
+
+// checkStream reports whether a stream is whole, and how it breaks a promise:
+// a whole one ends in [DONE], a cut one in an error event and never in [DONE].
+func checkStream(t *testing.T, r reply) (whole bool) {
+	t.Helper()
+	text := streamText(r.body)
+	require.True(t, strings.HasPrefix(answerText("alice-menu@1"), text), "not the answer's own text: %s", text)
+	done := strings.HasSuffix(r.body, "data: [DONE]\n\n")
+	if done {
+		require.Equal(t, answerText("alice-menu@1"), text)
+		return true
+	}
+	require.NotContains(t, r.body, "[DONE]")
+	require.Contains(t, r.body, `"error"`)
+	require.NotContains(t, r.body, `"ran":"not_run"`)
+	return false
+}
+
+func TestCutStreams(t *testing.T) {
+	slow := engine.Settings{TokenTime: 2 * time.Millisecond}
+	resumable := slow
+	resumable.Resumable = true
+	for name, c := range map[string]struct {
+		settings   engine.Settings
+		faults     engine.Faults
+		whole      bool
+		executions int
+	}{
+		"no fault":                {slow, engine.Faults{}, true, 1},
+		"cut, resumed":            {resumable, engine.Faults{CutAfterTokens: 3}, true, 1},
+		"cut before the end":      {resumable, engine.Faults{CutAfterTokens: 8}, true, 1},
+		"cut, not resumable":      {slow, engine.Faults{CutAfterTokens: 3}, false, 1},
+		"cut before the answer":   {slow, engine.Faults{Call: standin.Fault{Step: standin.AfterExecution, Action: standin.Cut, Times: 1}}, true, 2},
+		"another attempt's":       {slow, engine.Faults{Call: standin.Fault{Step: standin.AfterExecution, Action: standin.Cross, Times: 1}}, true, 2},
+		"refused":                 {slow, engine.Faults{Call: standin.Fault{Step: standin.BeforeExecution, Action: standin.Refuse, Times: 1}}, true, 1},
+		"cut after its beginning": {resumable, engine.Faults{Call: standin.Fault{Step: standin.MidAnswer, Action: standin.Cut, Times: 1}}, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, fleetOptions{engine: c.settings})
+			f.engines[0].SetFaults(c.faults)
+			r := f.must(http.MethodPost, "/v1/chat/completions", streamBody, nil)
+			require.Equal(t, http.StatusOK, r.status, r.body)
+			require.Equal(t, c.whole, checkStream(t, r), r.body)
+			require.Len(t, f.engines[0].Executions(), c.executions)
+		})
+	}
+}
+
+func TestCutWholeAnswersAreMadeAgain(t *testing.T) {
+	for _, step := range standin.Steps() {
+		f := startFleet(t, fleetOptions{engines: 2})
+		for _, e := range f.engines {
+			e.SetFaults(engine.Faults{Call: standin.Fault{Step: step, Action: standin.Cut, Times: 1}})
+		}
+		r := f.must(http.MethodPost, "/v1/chat/completions", chatBody, nil)
+		require.Equal(t, http.StatusOK, r.status, "%s: %s", step, r.body)
+		require.Contains(t, r.body, answerText("alice-menu@1"))
+	}
+}
+
+func TestAttemptIDsAreNeverUsedTwice(t *testing.T) {
+	f := startFleet(t, fleetOptions{hosts: 2})
+	seen := map[string]bool{}
+	for i := range 6 {
+		_, err := f.do(http.MethodPost, f.url(i%2)+"/stock", "x", http.Header{"Authorization": {"Bearer " + aliceKey}})
+		require.NoError(t, err)
+	}
+	for _, c := range f.service.Executions() {
+		require.NotEmpty(t, c.Attempt)
+		require.False(t, seen[c.Attempt])
+		seen[c.Attempt] = true
+	}
+	require.Len(t, seen, 6)
+}
+
+func TestOpenAIClientSeesThatAStreamWasCut(t *testing.T) {
+	f := startFleet(t, fleetOptions{engine: engine.Settings{TokenTime: 2 * time.Millisecond}})
+	f.engines[0].SetFaults(engine.Faults{CutAfterTokens: 2})
+	client := openaiClient(f, aliceKey)
+	stream := client.Chat.Completions.NewStreaming(t.Context(), chatParams("alice-menu"))
+	for stream.Next() {
+	}
+	require.ErrorContains(t, stream.Err(), apierr.AnswerCut.String(), "the client library takes the cut answer for a whole one")
+}
