--- a/core/authorise.go
+++ b/core/authorise.go
@@ -115,18 +115,20 @@
 }
 
 // failure is the error for an attempt that ended the request.
-func (e *entry) failure(a AttemptEnded) *apierr.Error {
+func (e *entry) failure(now time.Time, a AttemptEnded) *apierr.Error {
 	ran := e.machine.Ran()
 	kind := apierr.UpstreamFailed
 	switch {
-	case a.Outcome == request.CallerLeft:
+	case a.Outcome == request.CallerLeft || e.callerLeft:
 		kind = apierr.CallerGone
 	case a.Outcome == request.Rejected:
 		kind = apierr.UpstreamRejected
-	case a.AnswerStarted:
-		kind = apierr.AnswerCut
 	case ran != apierr.NotRun && !e.repeatable():
 		kind = apierr.OutcomeUnknown
+	case a.AnswerStarted:
+		kind = apierr.AnswerCut
+	case !now.Before(e.request.Deadline):
+		kind = apierr.DeadlineExceeded
 	}
 	return e.truthful(apierr.New(kind, "upstream %s", e.upstream))
 }
--- a/core/core.go
+++ b/core/core.go
@@ -8,6 +8,7 @@
 package core
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
@@ -30,6 +31,10 @@
 	freshness freshness
 	// rosterSeen says that the roster, not the host list, tells who is live.
 	rosterSeen bool
+
+	random     *rand.Rand
+	retries    retryBudget
+	backingOff []sched.RequestID
 }
 
 // Options are the parts that a Core is made of.
@@ -37,6 +42,8 @@
 	Board     *blackboard.Board
 	Limiter   limit.Limiter
 	Scheduler sched.Scheduler
+	// Random spreads retries. Nil takes a source with a fixed seed.
+	Random *rand.Rand
 }
 
 // New returns a core without configuration.
@@ -47,6 +54,11 @@
 		scheduler: o.Scheduler,
 		config:    record.NewConfig(),
 		requests:  map[sched.RequestID]*entry{},
+		random:    o.Random,
+		retries:   newRetryBudget(),
+	}
+	if c.random == nil {
+		c.random = rand.New(rand.NewPCG(1, 1))
 	}
 	c.scheduler.UseBudget(&c.budget)
 	c.budget.limiter = o.Limiter
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/gateway"
 	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/sched"
@@ -24,6 +26,9 @@
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
+// callerIdleTimeout is how long a caller's connection is kept without a request.
+const callerIdleTimeout = 2 * time.Minute
+
 // Daemon is one host.
 type Daemon struct {
 	settings *settings.Settings
@@ -33,6 +38,7 @@
 	work     *workQueue
 	platform *platform.Client
 	upstream *upstream.Client
+	outcomes *outcome.Store
 
 	// links carry messages to other hosts. They are nil where listen.peers is empty.
 	links *peer.Links
@@ -66,7 +72,11 @@
 
 		incarnation: uint64(time.Now().UnixMilli()),
 	}
-	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded()})
+	d.outcomes = outcome.New(d.platform, d.platform.Objects())
+	c := core.New(core.Options{
+		Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded(),
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
 	d.runtime = newRuntime(d.log, c, d.work, d.send)
 	var err error
 	var listen net.ListenConfig
@@ -123,6 +133,7 @@
 	group.Go(func() { d.watchConfig(ctx) })
 	group.Go(func() { d.watchHosts(ctx) })
 	group.Go(func() { d.watchUpstreams(ctx) })
+	group.Go(func() { d.sweepOutcomes(ctx) })
 	d.log.Info("serving", "callers", d.CallerURL(), "operators", d.OperatorURL())
 	select {
 	case <-ctx.Done():
@@ -140,16 +151,17 @@
 func (d *Daemon) callerServer() *http.Server {
 	r := d.settings.Requests
 	handler := gateway.New(gateway.Options{
-		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready,
+		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready, Claims: d.outcomes,
 		Limits: gateway.Limits{
 			MaxBodyBytes: r.MaxBodyBytes, MaxHeaderBytes: r.MaxHeaderBytes,
 			ReadTimeout: time.Duration(r.ReadTimeout), RequestTimeout: time.Duration(r.Timeout),
+			WriteTimeout: time.Duration(r.WriteTimeout),
 		},
 	})
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(r.ReadTimeout),
-		ReadTimeout:       time.Duration(r.ReadTimeout),
+		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    r.MaxHeaderBytes,
 	}
 }
