sched: policy scheduler: routing, fair queues, leases, use grants, placement

Cause: the least-loaded baseline scans every upstream and every waiting request at each event, evicts without knowing of other hosts, and shares nothing between organisations. Change: Policy indexes residency by adapter, queues by organisation with virtual token counters, and orders engines only under a lease.

--- /dev/null
+++ b/sched/place.go
@@ -0,0 +1,376 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// Times and bounds of placement.
+const (
+	// wantAge is how long another host's wish for a load is kept. It asks again.
+	wantAge = time.Second
+	// loadAskInterval is how often another host is asked for a load, loadAskAge
+	// how long the same upstream is asked for.
+	loadAskInterval = 400 * time.Millisecond
+	loadAskAge      = 1500 * time.Millisecond
+	// minResidency is how long a loaded adapter is kept at least, so that those
+	// who waited for it can reach it.
+	minResidency = 2 * time.Second
+	// loadFailureBackoff doubles with each failure, up to maxFailureBackoff.
+	loadFailureBackoff = 500 * time.Millisecond
+	maxFailureBackoff  = 30 * time.Second
+	// failuresGivenUp is when the requests that wait are refused.
+	failuresGivenUp = 5
+	// noSlotBackoff is when an engine that had no slot is asked again.
+	noSlotBackoff = 500 * time.Millisecond
+	// candidatesWeighed bounds the engines weighed for one load.
+	candidatesWeighed = 16
+)
+
+// openOrder is an order that has not ended.
+type openOrder struct {
+	view *upstreamView
+	slot *slot
+	op   Operation
+	// load is the group that the evicted adapter's slot is for.
+	load      *group
+	startedAt time.Time
+}
+
+// remoteWant is another host's wish for a load on an upstream of this one.
+type remoteWant struct {
+	view         *upstreamView
+	from         []string
+	organisation string
+	since        time.Time
+	until        time.Time
+}
+
+// demandFor is one group that should be loaded.
+type demandFor struct {
+	group        *group
+	organisation string
+	cold         bool
+	batch        bool
+	since        time.Time
+	// on is the upstream asked for by another host, nil for this host's own.
+	on *upstreamView
+}
+
+// place gives out loads: first to what cannot be served at all, the
+// organisation with the fewest loads first.
+func (p *Policy) place(now time.Time) {
+	clear(p.refused)
+	var wanted []demandFor
+	for g := range p.hungry {
+		if d, ok := p.needsLoad(now, g); ok {
+			wanted = append(wanted, d)
+		}
+	}
+	for g, w := range p.wants {
+		if !now.Before(w.until) || w.view.slots[g] != nil {
+			delete(p.wants, g)
+			continue
+		}
+		wanted = append(wanted, demandFor{group: g, organisation: w.organisation, cold: true, since: w.since, on: w.view})
+	}
+	slices.SortFunc(wanted, p.compareDemand)
+	for _, d := range wanted {
+		if _, refused := p.refused[d.group.model]; !refused {
+			p.tryLoad(now, d)
+		}
+	}
+}
+
+// placeOne tries to load a group as soon as a request for it has arrived.
+func (p *Policy) placeOne(now time.Time, g *group) {
+	if _, refused := p.refused[g.model]; refused {
+		return
+	}
+	if d, ok := p.needsLoad(now, g); ok {
+		p.tryLoad(now, d)
+	}
+}
+
+func (p *Policy) compareDemand(a, b demandFor) int {
+	if a.cold != b.cold {
+		if a.cold {
+			return -1
+		}
+		return 1
+	}
+	if a.batch != b.batch {
+		if b.batch {
+			return -1
+		}
+		return 1
+	}
+	if c := cmp.Compare(p.loadsOf(a.organisation), p.loadsOf(b.organisation)); c != 0 {
+		return c
+	}
+	if c := a.since.Compare(b.since); c != 0 {
+		return c
+	}
+	if c := strings.Compare(a.group.name, b.group.name); c != 0 || a.on == b.on {
+		return c
+	}
+	if a.on == nil {
+		return -1
+	}
+	return 1
+}
+
+// loadsOf is an organisation's counter of loads. One that has had none for long
+// starts from the counter of the organisation that was last served.
+func (p *Policy) loadsOf(org string) float64 { return max(p.loads[org], p.loadClock) }
+
+func (p *Policy) chargeLoad(org string) {
+	p.loadClock = max(p.loadClock, p.loads[org])
+	p.loads[org] = p.loadsOf(org) + 1
+}
+
+// needsLoad reports whether a group should be loaded: nothing that holds it can
+// serve, or waiting for what does costs more than another load.
+func (p *Policy) needsLoad(now time.Time, g *group) (demandFor, bool) {
+	if g.ref.Name == "" || g.queue.Len() == 0 {
+		return demandFor{}, false
+	}
+	for _, s := range g.slots {
+		if s.state == slotLoading && s.view.usable(now) {
+			return demandFor{}, false
+		}
+	}
+	head := g.queue.Head(now)
+	wait, served := p.queueWait(now, g, &head.Value.request)
+	if served && wait <= p.loadCost(g.model) {
+		g.coldSince = time.Time{}
+		return demandFor{}, false
+	}
+	if g.coldSince.IsZero() {
+		g.coldSince = now
+	}
+	return demandFor{group: g, organisation: head.Organisation, cold: !served, batch: head.Batch, since: g.coldSince}, true
+}
+
+// loadCost is the time that a load takes, with the wait for the weight store.
+func (p *Policy) loadCost(model string) time.Duration {
+	cost := p.loadTime.or(guessedLoad)
+	if m, ok := p.config.Model(model); ok && m.LoadsPerSecond > 0 {
+		cost += time.Duration(float64(time.Second) / m.LoadsPerSecond)
+	}
+	return cost
+}
+
+// tryLoad orders the load, or asks the upstream's owner for it.
+func (p *Policy) tryLoad(now time.Time, d demandFor) {
+	v := d.on
+	if v == nil {
+		v = p.target(now, d.group)
+	}
+	if v == nil {
+		return
+	}
+	if v.lease.mine() {
+		if p.startLoad(now, d.group, v) {
+			p.chargeLoad(d.organisation)
+		}
+		return
+	}
+	owner := p.ownerOf(v)
+	if owner == "" || (!d.group.askedLoad.IsZero() && now.Sub(d.group.askedLoad) < loadAskInterval) {
+		return
+	}
+	d.group.askedLoad = now
+	if d.group.askedOn != v {
+		d.group.askedOn, d.group.askedFirst = v, now
+	}
+	ask := p.askTo(owner)
+	ask.Loads = append(ask.Loads, wire.Use{
+		Upstream: v.record.Name, Adapter: d.group.name, Requests: d.group.queue.Len(),
+		Organisation: d.organisation, Extra: !d.cold,
+	})
+}
+
+// want takes another host's wish for a load.
+func (p *Policy) want(now time.Time, from string, v *upstreamView, load wire.Use) {
+	g := p.groupNamed(load.Adapter, v.record.Model)
+	if g == nil {
+		return
+	}
+	if _, ok := p.config.Version(g.ref); !ok {
+		return
+	}
+	if p.onItsWay(now, from, g, v, load.Extra) {
+		return
+	}
+	w, ok := p.wants[g]
+	if !ok {
+		w = remoteWant{view: v, organisation: load.Organisation, since: now}
+		g.demand.add(now, float64(load.Requests))
+	}
+	w.until = now.Add(wantAge)
+	if !slices.Contains(w.from, from) {
+		w.from = append(w.from, from)
+	}
+	p.wants[g] = w
+	if _, refused := p.refused[g.model]; !refused {
+		p.tryLoad(now, demandFor{group: g, organisation: w.organisation, cold: true, since: w.since, on: w.view})
+	}
+}
+
+// onItsWay reports whether another host's wish has been met: the adapter is
+// there, or on another upstream where a first replica was asked for.
+func (p *Policy) onItsWay(now time.Time, from string, g *group, v *upstreamView, extra bool) bool {
+	for _, s := range g.slots {
+		if !s.view.usable(now) || s.state == slotRetiring || (extra && s.view != v) {
+			continue
+		}
+		if s.state == slotResident {
+			p.tellLoaded(s, []string{from})
+			return true
+		}
+		if s.view != v {
+			return true
+		}
+	}
+	return false
+}
+
+// target chooses the engine to load a group on: the one whose slot costs least.
+func (p *Policy) target(now time.Time, g *group) *upstreamView {
+	if v := g.askedOn; v != nil && now.Sub(g.askedFirst) < loadAskAge && p.loadable(now, g, v) && !v.lease.mine() {
+		return v
+	}
+	g.askedOn = nil
+	views := p.engines[g.model]
+	head := g.queue.Head(now)
+	var best *upstreamView
+	least := 0.0
+	start := xxhash.Sum64String(g.name)
+	for i := range min(len(views), candidatesWeighed) {
+		v := views[(start+uint64(i))%uint64(len(views))]
+		if !p.loadable(now, g, v) || (head != nil && slices.Contains(head.Value.request.Avoid, v.record.Name)) {
+			continue
+		}
+		cost, ok := p.slotCost(now, v)
+		if ok && (best == nil || cost < least) {
+			best, least = v, cost
+		}
+	}
+	return best
+}
+
+// loadable reports whether a group may be loaded on an engine now.
+func (p *Policy) loadable(now time.Time, g *group, v *upstreamView) bool {
+	switch {
+	case v.slots[g] != nil, v.loading != nil, !v.usable(now), now.Before(v.fullUntil), now.Before(g.retryAt[v.record.Name]):
+		return false
+	}
+	return v.lease.mine() || p.ownerOf(v) != ""
+}
+
+// slotCost weighs the demand that an eviction would hurt and how full the
+// engine's batch is.
+func (p *Policy) slotCost(now time.Time, v *upstreamView) (float64, bool) {
+	price := p.priceOf(now, v)
+	cost := float64(v.inFlight+v.others) / float64(max(v.record.MaxBatch, 1))
+	if price.free > 0 {
+		return cost, true
+	}
+	return cost + 1 + price.demand, !price.blocked
+}
+
+// priceOf returns what a slot costs: for this host's upstreams by its own
+// knowledge, for others as their owner has told.
+func (p *Policy) priceOf(now time.Time, v *upstreamView) slotPrice {
+	if !v.lease.mine() {
+		if now.Sub(v.price.at) <= priceAge {
+			return v.price
+		}
+		return slotPrice{free: v.free()}
+	}
+	price := slotPrice{at: now, free: v.free()}
+	if price.free > 0 {
+		return price
+	}
+	s := p.victim(now, v)
+	if s == nil {
+		price.blocked = true
+		return price
+	}
+	price.demand = slotDemand(now, s)
+	return price
+}
+
+func (p *Policy) ownPrices(now time.Time) []wire.SlotPrice {
+	var out []wire.SlotPrice
+	for _, l := range p.leaseOrder {
+		if !l.mine() {
+			continue
+		}
+		for _, v := range l.views {
+			price := p.priceOf(now, v)
+			out = append(out, wire.SlotPrice{Upstream: v.record.Name, Free: price.free, Demand: price.demand, Blocked: price.blocked || v.loading != nil})
+		}
+	}
+	return out
+}
+
+func (p *Policy) takePrices(now time.Time, prices []wire.SlotPrice) {
+	for _, told := range prices {
+		if v, ok := p.upstreams[told.Upstream]; ok {
+			v.price = slotPrice{at: now, free: told.Free, demand: told.Demand, blocked: told.Blocked}
+		}
+	}
+}
+
+// slotDemand is the demand that an eviction would hurt. Replicas share it.
+func slotDemand(now time.Time, s *slot) float64 {
+	return s.group.demand.read(now) / float64(max(len(s.group.slots), 1))
+}
+
+// victim returns the adapter that an engine can drop at the least cost, nil
+// where none may go.
+func (p *Policy) victim(now time.Time, v *upstreamView) *slot {
+	if !p.mayEvict(now, v) {
+		return nil
+	}
+	var best *slot
+	least := 0.0
+	for _, s := range v.slots {
+		if !p.idle(now, s) {
+			continue
+		}
+		cost := slotDemand(now, s)
+		if best == nil || cost < least || (cost == least && compareIdle(s, best) < 0) {
+			best, least = s, cost
+		}
+	}
+	return best
+}
+
+func compareIdle(a, b *slot) int {
+	if c := a.lastUsed.Compare(b.lastUsed); c != 0 {
+		return c
+	}
+	return strings.Compare(a.group.name, b.group.name)
+}
+
+// idle reports whether it is certain that no host uses an adapter: no request
+// of this host is in flight, no grant is valid, and a report made after the
+// last of them could have arrived counts no request.
+func (p *Policy) idle(now time.Time, s *slot) bool {
+	switch {
+	case s.state != slotResident, s.inFlight > 0, s.busy, s.group.queue.Len() > 0:
+		return false
+	case now.Before(s.grantedUntil), s.view.reportedAt.Before(s.doubtUntil):
+		return false
+	}
+	return now.Sub(s.since) >= minResidency
+}
--- /dev/null
+++ b/sched/routing.go
@@ -0,0 +1,186 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+// Estimates that are used until an upstream has been measured.
+const (
+	guessedFirstToken = 60 * time.Millisecond
+	guessedHold       = 2 * time.Second
+	guessedLoad       = 300 * time.Millisecond
+)
+
+// zoneCost is the way to another zone and back.
+const zoneCost = 3 * time.Millisecond
+
+// prefixGain is the part of the time to the first token that a cached prefix
+// saves, as one in so many.
+const prefixGain = 2
+
+// alternativesLogged bounds the alternatives named in a reason.
+const alternativesLogged = 4
+
+// best returns the resident upstream with the least expected time to the first
+// token that can take the request now, nil where there is none.
+func (p *Policy) best(now time.Time, g *group, r *Request) (*slot, time.Duration) {
+	var best *slot
+	var least time.Duration
+	for _, s := range g.slots {
+		if s.view.room() <= 0 || !p.serves(now, s, r) {
+			continue
+		}
+		expected := p.expected(s, r)
+		if best == nil || expected < least || (expected == least && s.view.record.Name < best.view.record.Name) {
+			best, least = s, expected
+		}
+	}
+	return best, least
+}
+
+// serves reports whether a slot may be given the request. Where only the grant
+// is missing, it is asked for.
+func (p *Policy) serves(now time.Time, s *slot, r *Request) bool {
+	if s.state != slotResident || !s.view.usable(now) || slices.Contains(r.Avoid, s.view.record.Name) {
+		return false
+	}
+	if p.mayUse(now, s) {
+		return true
+	}
+	p.askUse(now, s)
+	return false
+}
+
+// expected returns the expected time to the first token on a resident upstream.
+func (p *Policy) expected(s *slot, r *Request) time.Duration {
+	v := s.view
+	first := v.first.or(guessedFirstToken)
+	load := v.inFlight + v.others
+	batch := max(v.record.MaxBatch, 1)
+	expected := first + first*time.Duration(load)/time.Duration(batch)
+	if over := load - batch + 1; over > 0 {
+		expected += v.hold.or(guessedHold) * time.Duration(over) / time.Duration(batch)
+	}
+	if v.prefixes.has(r.Prefix) {
+		expected -= first / prefixGain
+	}
+	if v.record.Zone != p.zone {
+		expected += zoneCost
+	}
+	return expected
+}
+
+// queueWait is how long the requests that wait for a group will wait on its
+// residents, and whether it has any that can serve.
+func (p *Policy) queueWait(now time.Time, g *group, r *Request) (time.Duration, bool) {
+	perSecond := 0.0
+	for _, s := range g.slots {
+		if !p.canServe(now, s, r) {
+			continue
+		}
+		v := s.view
+		// Other adapters of the engine have a part of its batch.
+		share := float64(max(v.record.MaxBatch, 1)) / float64(1+p.waitingOn(v))
+		perSecond += share / v.hold.or(guessedHold).Seconds()
+	}
+	if perSecond == 0 {
+		return 0, false
+	}
+	return time.Duration(float64(g.queue.Len()) / perSecond * float64(time.Second)), true
+}
+
+// waitingOn counts the adapters of an engine that have requests waiting.
+func (p *Policy) waitingOn(v *upstreamView) int {
+	n := 0
+	for _, s := range v.slots {
+		if s.group.queue.Len() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// canServe reports whether a slot serves the request now or as soon as there is
+// room, its grant being on the way.
+func (p *Policy) canServe(now time.Time, s *slot, r *Request) bool {
+	if s.state != slotResident || !s.view.usable(now) || slices.Contains(r.Avoid, s.view.record.Name) {
+		return false
+	}
+	return p.mayUse(now, s) || !s.use.overdue(now)
+}
+
+// explain names what was weighed for a request.
+func (p *Policy) explain(now time.Time, g *group, r *Request) Reason {
+	why := Reason{Rule: "expected_first_token"}
+	if len(g.slots) == 0 {
+		why.Rule = "wait_for_load"
+		return why
+	}
+	why.Alternatives = make([]Alternative, 0, min(len(g.slots), alternativesLogged))
+	for _, s := range g.slots {
+		a := Alternative{Upstream: s.view.record.Name, Expected: p.expected(s, r), Note: p.note(now, s, r)}
+		at, _ := slices.BinarySearchFunc(why.Alternatives, a, compareAlternatives)
+		if len(why.Alternatives) == alternativesLogged {
+			if at == alternativesLogged {
+				continue
+			}
+			why.Alternatives = why.Alternatives[:alternativesLogged-1]
+		}
+		why.Alternatives = slices.Insert(why.Alternatives, at, a)
+	}
+	return why
+}
+
+func compareAlternatives(a, b Alternative) int {
+	if (a.Note == noteResident) != (b.Note == noteResident) {
+		if a.Note == noteResident {
+			return -1
+		}
+		return 1
+	}
+	return int(a.Expected - b.Expected)
+}
+
+// noteResident is the note of an upstream that can serve at once.
+const noteResident = "resident"
+
+// note says what stands against a slot.
+func (p *Policy) note(now time.Time, s *slot, r *Request) string {
+	v := s.view
+	switch {
+	case v.record.Leaving:
+		return "leaving"
+	case v.unreachable:
+		return "unreachable"
+	case !v.usable(now):
+		return "silent"
+	case slices.Contains(r.Avoid, v.record.Name):
+		return "failed the request"
+	case s.state == slotLoading:
+		return "loading"
+	case s.state == slotRetiring:
+		return "retiring"
+	case !p.mayUse(now, s):
+		return "no use grant"
+	case v.room() <= 0:
+		return "full"
+	}
+	return noteResident
+}
+
+// Explain implements Scheduler.
+func (p *Policy) Explain(now time.Time, r Request) Reason {
+	g := p.pools[r.Pool]
+	if r.Pool == "" {
+		g = p.adapters[r.Adapter]
+	}
+	if g == nil {
+		return Reason{Rule: "wait_for_load"}
+	}
+	why := p.explain(now, g, &r)
+	if len(why.Alternatives) > 0 && why.Alternatives[0].Note != noteResident {
+		why.Rule = "wait"
+	}
+	return why
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -117,7 +117,10 @@
 	Role      string
 	// Fence is the fencing number of the lease the order is given under.
 	Fence int64
-	Why   Reason
+	// Before is when the order must have ended, zero for no bound. It is not
+	// sent after that, and given up if it still runs.
+	Before time.Time
+	Why    Reason
 }
 
 // Send sends a message to another host.
--- /dev/null
+++ b/sched/view.go
@@ -0,0 +1,231 @@
+package sched
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/sched/fair"
+)
+
+// waitingRequest is a request that no upstream has been given.
+type waitingRequest struct {
+	request Request
+	group   *group
+	entry   *fair.Entry[*waitingRequest]
+}
+
+// group is what requests are queued for: one adapter version, or one pool of
+// plain services.
+type group struct {
+	ref   record.AdapterRef
+	name  string
+	model string
+	slots []*slot
+	queue *fair.Queue[*waitingRequest]
+	// demand counts requests, old ones less and less.
+	demand decayed
+	// failures counts loads that have failed one after another.
+	failures int
+	// retryAt is when an upstream may be asked again after a failed load.
+	retryAt map[string]time.Time
+	// askedLoad is when another host was last asked to load it, askedOn where,
+	// and askedFirst when that upstream was first asked for.
+	askedLoad  time.Time
+	askedOn    *upstreamView
+	askedFirst time.Time
+	// coldSince is when the oldest waiting request began to wait for a load.
+	coldSince time.Time
+}
+
+// slotState is where an adapter stands on an engine.
+type slotState uint8
+
+const (
+	slotLoading slotState = iota
+	slotResident
+	slotRetiring // an order to evict it has been given
+)
+
+// slot is one adapter on one engine, or one pool's place on a plain service.
+type slot struct {
+	group *group
+	view  *upstreamView
+	state slotState
+	// since is when the state was entered.
+	since time.Time
+	// order is this host's open order, 0 where there is none.
+	order OrderID
+	// inFlight counts this host's requests.
+	inFlight int
+	// busy says that the last report counted requests.
+	busy bool
+	// use is this host's grant, where another host owns the upstream.
+	use useGrant
+	// grantedUntil is when the last grant given to another host has run out.
+	grantedUntil time.Time
+	// doubtUntil is the earliest report that can prove the adapter idle.
+	doubtUntil time.Time
+	lastUsed   time.Time
+}
+
+// upstreamView is what this host knows of an upstream.
+type upstreamView struct {
+	record *record.Upstream
+	// lease is that of the upstream's group, nil for a plain service.
+	lease       *leaseState
+	incarnation string
+	reportedAt  time.Time
+	unreachable bool
+	// inFlight counts this host's requests, others those of other hosts.
+	inFlight int
+	others   int
+	slots    map[*group]*slot
+	// gone holds when adapters were unloaded, since reports lag behind.
+	gone map[*group]time.Time
+	// loading is the group that a slot is being freed or filled for.
+	loading *group
+	// fullUntil is when to ask again after the engine had no slot.
+	fullUntil time.Time
+	// first and hold are the usual times to the first token and to the end.
+	first average
+	hold  average
+	// prefixes are the prompt prefixes believed to be cached.
+	prefixes prefixCache
+	// role is the role last reported.
+	role string
+	// raised is the fencing number of this host that the engine has accepted.
+	raised int64
+	// raising is the open order that raises it.
+	raising OrderID
+	// price is what a slot costs, as its owner last told.
+	price slotPrice
+}
+
+// slotPrice is what a slot of an engine costs: the demand for the adapter that
+// would have to go.
+type slotPrice struct {
+	at     time.Time
+	free   int
+	demand float64
+	// blocked says that nothing can go now.
+	blocked bool
+}
+
+// room returns how many more requests the upstream can run at once.
+func (v *upstreamView) room() int {
+	if v.record.MaxBatch <= 0 {
+		return math.MaxInt32
+	}
+	return v.record.MaxBatch - v.inFlight - v.others
+}
+
+// usable reports whether the upstream may get new work.
+func (v *upstreamView) usable(now time.Time) bool {
+	return !v.record.Leaving && !v.unreachable && !v.reportedAt.IsZero() && now.Sub(v.reportedAt) <= reportMaxAge
+}
+
+// free returns how many adapter slots are empty.
+func (v *upstreamView) free() int { return v.record.AdapterSlots - len(v.slots) }
+
+func (v *upstreamView) addSlot(g *group, state slotState, now time.Time) *slot {
+	s := &slot{group: g, view: v, state: state, since: now, lastUsed: now}
+	v.slots[g] = s
+	g.slots = append(g.slots, s)
+	return s
+}
+
+func (v *upstreamView) dropSlot(s *slot, now time.Time) {
+	if v.slots[s.group] != s {
+		return
+	}
+	delete(v.slots, s.group)
+	s.group.slots = slices.DeleteFunc(s.group.slots, func(o *slot) bool { return o == s })
+	v.gone[s.group] = now
+}
+
+// average is an exponentially weighted moving average of durations.
+type average time.Duration
+
+// averageWeight is the part of each new value, as one in so many.
+const averageWeight = 8
+
+func (a *average) add(d time.Duration) {
+	if *a == 0 {
+		*a = average(d)
+		return
+	}
+	*a += (average(d) - *a) / averageWeight
+}
+
+// or returns the average, or fallback where nothing has been added.
+func (a average) or(fallback time.Duration) time.Duration {
+	if a == 0 {
+		return fallback
+	}
+	return time.Duration(a)
+}
+
+// demandHalfLife is when a past request counts half.
+const demandHalfLife = 120 * time.Second
+
+// decayed is a count that halves with time.
+type decayed struct {
+	value float64
+	at    time.Time
+}
+
+func (d *decayed) add(now time.Time, n float64) {
+	d.value = d.read(now) + n
+	d.at = now
+}
+
+func (d *decayed) read(now time.Time) float64 {
+	if d.value == 0 {
+		return 0
+	}
+	return d.value * math.Exp2(-float64(now.Sub(d.at))/float64(demandHalfLife))
+}
+
+// prefixLimit bounds the prefixes remembered of one engine.
+const prefixLimit = 256
+
+// prefixCache is a bounded set of prompt prefixes, the oldest leaving first.
+type prefixCache struct {
+	known map[uint64]struct{}
+	order []uint64
+	next  int
+}
+
+func (c *prefixCache) add(prefix uint64) {
+	if prefix == 0 {
+		return
+	}
+	if c.known == nil {
+		c.known = map[uint64]struct{}{}
+	}
+	if _, ok := c.known[prefix]; ok {
+		return
+	}
+	c.known[prefix] = struct{}{}
+	if len(c.order) < prefixLimit {
+		c.order = append(c.order, prefix)
+		return
+	}
+	delete(c.known, c.order[c.next])
+	c.order[c.next] = prefix
+	c.next = (c.next + 1) % prefixLimit
+}
+
+func (c *prefixCache) remove(prefix uint64) { delete(c.known, prefix) }
+
+func (c *prefixCache) has(prefix uint64) bool {
+	_, ok := c.known[prefix]
+	return ok && prefix != 0
+}
+
+func (c *prefixCache) clear() {
+	clear(c.known)
+	c.order, c.next = c.order[:0], 0
+}
