sched: the host that waits takes the load budget and picks the slot

Cause: an owner kept other hosts' wishes until it had budget, on the upstream that was chosen when there was none yet. Change: the asking host takes the budget, and only then picks the cheapest slot by the prices that owners tell; an owner starts the load at once or says busy.

--- a/sched/orders.go
+++ b/sched/orders.go
@@ -8,12 +8,11 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/upstream"
-	"github.com/jasminelock/jasminelock/wire"
 )
 
 // startLoad loads a group on an upstream of this host, and reports whether an
-// order was given. The budget is taken before anything is evicted.
-func (p *Policy) startLoad(now time.Time, g *group, v *upstreamView) bool {
+// order was given. The budget has been taken, by another host where paid is set.
+func (p *Policy) startLoad(now time.Time, g *group, v *upstreamView, paid bool) bool {
 	if !p.loadable(now, g, v) {
 		return false
 	}
@@ -23,26 +22,25 @@
 			return false
 		}
 	}
-	if !p.budget.TakeLoad(now, g.model) {
-		p.refused[g.model] = now
-		return false
-	}
 	v.loading = g
 	if victim == nil {
-		p.loadInto(now, g, v, "free_slot")
+		p.loadInto(now, g, v, paid, "free_slot")
 		return true
 	}
 	victim.state, victim.since = slotRetiring, now
 	id := p.order(now, v, Unload, victim, "least_demand")
 	o := p.orders[id]
-	o.load = g
+	o.load, o.paid = g, paid
 	p.orders[id] = o
 	return true
 }
 
-func (p *Policy) loadInto(now time.Time, g *group, v *upstreamView, rule string) {
+func (p *Policy) loadInto(now time.Time, g *group, v *upstreamView, paid bool, rule string) {
 	s := v.addSlot(g, slotLoading, now)
 	s.order = p.order(now, v, Load, s, rule)
+	o := p.orders[s.order]
+	o.paid = paid
+	p.orders[s.order] = o
 }
 
 func (p *Policy) order(now time.Time, v *upstreamView, op Operation, s *slot, rule string) OrderID {
@@ -110,71 +108,48 @@
 	v.dropSlot(o.slot, now)
 	if err != nil || !v.lease.mine() {
 		delete(v.gone, o.slot.group)
-		p.releaseLoad(now, v, o.load)
+		p.releaseLoad(now, o, o.load)
+		p.tellEnd(o.load, v, false)
 		return
 	}
-	p.loadInto(now, o.load, v, "slot_freed")
+	p.loadInto(now, o.load, v, o.paid, "slot_freed")
 }
 
-func (p *Policy) releaseLoad(now time.Time, v *upstreamView, g *group) {
-	v.loading = nil
-	p.budget.LoadEnded(now, g.model)
+// releaseLoad ends a load's claim on the engine and gives its budget back.
+func (p *Policy) releaseLoad(now time.Time, o openOrder, g *group) {
+	o.view.loading = nil
+	if !o.paid {
+		p.budget.LoadEnded(now, g.model)
+	}
 }
 
 func (p *Policy) loadEnded(now time.Time, o openOrder, err error) {
 	s, v := o.slot, o.view
 	g := s.group
 	s.order = 0
-	p.releaseLoad(now, v, g)
+	p.releaseLoad(now, o, g)
 	if err == nil {
 		p.loadTime.add(now.Sub(o.startedAt))
+		p.tellEnd(g, v, true)
 		p.becomeResident(now, s)
-		p.tellLoaded(s, p.wants[g].from)
-		delete(p.wants, g)
 		return
 	}
 	v.dropSlot(s, now)
-	if errors.Is(err, upstream.ErrNoSlot) {
+	p.tellEnd(g, v, false)
+	switch {
+	case errors.Is(err, upstream.ErrNoSlot):
 		v.fullUntil = now.Add(noSlotBackoff)
-		return
-	}
-	if !errors.Is(err, upstream.ErrFenced) {
-		p.loadFailed(now, g, v)
+	case !errors.Is(err, upstream.ErrFenced):
+		p.backOff(now, g, v)
 	}
 }
 
-// loadFailed keeps the adapter off the upstream for a while; others are tried
-// at once. After several failures those who wait are told.
-func (p *Policy) loadFailed(now time.Time, g *group, v *upstreamView) {
-	backoff := min(loadFailureBackoff<<min(g.failures, 6), maxFailureBackoff)
+// backOff keeps an adapter whose load has failed off the upstream for a while;
+// others are tried at once. After several failures those who wait are told.
+func (p *Policy) backOff(now time.Time, g *group, v *upstreamView) {
+	backoff := min(loadFailureBackoff<<min(g.failures, maxDoublings), maxFailureBackoff)
 	g.failures++
 	g.retryAt[v.record.Name] = now.Add(backoff)
-	w, wanted := p.wants[g]
-	delete(p.wants, g)
-	if wanted {
-		use := wire.Use{Upstream: v.record.Name, Adapter: g.name, Requests: g.failures}
-		for _, h := range w.from {
-			p.send(h, &wire.UseAnswer{Failed: []wire.Use{use}})
-		}
-	}
-	p.giveUp(now, g, backoff)
-}
-
-// remoteFailed takes an owner's word that a load has failed.
-func (p *Policy) remoteFailed(now time.Time, use wire.Use) {
-	g, ok := p.names[use.Adapter]
-	if !ok {
-		return
-	}
-	g.failures++
-	backoff := min(loadFailureBackoff<<min(g.failures, 6), maxFailureBackoff)
-	g.retryAt[use.Upstream] = now.Add(backoff)
-	g.askedLoad = time.Time{}
-	p.giveUp(now, g, backoff)
-}
-
-// giveUp refuses what waits for an adapter that cannot be loaded.
-func (p *Policy) giveUp(now time.Time, g *group, backoff time.Duration) {
 	if g.failures < failuresGivenUp {
 		return
 	}
@@ -183,10 +158,3 @@
 		p.drop(now, g.queue.Head(now).Value, err, "load_failed")
 	}
 }
-
-func (p *Policy) tellLoaded(s *slot, hosts []string) {
-	use := wire.Use{Upstream: s.view.record.Name, Adapter: s.group.name}
-	for _, h := range hosts {
-		p.send(h, &wire.UseAnswer{Loaded: []wire.Use{use}})
-	}
-}
--- a/sched/place.go
+++ b/sched/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -13,18 +14,13 @@
 
 // Times and bounds of placement.
 const (
-	// wantAge is how long another host's wish for a load is kept. It asks again.
-	wantAge = time.Second
-	// loadAskInterval is how often another host is asked for a load, loadAskAge
-	// how long the same upstream is asked for.
-	loadAskInterval = 400 * time.Millisecond
-	loadAskAge      = 1500 * time.Millisecond
 	// minResidency is how long a loaded adapter is kept at least, so that those
 	// who waited for it can reach it.
 	minResidency = 2 * time.Second
 	// loadFailureBackoff doubles with each failure, up to maxFailureBackoff.
 	loadFailureBackoff = 500 * time.Millisecond
 	maxFailureBackoff  = 30 * time.Second
+	maxDoublings       = 6
 	// failuresGivenUp is when the requests that wait are refused.
 	failuresGivenUp = 5
 	// noSlotBackoff is when an engine that had no slot is asked again.
@@ -38,20 +34,13 @@
 	view *upstreamView
 	slot *slot
 	op   Operation
+	// paid says that another host has taken the budget.
+	paid bool
 	// load is the group that the evicted adapter's slot is for.
 	load      *group
 	startedAt time.Time
 }
 
-// remoteWant is another host's wish for a load on an upstream of this one.
-type remoteWant struct {
-	view         *upstreamView
-	from         []string
-	organisation string
-	since        time.Time
-	until        time.Time
-}
-
 // demandFor is one group that should be loaded.
 type demandFor struct {
 	group        *group
@@ -59,8 +48,6 @@
 	cold         bool
 	batch        bool
 	since        time.Time
-	// on is the upstream asked for by another host, nil for this host's own.
-	on *upstreamView
 }
 
 // place gives out loads: first to what cannot be served at all, the
@@ -73,13 +60,6 @@
 			wanted = append(wanted, d)
 		}
 	}
-	for g, w := range p.wants {
-		if !now.Before(w.until) || w.view.slots[g] != nil {
-			delete(p.wants, g)
-			continue
-		}
-		wanted = append(wanted, demandFor{group: g, organisation: w.organisation, cold: true, since: w.since, on: w.view})
-	}
 	slices.SortFunc(wanted, p.compareDemand)
 	for _, d := range wanted {
 		if _, refused := p.refused[d.group.model]; !refused {
@@ -117,13 +97,7 @@
 	if c := a.since.Compare(b.since); c != 0 {
 		return c
 	}
-	if c := strings.Compare(a.group.name, b.group.name); c != 0 || a.on == b.on {
-		return c
-	}
-	if a.on == nil {
-		return -1
-	}
-	return 1
+	return strings.Compare(a.group.name, b.group.name)
 }
 
 // loadsOf is an organisation's counter of loads. One that has had none for long
@@ -138,7 +112,7 @@
 // needsLoad reports whether a group should be loaded: nothing that holds it can
 // serve, or waiting for what does costs more than another load.
 func (p *Policy) needsLoad(now time.Time, g *group) (demandFor, bool) {
-	if g.ref.Name == "" || g.queue.Len() == 0 {
+	if g.ref.Name == "" || g.queue.Len() == 0 || g.remote != nil {
 		return demandFor{}, false
 	}
 	for _, s := range g.slots {
@@ -167,87 +141,28 @@
 	return cost
 }
 
-// tryLoad orders the load, or asks the upstream's owner for it.
+// tryLoad takes the budget of a load and orders it, or asks the upstream's owner
+// to. The target is chosen only when there is budget, by what is known then.
 func (p *Policy) tryLoad(now time.Time, d demandFor) {
-	v := d.on
-	if v == nil {
-		v = p.target(now, d.group)
-	}
+	v := p.target(now, d.group)
 	if v == nil {
 		return
 	}
-	if v.lease.mine() {
-		if p.startLoad(now, d.group, v) {
-			p.chargeLoad(d.organisation)
-		}
-		return
-	}
-	owner := p.ownerOf(v)
-	if owner == "" || (!d.group.askedLoad.IsZero() && now.Sub(d.group.askedLoad) < loadAskInterval) {
-		return
-	}
-	d.group.askedLoad = now
-	if d.group.askedOn != v {
-		d.group.askedOn, d.group.askedFirst = v, now
-	}
-	ask := p.askTo(owner)
-	ask.Loads = append(ask.Loads, wire.Use{
-		Upstream: v.record.Name, Adapter: d.group.name, Requests: d.group.queue.Len(),
-		Organisation: d.organisation, Extra: !d.cold,
-	})
-}
-
-// want takes another host's wish for a load.
-func (p *Policy) want(now time.Time, from string, v *upstreamView, load wire.Use) {
-	g := p.groupNamed(load.Adapter, v.record.Model)
-	if g == nil {
-		return
-	}
-	if _, ok := p.config.Version(g.ref); !ok {
-		return
-	}
-	if p.onItsWay(now, from, g, v, load.Extra) {
+	if !p.budget.TakeLoad(now, d.group.model) {
+		p.refused[d.group.model] = now
 		return
 	}
-	w, ok := p.wants[g]
-	if !ok {
-		w = remoteWant{view: v, organisation: load.Organisation, since: now}
-		g.demand.add(now, float64(load.Requests))
-	}
-	w.until = now.Add(wantAge)
-	if !slices.Contains(w.from, from) {
-		w.from = append(w.from, from)
-	}
-	p.wants[g] = w
-	if _, refused := p.refused[g.model]; !refused {
-		p.tryLoad(now, demandFor{group: g, organisation: w.organisation, cold: true, since: w.since, on: w.view})
-	}
-}
-
-// onItsWay reports whether another host's wish has been met: the adapter is
-// there, or on another upstream where a first replica was asked for.
-func (p *Policy) onItsWay(now time.Time, from string, g *group, v *upstreamView, extra bool) bool {
-	for _, s := range g.slots {
-		if !s.view.usable(now) || s.state == slotRetiring || (extra && s.view != v) {
-			continue
-		}
-		if s.state == slotResident {
-			p.tellLoaded(s, []string{from})
-			return true
-		}
-		if s.view != v {
-			return true
-		}
+	p.chargeLoad(d.organisation)
+	switch {
+	case !v.lease.mine():
+		p.askLoad(now, d.group, v, d.organisation)
+	case !p.startLoad(now, d.group, v, false):
+		p.budget.LoadEnded(now, d.group.model)
 	}
-	return false
 }
 
 // target chooses the engine to load a group on: the one whose slot costs least.
 func (p *Policy) target(now time.Time, g *group) *upstreamView {
-	if v := g.askedOn; v != nil && now.Sub(g.askedFirst) < loadAskAge && p.loadable(now, g, v) && !v.lease.mine() {
-		return v
-	}
-	g.askedOn = nil
 	views := p.engines[g.model]
 	head := g.queue.Head(now)
 	var best *upstreamView
@@ -330,9 +245,21 @@
 	}
 }
 
-// slotDemand is the demand that an eviction would hurt. Replicas share it.
+// recentRate is the rate of requests expected of an adapter that has just been
+// used, recentLife how fast that expectation fades.
+const (
+	recentRate = 0.05 // a second
+	recentLife = 15 * time.Second
+)
+
+// slotDemand is the rate of requests that an eviction would hurt: that expected
+// of a user who has just been served, and the adapter's usual one. Replicas
+// share it.
 func slotDemand(now time.Time, s *slot) float64 {
-	return s.group.demand.read(now) / float64(max(len(s.group.slots), 1))
+	idle := now.Sub(later(s.lastUsed, s.group.lastUsed))
+	recent := recentRate * math.Exp(-float64(idle)/float64(recentLife))
+	usual := s.group.demand.read(now) / secondsPerHalfLife
+	return (recent + usual) / float64(max(len(s.group.slots), 1))
 }
 
 // victim returns the adapter that an engine can drop at the least cost, nil
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -41,8 +41,12 @@
 	drained   drainRate
 
 	// hungry are the groups that have requests waiting.
-	hungry    map[*group]struct{}
-	wants     map[*group]remoteWant
+	hungry map[*group]struct{}
+	// remotes are the groups that another host was asked to load, seenLoads the
+	// last of each host's messages that asked this one.
+	remotes   map[*group]struct{}
+	orphans   []orphanLoad
+	seenLoads map[string]loadAsk
 	loads     map[string]float64
 	loadClock float64
 	refused   map[string]time.Time
@@ -62,6 +66,7 @@
 	asks     map[string]*wire.UseAsk
 	asked    map[uint64]time.Time
 	lastAsk  uint64
+	process  uint64
 	out      []Decision
 	lastTick time.Time
 }
@@ -86,10 +91,11 @@
 		upstreams: map[string]*upstreamView{}, engines: map[string][]*upstreamView{},
 		adapters: map[record.AdapterRef]*group{}, names: map[string]*group{}, pools: map[string]*group{},
 		counters: fair.NewCounters(), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
-		hungry: map[*group]struct{}{}, wants: map[*group]remoteWant{}, loads: map[string]float64{},
+		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, seenLoads: map[string]loadAsk{}, loads: map[string]float64{},
 		refused: map[string]time.Time{}, orders: map[OrderID]openOrder{},
 		leases: map[string]*leaseState{}, members: []string{o.Host}, departed: map[string]time.Time{},
-		held: map[*slot]struct{}{}, asks: map[string]*wire.UseAsk{}, asked: map[uint64]time.Time{},
+		process: o.Random.Uint64(),
+		held:    map[*slot]struct{}{}, asks: map[string]*wire.UseAsk{}, asked: map[uint64]time.Time{},
 	}
 }
 
@@ -291,6 +297,9 @@
 func (p *Policy) becomeResident(now time.Time, s *slot) {
 	s.state, s.since, s.order = slotResident, now, 0
 	s.group.failures = 0
+	if r := s.group.remote; r != nil && r.view == s.view {
+		p.endRemote(now, s.group)
+	}
 	p.serveGroup(now, s.group)
 }
 
@@ -356,6 +365,7 @@
 	p.expire(now)
 	p.keepLeases(now)
 	p.renewUses(now)
+	p.followRemotes(now)
 	p.place(now)
 	p.lastTick = now
 	return p.take(now)
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -30,6 +30,7 @@
 	p.waiting[r.ID] = w
 	g.queue.Push(w.entry)
 	g.demand.add(now, 1)
+	g.lastUsed = now
 	p.hungry[g] = struct{}{}
 	p.serveGroup(now, g)
 	if g.queue.Len() > 0 {
@@ -184,11 +185,14 @@
 	p.decide(Dispatch{ID: w.request.ID, Upstream: s.view.record.Name, Why: why})
 }
 
-// sortedHungry returns the groups with requests waiting, in the order in which
-// loads are given to them.
+// sortedHungry returns the groups with requests waiting, by name.
 func (p *Policy) sortedHungry() []*group {
-	out := make([]*group, 0, len(p.hungry))
-	for g := range p.hungry {
+	return sortedGroups(p.hungry)
+}
+
+func sortedGroups(set map[*group]struct{}) []*group {
+	out := make([]*group, 0, len(set))
+	for g := range set {
 		out = append(out, g)
 	}
 	slices.SortFunc(out, func(a, b *group) int { return strings.Compare(a.name, b.name) })
@@ -230,8 +234,7 @@
 // timeFor returns how long it takes to serve n requests, within the bounds of
 // Retry-After.
 func (d *drainRate) timeFor(now time.Time, n int) time.Duration {
-	const meanLife = float64(demandHalfLife) * 1.4427 // 1/ln 2
-	perSecond := d.count.read(now) * float64(time.Second) / meanLife
+	perSecond := d.count.read(now) / secondsPerHalfLife
 	if perSecond <= 0 {
 		return maxRetryAfter
 	}
--- a/sched/use.go
+++ b/sched/use.go
@@ -99,7 +99,7 @@
 	for _, owner := range slices.Sorted(maps.Keys(p.asks)) {
 		ask := p.asks[owner]
 		p.lastAsk++
-		ask.Number = p.lastAsk
+		ask.Number, ask.Process = p.lastAsk, p.process
 		p.asked[ask.Number] = now
 		p.send(owner, ask)
 	}
@@ -148,14 +148,7 @@
 			answer.Granted = append(answer.Granted, wire.Use{Upstream: use.Upstream, Adapter: use.Adapter})
 		}
 	}
-	for _, load := range ask.Loads {
-		v, ok := p.upstreams[load.Upstream]
-		if !ok || v.lease == nil || !v.lease.mine() {
-			answer.NotOwned = append(answer.NotOwned, load.Upstream)
-			continue
-		}
-		p.want(now, from, v, load)
-	}
+	p.onLoadAsks(now, from, ask, answer)
 	answer.Prices = p.ownPrices(now)
 	p.send(from, answer)
 }
@@ -167,6 +160,7 @@
 		return false
 	}
 	g.demand.add(now, float64(use.Requests))
+	g.lastUsed = now
 	s, ok := v.slots[g]
 	if !ok || s.state != slotResident || !p.mayUse(now, s) {
 		return false
@@ -191,6 +185,12 @@
 	for _, use := range answer.Failed {
 		p.remoteFailed(now, use)
 	}
+	for _, use := range answer.Started {
+		p.remoteStarted(now, use)
+	}
+	for _, use := range answer.Busy {
+		p.remoteBusy(now, use)
+	}
 	sent, ok := p.asked[answer.Number]
 	if !ok {
 		return
@@ -209,22 +209,3 @@
 		p.serveGroup(now, g)
 	}
 }
-
-// remoteLoaded takes an owner's word that an adapter can be used.
-func (p *Policy) remoteLoaded(now time.Time, use wire.Use) {
-	v, ok := p.upstreams[use.Upstream]
-	if !ok {
-		return
-	}
-	g := p.groupNamed(use.Adapter, v.record.Model)
-	if g == nil {
-		return
-	}
-	s, ok := v.slots[g]
-	if !ok {
-		s = v.addSlot(g, slotLoading, now)
-	}
-	if s.state == slotLoading && s.order == 0 {
-		p.becomeResident(now, s)
-	}
-}
--- a/sched/view.go
+++ b/sched/view.go
@@ -30,11 +30,11 @@
 	failures int
 	// retryAt is when an upstream may be asked again after a failed load.
 	retryAt map[string]time.Time
-	// askedLoad is when another host was last asked to load it, askedOn where,
-	// and askedFirst when that upstream was first asked for.
-	askedLoad  time.Time
-	askedOn    *upstreamView
-	askedFirst time.Time
+	// remote is the load that another host was asked for, nil where there is none.
+	remote *remoteLoad
+	// tellHosts are the hosts that wait to hear how a load of this host ends.
+	tellHosts []string
+	lastUsed  time.Time
 	// coldSince is when the oldest waiting request began to wait for a load.
 	coldSince time.Time
 }
@@ -168,7 +168,10 @@
 }
 
 // demandHalfLife is when a past request counts half.
-const demandHalfLife = 120 * time.Second
+const demandHalfLife = 300 * time.Second
+
+// secondsPerHalfLife turns a decayed count into a rate a second.
+const secondsPerHalfLife = float64(demandHalfLife) / float64(time.Second) / math.Ln2
 
 // decayed is a count that halves with time.
 type decayed struct {
--- a/wire/sched.go
+++ b/wire/sched.go
@@ -20,13 +20,9 @@
 	Upstream string `cbor:"1,keyasint"`
 	// Adapter is "adapter@version".
 	Adapter string `cbor:"2,keyasint"`
-	// Requests counts what the sender has dispatched or queued for it since its
-	// last message.
+	// Requests counts what the sender has dispatched for it since its last
+	// message or, for a load, what waits.
 	Requests int `cbor:"3,keyasint,omitempty"`
-	// Organisation is who waits for a load.
-	Organisation string `cbor:"4,keyasint,omitempty"`
-	// Extra asks for one more replica of an adapter that has some.
-	Extra bool `cbor:"5,keyasint,omitempty"`
 }
 
 // SlotPrice says what a slot of an engine costs.
@@ -43,10 +39,12 @@
 // UseAsk asks an upstream's owner for use grants and for loads. Messages may be
 // lost or repeated: the sender asks again under a new number.
 type UseAsk struct {
-	Number uint64 `cbor:"1,keyasint"`
+	// Number grows with each message of one process, which Process names.
+	Number  uint64 `cbor:"1,keyasint"`
+	Process uint64 `cbor:"4,keyasint"`
 	// Uses are the grants asked for, new ones and renewals.
 	Uses []Use `cbor:"2,keyasint,omitempty"`
-	// Loads are adapters that have requests waiting and are not loaded.
+	// Loads are to be started at once. The sender has taken the budget for them.
 	Loads []Use `cbor:"3,keyasint,omitempty"`
 }
 
@@ -58,9 +56,12 @@
 	// NotOwned are upstreams that the answering host does not own.
 	NotOwned []string    `cbor:"3,keyasint,omitempty"`
 	Prices   []SlotPrice `cbor:"4,keyasint,omitempty"`
-	// Loaded and Failed are loads that have ended.
-	Loaded []Use `cbor:"5,keyasint,omitempty"`
-	Failed []Use `cbor:"6,keyasint,omitempty"`
+	// Started loads are under way, Busy ones cannot be started now. Loaded and
+	// Failed ones have ended.
+	Started []Use `cbor:"5,keyasint,omitempty"`
+	Busy    []Use `cbor:"6,keyasint,omitempty"`
+	Loaded  []Use `cbor:"7,keyasint,omitempty"`
+	Failed  []Use `cbor:"8,keyasint,omitempty"`
 }
 
 // OwnerNotice says that the sender holds the lease of a group of upstreams
