daemon: leases of the table service, bounded orders, reports that hold up no other

Cause: nothing carried out a claim of a lease; one upstream that did not answer delayed the next reading of all others up to its timeout of 2 s, which is also the age at which a report no longer counts. Change: leaseKeeper takes over only a row that it has seen unchanged for the whole duration; an evicting order is not sent after its time; each upstream is read on its own. The policy scheduler runs where there are peer links or one host.

--- a/daemon/carryout.go
+++ b/daemon/carryout.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/limit"
@@ -18,6 +20,8 @@
 			d.log.Warn("order failed", "order", decision.Order.ID, "error", err)
 		}
 		d.runtime.Handle(core.OrderEnded{End: sched.OrderEnd{ID: decision.Order.ID, Err: err}})
+	case core.ClaimLease:
+		d.claimLease(ctx, decision)
 	case core.StoreRead:
 		row, err := d.platform.Get(ctx, decision.Table, decision.Key)
 		d.runtime.Handle(core.StoreEnded{End: limit.StoreEnd{ID: decision.ID, Row: row, Err: err}})
@@ -27,7 +31,18 @@
 	}
 }
 
+// errOrderLate says that an order was not sent since its time had passed.
+var errOrderLate = errors.New("the order's time has passed")
+
 func (d *Daemon) giveOrder(ctx context.Context, o core.Order) error {
+	if !o.Order.Before.IsZero() {
+		if !time.Now().Before(o.Order.Before) {
+			return errOrderLate
+		}
+		bounded, cancel := context.WithDeadline(ctx, o.Order.Before)
+		defer cancel()
+		ctx = bounded
+	}
 	name := o.Order.Adapter.String()
 	switch o.Order.Operation {
 	case sched.Load:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,7 +17,6 @@
 	"github.com/jasminelock/jasminelock/gateway"
 	"github.com/jasminelock/jasminelock/limit"
 	"github.com/jasminelock/jasminelock/platform"
-	"github.com/jasminelock/jasminelock/sched"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/upstream"
 )
@@ -31,6 +30,7 @@
 	work     *workQueue
 	platform *platform.Client
 	upstream *upstream.Client
+	leases   *leaseKeeper
 
 	callers   net.Listener
 	operators net.Listener
@@ -50,7 +50,8 @@
 		upstream: upstream.NewClient(),
 		draining: make(chan struct{}),
 	}
-	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded()})
+	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: newScheduler(s)})
+	d.leases = newLeaseKeeper(d.platform, s.Host, time.Now)
 	d.runtime = newRuntime(d.log, c, d.work)
 	var err error
 	var listen net.ListenConfig
--- /dev/null
+++ b/daemon/leases_test.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/sched"
+)
+
+// memoryTable is a table service in memory that can lose answers.
+type memoryTable struct {
+	rows map[string]platform.Row
+	// down fails every call; lost fails commits after they have taken effect.
+	down, lost bool
+}
+
+func (t *memoryTable) Get(_ context.Context, _, key string) (platform.Row, error) {
+	if t.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := t.rows[key]
+	if !ok {
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (t *memoryTable) List(context.Context, string, string, string, int) ([]platform.Row, error) {
+	return nil, nil
+}
+
+func (t *memoryTable) Commit(_ context.Context, txn platform.Txn) error {
+	c, w := txn.Conditions[0], txn.Writes[0]
+	switch {
+	case t.down:
+		return platform.ErrUnavailable
+	case t.rows[c.Key].Version != c.Version:
+		return platform.ErrConflict
+	}
+	t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: c.Version + 1}
+	if t.lost {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+const testTTL = 10 * time.Second
+
+// claimStep is one claim and what it must give.
+type claimStep struct {
+	by      string
+	after   time.Duration
+	ttl     time.Duration
+	down    bool
+	lost    bool
+	granted bool
+	fence   int64
+	holder  string
+}
+
+func TestLeaseKeeper(t *testing.T) {
+	cases := map[string][]claimStep{
+		"renewal keeps the fence": {
+			{by: "a", ttl: testTTL, granted: true, fence: 1, holder: "a"},
+			{by: "a", after: 3 * time.Second, ttl: testTTL, granted: true, fence: 1, holder: "a"},
+		},
+		"a holder that renews is not replaced": {
+			{by: "a", ttl: testTTL, granted: true, fence: 1, holder: "a"},
+			{by: "b", ttl: testTTL, holder: "a"},
+			{by: "a", after: 9 * time.Second, ttl: testTTL, granted: true, fence: 1, holder: "a"},
+			{by: "b", after: 9 * time.Second, ttl: testTTL, holder: "a"},
+			{by: "b", after: 9 * time.Second, ttl: testTTL, holder: "a"},
+			{by: "b", after: 2 * time.Second, ttl: testTTL, granted: true, fence: 2, holder: "b"},
+			{by: "a", ttl: testTTL, holder: "b"},
+		},
+		"a restarted process waits for its predecessor's lease": {
+			{by: "a", ttl: testTTL, granted: true, fence: 1, holder: "a"},
+			{by: "a2", ttl: testTTL, holder: "a"},
+			{by: "a2", after: 11 * time.Second, ttl: testTTL, granted: true, fence: 2, holder: "a"},
+		},
+		"a released lease is taken at once": {
+			{by: "a", ttl: testTTL, granted: true, fence: 1, holder: "a"},
+			{by: "a", holder: "a", fence: 1},
+			{by: "b", ttl: testTTL, granted: true, fence: 2, holder: "b"},
+		},
+		"a lost answer is read back": {
+			{by: "a", ttl: testTTL, lost: true},
+			{by: "a", after: time.Second, ttl: testTTL, granted: true, fence: 1, holder: "a"},
+		},
+		"an outage names no holder": {
+			{by: "a", ttl: testTTL, granted: true, fence: 1, holder: "a"},
+			{by: "b", ttl: testTTL, down: true},
+			{by: "a", after: time.Hour, ttl: testTTL, granted: true, fence: 1, holder: "a"},
+		},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &memoryTable{rows: map[string]platform.Row{}}
+			now := time.Unix(0, 0)
+			clock := func() time.Time { return now }
+			keepers := map[string]*leaseKeeper{
+				"a": newLeaseKeeper(table, "a", clock), "a2": newLeaseKeeper(table, "a", clock), "b": newLeaseKeeper(table, "b", clock),
+			}
+			for i, s := range steps {
+				now = now.Add(s.after)
+				table.down, table.lost = s.down, s.lost
+				got := keepers[s.by].claim(context.Background(), sched.ClaimLease{Resource: "upstreams/z/1", TTL: s.ttl})
+				want := sched.LeaseResult{Resource: "upstreams/z/1", Granted: s.granted, Fence: s.fence, Holder: s.holder, SentAt: now, TTL: s.ttl}
+				assert.Equal(t, want, got, "step %d", i)
+			}
+		})
+	}
+}
