--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/platform"
-	"github.com/jasminelock/jasminelock/sched"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/upstream"
 )
@@ -47,6 +46,7 @@
 	incarnation uint64
 	// freshUntil is until when the configuration may be taken to be in force.
 	freshUntil atomic.Pointer[time.Time]
+	leases     *leaseKeeper
 
 	callers   net.Listener
 	operators net.Listener
@@ -74,10 +74,11 @@
 	}
 	d.outcomes = outcome.New(d.platform, d.platform.Objects())
 	c := core.New(core.Options{
-		Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded(),
+		Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: newScheduler(s),
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.runtime = newRuntime(d.log, c, d.work, d.send)
+	d.leases = newLeaseKeeper(d.platform, s.Host, time.Now)
 	var err error
 	var listen net.ListenConfig
 	if d.callers, err = listen.Listen(context.Background(), "tcp", s.Listen.Callers); err != nil {
