--- a/bench/policies.go
+++ b/bench/policies.go
@@ -22,8 +22,8 @@
 }
 
 // own makes the parts that the daemon makes.
-func own(string, string, *rand.Rand) (limit.Limiter, sched.Scheduler) {
-	return limit.NewStatic(hosts), sched.NewLeastLoaded()
+func own(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
+	return limit.NewStatic(hosts), sched.New(sched.Options{Host: host, Zone: zone, Random: rng})
 }
 
 func oneHost(name string, ranker func(*rand.Rand) baseline.Ranker) Policy {
