--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -69,6 +69,14 @@
 	require.Equal(t, 4, s.stats.loadsInFlight)
 }
 
+// mutant is our policy's name with a broken scheduler.
+func mutant(scheduler func() sched.Scheduler) Policy {
+	maker := func(string, string, *rand.Rand) (limit.Limiter, sched.Scheduler) {
+		return limit.NewStatic(1), scheduler()
+	}
+	return Policy{Name: OwnPolicy, OneHost: true, Start: func() Maker { return maker }}
+}
+
 // careless evicts whatever it likes and serves what it likes.
 type careless struct{ *baseline.Scheduler }
 
@@ -81,9 +89,7 @@
 }
 
 func TestEvictionOfAServingAdapterIsSeen(t *testing.T) {
-	p := Policy{Name: OwnPolicy, OneHost: true, Make: func(string, string, *rand.Rand) (limit.Limiter, sched.Scheduler) {
-		return limit.NewStatic(1), careless{baseline.New(baseline.LeastLoaded{})}
-	}}
+	p := mutant(func() sched.Scheduler { return careless{baseline.New(baseline.LeastLoaded{})} })
 	r := Run(Deployments()[0], Scenarios()[0], p, 1)
 	require.Positive(t, r.ServingEvictions)
 	require.NotEmpty(t, Broken([]Result{r}))
@@ -100,9 +106,7 @@
 }
 
 func TestWorkToALeavingUpstreamIsSeen(t *testing.T) {
-	p := Policy{Name: OwnPolicy, OneHost: true, Make: func(string, string, *rand.Rand) (limit.Limiter, sched.Scheduler) {
-		return limit.NewStatic(1), deaf{baseline.New(baseline.LeastLoaded{})}
-	}}
+	p := mutant(func() sched.Scheduler { return deaf{baseline.New(baseline.LeastLoaded{})} })
 	leaving := Scenarios()[len(Scenarios())-1]
 	r := Run(Deployments()[0], leaving, p, 1)
 	require.Positive(t, r.ToLeaving)
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -79,10 +79,13 @@
 	// OneHost runs the policy as one host that sees everything. Baselines run
 	// so, which flatters them: nothing needs to be agreed.
 	OneHost bool
-	// Make returns the parts for a host. The random source is seeded.
-	Make func(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler)
+	// Start is called once for each run.
+	Start func() Maker
 }
 
+// Maker returns the parts for one host. The random source is seeded.
+type Maker func(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler)
+
 func newFleet(d Deployment, s Scenario, p Policy, seed uint64) *fleet {
 	c := newClock()
 	f := &fleet{
@@ -98,8 +101,9 @@
 	if p.OneHost {
 		n = 1
 	}
+	maker := p.Start()
 	for i := range n {
-		f.addHost(i, p, rand.New(rand.NewPCG(seed, uint64(100+i))))
+		f.addHost(i, maker, rand.New(rand.NewPCG(seed, uint64(100+i))))
 	}
 	for i, o := range d.Organisations {
 		f.ideal[i] = newIdealBucket(f.rate(o))
@@ -122,12 +126,12 @@
 	f.upstreams[u.Name] = e
 }
 
-func (f *fleet) addHost(i int, p Policy, rng *rand.Rand) {
+func (f *fleet) addHost(i int, maker Maker, rng *rand.Rand) {
 	h := &fakeHost{
 		fleet: f, name: "host-" + strconv.Itoa(i), zone: f.d.Zones[i%len(f.d.Zones)],
 		calls: map[sched.RequestID]*call{}, cacheSeen: map[string]int64{},
 	}
-	limiter, scheduler := p.Make(h.name, h.zone, rng)
+	limiter, scheduler := maker(h.name, h.zone, rng)
 	h.core = core.New(core.Options{Board: blackboard.New(), Limiter: limiter, Scheduler: scheduler})
 	f.hosts = append(f.hosts, h)
 	f.listed = append(f.listed, platform.Host{Name: h.name, Zone: h.zone, CallerURL: "http://" + h.name})
--- a/bench/policies.go
+++ b/bench/policies.go
@@ -14,7 +14,8 @@
 // Policies returns our policy and the baselines.
 func Policies() []Policy {
 	return []Policy{
-		{Name: OwnPolicy, Make: own},
+		{Name: OwnPolicy, Start: func() Maker { return own }},
+		{Name: "exact-limits", Start: exactLimits},
 		oneHost("random", func(rng *rand.Rand) baseline.Ranker { return baseline.Random{Rand: rng} }),
 		oneHost("least-loaded-lru", func(*rand.Rand) baseline.Ranker { return baseline.LeastLoaded{} }),
 		oneHost("bounded-hash", func(*rand.Rand) baseline.Ranker { return baseline.BoundedHash{} }),
@@ -26,8 +27,18 @@
 	return limit.NewStatic(hosts), sched.New(sched.Options{Host: host, Zone: zone, Random: rng})
 }
 
+// exactLimits is our policy with one exact limiter for all hosts, which nothing
+// real can be. The difference from our policy is what sharing limits costs.
+func exactLimits() Maker {
+	shared := limit.NewStatic(1)
+	return func(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
+		return shared, sched.New(sched.Options{Host: host, Zone: zone, Random: rng})
+	}
+}
+
 func oneHost(name string, ranker func(*rand.Rand) baseline.Ranker) Policy {
-	return Policy{Name: name, OneHost: true, Make: func(_, _ string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
+	maker := func(_, _ string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
 		return limit.NewStatic(1), baseline.New(ranker(rng))
-	}}
+	}
+	return Policy{Name: name, OneHost: true, Start: func() Maker { return maker }}
 }
