--- a/cmd/jasminelock-standin/main.go
+++ b/cmd/jasminelock-standin/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/jasminelock/jasminelock/standin"
 	"github.com/jasminelock/jasminelock/standin/engine"
+	"github.com/jasminelock/jasminelock/standin/link"
 	"github.com/jasminelock/jasminelock/standin/platform"
 	"github.com/jasminelock/jasminelock/standin/service"
 )
@@ -22,7 +23,7 @@
 	var listen string
 	root := &cobra.Command{Use: "jasminelock-standin", Short: "Run a stand-in for an outside system", SilenceUsage: true}
 	root.PersistentFlags().StringVar(&listen, "listen", "127.0.0.1:0", "loopback address, ip:port")
-	root.AddCommand(platformCommand(&listen), engineCommand(&listen), serviceCommand(&listen))
+	root.AddCommand(platformCommand(&listen), engineCommand(&listen), serviceCommand(&listen), linkCommand(&listen))
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
 	}
@@ -68,6 +69,26 @@
 	return cmd
 }
 
+func linkCommand(listen *string) *cobra.Command {
+	var relay, target string
+	cmd := &cobra.Command{
+		Use:   "link",
+		Short: "A relay of connections between hosts, with a switch to cut it",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			l, err := link.Listen(relay, target)
+			if err != nil {
+				return err
+			}
+			defer l.Close()
+			return serve(*listen, l)
+		},
+	}
+	cmd.Flags().StringVar(&relay, "relay", "127.0.0.1:0", "loopback address to relay from, ip:port")
+	cmd.Flags().StringVar(&target, "target", "", "address to relay to, ip:port")
+	return cmd
+}
+
 // serve prints the address and serves until a signal.
 func serve(listen string, h http.Handler) error {
 	s, err := standin.Serve(listen, h)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -55,7 +56,9 @@
 
 // Execution is one request that the engine has executed.
 type Execution struct {
-	Attempt string `json:"attempt"`
+	// At is when the execution started.
+	At      time.Time `json:"at"`
+	Attempt string    `json:"attempt"`
 	Model   string `json:"model"`
 	// Body and Header are what the engine was sent.
 	Body     string      `json:"body"`
@@ -80,6 +83,11 @@
 	running     int
 	executions  []Execution
 	crashed     bool
+	// life ends with the incarnation: all that runs is cut.
+	life    context.Context
+	endLife context.CancelFunc
+	// servingUnloads counts orders to unload an adapter that was serving.
+	servingUnloads int
 	reports     []pastReport
 	role        string
 	streams     map[string]*stream
@@ -100,6 +108,7 @@
 // New returns an engine that holds no adapter.
 func New(s Settings) *Engine {
 	e := &Engine{settings: s, mux: http.NewServeMux(), incarnation: 1, adapters: map[string]*adapter{}, streams: map[string]*stream{}, role: "mixed"}
+	e.life, e.endLife = context.WithCancel(context.Background())
 	e.mux.HandleFunc("GET /v1/streams/{attempt}", e.resumeStream)
 	e.mux.HandleFunc("DELETE /v1/streams/{attempt}", e.cancelStream)
 	e.mux.HandleFunc("GET /v1/cache_events", e.cacheEvents)
@@ -110,6 +119,7 @@
 	e.mux.HandleFunc("POST /v1/unload_lora_adapter", e.unload)
 	e.mux.HandleFunc("GET /v1/load_report", e.report)
 	e.mux.HandleFunc("GET /executions", e.listExecutions)
+	e.mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { standin.WriteJSON(w, http.StatusOK, e.Counts()) })
 	e.mux.HandleFunc("PUT /faults", e.putFaults)
 	e.mux.HandleFunc("POST /restart", func(http.ResponseWriter, *http.Request) { e.Restart() })
 	return e
@@ -120,7 +130,7 @@
 	e.mu.Lock()
 	crashed := e.crashed
 	e.mu.Unlock()
-	if crashed && r.URL.Path != "/restart" && r.URL.Path != "/executions" {
+	if crashed && r.URL.Path != "/restart" && r.URL.Path != "/executions" && r.URL.Path != "/counts" {
 		panic(http.ErrAbortHandler)
 	}
 	e.mux.ServeHTTP(w, r)
@@ -139,6 +149,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.crashed = false
+	e.endLife()
+	e.life, e.endLife = context.WithCancel(context.Background())
 	e.incarnation++
 	e.sequence = 0
 	e.running = 0
@@ -154,6 +166,22 @@
 	return append([]Execution{}, e.executions...)
 }
 
+// Counts are what the engine counts for tests.
+type Counts struct {
+	// ServingUnloads counts orders to unload an adapter that was serving.
+	ServingUnloads int `json:"serving_unloads"`
+	Incarnation    int `json:"incarnation"`
+	// Crashed says that the engine answers nothing until it is restarted.
+	Crashed bool `json:"crashed"`
+}
+
+// Counts returns what the engine counts for tests.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Counts{ServingUnloads: e.servingUnloads, Incarnation: e.incarnation, Crashed: e.crashed}
+}
+
 // Running returns how many requests run.
 func (e *Engine) Running() int {
 	e.mu.Lock()
@@ -261,9 +289,15 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.checkFence(w, r) {
-		delete(e.adapters, order.Name)
+	if !e.checkFence(w, r) {
+		return
 	}
+	if a, held := e.adapters[order.Name]; held && a.running > 0 {
+		e.servingUnloads++
+		writeError(w, http.StatusConflict, "InUseError", "the adapter is serving")
+		return
+	}
+	delete(e.adapters, order.Name)
 }
 
 func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
@@ -309,7 +343,9 @@
 	if !ok {
 		return
 	}
-	defer e.end(a)
+	defer e.end(req.Model, a)
+	r, life, cancel := e.untilRestart(r)
+	defer cancel()
 	tokens := answerTokens
 	if req.MaxTokens > 0 {
 		tokens = min(tokens, req.MaxTokens)
@@ -317,6 +353,23 @@
 	e.calls.Strike(standin.AfterExecution, w)
 	answer := &answer{engine: e, w: w, r: r, request: req, tokens: tokens, prompt: len(raw) / 4}
 	answer.write()
+	if life.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// untilRestart returns the request with a context that also ends with the
+// engine's incarnation.
+func (e *Engine) untilRestart(r *http.Request) (*http.Request, context.Context, context.CancelFunc) {
+	e.mu.Lock()
+	life := e.life
+	e.mu.Unlock()
+	ctx, cancel := context.WithCancel(r.Context())
+	stop := context.AfterFunc(life, cancel)
+	return r.WithContext(ctx), life, func() {
+		stop()
+		cancel()
+	}
 }
 
 // start takes a request into the batch.
@@ -330,12 +383,13 @@
 		return nil, false
 	}
 	e.executions = append(e.executions, Execution{
-		Attempt: r.Header.Get(upstream.HeaderAttempt), Model: req.Model, Body: string(raw), Header: r.Header.Clone(),
+		At: time.Now(), Attempt: r.Header.Get(upstream.HeaderAttempt), Model: req.Model, Body: string(raw), Header: r.Header.Clone(),
 		URL: r.URL.String(), Priority: r.Header.Get(upstream.HeaderPriority),
 	})
 	e.cache.store(req.Model, raw, e.faults.CacheGap)
 	if e.faults.Poison != "" && strings.Contains(string(raw), e.faults.Poison) {
 		e.crashed = true
+		e.endLife()
 		panic(http.ErrAbortHandler)
 	}
 	a.running++
@@ -349,9 +403,13 @@
 	return e.faults
 }
 
-func (e *Engine) end(a *adapter) {
+// end takes a request out of the batch. One of an earlier incarnation is in no
+// batch.
+func (e *Engine) end(model string, a *adapter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a.running--
-	e.running--
+	if e.adapters[model] == a {
+		e.running--
+	}
 }
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -55,7 +55,9 @@
 // writeStream generates the answer and follows it. An engine that cannot resume
 // ends the generation with the connection.
 func (a *answer) writeStream() {
-	ctx := context.Background()
+	a.engine.mu.Lock()
+	ctx := a.engine.life
+	a.engine.mu.Unlock()
 	if !a.engine.settings.Resumable {
 		ctx = a.r.Context()
 	}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -17,6 +17,8 @@
 
 // Execution is one call that the service has executed.
 type Execution struct {
+	// At is when the execution started.
+	At      time.Time   `json:"at"`
 	Attempt string      `json:"attempt"`
 	Method  string      `json:"method"`
 	URL     string      `json:"url"`
@@ -127,7 +129,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running++
-	s.executions = append(s.executions, Execution{r.Header.Get(upstream.HeaderAttempt), r.Method, r.URL.String(), body, r.Header.Clone()})
+	s.executions = append(s.executions, Execution{time.Now(), r.Header.Get(upstream.HeaderAttempt), r.Method, r.URL.String(), body, r.Header.Clone()})
 	return len(s.executions), s.answer, s.delay
 }
 
