--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -59,7 +59,7 @@
 	// At is when the execution started.
 	At      time.Time `json:"at"`
 	Attempt string    `json:"attempt"`
-	Model   string `json:"model"`
+	Model   string    `json:"model"`
 	// Body and Header are what the engine was sent.
 	Body     string      `json:"body"`
 	Header   http.Header `json:"header"`
@@ -88,11 +88,11 @@
 	endLife context.CancelFunc
 	// servingUnloads counts orders to unload an adapter that was serving.
 	servingUnloads int
-	reports     []pastReport
-	role        string
-	streams     map[string]*stream
-	cancelled   []string
-	cache       prefixCache
+	reports        []pastReport
+	role           string
+	streams        map[string]*stream
+	cancelled      []string
+	cache          prefixCache
 }
 
 type adapter struct {
