--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// startTimeout is how long a process may take until it has told its address.
+const startTimeout = 20 * time.Second
+
+// process is one process that the soak started.
+type process struct {
+	name string
+	path string
+	args []string
+	log  string
+
+	// mu guards all below.
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	started time.Time
+}
+
+// startedAt returns when the process was started last.
+func (p *process) startedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started
+}
+
+// start runs the process with its output in its log file.
+func (p *process) start() error {
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.path, p.args...) //nolint:noctx // ended by its id, not by a context
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		_ = out.Close()
+		return fmt.Errorf("soak: start %s: %w", p.name, err)
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		_ = out.Close()
+		close(exited)
+	}()
+	p.mu.Lock()
+	p.cmd, p.exited, p.started = cmd, exited, time.Now()
+	p.mu.Unlock()
+	return nil
+}
+
+// signal sends a signal to the process, if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// wait waits for the process's end and reports whether it came in time.
+func (p *process) wait(timeout time.Duration) bool {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited == nil {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	p.wait(startTimeout)
+}
+
+// startStandin starts a stand-in and returns the address that it prints.
+func startStandin(dir, bin, name string, args ...string) (*process, string, error) {
+	p := &process{name: name, path: bin, args: args, log: filepath.Join(dir, name+".log")}
+	if err := p.start(); err != nil {
+		return nil, "", err
+	}
+	end := time.Now().Add(startTimeout)
+	for time.Now().Before(end) {
+		if url := firstLine(p.log); strings.HasPrefix(url, "http://") {
+			return p, url, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.kill()
+	return nil, "", fmt.Errorf("soak: %s told no address", name)
+}
+
+func firstLine(path string) string {
+	f, err := os.Open(path)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = f.Close() }()
+	line, err := bufio.NewReader(f).ReadString('\n')
+	if err != nil && err != io.EOF {
+		return ""
+	}
+	return strings.TrimSpace(line)
+}
+
+// freeAddress returns a loopback address that was free a moment ago, so that a
+// host can be started again where it was.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
