--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -107,7 +107,7 @@
 }
 
 // startDeployment starts every process and writes the records.
-func startDeployment(ctx context.Context, s Shape, bin, dir string) (*deployment, error) {
+func startDeployment(s Shape, bin, dir string) (*deployment, error) {
 	d := &deployment{shape: s, dir: dir, bin: bin}
 	var err error
 	if d.platform, d.url, err = startStandin(dir, d.standin(), "platform", "platform"); err != nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -372,7 +372,7 @@
 func (l *load) once(o *outcome, host string) {
 	o.sent = time.Now()
 	o.host = host
-	resp, err := l.call(o, host)
+	resp, err := l.call(o, host) //nolint:bodyclose // closed by read
 	if err != nil {
 		o.broken = err
 	} else {
--- a/soak/load.go
+++ b/soak/load.go
@@ -193,7 +193,7 @@
 	defer func() { o.ended = time.Now() }()
 	for _, host := range l.locate(o, zone) {
 		o.host = host
-		resp, err := l.call(o, host)
+		resp, err := l.call(o, host) //nolint:bodyclose // closed by read
 		if err != nil {
 			var op *net.OpError
 			if errors.As(err, &op) && op.Op == "dial" {
--- a/soak/process.go
+++ b/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -118,7 +119,7 @@
 	}
 	defer func() { _ = f.Close() }()
 	line, err := bufio.NewReader(f).ReadString('\n')
-	if err != nil && err != io.EOF {
+	if err != nil && !errors.Is(err, io.EOF) {
 		return ""
 	}
 	return strings.TrimSpace(line)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -104,7 +104,7 @@
 
 // Run starts a deployment, soaks it and returns what was found.
 func Run(ctx context.Context, o Options) (*Summary, error) {
-	d, err := startDeployment(ctx, o.Shape, o.Bin, o.Dir)
+	d, err := startDeployment(o.Shape, o.Bin, o.Dir)
 	defer func() { d.stop() }()
 	if err != nil {
 		return nil, err
