A change is written at most once, whatever answers are lost

Cause: after a lost answer the change was tried again while the first commit could still be under way; when that one landed, the second try met a conflict, read the new head and made the change twice.

Ruled out: waiting longer before the second try, since a commit can be late by any time; searching the changes for the operation id, since that search races with a late commit.

Change: each change records its operation id in the same transaction, on the condition that it is not there yet; a change sent again with its id is recognised. An error says whether nothing was written or the outcome is unknown. References are checked against the head that the commit is conditional on.

--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -2,7 +2,8 @@
 // service and reads them back.
 //
 // Tables: "records" holds each record under "kind/name"; "changes" holds each
-// accepted change under its revision, with the records that it wrote; "head"
+// accepted change under its revision, with the records that it wrote;
+// "operations" holds each change's revision under its operation id; "head"
 // holds the newest revision. A change is one transaction, conditional on the
 // head that it was made against, so that revisions follow one another without
 // gaps and a change is accepted whole or not at all.
@@ -13,7 +14,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strconv"
 
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
@@ -21,10 +21,11 @@
 
 // The tables and the one key of the head's table.
 const (
-	tableRecords = "records"
-	tableChanges = "changes"
-	tableHead    = "head"
-	headKey      = "config"
+	tableRecords    = "records"
+	tableChanges    = "changes"
+	tableOperations = "operations"
+	tableHead       = "head"
+	headKey         = "config"
 )
 
 // Limits of one read and one change.
@@ -54,6 +55,12 @@
 	Operation string `json:"operation"`
 }
 
+// operation is the row that resolves a lost answer.
+type operation struct {
+	Revision int64  `json:"revision"`
+	Digest   string `json:"digest"`
+}
+
 func readHead(ctx context.Context, t platform.TableService) (head, int64, error) {
 	var h head
 	row, err := t.Get(ctx, tableHead, headKey)
@@ -93,43 +100,55 @@
 	return changes, nil
 }
 
-// Reader follows the configuration.
-type Reader struct {
-	tables platform.TableService
-	config *record.Config
+// History returns the newest changes, up to limit, oldest first.
+func History(ctx context.Context, t platform.TableService, limit int) ([]Change, error) {
+	h, _, err := readHead(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	return ReadChanges(ctx, t, max(h.Revision-int64(limit), 0), limit)
+}
+
+// Get returns one record, or platform.ErrNotFound.
+func Get(ctx context.Context, t platform.TableService, ref record.Ref) (record.Envelope, error) {
+	row, err := t.Get(ctx, tableRecords, ref.String())
+	if err != nil {
+		return record.Envelope{}, err
+	}
+	return decodeRecord(row)
 }
 
-// NewReader returns a reader that has seen nothing.
-func NewReader(t platform.TableService) *Reader {
-	return &Reader{tables: t, config: record.NewConfig()}
+func decodeRecord(row platform.Row) (record.Envelope, error) {
+	var e record.Envelope
+	if err := json.Unmarshal(row.Value, &e); err != nil {
+		return e, fmt.Errorf("configstore: record %s: %w", row.Key, err)
+	}
+	return e, nil
 }
 
-// Poll returns the newest configuration, or nil where nothing has changed.
-// Problems are records that were left out since they are not valid.
-func (r *Reader) Poll(ctx context.Context) (*record.Config, []error, error) {
-	h, _, err := readHead(ctx, r.tables)
-	if err != nil || h.Revision <= r.config.Revision {
-		return nil, nil, err
+// List gives the records of a kind, or of all kinds where it is "", page by
+// page. Removed records are among them.
+func List(ctx context.Context, t platform.TableService, kind record.Kind, page func([]record.Envelope) error) error {
+	prefix, after := "", ""
+	if kind != "" {
+		prefix = record.Ref{Kind: kind}.String()
 	}
-	next := r.config
-	var problems []error
-	for next.Revision < h.Revision {
-		changes, err := ReadChanges(ctx, r.tables, next.Revision, pageRows)
+	for {
+		rows, err := t.List(ctx, tableRecords, prefix, after, pageRows)
 		if err != nil {
-			return nil, nil, err
+			return err
 		}
-		if len(changes) == 0 {
-			return nil, nil, fmt.Errorf("configstore: no change after revision %s below head %s",
-				strconv.FormatInt(next.Revision, 10), strconv.FormatInt(h.Revision, 10))
+		records := make([]record.Envelope, 0, len(rows))
+		for _, row := range rows {
+			e, err := decodeRecord(row)
+			if err != nil {
+				return err
+			}
+			records = append(records, e)
 		}
-		var records []record.Envelope
-		for _, c := range changes {
-			records = append(records, c.Records...)
+		if err := page(records); err != nil || len(rows) < pageRows {
+			return err
 		}
-		var left []error
-		next, left = next.Apply(changes[len(changes)-1].Revision, records)
-		problems = append(problems, left...)
+		after = rows[len(rows)-1].Key
 	}
-	r.config = next
-	return next, problems, nil
 }
--- /dev/null
+++ b/configstore/errors.go
@@ -0,0 +1,60 @@
+package configstore
+
+import (
+	"fmt"
+
+	"github.com/jasminelock/jasminelock/record"
+)
+
+// ConflictError says that a record has changed since the operator read it.
+// Nothing was written.
+type ConflictError struct {
+	Ref      record.Ref
+	Expected int64
+	Found    int64
+}
+
+// Error implements the error interface.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("conflict: record %s is at revision %d, not %d: read it again", e.Ref, e.Found, e.Expected)
+}
+
+// UnknownOutcomeError says that a commit was sent, that its answer was lost,
+// and that the table service could not be asked whether it took effect.
+type UnknownOutcomeError struct {
+	Operation string
+	Cause     error
+}
+
+// Error implements the error interface.
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("the change may have been made: send it again with operation id %s, it will not be made twice (%s)", e.Operation, e.Cause)
+}
+
+// Unwrap returns the error that left the outcome unknown.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// OperationReusedError says that an operation id belongs to another change.
+// Nothing was written.
+type OperationReusedError struct {
+	Operation string
+	Revision  int64
+}
+
+// Error implements the error interface.
+func (e *OperationReusedError) Error() string {
+	return fmt.Sprintf("operation id %s belongs to another change, of revision %d", e.Operation, e.Revision)
+}
+
+// ReferenceError lists references to records that the change would leave
+// missing. Nothing was written.
+type ReferenceError struct{ Problems []error }
+
+// Error implements the error interface, with one problem a line.
+func (e *ReferenceError) Error() string {
+	text := "the change would leave references without a record:"
+	for _, p := range e.Problems {
+		text += "\n" + p.Error()
+	}
+	return text
+}
--- /dev/null
+++ b/configstore/fake_test.go
@@ -0,0 +1,157 @@
+package configstore
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"github.com/jasminelock/jasminelock/platform"
+)
+
+// fault is what happens to one call of the table service.
+type fault uint8
+
+const (
+	none fault = iota
+	// down does nothing and gives no answer.
+	down
+	// answerLost takes effect and gives no answer.
+	answerLost
+	// delayed gives no answer and takes effect some calls later.
+	delayed
+	// conflicting lets another operator's change come first.
+	conflicting
+	faults
+)
+
+// delayCalls is how many calls later a delayed commit takes effect.
+const delayCalls = 3
+
+// fakeTables is a table service with planned faults. It is used by one
+// goroutine.
+type fakeTables struct {
+	rows map[string]map[string]platform.Row
+	// plan holds the faults of the next calls.
+	plan []fault
+	// interfere commits another operator's change.
+	interfere func(f *fakeTables)
+	late      []lateCommit
+	calls     int
+	reads     int
+}
+
+type lateCommit struct {
+	txn platform.Txn
+	at  int
+}
+
+func newFakeTables() *fakeTables {
+	return &fakeTables{rows: map[string]map[string]platform.Row{}}
+}
+
+// next returns the fault of this call, after carrying out what is due.
+func (f *fakeTables) next() fault {
+	f.calls++
+	f.settle(f.calls)
+	if len(f.plan) == 0 {
+		return none
+	}
+	now := f.plan[0]
+	f.plan = f.plan[1:]
+	return now
+}
+
+// settle carries out the delayed commits that are due.
+func (f *fakeTables) settle(calls int) {
+	due := f.late
+	f.late = nil
+	for _, l := range due {
+		if l.at > calls {
+			f.late = append(f.late, l)
+			continue
+		}
+		_ = f.commit(l.txn) // nobody hears of its end
+	}
+}
+
+func (f *fakeTables) Get(_ context.Context, table, key string) (platform.Row, error) {
+	f.reads++
+	if now := f.next(); now == down || now == answerLost {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := f.rows[table][key]
+	if !ok {
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakeTables) List(_ context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+	f.reads++
+	if now := f.next(); now == down || now == answerLost {
+		return nil, platform.ErrUnavailable
+	}
+	var rows []platform.Row
+	for key, row := range f.rows[table] {
+		if key > after && strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (f *fakeTables) Commit(_ context.Context, txn platform.Txn) error {
+	switch f.next() {
+	case down:
+		return platform.ErrUnavailable
+	case answerLost:
+		_ = f.commit(txn)
+		return platform.ErrUnavailable
+	case delayed:
+		f.late = append(f.late, lateCommit{txn, f.calls + delayCalls})
+		return platform.ErrUnavailable
+	case conflicting:
+		f.interfere(f)
+	}
+	return f.commit(txn)
+}
+
+func (f *fakeTables) commit(txn platform.Txn) error {
+	for _, c := range txn.Conditions {
+		if f.rows[c.Table][c.Key].Version != c.Version {
+			return platform.ErrConflict
+		}
+	}
+	for _, w := range txn.Writes {
+		if f.rows[w.Table] == nil {
+			f.rows[w.Table] = map[string]platform.Row{}
+		}
+		f.rows[w.Table][w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.rows[w.Table][w.Key].Version + 1}
+	}
+	return nil
+}
+
+// withoutOperations is a broken mechanism: operation ids are not kept.
+type withoutOperations struct{ *fakeTables }
+
+func (w withoutOperations) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	row, err := w.fakeTables.Get(ctx, table, key)
+	if table == tableOperations && err == nil {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, err
+}
+
+func (w withoutOperations) Commit(ctx context.Context, txn platform.Txn) error {
+	txn.Conditions = slices.DeleteFunc(txn.Conditions, func(c platform.Condition) bool { return c.Table == tableOperations })
+	return w.fakeTables.Commit(ctx, txn)
+}
+
+// withoutHead is a broken mechanism: changes are not conditional on the head.
+type withoutHead struct{ *fakeTables }
+
+func (w withoutHead) Commit(ctx context.Context, txn platform.Txn) error {
+	txn.Conditions = slices.DeleteFunc(txn.Conditions, func(c platform.Condition) bool { return c.Table == tableHead })
+	return w.fakeTables.Commit(ctx, txn)
+}
--- /dev/null
+++ b/configstore/references.go
@@ -0,0 +1,48 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/record"
+)
+
+// CheckReferences returns a check that the configuration with the changed
+// records has no missing reference that it does not have without them. It
+// reads the whole configuration once, and what has changed at each later try.
+func CheckReferences(t platform.TableService, records []record.Envelope) Check {
+	reader := NewReader(t)
+	return func(ctx context.Context, revision int64) error {
+		if _, _, err := reader.Poll(ctx); err != nil {
+			return err
+		}
+		current := reader.config
+		if current.Revision != revision {
+			return fmt.Errorf("%w: the head moved during the check", platform.ErrConflict)
+		}
+		next, problems := current.Apply(revision+1, records)
+		if len(problems) == 0 {
+			problems = added(current.Check(), next.Check())
+		}
+		if len(problems) > 0 {
+			return &ReferenceError{problems}
+		}
+		return nil
+	}
+}
+
+// added returns the problems of after that before does not have.
+func added(before, after []error) []error {
+	known := map[string]bool{}
+	for _, p := range before {
+		known[p.Error()] = true
+	}
+	var fresh []error
+	for _, p := range after {
+		if !known[p.Error()] {
+			fresh = append(fresh, p)
+		}
+	}
+	return fresh
+}
--- a/configstore/write.go
+++ b/configstore/write.go
@@ -2,102 +2,166 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 )
 
-// ConflictError says that a record has changed since the operator read it.
-type ConflictError struct {
-	Ref      record.Ref
-	Expected int64
-	Found    int64
+// Bounds of one write.
+const (
+	// writeTries bounds how often a change is tried: because another operator
+	// moved the head in between, or because an answer was lost.
+	writeTries = 10
+	// firstPause is the wait after the first lost answer. It doubles.
+	firstPause = 50 * time.Millisecond
+)
+
+// Check looks at a change before it is written against the given revision.
+type Check func(ctx context.Context, revision int64) error
+
+// Writer writes changes. Each change has an operation id, which is recorded
+// with it: whatever answers are lost, no change is made twice, and a change
+// that is sent again with the same id is recognised.
+type Writer struct {
+	tables platform.TableService
+	check  Check
+	pause  func(ctx context.Context, try int)
 }
 
-// Error implements the error interface.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("conflict: record %s is at revision %d, not %d", e.Ref, e.Found, e.Expected)
+// NewWriter returns a writer. The check may be nil.
+func NewWriter(t platform.TableService, check Check) *Writer {
+	return &Writer{tables: t, check: check, pause: pause}
 }
 
-// writeTries bounds how often a change is made again because another operator
-// moved the head in between.
-const writeTries = 10
+// Write makes a change without a check. See Writer.Write.
+func Write(ctx context.Context, t platform.TableService, c Change) (int64, error) {
+	return NewWriter(t, nil).Write(ctx, c)
+}
 
 // Write makes a change in one transaction and returns its revision. A record
-// with Revision set must still be at that revision. A lost answer is resolved
-// by the change's operation id: the change is never made twice.
-func Write(ctx context.Context, t platform.TableService, c Change) (int64, error) {
+// with Revision set must still be at that revision. After an error the change
+// was not made, unless the error is an UnknownOutcomeError.
+func (w *Writer) Write(ctx context.Context, c Change) (int64, error) {
 	if len(c.Records) == 0 || len(c.Records) > maxChangeRecords {
 		return 0, fmt.Errorf("configstore: a change has 1 to %d records, not %d", maxChangeRecords, len(c.Records))
 	}
-	for range writeTries {
-		revision, again, err := writeOnce(ctx, t, c)
-		if !again {
-			return revision, err
+	if c.Operation == "" {
+		return 0, errors.New("configstore: a change needs an operation id")
+	}
+	digest, err := digestOf(c.Records)
+	if err != nil {
+		return 0, err
+	}
+	a := attempt{writer: w, change: c, digest: digest}
+	return a.run(ctx)
+}
+
+// attempt is one change on its way.
+type attempt struct {
+	writer *Writer
+	change Change
+	digest string
+	// unknown is the last error that left a commit's outcome unknown.
+	unknown error
+}
+
+func (a *attempt) run(ctx context.Context) (int64, error) {
+	for try := range writeTries {
+		revision, err := a.once(ctx)
+		switch {
+		case err == nil:
+			return revision, nil
+		case errors.Is(err, platform.ErrConflict):
+			continue // another change came first, or this one is there already
+		case isUnavailable(err):
+			if ctx.Err() != nil {
+				return a.giveUp(ctx, err)
+			}
+			a.writer.pause(ctx, try)
+		default:
+			return a.giveUp(ctx, err)
 		}
 	}
-	return 0, fmt.Errorf("configstore: the head moved %d times; nothing was written", writeTries)
+	return a.giveUp(ctx, fmt.Errorf("configstore: given up after %d tries", writeTries))
+}
+
+// giveUp ends with err. Where a commit's answer was lost, that commit may have
+// taken effect and may even be the reason of err.
+func (a *attempt) giveUp(ctx context.Context, err error) (int64, error) {
+	if a.unknown == nil {
+		return 0, err
+	}
+	revision, found, lookErr := a.recorded(ctx)
+	var conflict *ConflictError
+	switch {
+	case lookErr == nil && found:
+		return revision, nil
+	case lookErr == nil && errors.As(err, &conflict):
+		return 0, err // the head has moved on: a commit under way can no longer take effect
+	}
+	return 0, &UnknownOutcomeError{Operation: a.change.Operation, Cause: a.unknown}
 }
 
-// writeOnce reports again where another change came first.
-func writeOnce(ctx context.Context, t platform.TableService, c Change) (revision int64, again bool, err error) {
+// once tries the change against the current head.
+func (a *attempt) once(ctx context.Context) (int64, error) {
+	t := a.writer.tables
 	h, headVersion, err := readHead(ctx, t)
 	if err != nil {
-		return 0, false, err
+		return 0, err
 	}
-	if err := checkRevisions(ctx, t, c.Records); err != nil {
-		return 0, false, err
+	if revision, found, err := a.recorded(ctx); found || err != nil {
+		return revision, err
+	}
+	if err := checkRevisions(ctx, t, a.change.Records); err != nil {
+		return 0, err
+	}
+	if a.writer.check != nil {
+		if err := a.writer.check(ctx, h.Revision); err != nil {
+			return 0, err
+		}
 	}
-	c.Revision = h.Revision + 1
-	txn, err := changeTxn(c, headVersion)
+	a.change.Revision = h.Revision + 1
+	txn, err := a.transaction(headVersion)
 	if err != nil {
-		return 0, false, err
+		return 0, err
 	}
 	err = t.Commit(ctx, txn)
-	switch {
-	case err == nil:
-		return c.Revision, false, nil
-	case errors.Is(err, platform.ErrConflict):
-		return 0, true, nil
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		a.unknown = err
 	}
-	return resolve(ctx, t, c, err)
+	return a.change.Revision, err
 }
 
-// resolve finds out whether a commit whose answer was lost took effect.
-func resolve(ctx context.Context, t platform.TableService, c Change, cause error) (int64, bool, error) {
-	changes, err := ReadChanges(ctx, t, c.Revision-1, 1)
+// recorded looks the change up by its operation id.
+func (a *attempt) recorded(ctx context.Context) (revision int64, found bool, err error) {
+	row, err := a.writer.tables.Get(ctx, tableOperations, a.change.Operation)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, false, nil
+	}
 	if err != nil {
-		return 0, false, fmt.Errorf("configstore: outcome of operation %s unknown: %w", c.Operation, cause)
+		return 0, false, err
 	}
-	if len(changes) == 1 && changes[0].Operation == c.Operation {
-		return c.Revision, false, nil
+	var o operation
+	if err := json.Unmarshal(row.Value, &o); err != nil {
+		return 0, false, fmt.Errorf("configstore: operation %s: %w", a.change.Operation, err)
 	}
-	return 0, true, nil
-}
-
-func checkRevisions(ctx context.Context, t platform.TableService, records []record.Envelope) error {
-	for _, e := range records {
-		if e.Revision == 0 {
-			continue
-		}
-		current, err := Get(ctx, t, e.Ref())
-		if errors.Is(err, platform.ErrNotFound) {
-			current, err = record.Envelope{}, nil
-		}
-		if err != nil {
-			return err
-		}
-		if current.Revision != e.Revision {
-			return &ConflictError{Ref: e.Ref(), Expected: e.Revision, Found: current.Revision}
-		}
+	if o.Digest != a.digest {
+		return 0, false, &OperationReusedError{Operation: a.change.Operation, Revision: o.Revision}
 	}
-	return nil
+	return o.Revision, true, nil
 }
 
-func changeTxn(c Change, headVersion int64) (platform.Txn, error) {
+// transaction returns the change as one transaction, conditional on the head
+// and on the operation not being recorded.
+func (a *attempt) transaction(headVersion int64) (platform.Txn, error) {
+	c := a.change
+	c.Records = append([]record.Envelope{}, c.Records...)
 	var txn platform.Txn
 	for i := range c.Records {
 		c.Records[i].Revision = c.Revision
@@ -108,10 +172,16 @@
 	if err := addWrite(&txn, tableChanges, changeKey(c.Revision), c); err != nil {
 		return txn, err
 	}
+	if err := addWrite(&txn, tableOperations, c.Operation, operation{c.Revision, a.digest}); err != nil {
+		return txn, err
+	}
 	if err := addWrite(&txn, tableHead, headKey, head{c.Revision, c.Operation}); err != nil {
 		return txn, err
 	}
-	txn.Conditions = []platform.Condition{{Table: tableHead, Key: headKey, Version: headVersion}}
+	txn.Conditions = []platform.Condition{
+		{Table: tableHead, Key: headKey, Version: headVersion},
+		{Table: tableOperations, Key: c.Operation, Version: 0},
+	}
 	return txn, nil
 }
 
@@ -124,15 +194,48 @@
 	return nil
 }
 
-// Get returns one record, or platform.ErrNotFound.
-func Get(ctx context.Context, t platform.TableService, ref record.Ref) (record.Envelope, error) {
-	var e record.Envelope
-	row, err := t.Get(ctx, tableRecords, ref.String())
+// checkRevisions compares the revisions that the operator saw with the current
+// ones.
+func checkRevisions(ctx context.Context, t platform.TableService, records []record.Envelope) error {
+	for _, e := range records {
+		if e.Revision == 0 {
+			continue
+		}
+		current, err := Get(ctx, t, e.Ref())
+		if errors.Is(err, platform.ErrNotFound) {
+			current, err = record.Envelope{}, nil
+		}
+		if err != nil {
+			return err
+		}
+		if current.Revision != e.Revision {
+			return &ConflictError{Ref: e.Ref(), Expected: e.Revision, Found: current.Revision}
+		}
+	}
+	return nil
+}
+
+// digestOf identifies a change's records, so that an operation id is not used
+// for two changes.
+func digestOf(records []record.Envelope) (string, error) {
+	raw, err := json.Marshal(records)
 	if err != nil {
-		return e, err
+		return "", err
 	}
-	if err := json.Unmarshal(row.Value, &e); err != nil {
-		return e, fmt.Errorf("configstore: record %s: %w", ref, err)
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:]), nil
+}
+
+func isUnavailable(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// pause waits before the next try after a lost answer.
+func pause(ctx context.Context, try int) {
+	t := time.NewTimer(firstPause << try)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
-	return e, nil
 }
