The daemon's exit codes and signals are tested

Wrong settings end with exit code 2 and every problem on a line; a second signal ends the host at once. Checked by: go test ./cmd/jasminelockd

--- a/cmd/jasminelockd/main.go
+++ b/cmd/jasminelockd/main.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,53 +18,69 @@
 
 // Exit codes.
 const (
-	exitFailed   = 1
+	// exitFailed says that the host could not run, or that it cut requests.
+	exitFailed = 1
+	// exitSettings says that the settings are not valid.
 	exitSettings = 2
 )
 
 func main() {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	os.Exit(run(os.Args[1:], signals, os.Stdout, os.Stderr))
+}
+
+// run runs the command and returns its exit code.
+func run(args []string, signals <-chan os.Signal, stdout, stderr io.Writer) int {
 	var path string
 	var check bool
-	code := 0
 	cmd := &cobra.Command{
-		Use:          "jasminelockd --config host.jsonc",
-		Short:        "Run one jasminelock host",
-		SilenceUsage: true,
+		Use:   "jasminelockd --config host.jsonc",
+		Short: "Run one jasminelock host",
 		Long: "Run one jasminelock host. SIGTERM or SIGINT starts a graceful shutdown, which cuts no request; a\n" +
 			"second one ends the host at once and says how many requests were cut. Exit codes: 1 the host could\n" +
 			"not run or cut requests, 2 the settings are not valid.",
-		Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := settings.Load(path)
-			if err != nil {
-				code = exitSettings
+			if err != nil || check {
+				if err == nil {
+					cmd.Println("settings are valid")
+				}
 				return err
 			}
-			if check {
-				fmt.Println("settings are valid")
-				return nil
-			}
-			return run(s)
+			return serve(s, signals)
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", "host.jsonc", "settings file, JSON with comments")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
-	if err := cmd.Execute(); err != nil {
-		os.Exit(max(code, exitFailed))
+	cmd.SetArgs(args)
+	cmd.SetOut(stdout)
+	cmd.SetErr(stderr)
+	err := cmd.Execute()
+	var problems settings.Problems
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &problems), errors.Is(err, os.ErrNotExist):
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSettings
 	}
+	_, _ = fmt.Fprintln(stderr, "Error:", err)
+	return exitFailed
 }
 
-// run serves until the first signal, which starts a graceful shutdown. A
+// serve serves until the first signal, which starts a graceful shutdown. A
 // second signal ends it at once.
-func run(s *settings.Settings) error {
+func serve(s *settings.Settings, signals <-chan os.Signal) error {
 	host, err := jasminelock.New(s)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-signals
 		host.Drain()
