--- a/core/fleet.go
+++ b/core/fleet.go
@@ -20,15 +20,18 @@
 	case ConfigConfirmed:
 		c.freshness.confirm(e.Until)
 	case PeerReceived:
-		out.limited(c.limiter.Receive(now, e.From, e.Message))
+		c.limited(c.limiter.Receive(now, e.From, e.Message), out)
 		c.onScheduled(now, c.scheduler.Receive(now, e.From, e.Message), out)
 	case StoreEnded:
-		out.limited(c.limiter.StoreEnded(now, e.End))
+		c.limited(c.limiter.StoreEnded(now, e.End), out)
+	case LeaveStarted:
+		c.limited(c.limiter.Leave(now), out)
 	case DrainStarted:
 		c.draining = true
 	case Tick:
 		c.resume(now, out)
-		out.limited(c.limiter.Tick(now))
+		c.limited(c.limiter.Tick(now), out)
+		c.budget.tick(now)
 		c.onScheduled(now, c.scheduler.Tick(now), out)
 	}
 }
@@ -41,7 +44,7 @@
 	c.budget.config = config
 	c.retries.forget(c.ownsRetryBudget)
 	c.board.Config.Publish(config)
-	out.limited(c.limiter.Configure(now, withLoadBudgets(config)))
+	c.limited(c.limiter.Configure(now, withLoadBudgets(config)), out)
 	c.onScheduled(now, c.scheduler.Configure(now, config), out)
 }
 
@@ -60,6 +63,6 @@
 
 // members tells the limiter and the scheduler which hosts are live.
 func (c *Core) members(now time.Time, names []string, out *decisions) {
-	out.limited(c.limiter.Members(now, names))
+	c.limited(c.limiter.Members(now, names), out)
 	c.onScheduled(now, c.scheduler.Members(now, names), out)
 }
