sched: a lapsed holder goes on evicting while the host list names it without a gap

Ruled out: no evictions until the store is back, since an outage lasts an hour. Change: a new holder grants nothing on such an engine before every listed host has acknowledged it or has been off the list for 15 s; a lapsed holder evicts only while it has read itself in the list, and gives its lapsed leases up after a pause or a gap.

--- a/sched/lease.go
+++ b/sched/lease.go
@@ -31,6 +31,14 @@
 	// departedBound is when a host that left the host list has stopped to give
 	// grants: a host that is cut off stops to serve before.
 	departedBound = time.Minute
+	// listAge is how old the host list may be for a lapsed holder to evict.
+	listAge = 3 * time.Second
+	// unlistedBound is when a host that left the host list can no longer read
+	// itself in it: the list's lag, listAge and orderBound.
+	unlistedBound = 15 * time.Second
+	// pauseBound is the longest gap between events after which a holder still
+	// trusts a lease that has lapsed.
+	pauseBound = 20 * time.Second
 )
 
 // groupsPerZone is the number of leases of one zone. A group of upstreams
@@ -66,6 +74,8 @@
 	acknowledged map[string]bool
 	lastAck      time.Time
 	nextNotice   time.Time
+	// cleared says that no earlier holder's order can take effect any more.
+	cleared bool
 }
 
 func (l *leaseState) mine() bool { return l.fence > 0 }
@@ -89,6 +99,8 @@
 
 // Members implements Scheduler.
 func (p *Policy) Members(now time.Time, hosts []string) []Decision {
+	p.begin(now)
+	p.seeListed(now, slices.Contains(hosts, p.host))
 	if slices.Equal(hosts, p.members) {
 		return nil
 	}
@@ -105,6 +117,31 @@
 	return p.take(now)
 }
 
+// seeListed notes whether this host reads itself in the host list. After a gap
+// it may have been taken for gone, and replaced.
+func (p *Policy) seeListed(now time.Time, listed bool) {
+	if !listed {
+		return
+	}
+	gap := now.Sub(p.listedAt)
+	if gap > listAge {
+		p.listedSince = now
+	}
+	if gap > pauseBound && !p.listedAt.IsZero() {
+		p.loseLapsed(now)
+	}
+	p.listedAt = now
+}
+
+// loseLapsed ends the tenures that the table service no longer backs.
+func (p *Policy) loseLapsed(now time.Time) {
+	for _, l := range p.leaseOrder {
+		if l.mine() && !l.valid(now) {
+			l.lose()
+		}
+	}
+}
+
 // chooseCandidates gives each lease the host that ranks first by rendezvous
 // hashing. Hosts that see different lists may both claim: the table service
 // grants one of them.
@@ -139,6 +176,7 @@
 
 // LeaseSeen implements Scheduler.
 func (p *Policy) LeaseSeen(now time.Time, r LeaseResult) []Decision {
+	p.begin(now)
 	l, ok := p.leases[r.Resource]
 	switch {
 	case !ok:
@@ -146,7 +184,7 @@
 		p.onGranted(now, l, r)
 	case r.Holder != "" && r.Holder != p.host:
 		// A store that does not answer names no holder: nothing is learned.
-		l.fence = 0
+		l.lose()
 		l.owner = r.Holder
 	}
 	return p.take(now)
@@ -161,6 +199,7 @@
 		l.acknowledged = map[string]bool{p.host: true}
 		l.lastAck = now
 		l.nextNotice = now
+		l.cleared = false
 	}
 	l.highest, l.owner = r.Fence, p.host
 	l.until = later(l.until, r.SentAt.Add(r.TTL-leaseMargin))
@@ -191,9 +230,12 @@
 		return
 	}
 	if m.Fence > l.fence {
-		l.fence = 0
+		l.lose()
 	}
 	l.highest, l.owner = m.Fence, from
+	if p.evicting(l) {
+		return // the notice comes again
+	}
 	p.send(from, &wire.OwnerAck{Resource: m.Resource, Fence: m.Fence})
 	for _, g := range p.sortedHungry() {
 		p.serveGroup(now, g)
@@ -209,13 +251,14 @@
 	l.lastAck = now
 }
 
-// settled reports whether every grant of an earlier holder has run out. The
+// replaced reports whether every earlier holder has stopped: each listed host
+// has acknowledged this one, and those that have left did so a bound ago. The
 // first holder has none before it.
-func (p *Policy) settled(now time.Time, l *leaseState) bool {
+func (p *Policy) replaced(now time.Time, l *leaseState, bound time.Duration) bool {
 	if l.fence == 1 {
 		return true
 	}
-	if now.Sub(p.startedAt) < departedBound || now.Before(l.lastAck.Add(useTTL+useMargin+transitBound)) {
+	if now.Sub(p.startedAt) < bound {
 		return false
 	}
 	for _, h := range p.members {
@@ -224,25 +267,79 @@
 		}
 	}
 	for h, at := range p.departed {
-		if !l.acknowledged[h] && now.Sub(at) < departedBound {
+		if !l.acknowledged[h] && now.Sub(at) < bound {
 			return false
 		}
 	}
 	return true
 }
 
+// settled reports whether every grant of an earlier holder has run out.
+func (p *Policy) settled(now time.Time, l *leaseState) bool {
+	if l.fence == 1 {
+		return true
+	}
+	return now.After(l.lastAck.Add(useTTL+useMargin+transitBound)) && p.replaced(now, l, departedBound)
+}
+
+// mayGrant reports whether this host decides who uses an engine: it holds the
+// lease, and no earlier holder's order can take effect.
+func (p *Policy) mayGrant(now time.Time, v *upstreamView) bool {
+	l := v.lease
+	switch {
+	case !l.mine():
+		return false
+	case l.fence == 1:
+		return true
+	case v.record.ChecksFence:
+		return v.raised == l.fence
+	}
+	l.cleared = l.cleared || p.replaced(now, l, unlistedBound)
+	return l.cleared
+}
+
 // mayEvict reports whether this host may order an engine to drop an adapter
 // now. An engine that checks fencing numbers refuses the order of a holder that
-// has been replaced; any other must be given it while the lease is valid.
+// has been replaced. Any other may be given it while the lease is valid, or as
+// long as this host has been listed without a gap: a new holder grants nothing
+// until each listed host has acknowledged it.
 func (p *Policy) mayEvict(now time.Time, v *upstreamView) bool {
 	l := v.lease
-	if !l.mine() || !v.usable(now) || !p.settled(now, l) {
+	if !p.mayGrant(now, v) || !v.usable(now) || !p.settled(now, l) {
 		return false
 	}
-	if v.record.ChecksFence {
-		return v.raised == l.fence || l.fence == 1
+	return v.record.ChecksFence || l.valid(now.Add(orderBound)) || p.listedThroughout(now, l)
+}
+
+// listedThroughout reports whether this host has read itself in the host list
+// ever since its lease was last valid.
+func (p *Policy) listedThroughout(now time.Time, l *leaseState) bool {
+	return now.Sub(p.listedAt) <= listAge && !p.listedSince.After(l.until)
+}
+
+// begin starts an event. After a pause, a lapsed lease may have a new holder
+// that has waited long enough to evict.
+func (p *Policy) begin(now time.Time) {
+	if gap := now.Sub(p.lastEvent); !p.lastEvent.IsZero() && gap > pauseBound {
+		p.loseLapsed(now)
+	}
+	p.lastEvent = now
+}
+
+// lose ends this host's tenure.
+func (l *leaseState) lose() {
+	l.fence = 0
+	l.until = time.Time{}
+}
+
+// evicting reports whether an evicting order of this host is open.
+func (p *Policy) evicting(l *leaseState) bool {
+	for _, o := range p.orders {
+		if o.op == Unload && o.view.lease == l {
+			return true
+		}
 	}
-	return l.valid(now.Add(orderBound))
+	return false
 }
 
 // raiseFences makes engines that check fencing numbers know this host's, so
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -76,13 +76,14 @@
 
 // OrderEnded implements Scheduler.
 func (p *Policy) OrderEnded(now time.Time, e OrderEnd) []Decision {
+	p.begin(now)
 	o, ok := p.orders[e.ID]
 	if !ok {
 		return nil
 	}
 	delete(p.orders, e.ID)
 	if errors.Is(e.Err, upstream.ErrFenced) {
-		o.view.lease.fence = 0
+		o.view.lease.lose()
 		o.view.lease.owner = ""
 	}
 	switch o.op {
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -61,14 +61,18 @@
 	// departed holds when hosts left the host list.
 	departed  map[string]time.Time
 	startedAt time.Time
-
-	held     map[*slot]struct{}
-	asks     map[string]*wire.UseAsk
-	asked    map[uint64]time.Time
-	lastAsk  uint64
-	process  uint64
-	out      []Decision
-	lastTick time.Time
+	// listedAt is when this host last read itself in the host list, listedSince
+	// when it began to do so without a gap.
+	listedAt    time.Time
+	listedSince time.Time
+	lastEvent   time.Time
+
+	held    map[*slot]struct{}
+	asks    map[string]*wire.UseAsk
+	asked   map[uint64]time.Time
+	lastAsk uint64
+	process uint64
+	out     []Decision
 }
 
 type runningSlot struct {
@@ -118,6 +122,7 @@
 
 // Configure implements Scheduler.
 func (p *Policy) Configure(now time.Time, c *record.Config) []Decision {
+	p.begin(now)
 	if p.startedAt.IsZero() {
 		p.startedAt = now
 	}
@@ -213,6 +218,7 @@
 
 // Reported implements Scheduler.
 func (p *Policy) Reported(now time.Time, name string, r upstream.Report) []Decision {
+	p.begin(now)
 	v, ok := p.upstreams[name]
 	if !ok {
 		return nil
@@ -306,6 +312,7 @@
 // CacheSeen implements Scheduler. After a gap, what is known may be stale, but
 // a wrong guess costs only prefill time: nothing is forgotten.
 func (p *Policy) CacheSeen(now time.Time, name string, events []upstream.CacheEvent) []Decision {
+	p.begin(now)
 	v, ok := p.upstreams[name]
 	if !ok {
 		return nil
@@ -322,6 +329,7 @@
 
 // Unreachable implements Scheduler.
 func (p *Policy) Unreachable(now time.Time, name string) []Decision {
+	p.begin(now)
 	if v, ok := p.upstreams[name]; ok {
 		v.unreachable = true
 	}
@@ -330,6 +338,7 @@
 
 // Ended implements Scheduler.
 func (p *Policy) Ended(now time.Time, e AttemptEnd) []Decision {
+	p.begin(now)
 	run, ok := p.running[e.ID]
 	if !ok {
 		return nil
@@ -359,6 +368,7 @@
 
 // Tick implements Scheduler.
 func (p *Policy) Tick(now time.Time) []Decision {
+	p.begin(now)
 	if p.startedAt.IsZero() {
 		p.startedAt = now
 	}
@@ -367,12 +377,12 @@
 	p.renewUses(now)
 	p.followRemotes(now)
 	p.place(now)
-	p.lastTick = now
 	return p.take(now)
 }
 
 // Receive implements Scheduler.
 func (p *Policy) Receive(now time.Time, from string, m wire.Message) []Decision {
+	p.begin(now)
 	switch m := m.(type) {
 	case *wire.UseAsk:
 		p.onUseAsk(now, from, m)
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -19,6 +19,7 @@
 
 // Enqueue implements Scheduler.
 func (p *Policy) Enqueue(now time.Time, r Request) []Decision {
+	p.begin(now)
 	if !p.makeRoom(now, r) {
 		return p.take(now)
 	}
@@ -105,6 +106,7 @@
 
 // Cancel implements Scheduler.
 func (p *Policy) Cancel(now time.Time, id RequestID) []Decision {
+	p.begin(now)
 	if w, ok := p.waiting[id]; ok {
 		p.forget(w)
 	}
--- a/sched/use.go
+++ b/sched/use.go
@@ -48,7 +48,7 @@
 	case l == nil:
 		return true
 	case l.mine():
-		return l.fence == 1 || !s.view.record.ChecksFence || s.view.raised == l.fence
+		return p.mayGrant(now, s.view)
 	}
 	return now.Before(s.use.until)
 }
