--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/record"
@@ -84,12 +85,20 @@
 	w.events[name] = sequence
 }
 
+// reportReadBound is how long reading a report may take for it to count. The
+// scheduler relies on reports being recent.
+const reportReadBound = 500 * time.Millisecond
+
 func (d *Daemon) readReport(ctx context.Context, u *record.Upstream) {
+	asked := time.Now()
 	report, err := d.upstream.Report(ctx, u.URL)
 	if err != nil {
 		d.runtime.Handle(core.UpstreamUnreachable{Upstream: u.Name})
 		return
 	}
+	if time.Since(asked) > reportReadBound {
+		return
+	}
 	d.runtime.Handle(core.LoadReported{Upstream: u.Name, Report: report})
 }
 
--- a/sched/lease.go
+++ b/sched/lease.go
@@ -39,6 +39,8 @@
 	// pauseBound is the longest gap between events after which a holder still
 	// trusts a lease that has lapsed.
 	pauseBound = 20 * time.Second
+	// stallBound is the longest gap between events that is no pause.
+	stallBound = 300 * time.Millisecond
 )
 
 // groupsPerZone is the number of leases of one zone. A group of upstreams
@@ -320,7 +322,14 @@
 // begin starts an event. After a pause, a lapsed lease may have a new holder
 // that has waited long enough to evict.
 func (p *Policy) begin(now time.Time) {
-	if gap := now.Sub(p.lastEvent); !p.lastEvent.IsZero() && gap > pauseBound {
+	gap := now.Sub(p.lastEvent)
+	if p.lastEvent.IsZero() {
+		gap = 0
+	}
+	if gap > stallBound {
+		p.stalledAt = now
+	}
+	if gap > pauseBound {
 		p.loseLapsed(now)
 	}
 	p.lastEvent = now
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -110,7 +110,7 @@
 	if err != nil || !v.lease.mine() {
 		delete(v.gone, o.slot.group)
 		p.releaseLoad(now, o, o.load)
-		p.tellEnd(o.load, v, false)
+		p.tellEnd(now, o.load, v, false)
 		return
 	}
 	p.loadInto(now, o.load, v, o.paid, "slot_freed")
@@ -131,12 +131,12 @@
 	p.releaseLoad(now, o, g)
 	if err == nil {
 		p.loadTime.add(now.Sub(o.startedAt))
-		p.tellEnd(g, v, true)
+		p.tellEnd(now, g, v, true)
 		p.becomeResident(now, s)
 		return
 	}
 	v.dropSlot(s, now)
-	p.tellEnd(g, v, false)
+	p.tellEnd(now, g, v, false)
 	switch {
 	case errors.Is(err, upstream.ErrNoSlot):
 		v.fullUntil = now.Add(noSlotBackoff)
--- a/sched/place.go
+++ b/sched/place.go
@@ -296,7 +296,7 @@
 	switch {
 	case s.state != slotResident, s.inFlight > 0, s.busy, s.group.queue.Len() > 0:
 		return false
-	case now.Before(s.grantedUntil), s.view.reportedAt.Before(s.doubtUntil):
+	case now.Before(s.grantedUntil), s.view.provenAt.Before(s.doubtUntil):
 		return false
 	}
 	return now.Sub(s.since) >= minResidency
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -42,11 +42,12 @@
 
 	// hungry are the groups that have requests waiting.
 	hungry map[*group]struct{}
-	// remotes are the groups that another host was asked to load, seenLoads the
-	// last of each host's messages that asked this one.
+	// remotes are the groups that another host was asked to load, served what
+	// other hosts have asked of this one.
 	remotes   map[*group]struct{}
 	orphans   []orphanLoad
-	seenLoads map[string]loadAsk
+	served    map[loadKey]*servedLoad
+	lastLoad  uint64
 	loads     map[string]float64
 	loadClock float64
 	refused   map[string]time.Time
@@ -66,6 +67,9 @@
 	listedAt    time.Time
 	listedSince time.Time
 	lastEvent   time.Time
+	// stalledAt is when this host last went on after a pause. Reports that come
+	// soon after may have been made before it.
+	stalledAt time.Time
 
 	held    map[*slot]struct{}
 	asks    map[string]*wire.UseAsk
@@ -95,7 +99,7 @@
 		upstreams: map[string]*upstreamView{}, engines: map[string][]*upstreamView{},
 		adapters: map[record.AdapterRef]*group{}, names: map[string]*group{}, pools: map[string]*group{},
 		counters: fair.NewCounters(), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
-		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, seenLoads: map[string]loadAsk{}, loads: map[string]float64{},
+		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, served: map[loadKey]*servedLoad{}, loads: map[string]float64{},
 		refused: map[string]time.Time{}, orders: map[OrderID]openOrder{},
 		leases: map[string]*leaseState{}, members: []string{o.Host}, departed: map[string]time.Time{},
 		process: o.Random.Uint64(),
@@ -228,6 +232,9 @@
 	}
 	v.incarnation = r.Incarnation
 	v.reportedAt, v.unreachable = now, false
+	if now.Sub(p.stalledAt) > reportLag {
+		v.provenAt = now
+	}
 	v.role = r.Role
 	v.others = max(0, r.Running+r.Waiting-v.inFlight)
 	if v.record.Class == record.ClassEngine {
@@ -303,9 +310,6 @@
 func (p *Policy) becomeResident(now time.Time, s *slot) {
 	s.state, s.since, s.order = slotResident, now, 0
 	s.group.failures = 0
-	if r := s.group.remote; r != nil && r.view == s.view {
-		p.endRemote(now, s.group)
-	}
 	p.serveGroup(now, s.group)
 }
 
--- /dev/null
+++ b/sched/property_test.go
@@ -0,0 +1,328 @@
+package sched
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jasminelock/jasminelock/record"
+)
+
+// simTick is how often the schedulers tick in these tests.
+const simTick = 200 * time.Millisecond
+
+// fault is one thing that goes wrong for a while.
+type fault struct {
+	Kind string
+	At   time.Duration
+	For  time.Duration
+	On   int
+}
+
+// plan is one run: its sizes and what goes wrong.
+type plan struct {
+	Seed         uint64
+	Adapters     int
+	Fenced       bool
+	SlowOrders   bool
+	Loss         float64
+	Duplicates   float64
+	LoadFailures float64
+	MessageDelay time.Duration
+	Longest      time.Duration
+	Faults       []fault
+}
+
+const (
+	simHosts   = 3
+	simEngines = 4
+	simLength  = 100 * time.Second
+)
+
+var faultKinds = []string{"pause", "kill", "cut", "partition", "outage", "engine restart", "engine crash", "leaving"}
+
+// plans draws runs. Times are drawn apart, since rapid prefers small numbers and
+// would put most faults at the start.
+var plans = rapid.Custom(func(t *rapid.T) plan {
+	seed := rapid.Uint64().Draw(t, "seed")
+	times := rand.New(rand.NewPCG(seed, 1))
+	upTo := func(d time.Duration) time.Duration { return time.Duration(times.Int64N(int64(d))) }
+	p := plan{
+		Seed:         seed,
+		Adapters:     rapid.IntRange(2, 24).Draw(t, "adapters"),
+		Fenced:       rapid.Bool().Draw(t, "fenced"),
+		SlowOrders:   rapid.Bool().Draw(t, "slow orders"),
+		Loss:         rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss"),
+		Duplicates:   rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "duplicates"),
+		LoadFailures: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "load failures"),
+		MessageDelay: 2*time.Millisecond + upTo(400*time.Millisecond),
+		Longest:      100*time.Millisecond + upTo(9*time.Second),
+	}
+	for range rapid.IntRange(0, 6).Draw(t, "faults") {
+		p.Faults = append(p.Faults, fault{
+			Kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			At:   2*time.Second + upTo(70*time.Second),
+			For:  100*time.Millisecond + upTo(40*time.Second),
+			On:   rapid.IntRange(0, 11).Draw(t, "on"),
+		})
+	}
+	return p
+})
+
+// outageUntil returns the end of the table service's outage, if there is one.
+func (p *plan) outageUntil(now time.Time) time.Time {
+	var until time.Time
+	for _, f := range p.Faults {
+		start := worldStart.Add(f.At)
+		if f.Kind == "outage" && !now.Before(start) && now.Before(start.Add(f.For)) {
+			until = later(until, start.Add(f.For))
+		}
+	}
+	return until
+}
+
+// parted reports whether two hosts cannot reach each other.
+func (p *plan) parted(now time.Time, a, b string) bool {
+	for _, f := range p.Faults {
+		start := worldStart.Add(f.At)
+		if f.Kind != "partition" || now.Before(start) || !now.Before(start.Add(f.For)) {
+			continue
+		}
+		alone := hostName(f.On % simHosts)
+		if (a == alone) != (b == alone) {
+			return true
+		}
+	}
+	return false
+}
+
+func hostName(i int) string { return fmt.Sprintf("h%d", i) }
+
+func newWorld(p plan) *world {
+	w := &world{
+		plan: p, random: rand.New(rand.NewPCG(p.Seed, 7)), now: worldStart, leases: map[string]*simLease{},
+		violations: map[violation]int{}, requests: map[RequestID]*simRequest{}, ended: map[string]int{},
+	}
+	w.budget = &simBudget{world: w, tokens: simLoadBurst, at: worldStart}
+	w.config = w.makeConfig(-1)
+	for i := range simEngines {
+		u, _ := w.config.Upstream(fmt.Sprintf("e%d", i))
+		w.engines = append(w.engines, &simEngine{
+			world: w, record: u, reachedAt: map[*simHost]time.Time{}, adapters: map[record.AdapterRef]bool{},
+			running: map[record.AdapterRef]int{}, onWay: map[record.AdapterRef]int{},
+		})
+	}
+	for i := range simHosts {
+		w.hosts = append(w.hosts, &simHost{world: w, name: hostName(i)})
+	}
+	return w
+}
+
+// makeConfig returns the records of a run. One engine may be leaving.
+func (w *world) makeConfig(leaving int) *record.Config {
+	envelope := func(kind record.Kind, name string, spec any) record.Envelope {
+		raw, err := json.Marshal(spec)
+		if err != nil {
+			panic(err)
+		}
+		return record.Envelope{Schema: record.SchemaV2, Kind: kind, Name: name, Spec: raw}
+	}
+	type fields map[string]any
+	all := []record.Envelope{
+		envelope(record.KindOrganisation, "org-0", fields{}),
+		envelope(record.KindModel, "m", fields{"max_context_tokens": 4096, "loads_per_second": simLoadsPerSecond, "loads_in_flight": simLoadsInFlight}),
+	}
+	for i := range w.plan.Adapters {
+		ref := simAdapter(i)
+		all = append(all,
+			envelope(record.KindAdapter, ref.Name, fields{"organisation": "org-0", "model": "m", "default_version": "1", "public": true}),
+			envelope(record.KindVersion, ref.String(), fields{"adapter": ref.Name, "version": "1", "source": ref.Name}))
+	}
+	for i := range simEngines {
+		all = append(all, envelope(record.KindUpstream, fmt.Sprintf("e%d", i), fields{
+			"class": "engine", "url": "http://10.0.0.1:1", "zone": "z1", "model": "m", "adapter_slots": 2, "max_batch": 3,
+			"checks_fence": w.plan.Fenced, "leaving": i == leaving,
+		}))
+	}
+	c, problems := record.NewConfig().Apply(1, all)
+	if len(problems) > 0 {
+		panic(problems[0])
+	}
+	return c
+}
+
+// play runs the plan to its end.
+func (w *world) play() {
+	for i, h := range w.hosts {
+		offset := time.Duration(i) * 3 * time.Millisecond
+		w.after(offset, h.start)
+		w.every(offset+time.Millisecond, simTick, func() {
+			h.handle(h.process, func(p *Policy) []Decision { return p.Tick(w.now) })
+		})
+		w.every(offset+2*time.Millisecond, 400*time.Millisecond, h.readReports)
+		w.every(offset+time.Millisecond, time.Second, h.readHosts)
+		w.every(offset, 600*time.Millisecond, h.arrive)
+	}
+	w.every(0, simTick, w.checkDeadlines)
+	for _, f := range w.plan.Faults {
+		w.after(f.At, func() { w.start(f) })
+	}
+	w.run(simLength)
+}
+
+// listTTL is when a host that does not announce itself leaves the host list.
+const listTTL = 10 * time.Second
+
+// readHosts reads the host list, unless the host is cut off.
+func (h *simHost) readHosts() {
+	w := h.world
+	if h.cut {
+		return
+	}
+	var names []string
+	for _, other := range w.hosts {
+		absent := other.dead || other.paused || other.cut
+		if other.process > 0 && (!absent || w.now.Sub(other.absentAt) < listTTL) {
+			names = append(names, other.name)
+		}
+	}
+	h.handle(h.process, func(p *Policy) []Decision { return p.Members(w.now, names) })
+}
+
+// start begins a fault and plans its end.
+func (w *world) start(f fault) {
+	h, e := w.hosts[f.On%simHosts], w.engines[f.On%simEngines]
+	switch f.Kind {
+	case "pause":
+		if h.dead || h.paused || h.cut {
+			return
+		}
+		h.paused, h.absentAt = true, w.now
+		process := h.process
+		w.after(f.For, func() {
+			if h.process == process && !h.dead {
+				h.resume()
+			}
+		})
+	case "kill":
+		if h.dead {
+			return
+		}
+		h.kill()
+		w.after(f.For, h.start)
+	case "cut":
+		if h.dead || h.paused || h.cut {
+			return
+		}
+		h.cut, h.absentAt = true, w.now
+		w.after(f.For, func() { h.cut = false })
+	case "engine restart":
+		e.restart()
+	case "engine crash":
+		e.dead = true
+		w.after(f.For, e.restart)
+	case "leaving":
+		w.config = w.makeConfig(f.On % simEngines)
+		for _, other := range w.hosts {
+			other.handle(other.process, func(p *Policy) []Decision { return p.Configure(w.now, w.config) })
+		}
+	}
+}
+
+// Seeds are split between parallel tests.
+const (
+	propertyShards = 8
+	runsPerShard   = 250
+)
+
+func TestPropertiesUnderFaults(t *testing.T) {
+	for shard := range propertyShards {
+		t.Run(fmt.Sprint(shard), func(t *testing.T) {
+			t.Parallel()
+			ended := map[string]int{}
+			evictions := 0
+			for i := range runsPerShard {
+				seed := shard*runsPerShard + i
+				w := newWorld(plans.Example(seed))
+				w.play()
+				require.Empty(t, w.violations, "seed %d, plan %+v", seed, w.plan)
+				for kind, n := range w.ended {
+					ended[kind] += n
+				}
+				evictions += w.evictions
+			}
+			assert.Positive(t, evictions)
+			assert.Greater(t, ended["completed"], ended["deadline_exceeded"], "%v", ended)
+		})
+	}
+}
+
+// TestCheckersCatchMutants breaks one mechanism at a time: each must be found
+// by the checker of its property.
+func TestCheckersCatchMutants(t *testing.T) {
+	cases := map[string]struct {
+		mutate func(*Policy)
+		broken violation
+	}{
+		"grants are not counted": {func(p *Policy) {
+			for _, v := range p.upstreams {
+				for _, s := range v.slots {
+					s.grantedUntil, s.doubtUntil, s.busy = time.Time{}, time.Time{}, false
+				}
+			}
+		}, servingEvicted},
+		"a lapsed lease counts as valid": {func(p *Policy) {
+			for _, l := range p.leaseOrder {
+				l.until = p.lastEvent.Add(time.Hour)
+			}
+		}, servingEvicted},
+		"a leaving upstream is used": {func(p *Policy) {
+			for _, v := range p.upstreams {
+				u := *v.record
+				u.Leaving = false
+				v.record = &u
+			}
+		}, workToLeaving},
+		"a silent upstream is used": {func(p *Policy) {
+			for _, v := range p.upstreams {
+				v.reportedAt, v.unreachable = p.lastEvent, false
+			}
+		}, workToSilent},
+		"deadlines are forgotten":        {func(p *Policy) { p.deadlines = nil }, pastDeadline},
+		"the budget is not asked for":    {func(p *Policy) { p.budget = freeLoads{} }, overBudget},
+		"upstreams to avoid are used":    {func(p *Policy) { forgetAvoid(p) }, wrongUpstream},
+		"loads asked for twice are done": {func(p *Policy) { clear(p.served) }, overBudget},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range propertyShards * runsPerShard {
+				w := newWorld(plans.Example(seed))
+				w.mutate = c.mutate
+				w.play()
+				if w.violations[c.broken] > 0 {
+					return
+				}
+			}
+			t.Fatal("no run broke the property")
+		})
+	}
+}
+
+// freeLoads is a budget without bounds.
+type freeLoads struct{}
+
+func (freeLoads) TakeLoad(time.Time, string) bool { return true }
+func (freeLoads) LoadEnded(time.Time, string)     {}
+
+func forgetAvoid(p *Policy) {
+	for _, w := range p.waiting {
+		w.request.Avoid = nil
+	}
+}
--- a/sched/remote.go
+++ b/sched/remote.go
@@ -9,12 +9,12 @@
 
 // Times of loads that other hosts carry out.
 const (
-	// loadAskRetry is when an unanswered question for a load is asked again.
-	loadAskRetry = 250 * time.Millisecond
+	// loadAskRetry is how often a load whose end is not known is asked for.
+	loadAskRetry = 300 * time.Millisecond
 	// loadAskAge is when an owner that has not answered is given up.
 	loadAskAge = time.Second
-	// remoteLoadAge is when a started load that no report shows is given up.
-	remoteLoadAge = 5 * time.Second
+	// remoteLoadAge is when a load that was started is given up.
+	remoteLoadAge = 15 * time.Second
 	// loadBound is the longest that a load can run. A load whose end is not
 	// known holds its place in flight for so long.
 	loadBound = 2 * time.Minute
@@ -23,7 +23,9 @@
 // remoteLoad is a load that another host was asked for. This host has taken the
 // budget for it.
 type remoteLoad struct {
+	number       uint64
 	view         *upstreamView
+	owner        string
 	organisation string
 	requests     int
 	askedAt      time.Time
@@ -37,30 +39,50 @@
 	until time.Time
 }
 
-// loadAsk is the last message of a process that asked for loads.
-type loadAsk struct {
+// loadKey names a load that another host has asked for.
+type loadKey struct {
+	host    string
 	process uint64
 	number  uint64
 }
 
+// loadState is how a load that another host has asked for stands.
+type loadState uint8
+
+const (
+	loadStarted loadState = iota
+	loadBusy
+	loadDone
+	loadFailed
+)
+
+// servedLoad is kept so that a message which comes twice starts nothing: its
+// budget may have been given back.
+type servedLoad struct {
+	state loadState
+	use   wire.Use
+	at    time.Time
+}
+
 // askLoad asks the owner of an upstream for a load, its budget being taken.
 func (p *Policy) askLoad(now time.Time, g *group, v *upstreamView, organisation string) {
-	g.remote = &remoteLoad{view: v, organisation: organisation, requests: g.queue.Len(), askedAt: now, since: now}
+	p.lastLoad++
+	g.remote = &remoteLoad{
+		number: p.lastLoad, view: v, owner: p.ownerOf(v), organisation: organisation,
+		requests: g.queue.Len(), askedAt: now, since: now,
+	}
 	p.remotes[g] = struct{}{}
 	p.sendLoadAsk(g)
 }
 
 func (p *Policy) sendLoadAsk(g *group) {
-	owner := p.ownerOf(g.remote.view)
-	if owner == "" {
-		return
-	}
-	ask := p.askTo(owner)
-	ask.Loads = append(ask.Loads, wire.Use{Upstream: g.remote.view.record.Name, Adapter: g.name, Requests: g.remote.requests})
+	r := g.remote
+	ask := p.askTo(r.owner)
+	ask.Loads = append(ask.Loads, wire.Use{Upstream: r.view.record.Name, Adapter: g.name, Requests: r.requests, Load: r.number})
 }
 
-// followRemotes asks again for loads that have not been answered, and gives up
-// those of owners that do not answer.
+// followRemotes asks again for loads whose end is not known, and gives up those
+// of owners that do not answer.
 func (p *Policy) followRemotes(now time.Time) {
 	for _, g := range sortedGroups(p.remotes) {
 		r := g.remote
@@ -68,8 +90,9 @@
 		switch {
 		case r.started && age > remoteLoadAge, !r.started && age > loadAskAge:
 			r.view.price = slotPrice{at: now, blocked: true}
-			p.orphan(now, g)
-		case !r.started && now.Sub(r.askedAt) >= loadAskRetry:
+			p.orphans = append(p.orphans, orphanLoad{g.model, now.Add(loadBound)})
+			p.forgetRemote(g)
+		case now.Sub(r.askedAt) >= loadAskRetry:
 			r.askedAt = now
 			p.sendLoadAsk(g)
 		}
@@ -81,12 +104,11 @@
 		p.budget.LoadEnded(now, o.model)
 		return true
 	})
-}
-
-// orphan forgets a load, and keeps its place in flight until it must have ended.
-func (p *Policy) orphan(now time.Time, g *group) {
-	p.orphans = append(p.orphans, orphanLoad{g.model, now.Add(loadBound)})
-	p.forgetRemote(g)
+	for key, s := range p.served {
+		if s.state != loadStarted && now.Sub(s.at) > loadBound {
+			delete(p.served, key)
+		}
+	}
 }
 
 // endRemote takes the end of a load that another host has carried out.
@@ -100,53 +122,52 @@
 	delete(p.remotes, g)
 }
 
-// onLoadAsks starts the loads that another host asks for. A message that was
-// delivered twice or was overtaken starts nothing: its budget may be spent.
-func (p *Policy) onLoadAsks(now time.Time, from string, ask *wire.UseAsk, answer *wire.UseAnswer) {
-	if len(ask.Loads) == 0 {
-		return
-	}
-	seen := p.seenLoads[from]
-	if seen.process == ask.Process && ask.Number <= seen.number {
-		return
-	}
-	p.seenLoads[from] = loadAsk{ask.Process, ask.Number}
-	for _, load := range ask.Loads {
-		p.onLoadAsk(now, from, load, answer)
+// onLoadAsk starts a load that another host asks for, or says how it stands.
+func (p *Policy) onLoadAsk(now time.Time, key loadKey, use wire.Use, answer *wire.UseAnswer) {
+	s, ok := p.served[key]
+	if !ok {
+		s = &servedLoad{use: wire.Use{Upstream: use.Upstream, Adapter: use.Adapter, Load: use.Load}, at: now}
+		s.state = p.serveLoad(now, key, use)
+		p.served[key] = s
 	}
+	s.addTo(answer)
 }
 
-func (p *Policy) onLoadAsk(now time.Time, from string, load wire.Use, answer *wire.UseAnswer) {
-	use := wire.Use{Upstream: load.Upstream, Adapter: load.Adapter}
-	v, ok := p.upstreams[load.Upstream]
-	if !ok || v.lease == nil || !v.lease.mine() {
-		answer.NotOwned = append(answer.NotOwned, load.Upstream)
-		answer.Busy = append(answer.Busy, use)
-		return
+func (s *servedLoad) addTo(answer *wire.UseAnswer) {
+	switch s.state {
+	case loadStarted:
+		answer.Started = append(answer.Started, s.use)
+	case loadBusy:
+		answer.Busy = append(answer.Busy, s.use)
+	case loadDone:
+		answer.Loaded = append(answer.Loaded, s.use)
+	case loadFailed:
+		answer.Failed = append(answer.Failed, s.use)
 	}
-	g := p.groupNamed(load.Adapter, v.record.Model)
-	if g == nil {
-		answer.Busy = append(answer.Busy, use)
-		return
+}
+
+// serveLoad starts a load, or joins the one that runs.
+func (p *Policy) serveLoad(now time.Time, key loadKey, use wire.Use) loadState {
+	g, v := p.remoteOf(use)
+	if g == nil || !v.lease.mine() {
+		return loadBusy
 	}
-	g.demand.add(now, float64(load.Requests))
+	g.demand.add(now, float64(use.Requests))
 	g.lastUsed = now
-	_, known := p.config.Version(g.ref)
 	s := v.slots[g]
+	_, known := p.config.Version(g.ref)
 	switch {
 	case s != nil && s.state == slotResident:
-		answer.Loaded = append(answer.Loaded, use)
-	case s != nil && s.state == slotLoading, known && p.startLoad(now, g, v, true):
-		if !slices.Contains(g.tellHosts, from) {
-			g.tellHosts = append(g.tellHosts, from)
-		}
-		answer.Started = append(answer.Started, use)
-	default:
-		answer.Busy = append(answer.Busy, use)
+		return loadDone
+	case s != nil && s.state == slotLoading && s.order != 0, known && p.startLoad(now, g, v, true):
+		g.askedBy = append(g.askedBy, key)
+		return loadStarted
 	}
+	return loadBusy
 }
 
-// remoteOf returns the group and upstream of an answer, where they are known.
+// remoteOf returns the group and engine of a message, nil where they are not
+// known.
 func (p *Policy) remoteOf(use wire.Use) (*group, *upstreamView) {
 	v, ok := p.upstreams[use.Upstream]
 	if !ok || v.lease == nil {
@@ -155,22 +176,45 @@
 	return p.groupNamed(use.Adapter, v.record.Model), v
 }
 
-func (p *Policy) remoteStarted(now time.Time, use wire.Use) {
-	g, v := p.remoteOf(use)
-	if g == nil || g.remote == nil || g.remote.view != v || g.remote.started {
-		return
+// onLoadAnswers takes an owner's word on loads that this host has asked for.
+func (p *Policy) onLoadAnswers(now time.Time, answer *wire.UseAnswer) {
+	for _, use := range answer.Started {
+		if g := p.openLoad(use); g != nil && !g.remote.started {
+			g.remote.started, g.remote.since = true, now
+		}
+	}
+	for _, use := range answer.Busy {
+		if g := p.openLoad(use); g != nil {
+			p.remoteBusy(now, g)
+		}
+	}
+	for _, use := range answer.Failed {
+		if g := p.openLoad(use); g != nil {
+			v := g.remote.view
+			p.endRemote(now, g)
+			p.backOff(now, g, v)
+		}
+	}
+	for _, use := range answer.Loaded {
+		if g := p.openLoad(use); g != nil {
+			p.remoteLoaded(now, g)
+		}
 	}
-	g.remote.started = true
-	g.remote.since = now
 }
 
-// remoteBusy tries another upstream with the budget that was taken.
-func (p *Policy) remoteBusy(now time.Time, use wire.Use) {
-	g, v := p.remoteOf(use)
-	if g == nil || g.remote == nil || g.remote.view != v || g.remote.started {
-		return
+// openLoad returns the group whose open load a message is about, nil where the
+// message is late.
+func (p *Policy) openLoad(use wire.Use) *group {
+	g, ok := p.names[use.Adapter]
+	if !ok || g.remote == nil || g.remote.number != use.Load {
+		return nil
 	}
-	v.price = slotPrice{at: now, blocked: true}
+	return g
+}
+
+// remoteBusy tries another upstream with the budget that was taken.
+func (p *Policy) remoteBusy(now time.Time, g *group) {
+	g.remote.view.price = slotPrice{at: now, blocked: true}
 	organisation := g.remote.organisation
 	p.forgetRemote(g)
 	next := p.target(now, g)
@@ -184,43 +228,33 @@
 	}
 }
 
-// remoteLoaded takes an owner's word that an adapter can be used.
-func (p *Policy) remoteLoaded(now time.Time, use wire.Use) {
-	g, v := p.remoteOf(use)
-	if g == nil {
-		return
-	}
+func (p *Policy) remoteLoaded(now time.Time, g *group) {
+	v := g.remote.view
+	p.loadTime.add(now.Sub(g.remote.since))
+	p.endRemote(now, g)
 	s, ok := v.slots[g]
 	if !ok {
 		s = v.addSlot(g, slotLoading, now)
 	}
 	if s.state == slotLoading && s.order == 0 {
-		if g.remote != nil && g.remote.view == v {
-			p.loadTime.add(now.Sub(g.remote.since))
-		}
 		p.becomeResident(now, s)
 	}
 }
 
-// remoteFailed takes an owner's word that a load has failed.
-func (p *Policy) remoteFailed(now time.Time, use wire.Use) {
-	g, v := p.remoteOf(use)
-	if g == nil || g.remote == nil || g.remote.view != v {
-		return
-	}
-	p.endRemote(now, g)
-	p.backOff(now, g, v)
-}
-
 // tellEnd tells the hosts that have asked for a load how it has ended.
-func (p *Policy) tellEnd(g *group, v *upstreamView, loaded bool) {
-	uses := []wire.Use{{Upstream: v.record.Name, Adapter: g.name}}
-	for _, h := range g.tellHosts {
+func (p *Policy) tellEnd(now time.Time, g *group, v *upstreamView, loaded bool) {
+	for _, key := range g.askedBy {
+		s, ok := p.served[key]
+		if !ok || s.use.Upstream != v.record.Name {
+			continue
+		}
+		s.at, s.state = now, loadFailed
 		if loaded {
-			p.send(h, &wire.UseAnswer{Loaded: uses})
-		} else {
-			p.send(h, &wire.UseAnswer{Failed: uses})
+			s.state = loadDone
 		}
+		answer := &wire.UseAnswer{}
+		s.addTo(answer)
+		p.send(key.host, answer)
 	}
-	g.tellHosts = nil
+	g.askedBy = nil
 }
--- a/sched/use.go
+++ b/sched/use.go
@@ -148,7 +148,9 @@
 			answer.Granted = append(answer.Granted, wire.Use{Upstream: use.Upstream, Adapter: use.Adapter})
 		}
 	}
-	p.onLoadAsks(now, from, ask, answer)
+	for _, load := range ask.Loads {
+		p.onLoadAsk(now, loadKey{from, ask.Process, load.Load}, load, answer)
+	}
 	answer.Prices = p.ownPrices(now)
 	p.send(from, answer)
 }
@@ -179,18 +181,7 @@
 			v.lease.owner = ""
 		}
 	}
-	for _, use := range answer.Loaded {
-		p.remoteLoaded(now, use)
-	}
-	for _, use := range answer.Failed {
-		p.remoteFailed(now, use)
-	}
-	for _, use := range answer.Started {
-		p.remoteStarted(now, use)
-	}
-	for _, use := range answer.Busy {
-		p.remoteBusy(now, use)
-	}
+	p.onLoadAnswers(now, answer)
 	sent, ok := p.asked[answer.Number]
 	if !ok {
 		return
--- a/sched/view.go
+++ b/sched/view.go
@@ -32,9 +32,9 @@
 	retryAt map[string]time.Time
 	// remote is the load that another host was asked for, nil where there is none.
 	remote *remoteLoad
-	// tellHosts are the hosts that wait to hear how a load of this host ends.
-	tellHosts []string
-	lastUsed  time.Time
+	// askedBy are the other hosts' loads that this host's load ends.
+	askedBy  []loadKey
+	lastUsed time.Time
 	// coldSince is when the oldest waiting request began to wait for a load.
 	coldSince time.Time
 }
@@ -77,6 +77,8 @@
 	lease       *leaseState
 	incarnation string
 	reportedAt  time.Time
+	// provenAt is when a report came that was made less than reportLag before.
+	provenAt    time.Time
 	unreachable bool
 	// inFlight counts this host's requests, others those of other hosts.
 	inFlight int
--- a/wire/sched.go
+++ b/wire/sched.go
@@ -23,6 +23,8 @@
 	// Requests counts what the sender has dispatched for it since its last
 	// message or, for a load, what waits.
 	Requests int `cbor:"3,keyasint,omitempty"`
+	// Load numbers a load within the process that asks for it.
+	Load uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // SlotPrice says what a slot of an engine costs.
@@ -39,12 +41,13 @@
 // UseAsk asks an upstream's owner for use grants and for loads. Messages may be
 // lost or repeated: the sender asks again under a new number.
 type UseAsk struct {
-	// Number grows with each message of one process, which Process names.
-	Number  uint64 `cbor:"1,keyasint"`
+	Number uint64 `cbor:"1,keyasint"`
+	// Process tells the sender's processes apart.
 	Process uint64 `cbor:"4,keyasint"`
 	// Uses are the grants asked for, new ones and renewals.
 	Uses []Use `cbor:"2,keyasint,omitempty"`
-	// Loads are to be started at once. The sender has taken the budget for them.
+	// Loads are to be started at once. The sender has taken the budget for them,
+	// and asks again under the same number until it knows the end.
 	Loads []Use `cbor:"3,keyasint,omitempty"`
 }
 
@@ -56,8 +59,8 @@
 	// NotOwned are upstreams that the answering host does not own.
 	NotOwned []string    `cbor:"3,keyasint,omitempty"`
 	Prices   []SlotPrice `cbor:"4,keyasint,omitempty"`
-	// Started loads are under way, Busy ones cannot be started now. Loaded and
-	// Failed ones have ended.
+	// Started loads are under way, Busy ones have not been started and will not
+	// be. Loaded and Failed ones have ended.
 	Started []Use `cbor:"5,keyasint,omitempty"`
 	Busy    []Use `cbor:"6,keyasint,omitempty"`
 	Loaded  []Use `cbor:"7,keyasint,omitempty"`
