--- a/core/core.go
+++ b/core/core.go
@@ -31,6 +31,7 @@
 	random     *rand.Rand
 	retries    retryBudget
 	backingOff []sched.RequestID
+	crashes    crashWatch
 }
 
 // Options are the parts that a Core is made of.
@@ -40,6 +41,8 @@
 	Scheduler sched.Scheduler
 	// Random spreads retries. Nil takes a source with a fixed seed.
 	Random *rand.Rand
+	// Host is this host's name among those of the host list.
+	Host string
 }
 
 // New returns a core without configuration.
@@ -52,6 +55,7 @@
 		requests:  map[sched.RequestID]*entry{},
 		random:    o.Random,
 		retries:   newRetryBudget(),
+		crashes:   newCrashWatch(o.Host),
 	}
 	if c.random == nil {
 		c.random = rand.New(rand.NewPCG(1, 1))
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -1,11 +1,13 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 func (c *Core) onFleetEvent(now time.Time, ev fleetEvent, out *decisions) {
@@ -15,6 +17,10 @@
 	case HostsSeen:
 		c.onHosts(now, e.Hosts, out)
 	case PeerReceived:
+		if m, ok := e.Message.(*wire.Suspicion); ok {
+			c.onSuspicion(now, m)
+			return
+		}
 		out.limited(c.limiter.Receive(now, e.From, e.Message))
 		c.onScheduled(now, c.scheduler.Receive(now, e.From, e.Message), out)
 	case StoreEnded:
@@ -35,6 +41,10 @@
 	c.config = config
 	c.budget.config = config
 	c.retries.forget(c.ownsRetryBudget)
+	maps.DeleteFunc(c.crashes.fates, func(name string, _ *upstreamFate) bool {
+		_, ok := config.Upstream(name)
+		return !ok
+	})
 	c.board.Config.Publish(config)
 	out.limited(c.limiter.Configure(now, withLoadBudgets(config)))
 	c.onScheduled(now, c.scheduler.Configure(now, config), out)
@@ -47,6 +57,7 @@
 		names = append(names, h.Name)
 	}
 	slices.Sort(names)
+	c.crashes.members = names
 	out.limited(c.limiter.Members(now, names))
 	c.onScheduled(now, c.scheduler.Members(now, names), out)
 }
--- a/core/requests.go
+++ b/core/requests.go
@@ -26,6 +26,10 @@
 	retryAt time.Time
 	// callerLeft says that nobody waits for the answer any more.
 	callerLeft bool
+	// suspect requests were suspected of crashing upstreams when last enqueued.
+	suspect bool
+	// dispatchedAt is when the last attempt began.
+	dispatchedAt time.Time
 }
 
 func (c *Core) onRequestEvent(now time.Time, ev requestEvent, out *decisions) {
@@ -51,6 +55,11 @@
 		return
 	}
 	e.machine.To(request.Authorised)
+	if err := c.checkQuarantine(now, e); err != nil {
+		e.machine.To(request.Failed)
+		out.finish(e, err, "quarantine")
+		return
+	}
 	if err := c.reserve(now, e, out); err != nil {
 		e.machine.To(request.Failed)
 		out.finish(e, err, "rate")
@@ -90,6 +99,11 @@
 }
 
 func (c *Core) enqueue(now time.Time, e *entry, out *decisions) {
+	if e.machine.State() != request.BackingOff && c.mustWait(now, e) {
+		c.putOff(now, e)
+		return
+	}
+	e.suspect = c.isSuspect(now, e)
 	e.machine.To(request.Queued)
 	c.onScheduled(now, c.scheduler.Enqueue(now, e.work), out)
 }
@@ -138,12 +152,16 @@
 	e.machine.AttemptEnded(a.Outcome, e.ranBefore)
 	end := sched.AttemptEnd{ID: a.ID, Upstream: e.upstream, Outcome: a.Outcome, NotLoaded: a.NotLoaded, FirstToken: a.FirstToken}
 	freed := c.scheduler.Ended(now, end)
+	if a.ConnectionLost {
+		c.onConnectionLost(now, e, out)
+	}
 	c.afterAttempt(now, e, a, out)
 	c.onScheduled(now, freed, out)
 }
 
 func (c *Core) afterAttempt(now time.Time, e *entry, a AttemptEnded, out *decisions) {
 	if a.Outcome == request.Completed {
+		c.clearSuspect(now, e, out)
 		c.done(now, e, a.UsedTokens, out)
 		return
 	}
@@ -217,6 +235,7 @@
 	}
 	e.ranBefore = e.machine.Ran()
 	e.upstream = d.Upstream
+	e.dispatchedAt = now
 	e.machine.To(request.Dispatched)
 	if e.machine.Attempts() == 1 {
 		c.retries.earn(organisationBudget(e.org))
--- a/core/retry.go
+++ b/core/retry.go
@@ -117,8 +117,13 @@
 	if !c.hasOther(e) {
 		e.work.Avoid = nil
 	}
+	c.putOff(now.Add(backoff(c.random, e.machine.Attempts())), e)
+}
+
+// putOff lets a request wait until the given time at the least.
+func (c *Core) putOff(until time.Time, e *entry) {
 	e.machine.To(request.BackingOff)
-	e.retryAt = now.Add(backoff(c.random, e.machine.Attempts()))
+	e.retryAt = until
 	c.backingOff = append(c.backingOff, e.request.ID)
 }
 
@@ -143,11 +148,12 @@
 	waiting := c.backingOff
 	c.backingOff = nil
 	var still []sched.RequestID
+	c.refuseSuspects(now, waiting, out)
 	for _, id := range waiting {
 		e, ok := c.requests[id]
 		switch {
 		case !ok || e.machine.State() != request.BackingOff:
-		case now.Before(e.retryAt):
+		case now.Before(e.retryAt), c.mustWait(now, e):
 			still = append(still, id)
 		default:
 			c.enqueue(now, e, out)
--- a/core/upstreams.go
+++ b/core/upstreams.go
@@ -10,10 +10,12 @@
 	var scheduled []sched.Decision
 	switch e := ev.(type) {
 	case LoadReported:
+		c.onFate(now, e.Upstream, e.Report.Incarnation, out)
 		scheduled = c.scheduler.Reported(now, e.Upstream, e.Report)
 	case CacheReported:
 		scheduled = c.scheduler.CacheSeen(now, e.Upstream, e.Events)
 	case UpstreamUnreachable:
+		c.onFate(now, e.Upstream, "", out)
 		scheduled = c.scheduler.Unreachable(now, e.Upstream)
 	case OrderEnded:
 		scheduled = c.scheduler.OrderEnded(now, e.End)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,7 +59,7 @@
 	d.outcomes = outcome.New(d.platform, d.platform.Objects())
 	c := core.New(core.Options{
 		Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded(),
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Host: s.Host, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.runtime = newRuntime(d.log, c, d.work)
 	var err error
--- /dev/null
+++ b/gateway/poison_test.go
@@ -0,0 +1,40 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/quarantine"
+	"github.com/jasminelock/jasminelock/standin/engine"
+)
+
+const poisonChat = `{"model":"alice-menu","messages":[{"role":"user","content":"poison"}]}`
+
+func TestAPoisonRequestIsRefusedBeforeItCrashesEveryEngine(t *testing.T) {
+	f := startFleet(t, fleetOptions{engines: quarantine.MaxCrashes + 2})
+	for _, e := range f.engines {
+		e.SetFaults(engine.Faults{Poison: "poison"})
+	}
+	var last reply
+	for range 20 {
+		last = f.must(http.MethodPost, "/v1/chat/completions", poisonChat, nil)
+		require.NotEqual(t, http.StatusOK, last.status)
+		if last.failure(t).Code == apierr.RequestQuarantined.String() {
+			break
+		}
+	}
+	require.Equal(t, apierr.RequestQuarantined.String(), last.failure(t).Code)
+	require.NotEmpty(t, last.header.Get("Retry-After"))
+	crashed := 0
+	for _, e := range f.engines {
+		if e.Crashed() {
+			crashed++
+		}
+	}
+	require.LessOrEqual(t, crashed, quarantine.MaxCrashes)
+	r := f.must(http.MethodPost, "/v1/chat/completions", chatBody, nil)
+	require.Equal(t, http.StatusOK, r.status, "another request of the organisation: %s", r.body)
+}
--- a/request/machine.go
+++ b/request/machine.go
@@ -47,8 +47,8 @@
 var next = map[State][]State{
 	Received:   {Authorised, Failed},
 	Authorised: {Reserved, Failed},
-	Reserved:   {Claiming, Queued, Failed},
-	Claiming:   {Queued, Done, Failed},
+	Reserved:   {Claiming, Queued, BackingOff, Failed},
+	Claiming:   {Queued, BackingOff, Done, Failed},
 	Queued:     {Dispatched, Failed},
 	BackingOff: {Queued, Failed},
 	Dispatched: {Streaming, Queued, BackingOff, Done, Failed},
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -154,6 +154,13 @@
 	return append([]Execution{}, e.executions...)
 }
 
+// Crashed reports whether the engine has crashed and was not restarted.
+func (e *Engine) Crashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
 // Running returns how many requests run.
 func (e *Engine) Running() int {
 	e.mu.Lock()
