--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -37,6 +37,7 @@
 type fleet struct {
 	t        *testing.T
 	platform *platform.Platform
+	client   *api.Client
 	engines  []*engine.Engine
 	service  *service.Service
 	hosts    []*daemon.Daemon
@@ -91,8 +92,8 @@
 		records = append(records, envelope("upstream", fmt.Sprintf("engine-%d", i), fmt.Sprintf(
 			`{"class":"engine","url":%q,"zone":"a","model":"base","adapter_slots":4,"max_batch":16}`, s.URL)))
 	}
-	client := api.NewClient(table.URL, api.DefaultTimeout)
-	_, err = configstore.Write(t.Context(), client, configstore.Change{Operation: "test", Records: records})
+	f.client = api.NewClient(table.URL, api.DefaultTimeout)
+	_, err = configstore.Write(t.Context(), f.client, configstore.Change{Operation: "test", Records: records})
 	require.NoError(t, err)
 	for i := range max(o.hosts, 1) {
 		f.startHost(fmt.Sprintf("host-%d", i), table.URL, o)
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -80,6 +80,20 @@
 	}
 }
 
+func TestADeadlineWhileAttemptingIsToldAtOnceAndTruthfully(t *testing.T) {
+	f := startFleet(t, fleetOptions{
+		requests: settings.Requests{Timeout: settings.Duration(500 * time.Millisecond)},
+		engine:   engine.Settings{FirstToken: time.Hour},
+	})
+	waitFor(func() bool { // until the adapter is loaded, a request can end before its dispatch
+		r := f.must(http.MethodPost, "/v1/chat/completions", streamBody, nil)
+		require.Equal(t, apierr.DeadlineExceeded.String(), r.failure(t).Code, r.body)
+		require.NotEmpty(t, r.header.Get("Retry-After"))
+		return r.failure(t).Ran == apierr.MayHaveRun.String()
+	})
+	waitFor(func() bool { return f.engines[0].Running() == 0 })
+}
+
 // waitFor waits until cond holds. The test's own timeout is the only bound.
 func waitFor(cond func() bool) {
 	for !cond() {
--- a/gateway/redact.go
+++ b/gateway/redact.go
@@ -27,10 +27,13 @@
 	secrets []string
 	// encoded are the secrets as they look inside base64.
 	encoded []string
+	// starts marks the bytes that a key in any form can start with.
+	starts [256]bool
 }
 
 func newRedactor(h http.Header) *redactor {
 	r := &redactor{}
+	r.starts[record.SecretPrefix[0]], r.starts['%'], r.starts['\\'] = true, true, true
 	for _, secret := range []string{bearer(h), h.Get(headerAPIKey)} {
 		if len(secret) < minSecretBytes {
 			continue
@@ -38,6 +41,9 @@
 		r.secrets = append(r.secrets, secret)
 		r.encoded = append(r.encoded, insideBase64(secret)...)
 	}
+	for _, form := range append(r.secrets[:len(r.secrets):len(r.secrets)], r.encoded...) {
+		r.starts[form[0]] = true
+	}
 	return r
 }
 
@@ -61,6 +67,9 @@
 	var out []byte
 	copied := 0
 	for i := 0; i < len(text); i++ {
+		if !r.starts[text[i]] {
+			continue
+		}
 		n := r.match(text[i:])
 		if n == 0 {
 			continue
@@ -84,7 +93,7 @@
 		}
 	}
 	for _, form := range r.encoded {
-		if len(text) >= len(form) && text[0] == form[0] && string(text[:len(form)]) == form {
+		if len(text) >= len(form) && string(text[:len(form)]) == form {
 			return len(form)
 		}
 	}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/configstore"
+	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/standin"
 	"github.com/jasminelock/jasminelock/standin/engine"
 )
@@ -108,3 +110,23 @@
 	}
 	require.ErrorContains(t, stream.Err(), apierr.AnswerCut.String(), "the client library takes the cut answer for a whole one")
 }
+
+func TestAWithdrawnKeyStartsNothingNewAndCutsNothing(t *testing.T) {
+	f := startFleet(t, fleetOptions{engine: engine.Settings{FirstToken: 10 * time.Millisecond, TokenTime: 50 * time.Millisecond}})
+	hash := record.HashSecret(aliceKey)
+	withdrawn := envelope("key", "alice", `{"organisation":"alice","withdrawn":true,"hash":"`+hash.String()+`"}`)
+	result := make(chan reply, 1)
+	go func() {
+		r, _ := f.do(http.MethodPost, f.url(0)+"/v1/chat/completions", streamBody, http.Header{"Authorization": {"Bearer " + aliceKey}})
+		result <- r
+	}()
+	waitFor(func() bool { return f.engines[0].Running() == 1 })
+	_, err := configstore.Write(t.Context(), f.client, configstore.Change{Operation: "withdraw", Records: []record.Envelope{withdrawn}})
+	require.NoError(t, err)
+	waitFor(func() bool {
+		r := f.must(http.MethodGet, "/v1/models", "", nil)
+		return r.status == http.StatusUnauthorized
+	})
+	require.Equal(t, http.StatusUnauthorized, f.must(http.MethodPost, "/v1/chat/completions", chatBody, nil).status)
+	require.True(t, checkStream(t, <-result), "the answer that had begun was cut")
+}
--- a/outcome/outcome_test.go
+++ b/outcome/outcome_test.go
@@ -224,3 +224,24 @@
 	require.Equal(t, 2, m.commits)
 	require.Zero(t, m.reads)
 }
+
+func FuzzDecodeRow(f *testing.F) {
+	r := row{Schema: schema, State: stateDone, Operation: "op", Fingerprint: []byte("x"), Status: 200, Body: []byte("body")}
+	raw, err := r.encode()
+	require.NoError(f, err)
+	f.Add(raw)
+	f.Add([]byte{})
+	f.Add(raw[:len(raw)/2])
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, err := decodeRow(raw)
+		if err != nil {
+			return
+		}
+		again, err := r.encode()
+		require.NoError(t, err)
+		second, err := decodeRow(again)
+		require.NoError(t, err)
+		require.Equal(t, r.State, second.State)
+		require.Equal(t, r.Fingerprint, second.Fingerprint)
+	})
+}
