--- a/core/fleet.go
+++ b/core/fleet.go
@@ -16,8 +16,13 @@
 		c.onConfig(now, e.Config, out)
 	case HostsSeen:
 		c.onHosts(now, e.Hosts, out)
+	case RosterSeen:
+		c.rosterSeen = true
+		c.members(now, e.Live, out)
+	case ConfigConfirmed:
+		c.freshness.confirm(e.Until)
 	case PeerReceived:
-		if m, ok := e.Message.(*wire.Suspicion); ok {
+		if m, ok := e.Message.(*wire.CrashSuspicion); ok {
 			c.onSuspicion(now, m)
 			return
 		}
@@ -52,11 +57,19 @@
 
 func (c *Core) onHosts(now time.Time, hosts []platform.Host, out *decisions) {
 	c.board.Hosts.Publish(hosts)
+	if c.rosterSeen {
+		return
+	}
 	names := make([]string, 0, len(hosts))
 	for _, h := range hosts {
 		names = append(names, h.Name)
 	}
 	slices.Sort(names)
+	c.members(now, names, out)
+}
+
+// members tells the limiter and the scheduler which hosts are live.
+func (c *Core) members(now time.Time, names []string, out *decisions) {
 	c.crashes.members = names
 	out.limited(c.limiter.Members(now, names))
 	c.onScheduled(now, c.scheduler.Members(now, names), out)
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -205,7 +205,7 @@
 			if host == c.crashes.host {
 				continue
 			}
-			message := &wire.Suspicion{
+			message := &wire.CrashSuspicion{
 				Key: s.Key[:], Crashes: s.Crashes, Holder: s.Holder, Crash: s.Crash, ForMilliseconds: s.For.Milliseconds(),
 			}
 			*out = append(*out, Send{wire.Outgoing{To: host, Message: message}})
@@ -214,7 +214,7 @@
 }
 
 // onSuspicion takes what another host tells of a request.
-func (c *Core) onSuspicion(now time.Time, m *wire.Suspicion) {
+func (c *Core) onSuspicion(now time.Time, m *wire.CrashSuspicion) {
 	if len(m.Key) != len(quarantine.Key{}) {
 		return
 	}
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -30,7 +30,7 @@
 	require.NotEmpty(t, last.header.Get("Retry-After"))
 	crashed := 0
 	for _, e := range f.engines {
-		if e.Crashed() {
+		if e.Counts().Crashed {
 			crashed++
 		}
 	}
--- a/wire/outcome.go
+++ b/wire/outcome.go
@@ -1,15 +1,15 @@
 package wire
 
-// TypeSuspicion is the number of Suspicion.
-const TypeSuspicion Type = 500
+// TypeCrashSuspicion is the number of CrashSuspicion.
+const TypeCrashSuspicion Type = 500
 
 var outcomeDecoders = map[Type]func() Message{
-	TypeSuspicion: func() Message { return &Suspicion{} },
+	TypeCrashSuspicion: func() Message { return &CrashSuspicion{} },
 }
 
-// Suspicion tells that upstreams have crashed under a request, or, with 0
+// CrashSuspicion tells that upstreams have crashed under a request, or, with 0
 // crashes, that the request is cleared.
-type Suspicion struct {
+type CrashSuspicion struct {
 	Key     []byte `cbor:"1,keyasint"`
 	Crashes int    `cbor:"2,keyasint"`
 	Holder  string `cbor:"3,keyasint"`
@@ -20,4 +20,4 @@
 }
 
 // WireType implements Message.
-func (*Suspicion) WireType() Type { return TypeSuspicion }
+func (*CrashSuspicion) WireType() Type { return TypeCrashSuspicion }
