--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,7 +76,7 @@
 	d.outcomes = outcome.New(d.platform, d.platform.Objects())
 	c := core.New(core.Options{
 		Board: d.board, Limiter: newLimiter(s), Scheduler: newScheduler(s),
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Host: s.Host, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.leases = newLeaseKeeper(d.platform, s.Host, time.Now)
 	var err error
