--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
@@ -61,7 +62,7 @@
 	d.t.Helper()
 	client := platform.NewClient(d.url, time.Second)
 	_, err := configstore.Write(d.t.Context(), client, configstore.Change{
-		Operation: kind + name + spec,
+		Operation: uuid.NewString(),
 		Records:   []record.Envelope{{Schema: record.SchemaV2, Kind: record.Kind(kind), Name: name, Spec: json.RawMessage(spec)}},
 	})
 	require.NoError(d.t, err)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,8 +13,6 @@
 
 	"github.com/jasminelock/jasminelock/configstore"
 	"github.com/jasminelock/jasminelock/record"
-	"github.com/jasminelock/jasminelock/standin/engine"
-	standinplatform "github.com/jasminelock/jasminelock/standin/platform"
 )
 
 // fault is one thing that goes wrong, and its end.
@@ -49,9 +47,9 @@
 		{"host drained and replaced", drainHost},
 		{"engine restarted empty", restartEngine},
 		{"loads failing", failLoads},
-		{"store down", storeFault(standinplatform.Faults{Down: true})},
-		{"store slow", storeFault(standinplatform.Faults{Delay: slowBy})},
-		{"store loses answers", storeFault(standinplatform.Faults{LoseAnswers: lostAnswers})},
+		{"store down", storeFault(platformFaults{Down: true})},
+		{"store slow", storeFault(platformFaults{Delay: slowBy})},
+		{"store loses answers", storeFault(platformFaults{LoseAnswers: lostAnswers})},
 		{"key withdrawn", withdrawKey},
 		{"operators in conflict", conflict},
 		{"poison request", poison},
@@ -149,22 +147,22 @@
 }
 
 // poisonFaults makes an engine crash on the poison request.
-func poisonFaults() engine.Faults { return engine.Faults{Poison: poisonText} }
+func poisonFaults() engineFaults { return engineFaults{Poison: poisonText} }
 
 func failLoads(_ context.Context, s *soak, rng *rand.Rand) {
 	u := s.engine(rng)
 	s.note("fail loads", u.name)
-	s.put(http.MethodPut, u.url+"/faults", engine.Faults{FailLoads: failedLoads, Poison: poisonText})
+	s.put(http.MethodPut, u.url+"/faults", engineFaults{FailLoads: failedLoads, Poison: poisonText})
 }
 
-func storeFault(f standinplatform.Faults) func(context.Context, *soak, *rand.Rand) {
+func storeFault(f platformFaults) func(context.Context, *soak, *rand.Rand) {
 	return func(ctx context.Context, s *soak, _ *rand.Rand) {
 		s.storeLock.Lock()
 		defer s.storeLock.Unlock()
 		s.storeDisturbed(true)
 		s.put(http.MethodPut, s.d.url+"/faults", f)
 		sleep(ctx, outageFor)
-		s.put(http.MethodPut, s.d.url+"/faults", standinplatform.Faults{})
+		s.put(http.MethodPut, s.d.url+"/faults", platformFaults{})
 		s.storeDisturbed(false)
 	}
 }
@@ -248,7 +246,7 @@
 	}
 	crashed := 0
 	for _, u := range s.d.upstreams[:s.d.shape.Engines] {
-		var c engine.Counts
+		var c engineCounts
 		if s.get(u.url+"/counts", &c) && c.Crashed {
 			crashed++
 			s.put(http.MethodPost, u.url+"/restart", nil)
--- a/soak/summary.go
+++ b/soak/summary.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"github.com/jasminelock/jasminelock/standin/engine"
 )
 
 // maxCrashes is how many upstreams one poison request may take down, whatever
@@ -160,7 +158,7 @@
 // servingUnloads sums what the engines counted.
 func (f *findings) servingUnloads() (total int) {
 	for _, u := range f.s.d.upstreams[:f.s.d.shape.Engines] {
-		var c engine.Counts
+		var c engineCounts
 		f.s.get(u.url+"/counts", &c)
 		total += c.ServingUnloads
 	}
