--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -76,6 +76,12 @@
 	return h, row.Version, nil
 }
 
+// ReadHead returns the newest revision, 0 where nothing was ever written.
+func ReadHead(ctx context.Context, t platform.TableService) (int64, error) {
+	h, _, err := readHead(ctx, t)
+	return h.Revision, err
+}
+
 // changeKeyWidth makes the keys of changes sort as their numbers do.
 const changeKeyWidth = 19
 
--- a/core/core.go
+++ b/core/core.go
@@ -8,6 +8,7 @@
 package core
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
@@ -26,6 +27,14 @@
 	requests  map[sched.RequestID]*entry
 	budget    loadBudget
 	draining  bool
+	// freshness says until when the configuration may be taken to be in force.
+	freshness freshness
+	// rosterSeen says that the roster, not the host list, tells who is live.
+	rosterSeen bool
+
+	random     *rand.Rand
+	retries    retryBudget
+	backingOff []sched.RequestID
 }
 
 // Options are the parts that a Core is made of.
@@ -33,6 +42,8 @@
 	Board     *blackboard.Board
 	Limiter   limit.Limiter
 	Scheduler sched.Scheduler
+	// Random spreads retries. Nil takes a source with a fixed seed.
+	Random *rand.Rand
 }
 
 // New returns a core without configuration.
@@ -43,6 +54,11 @@
 		scheduler: o.Scheduler,
 		config:    record.NewConfig(),
 		requests:  map[sched.RequestID]*entry{},
+		random:    o.Random,
+		retries:   newRetryBudget(),
+	}
+	if c.random == nil {
+		c.random = rand.New(rand.NewPCG(1, 1))
 	}
 	c.scheduler.UseBudget(&c.budget)
 	c.budget.limiter = o.Limiter
@@ -70,7 +86,7 @@
 // Explain says how a request would be decided now, without deciding it.
 func (c *Core) Explain(now time.Time, r Request) (sched.Reason, *apierr.Error) {
 	e := &entry{request: r}
-	if err := c.authorise(e); err != nil {
+	if err := c.authorise(now, e); err != nil {
 		return sched.Reason{Rule: "authorise"}, err
 	}
 	return c.scheduler.Explain(now, e.work), nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,12 +19,16 @@
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/gateway"
 	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/outcome"
+	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/platform"
-	"github.com/jasminelock/jasminelock/sched"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
+// callerIdleTimeout is how long a caller's connection is kept without a request.
+const callerIdleTimeout = 2 * time.Minute
+
 // Daemon is one host.
 type Daemon struct {
 	settings *settings.Settings
@@ -33,10 +39,24 @@
 	work     *workQueue
 	platform *platform.Client
 	upstream *upstream.Client
+	outcomes *outcome.Store
+
+	// links carry messages to other hosts. They are nil where listen.peers is empty.
+	links *peer.Links
+	fleet *fleetController
+	// incarnation grows with each start, since hosts keep nothing.
+	incarnation uint64
+	// freshUntil is until when the configuration may be taken to be in force.
+	freshUntil atomic.Pointer[time.Time]
+	leases     *leaseKeeper
 
 	callers   net.Listener
 	operators net.Listener
 
+	// announceMu orders announcements, so that none follows the withdrawal.
+	announceMu sync.Mutex
+	withdrawn  bool
+
 	drainOnce sync.Once
 	draining  chan struct{}
 }
@@ -51,13 +71,20 @@
 		platform: platform.NewClient(s.Platform.URL, time.Duration(s.Platform.Timeout)),
 		upstream: upstream.NewClient(),
 		draining: make(chan struct{}),
+
+		incarnation: uint64(time.Now().UnixMilli()),
 	}
-	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: sched.NewLeastLoaded()})
+	d.outcomes = outcome.New(d.platform, d.platform.Objects())
+	c := core.New(core.Options{
+		Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: newScheduler(s),
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	d.leases = newLeaseKeeper(d.platform, s.Host, time.Now)
 	var err error
 	if d.metrics, err = newDaemonMetrics(); err != nil {
 		return nil, eris.Wrap(err, "metrics")
 	}
-	d.runtime = newRuntime(d.log, d.metrics, c, d.work)
+	d.runtime = newRuntime(d.log, d.metrics, c, d.work, d.send)
 	if err := d.metrics.watch(d.board, d.runtime.InFlight); err != nil {
 		return nil, eris.Wrap(err, "metrics")
 	}
@@ -70,6 +97,12 @@
 		_ = d.callers.Close()
 		return nil, eris.Wrap(err, "listen.operators")
 	}
+	if err := d.listenPeers(); err != nil {
+		_ = d.callers.Close()
+		_ = d.operators.Close()
+		return nil, err
+	}
+	d.fleet = newFleetController(d, d.entry())
 	return d, nil
 }
 
@@ -112,10 +145,15 @@
 	group.Go(func() { _ = callers.Serve(d.callers) })
 	group.Go(func() { _ = operators.Serve(d.operators) })
 	group.Go(func() { d.work.run(ctx, d.carryOut) })
+	if d.links != nil {
+		group.Go(func() { d.links.Run(ctx) })
+	}
 	group.Go(func() { d.tick(ctx) })
+	group.Go(func() { d.fleet.run(ctx) })
 	group.Go(func() { d.watchConfig(ctx) })
 	group.Go(func() { d.watchHosts(ctx) })
 	group.Go(func() { d.watchUpstreams(ctx) })
+	group.Go(func() { d.sweepOutcomes(ctx) })
 	d.log.Info("serving", "callers", d.CallerURL(), "operators", d.OperatorURL())
 	select {
 	case <-ctx.Done():
@@ -138,23 +176,26 @@
 func (d *Daemon) callerServer() *http.Server {
 	r := d.settings.Requests
 	handler := gateway.New(gateway.Options{
-		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready,
+		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready, Claims: d.outcomes,
 		Limits: gateway.Limits{
 			MaxBodyBytes: r.MaxBodyBytes, MaxHeaderBytes: r.MaxHeaderBytes,
 			ReadTimeout: time.Duration(r.ReadTimeout), RequestTimeout: time.Duration(r.Timeout),
+			WriteTimeout: time.Duration(r.WriteTimeout),
 		},
 	})
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(r.ReadTimeout),
-		ReadTimeout:       time.Duration(r.ReadTimeout),
+		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    r.MaxHeaderBytes,
 	}
 }
 
 // ready reports whether the host may be given callers.
 func (d *Daemon) ready() bool {
-	return !d.isDraining() && d.board.Config.Snapshot().Revision > 0
+	until := d.freshUntil.Load()
+	fresh := until != nil && time.Now().Before(*until)
+	return !d.isDraining() && fresh && d.board.Config.Snapshot().Revision > 0
 }
 
 func (d *Daemon) isDraining() bool {
@@ -166,12 +207,14 @@
 	}
 }
 
-// shutdown waits until callers no longer keep an answer that names this host,
+// shutdown tells the other hosts first, so that callers are no longer sent
+// here. It waits until callers no longer keep an answer that names this host,
 // and then until every request has ended.
 func (d *Daemon) shutdown(ctx context.Context, callers *http.Server) {
 	d.log.Info("draining", "in_flight", d.runtime.InFlight())
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Drain.Timeout))
 	defer cancel()
+	d.fleet.leave()
 	if err := d.announce(ctx); err != nil {
 		d.log.Warn("host list not told of the shutdown", "error", err)
 	}
@@ -180,9 +223,10 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("requests still run", "count", d.runtime.InFlight(), "reason", err)
 	}
+	d.fleet.leaveForGood()
 	withdraw, stop := context.WithTimeout(context.Background(), time.Duration(d.settings.Platform.Timeout))
 	defer stop()
-	if err := d.platform.Withdraw(withdraw, d.settings.Host); err != nil {
+	if err := d.withdraw(withdraw); err != nil {
 		d.log.Warn("host not withdrawn from the host list", "error", err)
 	}
 }
--- a/demo/steps.go
+++ b/demo/steps.go
@@ -54,7 +54,8 @@
 	r.check(err == nil && refusedAs(got, apierr.MissingKey), "a caller without a key asks %s: %s", foreign, outcome(got, err))
 }
 
-// callService places one order and reads the stock without a key.
+// callService reads the stock without a key and places one order, twice under
+// the same idempotency key.
 func (r *run) callService(ctx context.Context) {
 	base := r.anyHost()
 	got, err := newCaller("").call(ctx, http.MethodGet, base+stockRoute+"/lamp", "")
@@ -62,6 +63,8 @@
 	before := r.orders()
 	got, err = newCaller(organisations[1].secret).call(ctx, http.MethodPost, base+ordersRoute, "order-1")
 	r.check(err == nil && got.status == http.StatusOK, "%s places an order: %s", organisations[1].name, outcome(got, err))
+	again, err := newCaller(organisations[1].secret).call(ctx, http.MethodPost, base+ordersRoute, "order-1")
+	r.check(err == nil && again == got, "sent again with the same idempotency key, it gets the same answer: %s", outcome(again, err))
 	executed := r.orders() - before
 	r.check(executed == 1, "the service has executed the order %d time(s)", executed)
 }
