A shutdown's timeout must leave time for the longest request

Cause: drain.timeout could be shorter than a request's deadline after the wait for kept addresses, so that a graceful shutdown would cut it. The settings now refuse that.

Checked by: go test -race ./platform ./blackboard ./settings

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -39,6 +39,7 @@
 	tokenTime      = 30 * time.Millisecond
 	serviceTime    = 5 * time.Millisecond
 	locateWait     = 500 * time.Millisecond
+	requestTimeout = 20 * time.Second
 	drainTimeout   = 30 * time.Second
 	startTimeout   = 20 * time.Second
 	pollInterval   = 50 * time.Millisecond
@@ -173,8 +174,9 @@
 		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"},
 		"platform": {"url": %q, "poll_interval": %q},
 		"fleet": {"hosts": %d},
+		"requests": {"timeout": %q},
 		"drain": {"locate_wait": %q, "timeout": %q},
-	}`, name, zone, platformURL, configInterval, hostCount, locateWait, drainTimeout)
+	}`, name, zone, platformURL, configInterval, hostCount, requestTimeout, locateWait, drainTimeout)
 	return settings.Parse("demo", []byte(text))
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -46,6 +46,7 @@
 		{"peers without tls", `"callers":`, `"peers": "10.0.0.1:8102", "callers":`, `host.jsonc:6: field listen.peers: want a loopback address such as 127.0.0.1:8102, or tls`},
 		{"half of tls", `"fleet"`, `"tls": {"cert": "c.pem", "key": "k.pem"}, "fleet"`, `host.jsonc:10: field tls.ca: want the authority's file, since tls is set`},
 		{"level", `"fleet"`, `"log": {"level": "loud"}, "fleet"`, `host.jsonc:10: field log.level: want one of [trace debug info warn error], not "loud"`},
+		{"drain too short", `"fleet"`, `"drain": {"timeout": "2m"}, "fleet"`, `host.jsonc:10: field drain.timeout: want 2m20s or more, drain.locate_wait and requests.timeout together, or requests would be cut`},
 		{"not JSON", `"zone": "a",`, `"zone" "a",`, `host.jsonc:4: not JSON with comments: `},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -25,7 +25,9 @@
 	c.check(s.Requests.MaxBodyBytes > 0, "requests.max_body_bytes", "want a number of bytes above 0")
 	c.check(s.Requests.MaxHeaderBytes > 0, "requests.max_header_bytes", "want a number of bytes above 0")
 	c.check(slices.Contains(logLevels, s.Log.Level), "log.level", "want one of %v, not %q", logLevels, s.Log.Level)
-	c.check(s.Drain.LocateWait < s.Drain.Timeout, "drain.timeout", "want more than drain.locate_wait, which is %s", s.Drain.LocateWait)
+	// A request that arrives at the end of the wait may take its whole time.
+	needed := s.Drain.LocateWait + s.Requests.Timeout
+	c.check(s.Drain.Timeout >= needed, "drain.timeout", "want %s or more, drain.locate_wait and requests.timeout together, or requests would be cut", needed)
 	return c.problems
 }
 
