--- a/record/config_test.go
+++ b/record/config_test.go
@@ -251,6 +251,30 @@
 	}
 }
 
+func BenchmarkUsableBy(b *testing.B) {
+	c := designConfig(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		count := 0
+		for range c.UsableBy("organisation-0001") {
+			count++
+		}
+		if count != designAdapters/designOrganisations {
+			b.Fatal(count)
+		}
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	c := designConfig(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if problems := c.Check(); len(problems) > 0 {
+			b.Fatal(problems[0])
+		}
+	}
+}
+
 func BenchmarkBuild(b *testing.B) {
 	b.ReportAllocs()
 	for b.Loop() {
