--- a/record/decode.go
+++ b/record/decode.go
@@ -67,6 +67,12 @@
 	secondsPerMinute    = 60
 )
 
+// What is wanted of an envelope, made once since every record is checked.
+var (
+	wantKind = fmt.Sprintf("one of %v", Kinds())
+	wantSize = fmt.Sprintf("at most %d bytes", MaxRecordBytes)
+)
+
 // decoder decodes one record and collects its problems.
 type decoder struct {
 	envelope Envelope
@@ -111,8 +117,8 @@
 func (d *decoder) checkEnvelope() {
 	e := d.envelope
 	d.want(e.Schema == SchemaV1 || e.Schema == SchemaV2, "schema", "1 or 2")
-	d.want(slices.Contains(Kinds(), e.Kind), "kind", "one of "+kindNames())
-	d.want(len(e.Spec) <= MaxRecordBytes, "spec", fmt.Sprintf("at most %d bytes", MaxRecordBytes))
+	d.want(slices.Contains(Kinds(), e.Kind), "kind", wantKind)
+	d.want(len(e.Spec) <= MaxRecordBytes, "spec", wantSize)
 	d.want(e.Deleted || len(e.Spec) > 0, "spec", "an object")
 	name := e.Name
 	if e.Kind == KindVersion {
@@ -149,14 +155,6 @@
 	return Decoded{Upstream: d.upstream()}
 }
 
-func kindNames() string {
-	var names []string
-	for _, k := range Kinds() {
-		names = append(names, string(k))
-	}
-	return strings.Join(names, ", ")
-}
-
 func (d *decoder) key() *Key {
 	f := d.fields
 	raw, err := hex.DecodeString(f.Hash)
--- a/record/decode_test.go
+++ b/record/decode_test.go
@@ -46,7 +46,7 @@
 		envelope Envelope
 		want     []string
 	}{
-		{envelope(3, "shop", "N", `{}`), []string{"field schema: want 1 or 2", "field kind: want one of organisation, key,", "field name: want name"}},
+		{envelope(3, "shop", "N", `{}`), []string{"field schema: want 1 or 2", "field kind: want one of [organisation key ", "field name: want name"}},
 		{envelope(2, KindVersion, "a", `{}`), []string{"record version/a: field name: want adapter@version"}},
 		{envelope(2, KindVersion, "a@B b", `{}`), []string{"field name: want adapter@version"}},
 		{envelope(2, KindKey, "k", `{"hash": "00"}`), []string{"field spec.organisation: want an organisation's name", "field spec.hash: want 64 hexadecimal digits"}},
--- a/record/record.go
+++ b/record/record.go
@@ -9,7 +9,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"regexp"
 )
 
 // Schema versions that are read side by side.
@@ -75,12 +74,30 @@
 	return Ref{Kind: e.Kind, Name: e.Name}
 }
 
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,126}[a-z0-9])?$`)
+// maxNameBytes is the length of the longest name.
+const maxNameBytes = 128
 
 // ValidateName reports why name is not a record's name.
 func ValidateName(name string) error {
-	if !namePattern.MatchString(name) {
-		return fmt.Errorf("name %q: want 1 to 128 of a-z, 0-9, '.', '_' and '-', starting and ending with a letter or digit", name)
+	if !isName(name) {
+		return fmt.Errorf("name %q: want 1 to %d of a-z, 0-9, '.', '_' and '-', starting and ending with a letter or digit", name, maxNameBytes)
 	}
 	return nil
 }
+
+// isName is written out, since every record that a host reads is checked.
+func isName(name string) bool {
+	if name == "" || len(name) > maxNameBytes || !isLetterOrDigit(name[0]) || !isLetterOrDigit(name[len(name)-1]) {
+		return false
+	}
+	for i := range len(name) {
+		if c := name[i]; !isLetterOrDigit(c) && c != '.' && c != '_' && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+func isLetterOrDigit(c byte) bool {
+	return 'a' <= c && c <= 'z' || '0' <= c && c <= '9'
+}
