--- a/limit/ask.go
+++ b/limit/ask.go
@@ -80,7 +80,8 @@
 	}
 	acct, ready := l.account(now, a.org)
 	if !ready {
-		return v, false
+		v.RetryAfter = l.blocked(now, a.org, a.tokens)
+		return v, v.RetryAfter > 0
 	}
 	v.OK, v.RetryAfter = acct.take(now, a.tokens)
 	v.Remaining = max(0, int64(acct.tokens))
@@ -149,12 +150,16 @@
 	}
 	acct, ready := l.account(now, m.Organisation)
 	if !ready {
-		return false
+		wait := l.blocked(now, m.Organisation, m.Tokens)
+		if wait > 0 {
+			l.reply(r, Verdict{RetryAfter: wait})
+		}
+		return wait > 0
 	}
 	var v Verdict
 	v.OK, v.RetryAfter = acct.take(now, m.Tokens)
 	if v.OK {
-		acct.lend(now, m.Tokens)
+		acct.lend(now, r.from, m.ID, m.Tokens)
 	}
 	v.Remaining = max(0, int64(acct.tokens))
 	l.reply(r, v)
@@ -186,7 +191,7 @@
 	millis := (v.RetryAfter + time.Millisecond - 1) / time.Millisecond
 	l.send(r.from.Host, &wire.LimitAnswer{
 		ID: r.message.ID, Incarnation: r.message.Incarnation, Epoch: l.view.epoch,
-		OK: v.OK, RetryMillis: int64(millis), Remaining: v.Remaining, Stamp: l.stamp(),
+		OK: v.OK, RetryMillis: int64(millis), Remaining: v.Remaining, Stamp: l.ownStamp(),
 	})
 }
 
@@ -207,6 +212,9 @@
 
 // waiting returns this host's asks in the order they came.
 func (l *Lead) waiting() []*ask {
+	if len(l.asks) == 0 {
+		return nil
+	}
 	byTicket := func(a, b *ask) int { return cmp.Compare(a.ticket, b.ticket) }
 	return slices.SortedFunc(maps.Values(l.asks), byTicket)
 }
@@ -221,7 +229,9 @@
 	if !ok {
 		return
 	}
-	l.stamps[a.lead] = max(l.stamps[a.lead], m.Stamp)
+	if m.Stamp > l.stamps[a.lead].millis(l.now) {
+		l.stamps[a.lead] = stamp{lead: m.Stamp, at: l.now}
+	}
 	if !l.now.Before(a.deadline) {
 		l.expire(a)
 		return
@@ -233,15 +243,35 @@
 	}
 	if rate, known := l.rates[a.org]; known {
 		v.Limit = rate.BurstTokens
-		if inFlightOnly(rate) && m.OK {
-			if m.Epoch != l.view.epoch {
-				return
-			}
-			l.held[a.org].held += a.tokens
-			l.held[a.org].idleReports = 0
+		if inFlightOnly(rate) {
+			l.onSlotAnswer(a, m, v)
+			return
 		}
 	}
 	l.resolve(a, v)
+	if m.OK {
+		l.send(a.lead.Host, &wire.LimitSpent{ID: m.ID, Incarnation: l.self.Incarnation, Organisation: a.org})
+	}
+}
+
+// onSlotAnswer takes the answer to an ask for a budget in flight. It counts only
+// in the view that it was given in: the next lead has been told what was held.
+func (l *Lead) onSlotAnswer(a *ask, m *wire.LimitAnswer, v Verdict) {
+	if m.Epoch != l.view.epoch {
+		return
+	}
+	if m.OK {
+		l.held[a.org].held += a.tokens
+		l.held[a.org].idleReports = 0
+	}
+	l.resolve(a, v)
+}
+
+// onSpent frees the room that a grant keeps.
+func (l *Lead) onSpent(now time.Time, from string, m *wire.LimitSpent) {
+	if acct, ok := l.accounts[m.Organisation]; ok {
+		acct.spent(now, wire.LimitMember{Host: from, Incarnation: m.Incarnation}, m.ID)
+	}
 }
 
 // rerouteAsks sends the asks under way to the leads of a new view.
@@ -308,11 +338,3 @@
 		acct.credit(now, l.stamped(m.Stamp), float64(m.Tokens))
 	}
 }
-
-// stamp is this host's clock as other hosts give it back.
-func (l *Lead) stamp() int64 { return l.now.Sub(l.started).Milliseconds() }
-
-// stamped is the time of a stamp. Without one it is before all else.
-func (l *Lead) stamped(stamp int64) time.Time {
-	return l.started.Add(time.Duration(stamp) * time.Millisecond)
-}
