--- a/sched/simhost_test.go
+++ b/sched/simhost_test.go
@@ -49,6 +49,7 @@
 	h.budget = &hostBudget{all: w.budget, host: h}
 	h.policy = New(Options{Host: h.name, Zone: "z1", Random: rand.New(rand.NewPCG(w.plan.Seed, uint64(h.process)))})
 	h.policy.UseBudget(h.budget)
+	h.leaving, h.told = w.leaving, w.now
 	process := h.process
 	h.handle(process, func(p *Policy) []Decision { return p.Configure(w.now, w.config) })
 }
@@ -172,6 +173,9 @@
 			w.ended[o.String()]++
 			return out
 		}
+		if !notLoaded {
+			r.request.Avoid = append(r.request.Avoid, name)
+		}
 		r.waiting = true
 		return append(out, p.Enqueue(w.now, r.request)...)
 	})
