--- a/bench/policies.go
+++ b/bench/policies.go
@@ -17,12 +17,9 @@
 
 // Policies returns our policy and the baselines.
 func Policies() []Policy {
-	exact := limit.NewStatic(1)
 	return []Policy{
-		{Name: OwnPolicy, Make: own},
-		{Name: ExactLimits, Make: func(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
-			return exact, newScheduler(host, zone, rng)
-		}},
+		{Name: OwnPolicy, Start: func() Maker { return own }},
+		{Name: ExactLimits, Start: exactLimits},
 		oneHost("random", func(rng *rand.Rand) baseline.Ranker { return baseline.Random{Rand: rng} }),
 		oneHost("least-loaded-lru", func(*rand.Rand) baseline.Ranker { return baseline.LeastLoaded{} }),
 		oneHost("bounded-hash", func(*rand.Rand) baseline.Ranker { return baseline.BoundedHash{} }),
@@ -31,15 +28,21 @@
 
 // own makes the parts that the daemon makes.
 func own(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
-	return limit.NewStatic(hosts), newScheduler(host, zone, rng)
+	return limit.NewLead(limit.Options{Host: host, Incarnation: rng.Uint64(), Rand: rng}), sched.New(sched.Options{Host: host, Zone: zone, Random: rng})
 }
 
-func newScheduler(host, zone string, rng *rand.Rand) sched.Scheduler {
-	return sched.New(sched.Options{Host: host, Zone: zone, Random: rng})
+// exactLimits is our policy with one exact limiter for all hosts, which nothing
+// real can be. The difference from our policy is what sharing limits costs.
+func exactLimits() Maker {
+	shared := limit.NewStatic(1)
+	return func(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
+		return shared, sched.New(sched.Options{Host: host, Zone: zone, Random: rng})
+	}
 }
 
 func oneHost(name string, ranker func(*rand.Rand) baseline.Ranker) Policy {
-	return Policy{Name: name, OneHost: true, Make: func(_, _ string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
+	maker := func(_, _ string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
 		return limit.NewStatic(1), baseline.New(ranker(rng))
-	}}
+	}
+	return Policy{Name: name, OneHost: true, Start: func() Maker { return maker }}
 }
--- a/core/events.go
+++ b/core/events.go
@@ -70,6 +70,9 @@
 	NotLoaded bool
 	// AnswerStarted says that the caller has been given a part of the answer.
 	AnswerStarted bool
+	// ConnectionLost says that the connection to the upstream broke, as it does
+	// when the upstream crashes.
+	ConnectionLost bool
 	// UsedTokens is the usage that the upstream reported, -1 where it is not known.
 	UsedTokens int64
 	FirstToken time.Duration
@@ -113,6 +116,10 @@
 	Message wire.Message
 }
 
+// LeaveStarted says that this host is about to stop. It passes on what it keeps
+// for others, and goes on serving until DrainStarted.
+type LeaveStarted struct{}
+
 // DrainStarted says that this host is leaving: it takes no new request.
 type DrainStarted struct{}
 
@@ -149,6 +156,7 @@
 func (ConfigConfirmed) isEvent() {}
 func (PeerReceived) isEvent()    {}
 func (StoreEnded) isEvent()      {}
+func (LeaveStarted) isEvent()    {}
 func (DrainStarted) isEvent()    {}
 func (Tick) isEvent()            {}
 
@@ -158,6 +166,7 @@
 func (ConfigConfirmed) isFleetEvent() {}
 func (PeerReceived) isFleetEvent()    {}
 func (StoreEnded) isFleetEvent()      {}
+func (LeaveStarted) isFleetEvent()    {}
 func (DrainStarted) isFleetEvent()    {}
 func (Tick) isFleetEvent()            {}
 
@@ -179,8 +188,10 @@
 	Prefix uint64
 	// IdempotencyKey is the caller's, "" where there was none.
 	IdempotencyKey string
-	Priority       record.Priority
-	Deadline       time.Time
+	// Fingerprint is a hash of the method, the path and the body.
+	Fingerprint Fingerprint
+	Priority    record.Priority
+	Deadline    time.Time
 }
 
 // TickInterval is how often a Tick must come.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,23 +18,27 @@
 	"github.com/jasminelock/jasminelock/blackboard"
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/gateway"
-	"github.com/jasminelock/jasminelock/limit"
+	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
+// callerIdleTimeout is how long a caller's connection is kept without a request.
+const callerIdleTimeout = 2 * time.Minute
+
 // Daemon is one host.
 type Daemon struct {
 	settings *settings.Settings
 	log      hclog.Logger
 	board    *blackboard.Board
 	runtime  *Runtime
+	metrics  *daemonMetrics
 	work     *workQueue
 	platform *platform.Client
 	upstream *upstream.Client
-	leases   *leaseKeeper
+	outcomes *outcome.Store
 
 	// links carry messages to other hosts. They are nil where listen.peers is empty.
 	links *peer.Links
@@ -41,6 +47,7 @@
 	incarnation uint64
 	// freshUntil is until when the configuration may be taken to be in force.
 	freshUntil atomic.Pointer[time.Time]
+	leases     *leaseKeeper
 
 	callers   net.Listener
 	operators net.Listener
@@ -66,10 +73,21 @@
 
 		incarnation: uint64(time.Now().UnixMilli()),
 	}
-	c := core.New(core.Options{Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: newScheduler(s)})
+	d.outcomes = outcome.New(d.platform, d.platform.Objects())
+	c := core.New(core.Options{
+		Board: d.board, Limiter: newLimiter(s), Scheduler: newScheduler(s),
+		Host: s.Host, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
 	d.leases = newLeaseKeeper(d.platform, s.Host, time.Now)
-	d.runtime = newRuntime(d.log, c, d.work, d.send)
 	var err error
+	if d.metrics, err = newDaemonMetrics(); err != nil {
+		return nil, eris.Wrap(err, "metrics")
+	}
+	d.runtime = newRuntime(d.log, d.metrics, c, d.work, d.send)
+	if err := d.metrics.watch(d.board, d.runtime.InFlight); err != nil {
+		return nil, eris.Wrap(err, "metrics")
+	}
+	d.platform.ObserveErrors(d.metrics.storeFailed)
 	var listen net.ListenConfig
 	if d.callers, err = listen.Listen(context.Background(), "tcp", s.Listen.Callers); err != nil {
 		return nil, eris.Wrap(err, "listen.callers")
@@ -105,8 +123,18 @@
 	d.drainOnce.Do(func() { close(d.draining) })
 }
 
+// CutError says how many requests were cut because a host was ended at once, or
+// because they ran on after the shutdown's timeout.
+type CutError struct{ Requests int }
+
+// Error implements the error interface.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("%d requests were cut", e.Requests)
+}
+
 // Run serves until the context ends, which cuts what still runs, or until a
-// graceful shutdown is complete.
+// graceful shutdown is complete. Where requests were cut, the error is a
+// CutError.
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -124,16 +152,22 @@
 	group.Go(func() { d.watchConfig(ctx) })
 	group.Go(func() { d.watchHosts(ctx) })
 	group.Go(func() { d.watchUpstreams(ctx) })
+	group.Go(func() { d.sweepOutcomes(ctx) })
 	d.log.Info("serving", "callers", d.CallerURL(), "operators", d.OperatorURL())
 	select {
 	case <-ctx.Done():
 	case <-d.draining:
 		d.shutdown(ctx, callers)
 	}
+	cut := d.runtime.InFlight()
 	_ = callers.Close()
 	_ = operators.Close()
 	cancel()
 	group.Wait()
+	if cut > 0 {
+		d.log.Warn("stopped, requests cut", "count", cut)
+		return &CutError{Requests: cut}
+	}
 	d.log.Info("stopped")
 	return nil
 }
@@ -141,28 +175,34 @@
 func (d *Daemon) callerServer() *http.Server {
 	r := d.settings.Requests
 	handler := gateway.New(gateway.Options{
-		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready,
+		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready, Claims: d.outcomes,
 		Limits: gateway.Limits{
 			MaxBodyBytes: r.MaxBodyBytes, MaxHeaderBytes: r.MaxHeaderBytes,
 			ReadTimeout: time.Duration(r.ReadTimeout), RequestTimeout: time.Duration(r.Timeout),
+			WriteTimeout: time.Duration(r.WriteTimeout),
 		},
 	})
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(r.ReadTimeout),
-		ReadTimeout:       time.Duration(r.ReadTimeout),
+		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    r.MaxHeaderBytes,
 	}
 }
 
 // ready reports whether the host may be given callers.
 func (d *Daemon) ready() bool {
+	until := d.freshUntil.Load()
+	fresh := until != nil && time.Now().Before(*until)
+	return !d.isDraining() && d.board.Config.Snapshot().Revision > 0 && fresh
+}
+
+func (d *Daemon) isDraining() bool {
 	select {
 	case <-d.draining:
-		return false
+		return true
 	default:
-		until := d.freshUntil.Load()
-		return d.board.Config.Snapshot().Revision > 0 && until != nil && time.Now().Before(*until)
+		return false
 	}
 }
 
@@ -177,10 +217,11 @@
 	if err := d.announce(ctx); err != nil {
 		d.log.Warn("host list not told of the shutdown", "error", err)
 	}
+	d.runtime.Handle(core.LeaveStarted{})
 	sleep(ctx, time.Duration(d.settings.Drain.LocateWait))
 	d.runtime.Handle(core.DrainStarted{})
 	if err := callers.Shutdown(ctx); err != nil {
-		d.log.Warn("requests cut", "count", d.runtime.InFlight())
+		d.log.Warn("requests still run", "count", d.runtime.InFlight(), "reason", err)
 	}
 	d.fleet.leaveForGood()
 	withdraw, stop := context.WithTimeout(context.Background(), time.Duration(d.settings.Platform.Timeout))
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,6 +33,9 @@
 	ChecksFence bool `json:"checks_fence"`
 	// ReportLag is how old a load report is.
 	ReportLag time.Duration `json:"report_lag"`
+	// Resumable keeps a stream after its connection has closed, so that it can
+	// be resumed until it is cancelled.
+	Resumable bool `json:"resumable"`
 }
 
 // Faults are what a test can ask of the engine.
@@ -42,22 +46,32 @@
 	Poison string `json:"poison"`
 	// CutAfterTokens breaks every stream off after this many tokens, 0 for never.
 	CutAfterTokens int `json:"cut_after_tokens"`
+	// LoadDelay is added to every load.
+	LoadDelay time.Duration `json:"load_delay"`
+	// CacheGap drops every so-manieth cache event, 0 for none.
+	CacheGap int64 `json:"cache_gap"`
+	// Call is the fault that calls meet.
+	Call standin.Fault `json:"call"`
 }
 
 // Execution is one request that the engine has executed.
 type Execution struct {
-	Attempt string `json:"attempt"`
-	Model   string `json:"model"`
+	// At is when the execution started.
+	At      time.Time `json:"at"`
+	Attempt string    `json:"attempt"`
+	Model   string    `json:"model"`
 	// Body and Header are what the engine was sent.
-	Body   string      `json:"body"`
-	Header http.Header `json:"header"`
-	URL    string      `json:"url"`
+	Body     string      `json:"body"`
+	Header   http.Header `json:"header"`
+	URL      string      `json:"url"`
+	Priority string      `json:"priority"`
 }
 
 // Engine serves one base model with adapters.
 type Engine struct {
 	settings Settings
 	mux      *http.ServeMux
+	calls    standin.FaultSwitch
 
 	// mu guards all below.
 	mu          sync.Mutex
@@ -69,7 +83,16 @@
 	running     int
 	executions  []Execution
 	crashed     bool
-	reports     []pastReport
+	// life ends with the incarnation: all that runs is cut.
+	life    context.Context
+	endLife context.CancelFunc
+	// servingUnloads counts orders to unload an adapter that was serving.
+	servingUnloads int
+	reports        []pastReport
+	role           string
+	streams        map[string]*stream
+	cancelled      []string
+	cache          prefixCache
 }
 
 type adapter struct {
@@ -84,13 +107,19 @@
 
 // New returns an engine that holds no adapter.
 func New(s Settings) *Engine {
-	e := &Engine{settings: s, mux: http.NewServeMux(), incarnation: 1, adapters: map[string]*adapter{}}
+	e := &Engine{settings: s, mux: http.NewServeMux(), incarnation: 1, adapters: map[string]*adapter{}, streams: map[string]*stream{}, role: "mixed"}
+	e.life, e.endLife = context.WithCancel(context.Background())
+	e.mux.HandleFunc("GET /v1/streams/{attempt}", e.resumeStream)
+	e.mux.HandleFunc("DELETE /v1/streams/{attempt}", e.cancelStream)
+	e.mux.HandleFunc("GET /v1/cache_events", e.cacheEvents)
+	e.mux.HandleFunc("POST /v1/role", e.setRole)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/load_lora_adapter", e.load)
 	e.mux.HandleFunc("POST /v1/unload_lora_adapter", e.unload)
 	e.mux.HandleFunc("GET /v1/load_report", e.report)
 	e.mux.HandleFunc("GET /executions", e.listExecutions)
+	e.mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { standin.WriteJSON(w, http.StatusOK, e.Counts()) })
 	e.mux.HandleFunc("PUT /faults", e.putFaults)
 	e.mux.HandleFunc("POST /restart", func(http.ResponseWriter, *http.Request) { e.Restart() })
 	return e
@@ -101,7 +130,7 @@
 	e.mu.Lock()
 	crashed := e.crashed
 	e.mu.Unlock()
-	if crashed && r.URL.Path != "/restart" && r.URL.Path != "/executions" {
+	if crashed && r.URL.Path != "/restart" && r.URL.Path != "/executions" && r.URL.Path != "/counts" {
 		panic(http.ErrAbortHandler)
 	}
 	e.mux.ServeHTTP(w, r)
@@ -112,6 +141,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults = f
+	e.calls.Set(f.Call)
 }
 
 // Restart starts the engine anew, without adapters.
@@ -119,10 +149,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.crashed = false
+	e.endLife()
+	e.life, e.endLife = context.WithCancel(context.Background())
 	e.incarnation++
 	e.sequence = 0
 	e.running = 0
 	e.adapters = map[string]*adapter{}
+	e.streams = map[string]*stream{}
+	e.cache = prefixCache{}
 }
 
 // Executions returns the requests executed so far.
@@ -132,6 +166,29 @@
 	return append([]Execution{}, e.executions...)
 }
 
+// Counts are what the engine counts for tests.
+type Counts struct {
+	// ServingUnloads counts orders to unload an adapter that was serving.
+	ServingUnloads int `json:"serving_unloads"`
+	Incarnation    int `json:"incarnation"`
+	// Crashed says that the engine answers nothing until it is restarted.
+	Crashed bool `json:"crashed"`
+}
+
+// Counts returns what the engine counts for tests.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Counts{ServingUnloads: e.servingUnloads, Incarnation: e.incarnation, Crashed: e.crashed}
+}
+
+// Running returns how many requests run.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 func (e *Engine) listExecutions(w http.ResponseWriter, _ *http.Request) {
 	standin.WriteJSON(w, http.StatusOK, e.Executions())
 }
@@ -189,7 +246,7 @@
 	if !ok {
 		return
 	}
-	time.Sleep(e.settings.LoadTime)
+	time.Sleep(e.settings.LoadTime + e.currentFaults().LoadDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.adapters[order.Name] != a {
@@ -232,16 +289,22 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.checkFence(w, r) {
-		delete(e.adapters, order.Name)
+	if !e.checkFence(w, r) {
+		return
+	}
+	if a, held := e.adapters[order.Name]; held && a.running > 0 {
+		e.servingUnloads++
+		writeError(w, http.StatusConflict, "InUseError", "the adapter is serving")
+		return
 	}
+	delete(e.adapters, order.Name)
 }
 
 func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	current := upstream.Report{Incarnation: strconv.Itoa(e.incarnation), Sequence: e.sequence, Running: e.running, KVFree: 1, Role: "mixed"}
+	current := upstream.Report{Incarnation: strconv.Itoa(e.incarnation), Sequence: e.sequence, Running: e.running, KVFree: 1, Role: e.role}
 	for name, a := range e.adapters {
 		current.Adapters = append(current.Adapters, upstream.AdapterState{Name: name, Running: a.running, Loading: a.loading})
 	}
@@ -273,17 +336,40 @@
 		return
 	}
 	w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+	if !e.calls.Strike(standin.BeforeExecution, w) {
+		return
+	}
 	a, ok := e.start(w, r, req, raw)
 	if !ok {
 		return
 	}
-	defer e.end(a)
+	defer e.end(req.Model, a)
+	r, life, cancel := e.untilRestart(r)
+	defer cancel()
 	tokens := answerTokens
 	if req.MaxTokens > 0 {
 		tokens = min(tokens, req.MaxTokens)
 	}
+	e.calls.Strike(standin.AfterExecution, w)
 	answer := &answer{engine: e, w: w, r: r, request: req, tokens: tokens, prompt: len(raw) / 4}
 	answer.write()
+	if life.Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// untilRestart returns the request with a context that also ends with the
+// engine's incarnation.
+func (e *Engine) untilRestart(r *http.Request) (*http.Request, context.Context, context.CancelFunc) {
+	e.mu.Lock()
+	life := e.life
+	e.mu.Unlock()
+	ctx, cancel := context.WithCancel(r.Context())
+	stop := context.AfterFunc(life, cancel)
+	return r.WithContext(ctx), life, func() {
+		stop()
+		cancel()
+	}
 }
 
 // start takes a request into the batch.
@@ -297,10 +383,13 @@
 		return nil, false
 	}
 	e.executions = append(e.executions, Execution{
-		Attempt: r.Header.Get(upstream.HeaderAttempt), Model: req.Model, Body: string(raw), Header: r.Header.Clone(), URL: r.URL.String(),
+		At: time.Now(), Attempt: r.Header.Get(upstream.HeaderAttempt), Model: req.Model, Body: string(raw), Header: r.Header.Clone(),
+		URL: r.URL.String(), Priority: r.Header.Get(upstream.HeaderPriority),
 	})
+	e.cache.store(req.Model, raw, e.faults.CacheGap)
 	if e.faults.Poison != "" && strings.Contains(string(raw), e.faults.Poison) {
 		e.crashed = true
+		e.endLife()
 		panic(http.ErrAbortHandler)
 	}
 	a.running++
@@ -308,9 +397,19 @@
 	return a, true
 }
 
-func (e *Engine) end(a *adapter) {
+func (e *Engine) currentFaults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// end takes a request out of the batch. One of an earlier incarnation is in no
+// batch.
+func (e *Engine) end(model string, a *adapter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a.running--
-	e.running--
+	if e.adapters[model] == a {
+		e.running--
+	}
 }
--- a/wire/outcome.go
+++ b/wire/outcome.go
@@ -1,3 +1,23 @@
 package wire
 
-var outcomeDecoders = map[Type]func() Message{}
+// TypeCrashSuspicion is the number of CrashSuspicion.
+const TypeCrashSuspicion Type = 500
+
+var outcomeDecoders = map[Type]func() Message{
+	TypeCrashSuspicion: func() Message { return &CrashSuspicion{} },
+}
+
+// CrashSuspicion tells that upstreams have crashed under a request, or, with 0
+// crashes, that the request is cleared.
+type CrashSuspicion struct {
+	Key     []byte `cbor:"1,keyasint"`
+	Crashes int    `cbor:"2,keyasint"`
+	Holder  string `cbor:"3,keyasint"`
+	// ForMilliseconds is how long the suspicion lasts from its receipt.
+	ForMilliseconds int64 `cbor:"4,keyasint"`
+	// Crash names the last crash, the same on every host.
+	Crash string `cbor:"5,keyasint"`
+}
+
+// WireType implements Message.
+func (*CrashSuspicion) WireType() Type { return TypeCrashSuspicion }
