--- a/sched/fair/fair.go
+++ b/sched/fair/fair.go
@@ -21,8 +21,8 @@
 	Organisation string
 	// Batch work may wait but must arrive.
 	Batch bool
-	// Cost is what the organisation's counter grows by, in tokens.
-	Cost int64
+	// Cost is what the organisation's counter grows by: tokens over its weight.
+	Cost float64
 	// At is when the request was enqueued.
 	At time.Time
 	// removed entries are passed over and dropped when they reach the front.
@@ -76,9 +76,9 @@
 	}
 }
 
-func (c *Counters) charge(org string, cost int64) {
+func (c *Counters) charge(org string, cost float64) {
 	c.clock = max(c.clock, c.served[org])
-	c.served[org] += float64(max(cost, 1))
+	c.served[org] += cost
 }
 
 // Queue holds the requests that wait for one adapter version or one pool.
--- a/sched/place.go
+++ b/sched/place.go
@@ -9,6 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jasminelock/jasminelock/sched/fair"
+
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -53,7 +55,6 @@
 // place gives out loads: first to what cannot be served at all, the
 // organisation with the fewest loads first.
 func (p *Policy) place(now time.Time) {
-	clear(p.refused)
 	var wanted []demandFor
 	for g := range p.hungry {
 		if d, ok := p.needsLoad(now, g); ok {
@@ -62,7 +63,7 @@
 	}
 	slices.SortFunc(wanted, p.compareDemand)
 	for _, d := range wanted {
-		if _, refused := p.refused[d.group.model]; !refused {
+		if !now.Before(p.refused[d.group.model]) {
 			p.tryLoad(now, d)
 		}
 	}
@@ -70,7 +71,7 @@
 
 // placeOne tries to load a group as soon as a request for it has arrived.
 func (p *Policy) placeOne(now time.Time, g *group) {
-	if _, refused := p.refused[g.model]; refused {
+	if now.Before(p.refused[g.model]) {
 		return
 	}
 	if d, ok := p.needsLoad(now, g); ok {
@@ -91,7 +92,7 @@
 		}
 		return 1
 	}
-	if c := cmp.Compare(p.loadsOf(a.organisation), p.loadsOf(b.organisation)); c != 0 {
+	if c := cmp.Compare(p.loads.of(a.organisation), p.loads.of(b.organisation)); c != 0 {
 		return c
 	}
 	if c := a.since.Compare(b.since); c != 0 {
@@ -100,15 +101,6 @@
 	return strings.Compare(a.group.name, b.group.name)
 }
 
-// loadsOf is an organisation's counter of loads. One that has had none for long
-// starts from the counter of the organisation that was last served.
-func (p *Policy) loadsOf(org string) float64 { return max(p.loads[org], p.loadClock) }
-
-func (p *Policy) chargeLoad(org string) {
-	p.loadClock = max(p.loadClock, p.loads[org])
-	p.loads[org] = p.loadsOf(org) + 1
-}
-
 // needsLoad reports whether a group should be loaded: nothing that holds it can
 // serve, or waiting for what does costs more than another load.
 func (p *Policy) needsLoad(now time.Time, g *group) (demandFor, bool) {
@@ -129,7 +121,8 @@
 	if g.coldSince.IsZero() {
 		g.coldSince = now
 	}
-	return demandFor{group: g, organisation: head.Organisation, cold: !served, batch: head.Batch, since: g.coldSince}, true
+	batch := head.Batch && now.Sub(head.At) < fair.AgingLimit
+	return demandFor{group: g, organisation: head.Organisation, cold: !served, batch: batch, since: g.coldSince}, true
 }
 
 // loadCost is the time that a load takes, with the wait for the weight store.
@@ -149,10 +142,10 @@
 		return
 	}
 	if !p.budget.TakeLoad(now, d.group.model) {
-		p.refused[d.group.model] = now
+		p.refused[d.group.model] = now.Add(p.budgetRetry(now, d.organisation))
 		return
 	}
-	p.chargeLoad(d.organisation)
+	p.loads.charge(now, d.organisation)
 	switch {
 	case !v.lease.mine():
 		p.askLoad(now, d.group, v, d.organisation)
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -44,12 +44,12 @@
 	hungry map[*group]struct{}
 	// remotes are the groups that another host was asked to load, served what
 	// other hosts have asked of this one.
-	remotes   map[*group]struct{}
-	orphans   []orphanLoad
-	served    map[loadKey]*servedLoad
-	lastLoad  uint64
-	loads     map[string]float64
-	loadClock float64
+	remotes  map[*group]struct{}
+	orphans  []orphanLoad
+	served   map[loadKey]*servedLoad
+	lastLoad uint64
+	loads    loadShares
+	// refused holds when a model's budget may be asked for again.
 	refused   map[string]time.Time
 	loadTime  average
 	orders    map[OrderID]openOrder
@@ -99,7 +99,7 @@
 		upstreams: map[string]*upstreamView{}, engines: map[string][]*upstreamView{},
 		adapters: map[record.AdapterRef]*group{}, names: map[string]*group{}, pools: map[string]*group{},
 		counters: fair.NewCounters(), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
-		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, served: map[loadKey]*servedLoad{}, loads: map[string]float64{},
+		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, served: map[loadKey]*servedLoad{}, loads: newLoadShares(),
 		refused: map[string]time.Time{}, orders: map[OrderID]openOrder{},
 		leases: map[string]*leaseState{}, members: []string{o.Host}, departed: map[string]time.Time{},
 		process: o.Random.Uint64(),
@@ -131,6 +131,7 @@
 		p.startedAt = now
 	}
 	p.config = c
+	p.loads.configure(c.Rates())
 	for name, u := range c.Upstreams() {
 		if old, ok := p.upstreams[name]; ok && old.record.URL == u.URL && old.record.Model == u.Model && old.record.Pool == u.Pool {
 			old.record = u
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -26,7 +26,7 @@
 	g := p.groupOf(r)
 	w := &waitingRequest{request: r, group: g}
 	w.entry = &fair.Entry[*waitingRequest]{
-		Value: w, Organisation: r.Organisation, Batch: r.Priority == record.PriorityBatch, Cost: r.Tokens, At: now,
+		Value: w, Organisation: r.Organisation, Batch: r.Priority == record.PriorityBatch, Cost: float64(max(r.Tokens, 1)) / p.weightOf(r.Organisation), At: now,
 	}
 	p.waiting[r.ID] = w
 	g.queue.Push(w.entry)
