--- a/core/budget.go
+++ b/core/budget.go
@@ -35,9 +35,9 @@
 // maxInHand is how long a part of the budget that no load has used is kept.
 const maxInHand = 300 * time.Millisecond
 
-// retryBudget bounds how long a refused part of the budget is not asked for
+// askAgainWithin bounds how long a refused part of the budget is not asked for
 // again.
-const retryBudget = 500 * time.Millisecond
+const askAgainWithin = 500 * time.Millisecond
 
 // loadBudget lets the scheduler take loads from the limiter. It implements
 // sched.Budget. A part of the budget may come from another host: TakeLoad then
@@ -113,7 +113,7 @@
 func (p *budgetPart) take(now time.Time, v limit.Verdict) {
 	p.inHand, p.since = v.OK, now
 	if !v.OK {
-		p.notBefore = now.Add(min(v.RetryAfter, retryBudget))
+		p.notBefore = now.Add(min(v.RetryAfter, askAgainWithin))
 	}
 }
 
--- a/core/core.go
+++ b/core/core.go
@@ -8,6 +8,7 @@
 package core
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
@@ -27,6 +28,15 @@
 	budget    loadBudget
 	waiting   waiting
 	draining  bool
+	// freshness says until when the configuration may be taken to be in force.
+	freshness freshness
+	// rosterSeen says that the roster, not the host list, tells who is live.
+	rosterSeen bool
+
+	random     *rand.Rand
+	retries    retryBudget
+	backingOff []sched.RequestID
+	crashes    crashWatch
 }
 
 // Options are the parts that a Core is made of.
@@ -34,6 +44,10 @@
 	Board     *blackboard.Board
 	Limiter   limit.Limiter
 	Scheduler sched.Scheduler
+	// Random spreads retries. Nil takes a source with a fixed seed.
+	Random *rand.Rand
+	// Host is this host's name among those of the host list.
+	Host string
 }
 
 // New returns a core without configuration.
@@ -44,6 +58,12 @@
 		scheduler: o.Scheduler,
 		config:    record.NewConfig(),
 		requests:  map[sched.RequestID]*entry{},
+		random:    o.Random,
+		retries:   newRetryBudget(),
+		crashes:   newCrashWatch(o.Host),
+	}
+	if c.random == nil {
+		c.random = rand.New(rand.NewPCG(1, 1))
 	}
 	c.budget = newLoadBudget(o.Limiter)
 	c.scheduler.UseBudget(&c.budget)
@@ -73,7 +93,7 @@
 // Explain says how a request would be decided now, without deciding it.
 func (c *Core) Explain(now time.Time, r Request) (sched.Reason, *apierr.Error) {
 	e := &entry{request: r}
-	if err := c.authorise(e); err != nil {
+	if err := c.authorise(now, e); err != nil {
 		return sched.Reason{Rule: "authorise"}, err
 	}
 	return c.scheduler.Explain(now, e.work), nil
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -1,11 +1,13 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 func (c *Core) onFleetEvent(now time.Time, ev fleetEvent, out *decisions) {
@@ -14,7 +16,16 @@
 		c.onConfig(now, e.Config, out)
 	case HostsSeen:
 		c.onHosts(now, e.Hosts, out)
+	case RosterSeen:
+		c.rosterSeen = true
+		c.members(now, e.Live, out)
+	case ConfigConfirmed:
+		c.freshness.confirm(e.Until)
 	case PeerReceived:
+		if m, ok := e.Message.(*wire.CrashSuspicion); ok {
+			c.onSuspicion(now, m)
+			return
+		}
 		c.limited(c.limiter.Receive(now, e.From, e.Message), out)
 		c.onScheduled(now, c.scheduler.Receive(now, e.From, e.Message), out)
 	case StoreEnded:
@@ -24,6 +35,7 @@
 	case DrainStarted:
 		c.draining = true
 	case Tick:
+		c.resume(now, out)
 		c.limited(c.limiter.Tick(now), out)
 		c.budget.tick(now)
 		c.onScheduled(now, c.scheduler.Tick(now), out)
@@ -36,6 +48,11 @@
 	}
 	c.config = config
 	c.budget.config = config
+	c.retries.forget(c.ownsRetryBudget)
+	maps.DeleteFunc(c.crashes.fates, func(name string, _ *upstreamFate) bool {
+		_, ok := config.Upstream(name)
+		return !ok
+	})
 	c.board.Config.Publish(config)
 	c.limited(c.limiter.Configure(now, withLoadBudgets(config)), out)
 	c.onScheduled(now, c.scheduler.Configure(now, config), out)
@@ -43,11 +60,20 @@
 
 func (c *Core) onHosts(now time.Time, hosts []platform.Host, out *decisions) {
 	c.board.Hosts.Publish(hosts)
+	if c.rosterSeen {
+		return
+	}
 	names := make([]string, 0, len(hosts))
 	for _, h := range hosts {
 		names = append(names, h.Name)
 	}
 	slices.Sort(names)
+	c.members(now, names, out)
+}
+
+// members tells the limiter and the scheduler which hosts are live.
+func (c *Core) members(now time.Time, names []string, out *decisions) {
+	c.crashes.members = names
 	c.limited(c.limiter.Members(now, names), out)
 	c.onScheduled(now, c.scheduler.Members(now, names), out)
 }
--- a/core/waiting.go
+++ b/core/waiting.go
@@ -88,6 +88,7 @@
 
 // decideRate admits or refuses a request by the limiter's verdict.
 func (c *Core) decideRate(now time.Time, e *entry, tokens int64, v limit.Verdict, out *decisions) {
+	e.quota = quotaOf(v)
 	if v.OK {
 		e.reserved = tokens
 		c.admit(now, e, out)
@@ -99,7 +100,7 @@
 	}
 	delete(c.requests, e.request.ID)
 	e.machine.To(request.Failed)
-	out.finish(e.request.ID, err, "rate")
+	out.finish(e, err, "rate")
 }
 
 // admit goes on with a request whose tokens are set aside.
@@ -108,7 +109,7 @@
 	c.requests[e.request.ID] = e
 	if e.request.IdempotencyKey != "" && !e.repeatable() {
 		e.machine.To(request.Claiming)
-		*out = append(*out, Claim{ID: e.request.ID, Key: e.request.IdempotencyKey, Organisation: e.org})
+		*out = append(*out, e.claim())
 		return
 	}
 	c.enqueue(now, e, out)
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,160 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/membership"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+func TestHostsFindOneAnotherAndTheConfiguration(t *testing.T) {
+	w := newWorld(1, 7, 3)
+	require.NoError(t, w.run(10*time.Second))
+	for _, h := range w.hosts {
+		require.Len(t, h.node.Members(), 7, h.name)
+		require.EqualValues(t, 1, h.node.Revision(), h.name)
+		require.True(t, w.now.Before(h.node.FreshUntil()), h.name)
+	}
+	w.write("organisation", "b", `{}`)
+	require.NoError(t, w.run(3*time.Second))
+	for _, h := range w.hosts {
+		require.EqualValues(t, 2, h.node.Revision(), h.name)
+	}
+}
+
+func TestBlankHostIsGivenTheConfigurationWhileTheStoreIsDown(t *testing.T) {
+	w := newWorld(2, 7, 3)
+	for range 700 { // more than are kept as single changes
+		w.write("organisation", "b", `{}`)
+	}
+	require.NoError(t, w.run(10*time.Second))
+	w.storeDown = true
+	require.NoError(t, w.run(time.Hour))
+	h := w.hosts[3]
+	w.startHost(h)
+	require.NoError(t, w.run(30*time.Second))
+	require.EqualValues(t, 701, h.node.Revision())
+	for _, h := range w.hosts {
+		require.True(t, w.now.Before(h.node.FreshUntil()), "%s goes on while the store is down", h.name)
+	}
+}
+
+func TestCutOffHostKnowsThatItIsStale(t *testing.T) {
+	w := newWorld(3, 7, 3)
+	require.NoError(t, w.run(10*time.Second))
+	h := w.hosts[2]
+	h.isolated, h.noStore = true, true
+	require.NoError(t, w.run(11*time.Second))
+	require.False(t, w.now.Before(h.node.FreshUntil()))
+	require.NoError(t, w.run(time.Minute))
+	require.False(t, w.now.Before(h.node.FreshUntil()))
+	require.True(t, w.now.Before(w.hosts[0].node.FreshUntil()))
+	for _, m := range w.hosts[0].node.Members() {
+		require.NotEqual(t, h.name, m.Name, "the cut-off host is left out")
+	}
+	h.isolated, h.noStore = false, false
+	require.NoError(t, w.run(15*time.Second))
+	require.True(t, w.now.Before(h.node.FreshUntil()))
+	require.Len(t, w.hosts[0].node.Members(), 7)
+	require.Len(t, h.node.Members(), 7)
+}
+
+// cutOffZone isolates a zone, restarts one of its hosts and returns that host
+// once its confirmation must have lapsed.
+func cutOffZone(t *testing.T, m mutant) (*world, *simHost) {
+	t.Helper()
+	w := newWorld(4, 6, 3)
+	w.mutant = m
+	require.NoError(t, w.run(20*time.Second))
+	restarted, peer := w.hosts[1], w.hosts[4]
+	for _, h := range []*simHost{restarted, peer} {
+		h.isolated, h.noStore = true, true
+	}
+	require.NoError(t, w.run(12*time.Second))
+	w.startHost(restarted)
+	require.NoError(t, w.run(20*time.Second))
+	require.EqualValues(t, 1, restarted.node.Revision(), "the configuration comes from the other host of the zone")
+	return w, restarted
+}
+
+func TestHostRestartedInACutOffZoneKnowsThatItIsStale(t *testing.T) {
+	w, h := cutOffZone(t, mutant{})
+	require.False(t, w.now.Before(h.node.FreshUntil()))
+
+	forgetZones := func(_ *simHost, m wire.Outgoing) *wire.Outgoing {
+		if ack, ok := m.Message.(*wire.Ack); ok {
+			without := *ack
+			without.Zones = nil
+			m.Message = &without
+		}
+		return &m
+	}
+	w, h = cutOffZone(t, mutant{message: forgetZones})
+	require.True(t, w.now.Before(h.node.FreshUntil()), "without the zones in heartbeats, the host takes its zone for the fleet")
+}
+
+// A change that the table service accepted just before an outage, and that no
+// host could read, is not in force before the outage ends. This is a limit of
+// the mechanism.
+func TestChangeUnreadBeforeAnOutageIsInForceAfterIt(t *testing.T) {
+	w := newWorld(5, 6, 3)
+	require.NoError(t, w.run(20*time.Second))
+	w.storeDown = true
+	w.write("organisation", "b", `{}`)
+	require.NoError(t, w.run(10*time.Minute))
+	for _, h := range w.hosts {
+		require.EqualValues(t, 1, h.node.Revision())
+		require.True(t, w.now.Before(h.node.FreshUntil()))
+	}
+	w.storeDown = false
+	require.NoError(t, w.run(3*time.Second))
+	for _, h := range w.hosts {
+		require.EqualValues(t, 2, h.node.Revision())
+	}
+}
+
+func TestLeavingHostIsToldToOthers(t *testing.T) {
+	w := newWorld(6, 7, 3)
+	require.NoError(t, w.run(10*time.Second))
+	h := w.hosts[0]
+	h.node.SetState(wire.HostLeaving)
+	require.NoError(t, w.run(time.Second))
+	for _, other := range w.hosts[1:] {
+		members := other.node.Members()
+		i := slices.IndexFunc(members, func(m membership.Member) bool { return m.Name == h.name })
+		require.Equal(t, wire.HostLeaving, members[i].State, other.name)
+	}
+	h.node.SetState(wire.HostGone)
+	require.NoError(t, w.run(time.Second))
+	h.up = false
+	require.NoError(t, w.run(3*time.Second))
+	for _, other := range w.hosts[1:] {
+		require.Len(t, other.node.Members(), 6, other.name)
+	}
+}
+
+// A host that was paused while a key was withdrawn, and goes on in an outage,
+// hears from every zone that the table service is down, but has missed a change.
+func TestPausedHostThatMissedAChangeIsStaleInAnOutage(t *testing.T) {
+	w := newWorld(7, 6, 3)
+	require.NoError(t, w.run(20*time.Second))
+	h := w.hosts[3]
+	h.paused = true
+	require.NoError(t, w.run(12*time.Second))
+	w.write("organisation", "b", `{}`)
+	require.NoError(t, w.run(2*time.Second))
+	w.storeDown = true
+	require.NoError(t, w.run(15*time.Second))
+	w.resume(h)
+	for range 100 {
+		require.NoError(t, w.run(100*time.Millisecond))
+		fresh := w.now.Before(h.node.FreshUntil())
+		require.False(t, fresh && h.node.Revision() < 2, "fresh without the change")
+	}
+	require.EqualValues(t, 2, h.node.Revision())
+	require.True(t, w.now.Before(h.node.FreshUntil()), "the others have given it the change")
+}
