--- a/core/core.go
+++ b/core/core.go
@@ -26,6 +26,7 @@
 	config    *record.Config
 	requests  map[sched.RequestID]*entry
 	budget    loadBudget
+	waiting   waiting
 	draining  bool
 	// freshness says until when the configuration may be taken to be in force.
 	freshness freshness
@@ -35,6 +36,7 @@
 	random     *rand.Rand
 	retries    retryBudget
 	backingOff []sched.RequestID
+	crashes    crashWatch
 }
 
 // Options are the parts that a Core is made of.
@@ -44,6 +46,8 @@
 	Scheduler sched.Scheduler
 	// Random spreads retries. Nil takes a source with a fixed seed.
 	Random *rand.Rand
+	// Host is this host's name among those of the host list.
+	Host string
 }
 
 // New returns a core without configuration.
@@ -56,12 +60,14 @@
 		requests:  map[sched.RequestID]*entry{},
 		random:    o.Random,
 		retries:   newRetryBudget(),
+		crashes:   newCrashWatch(o.Host),
 	}
 	if c.random == nil {
 		c.random = rand.New(rand.NewPCG(1, 1))
 	}
+	c.budget = newLoadBudget(o.Limiter)
 	c.scheduler.UseBudget(&c.budget)
-	c.budget.limiter = o.Limiter
+	c.waiting.tickets = map[limit.Ticket]waitingRequest{}
 	return c
 }
 
@@ -76,7 +82,8 @@
 	case fleetEvent:
 		c.onFleetEvent(now, e, &out)
 	}
-	out.limited(c.budget.take())
+	c.limited(c.budget.take(), &out)
+	c.onResolved(now, &out)
 	return out
 }
 
--- a/core/events.go
+++ b/core/events.go
@@ -116,6 +116,10 @@
 	Message wire.Message
 }
 
+// LeaveStarted says that this host is about to stop. It passes on what it keeps
+// for others, and goes on serving until DrainStarted.
+type LeaveStarted struct{}
+
 // DrainStarted says that this host is leaving: it takes no new request.
 type DrainStarted struct{}
 
@@ -152,6 +156,7 @@
 func (ConfigConfirmed) isEvent() {}
 func (PeerReceived) isEvent()    {}
 func (StoreEnded) isEvent()      {}
+func (LeaveStarted) isEvent()    {}
 func (DrainStarted) isEvent()    {}
 func (Tick) isEvent()            {}
 
@@ -161,6 +166,7 @@
 func (ConfigConfirmed) isFleetEvent() {}
 func (PeerReceived) isFleetEvent()    {}
 func (StoreEnded) isFleetEvent()      {}
+func (LeaveStarted) isFleetEvent()    {}
 func (DrainStarted) isFleetEvent()    {}
 func (Tick) isFleetEvent()            {}
 
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -1,11 +1,13 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 func (c *Core) onFleetEvent(now time.Time, ev fleetEvent, out *decisions) {
@@ -20,15 +22,22 @@
 	case ConfigConfirmed:
 		c.freshness.confirm(e.Until)
 	case PeerReceived:
-		out.limited(c.limiter.Receive(now, e.From, e.Message))
+		if m, ok := e.Message.(*wire.CrashSuspicion); ok {
+			c.onSuspicion(now, m)
+			return
+		}
+		c.limited(c.limiter.Receive(now, e.From, e.Message), out)
 		c.onScheduled(now, c.scheduler.Receive(now, e.From, e.Message), out)
 	case StoreEnded:
-		out.limited(c.limiter.StoreEnded(now, e.End))
+		c.limited(c.limiter.StoreEnded(now, e.End), out)
+	case LeaveStarted:
+		c.limited(c.limiter.Leave(now), out)
 	case DrainStarted:
 		c.draining = true
 	case Tick:
 		c.resume(now, out)
-		out.limited(c.limiter.Tick(now))
+		c.limited(c.limiter.Tick(now), out)
+		c.budget.tick(now)
 		c.onScheduled(now, c.scheduler.Tick(now), out)
 	}
 }
@@ -40,8 +49,12 @@
 	c.config = config
 	c.budget.config = config
 	c.retries.forget(c.ownsRetryBudget)
+	maps.DeleteFunc(c.crashes.fates, func(name string, _ *upstreamFate) bool {
+		_, ok := config.Upstream(name)
+		return !ok
+	})
 	c.board.Config.Publish(config)
-	out.limited(c.limiter.Configure(now, withLoadBudgets(config)))
+	c.limited(c.limiter.Configure(now, withLoadBudgets(config)), out)
 	c.onScheduled(now, c.scheduler.Configure(now, config), out)
 }
 
@@ -60,6 +73,7 @@
 
 // members tells the limiter and the scheduler which hosts are live.
 func (c *Core) members(now time.Time, names []string, out *decisions) {
-	out.limited(c.limiter.Members(now, names))
+	c.crashes.members = names
+	c.limited(c.limiter.Members(now, names), out)
 	c.onScheduled(now, c.scheduler.Members(now, names), out)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,7 +18,6 @@
 	"github.com/jasminelock/jasminelock/blackboard"
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/gateway"
-	"github.com/jasminelock/jasminelock/limit"
 	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/platform"
@@ -76,8 +75,8 @@
 	}
 	d.outcomes = outcome.New(d.platform, d.platform.Objects())
 	c := core.New(core.Options{
-		Board: d.board, Limiter: limit.NewStatic(s.Fleet.Hosts), Scheduler: newScheduler(s),
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Board: d.board, Limiter: newLimiter(s), Scheduler: newScheduler(s),
+		Host: s.Host, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.leases = newLeaseKeeper(d.platform, s.Host, time.Now)
 	var err error
@@ -195,7 +194,7 @@
 func (d *Daemon) ready() bool {
 	until := d.freshUntil.Load()
 	fresh := until != nil && time.Now().Before(*until)
-	return !d.isDraining() && fresh && d.board.Config.Snapshot().Revision > 0
+	return !d.isDraining() && d.board.Config.Snapshot().Revision > 0 && fresh
 }
 
 func (d *Daemon) isDraining() bool {
@@ -218,6 +217,7 @@
 	if err := d.announce(ctx); err != nil {
 		d.log.Warn("host list not told of the shutdown", "error", err)
 	}
+	d.runtime.Handle(core.LeaveStarted{})
 	sleep(ctx, time.Duration(d.settings.Drain.LocateWait))
 	d.runtime.Handle(core.DrainStarted{})
 	if err := callers.Shutdown(ctx); err != nil {
