--- a/limit/handover.go
+++ b/limit/handover.go
@@ -33,7 +33,7 @@
 	l.fence.reset(now)
 	l.returns = map[string]uint64{}
 	l.returned = map[wire.LimitMember]uint64{}
-	maps.DeleteFunc(l.stamps, func(m wire.LimitMember, _ int64) bool { return !l.view.members.has(m) })
+	maps.DeleteFunc(l.stamps, func(m wire.LimitMember, _ stamp) bool { return !l.view.members.has(m) })
 	l.fence.join(now, l.view, l.self)
 	l.handedOver = map[wire.LimitMember]bool{}
 	if !continuous {
@@ -45,12 +45,12 @@
 	l.wantHead()
 	l.nextResend = time.Time{}
 	l.nextRound = now.Add(resendInterval)
+	l.rerouteAsks(now)
 	if own, ok := l.handovers[l.self.Host]; ok {
 		delete(l.handovers, l.self.Host)
 		l.takeHandover(now, l.self, own)
 	}
 	l.tickResend(now)
-	l.rerouteAsks(now)
 	l.serveQueued(now)
 }
 
@@ -174,24 +174,46 @@
 	l.accounts[moved.Organisation] = a
 }
 
-// account returns the bucket of an organisation that this host leads. It is not
+// account returns the bucket of an organisation if this host leads it. It is not
 // ready while the lead before may still act, or the table service is being
 // asked for the first burst. A bucket that nobody has passed on starts empty.
 func (l *Lead) account(now time.Time, org string) (a *account, ready bool) {
+	if lead, ok := l.leadOf(org); !ok || lead != l.self {
+		return nil, false
+	}
 	if a, ok := l.accounts[org]; ok {
 		return a, !a.creating
 	}
+	quietSince := now
 	before, had := l.view.previous.lead(org)
-	if had && before != l.self && !l.handedOver[before] && !l.fence.void(now, l.view) {
-		return nil, false
+	if had && before != l.self && !l.handedOver[before] {
+		if !l.fence.void(now, l.view) {
+			return nil, false
+		}
+		quietSince = l.fence.voidAt()
 	}
-	a = newAccount(now, l.rates[org])
+	a = newAccount(quietSince, l.rates[org])
 	a.creating = true
 	l.accounts[org] = a
 	l.create(org)
 	return a, false
 }
 
+// blocked is how long it takes until a bucket that is not ready holds tokens, if
+// that is longer than a request may wait: the lead before is lost, so its time has
+// to run out, and the bucket starts empty. Otherwise it is 0.
+func (l *Lead) blocked(now time.Time, org string, tokens int64) time.Duration {
+	if _, started := l.accounts[org]; started || now.Before(l.fence.adoptedAt.Add(handoverGrace)) {
+		return 0
+	}
+	wait := voidAfter
+	if !l.fence.majorityAt.IsZero() {
+		wait = l.fence.voidAt().Sub(now)
+	}
+	fill := float64(tokens) / l.rates[org].TokensPerSecond
+	return wait + time.Duration(math.Ceil(fill*float64(time.Second)))
+}
+
 // ledSlots returns a budget in flight that this host leads, ready or not.
 func (l *Lead) ledSlots(org string) (*slots, bool) {
 	rate, known := l.rates[org]
