--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,13 +1,17 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/membership"
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/spread"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -158,3 +162,30 @@
 	require.EqualValues(t, 2, h.node.Revision())
 	require.True(t, w.now.Before(h.node.FreshUntil()), "the others have given it the change")
 }
+
+func TestLargeChangesReachEveryHost(t *testing.T) {
+	w := newWorld(8, 9, 3)
+	require.NoError(t, w.run(10*time.Second))
+	w.meter.on = true // every frame is encoded, so that its bound is checked
+	large := func(mark string) {
+		var records []record.Envelope
+		for i := range 40 {
+			spec := fmt.Sprintf(`{"display_name":%q}`, strings.Repeat(mark, 40<<10))
+			records = append(records, record.Envelope{Schema: 2, Kind: record.KindOrganisation, Name: fmt.Sprintf("org-%d", i), Spec: []byte(spec)})
+		}
+		w.changes = append(w.changes, spread.FromEnvelopes(int64(len(w.changes)+1), records))
+	}
+	large("a")
+	require.NoError(t, w.run(3*time.Second))
+	large("b")
+	blank := w.hosts[4]
+	w.startHost(blank) // its records come from others while the next change spreads
+	blank.noStore = true
+	require.NoError(t, w.run(10*time.Second))
+	for _, h := range w.hosts {
+		require.EqualValues(t, 3, h.node.Revision(), h.name)
+		o, ok := h.config.Organisation("org-7")
+		require.True(t, ok)
+		require.Equal(t, byte('b'), o.DisplayName[0], h.name)
+	}
+}
--- /dev/null
+++ b/fleet/fuzz_test.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jasminelock/jasminelock/spread"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// FuzzReceive looks for messages of a faulty host that make this one fail, go
+// back to a lower revision, or answer with a frame above its bound.
+func FuzzReceive(f *testing.F) {
+	for _, m := range []wire.Message{
+		&wire.Ping{Pulse: wire.Pulse{Sequence: 1, Incarnation: 2, State: wire.HostLive, Roster: 3}},
+		&wire.Ack{Pulse: wire.Pulse{Sequence: 1, Revision: 9}, Confirmed: true, Reports: []uint32{1, 2, 3, 4}},
+		&wire.RosterUpdate{Entries: []wire.HostEntry{{Name: "self", Incarnation: 1 << 63, State: wire.HostGone}}},
+		&wire.RosterDigest{Buckets: make([]uint64, 16), WantDigest: true},
+		&wire.Suspicion{Host: "self", Incarnation: 1, Witness: "other"},
+		&wire.ConfigChange{Revision: 1, Parts: 1, Records: []wire.ConfigRecord{{Schema: 1, Kind: "organisation", Name: "a", Spec: []byte(`{}`)}}},
+		&wire.ConfigPull{After: -5},
+		&wire.SnapshotOffer{Revision: 4, Buckets: 256},
+		&wire.SnapshotPull{Bucket: 3},
+		&wire.SnapshotPart{Revision: 4, Parts: 1},
+	} {
+		raw, err := wire.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw, raw)
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+		n := New(now, Options{
+			Self:         wire.HostEntry{Name: "self", Zone: "z", Incarnation: 1},
+			ReadInterval: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
+		})
+		highest := int64(0)
+		for _, raw := range [][]byte{first, second, first} {
+			m, err := wire.Decode(raw)
+			if err != nil || m == nil {
+				continue
+			}
+			for range 3 {
+				now = now.Add(TickInterval)
+				checkFrames(t, n.Receive(now, "other", m))
+				checkFrames(t, n.Tick(now))
+			}
+			if n.Revision() < highest {
+				t.Fatalf("went back from revision %d to %d", highest, n.Revision())
+			}
+			highest = n.Revision()
+		}
+	})
+}
+
+func checkFrames(t *testing.T, decisions []spread.Decision) {
+	t.Helper()
+	for _, d := range decisions {
+		if s, ok := d.(spread.Send); ok {
+			if _, err := wire.Encode(s.Message); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -72,6 +72,10 @@
 	entriesPerFrame = 64
 )
 
+// maxIncarnation bounds what is believed of an incarnation, so that each can be
+// refuted by a higher one.
+const maxIncarnation = 1 << 62
+
 // hostListWitness is the platform's host list as a witness. No host can have
 // this name.
 const hostListWitness = "host-list:"
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -116,6 +116,9 @@
 // merge takes entries of another host and keeps those that are newer.
 func (m *Machine) merge(now time.Time, from string, entries []wire.HostEntry) {
 	for _, received := range entries {
+		if received.Incarnation > maxIncarnation {
+			continue
+		}
 		if received.Name == m.self.Name {
 			m.refute(now, received.Incarnation, received.State)
 			continue
--- /dev/null
+++ b/wire/fuzz_test.go
@@ -0,0 +1,85 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// samples has a message of every type of the roster and the configuration.
+func samples() []Message {
+	pulse := Pulse{Sequence: 7, Incarnation: 1 << 40, State: HostLive, Roster: 1 << 63, Load: 3, Revision: 12}
+	return []Message{
+		&Hello{Host: "host-1", Zone: "zone-1", Incarnation: 5, MinVersion: 1, MaxVersion: 2},
+		&Ping{Pulse: pulse, Probe: true},
+		&Ack{Pulse: pulse, Confirmed: true, ConfirmedAgeMillis: 40, Reports: []uint32{1, 2, 3, 4}, Zones: []uint32{9}},
+		&RosterUpdate{Entries: []HostEntry{{Name: "host-1", Zone: "zone-1", Incarnation: 1, State: HostLeaving, CallerURL: "http://a", PeerURL: "http://b"}}},
+		&RosterDigest{Buckets: make([]uint64, 16), WantDigest: true},
+		&Suspicion{Host: "host-1", Incarnation: 3, Witness: "host-2"},
+		&Inquiry{Host: "host-1"},
+		&Alive{Host: "host-1"},
+		&ConfigChange{Revision: 3, Parts: 1, Records: []ConfigRecord{{Schema: 2, Kind: "key", Name: "k", Spec: []byte(`{}`)}}},
+		&ConfigPull{After: 3},
+		&SnapshotOffer{Revision: 4, Buckets: 256},
+		&SnapshotPull{Bucket: 255},
+		&SnapshotPart{Revision: 4, Bucket: 1, Parts: 1, Data: []byte{1, 2}},
+	}
+}
+
+func TestMessagesSurviveTheWire(t *testing.T) {
+	for _, m := range samples() {
+		raw, err := Encode(m)
+		require.NoError(t, err)
+		got, err := Decode(raw)
+		require.NoError(t, err)
+		require.Equal(t, m, got)
+	}
+}
+
+// A newer host may send a higher version, messages that this one does not
+// know, and fields that it does not know.
+func TestFramesOfTheNextVersionAreRead(t *testing.T) {
+	body, err := encMode.Marshal(map[int]any{1: "host-1", 99: "new"})
+	require.NoError(t, err)
+	next, err := encMode.Marshal(frame{Version: Version + 1, Type: TypeInquiry, Body: body})
+	require.NoError(t, err)
+	m, err := Decode(next)
+	require.NoError(t, err)
+	require.Equal(t, &Inquiry{Host: "host-1"}, m)
+
+	unknown, err := encMode.Marshal(frame{Version: Version + 1, Type: 65000, Body: body})
+	require.NoError(t, err)
+	m, err = Decode(unknown)
+	require.NoError(t, err)
+	require.Nil(t, m)
+
+	old, err := encMode.Marshal(frame{Version: MinVersion - 1, Type: TypeInquiry, Body: body})
+	require.NoError(t, err)
+	_, err = Decode(old)
+	require.Error(t, err)
+}
+
+// FuzzDecode looks for frames that make the decoder fail, and checks that what
+// was decoded can be encoded and gives the same again.
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		raw, err := Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := Decode(raw)
+		if err != nil || m == nil {
+			return
+		}
+		again, err := Encode(m)
+		if err != nil {
+			t.Fatalf("decoded message does not encode: %v", err)
+		}
+		if _, err := Decode(again); err != nil {
+			t.Fatalf("encoded message does not decode: %v", err)
+		}
+	})
+}
