--- a/bench/policies.go
+++ b/bench/policies.go
@@ -11,10 +11,15 @@
 // OwnPolicy is the name of the policy that the daemon runs.
 const OwnPolicy = "jasminelock"
 
+// ExactLimits is our scheduler with one exact limiter for all hosts, as if they
+// could count together at no cost. It measures scheduling by itself.
+const ExactLimits = "exact-limits"
+
 // Policies returns our policy and the baselines.
 func Policies() []Policy {
 	return []Policy{
-		{Name: OwnPolicy, Make: own},
+		{Name: OwnPolicy, Start: func() Maker { return own }},
+		{Name: ExactLimits, Start: exactLimits},
 		oneHost("random", func(rng *rand.Rand) baseline.Ranker { return baseline.Random{Rand: rng} }),
 		oneHost("least-loaded-lru", func(*rand.Rand) baseline.Ranker { return baseline.LeastLoaded{} }),
 		oneHost("bounded-hash", func(*rand.Rand) baseline.Ranker { return baseline.BoundedHash{} }),
@@ -22,12 +27,22 @@
 }
 
 // own makes the parts that the daemon makes.
-func own(string, string, *rand.Rand) (limit.Limiter, sched.Scheduler) {
-	return limit.NewStatic(hosts), sched.NewLeastLoaded()
+func own(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
+	return limit.NewLead(limit.Options{Host: host, Incarnation: rng.Uint64(), Rand: rng}), sched.New(sched.Options{Host: host, Zone: zone, Random: rng})
+}
+
+// exactLimits is our policy with one exact limiter for all hosts, which nothing
+// real can be. The difference from our policy is what sharing limits costs.
+func exactLimits() Maker {
+	shared := limit.NewStatic(1)
+	return func(host, zone string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
+		return shared, sched.New(sched.Options{Host: host, Zone: zone, Random: rng})
+	}
 }
 
 func oneHost(name string, ranker func(*rand.Rand) baseline.Ranker) Policy {
-	return Policy{Name: name, OneHost: true, Make: func(_, _ string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
+	maker := func(_, _ string, rng *rand.Rand) (limit.Limiter, sched.Scheduler) {
 		return limit.NewStatic(1), baseline.New(ranker(rng))
-	}}
+	}
+	return Policy{Name: name, OneHost: true, Start: func() Maker { return maker }}
 }
--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -2,7 +2,8 @@
 // service and reads them back.
 //
 // Tables: "records" holds each record under "kind/name"; "changes" holds each
-// accepted change under its revision, with the records that it wrote; "head"
+// accepted change under its revision, with the records that it wrote;
+// "operations" holds each change's revision under its operation id; "head"
 // holds the newest revision. A change is one transaction, conditional on the
 // head that it was made against, so that revisions follow one another without
 // gaps and a change is accepted whole or not at all.
@@ -20,14 +21,17 @@
 
 // The tables and the one key of the head's table.
 const (
-	tableRecords = "records"
-	tableChanges = "changes"
-	tableHead    = "head"
-	headKey      = "config"
+	tableRecords    = "records"
+	tableChanges    = "changes"
+	tableOperations = "operations"
+	tableHead       = "head"
+	headKey         = "config"
 )
 
-// Limits of one change.
+// Limits of one read and one change.
 const (
+	// pageRows is how many rows one read asks for.
+	pageRows = 1000
 	// maxChangeRecords is how many records one change may write.
 	maxChangeRecords = 10000
 )
@@ -51,6 +55,12 @@
 	Operation string `json:"operation"`
 }
 
+// operation is the row that resolves a lost answer.
+type operation struct {
+	Revision int64  `json:"revision"`
+	Digest   string `json:"digest"`
+}
+
 func readHead(ctx context.Context, t platform.TableService) (head, int64, error) {
 	var h head
 	row, err := t.Get(ctx, tableHead, headKey)
@@ -95,3 +105,56 @@
 	}
 	return changes, nil
 }
+
+// History returns the newest changes, up to limit, oldest first.
+func History(ctx context.Context, t platform.TableService, limit int) ([]Change, error) {
+	h, _, err := readHead(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	return ReadChanges(ctx, t, max(h.Revision-int64(limit), 0), limit)
+}
+
+// Get returns one record, or platform.ErrNotFound.
+func Get(ctx context.Context, t platform.TableService, ref record.Ref) (record.Envelope, error) {
+	row, err := t.Get(ctx, tableRecords, ref.String())
+	if err != nil {
+		return record.Envelope{}, err
+	}
+	return decodeRecord(row)
+}
+
+func decodeRecord(row platform.Row) (record.Envelope, error) {
+	var e record.Envelope
+	if err := json.Unmarshal(row.Value, &e); err != nil {
+		return e, fmt.Errorf("configstore: record %s: %w", row.Key, err)
+	}
+	return e, nil
+}
+
+// List gives the records of a kind, or of all kinds where it is "", page by
+// page. Removed records are among them.
+func List(ctx context.Context, t platform.TableService, kind record.Kind, page func([]record.Envelope) error) error {
+	prefix, after := "", ""
+	if kind != "" {
+		prefix = record.Ref{Kind: kind}.String()
+	}
+	for {
+		rows, err := t.List(ctx, tableRecords, prefix, after, pageRows)
+		if err != nil {
+			return err
+		}
+		records := make([]record.Envelope, 0, len(rows))
+		for _, row := range rows {
+			e, err := decodeRecord(row)
+			if err != nil {
+				return err
+			}
+			records = append(records, e)
+		}
+		if err := page(records); err != nil || len(rows) < pageRows {
+			return err
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,12 +4,8 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
-	"net/url"
 	"os"
 	"time"
-
-	"github.com/tailscale/hujson"
 )
 
 // Duration is a time.Duration written as a string such as "250ms".
@@ -29,6 +25,9 @@
 	return nil
 }
 
+// String returns the duration as it is written in a file.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // MarshalJSON implements json.Marshaler.
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
@@ -114,6 +113,9 @@
 	MaxHeaderBytes int `json:"max_header_bytes,omitzero"`
 	// ReadTimeout bounds how long a request may take to arrive. Default 15s.
 	ReadTimeout Duration `json:"read_timeout,omitzero"`
+	// WriteTimeout bounds how long a caller may take over one part of an
+	// answer. Default 30s.
+	WriteTimeout Duration `json:"write_timeout,omitzero"`
 	// Timeout is a request's deadline. Default 2m.
 	Timeout Duration `json:"timeout,omitzero"`
 }
@@ -144,19 +146,18 @@
 	return Parse(path, raw)
 }
 
-// Parse completes and checks settings. The name is used in errors.
+// Parse completes and checks settings. The name is used in errors. Where the
+// settings are not valid, the error is a Problems that holds every problem.
 func Parse(name string, raw []byte) (*Settings, error) {
-	std, err := hujson.Standardize(raw)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
-	}
 	var s Settings
-	if err := json.Unmarshal(std, &s); err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+	tree, problems := decode(name, raw, &s)
+	if len(problems) > 0 {
+		return nil, problems
 	}
 	s.complete()
-	if err := s.Validate(); err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+	problems = s.Validate()
+	if len(problems) > 0 {
+		return nil, tree.locate(problems)
 	}
 	return &s, nil
 }
@@ -168,6 +169,7 @@
 	setDefault(&s.Requests.MaxBodyBytes, 4<<20)
 	setDefault(&s.Requests.MaxHeaderBytes, 32<<10)
 	setDefault(&s.Requests.ReadTimeout, Duration(15*time.Second))
+	setDefault(&s.Requests.WriteTimeout, Duration(30*time.Second))
 	setDefault(&s.Requests.Timeout, Duration(2*time.Minute))
 	setDefault(&s.Log.Level, "info")
 	setDefault(&s.Drain.Timeout, Duration(3*time.Minute))
@@ -180,34 +182,3 @@
 		*field = value
 	}
 }
-
-// Validate reports the first field that is not valid.
-func (s *Settings) Validate() error {
-	switch {
-	case s.Host == "":
-		return fmt.Errorf("host: want the host's name")
-	case s.Zone == "":
-		return fmt.Errorf("zone: want the host's availability zone")
-	case s.Fleet.Hosts < 1:
-		return fmt.Errorf("fleet.hosts: want the number of hosts, 1 or more")
-	}
-	if err := checkAddress("listen.callers", s.Listen.Callers); err != nil {
-		return err
-	}
-	if err := checkAddress("listen.operators", s.Listen.Operators); err != nil {
-		return err
-	}
-	u, err := url.Parse(s.Platform.URL)
-	if err != nil || u.Host == "" {
-		return fmt.Errorf("platform.url: want an address such as http://10.0.0.1:9000, not %q", s.Platform.URL)
-	}
-	return nil
-}
-
-func checkAddress(field, address string) error {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil || net.ParseIP(host) == nil {
-		return fmt.Errorf("%s: want ip:port, not %q", field, address)
-	}
-	return nil
-}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -3,10 +3,12 @@
 package service
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jasminelock/jasminelock/standin"
@@ -15,6 +17,8 @@
 
 // Execution is one call that the service has executed.
 type Execution struct {
+	// At is when the execution started.
+	At      time.Time   `json:"at"`
 	Attempt string      `json:"attempt"`
 	Method  string      `json:"method"`
 	URL     string      `json:"url"`
@@ -24,13 +28,37 @@
 
 // Service answers every path.
 type Service struct {
-	delay time.Duration
+	faults standin.FaultSwitch
+	// active counts the calls that have arrived and not ended.
+	active atomic.Int64
 
 	// mu guards all below.
 	mu         sync.Mutex
+	delay      time.Duration
 	sequence   int64
 	running    int
 	executions []Execution
+	answer     []byte
+}
+
+// SetFault replaces the fault that calls meet.
+func (s *Service) SetFault(f standin.Fault) { s.faults.Set(f) }
+
+// Active returns how many calls have arrived and not ended, executed or not.
+func (s *Service) Active() int64 { return s.active.Load() }
+
+// SetDelay replaces the time that a call takes.
+func (s *Service) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// SetAnswer replaces the receipt by a body of the test's own.
+func (s *Service) SetAnswer(body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = body
 }
 
 // New returns a service that takes delay for each call.
@@ -56,6 +84,8 @@
 	switch r.URL.Path {
 	case "/v1/load_report":
 		s.report(w)
+	case "/fault":
+		s.putFault(w, r)
 	case "/executions":
 		standin.WriteJSON(w, http.StatusOK, s.Executions())
 	default:
@@ -71,20 +101,54 @@
 }
 
 func (s *Service) execute(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	s.running++
-	s.executions = append(s.executions, Execution{r.Header.Get(upstream.HeaderAttempt), r.Method, r.URL.String(), string(body), r.Header.Clone()})
-	number := len(s.executions)
-	s.mu.Unlock()
-	time.Sleep(s.delay)
+	w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+	if !s.faults.Strike(standin.BeforeExecution, w) {
+		return
+	}
+	number, answer, delay := s.record(r, string(body))
+	time.Sleep(delay)
 	s.mu.Lock()
 	s.running--
 	s.mu.Unlock()
-	w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
-	w.Header().Set("X-Receipt", strconv.Itoa(number))
-	standin.WriteJSON(w, http.StatusOK, receipt{Number: number, Path: r.URL.Path})
+	s.faults.Strike(standin.AfterExecution, w)
+	if answer == nil {
+		answer, _ = json.Marshal(receipt{Number: number, Path: r.URL.Path}) // a receipt always encodes
+	}
+	s.write(w, answer)
+}
+
+// record notes an execution and returns its number, the answer to give and
+// the time to take for it.
+func (s *Service) record(r *http.Request, body string) (number int, answer []byte, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	s.executions = append(s.executions, Execution{time.Now(), r.Header.Get(upstream.HeaderAttempt), r.Method, r.URL.String(), body, r.Header.Clone()})
+	return len(s.executions), s.answer, s.delay
+}
+
+// write writes the answer in two parts, so that it can be cut between them.
+func (s *Service) write(w http.ResponseWriter, answer []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	half := len(answer) / 2
+	_, _ = w.Write(answer[:half])
+	_ = http.NewResponseController(w).Flush()
+	s.faults.Strike(standin.MidAnswer, w)
+	_, _ = w.Write(answer[half:])
+}
+
+func (s *Service) putFault(w http.ResponseWriter, r *http.Request) {
+	var f standin.Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFault(f)
 }
