--- a/core/core.go
+++ b/core/core.go
@@ -26,6 +26,7 @@
 	config    *record.Config
 	requests  map[sched.RequestID]*entry
 	budget    loadBudget
+	waiting   waiting
 	draining  bool
 	// freshness says until when the configuration may be taken to be in force.
 	freshness freshness
@@ -64,8 +65,9 @@
 	if c.random == nil {
 		c.random = rand.New(rand.NewPCG(1, 1))
 	}
+	c.budget = newLoadBudget(o.Limiter)
 	c.scheduler.UseBudget(&c.budget)
-	c.budget.limiter = o.Limiter
+	c.waiting.tickets = map[limit.Ticket]waitingRequest{}
 	return c
 }
 
@@ -80,7 +82,8 @@
 	case fleetEvent:
 		c.onFleetEvent(now, e, &out)
 	}
-	out.limited(c.budget.take())
+	c.limited(c.budget.take(), &out)
+	c.onResolved(now, &out)
 	return out
 }
 
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
@@ -61,7 +62,7 @@
 	d.t.Helper()
 	client := platform.NewClient(d.url, time.Second)
 	_, err := configstore.Write(d.t.Context(), client, configstore.Change{
-		Operation: kind + name + spec,
+		Operation: uuid.NewString(),
 		Records:   []record.Envelope{{Schema: record.SchemaV2, Kind: record.Kind(kind), Name: name, Spec: json.RawMessage(spec)}},
 	})
 	require.NoError(d.t, err)
@@ -136,7 +137,7 @@
 	status, body := d.call(d.hosts[0])
 	require.Equal(t, http.StatusOK, status, body)
 
-	t.Run("a withdrawn key stops on every host", func(t *testing.T) {
+	t.Run("a withdrawn key stops on every host", func(*testing.T) {
 		d.apply("key", "acme-1", fmt.Sprintf(`{"organisation":"acme","hash":%q,"withdrawn":true}`, record.HashSecret("secret")))
 		for _, h := range d.hosts {
 			d.eventually(func() bool { status, _ := d.call(h); return status == http.StatusUnauthorized }, "withdrawn")
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -39,6 +39,7 @@
 	tokenTime      = 30 * time.Millisecond
 	serviceTime    = 5 * time.Millisecond
 	locateWait     = 500 * time.Millisecond
+	requestTimeout = 20 * time.Second
 	drainTimeout   = 30 * time.Second
 	startTimeout   = 20 * time.Second
 	pollInterval   = 50 * time.Millisecond
@@ -53,6 +54,8 @@
 	name    string
 	daemon  *daemon.Daemon
 	stopped chan struct{}
+	// err is how the host ended, once stopped is closed.
+	err error
 }
 
 // cluster is a whole deployment.
@@ -158,7 +161,7 @@
 	c.hosts = append(c.hosts, h)
 	c.running.Go(func() {
 		defer close(h.stopped)
-		_ = d.Run(ctx)
+		h.err = d.Run(ctx)
 	})
 	return nil
 }
@@ -171,8 +174,9 @@
 		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"},
 		"platform": {"url": %q, "poll_interval": %q},
 		"fleet": {"hosts": %d},
+		"requests": {"timeout": %q},
 		"drain": {"locate_wait": %q, "timeout": %q},
-	}`, name, zone, platformURL, configInterval, hostCount, locateWait, drainTimeout)
+	}`, name, zone, platformURL, configInterval, hostCount, requestTimeout, locateWait, drainTimeout)
 	return settings.Parse("demo", []byte(text))
 }
 
--- a/demo/steps.go
+++ b/demo/steps.go
@@ -54,7 +54,8 @@
 	r.check(err == nil && refusedAs(got, apierr.MissingKey), "a caller without a key asks %s: %s", foreign, outcome(got, err))
 }
 
-// callService places one order and reads the stock without a key.
+// callService reads the stock without a key and places one order, twice under
+// the same idempotency key.
 func (r *run) callService(ctx context.Context) {
 	base := r.anyHost()
 	got, err := newCaller("").call(ctx, http.MethodGet, base+stockRoute+"/lamp", "")
@@ -62,6 +63,8 @@
 	before := r.orders()
 	got, err = newCaller(organisations[1].secret).call(ctx, http.MethodPost, base+ordersRoute, "order-1")
 	r.check(err == nil && got.status == http.StatusOK, "%s places an order: %s", organisations[1].name, outcome(got, err))
+	again, err := newCaller(organisations[1].secret).call(ctx, http.MethodPost, base+ordersRoute, "order-1")
+	r.check(err == nil && again == got, "sent again with the same idempotency key, it gets the same answer: %s", outcome(again, err))
 	executed := r.orders() - before
 	r.check(executed == 1, "the service has executed the order %d time(s)", executed)
 }
@@ -166,7 +169,7 @@
 	r.check(whole == streamsInDrain, "%d of %d streams came to their regular end", whole, streamsInDrain)
 	select {
 	case <-leaving.stopped:
-		r.check(true, "host %s has stopped by itself", leaving.name)
+		r.check(leaving.err == nil, "host %s has stopped by itself and cut no request", leaving.name)
 	case <-time.After(drainTimeout):
 		r.check(false, "host %s has stopped by itself", leaving.name)
 	}
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -42,13 +42,14 @@
 
 	// hungry are the groups that have requests waiting.
 	hungry map[*group]struct{}
-	// remotes are the groups that another host was asked to load, seenLoads the
-	// last of each host's messages that asked this one.
-	remotes   map[*group]struct{}
-	orphans   []orphanLoad
-	seenLoads map[string]loadAsk
-	loads     map[string]float64
-	loadClock float64
+	// remotes are the groups that another host was asked to load, served what
+	// other hosts have asked of this one.
+	remotes  map[*group]struct{}
+	orphans  []orphanLoad
+	served   map[loadKey]*servedLoad
+	lastLoad uint64
+	loads    loadShares
+	// refused holds when a model's budget may be asked for again.
 	refused   map[string]time.Time
 	loadTime  average
 	orders    map[OrderID]openOrder
@@ -61,14 +62,21 @@
 	// departed holds when hosts left the host list.
 	departed  map[string]time.Time
 	startedAt time.Time
-
-	held     map[*slot]struct{}
-	asks     map[string]*wire.UseAsk
-	asked    map[uint64]time.Time
-	lastAsk  uint64
-	process  uint64
-	out      []Decision
-	lastTick time.Time
+	// listedAt is when this host last read itself in the host list, listedSince
+	// when it began to do so without a gap.
+	listedAt    time.Time
+	listedSince time.Time
+	lastEvent   time.Time
+	// stalledAt is when this host last went on after a pause. Reports that come
+	// soon after may have been made before it.
+	stalledAt time.Time
+
+	held    map[*slot]struct{}
+	asks    map[string]*wire.UseAsk
+	asked   map[uint64]time.Time
+	lastAsk uint64
+	process uint64
+	out     []Decision
 }
 
 type runningSlot struct {
@@ -91,7 +99,7 @@
 		upstreams: map[string]*upstreamView{}, engines: map[string][]*upstreamView{},
 		adapters: map[record.AdapterRef]*group{}, names: map[string]*group{}, pools: map[string]*group{},
 		counters: fair.NewCounters(), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
-		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, seenLoads: map[string]loadAsk{}, loads: map[string]float64{},
+		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, served: map[loadKey]*servedLoad{}, loads: newLoadShares(),
 		refused: map[string]time.Time{}, orders: map[OrderID]openOrder{},
 		leases: map[string]*leaseState{}, members: []string{o.Host}, departed: map[string]time.Time{},
 		process: o.Random.Uint64(),
@@ -118,10 +126,12 @@
 
 // Configure implements Scheduler.
 func (p *Policy) Configure(now time.Time, c *record.Config) []Decision {
+	p.begin(now)
 	if p.startedAt.IsZero() {
 		p.startedAt = now
 	}
 	p.config = c
+	p.loads.configure(c.Rates())
 	for name, u := range c.Upstreams() {
 		if old, ok := p.upstreams[name]; ok && old.record.URL == u.URL && old.record.Model == u.Model && old.record.Pool == u.Pool {
 			old.record = u
@@ -213,6 +223,7 @@
 
 // Reported implements Scheduler.
 func (p *Policy) Reported(now time.Time, name string, r upstream.Report) []Decision {
+	p.begin(now)
 	v, ok := p.upstreams[name]
 	if !ok {
 		return nil
@@ -222,6 +233,9 @@
 	}
 	v.incarnation = r.Incarnation
 	v.reportedAt, v.unreachable = now, false
+	if now.Sub(p.stalledAt) > reportLag {
+		v.provenAt = now
+	}
 	v.role = r.Role
 	v.others = max(0, r.Running+r.Waiting-v.inFlight)
 	if v.record.Class == record.ClassEngine {
@@ -297,15 +311,13 @@
 func (p *Policy) becomeResident(now time.Time, s *slot) {
 	s.state, s.since, s.order = slotResident, now, 0
 	s.group.failures = 0
-	if r := s.group.remote; r != nil && r.view == s.view {
-		p.endRemote(now, s.group)
-	}
 	p.serveGroup(now, s.group)
 }
 
 // CacheSeen implements Scheduler. After a gap, what is known may be stale, but
 // a wrong guess costs only prefill time: nothing is forgotten.
 func (p *Policy) CacheSeen(now time.Time, name string, events []upstream.CacheEvent) []Decision {
+	p.begin(now)
 	v, ok := p.upstreams[name]
 	if !ok {
 		return nil
@@ -322,6 +334,7 @@
 
 // Unreachable implements Scheduler.
 func (p *Policy) Unreachable(now time.Time, name string) []Decision {
+	p.begin(now)
 	if v, ok := p.upstreams[name]; ok {
 		v.unreachable = true
 	}
@@ -330,6 +343,7 @@
 
 // Ended implements Scheduler.
 func (p *Policy) Ended(now time.Time, e AttemptEnd) []Decision {
+	p.begin(now)
 	run, ok := p.running[e.ID]
 	if !ok {
 		return nil
@@ -359,6 +373,7 @@
 
 // Tick implements Scheduler.
 func (p *Policy) Tick(now time.Time) []Decision {
+	p.begin(now)
 	if p.startedAt.IsZero() {
 		p.startedAt = now
 	}
@@ -367,12 +382,12 @@
 	p.renewUses(now)
 	p.followRemotes(now)
 	p.place(now)
-	p.lastTick = now
 	return p.take(now)
 }
 
 // Receive implements Scheduler.
 func (p *Policy) Receive(now time.Time, from string, m wire.Message) []Decision {
+	p.begin(now)
 	switch m := m.(type) {
 	case *wire.UseAsk:
 		p.onUseAsk(now, from, m)
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -19,13 +19,14 @@
 
 // Enqueue implements Scheduler.
 func (p *Policy) Enqueue(now time.Time, r Request) []Decision {
+	p.begin(now)
 	if !p.makeRoom(now, r) {
 		return p.take(now)
 	}
 	g := p.groupOf(r)
 	w := &waitingRequest{request: r, group: g}
 	w.entry = &fair.Entry[*waitingRequest]{
-		Value: w, Organisation: r.Organisation, Batch: r.Priority == record.PriorityBatch, Cost: r.Tokens, At: now,
+		Value: w, Organisation: r.Organisation, Batch: r.Priority == record.PriorityBatch, Cost: float64(max(r.Tokens, 1)) / p.weightOf(r.Organisation), At: now,
 	}
 	p.waiting[r.ID] = w
 	g.queue.Push(w.entry)
@@ -105,6 +106,7 @@
 
 // Cancel implements Scheduler.
 func (p *Policy) Cancel(now time.Time, id RequestID) []Decision {
+	p.begin(now)
 	if w, ok := p.waiting[id]; ok {
 		p.forget(w)
 	}
