--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -29,5 +29,20 @@
 	}
 }
 
+// settleOutcomes waits until the end of every claim has been written, so that
+// the keys of a host which has left are not in doubt. No request may run.
+func (d *Daemon) settleOutcomes(ctx context.Context) {
+	settled := make(chan struct{})
+	go func() {
+		d.outcomes.Wait()
+		close(settled)
+	}()
+	select {
+	case <-settled:
+	case <-ctx.Done():
+		d.log.Warn("outcomes not written before the end")
+	}
+}
+
 // sweepStartBytes is enough of a row's key to spread the hosts' starts.
 const sweepStartBytes = 8
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -222,6 +222,8 @@
 	d.runtime.Handle(core.DrainStarted{})
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("requests still run", "count", d.runtime.InFlight(), "reason", err)
+	} else {
+		d.settleOutcomes(ctx)
 	}
 	d.fleet.leaveForGood()
 	withdraw, stop := context.WithTimeout(context.Background(), time.Duration(d.settings.Platform.Timeout))
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -178,6 +178,25 @@
 	return err == nil && r.status == http.StatusOK
 }
 
+func TestAHostThatLeavesLeavesNoKeyInDoubt(t *testing.T) {
+	f := startFleet(t, fleetOptions{hosts: 2})
+	header := http.Header{"Authorization": {"Bearer " + aliceKey}, "Idempotency-Key": {"order-1"}}
+	waitFor(func() bool { return f.ready(0) && f.ready(1) })
+	f.service.SetFault(standin.Fault{Step: standin.BeforeExecution, Action: standin.Refuse, Times: -1})
+	f.platform.SetFaults(platform.Faults{Delay: 100 * time.Millisecond})
+	r, err := f.do(http.MethodPost, f.url(0)+"/orders", "kit", header)
+	require.NoError(t, err)
+	require.Equal(t, apierr.NotRun.String(), r.failure(t).Ran)
+	f.hosts[0].Drain()
+	<-f.stopped[0]
+	f.platform.SetFaults(platform.Faults{})
+	f.service.SetFault(standin.Fault{})
+	waitFor(func() bool { return f.ready(1) })
+	r, err = f.do(http.MethodPost, f.url(1)+"/orders", "kit", header)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, r.status, r.body)
+}
+
 func TestCheckToldCatches(t *testing.T) {
 	once := callClass{once: true}
 	refusal := func(k apierr.Kind, ran apierr.Ran) reply {
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -42,6 +42,8 @@
 	service  *service.Service
 	hosts    []*daemon.Daemon
 	log      *syncBuffer
+	// stopped are closed when the hosts have stopped.
+	stopped []chan struct{}
 }
 
 type syncBuffer struct {
@@ -133,6 +135,7 @@
 			PollInterval: settings.Duration(20 * time.Millisecond),
 		},
 		Fleet: settings.Fleet{Hosts: max(o.hosts, 1)}, Requests: o.requests,
+		Drain: settings.Drain{Timeout: settings.Duration(time.Minute)},
 	}
 	if s.Requests.MaxBodyBytes == 0 {
 		s.Requests.MaxBodyBytes = 64 << 10
@@ -157,6 +160,7 @@
 	}()
 	f.t.Cleanup(func() { cancel(); <-done })
 	f.hosts = append(f.hosts, d)
+	f.stopped = append(f.stopped, done)
 	for d.Status().Revision == 0 {
 		time.Sleep(time.Millisecond)
 	}
