sched: slots count less where an organisation holds more than its part; cost tests

Cause: under one organisation at several times its rate, the others' adapters were evicted between two requests of one user. Change: the demand of a slot is weighed down where its organisation holds more than 1.25 times the part that its rate gives; budget is asked for again sooner by organisations that had less than their part.

--- /dev/null
+++ b/sched/cost_test.go
@@ -0,0 +1,118 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/request"
+	"github.com/jasminelock/jasminelock/upstream"
+)
+
+// fleetSize is a size at which a decision's cost is measured.
+type fleetSize struct {
+	replicas int
+	adapters int
+}
+
+var fleetSizes = []fleetSize{{12, 3000}, {120, 3000}, {120, 110_000}, {1900, 3000}, {1900, 110_000}}
+
+const costSlots = 8
+
+// largePolicy returns a scheduler that owns its upstreams, each of which holds
+// costSlots adapters.
+func largePolicy(tb testing.TB, size fleetSize) *Policy {
+	tb.Helper()
+	var all []record.Envelope
+	for i := range size.replicas {
+		spec := fmt.Sprintf(`{"class":"engine","url":"http://10.0.0.1:1","zone":"z%d","model":"m","adapter_slots":%d,"max_batch":32}`, i%17, costSlots)
+		all = append(all, record.Envelope{Schema: record.SchemaV2, Kind: record.KindUpstream, Name: fmt.Sprintf("e%d", i), Spec: []byte(spec)})
+	}
+	c, problems := record.NewConfig().Apply(1, all)
+	require.Empty(tb, problems)
+	p := New(Options{Host: "h0", Zone: "z0", Random: rand.New(rand.NewPCG(1, 1))})
+	p.UseBudget(freeLoads{})
+	p.Configure(worldStart, c)
+	for _, l := range p.leaseOrder {
+		p.LeaseSeen(worldStart, LeaseResult{Resource: l.resource, Granted: true, Fence: 1, SentAt: worldStart, TTL: leaseTTL, Holder: "h0"})
+	}
+	for i := range size.adapters {
+		p.adapterGroup(costAdapter(i), "m")
+	}
+	for i := range size.replicas {
+		r := upstream.Report{Incarnation: "1"}
+		for k := range costSlots {
+			r.Adapters = append(r.Adapters, upstream.AdapterState{Name: costAdapter((i*costSlots + k) % size.adapters).String()})
+		}
+		p.Reported(worldStart, fmt.Sprintf("e%d", i), r)
+	}
+	return p
+}
+
+func costAdapter(i int) record.AdapterRef {
+	return record.AdapterRef{Name: fmt.Sprintf("adapter-%d", i), Version: "1"}
+}
+
+// route enqueues, dispatches and ends one request.
+func route(p *Policy, now time.Time, r Request) []Decision {
+	out := p.Enqueue(now, r)
+	p.Ended(now, AttemptEnd{ID: r.ID, Outcome: request.Completed, FirstToken: time.Millisecond})
+	return out
+}
+
+func costRequest(size fleetSize, i int) Request {
+	resident := min(size.replicas*costSlots, size.adapters)
+	return Request{
+		ID: RequestID(i + 1), Organisation: "org", Model: "m", Adapter: costAdapter(i % resident),
+		Tokens: 100, Prefix: 7, Deadline: worldStart.Add(time.Minute),
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("replicas=%d/adapters=%d", size.replicas, size.adapters), func(b *testing.B) {
+			p := largePolicy(b, size)
+			requests := make([]Request, 1024)
+			for i := range requests {
+				requests[i] = costRequest(size, i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				route(p, worldStart, requests[i%len(requests)])
+			}
+		})
+	}
+}
+
+// routeAllocations bounds the allocations of a request's whole way through the
+// scheduler: the queued request, the decision, and the reason for its log line.
+const routeAllocations = 12
+
+func TestRouteCostDoesNotGrow(t *testing.T) {
+	small, large := fleetSizes[0], fleetSizes[len(fleetSizes)-1]
+	var allocations [2]float64
+	for i, size := range []fleetSize{small, large} {
+		p := largePolicy(t, size)
+		r := costRequest(size, 3)
+		require.Len(t, route(p, worldStart, r), 1)
+		allocations[i] = testing.AllocsPerRun(200, func() { route(p, worldStart, r) })
+		assert.LessOrEqual(t, len(p.adapters[r.Adapter].slots), 1+size.replicas*costSlots/size.adapters, "upstreams weighed")
+	}
+	assert.LessOrEqual(t, allocations[0], float64(routeAllocations))
+	assert.InDelta(t, allocations[0], allocations[1], 1, "allocations must not grow with the fleet")
+}
+
+// TestPickAllocatesNothing bounds the decision by itself.
+func TestPickAllocatesNothing(t *testing.T) {
+	size := fleetSizes[len(fleetSizes)-1]
+	p := largePolicy(t, size)
+	r := costRequest(size, 5)
+	g := p.adapters[r.Adapter]
+	require.NotNil(t, g)
+	assert.Zero(t, testing.AllocsPerRun(200, func() { p.best(worldStart, g, &r) }))
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -212,7 +212,7 @@
 		price.blocked = true
 		return price
 	}
-	price.demand = slotDemand(now, s)
+	price.demand = p.slotDemand(now, s)
 	return price
 }
 
@@ -248,11 +248,11 @@
 // slotDemand is the rate of requests that an eviction would hurt: that expected
 // of a user who has just been served, and the adapter's usual one. Replicas
 // share it.
-func slotDemand(now time.Time, s *slot) float64 {
+func (p *Policy) slotDemand(now time.Time, s *slot) float64 {
 	idle := now.Sub(later(s.lastUsed, s.group.lastUsed))
 	recent := recentRate * math.Exp(-float64(idle)/float64(recentLife))
 	usual := s.group.demand.read(now) / secondsPerHalfLife
-	return (recent + usual) / float64(max(len(s.group.slots), 1))
+	return p.slotWorth(s.group) * (recent + usual) / float64(max(len(s.group.slots), 1))
 }
 
 // victim returns the adapter that an engine can drop at the least cost, nil
@@ -267,7 +267,7 @@
 		if !p.idle(now, s) {
 			continue
 		}
-		cost := slotDemand(now, s)
+		cost := p.slotDemand(now, s)
 		if best == nil || cost < least || (cost == least && compareIdle(s, best) < 0) {
 			best, least = s, cost
 		}
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -44,11 +44,13 @@
 	hungry map[*group]struct{}
 	// remotes are the groups that another host was asked to load, served what
 	// other hosts have asked of this one.
-	remotes  map[*group]struct{}
-	orphans  []orphanLoad
-	served   map[loadKey]*servedLoad
-	lastLoad uint64
-	loads    loadShares
+	remotes   map[*group]struct{}
+	orphans   []orphanLoad
+	served    map[loadKey]*servedLoad
+	lastLoad  uint64
+	loads     loadShares
+	slotsHeld map[string]*orgSlots
+	allSlots  int
 	// refused holds when a model's budget may be asked for again.
 	refused   map[string]time.Time
 	loadTime  average
@@ -99,7 +101,7 @@
 		upstreams: map[string]*upstreamView{}, engines: map[string][]*upstreamView{},
 		adapters: map[record.AdapterRef]*group{}, names: map[string]*group{}, pools: map[string]*group{},
 		counters: fair.NewCounters(), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
-		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, served: map[loadKey]*servedLoad{}, loads: newLoadShares(),
+		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, served: map[loadKey]*servedLoad{}, loads: newLoadShares(), slotsHeld: map[string]*orgSlots{},
 		refused: map[string]time.Time{}, orders: map[OrderID]openOrder{},
 		leases: map[string]*leaseState{}, members: []string{o.Host}, departed: map[string]time.Time{},
 		process: o.Random.Uint64(),
@@ -218,7 +220,8 @@
 }
 
 func (p *Policy) newGroup(ref record.AdapterRef, name, model string) *group {
-	return &group{ref: ref, name: name, model: model, queue: fair.NewQueue[*waitingRequest](p.counters), retryAt: map[string]time.Time{}}
+	organisation, held := p.slotsOf(ref.Name)
+	return &group{organisation: organisation, held: held, ref: ref, name: name, model: model, queue: fair.NewQueue[*waitingRequest](p.counters), retryAt: map[string]time.Time{}}
 }
 
 // Reported implements Scheduler.
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -130,7 +130,7 @@
 func (p *Policy) serveGroup(now time.Time, g *group) {
 	for g.queue.Len() > 0 {
 		head := g.queue.Head(now).Value
-		s, _ := p.best(now, g, &head.request)
+		s := p.best(now, g, &head.request)
 		if s == nil {
 			return
 		}
--- a/sched/routing.go
+++ b/sched/routing.go
@@ -24,7 +24,7 @@
 
 // best returns the resident upstream with the least expected time to the first
 // token that can take the request now, nil where there is none.
-func (p *Policy) best(now time.Time, g *group, r *Request) (*slot, time.Duration) {
+func (p *Policy) best(now time.Time, g *group, r *Request) *slot {
 	var best *slot
 	var least time.Duration
 	for _, s := range g.slots {
@@ -36,7 +36,7 @@
 			best, least = s, expected
 		}
 	}
-	return best, least
+	return best
 }
 
 // serves reports whether a slot may be given the request. Where only the grant
--- a/sched/shares.go
+++ b/sched/shares.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"github.com/jasminelock/jasminelock/record"
@@ -15,8 +16,12 @@
 )
 
 // An organisation with less than its part of the loads asks sooner, one with
-// more later, by no more than this factor.
-const shareFactor = 4.0
+// more later: by the excessPower of its excess, within these bounds.
+const (
+	excessPower = 4.0
+	leastExcess = 1.0 / 8
+	mostExcess  = 2.5
+)
 
 // loadShares counts the loads of each organisation, so that those with the
 // fewest for their rate go first.
@@ -71,19 +76,67 @@
 	s.all.add(now, 1)
 }
 
-// excess is an organisation's part of the recent loads over the part that its
-// weight gives it, within the bounds of shareFactor.
+// entitled is the part of all that an organisation's weight gives it.
+func (s *loadShares) entitled(org string) float64 {
+	return s.weight(org) / float64(max(len(s.weights), 1))
+}
+
+// excess is an organisation's part of the recent loads over the part that it is
+// entitled to, raised and bounded.
 func (s *loadShares) excess(now time.Time, org string) float64 {
 	all := s.all.read(now)
 	recent, ok := s.recent[org]
 	if !ok || all == 0 {
-		return 1 / shareFactor
+		return leastExcess
+	}
+	over := recent.read(now) / all / s.entitled(org)
+	return min(max(math.Pow(over, excessPower), leastExcess), mostExcess)
+}
+
+// orgSlots counts the slots that an organisation's adapters hold.
+type orgSlots struct {
+	held int
+	// all counts those of every organisation.
+	all *int
+}
+
+func (o *orgSlots) add(n int) {
+	o.held += n
+	*o.all += n
+}
+
+// slotsOf returns the count of the organisation that owns an adapter.
+func (p *Policy) slotsOf(adapter string) (string, *orgSlots) {
+	org := ""
+	if a, ok := p.config.Adapter(adapter); ok {
+		org = a.Organisation
+	}
+	o, ok := p.slotsHeld[org]
+	if !ok {
+		o = &orgSlots{all: &p.allSlots}
+		p.slotsHeld[org] = o
 	}
-	part := recent.read(now) / all
-	entitled := s.weight(org) / float64(max(len(s.weights), 1))
-	return min(max(part/entitled, 1/shareFactor), shareFactor)
+	return org, o
 }
 
+// slotWorth is what a slot of an organisation counts: less where it holds more
+// than its part.
+func (p *Policy) slotWorth(g *group) float64 {
+	part := float64(g.held.held) / float64(max(p.allSlots, 1))
+	over := part / (p.loads.entitled(g.organisation) * slotSlack)
+	if over <= 1 {
+		return 1
+	}
+	return math.Pow(over, -slotPower)
+}
+
+// slotPower is how sharply a slot counts less, slotSlack how far above its part
+// an organisation may be before it does.
+const (
+	slotPower = 2.0
+	slotSlack = 1.25
+)
+
 // weightOf is an organisation's weight in the queues.
 func (p *Policy) weightOf(org string) float64 { return p.loads.weight(org) }
 
--- a/sched/view.go
+++ b/sched/view.go
@@ -22,8 +22,11 @@
 	ref   record.AdapterRef
 	name  string
 	model string
-	slots []*slot
-	queue *fair.Queue[*waitingRequest]
+	// organisation owns the adapter; held counts its slots.
+	organisation string
+	held         *orgSlots
+	slots        []*slot
+	queue        *fair.Queue[*waitingRequest]
 	// demand counts requests, old ones less and less.
 	demand decayed
 	// failures counts loads that have failed one after another.
@@ -135,6 +138,7 @@
 	s := &slot{group: g, view: v, state: state, since: now, lastUsed: now}
 	v.slots[g] = s
 	g.slots = append(g.slots, s)
+	g.held.add(1)
 	return s
 }
 
@@ -143,6 +147,7 @@
 		return
 	}
 	delete(v.slots, s.group)
+	s.group.held.add(-1)
 	s.group.slots = slices.DeleteFunc(s.group.slots, func(o *slot) bool { return o == s })
 	v.gone[s.group] = now
 }
