A budget that is being asked for is not a refused one

A part that comes from another host was reported as a refusal, after which the scheduler draws 50 to 400 ms until it asks again, while the part is given back after 300 ms. Ruled out: the limits themselves (exact limits in their place give 264 s of stalls with the same scheduler) and the in-flight bound (never below 5 of 8 left).

Change: TakeLoad tells taken, asked and refused apart, and the place in flight is obtained before the rate.

--- a/bench/baseline/baseline.go
+++ b/bench/baseline/baseline.go
@@ -261,7 +261,7 @@
 // load orders a load, or first makes room for it.
 func (s *Scheduler) load(now time.Time, r sched.Request, replica *Replica) sched.Decision {
 	if len(replica.lastUse)+len(replica.loading) < replica.Record.AdapterSlots {
-		if !s.budget.TakeLoad(now, r.Model) {
+		if s.budget.TakeLoad(now, r.Model) != sched.BudgetTaken {
 			return nil
 		}
 		replica.loading[r.Adapter] = true
--- a/core/budget.go
+++ b/core/budget.go
@@ -7,6 +7,7 @@
 
 	"github.com/jasminelock/jasminelock/limit"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/sched"
 )
 
 // The names under which the limiter counts the weight store's budget. No
@@ -65,28 +66,34 @@
 	return loadBudget{limiter: l, config: record.NewConfig(), parts: map[string]*budgetPart{}, asked: map[limit.Ticket]string{}}
 }
 
-// TakeLoad implements sched.Budget.
-func (b *loadBudget) TakeLoad(now time.Time, model string) bool {
+// TakeLoad implements sched.Budget. The place in flight is obtained first: it
+// comes back whole where the rate is then refused.
+func (b *loadBudget) TakeLoad(now time.Time, model string) sched.BudgetAnswer {
 	m, ok := b.config.Model(model)
 	if !ok {
-		return false
+		return sched.BudgetRefused
 	}
 	var needed []*budgetPart
 	if m.LoadsInFlight > 0 {
 		needed = append(needed, b.obtain(now, loadInFlightPrefix+model))
 	}
-	if m.LoadsPerSecond > 0 {
+	if m.LoadsPerSecond > 0 && allInHand(needed) {
 		needed = append(needed, b.obtain(now, loadRatePrefix+model))
 	}
-	for _, part := range needed {
-		if !part.inHand {
-			return false
+	if !allInHand(needed) {
+		if needed[len(needed)-1].asked {
+			return sched.BudgetAsked
 		}
+		return sched.BudgetRefused
 	}
 	for _, part := range needed {
 		part.inHand = false
 	}
-	return true
+	return sched.BudgetTaken
+}
+
+func allInHand(parts []*budgetPart) bool {
+	return !slices.ContainsFunc(parts, func(p *budgetPart) bool { return !p.inHand })
 }
 
 // obtain returns a part of the budget, asked for unless it is in hand.
--- a/sched/leastloaded.go
+++ b/sched/leastloaded.go
@@ -306,7 +306,7 @@
 		return nil
 	}
 	if len(best.resident)+len(best.loading) < best.record.AdapterSlots {
-		if !s.budget.TakeLoad(now, r.Model) {
+		if s.budget.TakeLoad(now, r.Model) != BudgetTaken {
 			return nil
 		}
 		return []Decision{s.order(best, Load, r.Adapter, "free_slot")}
--- a/sched/place.go
+++ b/sched/place.go
@@ -141,9 +141,13 @@
 	if v == nil {
 		return
 	}
-	if !p.budget.TakeLoad(now, d.group.model) {
+	switch p.budget.TakeLoad(now, d.group.model) {
+	case BudgetAsked:
+		return
+	case BudgetRefused:
 		p.refused[d.group.model] = now.Add(p.budgetRetry(now, d.organisation))
 		return
+	case BudgetTaken:
 	}
 	p.loads.charge(now, d.organisation)
 	switch {
--- a/sched/property_test.go
+++ b/sched/property_test.go
@@ -341,8 +341,8 @@
 // freeLoads is a budget without bounds.
 type freeLoads struct{}
 
-func (freeLoads) TakeLoad(time.Time, string) bool { return true }
-func (freeLoads) LoadEnded(time.Time, string)     {}
+func (freeLoads) TakeLoad(time.Time, string) BudgetAnswer { return BudgetTaken }
+func (freeLoads) LoadEnded(time.Time, string)             {}
 
 func forgetAvoid(p *Policy) {
 	for _, w := range p.waiting {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -153,11 +153,25 @@
 	Holder string
 }
 
+// BudgetAnswer is the answer to Budget.TakeLoad.
+type BudgetAnswer uint8
+
+// The answers of a budget.
+const (
+	// BudgetRefused says that there is no budget now. Asking again soon is of
+	// no use.
+	BudgetRefused BudgetAnswer = iota
+	// BudgetAsked says that another host is being asked. A Tick follows its
+	// answer, and TakeLoad is then called again.
+	BudgetAsked
+	// BudgetTaken says that one load was set aside.
+	BudgetTaken
+)
+
 // Budget is the weight store's budget of loads, shared by all hosts.
 type Budget interface {
-	// TakeLoad sets one load of the model aside, or reports false: the load may
-	// be asked for again at a later Tick.
-	TakeLoad(now time.Time, model string) bool
+	// TakeLoad sets one load of the model aside, or says why it does not.
+	TakeLoad(now time.Time, model string) BudgetAnswer
 	// LoadEnded gives back the place in flight of a load that TakeLoad gave.
 	LoadEnded(now time.Time, model string)
 }
--- a/sched/world_test.go
+++ b/sched/world_test.go
@@ -131,18 +131,18 @@
 	held int
 }
 
-func (b *hostBudget) TakeLoad(now time.Time, _ string) bool {
+func (b *hostBudget) TakeLoad(now time.Time, _ string) BudgetAnswer {
 	a := b.all
 	a.tokens = min(simLoadBurst, a.tokens+now.Sub(a.at).Seconds()*simLoadsPerSecond)
 	a.at = now
 	if a.tokens < 1 || a.inFlight >= simLoadsInFlight {
-		return false
+		return BudgetRefused
 	}
 	a.tokens--
 	a.inFlight++
 	a.taken++
 	b.held++
-	return true
+	return BudgetTaken
 }
 
 func (b *hostBudget) LoadEnded(time.Time, string) {
