--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -29,6 +29,9 @@
 	p := policyNamed(t, "random")
 	require.Equal(t, Run(d, s, p, 7), Run(d, s, p, 7))
 	require.NotEqual(t, Run(d, s, p, 7), Run(d, s, p, 8))
+	own := policyNamed(t, OwnPolicy)
+	d = Deployments()[1]
+	require.Equal(t, Run(d, s, own, 1), Run(d, s, own, 1))
 }
 
 func TestClockRunsInOrder(t *testing.T) {
--- a/bench/result.go
+++ b/bench/result.go
@@ -34,7 +34,9 @@
 	Wrongful int `json:"wrongful_refusals"`
 	// WrongfulGreedy counts those of an organisation that, over the run, asks
 	// for more than its rate.
-	WrongfulGreedy   int            `json:"wrongful_refusals_greedy"`
+	WrongfulGreedy int `json:"wrongful_refusals_greedy"`
+	// Failed counts answers that an upstream's end cut.
+	Failed           int            `json:"failed"`
 	Refused          map[string]int `json:"refused"`
 	FirstTokenP95    float64        `json:"first_token_p95"`
 	BatchP99         float64        `json:"batch_first_token_p99"`
@@ -58,7 +60,7 @@
 		Deployment: f.d.Name, Scenario: f.s.Name, Policy: p.Name, Requests: s.requests,
 		Stalls: s.stalls.TotalCount(), StallSeconds: s.stalls.Mean() * float64(s.stalls.TotalCount()) / microseconds,
 		StallP50: quantile(s.stalls, 50), StallP95: quantile(s.stalls, 95), StallP99: quantile(s.stalls, 99),
-		Wrongful: s.wrongful, WrongfulGreedy: s.wrongfulGreedy, Refused: s.refused, FirstTokenP95: quantile(s.firstToken, 95), BatchP99: quantile(s.batchFirst, 99),
+		Wrongful: s.wrongful, Failed: s.failed, WrongfulGreedy: s.wrongfulGreedy, Refused: s.refused, FirstTokenP95: quantile(s.firstToken, 95), BatchP99: quantile(s.batchFirst, 99),
 		Loads: s.loads, Evictions: s.evictions, NotLoaded: s.notLoaded, LoadsInFlight: s.loadsInFlight, CutByKill: s.cutByKill,
 		PeerBytesPerHost: float64(s.peerBytes) / float64(len(f.hosts)) / all, StoreWrites: float64(f.tables.writes) / all,
 		ServingEvictions: s.servingEvictions, ToLeaving: s.toLeaving, WrongAdapter: s.wrongAdapter,
--- a/bench/stats.go
+++ b/bench/stats.go
@@ -26,7 +26,9 @@
 	refused  map[string]int
 	// wrongful are refusals inside the organisation's rate. Those of an
 	// organisation that asks for more than its rate are counted apart.
-	wrongful       int
+	wrongful int
+	// failed are answers that an upstream's end cut.
+	failed         int
 	wrongfulGreedy int
 	stalls         *hdrhistogram.Histogram
 	firstToken     *hdrhistogram.Histogram
@@ -61,7 +63,11 @@
 	s.requests++
 	if err != nil {
 		s.refused[refusalName(err)]++
-		s.countWrongful(c, greedy)
+		if err.Ran == apierr.NotRun {
+			s.countWrongful(c, greedy)
+		} else {
+			s.failed++
+		}
 		if err.Kind == apierr.RateLimited || err.Kind == apierr.CostOverBurst {
 			return
 		}
--- a/sched/shares.go
+++ b/sched/shares.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/jasminelock/jasminelock/record"
@@ -41,12 +43,13 @@
 }
 
 // configure takes the organisations' rates: an organisation's weight is its
-// rate over the mean.
+// rate over the mean. The rates are added in the order of their names, so that
+// every host comes to the same bits.
 func (s *loadShares) configure(rates map[string]*record.Rate) {
 	clear(s.weights)
 	total := 0.0
-	for _, r := range rates {
-		total += r.TokensPerSecond
+	for _, org := range slices.Sorted(maps.Keys(rates)) {
+		total += rates[org].TokensPerSecond
 	}
 	for org, r := range rates {
 		if r.TokensPerSecond > 0 {
