The platform's stand-in limits the weight store

Engines' stand-ins can fetch weights from the platform's: a bounded number starts each second, and beyond a number in flight each takes longer in proportion, over all engines together. The demo uses it. Checked by: go test -race ./standin/... (virtual time); go test ./demo ./gateway ./cmd/...

--- a/cmd/jasminelock-standin/main.go
+++ b/cmd/jasminelock-standin/main.go
@@ -30,12 +30,22 @@
 }
 
 func platformCommand(listen *string) *cobra.Command {
-	return &cobra.Command{
+	var limits platform.WeightLimits
+	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Table service, object store, weight store and host list",
 		Args:  cobra.NoArgs,
-		RunE:  func(*cobra.Command, []string) error { return serve(*listen, platform.New()) },
+		RunE: func(*cobra.Command, []string) error {
+			p := platform.New()
+			p.SetWeightLimits(limits)
+			return serve(*listen, p)
+		},
 	}
+	f := cmd.Flags()
+	f.DurationVar(&limits.FetchTime, "weight-fetch-time", 0, "time for fetching an adapter's weights at full speed")
+	f.IntVar(&limits.FullSpeed, "weight-full-speed", 0, "fetches that may run at once at full speed, 0 for any")
+	f.Float64Var(&limits.PerSecond, "weight-fetches-per-second", 0, "fetches that may start in a second, 0 for any")
+	return cmd
 }
 
 func engineCommand(listen *string) *cobra.Command {
@@ -49,7 +59,8 @@
 	f := cmd.Flags()
 	f.StringVar(&s.Model, "model", "base", "base model")
 	f.IntVar(&s.AdapterSlots, "slots", 4, "adapter slots")
-	f.DurationVar(&s.LoadTime, "load-time", 250*time.Millisecond, "time for a load")
+	f.DurationVar(&s.LoadTime, "load-time", 250*time.Millisecond, "time for a load, beside the fetch of the weights")
+	f.StringVar(&s.WeightStore, "weight-store", "", "platform's address to fetch weights from, none where it is empty")
 	f.DurationVar(&s.FirstToken, "first-token", 20*time.Millisecond, "time to the first token")
 	f.DurationVar(&s.TokenTime, "token-time", 5*time.Millisecond, "time for each further token")
 	f.DurationVar(&s.ReportLag, "report-lag", 0, "age of the load report")
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -27,9 +27,10 @@
 
 // Sizes of the deployment.
 const (
-	hostCount   = 6
-	engineCount = 4
-	slots       = 8
+	hostCount        = 6
+	engineCount      = 4
+	slots            = 8
+	loadsAtFullSpeed = 8
 )
 
 // Times of the deployment.
@@ -108,7 +109,9 @@
 }
 
 func (c *cluster) startPlatform() error {
-	server, err := c.serve(platformstandin.New())
+	p := platformstandin.New()
+	p.SetWeightLimits(platformstandin.WeightLimits{FetchTime: loadTime, FullSpeed: loadsAtFullSpeed})
+	server, err := c.serve(p)
 	if err != nil {
 		return err
 	}
@@ -120,7 +123,7 @@
 func (c *cluster) startUpstreams() error {
 	for i := range engineCount {
 		e := engine.New(engine.Settings{
-			Model: modelName, AdapterSlots: slots, LoadTime: loadTime,
+			Model: modelName, AdapterSlots: slots, WeightStore: c.platform.URL,
 			FirstToken: firstTokenTime, TokenTime: tokenTime, ChecksFence: i%2 == 0,
 		})
 		server, err := c.serve(e)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -24,8 +24,11 @@
 	Model string `json:"model"`
 	// AdapterSlots is how many adapters it holds at once.
 	AdapterSlots int `json:"adapter_slots"`
-	// LoadTime is how long a load takes.
+	// LoadTime is how long a load takes, beside the fetch from the weight store.
 	LoadTime time.Duration `json:"load_time"`
+	// WeightStore is the base address of the platform that weights are fetched
+	// from. Empty means none.
+	WeightStore string `json:"weight_store"`
 	// FirstToken and TokenTime are the times to the first and to each next token.
 	FirstToken time.Duration `json:"first_token"`
 	TokenTime  time.Duration `json:"token_time"`
@@ -246,15 +249,15 @@
 	if !ok {
 		return
 	}
-	time.Sleep(e.settings.LoadTime + e.currentFaults().LoadDelay)
+	readErr := e.readWeights(r, order)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.adapters[order.Name] != a {
 		writeError(w, http.StatusServiceUnavailable, "LoadError", "the engine has restarted")
 		return
 	}
-	if e.faults.FailLoads > 0 {
-		e.faults.FailLoads--
+	if readErr != nil || e.faults.FailLoads > 0 {
+		e.faults.FailLoads = max(e.faults.FailLoads-1, 0)
 		delete(e.adapters, order.Name)
 		writeError(w, http.StatusInternalServerError, "LoadError", "the weights could not be read")
 		return
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -48,7 +48,7 @@
 	counts  Counts
 	tables  map[string]map[string]api.Row
 	objects map[string][]byte
-	weights map[string]api.WeightInfo
+	weights weightStore
 	hosts   map[string]hostEntry
 	history []hostList
 }
@@ -70,7 +70,7 @@
 		mux:     http.NewServeMux(),
 		tables:  map[string]map[string]api.Row{},
 		objects: map[string][]byte{},
-		weights: map[string]api.WeightInfo{},
+		weights: weightStore{infos: map[string]api.WeightInfo{}},
 		hosts:   map[string]hostEntry{},
 	}
 	p.mux.HandleFunc("GET /tables/{table}/row", p.getRow)
@@ -80,6 +80,7 @@
 	p.mux.HandleFunc("GET /objects/{name}", p.getObject)
 	p.mux.HandleFunc("DELETE /objects/{name}", p.deleteObject)
 	p.mux.HandleFunc("GET /weights/{source}", p.statWeight)
+	p.mux.HandleFunc("GET /weights/{source}/data", p.fetchWeight)
 	p.mux.HandleFunc("GET /hosts", p.listHosts)
 	p.mux.HandleFunc("PUT /hosts/{name}", p.putHost)
 	p.mux.HandleFunc("DELETE /hosts/{name}", p.deleteHost)
@@ -245,24 +246,6 @@
 	delete(p.objects, r.PathValue("name"))
 }
 
-// AddWeight puts an adapter version into the weight store.
-func (p *Platform) AddWeight(info api.WeightInfo) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.weights[info.Source] = info
-}
-
-func (p *Platform) statWeight(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	info, ok := p.weights[r.PathValue("source")]
-	p.mu.Unlock()
-	if !ok {
-		http.NotFound(w, r)
-		return
-	}
-	standin.WriteJSON(w, http.StatusOK, info)
-}
-
 func (p *Platform) putHost(w http.ResponseWriter, r *http.Request) {
 	var h api.Host
 	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
