The test of cut requests no longer depends on their speed

The requests now wait for a load that does not end, so that all of them are cut however busy the machine is; the test asks for their exact number. Checked by: go test -race ./demo

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -62,6 +62,8 @@
 // cluster is a whole deployment.
 type cluster struct {
 	platform *standin.Server
+	// weights is the platform's stand-in, whose weight store can be slowed.
+	weights  *platformstandin.Platform
 	engines  []*engine.Engine
 	service  *service.Service
 	servers  []*standin.Server
@@ -109,9 +111,9 @@
 }
 
 func (c *cluster) startPlatform() error {
-	p := platformstandin.New()
-	p.SetWeightLimits(platformstandin.WeightLimits{FetchTime: loadTime, FullSpeed: loadsAtFullSpeed})
-	server, err := c.serve(p)
+	c.weights = platformstandin.New()
+	c.weights.SetWeightLimits(platformstandin.WeightLimits{FetchTime: loadTime, FullSpeed: loadsAtFullSpeed})
+	server, err := c.serve(c.weights)
 	if err != nil {
 		return err
 	}
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/jasminelock/jasminelock/daemon"
 	"github.com/jasminelock/jasminelock/record"
+	platformstandin "github.com/jasminelock/jasminelock/standin/platform"
 )
 
 // generous replaces the demo's bound where a test's verdict must not depend on
@@ -158,6 +159,8 @@
 
 func TestAHostThatIsEndedAtOnceSaysWhatItCut(t *testing.T) {
 	c := startCluster(t, hclog.NewNullLogger(), configInterval)
+	// No load ends, so that every request is still in flight.
+	c.weights.SetWeightLimits(platformstandin.WeightLimits{FetchTime: never})
 	r := &run{cluster: c, out: io.Discard, bound: generous}
 	h := c.hosts[0]
 	var group sync.WaitGroup
@@ -172,5 +175,5 @@
 	group.Wait()
 	var cut *daemon.CutError
 	require.ErrorAs(t, h.err, &cut)
-	require.Positive(t, cut.Requests)
+	require.Equal(t, streamsInDrain, cut.Requests)
 }
