--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,6 +102,9 @@
 		return nil, err
 	}
 	d.fleet = newFleetController(d, d.entry())
+	if err := d.watchFleet(); err != nil {
+		return nil, eris.Wrap(err, "metrics")
+	}
 	return d, nil
 }
 
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -149,6 +149,17 @@
 	status, body := d.call(d.hosts[0])
 	require.Equal(t, http.StatusOK, status, body)
 
+	t.Run("metrics tell of the fleet", func(t *testing.T) {
+		resp, err := http.Get(d.hosts[0].OperatorURL() + "/metrics")
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		for _, line := range []string{"jasminelock_roster_live 3\n", "jasminelock_roster_suspected 0\n", "jasminelock_config_confirmed_for_seconds ", "jasminelock_peers_sent_bytes_total "} {
+			require.Contains(t, string(text), line)
+		}
+	})
+
 	t.Run("a withdrawn key stops on every host", func(*testing.T) {
 		d.apply("key", "acme-1", fmt.Sprintf(`{"organisation":"acme","hash":%q,"withdrawn":true}`, record.HashSecret("secret")))
 		for _, h := range d.hosts {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -64,9 +64,7 @@
 	if until := d.freshUntil.Load(); until != nil && !until.IsZero() {
 		s.ConfirmedForSeconds = time.Until(*until).Seconds()
 	}
-	if d.links != nil {
-		s.Peers = d.links.Counts()
-	}
+	s.Peers = d.peerCounts()
 	return s
 }
 
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -67,6 +67,14 @@
 	return d.links.URL()
 }
 
+// peerCounts returns the traffic with other hosts.
+func (d *Daemon) peerCounts() peer.Counts {
+	if d.links == nil {
+		return peer.Counts{}
+	}
+	return d.links.Counts()
+}
+
 // send queues a message for another host. What cannot be sent is lost, which
 // every protocol between hosts allows for.
 func (d *Daemon) send(m wire.Outgoing) {
