--- a/fleet/cost_test.go
+++ b/fleet/cost_test.go
@@ -73,6 +73,11 @@
 	t.Logf("hosts %3d, store down %5t: a host sends %5.1f messages/s, %5.0f bytes/s, with %4.0f allocations/s, those of the simulation included;%s",
 		len(w.hosts), w.storeDown, c.messagesPerSecond, c.bytesPerSecond, c.allocsPerSecond, w.meter.summary())
 	require.Less(t, 2*c.bytesPerSecond, float64(targetBytesPerSecond), "sent and received, %d hosts", len(w.hosts))
+	oldest := time.Duration(0)
+	for _, h := range w.hosts {
+		oldest = max(oldest, w.now.Sub(h.node.ConfirmedAt()))
+	}
+	t.Logf("oldest confirmation: %v", oldest)
 	for _, h := range w.hosts {
 		require.Len(t, h.node.Members(), len(w.hosts), h.name)
 		require.True(t, w.now.Before(h.node.FreshUntil()), h.name)
--- a/structure_test.go
+++ b/structure_test.go
@@ -20,7 +20,7 @@
 var standinUsers = []string{"demo", "cmd/jasminelock-standin"}
 
 // decisionPackages have time and random source passed in.
-var decisionPackages = []string{"core", "sched", "limit", "locate", "request", "quarantine"}
+var decisionPackages = []string{"core", "sched", "limit", "locate", "request", "quarantine", "fleet", "membership", "spread"}
 
 // forbiddenImports are what a decision package may not import.
 var forbiddenImports = []string{"net", "net/http", "os", "math/rand", "crypto/rand"}
