--- a/structure_test.go
+++ b/structure_test.go
@@ -25,7 +25,7 @@
 var toolUsers = map[string]string{"demo": "cmd/jasminelock", "soak": "cmd/jasminelock-soak"}
 
 // decisionPackages have time and random source passed in.
-var decisionPackages = []string{"core", "sched", "limit", "locate", "request", "quarantine"}
+var decisionPackages = []string{"core", "sched", "limit", "locate", "request", "quarantine", "fleet", "membership", "spread"}
 
 // forbiddenImports are what a decision package may not import.
 var forbiddenImports = []string{"net", "net/http", "os", "math/rand", "crypto/rand"}
