--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/apierr"
+	api "github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/standin"
 	"github.com/jasminelock/jasminelock/standin/platform"
 	"github.com/jasminelock/jasminelock/standin/service"
@@ -183,16 +184,28 @@
 	header := http.Header{"Authorization": {"Bearer " + aliceKey}, "Idempotency-Key": {"order-1"}}
 	waitFor(func() bool { return f.ready(0) && f.ready(1) })
 	f.service.SetFault(standin.Fault{Step: standin.BeforeExecution, Action: standin.Refuse, Times: -1})
-	f.platform.SetFaults(platform.Faults{Delay: 100 * time.Millisecond})
-	r, err := f.do(http.MethodPost, f.url(0)+"/orders", "kit", header)
-	require.NoError(t, err)
+	told := make(chan reply, 1)
+	go func() {
+		r, _ := f.do(http.MethodPost, f.url(0)+"/orders", "kit", header)
+		told <- r
+	}()
+	outcomes := func() []api.Row {
+		rows, err := f.client.List(t.Context(), "outcomes", "", "", 10)
+		require.NoError(t, err)
+		return rows
+	}
+	waitFor(func() bool { return len(outcomes()) == 1 })
+	f.platform.SetFaults(platform.Faults{Down: true}) // the claim's end cannot be written
+	r := <-told
 	require.Equal(t, apierr.NotRun.String(), r.failure(t).Ran)
 	f.hosts[0].Drain()
+	time.AfterFunc(300*time.Millisecond, func() { f.platform.SetFaults(platform.Faults{}) })
 	<-f.stopped[0]
 	f.platform.SetFaults(platform.Faults{})
+	require.Equal(t, int64(2), outcomes()[0].Version, "stopped before the end of the claim was written")
 	f.service.SetFault(standin.Fault{})
 	waitFor(func() bool { return f.ready(1) })
-	r, err = f.do(http.MethodPost, f.url(1)+"/orders", "kit", header)
+	r, err := f.do(http.MethodPost, f.url(1)+"/orders", "kit", header)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, r.status, r.body)
 }
