--- a/apierr/apierr_test.go
+++ b/apierr/apierr_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -43,6 +44,14 @@
 	}
 }
 
+func TestOperatorsPageNamesEveryKind(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/errors.md")
+	require.NoError(t, err)
+	for _, k := range Kinds() {
+		require.Contains(t, string(page), "`"+k.String()+"`")
+	}
+}
+
 func TestKindOutsideTheListPanics(t *testing.T) {
 	require.Panics(t, func() { _ = Kind(0).Answer() })
 	require.Panics(t, func() { _ = kindEnd.Answer() })
