--- a/sched/property_test.go
+++ b/sched/property_test.go
@@ -330,6 +330,7 @@
 				w.mutate = c.mutate
 				w.play()
 				if w.violations[c.broken] > 0 {
+					t.Logf("seed %d", seed)
 					return
 				}
 			}
