sched: idle adapters are forgotten; an ask that nobody repeated is over

Cause: memory grew with every adapter ever asked for; an answer that was lost long ago made a resident adapter count as one that cannot serve, which cost a needless load.

--- a/sched/place.go
+++ b/sched/place.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jasminelock/jasminelock/sched/fair"
-
 	"github.com/jasminelock/jasminelock/wire"
 )
 
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -69,6 +69,8 @@
 	listedAt    time.Time
 	listedSince time.Time
 	lastEvent   time.Time
+	// sweptAt is when idle groups were last forgotten.
+	sweptAt time.Time
 	// stalledAt is when this host last went on after a pause. Reports that come
 	// soon after may have been made before it.
 	stalledAt time.Time
@@ -385,6 +387,7 @@
 	p.renewUses(now)
 	p.followRemotes(now)
 	p.place(now)
+	p.sweep(now)
 	return p.take(now)
 }
 
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -82,3 +82,24 @@
 	s = p.best(worldStart, p.adapters[r.Adapter], &r)
 	assert.Equal(t, b, s.view, "the one that has the prompt's start in its cache")
 }
+
+func TestIdleAdaptersAreForgotten(t *testing.T) {
+	size := fleetSizes[0]
+	p := largePolicy(t, size)
+	require.Len(t, p.adapters, size.adapters)
+	p.Tick(worldStart.Add(idleForgotten + time.Second))
+	assert.Len(t, p.adapters, size.replicas*costSlots, "those that engines hold stay")
+	assert.Len(t, p.names, len(p.adapters))
+}
+
+func TestAskThatNobodyRepeatedIsOver(t *testing.T) {
+	size := fleetSizes[0]
+	p := largePolicy(t, size)
+	s := p.adapters[costAdapter(0)].slots[0]
+	s.view.lease.lose()
+	s.view.lease.owner = "h1"
+	p.askUse(worldStart, s)
+	later := worldStart.Add(time.Hour)
+	p.askUse(later, s)
+	assert.False(t, s.use.overdue(later))
+}
--- a/sched/use.go
+++ b/sched/use.go
@@ -30,7 +30,7 @@
 type useGrant struct {
 	until time.Time
 	// askedAt is when the grant was last asked for, waitingSince when it was
-	// first asked for without an answer.
+	// first asked for without an answer. An ask that nobody repeated is over.
 	askedAt      time.Time
 	waitingSince time.Time
 	// requests counts those dispatched since the owner was last told.
@@ -59,10 +59,10 @@
 	if owner == "" || (!s.use.askedAt.IsZero() && now.Sub(s.use.askedAt) < useRetry) {
 		return
 	}
-	s.use.askedAt = now
-	if s.use.waitingSince.IsZero() {
+	if s.use.waitingSince.IsZero() || now.Sub(s.use.askedAt) > useOverdue {
 		s.use.waitingSince = now
 	}
+	s.use.askedAt = now
 	ask := p.askTo(owner)
 	ask.Uses = append(ask.Uses, wire.Use{Upstream: s.view.record.Name, Adapter: s.group.name, Requests: s.use.requests})
 	s.use.requests = 0
--- a/sched/view.go
+++ b/sched/view.go
@@ -239,3 +239,31 @@
 	clear(c.known)
 	c.order, c.next = c.order[:0], 0
 }
+
+// Idle adapters are forgotten, so that memory follows what is in use and not
+// what has ever been asked for.
+const (
+	sweepInterval = time.Minute
+	idleForgotten = 30 * time.Minute
+)
+
+// sweep forgets the adapters that nothing holds, waits for or has used of late.
+func (p *Policy) sweep(now time.Time) {
+	if now.Sub(p.sweptAt) < sweepInterval {
+		return
+	}
+	p.sweptAt = now
+	for ref, g := range p.adapters {
+		if g.idle(now) {
+			delete(p.adapters, ref)
+			delete(p.names, g.name)
+		}
+	}
+}
+
+func (g *group) idle(now time.Time) bool {
+	if len(g.slots) > 0 || g.queue.Len() > 0 || g.remote != nil || len(g.askedBy) > 0 {
+		return false
+	}
+	return now.Sub(g.lastUsed) > idleForgotten
+}
