sched: what has waited longer asks for budget sooner

Cause: hosts drew their turn whatever they had waiting, which left long tails. Change: only for organisations that have had no more than their part.

--- a/sched/place.go
+++ b/sched/place.go
@@ -144,7 +144,7 @@
 	case BudgetAsked:
 		return
 	case BudgetRefused:
-		p.refused[d.group.model] = now.Add(p.budgetRetry(now, d.organisation))
+		p.refused[d.group.model] = now.Add(p.budgetRetry(now, d))
 		return
 	case BudgetTaken:
 	}
--- a/sched/shares.go
+++ b/sched/shares.go
@@ -143,8 +143,13 @@
 // weightOf is an organisation's weight in the queues.
 func (p *Policy) weightOf(org string) float64 { return p.loads.weight(org) }
 
-// budgetRetry draws when to ask for refused budget again.
-func (p *Policy) budgetRetry(now time.Time, org string) time.Duration {
-	span := float64(budgetRetryHigh - budgetRetryLow)
-	return budgetRetryLow + time.Duration(p.random.Float64()*span*p.loads.excess(now, org))
+// budgetRetry draws when to ask for refused budget again: sooner for what has
+// waited longer, unless its organisation has had more than its part.
+func (p *Policy) budgetRetry(now time.Time, d demandFor) time.Duration {
+	excess := p.loads.excess(now, d.organisation)
+	if excess <= 1 {
+		excess /= 1 + now.Sub(d.since).Seconds()
+	}
+	span := float64(budgetRetryHigh-budgetRetryLow) * excess
+	return budgetRetryLow + time.Duration(p.random.Float64()*span)
 }
