--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -41,12 +41,12 @@
 	return []Shape{
 		{
 			Name: "kretatabla", Zones: []string{"hu-central-a", "hu-central-b", "hu-central-c"}, Hosts: 7, Engines: 10, Services: 3,
-			Slots: 8, Adapters: 3000, LoadsASecond: 2, LoadsInFlight: 8, Skew: 1.3,
+			Slots: 8, Adapters: 3000, LoadsASecond: 2, LoadsInFlight: 8, Skew: 1.6,
 			Organisations: []string{"north", "west", "lakes", "plain", "south"},
 		},
 		{
 			Name: "hoi-go", Zones: []string{"vn-south-a", "vn-south-b", "vn-south-c"}, Hosts: 7, Engines: 12, Services: 3,
-			Slots: 8, Adapters: 3000, LoadsASecond: 3, LoadsInFlight: 8, Skew: 1.3,
+			Slots: 8, Adapters: 3000, LoadsASecond: 3, LoadsInFlight: 8, Skew: 1.6,
 			Organisations: []string{"resorts", "dealers-a", "dealers-b", "builders", "spas"},
 		},
 	}
