A refusal says that the rate is used up only where that is known

Cause: a host whose limiter has no lead in reach answered 429 "the rate is used up", which nobody had looked at. Change: verdicts carry whether the bucket was looked at; otherwise the answer is 503 rate_unknown, with when to come back.

--- a/apierr/kind.go
+++ b/apierr/kind.go
@@ -18,6 +18,7 @@
 	UnknownRoute
 	RateLimited
 	CostOverBurst
+	RateUnknown
 	QueueFull
 	DeadlineExceeded
 	NoUpstream
@@ -96,6 +97,7 @@
 	UnknownRoute:          {http.StatusNotFound, typeNotFound, "route_not_found", "there is no such route", false, onlyNotRun},
 	RateLimited:           {http.StatusTooManyRequests, typeRateLimit, "rate_limit_exceeded", "the organisation's rate is used up", true, onlyNotRun},
 	CostOverBurst:         {http.StatusTooManyRequests, typeRateLimit, "request_over_burst", "the request costs more tokens than the organisation's burst", false, onlyNotRun},
+	RateUnknown:           {http.StatusServiceUnavailable, typeUnavailable, "rate_unknown", "the organisation's rate cannot be checked now", true, onlyNotRun},
 	QueueFull:             {http.StatusServiceUnavailable, typeUnavailable, "queue_full", "too many requests are waiting", true, onlyNotRun},
 	DeadlineExceeded:      {http.StatusGatewayTimeout, typeUnavailable, "deadline_exceeded", "the request's deadline has passed", true, anyRan},
 	NoUpstream:            {http.StatusServiceUnavailable, typeUnavailable, "no_upstream", "no upstream can take the request now", true, onlyNotRun},
--- a/core/waiting.go
+++ b/core/waiting.go
@@ -94,13 +94,21 @@
 		c.admit(now, e, out)
 		return
 	}
-	err := apierr.New(apierr.RateLimited, "%d tokens asked for", tokens).WithRetryAfter(v.RetryAfter)
-	if v.OverBurst {
-		err = apierr.New(apierr.CostOverBurst, "%d tokens asked for, burst %d", tokens, v.Limit)
-	}
 	delete(c.requests, e.request.ID)
 	e.machine.To(request.Failed)
-	out.finish(e, err, "rate")
+	out.finish(e, rateError(tokens, v), "rate")
+}
+
+// rateError is the refusal for a verdict. Only a limiter that has looked says
+// that the rate is used up.
+func rateError(tokens int64, v limit.Verdict) *apierr.Error {
+	switch {
+	case v.OverBurst:
+		return apierr.New(apierr.CostOverBurst, "%d tokens asked for, burst %d", tokens, v.Limit)
+	case !v.Exhausted:
+		return apierr.New(apierr.RateUnknown, "").WithRetryAfter(v.RetryAfter)
+	}
+	return apierr.New(apierr.RateLimited, "%d tokens asked for", tokens).WithRetryAfter(v.RetryAfter)
 }
 
 // admit goes on with a request whose tokens are set aside.
--- a/limit/ask.go
+++ b/limit/ask.go
@@ -84,6 +84,7 @@
 		return v, v.RetryAfter > 0
 	}
 	v.OK, v.RetryAfter = acct.take(now, a.tokens)
+	v.Exhausted = !v.OK
 	v.Remaining = max(0, int64(acct.tokens))
 	return v, true
 }
@@ -158,6 +159,7 @@
 	}
 	var v Verdict
 	v.OK, v.RetryAfter = acct.take(now, m.Tokens)
+	v.Exhausted = !v.OK
 	if v.OK {
 		acct.lend(now, r.from, m.ID, m.Tokens)
 	}
@@ -191,7 +193,7 @@
 	millis := (v.RetryAfter + time.Millisecond - 1) / time.Millisecond
 	l.send(r.from.Host, &wire.LimitAnswer{
 		ID: r.message.ID, Incarnation: r.message.Incarnation, Epoch: l.view.epoch,
-		OK: v.OK, RetryMillis: int64(millis), Remaining: v.Remaining, Stamp: l.ownStamp(),
+		OK: v.OK, Exhausted: v.Exhausted, RetryMillis: int64(millis), Remaining: v.Remaining, Stamp: l.ownStamp(),
 	})
 }
 
@@ -238,6 +240,7 @@
 	}
 	v := Verdict{
 		OK:         m.OK,
+		Exhausted:  m.Exhausted,
 		RetryAfter: time.Duration(m.RetryMillis) * time.Millisecond,
 		Remaining:  m.Remaining,
 	}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -21,6 +21,9 @@
 	// OverBurst says that the request can never be admitted: it costs more than
 	// the organisation's burst.
 	OverBurst bool
+	// Exhausted says that the organisation's tokens are known to be used up. A
+	// refusal without it means that no host in reach can tell.
+	Exhausted bool
 	// RetryAfter is when the same reservation is expected to succeed.
 	RetryAfter time.Duration
 	// Remaining and Limit are told to callers in x-ratelimit headers, in tokens.
--- a/limit/static.go
+++ b/limit/static.go
@@ -82,6 +82,7 @@
 		return v, nil
 	}
 	if need > b.tokens {
+		v.Exhausted = true
 		v.RetryAfter = time.Duration((need - b.tokens) / b.rate * float64(time.Second))
 		return v, nil
 	}
--- a/wire/limit.go
+++ b/wire/limit.go
@@ -85,6 +85,8 @@
 	Remaining   int64
 	// Stamp is the lead's clock in milliseconds, of meaning to the lead only.
 	Stamp int64
+	// Exhausted says that the organisation's tokens are used up.
+	Exhausted bool
 }
 
 // LimitSpent says that a grant has been spent, or will not be.
