Open a bucket since when no other host acts, and stop notices from echoing

Cause: an organisation first asked for while the table service is down was refused until its call ended; a host told of a newer view by a probe was told again by each of its answers, without end while it could not read the view (found by a run of the property that did not end). Change: a bucket starts empty at the time since which no other host acts and can be used at once; the first burst counts as of that time, which the checker showed to be needed. Only probes tell of views. A host that finds most members missing waits a minute before it leaves them out.

--- a/limit/ask.go
+++ b/limit/ask.go
@@ -85,7 +85,7 @@
 	}
 	v.OK, v.RetryAfter = acct.take(now, a.tokens)
 	v.Remaining = max(0, int64(acct.tokens))
-	return v, true
+	return v, v.OK || !acct.creating
 }
 
 // lapsed says that this host had evidence for its view and got no newer in
@@ -158,6 +158,9 @@
 	}
 	var v Verdict
 	v.OK, v.RetryAfter = acct.take(now, m.Tokens)
+	if !v.OK && acct.creating {
+		return false
+	}
 	if v.OK {
 		acct.lend(now, r.from, m.ID, m.Tokens)
 	}
--- a/limit/handover.go
+++ b/limit/handover.go
@@ -35,7 +35,7 @@
 	l.returned = map[wire.LimitMember]uint64{}
 	maps.DeleteFunc(l.stamps, func(m wire.LimitMember, _ stamp) bool { return !l.view.members.has(m) })
 	l.fence.join(now, l.view, l.self)
-	l.handedOver = map[wire.LimitMember]bool{}
+	l.handedOver = map[wire.LimitMember]time.Time{}
 	if !continuous {
 		l.accounts = map[string]*account{}
 	}
@@ -96,7 +96,7 @@
 		}
 		delete(l.accounts, org)
 		h := to(lead.Host)
-		if !ok || a.creating || len(h.Accounts) >= maxHandedOver {
+		if !ok || len(h.Accounts) >= maxHandedOver {
 			continue
 		}
 		a.refill(now)
@@ -145,7 +145,7 @@
 
 // takeHandover takes what a member of the previous view led, once.
 func (l *Lead) takeHandover(now time.Time, from wire.LimitMember, m *wire.LimitHandover) {
-	if l.handedOver[from] || !l.view.previous.has(from) {
+	if _, again := l.handedOver[from]; again || !l.view.previous.has(from) {
 		return
 	}
 	for _, moved := range m.Accounts {
@@ -156,7 +156,7 @@
 			s.report(from, &held)
 		}
 	}
-	l.handedOver[from] = true
+	l.handedOver[from] = now
 	l.serveQueued(now)
 }
 
@@ -178,28 +178,38 @@
 }
 
 // account returns the bucket of an organisation if this host leads it. It is not
-// ready while the lead before may still act, or the table service is being
-// asked for the first burst. A bucket that nobody has passed on starts empty.
+// ready while the lead before may still act. A bucket that nobody has passed on
+// starts empty at the time since which no other host acts; whether the first
+// burst is still to be given out, the table service is asked.
 func (l *Lead) account(now time.Time, org string) (a *account, ready bool) {
 	if lead, ok := l.leadOf(org); !ok || lead != l.self {
 		return nil, false
 	}
 	if a, ok := l.accounts[org]; ok {
-		return a, !a.creating
+		return a, true
 	}
-	quietSince := now
-	before, had := l.view.previous.lead(org)
-	if had && before != l.self && !l.handedOver[before] {
-		if !l.fence.void(now, l.view) {
-			return nil, false
-		}
-		quietSince = l.fence.voidAt()
+	since, ready := l.aloneSince(now, org)
+	if !ready {
+		return nil, false
 	}
-	a = newAccount(quietSince, l.rates[org])
+	a = newAccount(since, l.rates[org])
 	a.creating = true
 	l.accounts[org] = a
 	l.create(org)
-	return a, false
+	return a, true
+}
+
+// aloneSince is since when only this host may act for an organisation that it
+// leads. It reports false while another one may.
+func (l *Lead) aloneSince(now time.Time, org string) (time.Time, bool) {
+	before, had := l.view.previous.lead(org)
+	if !had || before == l.self {
+		return l.fence.adoptedAt, true
+	}
+	if at, ok := l.handedOver[before]; ok {
+		return at, true
+	}
+	return l.fence.voidAt(), l.fence.void(now, l.view)
 }
 
 // blocked is how long it takes until a bucket that is not ready holds tokens, if
--- a/limit/lead.go
+++ b/limit/lead.go
@@ -34,6 +34,9 @@
 	// goneAfter is how long a member is missing from the host list before it is
 	// left out of the next view.
 	goneAfter = 5 * time.Second
+	// minorityGoneAfter is the same for a host that finds most members missing:
+	// it may be the one that is cut off.
+	minorityGoneAfter = time.Minute
 	// rankDelay is how much longer each further member waits before it leaves
 	// out a gone one, so that mostly a single host writes.
 	rankDelay = 2 * time.Second
@@ -85,8 +88,8 @@
 	slots    map[string]*slots
 	// held is what this host holds of budgets in flight.
 	held map[string]*ownHolding
-	// handedOver are the members that have passed on what they led before.
-	handedOver map[wire.LimitMember]bool
+	// handedOver says when members have passed on what they led before.
+	handedOver map[wire.LimitMember]time.Time
 	// handovers are this host's own that have not been acknowledged.
 	handovers map[string]*wire.LimitHandover
 
@@ -129,7 +132,7 @@
 		accounts:   map[string]*account{},
 		slots:      map[string]*slots{},
 		held:       map[string]*ownHolding{},
-		handedOver: map[wire.LimitMember]bool{},
+		handedOver: map[wire.LimitMember]time.Time{},
 		handovers:  map[string]*wire.LimitHandover{},
 		asks:       map[uint64]*ask{},
 		returns:    map[string]uint64{},
--- a/limit/rounds.go
+++ b/limit/rounds.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if l.view == nil {
-		l.nextRound = now.Add(l.jitter(roundInterval))
+		l.nextRound = now.Add(l.jitter(joinInterval))
 		l.seekView(now)
 		return
 	}
@@ -106,7 +106,7 @@
 	}
 	isNew := !l.view.previous.has(l.self)
 	for _, m := range l.view.previous.list {
-		if !l.handedOver[m] && (isNew || !l.view.members.has(m)) {
+		if _, done := l.handedOver[m]; !done && (isNew || !l.view.members.has(m)) {
 			return true
 		}
 	}
@@ -128,6 +128,9 @@
 		l.send(from, l.view.message())
 	case m.Epoch > epoch:
 		l.wantHead()
+		if l.storeSilent(l.now) {
+			l.send(from, l.probe(0))
+		}
 	}
 	if l.view != nil && !l.view.members.has(wire.LimitMember{Host: from, Incarnation: m.Incarnation}) {
 		l.newcomers[from] = m.Incarnation
@@ -141,8 +144,7 @@
 	member := wire.LimitMember{Host: from, Incarnation: m.Incarnation}
 	switch {
 	case m.Epoch < l.view.epoch:
-		l.send(from, l.probe(0))
-		return
+		return // the probe has told it
 	case m.Epoch == l.view.epoch && m.Round == l.fence.round:
 		l.fence.confirm(l.view, member)
 	case m.Epoch > l.view.epoch:
--- a/limit/safety_test.go
+++ b/limit/safety_test.go
@@ -216,10 +216,13 @@
 		"cut off": cutLeadOff, "paused": pauseLead, "restarted": restartLead,
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := lostLead(leadLimiter, fault)
+			var before int64
+			s := lostLead(leadLimiter, func(s *sim, lead *simHost) {
+				before = s.rows[headKey].Version
+				fault(s, lead)
+			})
 			require.NoError(t, s.check.verify())
-			lead := s.hosts[0].limiter.(*Lead)
-			require.Greater(t, lead.epoch(), int64(len(s.hosts)), "no other lead")
+			require.Greater(t, s.rows[headKey].Version, before, "no other lead")
 		})
 	}
 }
@@ -228,6 +231,7 @@
 // is missing.
 func TestCheckerCatches(t *testing.T) {
 	t.Parallel()
+	filled := map[*account]bool{} // of the first mutant
 	mutants := []struct {
 		name string
 		// fault is what the run needs to show the mutant; without one any of the
@@ -237,7 +241,8 @@
 	}{
 		{"restart with a full burst", restartLead, func(l *Lead) {
 			for _, a := range l.accounts {
-				if a.creating {
+				if !filled[a] {
+					filled[a] = true
 					a.creating, a.tokens = false, float64(a.rate.BurstTokens)
 				}
 			}
--- a/limit/store.go
+++ b/limit/store.go
@@ -234,7 +234,22 @@
 	return false
 }
 
+// anyGone says that a member has to be left out. A host that finds most members
+// missing waits longer.
 func (l *Lead) anyGone(now time.Time) bool {
+	gone := 0
+	for _, m := range l.view.members.list {
+		if l.hosts.gone(now, m.Host) {
+			gone++
+		}
+	}
+	if len(l.view.members.list)-gone < l.view.members.majority() {
+		return gone > 0 && l.anyGoneSince(now.Add(-minorityGoneAfter))
+	}
+	return gone > 0
+}
+
+func (l *Lead) anyGoneSince(now time.Time) bool {
 	return slices.ContainsFunc(l.view.members.list, func(m wire.LimitMember) bool {
 		return l.hosts.gone(now, m.Host)
 	})
@@ -328,7 +343,7 @@
 	}})
 }
 
-// onCreated gives out an organisation's first burst if this host's write was
+// onCreated gives out an organisation's first burst, as of when the bucket began, if this host's write was
 // the first ever. If that is not known, the bucket fills at its rate.
 func (l *Lead) onCreated(now time.Time, org string, e StoreEnd) {
 	a, ok := l.accounts[org]
@@ -337,7 +352,7 @@
 	}
 	a.creating = false
 	if e.Err == nil {
-		a.credit(now, now, float64(a.rate.BurstTokens))
+		a.credit(now, a.slacks.since, float64(a.rate.BurstTokens))
 	}
 	l.serveQueued(now)
 }
