No gap when the table service hangs; a host never confirmed is stale

Ruled out: a longer validity of confirmations, which is the bound for a withdrawn key on a cut-off host. Change: the zones' reports suffice, the host's own failed read is not waited for; a read without an answer counts as failed after 3 s; searching starts within one interval; a host without any confirmation is stale. A link whose write failed is closed without holding up senders. Conclusion: both faults have a test that fails without the mend.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -189,3 +189,41 @@
 		require.Equal(t, byte('b'), o.DisplayName[0], h.name)
 	}
 }
+
+// A table service that does not answer is as good as one that refuses: hosts go
+// on, without a gap.
+func TestHostsGoOnWhileTheStoreHangs(t *testing.T) {
+	w := newWorld(10, 30, 5)
+	require.NoError(t, w.run(20*time.Second))
+	w.storeDown, w.storeHangs = true, true
+	for range 600 {
+		require.NoError(t, w.run(100*time.Millisecond))
+		for _, h := range w.hosts {
+			require.True(t, w.now.Before(h.node.FreshUntil()), "%s after %v", h.name, w.now.Sub(w.start))
+		}
+	}
+}
+
+// A host that starts in an outage is given the changes one after another. It
+// must not work with the first of them.
+func TestBlankHostIsStaleUntilItHasCaughtUp(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 6, 2)
+		w.delay = 200 * time.Millisecond
+		for range 20 {
+			w.write("organisation", "b", `{}`)
+		}
+		require.NoError(t, w.run(20*time.Second))
+		newest := w.hosts[0].node.Revision()
+		w.storeDown = true
+		h := w.hosts[2]
+		w.startHost(h)
+		for range 300 {
+			require.NoError(t, w.run(5*time.Millisecond))
+			fresh := w.now.Before(h.node.FreshUntil())
+			require.False(t, fresh && h.node.Revision() > 0 && h.node.Revision() < newest, "fresh at revision %d", h.node.Revision())
+		}
+		require.NoError(t, w.run(5*time.Second))
+		require.True(t, w.now.Before(h.node.FreshUntil()))
+	}
+}
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -32,6 +32,8 @@
 	changes   []spread.Change
 	accepted  []time.Time
 	storeDown bool
+	// storeHangs lets reads go unanswered while the table service is down.
+	storeHangs bool
 	// listLag is how old the host list is.
 	listLag  time.Duration
 	listings []listing
@@ -260,6 +262,9 @@
 	}
 	start := h.starts
 	w.after(time.Duration(w.rand.Int64N(int64(50*time.Millisecond))), func() {
+		if w.storeDown && w.storeHangs {
+			return
+		}
 		answer := spread.StoreAnswer{ID: r.ID, Head: int64(len(w.changes))}
 		if w.storeDown || h.noStore {
 			answer.Err = platform.ErrUnavailable
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -87,7 +87,8 @@
 	defer r.mu.Unlock()
 	for _, k := range r.open {
 		if k.idleSince(now) > idleClose {
-			k.close()
+			// Closing may wait for the reader, which must not hold up senders.
+			r.links.group.Go(k.close)
 		}
 	}
 	return len(r.open) == 0 && r.queue.len() == 0 && now.Sub(r.since) > idleClose
--- a/spread/freshness.go
+++ b/spread/freshness.go
@@ -169,23 +169,26 @@
 // a host that has a revision in force. Where another host has a newer one, this
 // one has missed a change.
 func (f *freshness) storeDownUntil(revision uint32) time.Time {
-	if f.failedAt.IsZero() || len(f.zones) == 0 {
+	if f.confirmedAt.IsZero() {
+		// A host that was never confirmed may still be catching up, and may not
+		// know the zones yet.
 		return time.Time{}
 	}
-	oldest := f.failedAt
-	for _, z := range f.zones {
-		if !z.others {
-			continue // this host is the zone's only one
-		}
-		r := f.reports[z.hash]
-		if r.revision > revision {
-			return time.Time{}
+	var oldest time.Time
+	for i, z := range f.zones {
+		at := f.failedAt // counts where this host is the zone's only one
+		if z.others {
+			r := f.reports[z.hash]
+			if r.revision > revision {
+				return time.Time{}
+			}
+			at = r.at
 		}
-		at := r.at
-		if !f.listed[z.hash] && f.listedAt.After(at) {
+		own := z.hash == shortHash(f.self.Zone)
+		if !own && !f.listed[z.hash] && f.listedAt.After(at) {
 			at = f.listedAt
 		}
-		if at.Before(oldest) {
+		if i == 0 || at.Before(oldest) {
 			oldest = at
 		}
 	}
--- a/spread/readers.go
+++ b/spread/readers.go
@@ -42,6 +42,7 @@
 		m.fetch = nil
 	}
 	if !m.readAt.IsZero() && now.Sub(m.readAt) >= readTimeout {
+		m.fresh.readFailed(m.readAt)
 		m.readAt = time.Time{}
 	}
 	if m.readAt.IsZero() && m.readDue(now) {
@@ -55,8 +56,9 @@
 // readDue reports whether the head is to be read, and sets when to read it next.
 func (m *Machine) readDue(now time.Time) bool {
 	interval := m.interval(now)
-	if m.nextRead.Sub(now) > interval*2 {
-		m.nextRead = now // the interval has become shorter
+	if m.nextRead.Sub(now) > interval {
+		// The interval has become shorter, mostly on many hosts at once.
+		m.nextRead = now.Add(time.Duration(m.rand.Int64N(int64(interval))))
 	}
 	if now.Before(m.nextRead) {
 		return false
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -31,8 +31,9 @@
 	// configuration for searchAfter.
 	searchInterval = 2 * time.Second
 	searchAfter    = 4 * time.Second
-	// readTimeout is when a read that has not been answered is given up.
-	readTimeout = 5 * time.Second
+	// readTimeout is when a read that has not been answered counts as failed. It
+	// leaves a report the time to reach every host before it is too old.
+	readTimeout = 3 * time.Second
 	// pullInterval bounds how often one host is asked for changes.
 	pullInterval = 500 * time.Millisecond
 	// ConfirmedFor is how long a confirmation is good for. It bounds how long a
