--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -181,15 +181,15 @@
 		Log: d.log, Runtime: d.runtime, Board: d.board, Caller: d.upstream, Ready: d.ready, Claims: d.outcomes,
 		Limits: gateway.Limits{
 			MaxBodyBytes: r.MaxBodyBytes, MaxHeaderBytes: r.MaxHeaderBytes,
-			ReadTimeout: time.Duration(r.ReadTimeout), RequestTimeout: time.Duration(r.Timeout),
-			WriteTimeout: time.Duration(r.WriteTimeout),
+			RequestTimeout: time.Duration(r.Timeout),
+			WriteTimeout:   time.Duration(r.WriteTimeout),
 		},
 	})
 	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: time.Duration(r.ReadTimeout),
-		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    r.MaxHeaderBytes,
+		Handler:        handler,
+		ReadTimeout:    time.Duration(r.ReadTimeout),
+		IdleTimeout:    callerIdleTimeout,
+		MaxHeaderBytes: r.MaxHeaderBytes,
 	}
 }
 
@@ -225,6 +225,8 @@
 	d.runtime.Handle(core.DrainStarted{})
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("requests still run", "count", d.runtime.InFlight(), "reason", err)
+	} else {
+		d.settleOutcomes(ctx)
 	}
 	d.fleet.leaveForGood()
 	withdraw, stop := context.WithTimeout(context.Background(), time.Duration(d.settings.Platform.Timeout))
--- a/sched/property_test.go
+++ b/sched/property_test.go
@@ -330,6 +330,7 @@
 				w.mutate = c.mutate
 				w.play()
 				if w.violations[c.broken] > 0 {
+					t.Logf("seed %d", seed)
 					return
 				}
 			}
@@ -341,8 +342,8 @@
 // freeLoads is a budget without bounds.
 type freeLoads struct{}
 
-func (freeLoads) TakeLoad(time.Time, string) bool { return true }
-func (freeLoads) LoadEnded(time.Time, string)     {}
+func (freeLoads) TakeLoad(time.Time, string) BudgetAnswer { return BudgetTaken }
+func (freeLoads) LoadEnded(time.Time, string)             {}
 
 func forgetAvoid(p *Policy) {
 	for _, w := range p.waiting {
