A host is told to callers once its limiter can admit

Cause: a host that started while the table service was down was live on the roster, and answered each keyed request 429, since its limiter joins the others through the table service. Ruled out: leaving it to callers to go on to the next host, which a 429 does not tell them to do. Change: a host is live once its limiter says that it admits. Conclusion: a host that cannot admit draws no callers; the fleet's start is left to the limiter.

--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -70,12 +70,19 @@
 		return wire.HostGone
 	case f.leaving:
 		return wire.HostLeaving
-	case f.node.Revision() > 0 && now.Before(f.freshUntil()):
+	case f.node.Revision() > 0 && now.Before(f.freshUntil()) && f.daemon.admits():
 		return wire.HostLive
 	}
 	return wire.HostJoining
 }
 
+// admits reports whether the limiter can admit requests.
+func (d *Daemon) admits() bool {
+	admits := false
+	d.runtime.View(func(c *core.Core) { admits = c.Admits() })
+	return admits
+}
+
 // freshUntil returns until when the configuration may be taken to be in force.
 // A host without links to the others cannot tell an outage of the table service
 // from being cut off.
