--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,13 +1,17 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/membership"
+	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/spread"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -158,3 +162,68 @@
 	require.EqualValues(t, 2, h.node.Revision())
 	require.True(t, w.now.Before(h.node.FreshUntil()), "the others have given it the change")
 }
+
+func TestLargeChangesReachEveryHost(t *testing.T) {
+	w := newWorld(8, 9, 3)
+	require.NoError(t, w.run(10*time.Second))
+	w.meter.on = true // every frame is encoded, so that its bound is checked
+	large := func(mark string) {
+		var records []record.Envelope
+		for i := range 40 {
+			spec := fmt.Sprintf(`{"display_name":%q}`, strings.Repeat(mark, 40<<10))
+			records = append(records, record.Envelope{Schema: 2, Kind: record.KindOrganisation, Name: fmt.Sprintf("org-%d", i), Spec: []byte(spec)})
+		}
+		w.changes = append(w.changes, spread.FromEnvelopes(int64(len(w.changes)+1), records))
+	}
+	large("a")
+	require.NoError(t, w.run(3*time.Second))
+	large("b")
+	blank := w.hosts[4]
+	w.startHost(blank) // its records come from others while the next change spreads
+	blank.noStore = true
+	require.NoError(t, w.run(10*time.Second))
+	for _, h := range w.hosts {
+		require.EqualValues(t, 3, h.node.Revision(), h.name)
+		o, ok := h.config.Organisation("org-7")
+		require.True(t, ok)
+		require.Equal(t, byte('b'), o.DisplayName[0], h.name)
+	}
+}
+
+// A table service that does not answer is as good as one that refuses: hosts go
+// on, without a gap.
+func TestHostsGoOnWhileTheStoreHangs(t *testing.T) {
+	w := newWorld(10, 30, 5)
+	require.NoError(t, w.run(20*time.Second))
+	w.storeDown, w.storeHangs = true, true
+	for range 600 {
+		require.NoError(t, w.run(100*time.Millisecond))
+		for _, h := range w.hosts {
+			require.True(t, w.now.Before(h.node.FreshUntil()), "%s after %v", h.name, w.now.Sub(w.start))
+		}
+	}
+}
+
+// A host that starts in an outage is given the changes one after another. It
+// must not work with the first of them.
+func TestBlankHostIsStaleUntilItHasCaughtUp(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 6, 2)
+		w.delay = 200 * time.Millisecond
+		for range 20 {
+			w.write("organisation", "b", `{}`)
+		}
+		require.NoError(t, w.run(20*time.Second))
+		newest := w.hosts[0].node.Revision()
+		w.storeDown = true
+		h := w.hosts[2]
+		w.startHost(h)
+		for range 300 {
+			require.NoError(t, w.run(5*time.Millisecond))
+			fresh := w.now.Before(h.node.FreshUntil())
+			require.False(t, fresh && h.node.Revision() > 0 && h.node.Revision() < newest, "fresh at revision %d", h.node.Revision())
+		}
+		require.NoError(t, w.run(5*time.Second))
+		require.True(t, w.now.Before(h.node.FreshUntil()))
+	}
+}
--- a/sched/view.go
+++ b/sched/view.go
@@ -22,8 +22,11 @@
 	ref   record.AdapterRef
 	name  string
 	model string
-	slots []*slot
-	queue *fair.Queue[*waitingRequest]
+	// organisation owns the adapter; held counts its slots.
+	organisation string
+	held         *orgSlots
+	slots        []*slot
+	queue        *fair.Queue[*waitingRequest]
 	// demand counts requests, old ones less and less.
 	demand decayed
 	// failures counts loads that have failed one after another.
@@ -135,6 +138,7 @@
 	s := &slot{group: g, view: v, state: state, since: now, lastUsed: now}
 	v.slots[g] = s
 	g.slots = append(g.slots, s)
+	g.held.add(1)
 	return s
 }
 
@@ -143,6 +147,7 @@
 		return
 	}
 	delete(v.slots, s.group)
+	s.group.held.add(-1)
 	s.group.slots = slices.DeleteFunc(s.group.slots, func(o *slot) bool { return o == s })
 	v.gone[s.group] = now
 }
@@ -234,3 +239,31 @@
 	clear(c.known)
 	c.order, c.next = c.order[:0], 0
 }
+
+// Idle adapters are forgotten, so that memory follows what is in use and not
+// what has ever been asked for.
+const (
+	sweepInterval = time.Minute
+	idleForgotten = 30 * time.Minute
+)
+
+// sweep forgets the adapters that nothing holds, waits for or has used of late.
+func (p *Policy) sweep(now time.Time) {
+	if now.Sub(p.sweptAt) < sweepInterval {
+		return
+	}
+	p.sweptAt = now
+	for ref, g := range p.adapters {
+		if g.idle(now) {
+			delete(p.adapters, ref)
+			delete(p.names, g.name)
+		}
+	}
+}
+
+func (g *group) idle(now time.Time) bool {
+	if len(g.slots) > 0 || g.queue.Len() > 0 || g.remote != nil || len(g.askedBy) > 0 {
+		return false
+	}
+	return now.Sub(g.lastUsed) > idleForgotten
+}
