A lead counts its own loads in flight once; a silent owner is asked for no more

At a change of view a lead handed its own holdings over to itself and kept them as another host's, beside its own count, for as long as the view lasted: 2 of 8 places. Six more were held by loads asked of the killed owner, which may still have started them. Ruled out: the takeover of the lead (the view changed 10 s after the kill) and the fence.

Change: a lead does not take a report of itself. An owner that was asked and has said nothing for 100 ms is asked for no further loads until it is heard.

--- a/limit/handover.go
+++ b/limit/handover.go
@@ -152,7 +152,8 @@
 		l.takeAccount(now, from, moved)
 	}
 	for _, held := range m.Held {
-		if s, ok := l.ledSlots(held.Organisation); ok {
+		// What this host holds itself is counted as it stands, not as reported.
+		if s, ok := l.ledSlots(held.Organisation); ok && from != l.self {
 			s.report(from, &held)
 		}
 	}
--- a/limit/slots_test.go
+++ b/limit/slots_test.go
@@ -172,6 +172,28 @@
 	}
 }
 
+// TestLeadCountsItsOwnLoadsOnce changes the view while the lead itself holds the
+// whole budget in flight.
+func TestLeadCountsItsOwnLoadsOnce(t *testing.T) {
+	t.Parallel()
+	s := newSim(2, 7, faults{}, loadRates(), leadLimiter)
+	s.run(fleetStart)
+	lead, _ := s.hosts[0].limiter.(*Lead).leadOf(slotBudget)
+	l := newLoads(s, func(h *simHost) bool { return h.name == lead.Host })
+	s.run(5 * time.Second)
+	victim := s.hosts[0]
+	if victim.name == lead.Host {
+		victim = s.hosts[1]
+	}
+	s.kill(victim)
+	s.run(takeover)
+	before := l.busy
+	const lasts = 20 * time.Second
+	s.run(lasts)
+	require.LessOrEqual(t, l.most, slotCount)
+	require.Greater(t, l.used(before, lasts), 0.9)
+}
+
 // takeover is within which a killed host's organisations have another lead: it
 // is listed for a while, is taken to be gone, and may still act for voidAfter.
 const takeover = simListLag + goneAfter + voidAfter + 2*roundInterval
--- a/sched/place.go
+++ b/sched/place.go
@@ -183,7 +183,11 @@
 	case v.slots[g] != nil, v.loading != nil, !v.usable(now), now.Before(v.fullUntil), now.Before(g.retryAt[v.record.Name]):
 		return false
 	}
-	return v.lease.mine() || p.ownerOf(v) != ""
+	if v.lease.mine() {
+		return true
+	}
+	owner := p.ownerOf(v)
+	return owner != "" && !p.silent(now, owner)
 }
 
 // slotCost weighs the demand that an eviction would hurt and how full the
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -44,8 +44,10 @@
 	hungry map[*group]struct{}
 	// remotes are the groups that another host was asked to load, served what
 	// other hosts have asked of this one.
-	remotes   map[*group]struct{}
-	orphans   []orphanLoad
+	remotes map[*group]struct{}
+	orphans []orphanLoad
+	// givenUp are owners that have not answered an ask, until they are heard of.
+	givenUp   map[string]struct{}
 	served    map[loadKey]*servedLoad
 	lastLoad  uint64
 	loads     loadShares
@@ -103,7 +105,7 @@
 		upstreams: map[string]*upstreamView{}, engines: map[string][]*upstreamView{},
 		adapters: map[record.AdapterRef]*group{}, names: map[string]*group{}, pools: map[string]*group{},
 		counters: fair.NewCounters(), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
-		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, served: map[loadKey]*servedLoad{}, loads: newLoadShares(), slotsHeld: map[string]*orgSlots{},
+		hungry: map[*group]struct{}{}, remotes: map[*group]struct{}{}, givenUp: map[string]struct{}{}, served: map[loadKey]*servedLoad{}, loads: newLoadShares(), slotsHeld: map[string]*orgSlots{},
 		refused: map[string]time.Time{}, orders: map[OrderID]openOrder{},
 		leases: map[string]*leaseState{}, members: []string{o.Host}, departed: map[string]time.Time{},
 		process: o.Random.Uint64(),
@@ -394,6 +396,7 @@
 // Receive implements Scheduler.
 func (p *Policy) Receive(now time.Time, from string, m wire.Message) []Decision {
 	p.begin(now)
+	delete(p.givenUp, from)
 	switch m := m.(type) {
 	case *wire.UseAsk:
 		p.onUseAsk(now, from, m)
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -10,6 +10,7 @@
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/upstream"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 // unloaded is an adapter that no upstream of largePolicy holds.
@@ -103,3 +104,21 @@
 	p.askUse(later, s)
 	assert.False(t, s.use.overdue(later))
 }
+
+func TestSilentOwnerIsAskedForNoFurtherLoads(t *testing.T) {
+	p := largePolicy(t, fleetSizes[0])
+	first := p.adapters[costAdapter(0)]
+	v := first.slots[0].view
+	v.lease.lose()
+	v.lease.owner = "h1"
+	other := p.groupNamed("elsewhere@1", first.model)
+	require.True(t, p.loadable(worldStart, other, v))
+	p.askLoad(worldStart, first, v, "acme")
+	require.True(t, p.loadable(worldStart, other, v), "an answer may still come")
+	require.False(t, p.loadable(worldStart.Add(answerBound), other, v))
+	p.followRemotes(worldStart.Add(2 * loadAskAge))
+	require.Nil(t, first.remote)
+	require.False(t, p.loadable(worldStart.Add(2*loadAskAge), other, v), "given up")
+	p.Receive(worldStart.Add(2*loadAskAge), "h1", &wire.OwnerAck{})
+	require.True(t, p.loadable(worldStart.Add(2*loadAskAge), other, v), "heard of again")
+}
--- a/sched/remote.go
+++ b/sched/remote.go
@@ -18,6 +18,9 @@
 	// loadBound is the longest that a load can run. A load whose end is not
 	// known holds its place in flight for so long.
 	loadBound = 2 * time.Minute
+	// answerBound is when an owner that was asked for a load should have said
+	// something. It gets no further asks until it does.
+	answerBound = 100 * time.Millisecond
 )
 
 // remoteLoad is a load that another host was asked for. This host has taken the
@@ -91,6 +94,9 @@
 		case r.started && age > remoteLoadAge, !r.started && age > loadAskAge:
 			r.view.price = slotPrice{at: now, blocked: true}
 			p.orphans = append(p.orphans, orphanLoad{g.model, now.Add(loadBound)})
+			if !r.started {
+				p.givenUp[r.owner] = struct{}{}
+			}
 			p.forgetRemote(g)
 		case now.Sub(r.askedAt) >= loadAskRetry:
 			r.askedAt = now
@@ -111,6 +117,21 @@
 	}
 }
 
+// silent reports whether an owner was asked for a load and has said nothing
+// since. Each load that it is asked for may hold its budget for loadBound.
+func (p *Policy) silent(now time.Time, owner string) bool {
+	if _, given := p.givenUp[owner]; given {
+		return true
+	}
+	for g := range p.remotes {
+		r := g.remote
+		if r.owner == owner && !r.started && now.Sub(r.since) >= answerBound {
+			return true
+		}
+	}
+	return false
+}
+
 // endRemote takes the end of a load that another host has carried out.
 func (p *Policy) endRemote(now time.Time, g *group) {
 	p.budget.LoadEnded(now, g.model)
