A reservation waits for a lead that is about to know what was spent before it

Cause: after a change of view a lead answers only once the lead before has passed its accounts on; a reservation waited 100 ms for one ask and was then refused. Seen as the first request of a fleet refused inside a fresh rate in 1 of 5 to 12 runs of TestFirstSteps and TestHostToldToCallersServes. Ruled out: readiness alone (a host that waits to be a member still asks leads that are not ready). Change: an ask without an answer is asked again under another number, up to 500 ms in all; a lead's answer still decides at once. Budgets in flight are asked for once.

--- a/limit/ask.go
+++ b/limit/ask.go
@@ -16,7 +16,9 @@
 	org      string
 	tokens   int64
 	deadline time.Time
-	lead     wire.LimitMember
+	// giveUp is when the reservation is refused, whatever is still asked.
+	giveUp time.Time
+	lead   wire.LimitMember
 }
 
 // remoteAsk is another host's ask, or one of this host's own, that waits until
@@ -117,7 +119,7 @@
 	r := &remoteAsk{
 		from:     wire.LimitMember{Host: from, Incarnation: m.Incarnation},
 		message:  m,
-		deadline: now.Add(MaxWait),
+		deadline: now.Add(answerWait),
 	}
 	if !l.answer(now, r) {
 		l.queued = append(l.queued, r)
@@ -287,26 +289,39 @@
 			l.resolve(a, Verdict{OverBurst: true})
 			continue
 		}
-		delete(l.asks, a.id)
-		l.lastID++
-		a.id = l.lastID
-		l.asks[a.id] = a
-		v := l.route(now, a)
-		if v.Wait {
-			l.askLead(a)
-			continue
-		}
-		l.resolve(a, v)
+		l.askAgain(now, a)
+	}
+}
+
+// askAgain asks under another number: an answer to the one before counts for
+// nothing.
+func (l *Lead) askAgain(now time.Time, a *ask) {
+	delete(l.asks, a.id)
+	l.lastID++
+	a.id = l.lastID
+	a.deadline = now.Add(answerWait)
+	l.asks[a.id] = a
+	v := l.route(now, a)
+	if v.Wait {
+		l.askLead(a)
+		return
 	}
+	l.resolve(a, v)
 }
 
-// tickAsks refuses what has waited for too long.
+// tickAsks asks again for what has got no answer, and refuses what has waited
+// for too long. A budget in flight is asked for once: who asked may hold it.
 func (l *Lead) tickAsks(now time.Time) {
 	if len(l.queued) > 0 || len(l.asks) > 0 {
 		l.serveQueued(now)
 	}
 	for _, a := range l.waiting() {
-		if !now.Before(a.deadline) {
+		rate, known := l.rates[a.org]
+		switch {
+		case now.Before(a.deadline):
+		case known && !inFlightOnly(rate) && now.Before(a.giveUp):
+			l.askAgain(now, a)
+		default:
 			l.expire(a)
 		}
 	}
--- a/limit/lead.go
+++ b/limit/lead.go
@@ -44,8 +44,8 @@
 	// not come by then, only time helps.
 	handoverGrace = 500 * time.Millisecond
 	// grantTTL is how long a grant counts on its lead. An asker gives up after
-	// MaxWait, counted from when it asked.
-	grantTTL = MaxWait + MaxWait/10
+	// answerWait, counted from when it asked.
+	grantTTL = answerWait + answerWait/10
 	// resendInterval is how often what has not been acknowledged is sent again.
 	resendInterval = 200 * time.Millisecond
 	// heldInterval is how often holdings of budgets in flight are reported.
@@ -53,6 +53,9 @@
 	// slotQuiet is how long a new lead of a budget in flight waits, so that what
 	// hosts started that are no members any more has ended.
 	slotQuiet = 3 * time.Second
+	// answerWait is how long one ask waits for its answer. A lead that is about
+	// to learn what was spent before it does not answer: it is asked again.
+	answerWait = 100 * time.Millisecond
 	// unknownRetry is told to callers where nothing better is known.
 	unknownRetry = time.Second
 )
@@ -206,7 +209,7 @@
 	if tokens > rate.BurstTokens {
 		return Verdict{OverBurst: true, Limit: rate.BurstTokens}, nil
 	}
-	a := &ask{org: org, tokens: tokens, deadline: now.Add(MaxWait)}
+	a := &ask{org: org, tokens: tokens, deadline: now.Add(answerWait), giveUp: now.Add(MaxWait)}
 	v := l.route(now, a)
 	if v.Wait {
 		l.lastID++
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -31,8 +31,9 @@
 	Limit     int64
 }
 
-// MaxWait bounds how long a reservation waits for another host's answer.
-const MaxWait = 100 * time.Millisecond
+// MaxWait bounds how long a reservation waits for another host's answer, all
+// asks together.
+const MaxWait = 500 * time.Millisecond
 
 // Ticket names a waiting reservation on this host.
 type Ticket uint64
