--- /dev/null
+++ b/capacity/clock.go
@@ -0,0 +1,64 @@
+package capacity
+
+import (
+	"container/heap"
+	"time"
+)
+
+// clock runs events in virtual time, those of the same time in the order in
+// which they were planned.
+type clock struct {
+	now    time.Time
+	events eventQueue
+	count  int
+}
+
+func newClock() *clock { return &clock{now: time.Unix(1_900_000_000, 0)} }
+
+func (c *clock) after(d time.Duration, do func()) {
+	c.count++
+	heap.Push(&c.events, event{c.now.Add(d), c.count, do})
+}
+
+// every calls do at each interval, first after the delay.
+func (c *clock) every(delay, interval time.Duration, do func()) {
+	c.after(delay, func() {
+		do()
+		c.every(interval, interval, do)
+	})
+}
+
+// run lets time pass.
+func (c *clock) run(d time.Duration) {
+	end := c.now.Add(d)
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.do()
+	}
+	c.now = end
+}
+
+type event struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].order < q[j].order
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/capacity/frames.go
@@ -0,0 +1,139 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/upstream"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// frameOverhead is the header of a small masked WebSocket message, in bytes.
+const frameOverhead = 8
+
+// frameBytes returns what a message takes on a link.
+func frameBytes(m wire.Message) int {
+	raw, err := wire.Encode(m)
+	if err != nil {
+		panic(err) // the messages here are small and known
+	}
+	return len(raw) + frameOverhead
+}
+
+// exchangeBytes returns what an HTTP request and its answer take together, as
+// net/http writes them, without TCP and TLS.
+func exchangeBytes(method, path string, body, answer any) (int, error) {
+	var sent, received bytes.Buffer
+	request, err := http.NewRequest(method, "http://10.0.0.1:8080"+path, strings.NewReader(encoded(body))) //nolint:noctx // it is never sent
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if err := request.Write(&sent); err != nil {
+		return 0, err
+	}
+	text := encoded(answer)
+	response := &http.Response{
+		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(text)),
+		Body:   io.NopCloser(strings.NewReader(text)),
+		Header: http.Header{"Content-Type": {"application/json"}, "Date": {"Tue, 01 Jan 2030 00:00:00 GMT"}},
+	}
+	if err := response.Write(&received); err != nil {
+		return 0, err
+	}
+	return sent.Len() + received.Len(), nil
+}
+
+// encoded returns the JSON of a body, "" for none.
+func encoded(body any) string {
+	if body == nil {
+		return ""
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // the bodies here are plain structs
+	}
+	return string(raw)
+}
+
+func hostName(i int) string { return fmt.Sprintf("host-%03d", i) }
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i%zones) }
+
+func listedHost(i int) platform.Host {
+	return platform.Host{
+		Name: hostName(i), Zone: zoneName(i),
+		CallerURL: fmt.Sprintf("http://10.0.%d.%d:8080", i/250, i%250), PeerURL: fmt.Sprintf("http://10.0.%d.%d:8102", i/250, i%250),
+	}
+}
+
+// report returns an engine's report with as many adapters.
+func report(adapters int) upstream.Report {
+	r := upstream.Report{Incarnation: "0123456789abcdef", Sequence: 100_000, Running: adapters, KVFree: 0.25, Role: "mixed"}
+	for i := range adapters {
+		r.Adapters = append(r.Adapters, upstream.AdapterState{Name: adapterName(i).String(), Running: 1})
+	}
+	return r
+}
+
+// measureFrames measures what is read over HTTP, and single messages.
+func measureFrames(o Options) (Measurements, error) {
+	var all Measurements
+	for _, n := range []int{1, slotsPerReplica} {
+		size, err := exchangeBytes(http.MethodGet, "/v1/load_report", nil, report(n))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, Measurement{reportBytes, n, "adapters", float64(size), "B"})
+	}
+	lists, err := measureHostList(o)
+	if err != nil {
+		return nil, err
+	}
+	head, err := exchangeBytes(http.MethodGet, "/tables/config/row?key=head", nil,
+		platform.Row{Key: "head", Value: []byte(`{"revision":100000}`), Version: 100_000})
+	if err != nil {
+		return nil, err
+	}
+	suspicion := &wire.CrashSuspicion{Key: make([]byte, 32), Crashes: 1, Holder: hostName(0), ForMilliseconds: 600_000, Crash: "0123456789abcdef"}
+	notice := frameBytes(&wire.OwnerNotice{Resource: "upstreams/zone-01/3", Fence: 1000}) +
+		frameBytes(&wire.OwnerAck{Resource: "upstreams/zone-01/3", Fence: 1000})
+	all = append(all, lists...)
+	return append(all,
+		Measurement{configHeadBytes, 1, "read", float64(head), "B"},
+		Measurement{suspicionFrame, 1, "message", float64(frameBytes(suspicion)), "B"},
+		Measurement{noticeBytes, 1, "host", float64(notice), "B"},
+	), nil
+}
+
+// measureHostList measures the host list and the limiter's view, which both
+// name every host.
+func measureHostList(o Options) (Measurements, error) {
+	var all Measurements
+	for _, n := range within([]int{7, 30, 100, hosts}, o.MaxHosts) {
+		var list []platform.Host
+		view := &wire.LimitView{Epoch: 1000}
+		for i := range n {
+			list = append(list, listedHost(i))
+			view.Members = append(view.Members, wire.LimitMember{Host: hostName(i), Incarnation: 1 << 40})
+		}
+		view.Previous = view.Members
+		size, err := exchangeBytes(http.MethodGet, "/hosts", nil, list)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all,
+			Measurement{hostListBytes, n, "hosts", float64(size), "B"},
+			Measurement{limitView, n, "hosts", float64(frameBytes(view)), "B"})
+	}
+	size, err := exchangeBytes(http.MethodPut, "/hosts/"+hostName(0)+"?ttl=10s", listedHost(0), nil)
+	if err != nil {
+		return nil, err
+	}
+	return append(all, Measurement{announceBytes, 1, "host", float64(size), "B"}), nil
+}
--- /dev/null
+++ b/capacity/measurement.go
@@ -0,0 +1,141 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+)
+
+// Metric names what is measured.
+type Metric string
+
+// The metrics.
+const (
+	configHeap        Metric = "configuration: live heap of a host"
+	configArchive     Metric = "configuration: packed records given to a new host"
+	configChangeFrame Metric = "configuration: frame of a change of one version"
+	configHeadReads   Metric = "configuration: head reads of all hosts"
+	configHeadBytes   Metric = "configuration: one read of the head over HTTP"
+
+	fleetMessages    Metric = "membership and spread: messages sent by a host"
+	fleetBytes       Metric = "membership and spread: bytes sent by a host"
+	fleetOutageBytes Metric = "membership and spread: bytes sent by a host, table service down"
+	fleetHeap        Metric = "membership and spread: live heap of a host"
+
+	hostListBytes Metric = "host list: one read over HTTP"
+	announceBytes Metric = "host list: one announcement over HTTP"
+
+	limitMessages  Metric = "limiter: messages for a reservation"
+	limitBytes     Metric = "limiter: bytes for a reservation"
+	limitHeadReads Metric = "limiter: head reads of a host"
+	limitWrites    Metric = "limiter: writes for an organisation first seen"
+	limitHeap      Metric = "limiter: live heap of an idle organisation"
+	limitView      Metric = "limiter: view in the table service"
+
+	schedHeap        Metric = "scheduler: live heap for an upstream with its adapters"
+	schedAdapterHeap Metric = "scheduler: live heap for an adapter once asked for"
+	schedAllocations Metric = "scheduler: allocations for a routed request"
+	schedClaims      Metric = "scheduler: claims of a held lease"
+	grantMessages    Metric = "use grants: messages for a request in flight"
+	grantBytes       Metric = "use grants: bytes for a request in flight"
+	noticeBytes      Metric = "use grants: notice of a new owner with its acknowledgement"
+
+	reportBytes    Metric = "load report: one read over HTTP"
+	outcomeWrites  Metric = "outcomes: writes for a keyed request"
+	suspicionFrame Metric = "quarantine: frame of a suspicion"
+)
+
+// Measurement is one measured figure.
+type Measurement struct {
+	Metric Metric  `json:"metric"`
+	Size   int     `json:"size"`
+	Of     string  `json:"of"`
+	Value  float64 `json:"value"`
+	Unit   string  `json:"unit"`
+}
+
+// Measurements are figures, one for each metric and size.
+type Measurements []Measurement
+
+// at returns the figure of the largest size at which a metric was measured.
+func (m Measurements) at(metric Metric) float64 {
+	size, value := -1, 0.0
+	for _, x := range m {
+		if x.Metric == metric && x.Size > size {
+			size, value = x.Size, x.Value
+		}
+	}
+	if size < 0 {
+		panic(fmt.Sprintf("capacity: %q was not measured", metric))
+	}
+	return value
+}
+
+// sizes returns the range of sizes at which a metric was measured.
+func (m Measurements) sizes(metric Metric) string {
+	least, most, of := 0, 0, ""
+	for _, x := range m {
+		if x.Metric != metric {
+			continue
+		}
+		if of == "" || x.Size < least {
+			least = x.Size
+		}
+		most, of = max(most, x.Size), x.Of
+	}
+	if least == most {
+		return fmt.Sprintf("%d %s", most, of)
+	}
+	return fmt.Sprintf("%d to %d %s", least, most, of)
+}
+
+// Options bound what is measured.
+type Options struct {
+	// MaxHosts, MaxReplicas and MaxAdapters leave out larger sizes, 0 for none.
+	MaxHosts, MaxReplicas, MaxAdapters int
+}
+
+func within(sizes []int, most int) []int {
+	var kept []int
+	for _, s := range sizes {
+		if most == 0 || s <= most {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// Measure measures all metrics.
+func Measure(o Options) (Measurements, error) {
+	var all Measurements
+	for _, part := range []func(Options) (Measurements, error){
+		measureConfiguration, measureFleet, measureLimiter, measureScheduler, measureGrants, measureFrames, measureOutcomes,
+	} {
+		m, err := part(o)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, m...)
+	}
+	return all, nil
+}
+
+// liveHeap returns the bytes of live objects.
+func liveHeap() float64 {
+	runtime.GC()
+	runtime.GC() // what finalizers held is freed by the second
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// allocations returns the mean allocations of one call.
+func allocations(calls int, f func(i int)) float64 {
+	f(0)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for i := range calls {
+		f(i)
+	}
+	runtime.ReadMemStats(&after)
+	return float64(after.Mallocs-before.Mallocs) / float64(calls)
+}
--- /dev/null
+++ b/capacity/print.go
@@ -0,0 +1,103 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Report is what the command prints.
+type Report struct {
+	Rows         []Row        `json:"rows"`
+	Measurements Measurements `json:"measurements"`
+}
+
+// WriteJSON prints the report as JSON.
+func (r Report) WriteJSON(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
+
+// WriteTables prints the report as the tables of docs/CAPACITY.md.
+func (r Report) WriteTables(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%s\n%s", rowTable(r.Rows), measurementTable(r.Measurements))
+	return err
+}
+
+func rowTable(rows []Row) string {
+	var b strings.Builder
+	b.WriteString("| Role | Mechanism | Slope | Measured over | Steps | At size | Limit | Margin | Verdict | Needs, and then |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, r := range rows {
+		verdict, change := "holds", ""
+		if !r.Holds() {
+			verdict, change = "MISS", fmt.Sprintf("%s: %s", r.Change, number(r.Then))
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s %s | %s | %s | %s | %s |\n", r.Role, r.Mechanism, r.Slope, r.Range, r.Steps,
+			number(r.Value), r.Unit, number(r.Limit), margin(r.Margin()), verdict, change)
+	}
+	return b.String()
+}
+
+// margin writes how much of the limit is left or by how much it is missed.
+func margin(m float64) string {
+	if m < 1 {
+		return fmt.Sprintf("%s times over", number(1/m))
+	}
+	return fmt.Sprintf("%s times under", number(m))
+}
+
+const measurementHead = "| Measured | Size | Of | Value | Unit |\n|---|---|---|---|---|\n"
+
+func measurementTable(m Measurements) string {
+	var b strings.Builder
+	b.WriteString(measurementHead)
+	for _, x := range m {
+		fmt.Fprintf(&b, "| %s | %d | %s | %s | %s |\n", x.Metric, x.Size, x.Of, number(x.Value), x.Unit)
+	}
+	return b.String()
+}
+
+// rounded keeps three digits, which is more than the bound on agreement asks
+// for.
+func rounded(x float64) float64 {
+	if x == 0 {
+		return 0
+	}
+	unit := math.Pow(10, math.Floor(math.Log10(math.Abs(x)))-2)
+	return math.Round(x/unit) * unit
+}
+
+// number writes three digits of a number.
+func number(x float64) string {
+	return strconv.FormatFloat(rounded(x), 'f', decimals(x), 64)
+}
+
+// decimals is how many digits after the point make three in all.
+func decimals(x float64) int {
+	if x == 0 {
+		return 0
+	}
+	return min(4, max(0, 2-int(math.Floor(math.Log10(math.Abs(x))))))
+}
+
+// round makes measurements what the page shows of them, so that a page and the
+// run that made it give the same rows.
+func (m Measurements) round() Measurements {
+	out := make(Measurements, len(m))
+	for i, x := range m {
+		x.Value, _ = strconv.ParseFloat(number(x.Value), 64) // it was just written
+		out[i] = x
+	}
+	return out
+}
+
+// Run measures and works out everything.
+func Run(o Options) (Report, error) {
+	m, err := Measure(o)
+	if err != nil {
+		return Report{}, err
+	}
+	m = m.round()
+	return Report{Rows: Rows(m), Measurements: m}, nil
+}
--- a/cmd/jasminelock/bench.go
+++ b/cmd/jasminelock/bench.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/jasminelock/jasminelock/bench"
+	"github.com/jasminelock/jasminelock/capacity"
 )
 
 // errBoundBroken makes the command exit with 1.
@@ -16,12 +17,15 @@
 
 func benchCommand() *cobra.Command {
 	var o bench.Options
-	var asJSON bool
+	var asJSON, atSize bool
 	cmd := &cobra.Command{
 		Use:   "bench",
 		Short: "Measure the policy on virtual time beside baselines",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			if atSize {
+				return printCapacity(asJSON)
+			}
 			results, err := bench.RunAll(o)
 			if err != nil {
 				return err
@@ -39,6 +43,7 @@
 	}
 	f := cmd.Flags()
 	f.BoolVar(&asJSON, "json", false, "print JSON")
+	f.BoolVar(&atSize, "capacity", false, "measure what the mechanisms of a host cost, and work it out at the size to design for")
 	f.StringVar(&o.Deployment, "deployment", "", "one deployment only")
 	f.StringVar(&o.Scenario, "scenario", "", "one scenario only")
 	f.StringVar(&o.Policy, "policy", "", "one policy only")
@@ -46,6 +51,18 @@
 	return cmd
 }
 
+// printCapacity prints the tables of docs/CAPACITY.md.
+func printCapacity(asJSON bool) error {
+	r, err := capacity.Run(capacity.Options{})
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return r.WriteJSON(os.Stdout)
+	}
+	return r.WriteTables(os.Stdout)
+}
+
 // report prints broken bounds on standard error.
 func report(broken []string) error {
 	if len(broken) == 0 {
