--- a/cmd/jasminelock/bench.go
+++ b/cmd/jasminelock/bench.go
@@ -44,9 +44,9 @@
 	f := cmd.Flags()
 	f.BoolVar(&asJSON, "json", false, "print JSON")
 	f.BoolVar(&atSize, "capacity", false, "measure what the mechanisms of a host cost, and work it out at the size to design for")
-	f.StringVar(&o.Deployment, "deployment", "", "one deployment only")
-	f.StringVar(&o.Scenario, "scenario", "", "one scenario only")
-	f.StringVar(&o.Policy, "policy", "", "one policy only")
+	f.StringVar(&o.Deployment, "deployment", "", "these deployments only, comma between")
+	f.StringVar(&o.Scenario, "scenario", "", "these scenarios only")
+	f.StringVar(&o.Policy, "policy", "", "these policies only")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the workload")
 	return cmd
 }
