--- a/limit/lead.go
+++ b/limit/lead.go
@@ -34,6 +34,9 @@
 	// goneAfter is how long a member is missing from the host list before it is
 	// left out of the next view.
 	goneAfter = 5 * time.Second
+	// minorityGoneAfter is the same for a host that finds most members missing:
+	// it may be the one that is cut off.
+	minorityGoneAfter = time.Minute
 	// rankDelay is how much longer each further member waits before it leaves
 	// out a gone one, so that mostly a single host writes.
 	rankDelay = 2 * time.Second
@@ -41,8 +44,8 @@
 	// not come by then, only time helps.
 	handoverGrace = 500 * time.Millisecond
 	// grantTTL is how long a grant counts on its lead. An asker gives up after
-	// MaxWait, counted from when it asked.
-	grantTTL = MaxWait + MaxWait/10
+	// answerWait, counted from when it asked.
+	grantTTL = answerWait + answerWait/10
 	// resendInterval is how often what has not been acknowledged is sent again.
 	resendInterval = 200 * time.Millisecond
 	// heldInterval is how often holdings of budgets in flight are reported.
@@ -50,6 +53,9 @@
 	// slotQuiet is how long a new lead of a budget in flight waits, so that what
 	// hosts started that are no members any more has ended.
 	slotQuiet = 3 * time.Second
+	// answerWait is how long one ask waits for its answer. A lead that is about
+	// to learn what was spent before it does not answer: it is asked again.
+	answerWait = 100 * time.Millisecond
 	// unknownRetry is told to callers where nothing better is known.
 	unknownRetry = time.Second
 )
@@ -85,8 +91,8 @@
 	slots    map[string]*slots
 	// held is what this host holds of budgets in flight.
 	held map[string]*ownHolding
-	// handedOver are the members that have passed on what they led before.
-	handedOver map[wire.LimitMember]bool
+	// handedOver says when members have passed on what they led before.
+	handedOver map[wire.LimitMember]time.Time
 	// handovers are this host's own that have not been acknowledged.
 	handovers map[string]*wire.LimitHandover
 
@@ -129,7 +135,7 @@
 		accounts:   map[string]*account{},
 		slots:      map[string]*slots{},
 		held:       map[string]*ownHolding{},
-		handedOver: map[wire.LimitMember]bool{},
+		handedOver: map[wire.LimitMember]time.Time{},
 		handovers:  map[string]*wire.LimitHandover{},
 		asks:       map[uint64]*ask{},
 		returns:    map[string]uint64{},
@@ -203,7 +209,7 @@
 	if tokens > rate.BurstTokens {
 		return Verdict{OverBurst: true, Limit: rate.BurstTokens}, nil
 	}
-	a := &ask{org: org, tokens: tokens, deadline: now.Add(MaxWait)}
+	a := &ask{org: org, tokens: tokens, deadline: now.Add(answerWait), giveUp: now.Add(MaxWait)}
 	v := l.route(now, a)
 	if v.Wait {
 		l.lastID++
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -21,6 +21,9 @@
 	// OverBurst says that the request can never be admitted: it costs more than
 	// the organisation's burst.
 	OverBurst bool
+	// Exhausted says that the organisation's tokens are known to be used up. A
+	// refusal without it means that no host in reach can tell.
+	Exhausted bool
 	// RetryAfter is when the same reservation is expected to succeed.
 	RetryAfter time.Duration
 	// Remaining and Limit are told to callers in x-ratelimit headers, in tokens.
@@ -28,8 +31,9 @@
 	Limit     int64
 }
 
-// MaxWait bounds how long a reservation waits for another host's answer.
-const MaxWait = 100 * time.Millisecond
+// MaxWait bounds how long a reservation waits for another host's answer, all
+// asks together.
+const MaxWait = 500 * time.Millisecond
 
 // Ticket names a waiting reservation on this host.
 type Ticket uint64
--- a/sched/place.go
+++ b/sched/place.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jasminelock/jasminelock/sched/fair"
-
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -145,7 +144,7 @@
 	case BudgetAsked:
 		return
 	case BudgetRefused:
-		p.refused[d.group.model] = now.Add(p.budgetRetry(now, d.organisation))
+		p.refused[d.group.model] = now.Add(p.budgetRetry(now, d))
 		return
 	case BudgetTaken:
 	}
@@ -184,7 +183,11 @@
 	case v.slots[g] != nil, v.loading != nil, !v.usable(now), now.Before(v.fullUntil), now.Before(g.retryAt[v.record.Name]):
 		return false
 	}
-	return v.lease.mine() || p.ownerOf(v) != ""
+	if v.lease.mine() {
+		return true
+	}
+	owner := p.ownerOf(v)
+	return owner != "" && !p.silent(now, owner)
 }
 
 // slotCost weighs the demand that an eviction would hurt and how full the
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -10,6 +10,7 @@
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/upstream"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 // unloaded is an adapter that no upstream of largePolicy holds.
@@ -82,3 +83,42 @@
 	s = p.best(worldStart, p.adapters[r.Adapter], &r)
 	assert.Equal(t, b, s.view, "the one that has the prompt's start in its cache")
 }
+
+func TestIdleAdaptersAreForgotten(t *testing.T) {
+	size := fleetSizes[0]
+	p := largePolicy(t, size)
+	require.Len(t, p.adapters, size.adapters)
+	p.Tick(worldStart.Add(idleForgotten + time.Second))
+	assert.Len(t, p.adapters, size.replicas*costSlots, "those that engines hold stay")
+	assert.Len(t, p.names, len(p.adapters))
+}
+
+func TestAskThatNobodyRepeatedIsOver(t *testing.T) {
+	size := fleetSizes[0]
+	p := largePolicy(t, size)
+	s := p.adapters[costAdapter(0)].slots[0]
+	s.view.lease.lose()
+	s.view.lease.owner = "h1"
+	p.askUse(worldStart, s)
+	later := worldStart.Add(time.Hour)
+	p.askUse(later, s)
+	assert.False(t, s.use.overdue(later))
+}
+
+func TestSilentOwnerIsAskedForNoFurtherLoads(t *testing.T) {
+	p := largePolicy(t, fleetSizes[0])
+	first := p.adapters[costAdapter(0)]
+	v := first.slots[0].view
+	v.lease.lose()
+	v.lease.owner = "h1"
+	other := p.groupNamed("elsewhere@1", first.model)
+	require.True(t, p.loadable(worldStart, other, v))
+	p.askLoad(worldStart, first, v, "acme")
+	require.True(t, p.loadable(worldStart, other, v), "an answer may still come")
+	require.False(t, p.loadable(worldStart.Add(answerBound), other, v))
+	p.followRemotes(worldStart.Add(2 * loadAskAge))
+	require.Nil(t, first.remote)
+	require.False(t, p.loadable(worldStart.Add(2*loadAskAge), other, v), "given up")
+	p.Receive(worldStart.Add(2*loadAskAge), "h1", &wire.OwnerAck{})
+	require.True(t, p.loadable(worldStart.Add(2*loadAskAge), other, v), "heard of again")
+}
