Orders to engines and calls of the table service have workers of their own

Cause: sixteen orders that hang for ten seconds kept the calls that keep leads and leases alive waiting.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,7 +35,7 @@
 	board    *blackboard.Board
 	runtime  *Runtime
 	metrics  *daemonMetrics
-	work     *workQueue
+	work     *workQueues
 	platform *platform.Client
 	upstream *upstream.Client
 	outcomes *outcome.Store
@@ -66,7 +66,7 @@
 		settings: s,
 		log:      log.With("host", s.Host, "zone", s.Zone),
 		board:    blackboard.New(),
-		work:     newWorkQueue(),
+		work:     newWorkQueues(),
 		platform: platform.NewClient(s.Platform.URL, time.Duration(s.Platform.Timeout)),
 		upstream: upstream.NewClient(),
 		draining: make(chan struct{}),
--- a/daemon/runtime.go
+++ b/daemon/runtime.go
@@ -23,7 +23,7 @@
 	log     hclog.Logger
 	metrics *daemonMetrics
 	nextID  atomic.Uint64
-	work    *workQueue
+	work    *workQueues
 	// send queues a message for another host. It never waits.
 	send func(m wire.Outgoing)
 
@@ -45,7 +45,7 @@
 // Decisions implements gateway.Ticket.
 func (t *ticket) Decisions() <-chan core.Decision { return t.decisions }
 
-func newRuntime(log hclog.Logger, m *daemonMetrics, c *core.Core, work *workQueue, send func(wire.Outgoing)) *Runtime {
+func newRuntime(log hclog.Logger, m *daemonMetrics, c *core.Core, work *workQueues, send func(wire.Outgoing)) *Runtime {
 	return &Runtime{log: log, metrics: m, core: c, work: work, send: send, tickets: map[sched.RequestID]*ticket{}}
 }
 
@@ -77,7 +77,7 @@
 }
 
 // handle is called with mu held. It does not wait for anything: decisions on
-// requests go to their tickets, all others to the work queue.
+// requests go to their tickets, all others to the work queues.
 func (r *Runtime) handle(ev core.Event) {
 	r.metrics.event(ev)
 	for _, d := range r.core.Handle(time.Now(), ev) {
--- a/daemon/work.go
+++ b/daemon/work.go
@@ -7,10 +7,38 @@
 	"github.com/jasminelock/jasminelock/core"
 )
 
-// workers is the number of goroutines that carry out decisions which need
-// network traffic.
+// workers is the number of goroutines of one queue, which carry out decisions
+// that need network traffic.
 const workers = 16
 
+// workQueues keeps orders to engines, which may take minutes, apart from calls
+// of the table service, which keep leases and leads alive.
+type workQueues struct {
+	orders *workQueue
+	calls  *workQueue
+}
+
+func newWorkQueues() *workQueues {
+	return &workQueues{orders: newWorkQueue(), calls: newWorkQueue()}
+}
+
+// add never waits.
+func (q *workQueues) add(d core.Decision) {
+	if _, order := d.(core.Order); order {
+		q.orders.add(d)
+		return
+	}
+	q.calls.add(d)
+}
+
+// run carries decisions out until the context ends.
+func (q *workQueues) run(ctx context.Context, do func(context.Context, core.Decision)) {
+	var group sync.WaitGroup
+	group.Go(func() { q.orders.run(ctx, do) })
+	group.Go(func() { q.calls.run(ctx, do) })
+	group.Wait()
+}
+
 // workQueue holds decisions until a worker is free. Its length is bounded by
 // what the core has open: one order for each engine, one claim for each lease.
 type workQueue struct {
