--- a/firststeps_test.go
+++ b/firststeps_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
 	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -46,16 +49,36 @@
 	free := map[string]string{}
 	return loopbackPort.ReplaceAllStringFunc(page, func(port string) string {
 		if free[port] == "" {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer l.Close()
-			_, free[port], err = net.SplitHostPort(l.Addr().String())
-			require.NoError(t, err)
+			free[port] = freePort(t, free)
 		}
 		return free[port]
 	})
 }
 
+// The ports that are tried lie below those that the system gives to outgoing
+// connections, one of which could take the port before the program does.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
+// freePort returns a port that nothing listens on and that is not taken yet.
+func freePort(t *testing.T, taken map[string]string) string {
+	t.Helper()
+	for i := range portCount {
+		port := strconv.Itoa(firstPort + (os.Getpid()+i)%portCount)
+		if slices.Contains(slices.Collect(maps.Values(taken)), port) {
+			continue
+		}
+		if l, err := net.Listen("tcp", "127.0.0.1:"+port); err == nil {
+			require.NoError(t, l.Close())
+			return port
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
 const stepMark = "=== step "
 
 // script runs the steps one after another and marks where each starts.
