--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -8,10 +8,10 @@
 	"github.com/jasminelock/jasminelock/blackboard"
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/limit"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/request"
 	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/upstream"
 	"github.com/jasminelock/jasminelock/wire"
 )
@@ -70,7 +70,7 @@
 	config    *record.Config
 	ideal     map[int]*idealBucket
 	nextID    sched.RequestID
-	listed    []platform.Host
+	listed    []store.Host
 }
 
 // Policy makes the parts of one host's core.
@@ -134,7 +134,7 @@
 	limiter, scheduler := maker(h.name, h.zone, rng)
 	h.core = core.New(core.Options{Board: blackboard.New(), Limiter: limiter, Scheduler: scheduler})
 	f.hosts = append(f.hosts, h)
-	f.listed = append(f.listed, platform.Host{Name: h.name, Zone: h.zone, CallerURL: "http://" + h.name})
+	f.listed = append(f.listed, store.Host{Name: h.name, Zone: h.zone, CallerURL: "http://" + h.name})
 }
 
 // start sets the repeating events going. Hosts are spread over each interval.
--- a/bench/run.go
+++ b/bench/run.go
@@ -8,8 +8,8 @@
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/locate"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Run puts a policy through a scenario of a deployment.
@@ -62,7 +62,7 @@
 		f.stats.cutByKill++
 	}
 	f.clock.after(hostListAge, func() {
-		f.listed = slices.DeleteFunc(slices.Clone(f.listed), func(l platform.Host) bool { return l.Name == h.name })
+		f.listed = slices.DeleteFunc(slices.Clone(f.listed), func(l store.Host) bool { return l.Name == h.name })
 	})
 }
 
--- a/bench/store.go
+++ b/bench/store.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Errors of the fakes.
@@ -55,7 +55,7 @@
 type tables struct {
 	clock  *clock
 	down   bool
-	rows   map[tableKey]platform.Row
+	rows   map[tableKey]store.Row
 	leases map[string]*lease
 	writes int
 	reads  int
@@ -70,29 +70,29 @@
 }
 
 func newTables(c *clock) *tables {
-	return &tables{clock: c, rows: map[tableKey]platform.Row{}, leases: map[string]*lease{}}
+	return &tables{clock: c, rows: map[tableKey]store.Row{}, leases: map[string]*lease{}}
 }
 
-func (t *tables) get(table, key string) (platform.Row, error) {
+func (t *tables) get(table, key string) (store.Row, error) {
 	t.reads++
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	row, ok := t.rows[tableKey{table, key}]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, store.ErrNotFound
 	}
 	return row, nil
 }
 
-func (t *tables) commit(txn platform.Txn) error {
+func (t *tables) commit(txn store.Txn) error {
 	t.writes++
 	if t.down {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	for _, c := range txn.Conditions {
 		if t.rows[tableKey{c.Table, c.Key}].Version != c.Version {
-			return platform.ErrConflict
+			return store.ErrConflict
 		}
 	}
 	for _, w := range txn.Writes {
@@ -101,7 +101,7 @@
 			delete(t.rows, key)
 			continue
 		}
-		t.rows[key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[key].Version + 1}
+		t.rows[key] = store.Row{Key: w.Key, Value: w.Value, Version: t.rows[key].Version + 1}
 	}
 	return nil
 }
--- a/blackboard/blackboard.go
+++ b/blackboard/blackboard.go
@@ -19,8 +19,8 @@
 	"sync/atomic"
 
 	"github.com/jasminelock/jasminelock/membership"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Board is the set of tables of one host.
@@ -28,7 +28,7 @@
 	// Config is the configuration in force. Written by core.Core.
 	Config *Table[*record.Config]
 	// Hosts is the platform's host list as last seen. Written by core.Core.
-	Hosts *Table[[]platform.Host]
+	Hosts *Table[[]store.Host]
 	// Roster is the hosts that have not left, as this one knows them. Empty
 	// without peer links. Written by the daemon's fleet controller.
 	Roster *Table[[]membership.Member]
@@ -38,7 +38,7 @@
 func New() *Board {
 	return &Board{
 		Config: NewTable(record.NewConfig()),
-		Hosts:  NewTable[[]platform.Host](nil),
+		Hosts:  NewTable[[]store.Host](nil),
 		Roster: NewTable[[]membership.Member](nil),
 	}
 }
--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/fleet"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/spread"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -29,7 +29,7 @@
 type fleetWorld struct {
 	clock   *clock
 	nodes   map[string]*fleet.Node
-	listed  []platform.Host
+	listed  []store.Host
 	changes []spread.Change
 	down    bool
 	traffic traffic
@@ -49,7 +49,7 @@
 	return w
 }
 
-func (w *fleetWorld) start(h platform.Host, seed uint64) {
+func (w *fleetWorld) start(h store.Host, seed uint64) {
 	node := fleet.New(w.clock.now, fleet.Options{
 		Self:         wire.HostEntry{Name: h.Name, Zone: h.Zone, Incarnation: uint64(w.clock.now.UnixMilli()), CallerURL: h.CallerURL, PeerURL: h.PeerURL},
 		ReadInterval: readInterval, Random: rand.New(rand.NewPCG(seed, 1)),
@@ -91,7 +91,7 @@
 	w.clock.after(storeTime, func() {
 		answer := spread.StoreAnswer{ID: r.ID, Head: int64(len(w.changes))}
 		if w.down {
-			answer.Err = platform.ErrUnavailable
+			answer.Err = store.ErrUnavailable
 		} else {
 			answer.Changes = w.changes[min(r.After, answer.Head):]
 		}
--- a/capacity/frames.go
+++ b/capacity/frames.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"strings"
 
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/upstream"
 	"github.com/jasminelock/jasminelock/wire"
 )
@@ -65,8 +65,8 @@
 
 func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i%zones) }
 
-func listedHost(i int) platform.Host {
-	return platform.Host{
+func listedHost(i int) store.Host {
+	return store.Host{
 		Name: hostName(i), Zone: zoneName(i),
 		CallerURL: fmt.Sprintf("http://10.0.%d.%d:8080", i/250, i%250), PeerURL: fmt.Sprintf("http://10.0.%d.%d:8102", i/250, i%250),
 	}
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	head, err := exchangeBytes(http.MethodGet, "/tables/config/row?key=head", nil,
-		platform.Row{Key: "head", Value: []byte(`{"revision":100000}`), Version: 100_000})
+		store.Row{Key: "head", Value: []byte(`{"revision":100000}`), Version: 100_000})
 	if err != nil {
 		return nil, err
 	}
@@ -121,7 +121,7 @@
 func measureHostList(o Options) (Measurements, error) {
 	var all Measurements
 	for _, n := range within([]int{7, 30, 100, hosts}, o.MaxHosts) {
-		var list []platform.Host
+		var list []store.Host
 		view := &wire.LimitView{Epoch: 1000}
 		for i := range n {
 			list = append(list, listedHost(i))
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -7,53 +7,53 @@
 	"strings"
 	"sync"
 
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // memoryTable is a table service in memory that counts its calls.
 type memoryTable struct {
 	// mu guards all below.
 	mu            sync.Mutex
-	rows          map[string]platform.Row
+	rows          map[string]store.Row
 	reads, writes int
 }
 
-func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]platform.Row{}} }
+func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]store.Row{}} }
 
-// Get implements platform.TableService.
-func (t *memoryTable) Get(_ context.Context, table, key string) (platform.Row, error) {
+// Get implements store.TableService.
+func (t *memoryTable) Get(_ context.Context, table, key string) (store.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
 	row, ok := t.rows[table+"/"+key]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, store.ErrNotFound
 	}
 	return row, nil
 }
 
-// List implements platform.TableService.
-func (t *memoryTable) List(_ context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements store.TableService.
+func (t *memoryTable) List(_ context.Context, table, prefix, after string, limit int) ([]store.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
-	var rows []platform.Row
+	var rows []store.Row
 	for name, row := range t.rows {
 		if strings.HasPrefix(name, table+"/"+prefix) && row.Key > after {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b store.Row) int { return cmp.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], nil
 }
 
-// Commit implements platform.TableService.
-func (t *memoryTable) Commit(_ context.Context, txn platform.Txn) error {
+// Commit implements store.TableService.
+func (t *memoryTable) Commit(_ context.Context, txn store.Txn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range txn.Conditions {
 		if t.rows[c.Table+"/"+c.Key].Version != c.Version {
-			return platform.ErrConflict
+			return store.ErrConflict
 		}
 	}
 	t.writes++
@@ -63,7 +63,7 @@
 			delete(t.rows, name)
 			continue
 		}
-		t.rows[name] = platform.Row{Key: w.Key, Value: w.Value, Version: t.rows[name].Version + 1}
+		t.rows[name] = store.Row{Key: w.Key, Value: w.Value, Version: t.rows[name].Version + 1}
 	}
 	return nil
 }
--- a/cmd/jasminelock/diff.go
+++ b/cmd/jasminelock/diff.go
@@ -10,8 +10,8 @@
 	"slices"
 
 	"github.com/jasminelock/jasminelock/configstore"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // difference is what a change would do to one record.
@@ -30,11 +30,11 @@
 }
 
 // diff compares records with what is stored.
-func diff(ctx context.Context, t platform.TableService, records []record.Envelope) ([]difference, error) {
+func diff(ctx context.Context, t store.TableService, records []record.Envelope) ([]difference, error) {
 	all := make([]difference, 0, len(records))
 	for _, e := range records {
 		stored, err := configstore.Get(ctx, t, e.Ref())
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			return nil, err
 		}
 		exists := err == nil && !stored.Deleted
--- a/cmd/jasminelock/key.go
+++ b/cmd/jasminelock/key.go
@@ -9,8 +9,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/jasminelock/jasminelock/configstore"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // withdrawTries bounds how often a withdrawal is made again because the key's
@@ -116,7 +116,7 @@
 
 // withdraw changes nothing of the key's record but that it is withdrawn. A key
 // that is withdrawn already is withdrawn again, which does no harm.
-func (o *options) withdraw(cmd *cobra.Command, t platform.TableService, ref record.Ref) (applied, error) {
+func (o *options) withdraw(cmd *cobra.Command, t store.TableService, ref record.Ref) (applied, error) {
 	e, err := configstore.Get(cmd.Context(), t, ref)
 	if err != nil || e.Deleted {
 		return applied{}, fmt.Errorf("record %s: %w", ref, notFound(err))
@@ -132,7 +132,7 @@
 
 // notFound returns the error of a record that is not there or was removed.
 func notFound(err error) error {
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, store.ErrNotFound) {
 		return invalid("there is no such record")
 	}
 	return err
--- a/cmd/jasminelock/main.go
+++ b/cmd/jasminelock/main.go
@@ -13,8 +13,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/jasminelock/jasminelock/configstore"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Exit codes.
@@ -71,7 +71,7 @@
 		return exitConflict
 	case errors.As(err, &references), errors.As(err, &invalid), errors.As(err, &problems), errors.As(err, &reused):
 		return exitInvalid
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return exitUnavailable
 	}
 	return exitFailed
--- a/cmd/jasminelock/main_test.go
+++ b/cmd/jasminelock/main_test.go
@@ -14,11 +14,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/daemon"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/standin"
 	platformstandin "github.com/jasminelock/jasminelock/standin/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 const baseRecords = `[
@@ -162,7 +162,7 @@
 	require.True(t, strings.HasPrefix(key.Secret, record.SecretPrefix))
 	require.Equal(t, exitConflict, o.run("key", "create", "--organisation", "north", "--name", "k").code, "no key is replaced")
 
-	client := platform.NewClient(o.server.URL, platform.DefaultTimeout)
+	client := store.NewClient(o.server.URL, store.DefaultTimeout)
 	for _, table := range []string{"records", "changes", "operations", "head"} {
 		rows, err := client.List(t.Context(), table, "", "", 1000)
 		require.NoError(t, err)
--- a/cmd/jasminelock/options.go
+++ b/cmd/jasminelock/options.go
@@ -10,8 +10,8 @@
 	"github.com/google/uuid"
 
 	"github.com/jasminelock/jasminelock/configstore"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Output formats.
@@ -28,11 +28,11 @@
 }
 
 // tables returns the table service.
-func (o *options) tables() (platform.TableService, error) {
+func (o *options) tables() (store.TableService, error) {
 	if o.platform == "" {
 		return nil, invalid("want the platform's address: --platform http://ip:port, or JASMINELOCK_PLATFORM")
 	}
-	return platform.NewClient(o.platform, platform.DefaultTimeout), nil
+	return store.NewClient(o.platform, store.DefaultTimeout), nil
 }
 
 // change returns a change of records. A fresh operation id is made where none
--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -15,8 +15,8 @@
 	"errors"
 	"fmt"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // The tables and the one key of the head's table.
@@ -61,10 +61,10 @@
 	Digest   string `json:"digest"`
 }
 
-func readHead(ctx context.Context, t platform.TableService) (head, int64, error) {
+func readHead(ctx context.Context, t store.TableService) (head, int64, error) {
 	var h head
 	row, err := t.Get(ctx, tableHead, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return h, 0, nil
 	}
 	if err != nil {
@@ -77,7 +77,7 @@
 }
 
 // ReadHead returns the newest revision, 0 where nothing was ever written.
-func ReadHead(ctx context.Context, t platform.TableService) (int64, error) {
+func ReadHead(ctx context.Context, t store.TableService) (int64, error) {
 	h, _, err := readHead(ctx, t)
 	return h.Revision, err
 }
@@ -90,7 +90,7 @@
 }
 
 // ReadChanges returns up to limit changes after the given revision, oldest first.
-func ReadChanges(ctx context.Context, t platform.TableService, after int64, limit int) ([]Change, error) {
+func ReadChanges(ctx context.Context, t store.TableService, after int64, limit int) ([]Change, error) {
 	rows, err := t.List(ctx, tableChanges, "", changeKey(after), limit)
 	if err != nil {
 		return nil, err
@@ -107,7 +107,7 @@
 }
 
 // History returns the newest changes, up to limit, oldest first.
-func History(ctx context.Context, t platform.TableService, limit int) ([]Change, error) {
+func History(ctx context.Context, t store.TableService, limit int) ([]Change, error) {
 	h, _, err := readHead(ctx, t)
 	if err != nil {
 		return nil, err
@@ -115,8 +115,8 @@
 	return ReadChanges(ctx, t, max(h.Revision-int64(limit), 0), limit)
 }
 
-// Get returns one record, or platform.ErrNotFound.
-func Get(ctx context.Context, t platform.TableService, ref record.Ref) (record.Envelope, error) {
+// Get returns one record, or store.ErrNotFound.
+func Get(ctx context.Context, t store.TableService, ref record.Ref) (record.Envelope, error) {
 	row, err := t.Get(ctx, tableRecords, ref.String())
 	if err != nil {
 		return record.Envelope{}, err
@@ -124,7 +124,7 @@
 	return decodeRecord(row)
 }
 
-func decodeRecord(row platform.Row) (record.Envelope, error) {
+func decodeRecord(row store.Row) (record.Envelope, error) {
 	var e record.Envelope
 	if err := json.Unmarshal(row.Value, &e); err != nil {
 		return e, fmt.Errorf("configstore: record %s: %w", row.Key, err)
@@ -134,7 +134,7 @@
 
 // List gives the records of a kind, or of all kinds where it is "", page by
 // page. Removed records are among them.
-func List(ctx context.Context, t platform.TableService, kind record.Kind, page func([]record.Envelope) error) error {
+func List(ctx context.Context, t store.TableService, kind record.Kind, page func([]record.Envelope) error) error {
 	prefix, after := "", ""
 	if kind != "" {
 		prefix = record.Ref{Kind: kind}.String()
--- a/configstore/configstore_test.go
+++ b/configstore/configstore_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // TestMain fixes the seed of the property tests.
@@ -28,16 +28,16 @@
 	return record.Envelope{Schema: 2, Kind: record.KindOrganisation, Name: name, Spec: json.RawMessage(fmt.Sprintf(`{"display_name":%q}`, display))}
 }
 
-func writerOn(t platform.TableService, check Check) *Writer {
+func writerOn(t store.TableService, check Check) *Writer {
 	w := NewWriter(t, check)
 	w.pause = func(context.Context, int) {}
 	return w
 }
 
 // wrap makes the table service that the operator sees of the one that is kept.
-type wrap func(*fakeTables) platform.TableService
+type wrap func(*fakeTables) store.TableService
 
-func whole(f *fakeTables) platform.TableService { return f }
+func whole(f *fakeTables) store.TableService { return f }
 
 // writeProperty sends one change through faults and compares what the operator
 // was told with what was written, now and once all delayed commits have landed.
@@ -125,8 +125,8 @@
 
 func TestThePropertyFindsBrokenMechanisms(t *testing.T) {
 	for name, broken := range map[string]wrap{
-		"no operation ids": func(f *fakeTables) platform.TableService { return withoutOperations{f} },
-		"no head":          func(f *fakeTables) platform.TableService { return withoutHead{f} },
+		"no operation ids": func(f *fakeTables) store.TableService { return withoutOperations{f} },
+		"no head":          func(f *fakeTables) store.TableService { return withoutHead{f} },
 	} {
 		found := false
 		rapid.Check(t, func(draw *rapid.T) { found = writeProperty(draw, broken) != nil || found })
@@ -252,7 +252,7 @@
 	during func()
 }
 
-func (c *changingTables) List(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+func (c *changingTables) List(ctx context.Context, table, prefix, after string, limit int) ([]store.Row, error) {
 	rows, err := c.fakeTables.List(ctx, table, prefix, after, limit)
 	if c.during != nil && table == tableRecords {
 		during := c.during
@@ -290,5 +290,5 @@
 	}))
 	require.Equal(t, 5, count)
 	_, err = Get(t.Context(), f, record.Ref{Kind: record.KindOrganisation, Name: "zzz"})
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, store.ErrNotFound)
 }
--- a/configstore/fake_test.go
+++ b/configstore/fake_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // fault is what happens to one call of the table service.
@@ -30,7 +30,7 @@
 // fakeTables is a table service with planned faults. It is used by one
 // goroutine.
 type fakeTables struct {
-	rows map[string]map[string]platform.Row
+	rows map[string]map[string]store.Row
 	// plan holds the faults of the next calls.
 	plan []fault
 	// interfere commits another operator's change.
@@ -41,12 +41,12 @@
 }
 
 type lateCommit struct {
-	txn platform.Txn
+	txn store.Txn
 	at  int
 }
 
 func newFakeTables() *fakeTables {
-	return &fakeTables{rows: map[string]map[string]platform.Row{}}
+	return &fakeTables{rows: map[string]map[string]store.Row{}}
 }
 
 // next returns the fault of this call, after carrying out what is due.
@@ -74,60 +74,60 @@
 	}
 }
 
-func (f *fakeTables) Get(_ context.Context, table, key string) (platform.Row, error) {
+func (f *fakeTables) Get(_ context.Context, table, key string) (store.Row, error) {
 	f.reads++
 	if now := f.next(); now == down || now == answerLost {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	row, ok := f.rows[table][key]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, store.ErrNotFound
 	}
 	return row, nil
 }
 
-func (f *fakeTables) List(_ context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+func (f *fakeTables) List(_ context.Context, table, prefix, after string, limit int) ([]store.Row, error) {
 	f.reads++
 	if now := f.next(); now == down || now == answerLost {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
-	var rows []platform.Row
+	var rows []store.Row
 	for key, row := range f.rows[table] {
 		if key > after && strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b store.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], nil
 }
 
-func (f *fakeTables) Commit(_ context.Context, txn platform.Txn) error {
+func (f *fakeTables) Commit(_ context.Context, txn store.Txn) error {
 	switch f.next() {
 	case down:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case answerLost:
 		_ = f.commit(txn)
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case delayed:
 		f.late = append(f.late, lateCommit{txn, f.calls + delayCalls})
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case conflicting:
 		f.interfere(f)
 	}
 	return f.commit(txn)
 }
 
-func (f *fakeTables) commit(txn platform.Txn) error {
+func (f *fakeTables) commit(txn store.Txn) error {
 	for _, c := range txn.Conditions {
 		if f.rows[c.Table][c.Key].Version != c.Version {
-			return platform.ErrConflict
+			return store.ErrConflict
 		}
 	}
 	for _, w := range txn.Writes {
 		if f.rows[w.Table] == nil {
-			f.rows[w.Table] = map[string]platform.Row{}
+			f.rows[w.Table] = map[string]store.Row{}
 		}
-		f.rows[w.Table][w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.rows[w.Table][w.Key].Version + 1}
+		f.rows[w.Table][w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: f.rows[w.Table][w.Key].Version + 1}
 	}
 	return nil
 }
@@ -135,23 +135,23 @@
 // withoutOperations is a broken mechanism: operation ids are not kept.
 type withoutOperations struct{ *fakeTables }
 
-func (w withoutOperations) Get(ctx context.Context, table, key string) (platform.Row, error) {
+func (w withoutOperations) Get(ctx context.Context, table, key string) (store.Row, error) {
 	row, err := w.fakeTables.Get(ctx, table, key)
 	if table == tableOperations && err == nil {
-		return platform.Row{}, platform.ErrNotFound
+		return store.Row{}, store.ErrNotFound
 	}
 	return row, err
 }
 
-func (w withoutOperations) Commit(ctx context.Context, txn platform.Txn) error {
-	txn.Conditions = slices.DeleteFunc(txn.Conditions, func(c platform.Condition) bool { return c.Table == tableOperations })
+func (w withoutOperations) Commit(ctx context.Context, txn store.Txn) error {
+	txn.Conditions = slices.DeleteFunc(txn.Conditions, func(c store.Condition) bool { return c.Table == tableOperations })
 	return w.fakeTables.Commit(ctx, txn)
 }
 
 // withoutHead is a broken mechanism: changes are not conditional on the head.
 type withoutHead struct{ *fakeTables }
 
-func (w withoutHead) Commit(ctx context.Context, txn platform.Txn) error {
-	txn.Conditions = slices.DeleteFunc(txn.Conditions, func(c platform.Condition) bool { return c.Table == tableHead })
+func (w withoutHead) Commit(ctx context.Context, txn store.Txn) error {
+	txn.Conditions = slices.DeleteFunc(txn.Conditions, func(c store.Condition) bool { return c.Table == tableHead })
 	return w.fakeTables.Commit(ctx, txn)
 }
--- a/configstore/reader.go
+++ b/configstore/reader.go
@@ -4,8 +4,8 @@
 	"context"
 	"fmt"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // maxCatchUp is how many changes a reader applies one after another. One that
@@ -15,12 +15,12 @@
 
 // Reader follows the configuration.
 type Reader struct {
-	tables platform.TableService
+	tables store.TableService
 	config *record.Config
 }
 
 // NewReader returns a reader that has seen nothing.
-func NewReader(t platform.TableService) *Reader {
+func NewReader(t store.TableService) *Reader {
 	return &Reader{tables: t, config: record.NewConfig()}
 }
 
@@ -46,7 +46,7 @@
 
 // catchUp brings a configuration up to the head.
 type catchUp struct {
-	tables   platform.TableService
+	tables   store.TableService
 	config   *record.Config
 	newest   int64
 	problems []error
--- a/configstore/references.go
+++ b/configstore/references.go
@@ -5,14 +5,14 @@
 	"errors"
 	"fmt"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // CheckReferences returns a check that the configuration with the changed
 // records has no missing reference that it does not have without them. It
 // reads the whole configuration once, and what has changed at each later try.
-func CheckReferences(t platform.TableService, records []record.Envelope) Check {
+func CheckReferences(t store.TableService, records []record.Envelope) Check {
 	reader := NewReader(t)
 	return func(ctx context.Context, revision int64) error {
 		if _, _, err := reader.Poll(ctx); err != nil {
@@ -20,7 +20,7 @@
 		}
 		current := reader.config
 		if current.Revision != revision {
-			return fmt.Errorf("%w: the head moved during the check", platform.ErrConflict)
+			return fmt.Errorf("%w: the head moved during the check", store.ErrConflict)
 		}
 		next, problems := current.Apply(revision+1, records)
 		if len(problems) == 0 {
@@ -50,7 +50,7 @@
 
 // Verify reports what would keep the records from being written now. It writes
 // nothing.
-func Verify(ctx context.Context, t platform.TableService, records []record.Envelope) error {
+func Verify(ctx context.Context, t store.TableService, records []record.Envelope) error {
 	h, _, err := readHead(ctx, t)
 	if err != nil {
 		return err
@@ -63,11 +63,11 @@
 
 // CheckNew returns a check that there is no record of that name, a removed one
 // apart.
-func CheckNew(t platform.TableService, ref record.Ref) Check {
+func CheckNew(t store.TableService, ref record.Ref) Check {
 	return func(ctx context.Context, _ int64) error {
 		e, err := Get(ctx, t, ref)
 		switch {
-		case errors.Is(err, platform.ErrNotFound), err == nil && e.Deleted:
+		case errors.Is(err, store.ErrNotFound), err == nil && e.Deleted:
 			return nil
 		case err != nil:
 			return err
--- a/configstore/write.go
+++ b/configstore/write.go
@@ -9,8 +9,8 @@
 	"fmt"
 	"time"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Bounds of one write.
@@ -31,18 +31,18 @@
 // with it: whatever answers are lost, no change is made twice, and a change
 // that is sent again with the same id is recognised.
 type Writer struct {
-	tables platform.TableService
+	tables store.TableService
 	check  Check
 	pause  func(ctx context.Context, unanswered int)
 }
 
 // NewWriter returns a writer. The check may be nil.
-func NewWriter(t platform.TableService, check Check) *Writer {
+func NewWriter(t store.TableService, check Check) *Writer {
 	return &Writer{tables: t, check: check, pause: pause}
 }
 
 // Write makes a change without a check. See Writer.Write.
-func Write(ctx context.Context, t platform.TableService, c Change) (int64, error) {
+func Write(ctx context.Context, t store.TableService, c Change) (int64, error) {
 	return NewWriter(t, nil).Write(ctx, c)
 }
 
@@ -80,7 +80,7 @@
 		switch {
 		case err == nil:
 			return revision, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, store.ErrConflict):
 			continue // another change came first, or this one is there already
 		case isUnavailable(err):
 			unanswered++
@@ -136,7 +136,7 @@
 		return 0, err
 	}
 	err = t.Commit(ctx, txn)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, store.ErrConflict) {
 		a.unknown = err
 	}
 	return a.change.Revision, err
@@ -145,7 +145,7 @@
 // recorded looks the change up by its operation id.
 func (a *attempt) recorded(ctx context.Context) (revision int64, found bool, err error) {
 	row, err := a.writer.tables.Get(ctx, tableOperations, a.change.Operation)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
@@ -163,10 +163,10 @@
 
 // transaction returns the change as one transaction, conditional on the head
 // and on the operation not being recorded.
-func (a *attempt) transaction(headVersion int64) (platform.Txn, error) {
+func (a *attempt) transaction(headVersion int64) (store.Txn, error) {
 	c := a.change
 	c.Records = append([]record.Envelope{}, c.Records...)
-	var txn platform.Txn
+	var txn store.Txn
 	for i := range c.Records {
 		c.Records[i].Revision = c.Revision
 		if err := addWrite(&txn, tableRecords, c.Records[i].Ref().String(), c.Records[i]); err != nil {
@@ -182,31 +182,31 @@
 	if err := addWrite(&txn, tableHead, headKey, head{c.Revision, c.Operation}); err != nil {
 		return txn, err
 	}
-	txn.Conditions = []platform.Condition{
+	txn.Conditions = []store.Condition{
 		{Table: tableHead, Key: headKey, Version: headVersion},
 		{Table: tableOperations, Key: c.Operation, Version: 0},
 	}
 	return txn, nil
 }
 
-func addWrite(txn *platform.Txn, table, key string, value any) error {
+func addWrite(txn *store.Txn, table, key string, value any) error {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return err
 	}
-	txn.Writes = append(txn.Writes, platform.Write{Table: table, Key: key, Value: raw})
+	txn.Writes = append(txn.Writes, store.Write{Table: table, Key: key, Value: raw})
 	return nil
 }
 
 // checkRevisions compares the revisions that the operator saw with the current
 // ones.
-func checkRevisions(ctx context.Context, t platform.TableService, records []record.Envelope) error {
+func checkRevisions(ctx context.Context, t store.TableService, records []record.Envelope) error {
 	for _, e := range records {
 		if e.Revision == 0 {
 			continue
 		}
 		current, err := Get(ctx, t, e.Ref())
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, store.ErrNotFound) {
 			current, err = record.Envelope{}, nil
 		}
 		if err != nil {
@@ -231,7 +231,7 @@
 }
 
 func isUnavailable(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded)
+	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded)
 }
 
 // pause waits before the next try after a lost answer.
--- a/core/events.go
+++ b/core/events.go
@@ -5,10 +5,10 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/limit"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/request"
 	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/upstream"
 	"github.com/jasminelock/jasminelock/wire"
 )
@@ -40,7 +40,7 @@
 type ConfigSeen struct{ Config *record.Config }
 
 // HostsSeen brings the platform's host list, which lags.
-type HostsSeen struct{ Hosts []platform.Host }
+type HostsSeen struct{ Hosts []store.Host }
 
 // RosterSeen brings the names of the hosts on the roster, this one included,
 // in their order. From the first one on, the host list no longer counts.
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -58,7 +58,7 @@
 	c.onScheduled(now, c.scheduler.Configure(now, config), out)
 }
 
-func (c *Core) onHosts(now time.Time, hosts []platform.Host, out *decisions) {
+func (c *Core) onHosts(now time.Time, hosts []store.Host, out *decisions) {
 	c.board.Hosts.Publish(hosts)
 	if c.rosterSeen {
 		return
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -12,11 +12,11 @@
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/blackboard"
 	"github.com/jasminelock/jasminelock/limit"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/quarantine"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/request"
 	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
@@ -75,9 +75,9 @@
 	if len(problems) > 0 {
 		panic(problems[0])
 	}
-	var list []platform.Host
+	var list []store.Host
 	for i := range hosts {
-		list = append(list, platform.Host{Name: fmt.Sprintf("h%d", i)})
+		list = append(list, store.Host{Name: fmt.Sprintf("h%d", i)})
 	}
 	for i := range hosts {
 		f.hosts = append(f.hosts, New(Options{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,8 +20,8 @@
 	"github.com/jasminelock/jasminelock/gateway"
 	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/peer"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/settings"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
@@ -36,7 +36,7 @@
 	runtime  *Runtime
 	metrics  *daemonMetrics
 	work     *workQueues
-	platform *platform.Client
+	platform *store.Client
 	upstream *upstream.Client
 	outcomes *outcome.Store
 
@@ -67,7 +67,7 @@
 		log:      log.With("host", s.Host, "zone", s.Zone),
 		board:    blackboard.New(),
 		work:     newWorkQueues(),
-		platform: platform.NewClient(s.Platform.URL, time.Duration(s.Platform.Timeout)),
+		platform: store.NewClient(s.Platform.URL, time.Duration(s.Platform.Timeout)),
 		upstream: upstream.NewClient(),
 		draining: make(chan struct{}),
 
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -8,8 +8,8 @@
 
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/fleet"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/spread"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -102,7 +102,7 @@
 }
 
 // hostList takes the platform's host list, asked for at sentAt.
-func (f *fleetController) hostList(sentAt time.Time, hosts []platform.Host) {
+func (f *fleetController) hostList(sentAt time.Time, hosts []store.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.node.HostList(sentAt, hosts)
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -17,12 +17,12 @@
 	"github.com/jasminelock/jasminelock/configstore"
 	"github.com/jasminelock/jasminelock/daemon"
 	"github.com/jasminelock/jasminelock/locate"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/standin"
 	standplatform "github.com/jasminelock/jasminelock/standin/platform"
 	"github.com/jasminelock/jasminelock/standin/service"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // deployment is a table service and a few hosts on loopback.
@@ -60,7 +60,7 @@
 
 func (d *deployment) apply(kind, name, spec string) {
 	d.t.Helper()
-	client := platform.NewClient(d.url, time.Second)
+	client := store.NewClient(d.url, time.Second)
 	_, err := configstore.Write(d.t.Context(), client, configstore.Change{
 		Operation: uuid.NewString(),
 		Records:   []record.Envelope{{Schema: record.SchemaV2, Kind: record.Kind(kind), Name: name, Spec: json.RawMessage(spec)}},
--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/core"
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Intervals of the host list.
@@ -32,7 +32,7 @@
 }
 
 func (d *Daemon) announce(ctx context.Context) error {
-	h := platform.Host{
+	h := store.Host{
 		Name: d.settings.Host, Zone: d.settings.Zone, CallerURL: d.CallerURL(), PeerURL: d.PeerURL(), Leaving: !d.ready(),
 	}
 	d.announceMu.Lock()
--- a/daemon/leases.go
+++ b/daemon/leases.go
@@ -10,8 +10,8 @@
 	"github.com/google/uuid"
 
 	"github.com/jasminelock/jasminelock/core"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // leaseTable is the table of leases. A row's key is the lease's resource.
@@ -33,7 +33,7 @@
 
 // leaseKeeper carries out claims of leases through the table service.
 type leaseKeeper struct {
-	table   platform.TableService
+	table   store.TableService
 	host    string
 	process string
 	now     func() time.Time
@@ -53,7 +53,7 @@
 // clocks that run at other speeds.
 const takeoverMargin = 500 * time.Millisecond
 
-func newLeaseKeeper(table platform.TableService, host string, now func() time.Time) *leaseKeeper {
+func newLeaseKeeper(table store.TableService, host string, now func() time.Time) *leaseKeeper {
 	return &leaseKeeper{table: table, host: host, process: uuid.NewString(), now: now, seen: map[string]seenLease{}}
 }
 
@@ -104,7 +104,7 @@
 func (k *leaseKeeper) read(ctx context.Context, resource string) (leaseRow, int64, error) {
 	var row leaseRow
 	stored, err := k.table.Get(ctx, leaseTable, resource)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return row, 0, nil
 	}
 	if err != nil {
@@ -118,9 +118,9 @@
 	if err != nil {
 		return err
 	}
-	return k.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Table: leaseTable, Key: resource, Version: version}},
-		Writes:     []platform.Write{{Table: leaseTable, Key: resource, Value: value}},
+	return k.table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Table: leaseTable, Key: resource, Version: version}},
+		Writes:     []store.Write{{Table: leaseTable, Key: resource, Value: value}},
 	})
 }
 
--- a/daemon/leases_test.go
+++ b/daemon/leases_test.go
@@ -7,43 +7,43 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // memoryTable is a table service in memory that can lose answers.
 type memoryTable struct {
-	rows map[string]platform.Row
+	rows map[string]store.Row
 	// down fails every call; lost fails commits after they have taken effect.
 	down, lost bool
 }
 
-func (t *memoryTable) Get(_ context.Context, _, key string) (platform.Row, error) {
+func (t *memoryTable) Get(_ context.Context, _, key string) (store.Row, error) {
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, store.ErrNotFound
 	}
 	return row, nil
 }
 
-func (t *memoryTable) List(context.Context, string, string, string, int) ([]platform.Row, error) {
+func (t *memoryTable) List(context.Context, string, string, string, int) ([]store.Row, error) {
 	return nil, nil
 }
 
-func (t *memoryTable) Commit(_ context.Context, txn platform.Txn) error {
+func (t *memoryTable) Commit(_ context.Context, txn store.Txn) error {
 	c, w := txn.Conditions[0], txn.Writes[0]
 	switch {
 	case t.down:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case t.rows[c.Key].Version != c.Version:
-		return platform.ErrConflict
+		return store.ErrConflict
 	}
-	t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: c.Version + 1}
+	t.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: c.Version + 1}
 	if t.lost {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
@@ -99,7 +99,7 @@
 	}
 	for name, steps := range cases {
 		t.Run(name, func(t *testing.T) {
-			table := &memoryTable{rows: map[string]platform.Row{}}
+			table := &memoryTable{rows: map[string]store.Row{}}
 			now := time.Unix(0, 0)
 			clock := func() time.Time { return now }
 			keepers := map[string]*leaseKeeper{
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -6,19 +6,19 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/peer"
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Status is what a host says of itself to operators.
 type Status struct {
-	Host     string          `json:"host"`
-	Zone     string          `json:"zone"`
-	Revision int64           `json:"revision"`
-	Ready    bool            `json:"ready"`
-	Draining bool            `json:"draining"`
-	InFlight int             `json:"in_flight"`
-	Adapters int             `json:"adapters"`
-	Hosts    []platform.Host `json:"hosts"`
+	Host     string       `json:"host"`
+	Zone     string       `json:"zone"`
+	Revision int64        `json:"revision"`
+	Ready    bool         `json:"ready"`
+	Draining bool         `json:"draining"`
+	InFlight int          `json:"in_flight"`
+	Adapters int          `json:"adapters"`
+	Hosts    []store.Host `json:"hosts"`
 	// Roster is the hosts that have not left, as this one knows them.
 	Roster []RosterEntry `json:"roster"`
 	// ConfirmedForSeconds is for how long the configuration may still be taken to
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -16,13 +16,13 @@
 
 	"github.com/jasminelock/jasminelock/configstore"
 	"github.com/jasminelock/jasminelock/daemon"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/standin"
 	"github.com/jasminelock/jasminelock/standin/engine"
 	platformstandin "github.com/jasminelock/jasminelock/standin/platform"
 	"github.com/jasminelock/jasminelock/standin/service"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Sizes of the deployment.
@@ -69,7 +69,7 @@
 	servers  []*standin.Server
 	upstream []upstreamServer
 	hosts    []*host
-	store    *platform.Client
+	store    *store.Client
 	// configInterval is how often each host reads the configuration's head.
 	configInterval time.Duration
 	cancel         context.CancelFunc
@@ -118,7 +118,7 @@
 		return err
 	}
 	c.platform = server
-	c.store = platform.NewClient(server.URL, platform.DefaultTimeout)
+	c.store = store.NewClient(server.URL, store.DefaultTimeout)
 	return nil
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/membership"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/spread"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -82,7 +82,7 @@
 func (n *Node) SetLoad(requests int) { n.roster.SetLoad(requests) }
 
 // HostList takes the platform's host list, asked for at sentAt.
-func (n *Node) HostList(sentAt time.Time, hosts []platform.Host) {
+func (n *Node) HostList(sentAt time.Time, hosts []store.Host) {
 	n.roster.HostList(hosts)
 	zones := make([]string, 0, len(hosts))
 	for _, h := range hosts {
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/spread"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -69,7 +69,7 @@
 
 type listing struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []store.Host
 }
 
 // simHost is one host of the world.
@@ -267,7 +267,7 @@
 		}
 		answer := spread.StoreAnswer{ID: r.ID, Head: int64(len(w.changes))}
 		if w.storeDown || h.noStore {
-			answer.Err = platform.ErrUnavailable
+			answer.Err = store.ErrUnavailable
 		} else {
 			answer.Changes = slices.Clone(w.changes[min(r.After, answer.Head):])
 		}
@@ -293,14 +293,14 @@
 	l := listing{at: w.now}
 	for _, h := range w.hosts {
 		if h.up {
-			l.hosts = append(l.hosts, platform.Host{Name: h.name, Zone: h.zone, PeerURL: "http://10.0.0.1:8102"})
+			l.hosts = append(l.hosts, store.Host{Name: h.name, Zone: h.zone, PeerURL: "http://10.0.0.1:8102"})
 		}
 	}
 	w.listings = append(w.listings, l)
 	w.after(time.Second, w.list)
 }
 
-func (w *world) listed() []platform.Host {
+func (w *world) listed() []store.Host {
 	seen := w.listings[0].hosts
 	for _, l := range w.listings {
 		if w.now.Sub(l.at) >= w.listLag {
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -12,10 +12,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/apierr"
-	api "github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/standin"
 	"github.com/jasminelock/jasminelock/standin/platform"
 	"github.com/jasminelock/jasminelock/standin/service"
+	api "github.com/jasminelock/jasminelock/store"
 )
 
 // callClass is a class of calls of a plain service.
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -19,13 +19,13 @@
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/configstore"
 	"github.com/jasminelock/jasminelock/daemon"
-	api "github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/standin"
 	"github.com/jasminelock/jasminelock/standin/engine"
 	"github.com/jasminelock/jasminelock/standin/platform"
 	"github.com/jasminelock/jasminelock/standin/service"
+	api "github.com/jasminelock/jasminelock/store"
 )
 
 const (
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -57,7 +57,7 @@
 // Commit writes a transaction. StoreEnded brings the answer.
 type Commit struct {
 	ID  StoreCallID
-	Txn platform.Txn
+	Txn store.Txn
 }
 
 // Resolved brings the verdict of a reservation that had to wait.
@@ -72,11 +72,11 @@
 func (Resolved) isDecision() {}
 
 // StoreEnd is the answer to a Read or a Commit. Err is one of the platform's
-// errors; after any other than platform.ErrConflict a commit may have taken
+// errors; after any other than store.ErrConflict a commit may have taken
 // effect.
 type StoreEnd struct {
 	ID  StoreCallID
-	Row platform.Row
+	Row store.Row
 	Err error
 }
 
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -41,7 +41,7 @@
 	make     newLimiter
 
 	hosts []*simHost
-	rows  map[string]platform.Row
+	rows  map[string]store.Row
 	down  bool // the table service and the host list
 	cut   map[[2]int]bool
 	rates map[string]*record.Rate
@@ -97,7 +97,7 @@
 func newSim(seed uint64, hosts int, f faults, rates map[string]*record.Rate, limiter newLimiter) *sim {
 	s := &sim{
 		now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(seed, 7)), faults: f, make: limiter,
-		rows: map[string]platform.Row{}, cut: map[[2]int]bool{}, rates: rates, check: newChecker(),
+		rows: map[string]store.Row{}, cut: map[[2]int]bool{}, rates: rates, check: newChecker(),
 	}
 	if s.faults.linkTime == 0 {
 		s.faults.linkTime = simLinkTime
@@ -292,7 +292,7 @@
 	run := h.run
 	delay := s.faults.storeTime
 	if lost {
-		e.Err, delay = platform.ErrUnavailable, 2*time.Second
+		e.Err, delay = store.ErrUnavailable, 2*time.Second
 	}
 	s.after(delay, func() {
 		if h.run == run {
@@ -307,7 +307,7 @@
 		row, ok := s.rows[d.Key]
 		e := StoreEnd{ID: d.ID, Row: row}
 		if !ok {
-			e.Err = platform.ErrNotFound
+			e.Err = store.ErrNotFound
 		}
 		s.answer(h, e, s.down || h.cutOff)
 	})
@@ -322,13 +322,13 @@
 		}
 		for _, c := range d.Txn.Conditions {
 			if s.rows[c.Key].Version != c.Version {
-				e.Err = platform.ErrConflict
+				e.Err = store.ErrConflict
 			}
 		}
 		if e.Err == nil {
 			s.writes++
 			for _, w := range d.Txn.Writes {
-				s.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: s.rows[w.Key].Version + 1}
+				s.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: s.rows[w.Key].Version + 1}
 			}
 		}
 		s.answer(h, e, s.rand.Float64() < s.faults.lostAnswer)
--- a/limit/store.go
+++ b/limit/store.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -122,7 +122,7 @@
 // latest when the question was sent.
 func (l *Lead) onHead(c storeCall, e StoreEnd) {
 	latest := e.Row.Version
-	if errors.Is(e.Err, platform.ErrNotFound) {
+	if errors.Is(e.Err, store.ErrNotFound) {
 		latest = 0
 	} else if e.Err != nil {
 		return
@@ -300,9 +300,9 @@
 	if err != nil {
 		return
 	}
-	l.out = append(l.out, Commit{ID: l.call(storeCall{kind: writeView, view: *v}), Txn: platform.Txn{
-		Conditions: []platform.Condition{{Table: table, Key: headKey, Version: v.Epoch - 1}},
-		Writes:     []platform.Write{{Table: table, Key: headKey, Value: []byte(l.self.Host)}, {Table: table, Key: viewKey, Value: raw}},
+	l.out = append(l.out, Commit{ID: l.call(storeCall{kind: writeView, view: *v}), Txn: store.Txn{
+		Conditions: []store.Condition{{Table: table, Key: headKey, Version: v.Epoch - 1}},
+		Writes:     []store.Write{{Table: table, Key: headKey, Value: []byte(l.self.Host)}, {Table: table, Key: viewKey, Value: raw}},
 	}})
 }
 
@@ -337,9 +337,9 @@
 // create asks whether an organisation's first burst is still to be given out.
 func (l *Lead) create(org string) {
 	key := createdPrefix + org
-	l.out = append(l.out, Commit{ID: l.call(storeCall{kind: createOrg, org: org}), Txn: platform.Txn{
-		Conditions: []platform.Condition{{Table: table, Key: key, Version: 0}},
-		Writes:     []platform.Write{{Table: table, Key: key, Value: []byte(l.self.Host)}},
+	l.out = append(l.out, Commit{ID: l.call(storeCall{kind: createOrg, org: org}), Txn: store.Txn{
+		Conditions: []store.Condition{{Table: table, Key: key, Version: 0}},
+		Writes:     []store.Write{{Table: table, Key: key, Value: []byte(l.self.Host)}},
 	}})
 }
 
--- a/locate/locate.go
+++ b/locate/locate.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jasminelock/jasminelock/membership"
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -56,7 +56,7 @@
 
 // FromHostList returns the hosts of the platform's list that are not leaving.
 // It serves hosts without links to others.
-func FromHostList(listed []platform.Host) []Host {
+func FromHostList(listed []store.Host) []Host {
 	hosts := make([]Host, 0, len(listed))
 	for _, h := range listed {
 		if !h.Leaving {
--- a/locate/locate_test.go
+++ b/locate/locate_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/membership"
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -41,7 +41,7 @@
 	choices := Decide(FromRoster(members), Query{})
 	require.Len(t, choices, 1)
 	require.Equal(t, "live", choices[0].Host)
-	require.Empty(t, FromHostList([]platform.Host{{Name: "leaving", Leaving: true}}))
+	require.Empty(t, FromHostList([]store.Host{{Name: "leaving", Leaving: true}}))
 }
 
 func TestAnswerIsSmallNearAndOutlivesAZone(t *testing.T) {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -17,7 +17,7 @@
 	"strings"
 	"time"
 
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -127,7 +127,7 @@
 	entries  map[string]*entry
 	contacts map[string]*contact
 	// hinted are the hosts of the platform's host list by name.
-	hinted map[string]platform.Host
+	hinted map[string]store.Host
 	// hintSeen says that the host list has been read at least once.
 	hintSeen bool
 	// targets are the hosts that this one sends heartbeats to.
@@ -170,7 +170,7 @@
 		self:      own,
 		entries:   map[string]*entry{self.Name: own},
 		contacts:  map[string]*contact{},
-		hinted:    map[string]platform.Host{},
+		hinted:    map[string]store.Host{},
 		askers:    map[string][]asker{},
 		changed:   map[string]change{},
 		rand:      random,
@@ -269,8 +269,8 @@
 
 // HostList takes the platform's list, which lags. It names hosts to get in
 // touch with, and a host that it no longer names has one witness against it.
-func (m *Machine) HostList(hosts []platform.Host) {
-	m.hinted = make(map[string]platform.Host, len(hosts))
+func (m *Machine) HostList(hosts []store.Host) {
+	m.hinted = make(map[string]store.Host, len(hosts))
 	m.hintSeen = true
 	for _, h := range hosts {
 		if h.Name != m.self.Name {
--- a/outcome/fake_test.go
+++ b/outcome/fake_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // fault is what happens to one call of the platform.
@@ -26,7 +26,7 @@
 // memory is the platform's table service and object store in memory.
 type memory struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	objects map[string][]byte
 	commits int
 	reads   int
@@ -35,7 +35,7 @@
 }
 
 func newMemory() *memory {
-	return &memory{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &memory{rows: map[string]store.Row{}, objects: map[string][]byte{}}
 }
 
 func (m *memory) setFault(f func(write bool) fault) {
@@ -58,28 +58,28 @@
 func (m *memory) run(write func() error) error {
 	switch m.meet(true) {
 	case down:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case lost:
 		_ = write()
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case late:
 		go func() {
 			time.Sleep(lateBy)
 			_ = write()
 		}()
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return write()
 }
 
-func (m *memory) Commit(_ context.Context, txn platform.Txn) error {
+func (m *memory) Commit(_ context.Context, txn store.Txn) error {
 	return m.run(func() error {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.commits++
 		for _, c := range txn.Conditions {
 			if m.rows[c.Key].Version != c.Version {
-				return platform.ErrConflict
+				return store.ErrConflict
 			}
 		}
 		for _, w := range txn.Writes {
@@ -87,30 +87,30 @@
 				delete(m.rows, w.Key)
 				continue
 			}
-			m.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: m.rows[w.Key].Version + 1}
+			m.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: m.rows[w.Key].Version + 1}
 		}
 		return nil
 	})
 }
 
-func (m *memory) Get(_ context.Context, _, key string) (platform.Row, error) {
+func (m *memory) Get(_ context.Context, _, key string) (store.Row, error) {
 	if m.meet(false) != noFault {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reads++
 	row, ok := m.rows[key]
 	if !ok {
-		return row, platform.ErrNotFound
+		return row, store.ErrNotFound
 	}
 	return row, nil
 }
 
-func (m *memory) List(_ context.Context, _, prefix, after string, limit int) ([]platform.Row, error) {
+func (m *memory) List(_ context.Context, _, prefix, after string, limit int) ([]store.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var rows []platform.Row
+	var rows []store.Row
 	for _, key := range slices.Sorted(maps.Keys(m.rows)) {
 		if key > after && strings.HasPrefix(key, prefix) && len(rows) < limit {
 			rows = append(rows, m.rows[key])
@@ -119,7 +119,7 @@
 	return rows, nil
 }
 
-// objectStore gives memory the methods of platform.ObjectStore.
+// objectStore gives memory the methods of store.ObjectStore.
 type objectStore struct{ *memory }
 
 func (o objectStore) Put(_ context.Context, name string, data []byte, _ bool) error {
@@ -133,13 +133,13 @@
 
 func (o objectStore) Get(_ context.Context, name string) ([]byte, error) {
 	if o.meet(false) != noFault {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	data, ok := o.objects[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, store.ErrNotFound
 	}
 	return data, nil
 }
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -20,7 +20,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/jasminelock/jasminelock/apierr"
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Bounds of a claim's life.
@@ -71,8 +71,8 @@
 
 // Store keeps outcomes in the platform's services.
 type Store struct {
-	tables  platform.TableService
-	objects platform.ObjectStore
+	tables  store.TableService
+	objects store.ObjectStore
 
 	// group counts the claims whose end is being written.
 	group    sync.WaitGroup
@@ -85,7 +85,7 @@
 }
 
 // New returns a store.
-func New(tables platform.TableService, objects platform.ObjectStore) *Store {
+func New(tables store.TableService, objects store.ObjectStore) *Store {
 	return &Store{
 		tables: tables, objects: objects,
 		settling: make(chan struct{}, MaxSettling), abandoned: map[string]bool{},
@@ -144,12 +144,12 @@
 	if err == nil {
 		return verdictOwned, nil, nil
 	}
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, store.ErrConflict) {
 		return verdictDown, nil, nil
 	}
 	found, version, err := s.read(ctx, c.key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		c.version = 0 // it expired meanwhile
 		return verdictDown, nil, nil
 	case errors.Is(err, errRow):
@@ -179,9 +179,9 @@
 	if err != nil {
 		return err
 	}
-	err = c.store.tables.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Table: table, Key: c.key, Version: c.version}},
-		Writes:     []platform.Write{{Table: table, Key: c.key, Value: raw}},
+	err = c.store.tables.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Table: table, Key: c.key, Version: c.version}},
+		Writes:     []store.Write{{Table: table, Key: c.key, Value: raw}},
 	})
 	if err == nil {
 		c.version++
@@ -205,7 +205,7 @@
 		return verdictReplay, answer, nil
 	}
 	body, err := s.objects.Get(ctx, r.Object)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return verdictRefuse, nil, apierr.New(apierr.OutcomeUnknown, "the stored answer is lost").WithRan(apierr.HasRun)
 	}
 	if err != nil {
--- a/outcome/outcome_test.go
+++ b/outcome/outcome_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/apierr"
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 const callTimeout = time.Minute
@@ -113,7 +113,7 @@
 			begin(t, b)
 		},
 		"of a row that this version cannot read": func(t *testing.T, m *memory, _, b *Store) {
-			m.rows[rowKey("o", "k")] = platform.Row{Value: []byte("?"), Version: 1}
+			m.rows[rowKey("o", "k")] = store.Row{Value: []byte("?"), Version: 1}
 			requireRefused(t, b, "kit", apierr.OutcomeUnknown)
 		},
 	} {
--- a/outcome/settle.go
+++ b/outcome/settle.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
-	"github.com/jasminelock/jasminelock/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // errNotOurs says that the row belongs to another claim.
@@ -100,14 +100,14 @@
 		}
 	}
 	err := c.write(ctx, next)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, store.ErrConflict) {
 		return err
 	}
 	found, version, err := c.store.read(ctx, c.key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		c.version = 0
-		return platform.ErrConflict
+		return store.ErrConflict
 	case err != nil:
 		return err
 	case found.Operation != c.row.Operation:
@@ -116,7 +116,7 @@
 		return nil // an earlier try took effect and its answer was lost
 	}
 	c.version = version
-	return platform.ErrConflict
+	return store.ErrConflict
 }
 
 // sweepPage is how many rows one sweep reads.
@@ -129,7 +129,7 @@
 	if err != nil || len(rows) == 0 {
 		return "", err
 	}
-	var txn platform.Txn
+	var txn store.Txn
 	now := time.Now()
 	for _, raw := range rows {
 		r, err := decodeRow(raw.Value)
@@ -141,8 +141,8 @@
 				continue
 			}
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Table: table, Key: raw.Key, Version: raw.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Table: table, Key: raw.Key, Delete: true})
+		txn.Conditions = append(txn.Conditions, store.Condition{Table: table, Key: raw.Key, Version: raw.Version})
+		txn.Writes = append(txn.Writes, store.Write{Table: table, Key: raw.Key, Delete: true})
 	}
 	if len(txn.Writes) > 0 {
 		err = s.tables.Commit(ctx, txn)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -16,8 +16,8 @@
 	"github.com/google/uuid"
 
 	"github.com/jasminelock/jasminelock/configstore"
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Shape is a deployment's size.
@@ -98,7 +98,7 @@
 	dir       string
 	bin       string
 	platform  *process
-	tables    *platform.Client
+	tables    *store.Client
 	url       string
 	hosts     []*host
 	upstreams []*upstreamProcess
@@ -113,7 +113,7 @@
 	if d.platform, d.url, err = startStandin(dir, d.standin(), "platform", "platform"); err != nil {
 		return d, err
 	}
-	d.tables = platform.NewClient(d.url, platform.DefaultTimeout)
+	d.tables = store.NewClient(d.url, store.DefaultTimeout)
 	if err := d.startUpstreams(); err != nil {
 		return d, err
 	}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	api "github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/standin"
+	api "github.com/jasminelock/jasminelock/store"
 )
 
 // Faults are what a test can ask of the stand-in.
--- a/standin/platform/weights.go
+++ b/standin/platform/weights.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
-	api "github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/standin"
+	api "github.com/jasminelock/jasminelock/store"
 )
 
 // WeightLimits say how fast the weight store gives weights away.
--- a/platform/http_test.go
+++ b/store/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -7,56 +7,56 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/standin"
 	platformstandin "github.com/jasminelock/jasminelock/standin/platform"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // timeout is long, so that only a planned fault ends a call.
 const timeout = time.Minute
 
-func start(t *testing.T) (*platformstandin.Platform, *platform.Client) {
+func start(t *testing.T) (*platformstandin.Platform, *store.Client) {
 	t.Helper()
 	p := platformstandin.New()
 	server, err := standin.Serve("127.0.0.1:0", p)
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
-	return p, platform.NewClient(server.URL+"/", timeout)
+	return p, store.NewClient(server.URL+"/", timeout)
 }
 
-func put(key, value string, version int64) platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{{Table: "t", Key: key, Version: version}},
-		Writes:     []platform.Write{{Table: "t", Key: key, Value: []byte(value)}},
+func put(key, value string, version int64) store.Txn {
+	return store.Txn{
+		Conditions: []store.Condition{{Table: "t", Key: key, Version: version}},
+		Writes:     []store.Write{{Table: "t", Key: key, Value: []byte(value)}},
 	}
 }
 
 func TestTableService(t *testing.T) {
 	_, c := start(t)
 	_, err := c.Get(t.Context(), "t", "a/1")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, store.ErrNotFound)
 	for _, key := range []string{"a/2", "a/1", "b"} {
 		require.NoError(t, c.Commit(t.Context(), put(key, "v", 0)))
 	}
-	require.ErrorIs(t, c.Commit(t.Context(), put("b", "w", 0)), platform.ErrConflict)
+	require.ErrorIs(t, c.Commit(t.Context(), put("b", "w", 0)), store.ErrConflict)
 	require.NoError(t, c.Commit(t.Context(), put("b", "w", 1)))
 	row, err := c.Get(t.Context(), "t", "b")
 	require.NoError(t, err)
-	require.Equal(t, platform.Row{Key: "b", Value: []byte("w"), Version: 2}, row)
+	require.Equal(t, store.Row{Key: "b", Value: []byte("w"), Version: 2}, row)
 	rows, err := c.List(t.Context(), "t", "a/", "a/1", 10)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Row{{Key: "a/2", Value: []byte("v"), Version: 1}}, rows)
-	remove := platform.Txn{Writes: []platform.Write{{Table: "t", Key: "b", Delete: true}}}
+	require.Equal(t, []store.Row{{Key: "a/2", Value: []byte("v"), Version: 1}}, rows)
+	remove := store.Txn{Writes: []store.Write{{Table: "t", Key: "b", Delete: true}}}
 	require.NoError(t, c.Commit(t.Context(), remove))
 	_, err = c.Get(t.Context(), "t", "b")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, store.ErrNotFound)
 }
 
 func TestObjectAndWeightStores(t *testing.T) {
 	p, c := start(t)
 	objects := c.Objects()
 	require.NoError(t, objects.Put(t.Context(), "a/b", []byte("1"), true))
-	require.ErrorIs(t, objects.Put(t.Context(), "a/b", []byte("2"), true), platform.ErrConflict)
+	require.ErrorIs(t, objects.Put(t.Context(), "a/b", []byte("2"), true), store.ErrConflict)
 	require.NoError(t, objects.Put(t.Context(), "a/b", []byte("3"), false))
 	data, err := objects.Get(t.Context(), "a/b")
 	require.NoError(t, err)
@@ -64,8 +64,8 @@
 	require.NoError(t, objects.Delete(t.Context(), "a/b"))
 	require.NoError(t, objects.Delete(t.Context(), "a/b"))
 	_, err = objects.Get(t.Context(), "a/b")
-	require.ErrorIs(t, err, platform.ErrNotFound)
-	p.AddWeight(platform.WeightInfo{Source: "w/1", Bytes: 7})
+	require.ErrorIs(t, err, store.ErrNotFound)
+	p.AddWeight(store.WeightInfo{Source: "w/1", Bytes: 7})
 	info, err := c.Stat(t.Context(), "w/1")
 	require.NoError(t, err)
 	require.Equal(t, int64(7), info.Bytes)
@@ -73,11 +73,11 @@
 
 func TestHostList(t *testing.T) {
 	p, c := start(t)
-	require.NoError(t, c.Announce(t.Context(), platform.Host{Name: "a1", Zone: "a"}, time.Hour))
-	require.NoError(t, c.Announce(t.Context(), platform.Host{Name: "gone"}, time.Nanosecond))
+	require.NoError(t, c.Announce(t.Context(), store.Host{Name: "a1", Zone: "a"}, time.Hour))
+	require.NoError(t, c.Announce(t.Context(), store.Host{Name: "gone"}, time.Nanosecond))
 	hosts, err := c.Hosts(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, []platform.Host{{Name: "a1", Zone: "a"}}, hosts)
+	require.Equal(t, []store.Host{{Name: "a1", Zone: "a"}}, hosts)
 	p.SetFaults(platformstandin.Faults{HostListLag: time.Hour})
 	hosts, err = c.Hosts(t.Context())
 	require.NoError(t, err)
@@ -96,18 +96,18 @@
 	var failed []string
 	c.ObserveErrors(func(service string) { failed = append(failed, service) })
 	p.SetFaults(platformstandin.Faults{LoseAnswers: 1})
-	require.ErrorIs(t, c.Commit(t.Context(), put("a", "v", 0)), platform.ErrUnavailable)
-	require.ErrorIs(t, c.Commit(t.Context(), put("a", "v", 0)), platform.ErrConflict, "the lost one has taken effect")
+	require.ErrorIs(t, c.Commit(t.Context(), put("a", "v", 0)), store.ErrUnavailable)
+	require.ErrorIs(t, c.Commit(t.Context(), put("a", "v", 0)), store.ErrConflict, "the lost one has taken effect")
 	p.SetFaults(platformstandin.Faults{Down: true})
-	require.ErrorIs(t, c.Commit(t.Context(), put("b", "v", 0)), platform.ErrUnavailable)
+	require.ErrorIs(t, c.Commit(t.Context(), put("b", "v", 0)), store.ErrUnavailable)
 	_, err := c.Hosts(t.Context())
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, store.ErrUnavailable)
 	p.SetFaults(platformstandin.Faults{})
 	_, err = c.Get(t.Context(), "t", "b")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, store.ErrNotFound)
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = c.Get(ended, "t", "b")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, store.ErrUnavailable)
 	require.Equal(t, []string{"tables", "tables", "hosts", "tables"}, failed)
 }
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,9 +1,9 @@
-// Package platform holds the interfaces of the platform's services — the
+// Package store holds the interfaces of the platform's services — the
 // transactional table service, the object store, the weight store and the host
 // list — and an HTTP client for each.
 //
 // Everything that must be agreed or must last goes through these services.
-package platform
+package store
 
 import (
 	"context"
