Rates count a sliding window, and a lead that is replaced hands its hosts over

A bucket held organisations to rate and burst less strictly at once and more strictly over time than the bound, which is on any window: 51 of 897 requests of one kind were refused inside it. A new lead is told by the hosts what was used.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -28,7 +28,11 @@
 	RetryRatio float64
 	// RetrySlack is how many more may be sent again in a window.
 	RetrySlack float64
-	// RateSlackTokens is how far an organisation may go beyond its burst.
+	// RateWindow is the time in which an organisation may use its rate and its burst.
+	RateWindow time.Duration
+	// RateOver is how far an organisation may go beyond that, as a part of it.
+	RateOver float64
+	// RateSlackTokens is how far it may go beyond that besides.
 	RateSlackTokens float64
 }
 
@@ -41,7 +45,7 @@
 	services  map[string]*service
 	requests  map[RequestID]*entry
 	waiting   []*entry
-	rates     map[string]*bucket
+	rates     map[string]*usage
 	lastOrder uint64
 	crashes   crashes
 	out       []Decision
@@ -75,7 +79,7 @@
 	return &Assigner{
 		options: o, config: catalog.NewConfig(catalog.Parts{}), versions: catalog.Versions{},
 		upstreams: map[string]*upstream{}, services: map[string]*service{}, requests: map[RequestID]*entry{},
-		rates: map[string]*bucket{}, crashes: newCrashes(),
+		rates: map[string]*usage{}, crashes: newCrashes(),
 	}
 }
 
@@ -146,7 +150,7 @@
 		a.refuse(e, apierr.QueueFull, a.returnIn(s, now), "retry_budget")
 		return
 	case !r.Charged:
-		if wait, ok := a.charge(now, r.Organisation, float64(r.Cost)); !ok {
+		if wait, ok := a.charge(now, &r); !ok {
 			a.refuse(e, apierr.RateLimited, wait, "rate")
 			return
 		}
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -12,9 +12,11 @@
 	maxBacklog = 450 * time.Millisecond
 	// zoneCost is what another availability zone counts as.
 	zoneCost = 4 * time.Millisecond
-	// copyCost is what another copy of an adapter counts as, which takes a place
-	// from some other adapter.
-	copyCost = 150 * time.Millisecond
+	// coldCopyCost is what another copy of an adapter counts as that has to come
+	// from the weight store; it takes a place from some other adapter. warmCopyCost
+	// is for one that the engine held recently.
+	coldCopyCost = 350 * time.Millisecond
+	warmCopyCost = 100 * time.Millisecond
 	// evictCost is what dropping another adapter counts as.
 	evictCost = 20 * time.Millisecond
 	// batchCost is what each running request adds to a first token.
@@ -145,15 +147,23 @@
 		o.cost += evictCost
 	}
 	if held {
-		o.cost += copyCost
+		o.cost += u.copyCost(ref.Adapter)
 	}
 	return o, true
 }
 
+// copyCost is what another copy of an adapter counts as.
+func (u *upstream) copyCost(name string) time.Duration {
+	if _, ok := u.warm[name]; ok {
+		return warmCopyCost
+	}
+	return coldCopyCost
+}
+
 // current reports whether a slot holds the announced version.
 func (a *Assigner) current(s *slot) bool {
 	want, announced := a.versions[s.ref]
-	return !announced || s.version >= want || s.version == 0
+	return !announced || s.version >= want
 }
 
 // heldSomewhere reports whether an engine holds the request's adapter, or will.
--- a/assign/limits.go
+++ b/assign/limits.go
@@ -5,16 +5,9 @@
 	"time"
 )
 
-// Parts of the fleet's limits that are used, so that counts which differ a
-// little between hosts and callers stay within the rest.
-const (
-	retryPart = 0.7
-	ratePart  = 0.3
-)
-
-// freshBurst is the part of its burst that an organisation may use right after
-// this Assigner has started: what was used before is not known.
-const freshBurst = 0.3
+// retryPart is the part of the fleet's retries that is used, so that counts
+// which differ a little between hosts and callers stay within the rest.
+const retryPart = 0.7
 
 // retryBudget bounds how many requests of a service are sent again.
 type retryBudget struct {
@@ -44,66 +37,70 @@
 	return true
 }
 
-// bucket holds the tokens that an organisation may use now.
-type bucket struct {
-	tokens float64
-	at     time.Time
-}
-
 // charge counts a cost against an organisation's rate. Where it is used up, it
 // returns when it is not any more.
-func (a *Assigner) charge(now time.Time, organisation string, cost float64) (time.Duration, bool) {
-	b, rate, ok := a.rate(now, organisation)
+func (a *Assigner) charge(now time.Time, r *Request) (time.Duration, bool) {
+	limit, ok := a.limit(r.Organisation)
 	if !ok {
 		return 0, true
 	}
-	floor := -a.options.Limits.RateSlackTokens * ratePart * a.options.Share
-	if b.tokens-cost < floor && b.tokens < a.burst(organisation) {
-		return time.Duration((cost + floor - b.tokens) / rate * float64(time.Second)), false
+	u := a.usage(r.Organisation)
+	cost := float64(r.Cost)
+	used := u.sum(now)
+	if used > 0 && used+cost > limit {
+		return u.until(now, limit-cost), false
 	}
-	b.tokens -= cost
+	u.add(now, r.Arrived, cost)
 	return 0, true
 }
 
-// Charge counts a cost that has been spent already, whatever is left.
-func (a *Assigner) Charge(now time.Time, organisation string, cost int64) {
-	if b, _, ok := a.rate(now, organisation); ok {
-		b.tokens -= float64(cost)
-	}
+// Charge counts tokens that have been spent already, whatever is left.
+func (a *Assigner) Charge(now, at time.Time, organisation string, tokens float64) {
+	a.usage(organisation).add(now, at, tokens)
 }
 
 // Exhausted reports whether an organisation's rate is used up.
 func (a *Assigner) Exhausted(now time.Time, organisation string) bool {
-	b, _, ok := a.rate(now, organisation)
-	return ok && b.tokens < -a.options.Limits.RateSlackTokens*ratePart*a.options.Share
+	limit, ok := a.limit(organisation)
+	return ok && a.usage(organisation).sum(now) >= limit
 }
 
-func (a *Assigner) burst(organisation string) float64 {
-	return a.config.Organisation(organisation).BurstTokens * a.options.Share
+// Usage calls f for what each organisation has spent of late.
+func (a *Assigner) Usage(now time.Time, f func(organisation string, at time.Time, tokens float64)) {
+	for name, u := range a.rates {
+		u.each(now, func(at time.Time, tokens float64) { f(name, at, tokens) })
+	}
 }
 
-// rate returns an organisation's bucket, filled up to now, and its rate. It
-// reports false for one without a limit.
-func (a *Assigner) rate(now time.Time, organisation string) (*bucket, float64, bool) {
+// limit returns what an organisation may use in a window, and reports false for
+// one without a limit.
+func (a *Assigner) limit(organisation string) (float64, bool) {
 	o := a.config.Organisation(organisation)
 	if o == nil || o.TokensPerSecond <= 0 {
-		return nil, 0, false
+		return 0, false
 	}
-	rate, burst := o.TokensPerSecond*a.options.Share, o.BurstTokens*a.options.Share
-	b, known := a.rates[organisation]
-	if !known {
-		b = &bucket{tokens: burst * freshBurst, at: now}
-		a.rates[organisation] = b
+	l := &a.options.Limits
+	whole := (o.TokensPerSecond*l.RateWindow.Seconds()+o.BurstTokens)*(1+ratePart*l.RateOver) + ratePart*l.RateSlackTokens
+	return whole * a.options.Share, true
+}
+
+// ratePart is the part of the slack in an organisation's rate that is used. The
+// rest is for what is counted a little later or earlier elsewhere.
+const ratePart = 0.4
+
+func (a *Assigner) usage(organisation string) *usage {
+	u, ok := a.rates[organisation]
+	if !ok {
+		u = newUsage(a.options.Limits.RateWindow)
+		a.rates[organisation] = u
 	}
-	b.tokens = math.Min(burst, b.tokens+now.Sub(b.at).Seconds()*rate)
-	b.at = now
-	return b, rate, true
+	return u
 }
 
 // refund gives back the cost of a request that has not run.
 func (a *Assigner) refund(now time.Time, e *entry) {
-	if b, _, ok := a.rate(now, e.request.Organisation); ok {
-		b.tokens += float64(e.request.Cost)
+	if _, ok := a.limit(e.request.Organisation); ok && !e.request.Charged {
+		a.usage(e.request.Organisation).add(now, e.request.Arrived, -float64(e.request.Cost))
 	}
 }
 
--- /dev/null
+++ b/assign/usage.go
@@ -0,0 +1,73 @@
+package assign
+
+import "time"
+
+// usageSteps is how many steps a window is counted in.
+const usageSteps = 40
+
+// usage counts the tokens that an organisation has used in the last window.
+type usage struct {
+	step time.Duration
+	// tokens holds one count a step, at the step's number modulo its length. One
+	// step more than the window keeps the count from being low.
+	tokens [usageSteps + 1]float64
+	// last is the number of the newest step.
+	last int64
+}
+
+func newUsage(window time.Duration) *usage {
+	return &usage{step: max(window/usageSteps, time.Millisecond)}
+}
+
+func (u *usage) number(at time.Time) int64 { return at.UnixNano() / int64(u.step) }
+
+// turn empties the steps that have left the window.
+func (u *usage) turn(now time.Time) {
+	n := u.number(now)
+	for k := max(u.last+1, n-usageSteps); k <= n; k++ {
+		u.tokens[k%int64(len(u.tokens))] = 0
+	}
+	u.last = max(u.last, n)
+}
+
+// add counts tokens that were used at a time. What has left the window is not
+// counted.
+func (u *usage) add(now, at time.Time, tokens float64) {
+	u.turn(now)
+	k := min(u.number(at), u.last)
+	if k > u.last-int64(len(u.tokens)) {
+		u.tokens[k%int64(len(u.tokens))] += tokens
+	}
+}
+
+// sum returns what the window holds.
+func (u *usage) sum(now time.Time) float64 {
+	u.turn(now)
+	total := 0.0
+	for _, t := range u.tokens {
+		total += t
+	}
+	return total
+}
+
+// until returns when the window will hold no more than the given tokens.
+func (u *usage) until(now time.Time, most float64) time.Duration {
+	total := u.sum(now)
+	for k := u.last - usageSteps; k <= u.last; k++ {
+		total -= u.tokens[k%int64(len(u.tokens))]
+		if total <= most {
+			return time.Duration(k-u.last+usageSteps+1) * u.step
+		}
+	}
+	return u.step * usageSteps
+}
+
+// each calls f for each step that holds tokens.
+func (u *usage) each(now time.Time, f func(at time.Time, tokens float64)) {
+	u.turn(now)
+	for k := u.last - usageSteps; k <= u.last; k++ {
+		if t := u.tokens[k%int64(len(u.tokens))]; t != 0 {
+			f(time.Unix(0, k*int64(u.step)), t)
+		}
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -95,7 +95,8 @@
 		Log: h.log.Named("lead"), Host: s.Host, Zone: s.Zone, Callers: s.Listen.Callers, PeerURL: "http://" + s.Listen.Peers,
 		Tables: tables, Engines: platform.NewEngines(h.pool), Fenced: s.Fleet.Fenced, Random: newRandom(),
 		Limits: assign.Limits{
-			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack, RateSlackTokens: s.Fleet.RateSlackTokens,
+			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack,
+			RateWindow: time.Duration(s.Fleet.RateWindow), RateOver: s.Fleet.RateOver, RateSlackTokens: s.Fleet.RateSlackTokens,
 		},
 	})
 	h.watcher = watch.New(watch.Options{
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -83,7 +83,9 @@
 	// hosts are those that callers may be sent to, as the lead said last.
 	hosts     []wire.CallerHost
 	exhausted map[string]bool
-	spent     map[string]int64
+	// spent holds the requests that this host has admitted by itself and not told
+	// the lead of.
+	spent     map[string]float64
 	draining  bool
 	startedAt time.Time
 
@@ -123,15 +125,19 @@
 func New(o Options) *Broker {
 	b := &Broker{
 		options: o, log: o.Log, tickets: map[uint64]*Ticket{}, number: uint64(o.Random.Uint32()) << 32,
-		members: map[string]*member{}, exhausted: map[string]bool{}, spent: map[string]int64{}, startedAt: time.Now(),
+		members: map[string]*member{}, exhausted: map[string]bool{}, spent: map[string]float64{}, startedAt: time.Now(),
 		view: &watch.View{Versions: catalog.Versions{}},
 	}
-	b.local = assign.New(assign.Options{Share: 1, Limits: o.Limits, Random: o.Random})
+	b.local = assign.New(assign.Options{Share: blankShare, Limits: o.Limits, Random: o.Random})
 	b.localAlarm.fire = func() { b.step(b.tickLocal) }
 	b.leadingAlarm.fire = func() { b.step(b.tickLeading) }
 	return b
 }
 
+// blankShare is the part of the fleet's limits that a host hands out which has
+// not heard how many hosts there are.
+const blankShare = 1.0 / 16
+
 // Attach gives the broker its links.
 func (b *Broker) Attach(l Links) { b.links = l }
 
@@ -177,7 +183,8 @@
 			b.settle(t, assign.Refuse{ID: r.ID, Kind: rateLimited, RetryAfter: exhaustedReturn, Why: "rate_exhausted"})
 			return
 		}
-		b.spent[r.Organisation] += r.Cost
+		b.spent[r.Organisation] += float64(r.Cost)
+		b.local.Charge(now, r.Arrived, r.Organisation, float64(r.Cost))
 		r.Charged = true
 	}
 	b.handleLocal(now, assign.Asked{Request: r})
@@ -244,6 +251,10 @@
 	t.settled = true
 	if g, ok := d.(assign.Grant); ok {
 		t.upstream = g.Upstream
+		if t.toLead && !t.request.Charged {
+			// A new lead asks what was used before it.
+			b.local.Charge(time.Now(), t.request.Arrived, t.request.Organisation, float64(t.request.Cost))
+		}
 	}
 	t.decisions <- d
 }
--- a/lead/election.go
+++ b/lead/election.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/jasminelock/jasminelock/store"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 // The lease's row.
@@ -24,7 +25,7 @@
 	leaseTTL   = 2 * time.Second
 	// weakAfter is how long renewals may fail before the lead lets others take
 	// over that reach the store.
-	weakAfter = 1500 * time.Millisecond
+	weakAfter = 900 * time.Millisecond
 	// beatEvery is how often hosts tell the lead that they are there, which it
 	// answers.
 	beatEvery = 400 * time.Millisecond
@@ -33,7 +34,7 @@
 	// claimSpread keeps hosts from claiming a free lease all at once.
 	claimSpread = 60 * time.Millisecond
 	// callTimeout bounds one call of the store for the lease.
-	callTimeout = time.Second
+	callTimeout = 600 * time.Millisecond
 )
 
 // lease is the row by which the lead is agreed.
@@ -59,8 +60,6 @@
 	released bool
 	// since is when the version was first seen.
 	since time.Time
-	// doubted says that an engine has had orders of another lead.
-	doubted bool
 }
 
 // Secret returns what hosts present on their links, "" before it is known.
@@ -206,6 +205,7 @@
 			return
 		}
 		if b.lead.host != "" {
+			b.sendLead(&wire.Successor{Host: l.Host, URL: l.URL, Fence: version})
 			b.loseLead(now, "replaced by this host")
 		}
 		b.lead.row = leaseView{host: l.Host, url: l.URL, secret: secret, version: version, since: now}
--- a/lead/following.go
+++ b/lead/following.go
@@ -22,6 +22,15 @@
 			b.lead.heardAt = now
 		}
 		switch m := m.(type) {
+		case *wire.Successor:
+			if b.leading != nil {
+				b.replaced(now, m)
+				return
+			}
+			if from == b.lead.host {
+				b.loseLead(now, "replaced by "+m.Host)
+				b.succeed(now, m)
+			}
 		case *wire.Grant:
 			b.receiveGrant(from, m)
 		case *wire.Refuse:
@@ -93,12 +102,23 @@
 	}
 }
 
+// succeed turns to the lead that has replaced another one. It is followed once
+// it has answered.
+func (b *Broker) succeed(now time.Time, m *wire.Successor) {
+	if m.Fence <= b.lead.fence || m.Host == b.options.Host {
+		return
+	}
+	b.lead.row = leaseView{host: m.Host, url: m.URL, secret: b.lead.row.secret, version: m.Fence, since: now}
+	b.sendTo(m.Host, b.hostBeat())
+}
+
 // follow takes a lead: it is told what runs, and asked for what waits.
 func (b *Broker) follow(now time.Time, host string, fence int64) {
 	if host != b.options.Host {
 		b.log.Info("lead found", "lead", host, "fence", fence)
 	}
 	b.lead.host, b.lead.fence, b.lead.heardAt, b.lead.weak = host, fence, now, false
+	b.tellUsage(now)
 	for _, t := range b.tickets {
 		if !b.needsLead(t.request.Service) {
 			continue
@@ -113,6 +133,22 @@
 	}
 }
 
+// tellUsage tells a new lead what organisations have used through this host.
+func (b *Broker) tellUsage(now time.Time) {
+	clear(b.spent)
+	beat := b.hostBeat()
+	b.local.Usage(now, func(organisation string, at time.Time, tokens float64) {
+		if b.leading != nil {
+			b.leading.Charge(now, at, organisation, tokens)
+			return
+		}
+		beat.Spent = append(beat.Spent, wire.Spent{Organisation: organisation, Tokens: tokens, AgeMS: now.Sub(at).Milliseconds()})
+	})
+	if b.leading == nil {
+		b.sendLead(beat)
+	}
+}
+
 // adopt tells the lead of a request that is already with an upstream.
 func (b *Broker) adopt(now time.Time, t *Ticket) {
 	if !t.toLead {
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -37,8 +37,8 @@
 		case assign.ReadReport:
 			go b.readReport(d.Upstream)
 		case assign.StepDown:
-			b.log.Warn("an engine has had orders of another lead")
-			b.lead.row.doubted = true
+			b.stopLeading(now, "an engine has had orders of another lead")
+			return
 		}
 	}
 }
@@ -112,6 +112,8 @@
 		b.handleLeading(now, ended)
 	case *wire.HostBeat:
 		b.memberBeat(now, from, m)
+	case *wire.Successor:
+		b.replaced(now, m)
 	}
 }
 
@@ -122,7 +124,7 @@
 	}
 	b.members[from] = &member{zone: m.Zone, callers: m.Callers, draining: m.Draining, heardAt: now}
 	for _, s := range m.Spent {
-		b.leading.Charge(now, s.Organisation, s.Tokens)
+		b.leading.Charge(now, now.Add(-milliseconds(s.AgeMS)), s.Organisation, s.Tokens)
 	}
 	if !known || old.draining != m.Draining {
 		b.rosterChanged(now)
@@ -195,6 +197,20 @@
 	b.rosterChanged(now)
 }
 
+// replaced hands the hosts over to the lead that has taken the lease.
+func (b *Broker) replaced(now time.Time, m *wire.Successor) {
+	if m.Fence <= b.lead.fence {
+		return
+	}
+	for host := range b.members {
+		if host != m.Host {
+			b.sendTo(host, m)
+		}
+	}
+	b.stopLeading(now, "replaced by "+m.Host)
+	b.succeed(now, m)
+}
+
 // stopLeading makes this host one like the others.
 func (b *Broker) stopLeading(now time.Time, why string) {
 	if b.leading == nil {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -42,8 +42,12 @@
 	// RetryRatio and RetrySlack bound how many requests are sent again.
 	RetryRatio float64 `json:"retry_ratio"`
 	RetrySlack float64 `json:"retry_slack"`
-	// RateSlackTokens is how far an organisation may go beyond its rate.
-	RateSlackTokens float64 `json:"rate_slack_tokens"`
+	// RateWindow is the time in which an organisation may use its rate and its
+	// burst. RateOver and RateSlackTokens are how far it may go beyond that: a
+	// part of it, and a number of tokens.
+	RateWindow      Duration `json:"rate_window"`
+	RateOver        float64  `json:"rate_over"`
+	RateSlackTokens float64  `json:"rate_slack_tokens"`
 	// Fenced says that engines refuse orders with an older fencing token.
 	Fenced bool `json:"fenced,omitempty"`
 	// AnswerLife is the longest time for which callers keep an answer of the
@@ -93,6 +97,7 @@
 	c.address("store", s.Store)
 	c.check(s.MemoryMB > 0, "memory_mb", "want the memory in megabytes, above 0")
 	c.check(s.Fleet.RetryRatio >= 0 && s.Fleet.RetrySlack >= 0, "fleet.retry_ratio", "want 0 or more")
+	c.check(s.Fleet.RateWindow > 0, "fleet.rate_window", "want a duration above 0")
 	c.check(s.Grace >= leastGrace, "grace", "want %s or more", leastGrace)
 	c.check(s.Fleet.AnswerLife > 0, "fleet.answer_life", "want a duration above 0")
 	c.check(slices.Contains(logLevels, s.Log.Level), "log.level", "want one of %v, not %q", logLevels, s.Log.Level)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -154,7 +154,11 @@
 	if whole {
 		changes, err = r.watcher.feed.Snapshot(ctx, r.table)
 	} else {
-		changes, err = r.watcher.feed.Changes(ctx, r.table, r.after, changeWait)
+		wait := changeWait
+		if r.lost {
+			wait = 0 // an answer at once tells that the store is back
+		}
+		changes, err = r.watcher.feed.Changes(ctx, r.table, r.after, wait)
 	}
 	if err != nil {
 		return err
@@ -221,11 +225,26 @@
 		w.log.Error("configuration cannot be read; the one before stays in force", "error", err)
 	case next.Config != nil && config.Version <= next.Config.Version:
 	default:
+		w.logRates(next.Config, config)
 		next.Config = config
 		w.log.Info("configuration in force", "version", config.Version, "routes", config.RouteCount())
 	}
 }
 
+// logRates tells of each organisation whose rate differs from before.
+func (w *Watcher) logRates(before, after *catalog.Config) {
+	after.Organisations(func(o *catalog.Organisation) {
+		var old *catalog.Organisation
+		if before != nil {
+			old = before.Organisation(o.Name)
+		}
+		if old == nil || old.TokensPerSecond != o.TokensPerSecond || old.BurstTokens != o.BurstTokens {
+			w.log.Info("organisation's rate", "organisation", o.Name, "tokens_per_second", o.TokensPerSecond,
+				"burst_tokens", o.BurstTokens, "priority", o.Priority, "has_priority", o.HasPriority)
+		}
+	})
+}
+
 // applyUpstreams takes rows of the upstreams' table.
 func (w *Watcher) applyUpstreams(c store.Changes, whole bool, outage time.Duration) {
 	w.mu.Lock()
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -11,18 +11,20 @@
 	TypeHostBeat
 	TypeLeadBeat
 	TypeAdopt
+	TypeSuccessor
 )
 
 var assignDecoders = map[Type]func() Message{
-	TypeAsk:      func() Message { return &Ask{} },
-	TypeWithdraw: func() Message { return &Withdraw{} },
-	TypeStarted:  func() Message { return &Started{} },
-	TypeEnded:    func() Message { return &Ended{} },
-	TypeGrant:    func() Message { return &Grant{} },
-	TypeRefuse:   func() Message { return &Refuse{} },
-	TypeHostBeat: func() Message { return &HostBeat{} },
-	TypeLeadBeat: func() Message { return &LeadBeat{} },
-	TypeAdopt:    func() Message { return &Adopt{} },
+	TypeAsk:       func() Message { return &Ask{} },
+	TypeWithdraw:  func() Message { return &Withdraw{} },
+	TypeStarted:   func() Message { return &Started{} },
+	TypeEnded:     func() Message { return &Ended{} },
+	TypeGrant:     func() Message { return &Grant{} },
+	TypeRefuse:    func() Message { return &Refuse{} },
+	TypeHostBeat:  func() Message { return &HostBeat{} },
+	TypeLeadBeat:  func() Message { return &LeadBeat{} },
+	TypeAdopt:     func() Message { return &Adopt{} },
+	TypeSuccessor: func() Message { return &Successor{} },
 }
 
 // Part is a part of a prompt that other requests may share.
@@ -96,19 +98,31 @@
 	Why          string `cbor:"4,keyasint,omitempty"`
 }
 
-// Spent are tokens that an organisation has used without the lead.
+// Spent are tokens that an organisation has used through a host.
 type Spent struct {
-	Organisation string `cbor:"1,keyasint"`
-	Tokens       int64  `cbor:"2,keyasint"`
+	Organisation string  `cbor:"1,keyasint"`
+	Tokens       float64 `cbor:"2,keyasint"`
+	// AgeMS is how long ago.
+	AgeMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // HostBeat tells the lead that a host is there.
 type HostBeat struct {
 	Zone string `cbor:"1,keyasint"`
 	// Callers is where callers connect.
-	Callers  string  `cbor:"2,keyasint"`
-	Draining bool    `cbor:"3,keyasint,omitempty"`
-	Spent    []Spent `cbor:"4,keyasint,omitempty"`
+	Callers  string `cbor:"2,keyasint"`
+	Draining bool   `cbor:"3,keyasint,omitempty"`
+	// Spent is what the lead has not been told yet.
+	Spent []Spent `cbor:"4,keyasint,omitempty"`
+}
+
+// Successor tells a lead that it has been replaced by the sender, and hosts
+// which one has replaced their lead.
+type Successor struct {
+	Host string `cbor:"1,keyasint"`
+	// URL is where hosts link to the new lead.
+	URL   string `cbor:"2,keyasint"`
+	Fence int64  `cbor:"3,keyasint"`
 }
 
 // CallerHost is a host that callers may be sent to.
@@ -166,3 +180,6 @@
 
 // WireType implements Message.
 func (*Adopt) WireType() Type { return TypeAdopt }
+
+// WireType implements Message.
+func (*Successor) WireType() Type { return TypeSuccessor }
