Usage is recorded with the lease; orders given twice are counted once

Cause of QUOTA after all hosts were killed: nothing remembered what had been used. The lease's row now carries the window of each organisation that is near its limit; a new lead counts the greater of the record and what hosts tell.

--- a/assign/limits.go
+++ b/assign/limits.go
@@ -65,9 +65,30 @@
 	return ok && a.usage(organisation).sum(now) >= limit
 }
 
-// Usage calls f for what each organisation has spent of late.
-func (a *Assigner) Usage(now time.Time, f func(organisation string, at time.Time, tokens float64)) {
+// Recall counts tokens that an earlier Assigner has recorded. Hosts may tell of
+// the same ones.
+func (a *Assigner) Recall(now, at time.Time, organisation string, tokens float64) {
+	a.usage(organisation).recall(now, at, tokens)
+}
+
+// RecallRate counts what an organisation may have used in a time of which
+// nothing was recorded.
+func (a *Assigner) RecallRate(now, from time.Time, d time.Duration, organisation string) {
+	o := a.config.Organisation(organisation)
+	if o == nil {
+		return
+	}
+	perSecond := o.TokensPerSecond + o.BurstTokens/a.options.Limits.RateWindow.Seconds()
+	a.usage(organisation).recall(now, from, perSecond*d.Seconds())
+}
+
+// Usage calls f for what each organisation has spent of late that has used at
+// least the given part of its limit.
+func (a *Assigner) Usage(now time.Time, part float64, f func(organisation string, at time.Time, tokens float64)) {
 	for name, u := range a.rates {
+		if limit, ok := a.limit(name); !ok || u.sum(now) < part*limit {
+			continue
+		}
 		u.each(now, func(at time.Time, tokens float64) { f(name, at, tokens) })
 	}
 }
--- a/assign/models.go
+++ b/assign/models.go
@@ -81,8 +81,12 @@
 	o := &u.orders
 	if result == OrderHolds {
 		u.models[o.sent.ref.Model] = true
-		o.model = ""
+		o.model, o.modelOrdered = "", false
 		return
 	}
+	if !o.modelOrdered {
+		o.sequence++
+	}
+	o.modelOrdered = true
 	o.modelPoll = now.Add(modelPollInterval)
 }
--- a/assign/orders.go
+++ b/assign/orders.go
@@ -46,6 +46,8 @@
 	// model is the base model that is being loaded, "" for none.
 	model     string
 	modelPoll time.Time
+	// modelOrdered says that the engine has accepted the order.
+	modelOrdered bool
 }
 
 // order is an order before it has a number.
@@ -196,12 +198,11 @@
 	a.serveWaiting(now)
 }
 
-// orderTaken notes that the engine has carried an order out, or is doing so.
+// orderTaken notes that the engine has carried an order out, or is doing so. An
+// order that is given again while it is being carried out is accepted without
+// being counted.
 func (a *Assigner) orderTaken(now time.Time, u *upstream, result OrderResult) {
 	o := &u.orders
-	if result == OrderAccepted {
-		o.sequence++
-	}
 	if o.sent.ref.Adapter == "" {
 		a.modelOrderTaken(now, u, result)
 		return
@@ -209,14 +210,20 @@
 	s := u.slots[o.sent.ref.Adapter]
 	switch {
 	case s == nil:
+		a.lookAgain(now, u)
 	case o.sent.evict && result == OrderHolds:
 		u.dropSlot(now, s)
 		o.sequence += evictAdvance
 	case o.sent.evict:
+		if !s.leaving {
+			o.sequence++
+		}
+		s.leaving = true
 		o.waitUntil = now.Add(pollInterval)
 	case result == OrderHolds && s.version == o.sent.version:
 		s.state = slotResident
 	case s.state == slotQueued:
+		o.sequence++
 		s.state, s.orderedAt = slotComing, now
 		s.readyAt = now.Add(u.loadTime(s.ref.Adapter))
 	default:
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -32,8 +32,9 @@
 	readyAt time.Time
 	// orderedAt is when the load was accepted.
 	orderedAt time.Time
-	// warm says that the engine held the adapter recently.
-	warm bool
+	// leaving says that the engine has accepted an order to drop the adapter, which
+	// it does once nothing runs on it.
+	leaving bool
 }
 
 // Estimates of loads, until measured.
@@ -58,8 +59,7 @@
 
 // addSlot notes an adapter on the engine.
 func (u *upstream) addSlot(now time.Time, ref catalog.AdapterRef, state slotState) *slot {
-	_, warm := u.warm[ref.Adapter]
-	s := &slot{upstream: u, ref: ref, state: state, lastUsed: now, warm: warm}
+	s := &slot{upstream: u, ref: ref, state: state, lastUsed: now}
 	u.slots[ref.Adapter] = s
 	return s
 }
--- a/assign/usage.go
+++ b/assign/usage.go
@@ -11,6 +11,9 @@
 	// tokens holds one count a step, at the step's number modulo its length. One
 	// step more than the window keeps the count from being low.
 	tokens [usageSteps + 1]float64
+	// recalled holds what an earlier Assigner has recorded. It may be counted in
+	// tokens as well, told by the hosts.
+	recalled [usageSteps + 1]float64
 	// last is the number of the newest step.
 	last int64
 }
@@ -26,6 +29,7 @@
 	n := u.number(now)
 	for k := max(u.last+1, n-usageSteps); k <= n; k++ {
 		u.tokens[k%int64(len(u.tokens))] = 0
+		u.recalled[k%int64(len(u.tokens))] = 0
 	}
 	u.last = max(u.last, n)
 }
@@ -33,19 +37,34 @@
 // add counts tokens that were used at a time. What has left the window is not
 // counted.
 func (u *usage) add(now, at time.Time, tokens float64) {
+	u.addTo(&u.tokens, now, at, tokens)
+}
+
+// recall counts tokens that an earlier Assigner has recorded.
+func (u *usage) recall(now, at time.Time, tokens float64) {
+	u.addTo(&u.recalled, now, at, tokens)
+}
+
+func (u *usage) addTo(steps *[usageSteps + 1]float64, now, at time.Time, tokens float64) {
 	u.turn(now)
 	k := min(u.number(at), u.last)
-	if k > u.last-int64(len(u.tokens)) {
-		u.tokens[k%int64(len(u.tokens))] += tokens
+	if k > u.last-int64(len(steps)) {
+		steps[k%int64(len(steps))] += tokens
 	}
 }
 
+// at returns what was used in a step, whoever tells more of it.
+func (u *usage) at(k int64) float64 {
+	i := k % int64(len(u.tokens))
+	return max(u.tokens[i], u.recalled[i])
+}
+
 // sum returns what the window holds.
 func (u *usage) sum(now time.Time) float64 {
 	u.turn(now)
 	total := 0.0
-	for _, t := range u.tokens {
-		total += t
+	for k := u.last - usageSteps; k <= u.last; k++ {
+		total += u.at(k)
 	}
 	return total
 }
@@ -54,7 +73,7 @@
 func (u *usage) until(now time.Time, most float64) time.Duration {
 	total := u.sum(now)
 	for k := u.last - usageSteps; k <= u.last; k++ {
-		total -= u.tokens[k%int64(len(u.tokens))]
+		total -= u.at(k)
 		if total <= most {
 			return time.Duration(k-u.last+usageSteps+1) * u.step
 		}
@@ -66,7 +85,7 @@
 func (u *usage) each(now time.Time, f func(at time.Time, tokens float64)) {
 	u.turn(now)
 	for k := u.last - usageSteps; k <= u.last; k++ {
-		if t := u.tokens[k%int64(len(u.tokens))]; t != 0 {
+		if t := u.at(k); t != 0 {
 			f(time.Unix(0, k*int64(u.step)), t)
 		}
 	}
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -47,7 +47,7 @@
 	Callers string
 	// PeerURL is where other hosts link to this one.
 	PeerURL string
-	Tables  Tables
+	Tables  store.StampedTables
 	Engines Engines
 	Limits  assign.Limits
 	// Fenced says that engines refuse orders with an older fencing token.
@@ -55,12 +55,6 @@
 	Random *rand.Rand
 }
 
-// Tables is what the broker needs of the table service.
-type Tables interface {
-	store.Committer
-	Get(ctx context.Context, table, key string) (store.Row, error)
-}
-
 // Broker hands requests to the lead, or to this host's own Assigner.
 type Broker struct {
 	options Options
@@ -104,6 +98,8 @@
 	row leaseView
 	// weak says that the lead cannot renew its lease.
 	weak bool
+	// everHeard says that there has been a lead since this host's start.
+	everHeard bool
 }
 
 // Ticket follows one request.
@@ -163,8 +159,11 @@
 
 // send hands a ticket's request to whoever decides now.
 func (b *Broker) send(now time.Time, t *Ticket) {
-	t.toLead = b.needsLead(t.request.Service) && b.lead.host != ""
+	needsLead := b.needsLead(t.request.Service)
+	t.toLead = needsLead && b.lead.host != ""
 	switch {
+	case needsLead && !t.toLead && b.blank(now):
+		// It is asked for as soon as there is a lead.
 	case !t.toLead:
 		b.askLocally(now, t)
 	case b.leading != nil:
@@ -174,11 +173,21 @@
 	}
 }
 
+// blankWait is how long a host that has just started waits for a lead before it
+// decides by itself.
+const blankWait = 3 * time.Second
+
+// blank reports whether this host has just started and may still find a lead,
+// which knows what was used before.
+func (b *Broker) blank(now time.Time) bool {
+	return !b.lead.everHeard && now.Sub(b.startedAt) < blankWait
+}
+
 // askLocally asks this host's own Assigner. While there is a lead, it is the
 // lead that counts what organisations use.
 func (b *Broker) askLocally(now time.Time, t *Ticket) {
 	r := t.request
-	if b.lead.host != "" && !r.Charged {
+	if (b.lead.host != "" || b.blank(now)) && !r.Charged {
 		if b.exhausted[r.Organisation] {
 			b.settle(t, assign.Refuse{ID: r.ID, Kind: rateLimited, RetryAfter: exhaustedReturn, Why: "rate_exhausted"})
 			return
--- a/lead/election.go
+++ b/lead/election.go
@@ -49,6 +49,8 @@
 	Fence int64 `cbor:"4,keyasint"`
 	// Released says that the holder has given the lease back.
 	Released bool `cbor:"5,keyasint"`
+	// Usage is what organisations had used of late, for the next lead.
+	Usage usageRecord `cbor:"6,keyasint"`
 }
 
 // leaseView is the lease's row as last seen.
@@ -60,6 +62,10 @@
 	released bool
 	// since is when the version was first seen.
 	since time.Time
+	// usage is what the last lead recorded, readAt and clock when it was read.
+	usage  usageRecord
+	readAt time.Time
+	clock  time.Duration
 }
 
 // Secret returns what hosts present on their links, "" before it is known.
@@ -128,8 +134,24 @@
 	})
 }
 
+// goOnAlone has this host decide by itself once it no longer waits for a lead.
+func (b *Broker) goOnAlone() {
+	b.step(func(now time.Time) {
+		if b.lead.everHeard || b.blank(now) {
+			return
+		}
+		b.lead.everHeard = true
+		for _, t := range b.tickets {
+			if !t.settled && t.request.Service != "" {
+				b.send(now, t)
+			}
+		}
+	})
+}
+
 // look reads the lease of a host that knows no lead.
 func (b *Broker) look(ctx context.Context) time.Duration {
+	b.goOnAlone()
 	row, err := b.readLease(ctx)
 	if err != nil {
 		return lookEvery
@@ -143,6 +165,7 @@
 			*seen = row
 		} else {
 			seen.url, seen.secret, seen.released = row.url, row.secret, seen.released || row.released
+			seen.usage, seen.readAt, seen.clock = row.usage, row.readAt, row.clock
 		}
 		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || now.Sub(seen.since) >= leaseTTL
 		if !claim {
@@ -172,7 +195,7 @@
 func (b *Broker) readLease(ctx context.Context) (leaseView, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	row, err := b.options.Tables.Get(ctx, leaseTable, leaseKey)
+	row, stamp, err := b.options.Tables.GetStamped(ctx, leaseTable, leaseKey)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
 		return leaseView{}, nil
@@ -185,7 +208,10 @@
 		b.log.Error("lease cannot be read; it is taken over", "error", err)
 		return leaseView{version: row.Version, released: true}, nil
 	}
-	return leaseView{host: l.Host, url: l.URL, secret: l.Secret, version: row.Version, released: l.Released}, nil
+	return leaseView{
+		host: l.Host, url: l.URL, secret: l.Secret, version: row.Version, released: l.Released,
+		usage: l.Usage, readAt: time.Now(), clock: stamp.Clock,
+	}, nil
 }
 
 // tryClaim takes the lease as last seen, unless it has changed since.
@@ -198,7 +224,11 @@
 		secret = rand.Text()
 	}
 	l := lease{Host: b.options.Host, URL: b.options.PeerURL, Secret: secret}
-	version, err := b.writeLease(ctx, l, seen.version)
+	if !seen.readAt.IsZero() {
+		l.Usage = seen.usage
+	}
+	stamp, err := b.writeLease(ctx, l, seen.version)
+	version := stamp.Version
 	b.step(func(now time.Time) {
 		if err != nil {
 			b.log.Debug("lease not claimed", "error", err)
@@ -208,19 +238,22 @@
 			b.sendLead(&wire.Successor{Host: l.Host, URL: l.URL, Fence: version})
 			b.loseLead(now, "replaced by this host")
 		}
-		b.lead.row = leaseView{host: l.Host, url: l.URL, secret: secret, version: version, since: now}
+		b.lead.row = leaseView{
+			host: l.Host, url: l.URL, secret: secret, version: version, since: now, readAt: now, clock: stamp.Clock,
+		}
 		b.startLeading(now, version)
+		b.recallUsage(now, &seen)
 	})
 }
 
-func (b *Broker) writeLease(ctx context.Context, l lease, expect int64) (int64, error) {
+func (b *Broker) writeLease(ctx context.Context, l lease, expect int64) (store.Stamp, error) {
 	raw, err := cbor.Marshal(l)
 	if err != nil {
-		return 0, err
+		return store.Stamp{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return b.options.Tables.CommitVersion(ctx, store.Txn{
+	return b.options.Tables.CommitStamped(ctx, store.Txn{
 		Conditions: []store.Condition{{Table: leaseTable, Key: leaseKey, Version: expect}},
 		Writes:     []store.Write{{Table: leaseTable, Key: leaseKey, Value: raw}},
 	})
@@ -230,8 +263,9 @@
 func (b *Broker) renew(ctx context.Context) time.Duration {
 	b.mu.Lock()
 	row, fence := b.lead.row, b.lead.fence
+	usage := b.recordUsage(time.Now())
 	b.mu.Unlock()
-	version, err := b.writeLease(ctx, lease{Host: row.host, URL: row.url, Secret: row.secret, Fence: fence}, row.version)
+	stamp, err := b.writeLease(ctx, lease{Host: row.host, URL: row.url, Secret: row.secret, Fence: fence, Usage: usage}, row.version)
 	if errors.Is(err, store.ErrConflict) {
 		return b.conflict(ctx, fence)
 	}
@@ -244,7 +278,8 @@
 			if b.lead.weak {
 				b.log.Info("lease renewed again", "fence", fence)
 			}
-			b.lead.row.version, b.lead.row.since, b.lead.weak = version, now, false
+			b.lead.row.version, b.lead.row.since, b.lead.weak = stamp.Version, now, false
+			b.lead.row.clock, b.lead.row.readAt = stamp.Clock, now
 			return
 		}
 		b.renewalFailed(now, err)
@@ -290,8 +325,10 @@
 func (b *Broker) release(ctx context.Context) {
 	b.mu.Lock()
 	row, fence := b.lead.row, b.lead.fence
+	usage := b.recordUsage(time.Now())
 	b.mu.Unlock()
-	_, err := b.writeLease(ctx, lease{Host: row.host, URL: row.url, Secret: row.secret, Fence: fence, Released: true}, row.version)
+	l := lease{Host: row.host, URL: row.url, Secret: row.secret, Fence: fence, Released: true, Usage: usage}
+	_, err := b.writeLease(ctx, l, row.version)
 	if err != nil {
 		b.log.Warn("lease not given back; others take it over when it has lapsed", "error", err)
 	}
--- a/lead/following.go
+++ b/lead/following.go
@@ -117,7 +117,7 @@
 	if host != b.options.Host {
 		b.log.Info("lead found", "lead", host, "fence", fence)
 	}
-	b.lead.host, b.lead.fence, b.lead.heardAt, b.lead.weak = host, fence, now, false
+	b.lead.host, b.lead.fence, b.lead.heardAt, b.lead.weak, b.lead.everHeard = host, fence, now, false, true
 	b.tellUsage(now)
 	for _, t := range b.tickets {
 		if !b.needsLead(t.request.Service) {
@@ -137,7 +137,7 @@
 func (b *Broker) tellUsage(now time.Time) {
 	clear(b.spent)
 	beat := b.hostBeat()
-	b.local.Usage(now, func(organisation string, at time.Time, tokens float64) {
+	b.local.Usage(now, 0, func(organisation string, at time.Time, tokens float64) {
 		if b.leading != nil {
 			b.leading.Charge(now, at, organisation, tokens)
 			return
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(b.ctx, orderTimeout)
 	defer cancel()
 	result := b.options.Engines.Order(ctx, o, b.options.Host)
-	b.log.Debug("order", "upstream", o.Upstream.ID, "evict", o.Evict, "adapter", o.Adapter.Adapter, "version", o.Version,
+	b.log.Info("order", "upstream", o.Upstream.ID, "evict", o.Evict, "adapter", o.Adapter.Adapter, "version", o.Version,
 		"sequence", o.Sequence, "result", result.String())
 	b.step(func(now time.Time) {
 		if b.leading != nil {
--- a/store/feed.go
+++ b/store/feed.go
@@ -34,9 +34,20 @@
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
 }
 
-// Committer writes transactions and tells their versions.
-type Committer interface {
-	// CommitVersion writes a transaction and returns the version that its rows
-	// have got. Versions grow with every transaction of the whole store.
-	CommitVersion(ctx context.Context, txn Txn) (int64, error)
+// Stamp is when the service did something, as it says itself.
+type Stamp struct {
+	// Version is the newest one of the whole store.
+	Version int64
+	// Clock is the service's steady clock. It goes on across restarts of whoever
+	// reads it.
+	Clock time.Duration
+}
+
+// StampedTables is a table service that tells its versions and its clock.
+type StampedTables interface {
+	// GetStamped returns a row, or ErrNotFound.
+	GetStamped(ctx context.Context, table, key string) (Row, Stamp, error)
+	// CommitStamped writes a transaction. The stamp's version is the one that its
+	// rows have got. Versions grow with every transaction of the whole store.
+	CommitStamped(ctx context.Context, txn Txn) (Stamp, error)
 }
