Orders without an answer are given again within 150 ms; late streams are refused while leaving

LOST: streams were taken later than 3 s after SIGTERM and cut at the end; they are refused then, with a Retry-After.

--- a/assign/orders.go
+++ b/assign/orders.go
@@ -17,15 +17,16 @@
 	reportLag = 350 * time.Millisecond
 	// reportRetry is when a report is asked for again that could not be read.
 	reportRetry = 500 * time.Millisecond
-	// unansweredRetry is when an order without an answer is given again.
-	unansweredRetry = 100 * time.Millisecond
+	// unansweredRetry is when an order without an answer is given again; it is
+	// doubled with each that follows.
+	unansweredRetry = 5 * time.Millisecond
 	// unansweredLimit is how many orders in a row may go without an answer
 	// before the engine's report is read.
-	unansweredLimit = 4
+	unansweredLimit = 6
 	// loadLost is how long a load may take before the report is read.
 	loadLost = 4 * time.Second
 	// orderPatience is when an order in flight is taken to be lost.
-	orderPatience = 3 * time.Second
+	orderPatience = 1500 * time.Millisecond
 )
 
 // orders are what one engine has been ordered and in which order.
@@ -246,7 +247,7 @@
 func (a *Assigner) orderUnanswered(now time.Time, u *upstream) {
 	o := &u.orders
 	o.unanswered++
-	o.waitUntil = now.Add(unansweredRetry << min(o.unanswered, unansweredLimit))
+	o.waitUntil = now.Add(unansweredRetry << min(o.unanswered-1, unansweredLimit))
 	if o.unanswered >= unansweredLimit {
 		o.unanswered = 0
 		a.lookAgain(now, u)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,8 +83,9 @@
 	Broker *lead.Broker
 	Pool   *forward.Pool
 	View   func() *watch.View
-	// Draining reports whether the host is leaving.
-	Draining func() bool
+	// Leaving returns for how long the host has been leaving, and false where it
+	// is not.
+	Leaving func() (time.Duration, bool)
 	// Draw returns a number in [0, 1).
 	Draw func() float64
 	// Observe takes how each request ended.
@@ -132,6 +133,14 @@
 	keptForUnsafe = 1500 * time.Millisecond
 )
 
+// Bounds of what is taken while the host is leaving. The platform excuses the
+// end of a request that was taken up to 3 s after the signal and still runs at
+// the end; what is taken later must be over by then.
+const (
+	streamsTakenFor  = 2500 * time.Millisecond
+	requestsTakenFor = 5 * time.Second
+)
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), out: http.NewResponseController(w)}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -56,7 +56,7 @@
 // serve answers the request.
 func (x *exchange) serve() {
 	defer x.report()
-	if x.server.Draining() {
+	if _, leaving := x.server.Leaving(); leaving {
 		x.w.Header().Set("Connection", "close")
 	}
 	if err := x.admit(); err != nil {
@@ -94,6 +94,9 @@
 	if err := x.authorise(config); err != nil {
 		return err
 	}
+	if x.tooLate() {
+		return apierr.New(apierr.Draining, "").WithRetryAfter(leavingReturn)
+	}
 	x.deadline = x.arrived.Add(x.bound())
 	if err := x.readBody(config); err != nil {
 		return err
@@ -102,6 +105,21 @@
 	return nil
 }
 
+// tooLate reports whether the host is leaving and may end before the request.
+func (x *exchange) tooLate() bool {
+	since, leaving := x.server.Leaving()
+	if !leaving {
+		return false
+	}
+	if x.route.Kind == catalog.Streaming {
+		return since > streamsTakenFor
+	}
+	return since > requestsTakenFor
+}
+
+// leavingReturn is when a caller may ask another host than the one that leaves.
+const leavingReturn = 10 * time.Millisecond
+
 // notReadyReturn is when a caller may come back to a host without a
 // configuration.
 const notReadyReturn = 500 * time.Millisecond
--- a/host/drain.go
+++ b/host/drain.go
@@ -33,12 +33,19 @@
 func (h *Host) Drain() {
 	h.once.Do(func() {
 		h.log.Info("draining")
-		h.draining.Store(true)
+		h.leftAt.Store(int64(time.Since(h.started)) + 1)
 		h.broker.Drain()
 		close(h.drained)
 	})
 }
 
+// leaving returns for how long the host has been leaving, and false where it is
+// not.
+func (h *Host) leaving() (time.Duration, bool) {
+	at := h.leftAt.Load()
+	return time.Since(h.started) - time.Duration(at), at > 0
+}
+
 // leave ends the listener of callers once they have gone elsewhere.
 func (h *Host) leave(ctx context.Context, callers *http.Server) error {
 	grace := time.Duration(h.settings.Grace)
@@ -58,7 +65,8 @@
 
 // ready reports whether the host may be given callers.
 func (h *Host) ready() bool {
-	return !h.draining.Load() && h.watcher.View().Config != nil
+	_, leaving := h.leaving()
+	return !leaving && h.watcher.View().Config != nil
 }
 
 // callersFor returns the addresses of the hosts for a caller of an availability
--- a/host/host.go
+++ b/host/host.go
@@ -67,9 +67,10 @@
 	settings *settings.Entry
 	log      hclog.Logger
 	sink     *logsink.Sink
-	draining atomic.Bool
-	drained  chan struct{}
-	once     sync.Once
+	// leftAt is when the host began to leave, counted from its start, 0 before.
+	leftAt  atomic.Int64
+	drained chan struct{}
+	once    sync.Once
 
 	watcher *watch.Watcher
 	broker  *lead.Broker
@@ -104,7 +105,7 @@
 	})
 	h.server = entry.New(entry.Options{
 		Log: h.log.Named("entry"), Codec: platform.Codec{}, Broker: h.broker, Pool: h.pool, View: h.watcher.View,
-		Draining: h.draining.Load, Draw: rand.Float64, Observe: func(entry.Result) {},
+		Leaving: h.leaving, Draw: rand.Float64, Observe: func(entry.Result) {},
 	})
 	return h, nil
 }
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -15,8 +15,12 @@
 // gone. A host beats several times in it.
 const memberSilence = 1500 * time.Millisecond
 
-// orderTimeout bounds an order or the reading of a report.
-const orderTimeout = time.Second
+// Bounds of calls to engines, which answer within some milliseconds. An order
+// without an answer is given again, so that waiting longer gains nothing.
+const (
+	orderTimeout  = 150 * time.Millisecond
+	reportTimeout = time.Second
+)
 
 // member is a host as the lead knows it.
 type member struct {
@@ -76,7 +80,7 @@
 }
 
 func (b *Broker) readReport(u *catalog.Upstream) {
-	ctx, cancel := context.WithTimeout(b.ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(b.ctx, reportTimeout)
 	defer cancel()
 	report, err := b.options.Engines.Report(ctx, u)
 	if err != nil {
