--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -101,6 +101,7 @@
 		a.serveWaiting(now)
 	case VersionsSeen:
 		a.versions = e.Versions
+		a.retire(now)
 		a.serveWaiting(now)
 	case UpstreamsSeen:
 		a.seeUpstreams(now, e.Upstreams)
@@ -289,7 +290,11 @@
 		e.slot.claims--
 		e.slot.lastUsed = now
 	}
+	s := e.slot
 	e.upstream, e.slot = nil, nil
+	if s != nil && a.options.Orders {
+		a.retireSlot(now, s)
+	}
 }
 
 // service returns a service's state, a new one where there is none.
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -134,10 +134,6 @@
 		return o, true
 	case !a.options.Orders || !u.orders.known:
 		return o, false
-	case ok && s.state == slotResident && s.claims == 0:
-		o.load, o.grant, o.why = true, false, "replace"
-		o.cost += coldLoad
-		return o, true
 	case ok || !u.hasRoom():
 		return o, false
 	}
--- a/assign/orders.go
+++ b/assign/orders.go
@@ -59,12 +59,8 @@
 }
 
 // startLoad reserves a place on an engine for an adapter, in place of an idle
-// one if need be. An older version of the adapter is replaced.
+// one if need be.
 func (a *Assigner) startLoad(now time.Time, u *upstream, ref catalog.AdapterRef) *slot {
-	if old, ok := u.slots[ref.Adapter]; ok {
-		a.reload(now, u, old)
-		return old
-	}
 	if u.occupied() >= u.engine.AdapterSlots {
 		victim := u.victim()
 		victim.state = slotEvicting
@@ -76,11 +72,24 @@
 	return s
 }
 
-// reload replaces an idle adapter by the announced version.
-func (a *Assigner) reload(now time.Time, u *upstream, s *slot) {
-	s.state, s.version = slotQueued, a.versions[s.ref]
-	s.readyAt = now.Add(coldLoad)
-	a.sendNext(now, u)
+// retire drops the idle adapters of which a newer version was announced. They are
+// not replaced in place: the version on its way takes a place of its own.
+func (a *Assigner) retire(now time.Time) {
+	if !a.options.Orders {
+		return
+	}
+	for _, u := range a.upstreams {
+		for _, s := range u.slots {
+			a.retireSlot(now, s)
+		}
+	}
+}
+
+func (a *Assigner) retireSlot(now time.Time, s *slot) {
+	if s.state == slotResident && s.claims == 0 && !a.current(s) {
+		s.state = slotEvicting
+		a.sendNext(now, s.upstream)
+	}
 }
 
 // occupied counts the adapters that will stay.
@@ -150,13 +159,39 @@
 		case slotResident:
 		}
 	}
-	if load == nil {
+	switch {
+	case load != nil:
+	case poll != nil:
 		load = poll
+	default:
+		return u.nextEviction()
 	}
-	if load == nil {
+	return order{ref: load.ref, version: load.version}, true
+}
+
+// nextEviction makes room for a load that waits for it, which is needed where
+// the engine held more than was known.
+func (u *upstream) nextEviction() (order, bool) {
+	if u.coming() == u.transit() {
 		return order{}, false
 	}
-	return order{ref: load.ref, version: load.version}, true
+	victim := u.victim()
+	if victim == nil {
+		return order{}, false
+	}
+	victim.state = slotEvicting
+	return order{evict: true, ref: victim.ref}, true
+}
+
+// transit counts the adapters on their way.
+func (u *upstream) transit() int {
+	n := 0
+	for _, s := range u.slots {
+		if s.state == slotComing {
+			n++
+		}
+	}
+	return n
 }
 
 // sortedSlots returns the slots in the order in which they were last used.
