Copies of adapters follow demand; a choice weighs a bounded number of engines

Cause on grown sites: the lead weighed every engine for every waiting request after each event, and the hottest adapters, which need several engines' whole time, got copies only once their engines were 600 ms behind.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -48,7 +48,13 @@
 	rates     map[string]*usage
 	lastOrder uint64
 	crashes   crashes
-	out       []Decision
+	holders   holders
+	demand    map[catalog.AdapterRef]*decayed
+	// passedAt is when all waiting requests were last looked at.
+	passedAt time.Time
+	// weighed is reused between choices.
+	weighed []*upstream
+	out     []Decision
 }
 
 // service is the upstreams of one service.
@@ -79,7 +85,7 @@
 	return &Assigner{
 		options: o, config: catalog.NewConfig(catalog.Parts{}), versions: catalog.Versions{},
 		upstreams: map[string]*upstream{}, services: map[string]*service{}, requests: map[RequestID]*entry{},
-		rates: map[string]*usage{}, crashes: newCrashes(),
+		rates: map[string]*usage{}, crashes: newCrashes(), holders: newHolders(), demand: map[catalog.AdapterRef]*decayed{},
 	}
 }
 
@@ -160,6 +166,7 @@
 		s.retries.earn(now, a.options)
 	}
 	a.requests[r.ID] = e
+	a.noteDemand(now, r.Adapter)
 	if a.place(now, e) {
 		return
 	}
@@ -209,7 +216,7 @@
 	}
 	e.upstream.learnSpeed(now, e)
 	e.upstream.startedRunning(e)
-	a.serveWaiting(now)
+	a.serveOn(now, e.upstream)
 }
 
 func (a *Assigner) end(now time.Time, ev Ended) {
@@ -228,7 +235,7 @@
 	if ev.Outcome == NotLoaded && s != nil {
 		a.doubt(now, u, s)
 	}
-	a.serveWaiting(now)
+	a.serveOn(now, u)
 }
 
 func (a *Assigner) loseHost(now time.Time, host string) {
@@ -272,6 +279,7 @@
 	e.ahead = u.unstarted
 	u.running[e.request.ID] = e
 	u.unstarted += e.prefill
+	u.reading.add(now, (time.Duration(e.prefill) * u.prefill).Seconds())
 	u.cacheTokens += e.request.PromptTokens + e.request.OutputTokens
 	if s != nil {
 		s.claims++
@@ -314,4 +322,5 @@
 	}
 	a.giveUp(now)
 	a.serveWaiting(now)
+	a.forgetDemand(now)
 }
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/jasminelock/jasminelock/catalog"
 )
 
 // What a choice weighs besides time.
@@ -21,6 +23,9 @@
 	evictCost = 20 * time.Millisecond
 	// batchCost is what each running request adds to a first token.
 	batchCost = time.Millisecond
+	// readingCost is what an engine counts as that spends all its time on
+	// prefill, during which the others' tokens come slowly.
+	readingCost = 150 * time.Millisecond
 	// errorCost is what an upstream counts as that fails every request.
 	errorCost = 2 * time.Second
 	// cacheMargin is the part of the KV cache that is planned with.
@@ -55,14 +60,19 @@
 		a.claim(e, best.slot)
 		return false
 	}
-	u := best.upstream
-	a.occupy(now, e, u, best.slot)
-	g := Grant{ID: e.request.ID, Upstream: u.record.ID, Born: u.record.Born, Why: best.why, Expected: best.cost}
-	if best.slot != nil {
-		g.Version = best.slot.version
+	a.give(now, e, best)
+	return true
+}
+
+// give gives a request to the upstream of an option.
+func (a *Assigner) give(now time.Time, e *entry, o option) {
+	u := o.upstream
+	a.occupy(now, e, u, o.slot)
+	g := Grant{ID: e.request.ID, Upstream: u.record.ID, Born: u.record.Born, Why: o.why, Expected: o.cost}
+	if o.slot != nil {
+		g.Version = o.slot.version
 	}
 	a.decide(g)
-	return true
 }
 
 // claim keeps an adapter's slot for a waiting request, which leaves the one that
@@ -83,7 +93,7 @@
 	var best option
 	found := false
 	held := a.heldSomewhere(now, s, e)
-	for _, u := range s.upstreams {
+	for _, u := range a.candidates(s, e) {
 		if !u.usable(now) || slices.Contains(e.request.Avoid, u.record.ID) {
 			continue
 		}
@@ -98,6 +108,34 @@
 	return best, found
 }
 
+// candidates returns the upstreams that are weighed: all of a small service; of
+// a large one those that hold the adapter, the one that held it last and some
+// others, so that a choice costs the same however many there are.
+func (a *Assigner) candidates(s *service, e *entry) []*upstream {
+	if len(s.upstreams) <= weighedAll {
+		return s.upstreams
+	}
+	a.weighed = a.weighed[:0]
+	for _, held := range a.holders.slots[e.request.Adapter] {
+		if held.upstream.service == s {
+			a.weighed = append(a.weighed, held.upstream)
+		}
+	}
+	if last := a.holders.last[e.request.Adapter]; last != nil && last.service == s {
+		a.weighed = append(a.weighed, last)
+	}
+	for range weighedOthers {
+		a.weighed = append(a.weighed, s.upstreams[a.options.Random.IntN(len(s.upstreams))])
+	}
+	return a.weighed
+}
+
+// Bounds of the upstreams that are weighed for one request.
+const (
+	weighedAll    = 24
+	weighedOthers = 16
+)
+
 // option returns how an upstream would serve a request.
 func (a *Assigner) option(now time.Time, u *upstream, e *entry, held bool) (option, bool) {
 	o := option{upstream: u, cost: time.Duration(u.errors * float64(errorCost))}
@@ -113,6 +151,7 @@
 	backlog := u.backlog()
 	o.grant = backlog <= maxBacklog
 	o.cost += backlog + time.Duration(u.prefillOf(now, &e.request))*u.prefill + time.Duration(len(u.running))*batchCost
+	o.cost += time.Duration(u.reading.read(now) * float64(readingCost))
 	if e.request.Adapter.Adapter == "" {
 		o.why = "least_expected"
 		return o, true
@@ -143,19 +182,35 @@
 		o.cost += evictCost
 	}
 	if held {
-		o.cost += u.copyCost(ref.Adapter)
+		o.cost += a.copyCost(now, u, ref)
 	}
 	return o, true
 }
 
-// copyCost is what another copy of an adapter counts as.
-func (u *upstream) copyCost(name string) time.Duration {
-	if _, ok := u.warm[name]; ok {
-		return warmCopyCost
+// copyCost is what another copy of an adapter counts as: the less, the more of
+// an engine each of its present copies is kept busy by.
+func (a *Assigner) copyCost(now time.Time, u *upstream, ref catalog.AdapterRef) time.Duration {
+	cost := coldCopyCost
+	if _, ok := u.warm[ref.Adapter]; ok {
+		cost = warmCopyCost
+	}
+	d, ok := a.demand[ref]
+	if !ok {
+		return cost
 	}
-	return coldCopyCost
+	copies := max(len(a.holders.slots[ref]), 1)
+	busy := d.read(now) * (usualPrompt * u.prefill).Seconds() / float64(copies)
+	return time.Duration(float64(cost) * max(0, 1-busy/busyCopy))
 }
 
+// What tells that an adapter needs another copy.
+const (
+	// usualPrompt is the prompt of a usual request, in tokens.
+	usualPrompt = 2000
+	// busyCopy is the part of an engine that one copy may keep busy.
+	busyCopy = 0.35
+)
+
 // current reports whether a slot holds the announced version.
 func (a *Assigner) current(s *slot) bool {
 	want, announced := a.versions[s.ref]
@@ -164,9 +219,8 @@
 
 // heldSomewhere reports whether an engine holds the request's adapter, or will.
 func (a *Assigner) heldSomewhere(now time.Time, s *service, e *entry) bool {
-	for _, u := range s.upstreams {
-		held, ok := u.slots[e.request.Adapter.Adapter]
-		if ok && u.usable(now) && held.state != slotEvicting && a.current(held) {
+	for _, held := range a.holders.slots[e.request.Adapter] {
+		if held.upstream.service == s && held.upstream.usable(now) && held.state != slotEvicting && a.current(held) {
 			return true
 		}
 	}
--- a/assign/orders.go
+++ b/assign/orders.go
@@ -231,7 +231,7 @@
 		a.orderUnanswered(now, u)
 	}
 	a.sendNext(now, u)
-	a.serveWaiting(now)
+	a.serveOn(now, u)
 }
 
 // orderTaken notes that the engine has carried an order out, or is doing so. An
--- a/assign/queue.go
+++ b/assign/queue.go
@@ -12,6 +12,8 @@
 const (
 	// servedAtOnce is how many waiting requests are looked at after an event.
 	servedAtOnce = 48
+	// passEvery is how often all waiting requests are looked at.
+	passEvery = 10 * time.Millisecond
 	// patiencePart is the part of a request's time that it may wait here.
 	patiencePart = 0.5
 	// idlePatience is how long a request waits where no upstream may serve it
@@ -20,11 +22,13 @@
 )
 
 // serveWaiting gives waiting requests to upstreams that have room, those that
-// can still be in time first, then by priority and arrival.
+// can still be in time first, then by priority and arrival. All are looked at
+// anew only every passEvery.
 func (a *Assigner) serveWaiting(now time.Time) {
-	if len(a.waiting) == 0 {
+	if len(a.waiting) == 0 || now.Sub(a.passedAt) < passEvery {
 		return
 	}
+	a.passedAt = now
 	slices.SortStableFunc(a.waiting, func(x, y *entry) int {
 		return cmp.Or(
 			cmp.Compare(late(now, x), late(now, y)),
@@ -41,6 +45,34 @@
 	a.waiting = kept
 }
 
+// serveOn gives waiting requests to an upstream that may have room now, in the
+// order of the last look at all of them.
+func (a *Assigner) serveOn(now time.Time, u *upstream) {
+	if len(a.waiting) == 0 || !u.usable(now) {
+		return
+	}
+	kept := a.waiting[:0:0]
+	for i, e := range a.waiting {
+		if i >= servedAtOnce || !a.placeOn(now, e, u) {
+			kept = append(kept, e)
+		}
+	}
+	a.waiting = kept
+}
+
+// placeOn gives a waiting request to an upstream that has its adapter and room.
+func (a *Assigner) placeOn(now time.Time, e *entry, u *upstream) bool {
+	if e.request.Service != u.service.name || slices.Contains(e.request.Avoid, u.record.ID) {
+		return false
+	}
+	o, ok := a.option(now, u, e, true)
+	if !ok || !o.grant || o.load {
+		return false
+	}
+	a.give(now, e, o)
+	return true
+}
+
 // late is 1 for a request whose first token cannot come in time any more.
 func late(now time.Time, e *entry) int {
 	if now.After(e.request.Target) {
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -61,6 +61,7 @@
 func (u *upstream) addSlot(now time.Time, ref catalog.AdapterRef, state slotState) *slot {
 	s := &slot{upstream: u, ref: ref, state: state, lastUsed: now}
 	u.slots[ref.Adapter] = s
+	u.holders.add(s)
 	return s
 }
 
@@ -77,6 +78,7 @@
 func (u *upstream) dropSlot(now time.Time, s *slot) {
 	if u.slots[s.ref.Adapter] == s {
 		delete(u.slots, s.ref.Adapter)
+		u.holders.remove(s)
 	}
 	if s.state == slotEvicting || s.state == slotResident {
 		u.keepWarm(now, s.ref.Adapter)
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -51,6 +51,9 @@
 	running map[RequestID]*entry
 	// unstarted is the prefill, in tokens, of requests without a first token.
 	unstarted int
+	// reading is the part of its time that the engine spends on prefill, by what
+	// it was given of late.
+	reading decayed
 	// cacheTokens is the KV cache that the requests may come to use.
 	cacheTokens int
 	// prefill is the time to read a token of a prompt.
@@ -71,6 +74,8 @@
 	models map[string]bool
 	parts  map[partKey]time.Time
 	orders orders
+	// holders is the index that the slots are part of.
+	holders *holders
 }
 
 // partKey names a part of a prompt for an adapter, whose cache entries differ.
@@ -79,10 +84,10 @@
 	part    string
 }
 
-func newUpstream(record *catalog.Upstream, s *service, engine *catalog.Engine) *upstream {
+func newUpstream(record *catalog.Upstream, s *service, engine *catalog.Engine, h *holders) *upstream {
 	return &upstream{
-		record: record, service: s, engine: engine, running: map[RequestID]*entry{},
-		prefill: assumedPrefill, work: assumedWork,
+		record: record, service: s, engine: engine, holders: h, running: map[RequestID]*entry{},
+		prefill: assumedPrefill, work: assumedWork, reading: decayed{halfLife: readingHalfLife},
 		slots: map[string]*slot{}, warm: map[string]time.Time{}, models: map[string]bool{}, parts: map[partKey]time.Time{},
 	}
 }
@@ -113,7 +118,7 @@
 	if configured := a.config.Service(record.Service); configured != nil {
 		engine = configured.Engine
 	}
-	u := newUpstream(record, s, engine)
+	u := newUpstream(record, s, engine, &a.holders)
 	a.upstreams[record.ID] = u
 	s.upstreams = append(s.upstreams, u)
 	if engine != nil {
@@ -148,6 +153,7 @@
 		}
 	}
 	a.crashes.upstreamGone(now, u)
+	a.holders.forget(u)
 	for _, e := range a.waiting {
 		if e.slot != nil && e.slot.upstream == u {
 			a.detach(e)
--- a/assign/wake.go
+++ b/assign/wake.go
@@ -6,8 +6,8 @@
 // for time to pass.
 func (a *Assigner) Wake(now time.Time) (time.Time, bool) {
 	w := wake{now: now}
-	for _, e := range a.waiting {
-		w.at(e.giveUpAt(a))
+	if len(a.waiting) > 0 {
+		w.at(a.passedAt.Add(passEvery))
 	}
 	for _, u := range a.upstreams {
 		a.wakeFor(u, &w)
