--- a/host/drain.go
+++ b/host/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/settings"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 // Times of a shutdown and of what callers are told.
@@ -70,31 +71,60 @@
 }
 
 // callersFor returns the addresses of the hosts for a caller of an availability
-// zone: those of the zone where there are several, else all.
+// zone: the strong ones of the zone where there are several, else those of all.
 func (h *Host) callersFor(zone string) []string {
-	var near, all []string
-	for _, one := range h.broker.Hosts() {
-		all = append(all, one.Callers)
+	all := h.broker.Hosts()
+	var near []wire.CallerHost
+	for _, one := range all {
 		if one.Zone == zone {
-			near = append(near, one.Callers)
+			near = append(near, one)
+		}
+	}
+	for _, hosts := range [][]wire.CallerHost{strongest(near), near, strongest(all), all} {
+		if len(hosts) >= leastTold {
+			return addresses(hosts)
 		}
 	}
 	switch {
-	case len(near) >= leastNear:
-		return first(near)
 	case len(all) > 0:
-		return first(all)
+		return addresses(all)
 	case h.ready() && time.Since(h.started) > aloneAfter:
 		return []string{h.settings.Listen.Callers}
 	}
 	return nil
 }
 
-// leastNear is how many hosts of its own zone a caller needs, so that the loss
-// of one leaves it another.
-const leastNear = 2
+const (
+	// leastTold is how many hosts a caller is told at least, so that the loss of
+	// one leaves it another.
+	leastTold = 2
+	// mostTold is the most addresses that a caller takes.
+	mostTold = 64
+	// strongPart is the part of the strongest host's processor time that a host
+	// must have to be told while there are several such hosts. Few hosts with many
+	// requests keep their connections to upstreams in use.
+	strongPart = 0.5
+)
 
-// mostTold is the most addresses that a caller takes.
-const mostTold = 64
+// strongest returns the hosts with the most processor time.
+func strongest(hosts []wire.CallerHost) []wire.CallerHost {
+	most := 0.0
+	for _, one := range hosts {
+		most = max(most, one.Cores)
+	}
+	var strong []wire.CallerHost
+	for _, one := range hosts {
+		if one.Cores >= strongPart*most {
+			strong = append(strong, one)
+		}
+	}
+	return strong
+}
 
-func first(addresses []string) []string { return addresses[:min(len(addresses), mostTold)] }
+func addresses(hosts []wire.CallerHost) []string {
+	var out []string
+	for _, one := range hosts[:min(len(hosts), mostTold)] {
+		out = append(out, one.Callers)
+	}
+	return out
+}
--- a/host/host.go
+++ b/host/host.go
@@ -92,17 +92,17 @@
 		DialTimeout: dialTimeout, UserTimeout: userTimeout, MaxIdle: upstreamIdle, MaxIdlePerUpstream: idlePerUpstream,
 		Echo: platform.Codec{}.Echo(), Interim: passedOver,
 	})
+	h.watcher = watch.New(watch.Options{
+		Log: h.log.Named("watch"), Feed: tables, Decoder: platform.Decoder{}, Changed: func(v *watch.View) { h.broker.SeeView(v) },
+	})
 	h.broker = lead.New(lead.Options{
 		Log: h.log.Named("lead"), Host: s.Host, Zone: s.Zone, Callers: s.Listen.Callers, PeerURL: "http://" + s.Listen.Peers,
-		Tables: tables, Engines: platform.NewEngines(h.pool), Fenced: s.Fleet.Fenced, Random: newRandom(),
+		Tables: tables, Source: h.watcher, Cores: s.Cores, Engines: platform.NewEngines(h.pool), Fenced: s.Fleet.Fenced, Random: newRandom(),
 		Limits: assign.Limits{
 			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack,
 			RateWindow: time.Duration(s.Fleet.RateWindow), RateOver: s.Fleet.RateOver, RateSlackTokens: s.Fleet.RateSlackTokens,
 		},
 	})
-	h.watcher = watch.New(watch.Options{
-		Log: h.log.Named("watch"), Feed: tables, Decoder: platform.Decoder{}, Changed: h.broker.SeeView,
-	})
 	h.server = entry.New(entry.Options{
 		Log: h.log.Named("entry"), Codec: platform.Codec{}, Broker: h.broker, Pool: h.pool, View: h.watcher.View,
 		Leaving: h.leaving, Draw: rand.Float64, Observe: func(entry.Result) {},
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -48,6 +48,10 @@
 	// PeerURL is where other hosts link to this one.
 	PeerURL string
 	Tables  store.StampedTables
+	// Source is this host's own watch of the platform's tables.
+	Source Source
+	// Cores is this host's processor time, in cores.
+	Cores   float64
 	Engines Engines
 	Limits  assign.Limits
 	// Fenced says that engines refuse orders with an older fencing token.
@@ -55,11 +59,26 @@
 	Random *rand.Rand
 }
 
+// Source is a watch of the platform's tables that rests while the lead passes
+// changes on. Its methods may call the broker's SeeView.
+type Source interface {
+	// Relayed says whether changes are passed on. It does not wait.
+	Relayed(on bool)
+	// TakeConfig takes a configuration, which may be empty, and announced versions.
+	TakeConfig(packed []byte, versions catalog.Versions)
+	// TakeUpstreams takes all upstreams, or those that have changed or are gone.
+	TakeUpstreams(whole bool, listed []*catalog.Upstream, gone []string)
+	// Contact returns how long ago the store was last read.
+	Contact() time.Duration
+}
+
 // Broker hands requests to the lead, or to this host's own Assigner.
 type Broker struct {
 	options Options
 	log     hclog.Logger
 	links   Links
+	// wake has Run take its next turn at once.
+	wake chan struct{}
 	// ctx ends with Run. It is set before any request comes.
 	ctx context.Context
 
@@ -82,6 +101,14 @@
 	spent     map[string]float64
 	draining  bool
 	startedAt time.Time
+	// roster is the version of hosts. The lead counts it up, starting from its
+	// fence, so that versions of two leads differ.
+	roster uint64
+	// relayWhole says that the lead has passed all upstreams on.
+	relayWhole bool
+	// rosterDue says that hosts are about to be told of a change.
+	rosterDue bool
+	relay     relayState
 
 	localAlarm   alarm
 	leadingAlarm alarm
@@ -121,7 +148,7 @@
 func New(o Options) *Broker {
 	b := &Broker{
 		options: o, log: o.Log, tickets: map[uint64]*Ticket{}, number: uint64(o.Random.Uint32()) << 32,
-		members: map[string]*member{}, exhausted: map[string]bool{}, spent: map[string]float64{}, startedAt: time.Now(),
+		wake: make(chan struct{}, 1), members: map[string]*member{}, exhausted: map[string]bool{}, spent: map[string]float64{}, startedAt: time.Now(),
 		view: &watch.View{Versions: catalog.Versions{}},
 	}
 	b.local = assign.New(assign.Options{Share: blankShare, Limits: o.Limits, Random: o.Random})
@@ -271,10 +298,12 @@
 // SeeView takes what the platform's tables say.
 func (b *Broker) SeeView(v *watch.View) {
 	b.step(func(now time.Time) {
+		before := b.view
 		b.view = v
 		b.seeView(now, b.handleLocal)
 		if b.leading != nil {
 			b.seeView(now, b.handleLeading)
+			b.passOn(before)
 		}
 	})
 }
--- a/lead/election.go
+++ b/lead/election.go
@@ -88,11 +88,20 @@
 		pause := b.turn(ctx)
 		select {
 		case <-ctx.Done():
+		case <-b.wake:
 		case <-time.After(pause):
 		}
 	}
 }
 
+// wakeUp has Run take its next turn at once.
+func (b *Broker) wakeUp() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Start gives the broker the context of its calls.
 func (b *Broker) Start(ctx context.Context) { b.ctx = ctx }
 
@@ -110,7 +119,7 @@
 		return b.renew(ctx)
 	case hasLead:
 		if weak && !draining {
-			b.tryClaim(ctx)
+			b.takeOver(ctx)
 		}
 		b.beat()
 		return beatEvery
@@ -118,6 +127,16 @@
 	return b.look(ctx)
 }
 
+// takeOver claims the lease of a lead that cannot renew it, unless another host
+// does so first.
+func (b *Broker) takeOver(ctx context.Context) {
+	b.mu.Lock()
+	row := b.lead.row
+	b.mu.Unlock()
+	pause(ctx, b.claimDelay())
+	b.tryClaim(ctx, row)
+}
+
 // beat tells the lead that this host is there, and gives it up where it is silent.
 func (b *Broker) beat() {
 	b.step(func(now time.Time) {
@@ -173,16 +192,26 @@
 		}
 	})
 	if claim && !draining {
-		pause(ctx, time.Duration(b.float()*float64(claimSpread)))
-		b.tryClaim(ctx)
+		b.mu.Lock()
+		seen := b.lead.row
+		b.mu.Unlock()
+		pause(ctx, b.claimDelay())
+		b.tryClaim(ctx, seen)
 	}
 	return lookEvery
 }
 
-func (b *Broker) float() float64 {
+// weakDelay is how much later than others a host without processor time claims
+// a free lease.
+const weakDelay = 400 * time.Millisecond
+
+// claimDelay is how long this host leaves a free lease to others: the less, the
+// more processor time it has.
+func (b *Broker) claimDelay() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.options.Random.Float64()
+	weakness := 1 - min(b.options.Cores, 1)
+	return time.Duration(b.options.Random.Float64()*float64(claimSpread) + weakness*float64(weakDelay))
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -214,11 +243,15 @@
 	}, nil
 }
 
-// tryClaim takes the lease as last seen, unless it has changed since.
-func (b *Broker) tryClaim(ctx context.Context) {
+// tryClaim takes the lease as it was seen, unless it has changed since, as far
+// as this host knows or the store says.
+func (b *Broker) tryClaim(ctx context.Context, seen leaseView) {
 	b.mu.Lock()
-	seen := b.lead.row
+	stale := b.lead.row.host != seen.host || b.leading != nil || (b.lead.host != "" && !b.lead.weak)
 	b.mu.Unlock()
+	if stale {
+		return
+	}
 	secret := seen.secret
 	if secret == "" {
 		secret = rand.Text()
--- a/lead/following.go
+++ b/lead/following.go
@@ -13,6 +13,11 @@
 
 // Receive takes a message of another host. It does not wait.
 func (b *Broker) Receive(from string, m wire.Message) {
+	switch m.(type) {
+	case *wire.ConfigPush, *wire.UpstreamPush:
+		b.receivePush(from, m)
+		return
+	}
 	b.step(func(now time.Time) {
 		if beat, ok := m.(*wire.LeadBeat); ok {
 			b.receiveBeat(now, from, beat)
@@ -90,12 +95,18 @@
 	if b.lead.host != from {
 		b.follow(now, from, m.Fence)
 	}
+	if m.Weak && !b.lead.weak {
+		b.wakeUp()
+	}
 	b.lead.fence, b.lead.heardAt, b.lead.weak = m.Fence, now, m.Weak
 	if m.Renewed > b.lead.row.version && from == b.lead.row.host {
 		b.lead.row.version, b.lead.row.since = m.Renewed, now
 	}
-	b.hosts = m.Hosts
-	b.shareChanged()
+	if m.Roster != b.roster && len(m.Hosts) > 0 {
+		b.roster, b.hosts = m.Roster, m.Hosts
+		b.shareChanged()
+	}
+	b.options.Source.Relayed(b.relayWhole && !m.Weak && milliseconds(m.StoreAgeMS) < relayAge)
 	clear(b.exhausted)
 	for _, name := range m.Exhausted {
 		b.exhausted[name] = true
@@ -169,7 +180,9 @@
 	if b.lead.host != b.options.Host {
 		b.log.Warn("lead lost", "lead", b.lead.host, "reason", why)
 	}
-	b.lead.host = ""
+	b.lead.host, b.relayWhole = "", false
+	b.wakeUp()
+	b.options.Source.Relayed(false)
 	for _, t := range b.tickets {
 		if !t.settled && t.toLead {
 			b.send(now, t)
@@ -207,7 +220,9 @@
 
 // hostBeat returns what this host tells the lead.
 func (b *Broker) hostBeat() *wire.HostBeat {
-	beat := &wire.HostBeat{Zone: b.options.Zone, Callers: b.options.Callers, Draining: b.draining}
+	beat := &wire.HostBeat{
+		Zone: b.options.Zone, Callers: b.options.Callers, Draining: b.draining, Cores: b.options.Cores, Roster: b.roster,
+	}
 	for name, tokens := range b.spent {
 		beat.Spent = append(beat.Spent, wire.Spent{Organisation: name, Tokens: tokens})
 	}
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -27,7 +27,10 @@
 	zone     string
 	callers  string
 	draining bool
+	cores    float64
 	heardAt  time.Time
+	// passed says that the host has been told all that the tables say.
+	passed bool
 }
 
 // handleLeading brings an event to the fleet's Assigner.
@@ -126,26 +129,76 @@
 	if !known {
 		b.log.Info("host joined", "host", from, "zone", m.Zone, "callers", m.Callers)
 	}
-	b.members[from] = &member{zone: m.Zone, callers: m.Callers, draining: m.Draining, heardAt: now}
+	joined := &member{zone: m.Zone, callers: m.Callers, draining: m.Draining, cores: m.Cores, heardAt: now}
+	if known {
+		joined.passed = old.passed
+	}
+	b.members[from] = joined
 	for _, s := range m.Spent {
 		b.leading.Charge(now, now.Add(-milliseconds(s.AgeMS)), s.Organisation, s.Tokens)
 	}
 	if !known || old.draining != m.Draining {
 		b.rosterChanged(now)
-		return
 	}
-	b.sendTo(from, b.leadBeat(now))
+	beat := b.leadBeat(now)
+	if m.Roster != b.roster {
+		beat.Hosts = b.hosts
+	}
+	b.sendTo(from, beat)
+	if !joined.passed && b.view.Config != nil {
+		joined.passed = true
+		b.passAll(from)
+	}
 }
 
-// rosterChanged tells every host who is there.
+// rosterChanged tells every host who is there, soon: hosts join and leave
+// together.
 func (b *Broker) rosterChanged(now time.Time) {
+	b.roster++
+	b.hosts = b.callerHosts()
+	b.shareChanged()
+	if b.rosterDue {
+		return
+	}
+	b.rosterDue = true
+	time.AfterFunc(rosterDelay, func() {
+		b.step(func(now time.Time) {
+			b.rosterDue = false
+			if b.leading != nil {
+				b.tellRoster(now)
+			}
+		})
+	})
+}
+
+// rosterDelay is how long changes of the list of hosts are gathered.
+const rosterDelay = 20 * time.Millisecond
+
+func (b *Broker) tellRoster(now time.Time) {
 	beat := b.leadBeat(now)
-	b.hosts = beat.Hosts
+	beat.Hosts = b.hosts
 	for host := range b.members {
 		b.sendTo(host, beat)
 	}
 }
 
+// callerHosts returns the hosts that callers may be sent to.
+func (b *Broker) callerHosts() []wire.CallerHost {
+	var hosts []wire.CallerHost
+	if !b.draining {
+		hosts = append(hosts, wire.CallerHost{
+			Name: b.options.Host, Zone: b.options.Zone, Callers: b.options.Callers, Cores: b.options.Cores,
+		})
+	}
+	for name, m := range b.members {
+		if !m.draining {
+			hosts = append(hosts, wire.CallerHost{Name: name, Zone: m.zone, Callers: m.callers, Cores: m.cores})
+		}
+	}
+	slices.SortFunc(hosts, func(x, y wire.CallerHost) int { return strings.Compare(x.Name, y.Name) })
+	return hosts
+}
+
 // dropSilent forgets the hosts that have not been heard of.
 func (b *Broker) dropSilent(now time.Time) {
 	for host, m := range b.members {
@@ -168,16 +221,10 @@
 
 // leadBeat returns what the lead tells every host.
 func (b *Broker) leadBeat(now time.Time) *wire.LeadBeat {
-	beat := &wire.LeadBeat{Fence: b.lead.fence, Renewed: b.lead.row.version, Weak: b.lead.weak}
-	if !b.draining {
-		beat.Hosts = append(beat.Hosts, wire.CallerHost{Name: b.options.Host, Zone: b.options.Zone, Callers: b.options.Callers})
+	beat := &wire.LeadBeat{
+		Fence: b.lead.fence, Renewed: b.lead.row.version, Weak: b.lead.weak, Roster: b.roster,
+		StoreAgeMS: b.options.Source.Contact().Milliseconds(),
 	}
-	for name, m := range b.members {
-		if !m.draining {
-			beat.Hosts = append(beat.Hosts, wire.CallerHost{Name: name, Zone: m.zone, Callers: m.callers})
-		}
-	}
-	slices.SortFunc(beat.Hosts, func(x, y wire.CallerHost) int { return strings.Compare(x.Name, y.Name) })
 	if b.view.Config != nil {
 		b.view.Config.Organisations(func(o *catalog.Organisation) {
 			if b.leading.Exhausted(now, o.Name) {
@@ -189,6 +236,9 @@
 	return beat
 }
 
+// rosterBits leave room for the versions of one lead's list of hosts.
+const rosterBits = 20
+
 // startLeading makes this host the lead.
 func (b *Broker) startLeading(now time.Time, fence int64) {
 	b.log.Info("this host leads", "fence", fence)
@@ -196,6 +246,7 @@
 		Orders: true, Fence: fence, Share: 1, Limits: b.options.Limits, Random: b.options.Random,
 	})
 	b.members = map[string]*member{}
+	b.roster = uint64(fence) << rosterBits
 	b.seeView(now, b.handleLeading)
 	b.follow(now, b.options.Host, fence)
 	b.rosterChanged(now)
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -16,8 +16,11 @@
 	// Store is the "ip:port" of the platform's table service.
 	Store string `json:"store"`
 	// MemoryMB is the memory that the process may take, in megabytes.
-	MemoryMB int        `json:"memory_mb"`
-	Fleet    EntryFleet `json:"fleet"`
+	MemoryMB int `json:"memory_mb"`
+	// Cores is the processor time that the process may take, in cores. Hosts with
+	// more of it are given more to do.
+	Cores float64    `json:"cores"`
+	Fleet EntryFleet `json:"fleet"`
 	// Grace is the time from the first signal to end to the last one.
 	Grace Duration `json:"grace"`
 	Log   Log      `json:"log,omitzero"`
@@ -96,6 +99,7 @@
 	}
 	c.address("store", s.Store)
 	c.check(s.MemoryMB > 0, "memory_mb", "want the memory in megabytes, above 0")
+	c.check(s.Cores > 0, "cores", "want a number of cores above 0")
 	c.check(s.Fleet.RetryRatio >= 0 && s.Fleet.RetrySlack >= 0, "fleet.retry_ratio", "want 0 or more")
 	c.check(s.Fleet.RateWindow > 0, "fleet.rate_window", "want a duration above 0")
 	c.check(s.Grace >= leastGrace, "grace", "want %s or more", leastGrace)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -20,7 +20,7 @@
 const (
 	// changeWait is how long the store is asked to wait for a change. A
 	// connection that has gone silent is noticed after it.
-	changeWait = 2500 * time.Millisecond
+	changeWait = time.Second
 	// upstreamPause is the least time between two reads of the upstreams, which
 	// change often; it is small against the two seconds in which a host must
 	// have stopped using one that leaves.
@@ -51,7 +51,9 @@
 // View is what the tables say. It must not be changed.
 type View struct {
 	// Config is nil before the first one was read.
-	Config    *catalog.Config
+	Config *catalog.Config
+	// RawConfig is the row that the configuration was read from.
+	RawConfig store.Row
 	Versions  catalog.Versions
 	Upstreams map[string]*catalog.Upstream
 }
@@ -68,10 +70,14 @@
 	// mu guards the building of a new view; readers take the pointer.
 	mu     sync.Mutex
 	lapsed map[string]time.Time
-	// contact is when the store last answered, in Unix nanoseconds of the
-	// process's clock, 0 for never.
-	contact atomic.Int64
-	started time.Time
+	// contacts are when the store last answered for each table, counted from the
+	// start.
+	contacts [2]atomic.Int64
+	started  time.Time
+	// relayed says that another host passes changes on, resumed that it no longer
+	// does.
+	relayed atomic.Bool
+	resumed [2]chan struct{}
 }
 
 // Options are what a Watcher is made of.
@@ -88,6 +94,9 @@
 	w := &Watcher{
 		log: o.Log, feed: o.Feed, decoder: o.Decoder, changed: o.Changed, lapsed: map[string]time.Time{}, started: time.Now(),
 	}
+	for i := range w.resumed {
+		w.resumed[i] = make(chan struct{}, 1)
+	}
 	w.view.Store(&View{Versions: catalog.Versions{}, Upstreams: map[string]*catalog.Upstream{}})
 	return w
 }
@@ -95,18 +104,20 @@
 // View returns what the tables say now.
 func (w *Watcher) View() *View { return w.view.Load() }
 
-// Contact returns how long ago the store last answered.
+// Contact returns how long ago the store last answered for the table that has
+// waited longest.
 func (w *Watcher) Contact() time.Duration {
-	return time.Since(w.started) - time.Duration(w.contact.Load())
+	oldest := min(w.contacts[0].Load(), w.contacts[1].Load())
+	return time.Since(w.started) - time.Duration(oldest)
 }
 
 // Run follows the tables until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	operator, upstreams := w.decoder.Tables()
 	var group sync.WaitGroup
-	group.Go(func() { w.follow(ctx, &tableReader{watcher: w, table: operator, apply: w.applyOperator}) })
+	group.Go(func() { w.follow(ctx, &tableReader{watcher: w, index: 0, table: operator, apply: w.applyOperator}) })
 	group.Go(func() {
-		w.follow(ctx, &tableReader{watcher: w, table: upstreams, pause: upstreamPause, apply: w.applyUpstreams})
+		w.follow(ctx, &tableReader{watcher: w, index: 1, table: upstreams, pause: upstreamPause, apply: w.applyUpstreams})
 	})
 	group.Wait()
 }
@@ -114,9 +125,11 @@
 // tableReader is the reading of one table.
 type tableReader struct {
 	watcher *Watcher
-	table   string
-	pause   time.Duration
-	apply   func(c store.Changes, whole bool, outage time.Duration)
+	// index is the table's place among the watcher's.
+	index int
+	table string
+	pause time.Duration
+	apply func(c store.Changes, whole bool, outage time.Duration)
 	// after is the version read up to, where the table has been read whole.
 	after int64
 	known bool
@@ -131,6 +144,9 @@
 	retry := firstRetry
 	r.answeredAt = time.Now()
 	for ctx.Err() == nil {
+		if r.awaitResume(ctx) {
+			retry = firstRetry
+		}
 		err := r.read(ctx)
 		wait := r.pause
 		switch {
@@ -147,6 +163,23 @@
 	}
 }
 
+// awaitResume waits while another host passes changes on, and reports whether
+// it has waited. The table has to be read whole then.
+func (r *tableReader) awaitResume(ctx context.Context) bool {
+	waited := false
+	for r.watcher.relayed.Load() && r.known && ctx.Err() == nil {
+		waited = true
+		select {
+		case <-ctx.Done():
+		case <-r.watcher.resumed[r.index]:
+		}
+	}
+	if waited {
+		r.known, r.lost, r.answeredAt = false, false, time.Now()
+	}
+	return waited
+}
+
 func (r *tableReader) read(ctx context.Context) error {
 	whole := !r.known
 	var changes store.Changes
@@ -181,7 +214,7 @@
 		r.watcher.log.Info("store answers again", "table", r.table, "after", r.outage)
 	}
 	r.answeredAt = now
-	r.watcher.contact.Store(int64(now.Sub(r.watcher.started)))
+	r.watcher.contacts[r.index].Store(int64(now.Sub(r.watcher.started)))
 }
 
 func (r *tableReader) failed(err error) {
@@ -226,7 +259,7 @@
 	case next.Config != nil && config.Version <= next.Config.Version:
 	default:
 		w.logRates(next.Config, config)
-		next.Config = config
+		next.Config, next.RawConfig = config, row
 		w.log.Info("configuration in force", "version", config.Version, "routes", config.RouteCount())
 	}
 }
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -12,19 +12,23 @@
 	TypeLeadBeat
 	TypeAdopt
 	TypeSuccessor
+	TypeConfigPush
+	TypeUpstreamPush
 )
 
 var assignDecoders = map[Type]func() Message{
-	TypeAsk:       func() Message { return &Ask{} },
-	TypeWithdraw:  func() Message { return &Withdraw{} },
-	TypeStarted:   func() Message { return &Started{} },
-	TypeEnded:     func() Message { return &Ended{} },
-	TypeGrant:     func() Message { return &Grant{} },
-	TypeRefuse:    func() Message { return &Refuse{} },
-	TypeHostBeat:  func() Message { return &HostBeat{} },
-	TypeLeadBeat:  func() Message { return &LeadBeat{} },
-	TypeAdopt:     func() Message { return &Adopt{} },
-	TypeSuccessor: func() Message { return &Successor{} },
+	TypeAsk:          func() Message { return &Ask{} },
+	TypeWithdraw:     func() Message { return &Withdraw{} },
+	TypeStarted:      func() Message { return &Started{} },
+	TypeEnded:        func() Message { return &Ended{} },
+	TypeGrant:        func() Message { return &Grant{} },
+	TypeRefuse:       func() Message { return &Refuse{} },
+	TypeHostBeat:     func() Message { return &HostBeat{} },
+	TypeLeadBeat:     func() Message { return &LeadBeat{} },
+	TypeAdopt:        func() Message { return &Adopt{} },
+	TypeSuccessor:    func() Message { return &Successor{} },
+	TypeConfigPush:   func() Message { return &ConfigPush{} },
+	TypeUpstreamPush: func() Message { return &UpstreamPush{} },
 }
 
 // Part is a part of a prompt that other requests may share.
@@ -114,6 +118,10 @@
 	Draining bool   `cbor:"3,keyasint,omitempty"`
 	// Spent is what the lead has not been told yet.
 	Spent []Spent `cbor:"4,keyasint,omitempty"`
+	// Cores is the host's processor time, in cores.
+	Cores float64 `cbor:"5,keyasint,omitempty"`
+	// Roster is the version of the list of hosts that the host has.
+	Roster uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Successor tells a lead that it has been replaced by the sender, and hosts
@@ -130,6 +138,8 @@
 	Name    string `cbor:"1,keyasint"`
 	Zone    string `cbor:"2,keyasint"`
 	Callers string `cbor:"3,keyasint"`
+	// Cores is the host's processor time, in cores.
+	Cores float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // LeadBeat tells a host that the lead is there, and what it knows.
@@ -141,12 +151,51 @@
 	// Weak says that the lead cannot renew its lease.
 	Weak bool `cbor:"3,keyasint,omitempty"`
 	// Released says that the lead has given its lease back.
-	Released bool         `cbor:"4,keyasint,omitempty"`
-	Hosts    []CallerHost `cbor:"5,keyasint"`
+	Released bool `cbor:"4,keyasint,omitempty"`
+	// Roster is the version of the list of hosts. Hosts is set where the receiver
+	// has another version.
+	Roster uint64       `cbor:"7,keyasint,omitempty"`
+	Hosts  []CallerHost `cbor:"5,keyasint,omitempty"`
+	// StoreAgeMS is how long ago the lead last read the store.
+	StoreAgeMS int64 `cbor:"8,keyasint,omitempty"`
 	// Exhausted names the organisations whose rate is used up.
 	Exhausted []string `cbor:"6,keyasint,omitempty"`
 }
 
+// ConfigPush passes the operator's configuration on, and the announced versions
+// of adapters.
+type ConfigPush struct {
+	// Config is the row's value, compressed. Empty where it has not changed.
+	Config   []byte           `cbor:"1,keyasint,omitempty"`
+	Versions []AdapterVersion `cbor:"2,keyasint,omitempty"`
+}
+
+// AdapterVersion is the announced version of an adapter.
+type AdapterVersion struct {
+	Model   string `cbor:"1,keyasint"`
+	Adapter string `cbor:"2,keyasint"`
+	Version int64  `cbor:"3,keyasint"`
+}
+
+// UpstreamPush passes the upstreams on.
+type UpstreamPush struct {
+	// Whole says that there are no others than those listed.
+	Whole     bool       `cbor:"1,keyasint,omitempty"`
+	Upstreams []Upstream `cbor:"2,keyasint,omitempty"`
+	Gone      []string   `cbor:"3,keyasint,omitempty"`
+}
+
+// Upstream is an upstream without the adapters that it holds.
+type Upstream struct {
+	ID       string `cbor:"1,keyasint"`
+	Born     int64  `cbor:"2,keyasint,omitempty"`
+	Service  string `cbor:"3,keyasint"`
+	Address  string `cbor:"4,keyasint"`
+	Zone     string `cbor:"5,keyasint"`
+	Slots    int    `cbor:"6,keyasint"`
+	Draining bool   `cbor:"7,keyasint,omitempty"`
+}
+
 // Adopt tells a new lead of a request that is already with an upstream.
 type Adopt struct {
 	Ask      Ask    `cbor:"1,keyasint"`
@@ -183,3 +232,9 @@
 
 // WireType implements Message.
 func (*Successor) WireType() Type { return TypeSuccessor }
+
+// WireType implements Message.
+func (*ConfigPush) WireType() Type { return TypeConfigPush }
+
+// WireType implements Message.
+func (*UpstreamPush) WireType() Type { return TypeUpstreamPush }
