--- a/entry/answer.go
+++ b/entry/answer.go
@@ -221,7 +221,8 @@
 	took := time.Since(x.arrived)
 	x.server.Log.Info("request", "request", x.call.AttemptID, "route", route, "organisation", x.request.Organisation,
 		"adapter", x.request.Adapter.Adapter, "status", x.status, "reason", x.reason, "rule", x.why, "upstream", x.grant.Upstream,
-		"assigned_by", x.grant.Why, "sent", x.sent, "ran", x.ran, "first_ms", x.firstToken.Milliseconds(), "took_ms", took.Milliseconds())
+		"assigned_by", x.grant.Why, "granted_ms", x.grantedAfter.Milliseconds(), "expected_ms", x.grant.Expected.Milliseconds(),
+		"sent", x.sent, "ran", x.ran, "first_ms", x.firstToken.Milliseconds(), "took_ms", took.Milliseconds())
 	x.server.Observe(Result{
 		Route: route, Status: x.status, Reason: x.reason, Took: took, FirstToken: x.firstToken, Attempts: x.sent,
 	})
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -45,9 +45,11 @@
 	wrote       bool
 	lastEventID string
 	firstToken  time.Duration
-	status      int
-	reason      string
-	why         string
+	// grantedAfter is when the last upstream was assigned, since the arrival.
+	grantedAfter time.Duration
+	status       int
+	reason       string
+	why          string
 }
 
 // errDeadline is the cause of a context that ended at the request's deadline.
@@ -274,7 +276,7 @@
 // attempt sends the request to an upstream. It reports whether another one may
 // be tried.
 func (x *exchange) attempt(g assign.Grant) (bool, *apierr.Error) {
-	x.grant = g
+	x.grant, x.grantedAfter = g, time.Since(x.arrived)
 	u := x.server.View().Upstreams[g.Upstream]
 	left := time.Until(x.deadline)
 	switch {
