--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -49,6 +49,7 @@
 	lastOrder uint64
 	crashes   crashes
 	holders   holders
+	cold      coldLoads
 	demand    map[catalog.AdapterRef]*decayed
 	// passedAt is when all waiting requests were last looked at.
 	passedAt time.Time
@@ -85,7 +86,7 @@
 	return &Assigner{
 		options: o, config: catalog.NewConfig(catalog.Parts{}), versions: catalog.Versions{},
 		upstreams: map[string]*upstream{}, services: map[string]*service{}, requests: map[RequestID]*entry{},
-		rates: map[string]*usage{}, crashes: newCrashes(), holders: newHolders(), demand: map[catalog.AdapterRef]*decayed{},
+		rates: map[string]*usage{}, crashes: newCrashes(), holders: newHolders(), cold: newColdLoads(), demand: map[catalog.AdapterRef]*decayed{},
 	}
 }
 
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -19,13 +19,22 @@
 	// is for one that the engine held recently.
 	coldCopyCost = 350 * time.Millisecond
 	warmCopyCost = 100 * time.Millisecond
+	// storeCost is what a load from the weight store counts as beside its time: it
+	// makes those of others slower.
+	storeCost = 200 * time.Millisecond
+	// placeWait is how long an engine without a place for an adapter usually takes
+	// to have one.
+	placeWait = 200 * time.Millisecond
 	// evictCost is what dropping another adapter counts as.
 	evictCost = 20 * time.Millisecond
-	// batchCost is what each running request adds to a first token.
-	batchCost = time.Millisecond
-	// readingCost is what an engine counts as that spends all its time on
-	// prefill, during which the others' tokens come slowly.
-	readingCost = 150 * time.Millisecond
+	// disturbWeight is what a prompt's reading counts for each request that runs
+	// meanwhile, whose tokens come later by it.
+	disturbWeight = 0.15
+	// disturbedWeight is what a request counts for its own tokens that come later
+	// on an engine that spends all its time on prefill.
+	disturbedWeight = 0.3
+	// usualStep is the time that an engine takes to make a token.
+	usualStep = 9 * time.Millisecond
 	// errorCost is what an upstream counts as that fails every request.
 	errorCost = 2 * time.Second
 	// cacheMargin is the part of the KV cache that is planned with.
@@ -150,8 +159,10 @@
 	}
 	backlog := u.backlog()
 	o.grant = backlog <= maxBacklog
-	o.cost += backlog + time.Duration(u.prefillOf(now, &e.request))*u.prefill + time.Duration(len(u.running))*batchCost
-	o.cost += time.Duration(u.reading.read(now) * float64(readingCost))
+	prefill := time.Duration(u.prefillOf(now, &e.request)) * u.prefill
+	o.cost += backlog + prefill
+	o.cost += time.Duration(disturbWeight * float64(prefill) * float64(len(u.running)))
+	o.cost += time.Duration(u.reading.read(now) * float64(disturbedCost(&e.request)))
 	if e.request.Adapter.Adapter == "" {
 		o.why = "least_expected"
 		return o, true
@@ -159,6 +170,16 @@
 	return a.adapterOption(now, o, e, held)
 }
 
+// disturbedCost is what an engine counts as for a request that spends all its
+// time on prefill.
+func disturbedCost(r *Request) time.Duration {
+	tokens := r.ExpectedOutput
+	if tokens == 0 {
+		tokens = r.OutputTokens / 2
+	}
+	return time.Duration(disturbedWeight * float64(tokens) * float64(usualStep))
+}
+
 // adapterOption adds what it takes to have the adapter on the engine.
 func (a *Assigner) adapterOption(now time.Time, o option, e *entry, held bool) (option, bool) {
 	u, ref := o.upstream, e.request.Adapter
@@ -173,11 +194,18 @@
 		return o, true
 	case !a.options.Orders || !u.orders.known:
 		return o, false
-	case ok || !u.hasRoom():
+	case ok:
+		return o, false
+	case !u.hasRoom():
+		return a.warmOption(now, o, e)
+	case !u.isWarm(ref.Adapter) && !a.cold.free():
 		return o, false
 	}
 	o.load, o.grant, o.why = true, false, "load"
 	o.cost += u.loadTime(ref.Adapter) + time.Duration(u.coming())*warmLoad
+	if !u.isWarm(ref.Adapter) {
+		o.cost += storeCost
+	}
 	if u.occupied() >= u.engine.AdapterSlots {
 		o.cost += evictCost
 	}
@@ -187,19 +215,26 @@
 	return o, true
 }
 
+// warmOption waits for a place on an engine without one that held the adapter
+// recently, for as long as a load from the weight store would be no better.
+func (a *Assigner) warmOption(now time.Time, o option, e *entry) (option, bool) {
+	if !o.upstream.isWarm(e.request.Adapter.Adapter) {
+		return o, false
+	}
+	o.why = "wait_warm"
+	o.cost += warmLoad + placeWait + now.Sub(e.request.Arrived)
+	return o, true
+}
+
 // copyCost is what another copy of an adapter counts as: the less, the more of
 // an engine each of its present copies is kept busy by.
 func (a *Assigner) copyCost(now time.Time, u *upstream, ref catalog.AdapterRef) time.Duration {
 	cost := coldCopyCost
-	if _, ok := u.warm[ref.Adapter]; ok {
+	if u.isWarm(ref.Adapter) {
 		cost = warmCopyCost
 	}
-	d, ok := a.demand[ref]
-	if !ok {
-		return cost
-	}
 	copies := max(len(a.holders.slots[ref]), 1)
-	busy := d.read(now) * (usualPrompt * u.prefill).Seconds() / float64(copies)
+	busy := a.demandOf(now, ref) * (usualPrompt * u.prefill).Seconds() / float64(copies)
 	return time.Duration(float64(cost) * max(0, 1-busy/busyCopy))
 }
 
--- a/assign/demand.go
+++ b/assign/demand.go
@@ -53,6 +53,14 @@
 	d.add(now, 1)
 }
 
+// demandOf returns how often an adapter is asked for, a second.
+func (a *Assigner) demandOf(now time.Time, ref catalog.AdapterRef) float64 {
+	if d, ok := a.demand[ref]; ok {
+		return d.read(now)
+	}
+	return 0
+}
+
 // forgetDemand drops the adapters that are hardly asked for any more.
 func (a *Assigner) forgetDemand(now time.Time) {
 	const looked = 32 // a few at a time, since map order is random
--- a/assign/events.go
+++ b/assign/events.go
@@ -40,6 +40,8 @@
 	// PromptTokens and OutputTokens bound what the request reads and makes.
 	PromptTokens int
 	OutputTokens int
+	// ExpectedOutput is the caller's estimate of the tokens made, 0 for none.
+	ExpectedOutput int
 	// Parts are the shared parts of the prompt, in order.
 	Parts []Part
 	// Cost is what is counted against the organisation's rate, in tokens.
--- a/assign/orders.go
+++ b/assign/orders.go
@@ -62,11 +62,14 @@
 // one if need be.
 func (a *Assigner) startLoad(now time.Time, u *upstream, ref catalog.AdapterRef) *slot {
 	if u.occupied() >= u.engine.AdapterSlots {
-		victim := u.victim()
+		victim := a.victim(now, u)
 		victim.state = slotEvicting
 	}
 	s := u.addSlot(now, ref, slotQueued)
 	s.version = a.versions[ref]
+	if s.cold = !u.isWarm(ref.Adapter); s.cold {
+		a.cold.begin(s)
+	}
 	s.readyAt = now.Add(u.loadTime(ref.Adapter))
 	a.sendNext(now, u)
 	return s
@@ -164,18 +167,18 @@
 	case poll != nil:
 		load = poll
 	default:
-		return u.nextEviction()
+		return a.nextEviction(now, u)
 	}
 	return order{ref: load.ref, version: load.version}, true
 }
 
 // nextEviction makes room for a load that waits for it, which is needed where
 // the engine held more than was known.
-func (u *upstream) nextEviction() (order, bool) {
+func (a *Assigner) nextEviction(now time.Time, u *upstream) (order, bool) {
 	if u.coming() == u.transit() {
 		return order{}, false
 	}
-	victim := u.victim()
+	victim := a.victim(now, u)
 	if victim == nil {
 		return order{}, false
 	}
@@ -257,7 +260,7 @@
 		s.leaving = true
 		o.waitUntil = now.Add(pollInterval)
 	case result == OrderHolds && s.version == o.sent.version:
-		s.state = slotResident
+		a.loaded(now, s)
 	case s.state == slotQueued:
 		o.sequence++
 		s.state, s.orderedAt = slotComing, now
@@ -267,6 +270,15 @@
 	}
 }
 
+// loaded notes that an adapter has arrived.
+func (a *Assigner) loaded(now time.Time, s *slot) {
+	if s.state == slotComing {
+		a.cold.end(s, now.Sub(s.orderedAt))
+	}
+	a.cold.forget(s)
+	s.state = slotResident
+}
+
 // evictAdvance is how far an eviction that is carried out at once moves the
 // sequence number on.
 const evictAdvance = 1
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -32,6 +32,8 @@
 	readyAt time.Time
 	// orderedAt is when the load was accepted.
 	orderedAt time.Time
+	// cold says that the load comes from the weight store.
+	cold bool
 	// leaving says that the engine has accepted an order to drop the adapter, which
 	// it does once nothing runs on it.
 	leaving bool
@@ -51,12 +53,19 @@
 
 // loadTime estimates a load of an adapter.
 func (u *upstream) loadTime(name string) time.Duration {
-	if _, ok := u.warm[name]; ok {
+	if u.isWarm(name) {
 		return warmLoad
 	}
 	return coldLoad
 }
 
+// isWarm reports whether the engine held an adapter recently, so that it loads
+// fast.
+func (u *upstream) isWarm(name string) bool {
+	_, ok := u.warm[name]
+	return ok
+}
+
 // addSlot notes an adapter on the engine.
 func (u *upstream) addSlot(now time.Time, ref catalog.AdapterRef, state slotState) *slot {
 	s := &slot{upstream: u, ref: ref, state: state, lastUsed: now}
@@ -79,6 +88,7 @@
 	if u.slots[s.ref.Adapter] == s {
 		delete(u.slots, s.ref.Adapter)
 		u.holders.remove(s)
+		u.cold.forget(s)
 	}
 	if s.state == slotEvicting || s.state == slotResident {
 		u.keepWarm(now, s.ref.Adapter)
@@ -123,20 +133,31 @@
 	}
 }
 
-// victim returns the idle adapter that was used longest ago, nil where none is
+// victim returns the idle adapter that is asked for least, nil where none is
 // idle.
-func (u *upstream) victim() *slot {
-	var oldest *slot
+func (a *Assigner) victim(now time.Time, u *upstream) *slot {
+	var least *slot
+	var leastDemand float64
 	for _, s := range u.slots {
 		if s.state != slotResident || s.claims > 0 {
 			continue
 		}
-		if oldest == nil || s.lastUsed.Before(oldest.lastUsed) ||
-			(s.lastUsed.Equal(oldest.lastUsed) && s.ref.Adapter < oldest.ref.Adapter) {
-			oldest = s
+		demand := a.demandOf(now, s.ref) / float64(max(len(a.holders.slots[s.ref]), 1))
+		if least == nil || demand < leastDemand || (demand == leastDemand && s.ref.Adapter < least.ref.Adapter) {
+			least, leastDemand = s, demand
+		}
+	}
+	return least
+}
+
+// hasIdle reports whether an adapter could be dropped.
+func (u *upstream) hasIdle() bool {
+	for _, s := range u.slots {
+		if s.state == slotResident && s.claims == 0 {
+			return true
 		}
 	}
-	return oldest
+	return false
 }
 
 // coming counts the adapters on their way or about to be.
@@ -156,5 +177,5 @@
 	if u.coming() >= maxComing {
 		return false
 	}
-	return u.occupied() < u.engine.AdapterSlots || u.victim() != nil
+	return u.occupied() < u.engine.AdapterSlots || u.hasIdle()
 }
--- /dev/null
+++ b/assign/stats.go
@@ -0,0 +1,46 @@
+package assign
+
+import "time"
+
+// Stats is a summary of what an Assigner holds.
+type Stats struct {
+	Waiting  int
+	InFlight int
+	// SlotsUsed, SlotsIdle and SlotsMoving count the adapters that requests run
+	// on or wait for, those that are only held, and those on their way in or out.
+	SlotsUsed   int
+	SlotsIdle   int
+	SlotsMoving int
+	// Usable counts the upstreams that may be given requests.
+	Usable int
+	// Reading is the mean part of their time that engines spend on prefill.
+	Reading float64
+}
+
+// Stats returns a summary.
+func (a *Assigner) Stats(now time.Time) Stats {
+	s := Stats{Waiting: len(a.waiting), InFlight: a.InFlight()}
+	engines := 0
+	for _, u := range a.upstreams {
+		if u.usable(now) {
+			s.Usable++
+		}
+		if u.engine == nil {
+			continue
+		}
+		engines++
+		s.Reading += u.reading.read(now)
+		for _, one := range u.slots {
+			switch {
+			case one.state != slotResident:
+				s.SlotsMoving++
+			case one.claims > 0:
+				s.SlotsUsed++
+			default:
+				s.SlotsIdle++
+			}
+		}
+	}
+	s.Reading /= float64(max(engines, 1))
+	return s
+}
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -76,6 +76,7 @@
 	orders orders
 	// holders is the index that the slots are part of.
 	holders *holders
+	cold    *coldLoads
 }
 
 // partKey names a part of a prompt for an adapter, whose cache entries differ.
@@ -84,9 +85,9 @@
 	part    string
 }
 
-func newUpstream(record *catalog.Upstream, s *service, engine *catalog.Engine, h *holders) *upstream {
+func newUpstream(record *catalog.Upstream, s *service, engine *catalog.Engine, h *holders, c *coldLoads) *upstream {
 	return &upstream{
-		record: record, service: s, engine: engine, holders: h, running: map[RequestID]*entry{},
+		record: record, service: s, engine: engine, holders: h, cold: c, running: map[RequestID]*entry{},
 		prefill: assumedPrefill, work: assumedWork, reading: decayed{halfLife: readingHalfLife},
 		slots: map[string]*slot{}, warm: map[string]time.Time{}, models: map[string]bool{}, parts: map[partKey]time.Time{},
 	}
@@ -118,10 +119,11 @@
 	if configured := a.config.Service(record.Service); configured != nil {
 		engine = configured.Engine
 	}
-	u := newUpstream(record, s, engine, &a.holders)
+	u := newUpstream(record, s, engine, &a.holders, &a.cold)
 	a.upstreams[record.ID] = u
 	s.upstreams = append(s.upstreams, u)
 	if engine != nil {
+		a.cold.engines(len(s.upstreams))
 		u.trustEntry(now)
 		a.readReport(now, u)
 	}
@@ -137,6 +139,7 @@
 		isNew := u.engine == nil
 		u.engine = configured.Engine
 		if isNew {
+			a.cold.engines(len(u.service.upstreams))
 			u.trustEntry(now)
 			a.readReport(now, u)
 		}
@@ -154,6 +157,9 @@
 	}
 	a.crashes.upstreamGone(now, u)
 	a.holders.forget(u)
+	for _, one := range u.slots {
+		a.cold.forget(one)
+	}
 	for _, e := range a.waiting {
 		if e.slot != nil && e.slot.upstream == u {
 			a.detach(e)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,7 +28,9 @@
 	PromptTokens int
 	OutputTokens int
 	HasUsage     bool
-	Parts        []assign.Part
+	// LengthHint is the caller's estimate of the tokens made, 0 where it gives none.
+	LengthHint int
+	Parts      []assign.Part
 	// Patience is how long the caller waits, 0 where it does not say.
 	Patience time.Duration
 	// LastEventID is the last event that the caller has of a stream.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -191,7 +191,7 @@
 func (x *exchange) buildRequest() {
 	r := assign.Request{
 		Service: x.route.Pick(x.server.Draw()), Adapter: x.call.Adapter,
-		PromptTokens: x.call.PromptTokens, OutputTokens: x.call.OutputTokens, Parts: x.call.Parts,
+		PromptTokens: x.call.PromptTokens, OutputTokens: x.call.OutputTokens, ExpectedOutput: x.call.LengthHint, Parts: x.call.Parts,
 		Priority: x.route.Priority, Repeatable: x.route.Repeatable(),
 		Arrived: x.arrived, Target: x.arrived.Add(x.route.Target), Deadline: x.deadline,
 	}
--- a/lead/election.go
+++ b/lead/election.go
@@ -307,6 +307,7 @@
 			return
 		}
 		b.dropSilent(now)
+		b.logStats(now)
 		if err == nil {
 			if b.lead.weak {
 				b.log.Info("lease renewed again", "fence", fence)
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -199,6 +199,13 @@
 	return hosts
 }
 
+// logStats tells how far the engines are used.
+func (b *Broker) logStats(now time.Time) {
+	s := b.leading.Stats(now)
+	b.log.Info("assignments", "waiting", s.Waiting, "in_flight", s.InFlight, "slots_used", s.SlotsUsed, "slots_idle", s.SlotsIdle,
+		"slots_moving", s.SlotsMoving, "usable", s.Usable, "reading", s.Reading, "hosts", len(b.members)+1)
+}
+
 // dropSilent forgets the hosts that have not been heard of.
 func (b *Broker) dropSilent(now time.Time) {
 	for host, m := range b.members {
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -61,6 +61,8 @@
 	Avoid       []string `cbor:"16,keyasint,omitempty"`
 	Charged     bool     `cbor:"17,keyasint,omitempty"`
 	Fingerprint []byte   `cbor:"18,keyasint,omitempty"`
+	// ExpectedOutput is the caller's estimate of the tokens made.
+	ExpectedOutput int `cbor:"19,keyasint,omitempty"`
 }
 
 // Withdraw says that a request that waits is no longer wanted.
