Strong hosts lead; the lease lapses sooner

Cause of ten bad seconds after the loss of a lead on grown sites: a host with a fifth of a core took over, since there are many of them, and could not keep up with 70 others.

--- a/lead/broker.go
+++ b/lead/broker.go
@@ -125,6 +125,10 @@
 	row leaseView
 	// weak says that the lead cannot renew its lease.
 	weak bool
+	// yields says that the lead lets a stronger host take over.
+	yields bool
+	// ledSince is when this host became the lead.
+	ledSince time.Time
 	// everHeard says that there has been a lead since this host's start.
 	everHeard bool
 }
--- a/lead/election.go
+++ b/lead/election.go
@@ -21,11 +21,11 @@
 // Times of the lease. A lease that was not renewed for leaseTTL, as whoever
 // wants it has seen with its own clock, may be taken over.
 const (
-	renewEvery = 700 * time.Millisecond
-	leaseTTL   = 2 * time.Second
+	renewEvery = 400 * time.Millisecond
+	leaseTTL   = 1300 * time.Millisecond
 	// weakAfter is how long renewals may fail before the lead lets others take
 	// over that reach the store.
-	weakAfter = 900 * time.Millisecond
+	weakAfter = 1100 * time.Millisecond
 	// beatEvery is how often hosts tell the lead that they are there, which it
 	// answers.
 	beatEvery = 400 * time.Millisecond
@@ -33,8 +33,9 @@
 	lookEvery = 250 * time.Millisecond
 	// claimSpread keeps hosts from claiming a free lease all at once.
 	claimSpread = 60 * time.Millisecond
-	// callTimeout bounds one call of the store for the lease.
-	callTimeout = 600 * time.Millisecond
+	// callTimeout bounds the reading of the lease, renewTimeout its writing.
+	callTimeout  = 1200 * time.Millisecond
+	renewTimeout = 900 * time.Millisecond
 )
 
 // lease is the row by which the lead is agreed.
@@ -109,7 +110,7 @@
 func (b *Broker) turn(ctx context.Context) time.Duration {
 	b.mu.Lock()
 	leading, hasLead, draining := b.leading != nil, b.lead.host != "", b.draining
-	weak := b.lead.weak
+	weak := b.lead.weak || (b.lead.yields && b.strong())
 	b.mu.Unlock()
 	switch {
 	case leading && draining:
@@ -201,17 +202,35 @@
 	return lookEvery
 }
 
-// weakDelay is how much later than others a host without processor time claims
-// a free lease.
-const weakDelay = 400 * time.Millisecond
+// weakDelay is how much later than strong hosts a weak one claims a lease. It is
+// above lookEvery, so that every strong host has looked before.
+const weakDelay = 700 * time.Millisecond
 
-// claimDelay is how long this host leaves a free lease to others: the less, the
-// more processor time it has.
+// claimDelay is how long this host leaves a lease to others.
 func (b *Broker) claimDelay() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	weakness := 1 - min(b.options.Cores, 1)
-	return time.Duration(b.options.Random.Float64()*float64(claimSpread) + weakness*float64(weakDelay))
+	delay := time.Duration(b.options.Random.Float64() * float64(claimSpread))
+	if !b.strong() {
+		delay += weakDelay
+	}
+	return delay
+}
+
+// strongPart is the part of the strongest host's processor time that a lead
+// should have.
+const strongPart = 0.6
+
+// strong reports whether no other host has much more processor time. The lead
+// that is to be replaced does not count.
+func (b *Broker) strong() bool {
+	most := 0.0
+	for _, h := range b.hosts {
+		if h.Name != b.lead.row.host {
+			most = max(most, h.Cores)
+		}
+	}
+	return b.options.Cores >= strongPart*most
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -247,7 +266,7 @@
 // as this host knows or the store says.
 func (b *Broker) tryClaim(ctx context.Context, seen leaseView) {
 	b.mu.Lock()
-	stale := b.lead.row.host != seen.host || b.leading != nil || (b.lead.host != "" && !b.lead.weak)
+	stale := b.lead.row.host != seen.host || b.leading != nil || (b.lead.host != "" && !b.lead.weak && !b.lead.yields)
 	b.mu.Unlock()
 	if stale {
 		return
@@ -284,7 +303,7 @@
 	if err != nil {
 		return store.Stamp{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	return b.options.Tables.CommitStamped(ctx, store.Txn{
 		Conditions: []store.Condition{{Table: leaseTable, Key: leaseKey, Version: expect}},
@@ -308,6 +327,7 @@
 		}
 		b.dropSilent(now)
 		b.logStats(now)
+		b.yieldToStronger(now)
 		if err == nil {
 			if b.lead.weak {
 				b.log.Info("lease renewed again", "fence", fence)
@@ -321,6 +341,20 @@
 	return renewEvery
 }
 
+// yieldAfter is how long a lead leads before it lets a stronger host take over,
+// so that it has heard of all.
+const yieldAfter = 1500 * time.Millisecond
+
+// yieldToStronger lets a host with much more processor time take over.
+func (b *Broker) yieldToStronger(now time.Time) {
+	yields := !b.strong() && now.Sub(b.lead.ledSince) > yieldAfter
+	if yields && !b.lead.yields {
+		b.log.Info("a stronger host may lead")
+		b.lead.yields = true
+		b.rosterChanged(now)
+	}
+}
+
 // renewalFailed goes on leading while engines would refuse the orders of a lead
 // that was replaced, and lets others take over. Engines that check no fencing
 // tokens are left alone before the lease can have been taken over.
--- a/lead/following.go
+++ b/lead/following.go
@@ -9,7 +9,7 @@
 )
 
 // leadSilence is how long the lead may be silent before a host goes on by itself.
-const leadSilence = 1200 * time.Millisecond
+const leadSilence = time.Second
 
 // Receive takes a message of another host. It does not wait.
 func (b *Broker) Receive(from string, m wire.Message) {
@@ -95,10 +95,10 @@
 	if b.lead.host != from {
 		b.follow(now, from, m.Fence)
 	}
-	if m.Weak && !b.lead.weak {
+	if (m.Weak && !b.lead.weak) || (m.Yields && !b.lead.yields) {
 		b.wakeUp()
 	}
-	b.lead.fence, b.lead.heardAt, b.lead.weak = m.Fence, now, m.Weak
+	b.lead.fence, b.lead.heardAt, b.lead.weak, b.lead.yields = m.Fence, now, m.Weak, m.Yields
 	if m.Renewed > b.lead.row.version && from == b.lead.row.host {
 		b.lead.row.version, b.lead.row.since = m.Renewed, now
 	}
@@ -128,7 +128,8 @@
 	if host != b.options.Host {
 		b.log.Info("lead found", "lead", host, "fence", fence)
 	}
-	b.lead.host, b.lead.fence, b.lead.heardAt, b.lead.weak, b.lead.everHeard = host, fence, now, false, true
+	b.lead.host, b.lead.fence, b.lead.heardAt, b.lead.everHeard = host, fence, now, true
+	b.lead.weak, b.lead.yields, b.lead.ledSince = false, false, now
 	b.tellUsage(now)
 	for _, t := range b.tickets {
 		if !b.needsLead(t.request.Service) {
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -229,7 +229,7 @@
 // leadBeat returns what the lead tells every host.
 func (b *Broker) leadBeat(now time.Time) *wire.LeadBeat {
 	beat := &wire.LeadBeat{
-		Fence: b.lead.fence, Renewed: b.lead.row.version, Weak: b.lead.weak, Roster: b.roster,
+		Fence: b.lead.fence, Renewed: b.lead.row.version, Weak: b.lead.weak, Yields: b.lead.yields, Roster: b.roster,
 		StoreAgeMS: b.options.Source.Contact().Milliseconds(),
 	}
 	if b.view.Config != nil {
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -152,6 +152,8 @@
 	Renewed int64 `cbor:"2,keyasint"`
 	// Weak says that the lead cannot renew its lease.
 	Weak bool `cbor:"3,keyasint,omitempty"`
+	// Yields says that the lead lets a host with more processor time take over.
+	Yields bool `cbor:"9,keyasint,omitempty"`
 	// Released says that the lead has given its lease back.
 	Released bool `cbor:"4,keyasint,omitempty"`
 	// Roster is the version of the list of hosts. Hosts is set where the receiver
