--- /dev/null
+++ b/assign/choose_test.go
@@ -0,0 +1,221 @@
+package assign
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/catalog"
+)
+
+func TestAResidentAdapterIsUsedAtOnce(t *testing.T) {
+	w := newWorld(t, 1, 4, 3)
+	w.run(50 * time.Millisecond)
+	first := w.ask(1, "a")
+	w.run(time.Second)
+	second := w.ask(2, "a")
+	require.Contains(t, w.granted, second)
+	require.Equal(t, w.granted[first].Upstream, w.granted[second].Upstream)
+	require.Equal(t, "resident", w.granted[second].Why)
+}
+
+// Pattern: a rarely used adapter comes back. The engine that held it loads it
+// ten times as fast, and is waited for when its places are taken for a moment.
+func TestAnAdapterReturnsToTheEngineThatHeldIt(t *testing.T) {
+	w := newWorld(t, 1, 3, 2)
+	w.run(50 * time.Millisecond)
+	first := w.ask(1, "a")
+	w.run(time.Second)
+	home := w.granted[first].Upstream
+	for i := range uint64(12) {
+		w.ask(i+2, "b"+strconv.Itoa(int(i)))
+		w.run(500 * time.Millisecond)
+	}
+	require.NotContains(t, w.engines[home].held, "a", "others have taken its place")
+	again := w.ask(50, "a")
+	w.run(700 * time.Millisecond)
+	require.Equal(t, home, w.granted[again].Upstream)
+}
+
+// Pattern: one adapter gets a fifth of all requests, more than an engine reads.
+// It is copied before its engine has fallen far behind.
+func TestABusyAdapterIsCopied(t *testing.T) {
+	w := newWorld(t, 3, 6, 3)
+	w.run(50 * time.Millisecond)
+	for i := range uint64(120) {
+		w.ask(i+1, "hot")
+		w.run(30 * time.Millisecond)
+	}
+	require.Len(t, w.granted, 120)
+	copies := len(w.assigner.holders.slots[catalog.AdapterRef{Model: simModel, Adapter: "hot"}])
+	require.Greater(t, copies, 2)
+	for _, wait := range w.waits[30:] {
+		require.Less(t, wait, 500*time.Millisecond)
+	}
+}
+
+// Pattern: many adapters are asked for once, at a moment. Loads that the weight
+// store cannot carry at full speed are put off, so that places stay free for
+// adapters that engines hold or held.
+func TestLoadsFromTheStoreAreBounded(t *testing.T) {
+	w := newWorld(t, 1, 6, 6)
+	w.run(50 * time.Millisecond)
+	for i := range uint64(36) {
+		w.ask(i+1, "a"+strconv.Itoa(int(i)))
+	}
+	coming := 0
+	for _, u := range w.assigner.upstreams {
+		coming += u.coming()
+	}
+	require.LessOrEqual(t, coming, 4)
+	require.Positive(t, coming)
+}
+
+func TestTheBoundOfLoadsFollowsTheirDelay(t *testing.T) {
+	c := newColdLoads()
+	c.engines(10)
+	require.InDelta(t, 6, c.window, 0.01)
+	load := func(took time.Duration) {
+		s := &slot{cold: true}
+		c.begin(s)
+		c.end(s, took)
+		c.forget(s)
+	}
+	for range 30 {
+		load(250 * time.Millisecond)
+	}
+	grown := c.window
+	require.Greater(t, grown, 8.0)
+	for range 40 {
+		load(600 * time.Millisecond)
+	}
+	require.InDelta(t, leastCold, c.window, 0.01)
+	require.Empty(t, c.flying)
+}
+
+func TestAnEngineThatIsReadingGetsNoMoreThanItCanStartSoon(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.run(50 * time.Millisecond)
+	w.ask(1, "a")
+	w.run(time.Second)
+	for i := range uint64(40) {
+		w.ask(i+2, "a", func(r *Request) { r.PromptTokens = 4000 })
+	}
+	u := w.assigner.upstreams["e0"]
+	require.Less(t, u.backlog(), maxBacklog+4000*u.prefill+time.Millisecond)
+	require.NotZero(t, w.assigner.Waiting())
+}
+
+// Pattern: more is asked for than can be read before the callers leave. What
+// cannot be served is refused at once and told when to come back.
+func TestWhatCannotBeServedIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.run(50 * time.Millisecond)
+	w.ask(1, "a")
+	w.run(time.Second)
+	for i := range uint64(200) {
+		w.ask(i+2, "a")
+	}
+	require.NotEmpty(t, w.refused)
+	for id, r := range w.refused {
+		require.Equal(t, apierr.QueueFull, r.Kind)
+		require.Equal(t, w.now, w.asked[id], "at once")
+		require.GreaterOrEqual(t, r.RetryAfter, leastReturn)
+	}
+	require.Less(t, len(w.refused), 180, "what can be served waits")
+}
+
+func TestNothingIsRefusedWhileEnginesAreFree(t *testing.T) {
+	w := newWorld(t, 5, 6, 6)
+	w.run(50 * time.Millisecond)
+	var number uint64
+	w.zipfAsk(20, 30, 6*time.Second, &number)
+	w.run(2 * time.Second)
+	require.Empty(t, w.refused)
+	require.Len(t, w.granted, int(number))
+}
+
+// Pattern: urgent and less urgent requests wait together, and some are late
+// already: those that can still be in time go first, by priority.
+func TestTheOrderOfWaiting(t *testing.T) {
+	w := newWorld(t, 1, 1, 1)
+	w.run(50 * time.Millisecond)
+	w.ask(1, "a")
+	w.run(310 * time.Millisecond) // it runs, and holds the only place
+	late := w.ask(2, "b", func(r *Request) { r.Target = w.now })
+	low := w.ask(3, "b", func(r *Request) { r.Priority = 2 })
+	high := w.ask(4, "b", func(r *Request) { r.Priority = 0 })
+	w.run(15 * time.Millisecond)
+	var order []RequestID
+	for _, e := range w.assigner.waiting {
+		order = append(order, e.request.ID)
+	}
+	require.Equal(t, []RequestID{high, low, late}, order)
+}
+
+func TestAnUpstreamThatLeavesOrFailsIsLeftAlone(t *testing.T) {
+	w := newWorld(t, 1, 2, 3)
+	w.run(50 * time.Millisecond)
+	w.ask(1, "a")
+	w.run(time.Second)
+	used := w.granted[RequestID{"h", 1}].Upstream
+	leaving := map[string]*catalog.Upstream{}
+	for id, u := range w.records {
+		c := *u
+		c.Draining = id == used
+		leaving[id] = &c
+	}
+	w.handle(UpstreamsSeen{leaving})
+	next := w.ask(2, "a")
+	w.run(700 * time.Millisecond)
+	require.NotEqual(t, used, w.granted[next].Upstream)
+
+	w.handle(UpstreamsSeen{w.records})
+	w.assigner.upstreams[used].pause(w.now, time.Second)
+	third := w.ask(3, "a")
+	w.run(100 * time.Millisecond)
+	require.NotEqual(t, used, w.granted[third].Upstream)
+}
+
+func TestPlainServicesGetTheLeastWork(t *testing.T) {
+	w := newWorld(t, 1, 1, 1)
+	records := map[string]*catalog.Upstream{}
+	for _, id := range []string{"p0", "p1"} {
+		records[id] = &catalog.Upstream{ID: id, Service: "plain", Zone: "z", Slots: 6}
+	}
+	w.handle(UpstreamsSeen{records})
+	counts := map[string]int{}
+	for i := range uint64(10) {
+		id := w.ask(i+1, "", func(r *Request) { r.Service, r.Adapter = "plain", catalog.AdapterRef{} })
+		counts[w.granted[id].Upstream]++
+	}
+	require.Equal(t, map[string]int{"p0": 5, "p1": 5}, counts)
+}
+
+func TestAChoiceWeighsABoundedNumberOfEngines(t *testing.T) {
+	w := newWorld(t, 1, 400, 3)
+	w.run(50 * time.Millisecond)
+	e := &entry{request: Request{Service: "s", Adapter: catalog.AdapterRef{Model: simModel, Adapter: "a"}}}
+	require.LessOrEqual(t, len(w.assigner.candidates(w.assigner.service("s"), e)), weighedOthers+1)
+}
+
+// Without a lead, a host gives no orders and uses what engines hold.
+func TestWithoutOrdersOnlyResidentAdaptersAreUsed(t *testing.T) {
+	w := newWorld(t, 1, 2, 3)
+	w.assigner = New(Options{Share: 0.5, Random: w.random, Limits: simLimits})
+	w.engines["e1"].held["a"] = 3
+	held := *w.records["e1"]
+	held.Loaded = []catalog.Loaded{{Model: simModel, Adapters: []catalog.LoadedAdapter{{Name: "a", Version: 3}}}}
+	w.records["e1"] = &held
+	w.handle(ConfigSeen{w.config})
+	w.handle(UpstreamsSeen{w.records})
+	id := w.ask(1, "a")
+	require.Equal(t, "e1", w.granted[id].Upstream)
+	other := w.ask(2, "b")
+	w.run(idlePatience + 50*time.Millisecond)
+	require.Contains(t, w.refused, other)
+	require.Zero(t, w.loads)
+}
--- /dev/null
+++ b/assign/orders_test.go
@@ -0,0 +1,143 @@
+package assign
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/catalog"
+)
+
+// zipfAsk asks for adapters of which few are asked for often, at a mean rate.
+func (w *world) zipfAsk(perSecond float64, adapters int, d time.Duration, number *uint64) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		if w.random.Float64() < perSecond/1000 {
+			*number++
+			rank := int(float64(adapters) * w.random.Float64() * w.random.Float64() * w.random.Float64())
+			w.ask(*number, "a"+strconv.Itoa(rank))
+		}
+		w.run(time.Millisecond)
+	}
+}
+
+// Pattern: orders without answers that are carried out seconds later, while the
+// lead changes again and again. No engine is ever ordered to hold more than it
+// has slots for, nor to drop what requests run on.
+func TestEnginesAreNeverOverfilled(t *testing.T) {
+	for seed := range uint64(12) {
+		w := newWorld(t, seed, 4, 3)
+		w.lost = 0.3
+		var number uint64
+		for range 4 {
+			w.zipfAsk(30, 40, 2*time.Second, &number)
+			w.events = append([]timed(nil), w.events...)
+			w.lead()
+		}
+		w.zipfAsk(30, 40, 2*time.Second, &number)
+		require.NotEmpty(t, w.granted)
+	}
+}
+
+// The check above sees an engine that counts orders which were given twice.
+func TestOverfillingIsSeen(t *testing.T) {
+	e := newSimEngine("e", 1)
+	now := time.Unix(1, 0)
+	require.Equal(t, OrderAccepted, e.order(now, Order{Adapter: catalog.AdapterRef{Model: "m", Adapter: "a"}}))
+	require.Empty(t, e.broke)
+	require.Equal(t, OrderConflict, e.order(now, Order{Adapter: catalog.AdapterRef{Model: "m", Adapter: "b"}}))
+	require.Equal(t, OrderAccepted, e.order(now, Order{Adapter: catalog.AdapterRef{Model: "m", Adapter: "b"}, Sequence: 1}))
+	require.NotEmpty(t, e.broke)
+}
+
+// Pattern: one order in three gets no answer. Requests do not wait for longer
+// than a load takes, and some tries of its order.
+func TestLostOrdersAreGivenAgainSoon(t *testing.T) {
+	w := newWorld(t, 7, 4, 6)
+	w.lost = 0.3
+	w.run(100 * time.Millisecond)
+	for i := range uint64(12) {
+		w.ask(i+1, "a"+strconv.Itoa(int(i)))
+	}
+	w.run(2500 * time.Millisecond)
+	require.Len(t, w.granted, 12)
+}
+
+func TestAnOrderThatIsUnderWayIsCountedOnce(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.run(50 * time.Millisecond)
+	for i := range uint64(9) {
+		w.ask(i+1, "a"+strconv.Itoa(int(i)))
+		w.run(700 * time.Millisecond)
+	}
+	require.Len(t, w.granted, 9)
+	require.Equal(t, w.engines["e0"].sequence, w.assigner.upstreams["e0"].orders.sequence)
+}
+
+func TestANewerVersionIsServedAlone(t *testing.T) {
+	w := newWorld(t, 1, 2, 3)
+	w.run(50 * time.Millisecond)
+	first := w.ask(1, "a")
+	w.run(400 * time.Millisecond)
+	require.Contains(t, w.granted, first)
+	ref := catalog.AdapterRef{Model: simModel, Adapter: "a"}
+	w.versions = catalog.Versions{ref: 2}
+	w.handle(VersionsSeen{w.versions})
+	second := w.ask(2, "a")
+	require.NotContains(t, w.granted, second, "an older version is not granted")
+	w.run(1500 * time.Millisecond)
+	require.Equal(t, int64(2), w.granted[second].Version)
+	for _, e := range w.engines {
+		require.NotEqual(t, int64(1), e.held["a"], "the older version was dropped")
+	}
+}
+
+func TestARestartedEngineIsGivenItsModelAndNothingBefore(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.run(50 * time.Millisecond)
+	w.ask(1, "a")
+	w.run(time.Second)
+	reborn := *w.records["e0"]
+	reborn.Born, reborn.Loaded = 2, nil
+	w.records = map[string]*catalog.Upstream{"e0": &reborn}
+	var orders []Order
+	for _, d := range w.assigner.Handle(w.now, UpstreamsSeen{w.records}) {
+		require.IsType(t, ReadReport{}, d)
+	}
+	for _, d := range w.assigner.Handle(w.now, ReportRead{Upstream: "e0", Born: 2, Report: &Report{}}) {
+		if o, ok := d.(Order); ok {
+			orders = append(orders, o)
+		}
+	}
+	require.Len(t, orders, 1)
+	require.Equal(t, catalog.AdapterRef{Model: simModel}, orders[0].Adapter)
+	require.Zero(t, orders[0].Sequence)
+}
+
+func TestAnAnswerOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.run(50 * time.Millisecond)
+	w.handle(OrderEnded{Upstream: "e0", Born: 99, Order: 1, Result: OrderFenced})
+	w.handle(ReportRead{Upstream: "e0", Born: 99, Report: &Report{Sequence: 50}})
+	require.Zero(t, w.assigner.upstreams["e0"].orders.sequence)
+}
+
+func TestAFencedOrderEndsTheLead(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.run(50 * time.Millisecond)
+	var stepDown bool
+	a := w.assigner
+	for _, d := range a.Handle(w.now, Asked{Request{
+		ID: RequestID{"h", 1}, Service: "s", Adapter: catalog.AdapterRef{Model: simModel, Adapter: "a"}, PromptTokens: 1,
+		Arrived: w.now, Target: w.now.Add(time.Second), Deadline: w.now.Add(time.Second),
+	}}) {
+		if o, ok := d.(Order); ok {
+			for _, d := range a.Handle(w.now, OrderEnded{Upstream: "e0", Born: 1, Order: o.Number, Result: OrderFenced}) {
+				_, is := d.(StepDown)
+				stepDown = stepDown || is
+			}
+		}
+	}
+	require.True(t, stepDown)
+}
