--- /dev/null
+++ b/standin/replica/replica.go
@@ -0,0 +1,245 @@
+// Package replica is a stand-in for a server behind the system on the users'
+// platform: an engine or a plain service that echoes attempt ids, signs its
+// answers, takes orders, and fails as it is told.
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jasminelock/jasminelock/standin"
+)
+
+// Options describe a replica.
+type Options struct {
+	// ID is the replica's instance id.
+	ID string
+	// Model is the base model that an engine holds, "" for a plain service.
+	Model string
+	// AdapterSlots is how many adapters an engine holds.
+	AdapterSlots int
+	// Events is how many events a stream has, EventPause the time between two.
+	Events     int
+	EventPause time.Duration
+}
+
+// Seen is a request as it arrived.
+type Seen struct {
+	Method string
+	URI    string
+	Header http.Header
+	Body   string
+}
+
+// Replica is the stand-in. It implements http.Handler.
+type Replica struct {
+	options Options
+
+	// mu guards all below.
+	mu       sync.Mutex
+	seen     []Seen
+	held     map[string]int64
+	sequence int64
+	faults   Faults
+	running  int
+	canceled int
+}
+
+// Faults are what goes wrong.
+type Faults struct {
+	// Full turns requests away that have not run.
+	Full int
+	// Fail answers requests with 500.
+	Fail int
+	// Break ends the connection instead of an answer.
+	Break int
+	// CutAfter ends streams after so many events.
+	CutAfter int
+	// Cuts is how many streams are cut.
+	Cuts int
+	// LoseOrders carries orders out without answering.
+	LoseOrders int
+	// Unsigned leaves the signature out.
+	Unsigned int
+}
+
+// New returns a replica that holds no adapter.
+func New(o Options) *Replica { return &Replica{options: o, held: map[string]int64{}} }
+
+// SetFaults changes what goes wrong.
+func (r *Replica) SetFaults(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// Requests returns the requests that ran or were turned away.
+func (r *Replica) Requests() []Seen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Seen(nil), r.seen...)
+}
+
+// Held returns the adapters that the replica holds.
+func (r *Replica) Held() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.held)
+}
+
+// Canceled returns how many requests ended since their connection closed.
+func (r *Replica) Canceled() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.canceled
+}
+
+// take uses one of a fault's occurrences.
+func (r *Replica) take(n *int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if want := req.Header.Get("Jasminelock-Expect-Instance"); want != "" && want != r.options.ID {
+		w.Header().Set("Jasminelock-Instance-Id", r.options.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch req.URL.Path {
+	case "/v1/order":
+		r.order(w, req)
+	case "/v1/report":
+		r.report(w)
+	default:
+		r.serve(w, req)
+	}
+}
+
+type orderBody struct {
+	Operation string `json:"operation"`
+	Adapter   string `json:"adapter"`
+	Version   int64  `json:"version"`
+	Expect    int64  `json:"expect"`
+}
+
+func (r *Replica) order(w http.ResponseWriter, req *http.Request) {
+	var o orderBody
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	status := r.carryOut(o)
+	if r.take(&r.faults.LoseOrders) {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+func (r *Replica) carryOut(o orderBody) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, held := r.held[o.Adapter]
+	switch {
+	case o.Expect != r.sequence:
+		return http.StatusConflict
+	case o.Operation == "load" && held:
+		return http.StatusOK
+	case o.Operation == "load":
+		r.held[o.Adapter] = max(o.Version, 1)
+		r.sequence++
+		return http.StatusAccepted
+	}
+	delete(r.held, o.Adapter)
+	r.sequence++
+	return http.StatusOK
+}
+
+func (r *Replica) report(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var adapters []string
+	for name, v := range r.held {
+		adapters = append(adapters, name+"@"+strconv.FormatInt(v, 10))
+	}
+	standin.WriteJSON(w, http.StatusOK, map[string]any{
+		"models": []map[string]any{{"name": r.options.Model, "version": 1, "adapters": adapters}}, "seq": r.sequence,
+	})
+}
+
+// serve runs a request.
+func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	body := make([]byte, 0, max(req.ContentLength, 0))
+	buf := make([]byte, 4096)
+	for {
+		n, err := req.Body.Read(buf)
+		body = append(body, buf[:n]...)
+		if err != nil {
+			break
+		}
+	}
+	r.mu.Lock()
+	r.seen = append(r.seen, Seen{req.Method, req.RequestURI, req.Header.Clone(), string(body)})
+	r.mu.Unlock()
+	h := w.Header()
+	h.Set("Jasminelock-Attempt-Id", req.Header.Get("Jasminelock-Attempt-Id"))
+	h.Set("Jasminelock-Replica-Load", "1,0,8")
+	switch {
+	case r.take(&r.faults.Full):
+		h.Set("Jasminelock-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case r.take(&r.faults.Break):
+		panic(http.ErrAbortHandler)
+	}
+	if !r.take(&r.faults.Unsigned) {
+		h.Set("Jasminelock-Response-Signature", r.options.ID)
+	}
+	if r.take(&r.faults.Fail) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if r.options.Events > 0 {
+		r.stream(w, req)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "answer of %s to %s", r.options.ID, req.RequestURI)
+}
+
+// stream sends events, from the one after Last-Event-Id on.
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request) {
+	from, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	if err != nil {
+		from = 0
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := http.NewResponseController(w)
+	cut := r.take(&r.faults.Cuts)
+	for i := from + 1; i <= r.options.Events; i++ {
+		if cut && i > from+r.faults.CutAfter {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: ha", i)
+			_ = out.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i)
+		_ = out.Flush()
+		select {
+		case <-time.After(r.options.EventPause):
+		case <-req.Context().Done():
+			r.mu.Lock()
+			r.canceled++
+			r.mu.Unlock()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/tables/tables.go
@@ -0,0 +1,262 @@
+// Package tables is a stand-in for the table service of the users' platform:
+// conditional transactions, reads and a feed of changes over HTTP, with one
+// version counter for all rows, and faults.
+package tables
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jasminelock/jasminelock/standin"
+)
+
+// Row is a row as the service spells it.
+type Row struct {
+	Table     string `json:"table"`
+	Part      string `json:"part"`
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Version   int64  `json:"ver"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+// Faults are what goes wrong.
+type Faults struct {
+	// Down answers every call with 503.
+	Down bool
+	// Silent answers no call before it is taken back.
+	Silent bool
+	// LoseCommits is how many transactions are carried out and not answered.
+	LoseCommits int
+}
+
+// Tables is the service. It implements http.Handler.
+type Tables struct {
+	mux   *http.ServeMux
+	start time.Time
+
+	// mu guards all below.
+	mu      sync.Mutex
+	rows    map[string]Row
+	log     []Row
+	version int64
+	// kept is the version from which on changes are kept.
+	kept    int64
+	faults  Faults
+	changed chan struct{}
+	calls   map[string]int
+}
+
+// New returns an empty service.
+func New() *Tables {
+	t := &Tables{mux: http.NewServeMux(), start: time.Now(), rows: map[string]Row{}, changed: make(chan struct{}), calls: map[string]int{}}
+	t.mux.HandleFunc("POST /v1/rows-tx", t.commit)
+	t.mux.HandleFunc("GET /v1/rows-get", t.get)
+	t.mux.HandleFunc("GET /v1/rows-feed", t.feed)
+	return t
+}
+
+// SetFaults changes what goes wrong.
+func (t *Tables) SetFaults(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+	t.wake()
+}
+
+// Put writes a row as the operator or an upstream does.
+func (t *Tables) Put(table, key string, value any) {
+	raw, ok := value.([]byte)
+	if !ok {
+		raw, _ = json.Marshal(value) // test values always encode
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version++
+	t.write(Row{Table: table, Key: key, Value: raw, Version: t.version})
+	t.wake()
+}
+
+// Remove deletes a row.
+func (t *Tables) Remove(table, key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version++
+	t.write(Row{Table: table, Key: key, Version: t.version, Tombstone: true})
+	t.wake()
+}
+
+// Forget drops the history.
+func (t *Tables) Forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.log, t.kept = nil, t.version
+	t.wake()
+}
+
+// Calls returns how often a path was called.
+func (t *Tables) Calls(path string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls[path]
+}
+
+// write puts a row in place. The lock is held.
+func (t *Tables) write(r Row) {
+	id := r.Table + "\x00" + r.Part + "\x00" + r.Key
+	if r.Tombstone {
+		delete(t.rows, id)
+	} else {
+		t.rows[id] = r
+	}
+	t.log = append(t.log, r)
+}
+
+func (t *Tables) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (t *Tables) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	for {
+		t.mu.Lock()
+		faults, changed := t.faults, t.changed
+		if !faults.Silent {
+			t.calls[r.URL.Path]++
+		}
+		t.mu.Unlock()
+		if !faults.Silent {
+			if faults.Down {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			t.mux.ServeHTTP(w, r)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+type answer struct {
+	Rows    []Row   `json:"rows,omitempty"`
+	More    bool    `json:"more_pages"`
+	Version int64   `json:"ver"`
+	Clock   float64 `json:"now_ms"`
+}
+
+func (t *Tables) clock() float64 { return float64(time.Since(t.start).Milliseconds()) }
+
+func (t *Tables) commit(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expect []Row `json:"expect"`
+		Put    []Row `json:"put"`
+		Remove []Row `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range body.Expect {
+		if t.rows[e.Table+"\x00"+e.Part+"\x00"+e.Key].Version != e.Version {
+			standin.WriteJSON(w, http.StatusPreconditionFailed, answer{Version: t.version, Clock: t.clock()})
+			return
+		}
+	}
+	t.version++
+	for _, p := range body.Put {
+		p.Version = t.version
+		t.write(p)
+	}
+	for _, d := range body.Remove {
+		d.Version, d.Tombstone = t.version, true
+		t.write(d)
+	}
+	t.wake()
+	if t.faults.LoseCommits > 0 {
+		t.faults.LoseCommits--
+		panic(http.ErrAbortHandler)
+	}
+	standin.WriteJSON(w, http.StatusOK, answer{Version: t.version, Clock: t.clock()})
+}
+
+func (t *Tables) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit <= 0 {
+		limit = 500
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := answer{Version: t.version, Clock: t.clock()}
+	for _, row := range t.rows {
+		if row.Table == q.Get("table") && row.Part == q.Get("part") && row.Key >= q.Get("from") {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	sort.Slice(a.Rows, func(i, j int) bool { return a.Rows[i].Key < a.Rows[j].Key })
+	if len(a.Rows) > limit {
+		a.Rows, a.More = a.Rows[:limit], true
+	}
+	standin.WriteJSON(w, http.StatusOK, a)
+}
+
+func (t *Tables) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(q.Get("wait_ms"))
+	if err != nil {
+		wait = 0
+	}
+	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer end.Stop()
+	for {
+		a, changed, gone := t.since(q.Get("table"), after)
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(a.Rows) > 0 {
+			standin.WriteJSON(w, http.StatusOK, a)
+			return
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			standin.WriteJSON(w, http.StatusOK, a)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns a table's rows that have changed after a version.
+func (t *Tables) since(table string, after int64) (a answer, changed chan struct{}, gone bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if after < t.kept || t.faults.Down {
+		return a, nil, true
+	}
+	a = answer{Version: t.version, Clock: t.clock()}
+	for _, row := range t.log {
+		if row.Table == table && row.Version > after {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	return a, t.changed, false
+}
