watch and lead: tests on virtual time

Found by them: a new lead decided on the requests that waited for it before it had counted what the lease's row recorded. Usage is recalled first.

--- a/lead/election.go
+++ b/lead/election.go
@@ -293,8 +293,7 @@
 		b.lead.row = leaseView{
 			host: l.Host, url: l.URL, secret: secret, version: version, since: now, readAt: now, clock: stamp.Clock,
 		}
-		b.startLeading(now, version)
-		b.recallUsage(now, &seen)
+		b.startLeading(now, version, &seen)
 	})
 }
 
--- /dev/null
+++ b/lead/lead_test.go
@@ -0,0 +1,502 @@
+package lead
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/assign"
+	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/store"
+	"github.com/jasminelock/jasminelock/watch"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// fleet is some brokers with links, a store and an engine in memory, on virtual
+// time.
+type fleet struct {
+	t       *testing.T
+	mu      sync.Mutex
+	hosts   map[string]*testHost
+	row     store.Row
+	version int64
+	start   time.Time
+	// storeCut names the hosts that the store does not answer.
+	storeCut map[string]bool
+	// loseCommits is how many transactions are carried out without an answer.
+	loseCommits int
+	orders      []assign.Order
+	fences      []int64
+	view        *watch.View
+}
+
+type testHost struct {
+	fleet  *fleet
+	name   string
+	broker *Broker
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	// cut says that no message reaches or leaves the host.
+	cut bool
+	// links holds the hosts that this one has an open link to.
+	links map[string]bool
+}
+
+const adapterName = "a"
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, hosts: map[string]*testHost{}, storeCut: map[string]bool{}, start: time.Now()}
+	f.view = &watch.View{
+		Config: catalog.NewConfig(catalog.Parts{
+			Version: 1,
+			Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{
+				BatchSize: 8, CacheTokens: 100_000, AdapterSlots: 2, Models: []catalog.Model{{Name: "m"}},
+			}}},
+			Organisations: []catalog.Organisation{{Name: "o", TokensPerSecond: 1000, BurstTokens: 1000}},
+		}),
+		RawConfig: store.Row{Key: "config", Value: []byte("1")},
+		Versions:  catalog.Versions{},
+		Upstreams: map[string]*catalog.Upstream{"e": {
+			ID: "e", Born: 1, Service: "s", Zone: "z", Slots: 8, Loaded: []catalog.Loaded{{Model: "m"}},
+		}},
+	}
+	return f
+}
+
+// add starts a host.
+func (f *fleet) add(name string, cores float64) *testHost {
+	h := &testHost{fleet: f, name: name, links: map[string]bool{}}
+	h.broker = New(Options{
+		Log: hclog.NewNullLogger(), Host: name, Zone: "z", Callers: name, PeerURL: name, Tables: h, Engines: f, Source: h,
+		Cores: cores, Fenced: true, Random: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[len(name)-1]))),
+		Limits: assign.Limits{RetryRatio: 0.2, RetrySlack: 50, RateWindow: 8 * time.Second},
+	})
+	h.broker.Attach(h)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	h.cancel = cancel
+	h.broker.Start(ctx)
+	f.mu.Lock()
+	f.hosts[name] = h
+	f.mu.Unlock()
+	h.done.Go(func() { h.broker.Run(ctx) })
+	h.broker.SeeView(f.view)
+	return h
+}
+
+// kill ends a host at once; its links break.
+func (f *fleet) kill(name string) {
+	f.mu.Lock()
+	h := f.hosts[name]
+	delete(f.hosts, name)
+	var peers []*testHost
+	for _, other := range f.hosts {
+		if other.links[name] || h.links[other.name] {
+			delete(other.links, name)
+			peers = append(peers, other)
+		}
+	}
+	f.mu.Unlock()
+	h.cancel()
+	for _, other := range peers {
+		other.broker.Lost(name)
+	}
+	h.done.Wait()
+}
+
+func (f *fleet) end() {
+	f.mu.Lock()
+	var names []string
+	for name := range f.hosts {
+		names = append(names, name)
+	}
+	f.mu.Unlock()
+	for _, name := range names {
+		f.kill(name)
+	}
+	time.Sleep(time.Second) // alarms that are set find nothing to do
+}
+
+// leads returns the names of the hosts that lead.
+func (f *fleet) leads() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for name, h := range f.hosts {
+		h.broker.mu.Lock()
+		if h.broker.leading != nil {
+			out = append(out, name)
+		}
+		h.broker.mu.Unlock()
+	}
+	return out
+}
+
+// Send implements Links. The first message to a host opens a link.
+func (h *testHost) Send(to string, m wire.Message) error {
+	f := h.fleet
+	raw, err := wire.Encode(m)
+	if err != nil {
+		return err
+	}
+	decoded, err := wire.Decode(raw)
+	if err != nil {
+		return err
+	}
+	go func() {
+		time.Sleep(time.Millisecond)
+		f.mu.Lock()
+		other, ok := f.hosts[to]
+		ok = ok && !other.cut && !h.cut
+		if ok {
+			h.links[to], other.links[h.name] = true, true
+		}
+		f.mu.Unlock()
+		if ok {
+			other.broker.Receive(h.name, decoded)
+		}
+	}()
+	return nil
+}
+
+// Drop implements Links.
+func (h *testHost) Drop(host string) {
+	h.fleet.mu.Lock()
+	delete(h.links, host)
+	h.fleet.mu.Unlock()
+}
+
+// Relayed, TakeConfig, TakeUpstreams and Contact implement Source.
+func (h *testHost) Relayed(bool)                                      {}
+func (h *testHost) TakeConfig([]byte, catalog.Versions)               {}
+func (h *testHost) TakeUpstreams(bool, []*catalog.Upstream, []string) {}
+func (h *testHost) Contact() time.Duration                            { return 0 }
+func (f *fleet) stamp() store.Stamp {
+	return store.Stamp{Version: f.version, Clock: time.Since(f.start)}
+}
+func (f *fleet) Order(_ context.Context, o assign.Order, _ string) assign.OrderResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, o)
+	f.fences = append(f.fences, o.Fence)
+	if len(f.orders)%2 == 1 {
+		return assign.OrderAccepted
+	}
+	return assign.OrderHolds
+}
+
+// Report implements Engines.
+func (f *fleet) Report(context.Context, *catalog.Upstream) (*assign.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := &assign.Report{Loaded: []catalog.Loaded{{Model: "m"}}}
+	if len(f.orders) >= 2 {
+		r.Sequence = 1
+		r.Loaded[0].Adapters = []catalog.LoadedAdapter{{Name: adapterName, Version: 1}}
+	}
+	return r, nil
+}
+
+// GetStamped implements store.StampedTables.
+func (h *testHost) GetStamped(context.Context, string, string) (store.Row, store.Stamp, error) {
+	f := h.fleet
+	time.Sleep(4 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.storeCut[h.name]:
+		return store.Row{}, store.Stamp{}, store.ErrUnavailable
+	case f.row.Version == 0:
+		return store.Row{}, f.stamp(), store.ErrNotFound
+	}
+	return f.row, f.stamp(), nil
+}
+
+// CommitStamped implements store.StampedTables.
+func (h *testHost) CommitStamped(_ context.Context, txn store.Txn) (store.Stamp, error) {
+	f := h.fleet
+	time.Sleep(4 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.storeCut[h.name]:
+		return store.Stamp{}, store.ErrUnavailable
+	case f.row.Version != txn.Conditions[0].Version:
+		return f.stamp(), store.ErrConflict
+	}
+	f.version++
+	f.row = store.Row{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: f.version}
+	if f.loseCommits > 0 {
+		f.loseCommits--
+		return store.Stamp{}, store.ErrUnavailable
+	}
+	return f.stamp(), nil
+}
+
+// ask asks a host for an upstream and returns its decision, nil where none came
+// in time.
+func (h *testHost) ask(wait time.Duration, cost int64) (assign.Decision, *Ticket) {
+	now := time.Now()
+	t := h.broker.NewTicket()
+	h.broker.Ask(t, assign.Request{
+		Service: "s", Organisation: "o", Cost: cost, Adapter: catalog.AdapterRef{Model: "m", Adapter: adapterName}, PromptTokens: 100,
+		Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(10 * time.Second),
+	})
+	select {
+	case d := <-t.Decisions():
+		return d, t
+	case <-time.After(wait):
+		return nil, t
+	}
+}
+
+func (h *testHost) granted(t *testing.T, wait time.Duration) *Ticket {
+	t.Helper()
+	d, ticket := h.ask(wait, 10)
+	require.IsType(t, assign.Grant{}, d, "%v", d)
+	return ticket
+}
+
+// inFleet runs a test with three hosts of the same strength that have a lead.
+func inFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		for _, name := range []string{"h1", "h2", "h3"} {
+			f.add(name, 0.4)
+		}
+		time.Sleep(2 * time.Second)
+		require.Len(t, f.leads(), 1)
+		test(t, f)
+		f.end()
+	})
+}
+
+func (f *fleet) other(than string) *testHost {
+	for name, h := range f.hosts {
+		if name != than {
+			return h
+		}
+	}
+	return nil
+}
+
+func TestEveryHostIsServedThroughOneLead(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		for _, h := range f.hosts {
+			ticket := h.granted(t, time.Second)
+			h.broker.Started(ticket)
+			h.broker.Ended(ticket, assign.Completed, nil)
+			h.broker.Withdraw(ticket)
+			require.Len(t, h.broker.Hosts(), 3)
+		}
+		time.Sleep(10 * time.Millisecond)
+		lead := f.hosts[f.leads()[0]].broker
+		require.Zero(t, lead.leading.InFlight())
+		require.Len(t, f.orders, 2, "one load, and the question whether it has ended")
+	})
+}
+
+func TestAKilledLeadIsReplaced(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		h := f.other(lead)
+		h.granted(t, time.Second)
+		f.kill(lead)
+		started := time.Now()
+		for len(f.leads()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Less(t, time.Since(started), leaseTTL+renewEvery+2*lookEvery)
+		time.Sleep(500 * time.Millisecond)
+		require.Len(t, f.leads(), 1)
+		h.granted(t, time.Second)
+		require.Len(t, h.broker.Hosts(), 2)
+	})
+}
+
+func TestALeadThatShutsDownHandsOverAtOnce(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		f.hosts[lead].broker.Drain()
+		time.Sleep(leaseTTL / 2)
+		leads := f.leads()
+		require.Len(t, leads, 1)
+		require.NotEqual(t, lead, leads[0])
+		time.Sleep(time.Second)
+		require.Len(t, f.hosts[leads[0]].broker.Hosts(), 2, "callers are not sent to the host that leaves")
+	})
+}
+
+// Pattern: the store turns the lead away and serves the others. Another host
+// takes over, and all follow it without reading the store.
+func TestALeadThatCannotRenewIsReplaced(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		f.mu.Lock()
+		f.storeCut[lead] = true
+		f.mu.Unlock()
+		time.Sleep(weakAfter + 2*renewEvery + claimSpread + time.Second)
+		leads := f.leads()
+		require.Len(t, leads, 1)
+		require.NotEqual(t, lead, leads[0])
+		f.hosts[lead].granted(t, time.Second)
+		require.Equal(t, leads[0], f.hosts[lead].broker.lead.host)
+	})
+}
+
+// Pattern: the store is down for all. The lead goes on, since nobody can have
+// replaced it.
+func TestWithoutTheStoreTheLeadGoesOn(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		f.mu.Lock()
+		for name := range f.hosts {
+			f.storeCut[name] = true
+		}
+		f.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		require.Equal(t, []string{lead}, f.leads())
+		f.other(lead).granted(t, time.Second)
+		f.mu.Lock()
+		clear(f.storeCut)
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		require.Len(t, f.leads(), 1)
+	})
+}
+
+func TestAnAnswerThatWasLostDoesNotEndTheLead(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		f.mu.Lock()
+		f.loseCommits = 1
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []string{lead}, f.leads())
+	})
+}
+
+// Pattern: the lead is cut off from the other hosts and from the store, and
+// comes back. Its orders carry an older fencing token than its successor's.
+func TestALeadThatWasCutOffStepsBack(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		f.mu.Lock()
+		f.hosts[lead].cut, f.storeCut[lead] = true, true
+		f.mu.Unlock()
+		h := f.other(lead)
+		time.Sleep(leadSilence + leaseTTL + 2*lookEvery + beatEvery + time.Second)
+		require.Len(t, f.leads(), 2, "it does not know yet")
+		h.granted(t, time.Second)
+		newer := h.broker.lead.fence
+		f.mu.Lock()
+		f.hosts[lead].cut, f.storeCut[lead] = false, false
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		leads := f.leads()
+		require.Len(t, leads, 1)
+		require.NotEqual(t, lead, leads[0])
+		require.Greater(t, newer, int64(1))
+	})
+}
+
+// Pattern: engines that check no fencing token. A lead that cannot renew gives
+// no order once another may have taken over.
+func TestWithoutFencingALeadEndsWithItsLease(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		f.hosts[lead].broker.options.Fenced = false
+		f.mu.Lock()
+		for name := range f.hosts {
+			f.storeCut[name] = true
+		}
+		f.mu.Unlock()
+		time.Sleep(leaseTTL)
+		require.Empty(t, f.leads())
+	})
+}
+
+// Pattern: most hosts are weak. A strong one leads, also where a weak one was
+// first.
+func TestAStrongHostLeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		for i := range 6 {
+			f.add(fmt.Sprintf("weak%d", i), 0.2)
+		}
+		time.Sleep(3 * time.Second)
+		require.Len(t, f.leads(), 1)
+		f.add("strong1", 0.8)
+		f.add("strong2", 0.8)
+		time.Sleep(yieldAfter + 4*time.Second)
+		leads := f.leads()
+		require.Len(t, leads, 1)
+		require.Contains(t, leads[0], "strong")
+		f.kill(leads[0])
+		time.Sleep(5 * time.Second)
+		require.Len(t, f.leads(), 1)
+		require.Contains(t, f.leads()[0], "strong")
+		f.end()
+	})
+}
+
+// Pattern: every host is killed at once while an organisation is at its limit.
+// What was used is not given again.
+func TestUsageOutlivesAllHosts(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		h := f.hosts["h1"]
+		d, _ := h.ask(time.Second, 8500)
+		require.IsType(t, assign.Grant{}, d)
+		time.Sleep(2 * renewEvery)
+		for _, name := range []string{"h1", "h2", "h3"} {
+			f.kill(name)
+		}
+		time.Sleep(500 * time.Millisecond)
+		h = f.add("h1", 0.4)
+		d, _ = h.ask(4*time.Second, 3000)
+		require.IsType(t, assign.Refuse{}, d)
+	})
+}
+
+// A host that has just started waits for a lead before it decides by itself.
+func TestABlankHostWaitsForALead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.storeCut["h1"] = true
+		f.view.Upstreams["e"].Loaded[0].Adapters = []catalog.LoadedAdapter{{Name: adapterName, Version: 1}}
+		h := f.add("h1", 0.4)
+		d, _ := h.ask(blankWait/2, 10)
+		require.Nil(t, d)
+		d, _ = h.ask(blankWait, 10)
+		require.IsType(t, assign.Grant{}, d)
+		f.end()
+	})
+}
+
+// Requests that wait when the lead is lost are decided by their host, or by the
+// next lead; those that run are told to it.
+func TestRequestsOutliveTheirLead(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		h := f.other(lead)
+		running := h.granted(t, time.Second)
+		f.kill(lead)
+		time.Sleep(5 * time.Second)
+		next := f.hosts[f.leads()[0]].broker
+		next.mu.Lock()
+		inFlight := next.leading.InFlight()
+		next.mu.Unlock()
+		require.Equal(t, 1, inFlight)
+		h.broker.Ended(running, assign.Completed, nil)
+		time.Sleep(10 * time.Millisecond)
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		require.Zero(t, next.leading.InFlight())
+	})
+}
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -246,8 +246,9 @@
 // rosterBits leave room for the versions of one lead's list of hosts.
 const rosterBits = 20
 
-// startLeading makes this host the lead.
-func (b *Broker) startLeading(now time.Time, fence int64) {
+// startLeading makes this host the lead. What the lease's row recorded is counted
+// before any request is decided on.
+func (b *Broker) startLeading(now time.Time, fence int64, before *leaseView) {
 	b.log.Info("this host leads", "fence", fence)
 	b.leading = assign.New(assign.Options{
 		Orders: true, Fence: fence, Share: 1, Limits: b.options.Limits, Random: b.options.Random,
@@ -255,6 +256,7 @@
 	b.members = map[string]*member{}
 	b.roster = uint64(fence) << rosterBits
 	b.seeView(now, b.handleLeading)
+	b.recallUsage(now, before)
 	b.follow(now, b.options.Host, fence)
 	b.rosterChanged(now)
 }
--- /dev/null
+++ b/watch/watch_test.go
@@ -0,0 +1,290 @@
+package watch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/store"
+)
+
+// fakeFeed holds two tables in memory.
+type fakeFeed struct {
+	mu      sync.Mutex
+	version int64
+	log     []store.Change
+	tables  []string
+	down    bool
+	kept    int64
+	reads   int
+	changed chan struct{}
+}
+
+var errDown = errors.New("down")
+
+func newFakeFeed() *fakeFeed { return &fakeFeed{changed: make(chan struct{})} }
+
+func (f *fakeFeed) put(table, key string, value any, deleted bool) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.log = append(f.log, store.Change{Row: store.Row{Key: key, Value: raw, Version: f.version}, Deleted: deleted})
+	f.tables = append(f.tables, table)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeFeed) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeFeed) readCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
+}
+
+func (f *fakeFeed) read(table string, after int64, whole bool) (store.Changes, chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	switch {
+	case f.down:
+		return store.Changes{}, nil, errDown
+	case !whole && after < f.kept:
+		return store.Changes{}, nil, store.ErrHistoryLost
+	}
+	c := store.Changes{Version: f.version}
+	last := map[string]store.Change{}
+	var order []string
+	for i, row := range f.log {
+		if f.tables[i] != table || (!whole && row.Version <= after) {
+			continue
+		}
+		if _, ok := last[row.Key]; !ok {
+			order = append(order, row.Key)
+		}
+		last[row.Key] = row
+	}
+	for _, key := range order {
+		if row := last[key]; !whole || !row.Deleted {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+	return c, f.changed, nil
+}
+
+func (f *fakeFeed) Snapshot(_ context.Context, table string) (store.Changes, error) {
+	c, _, err := f.read(table, 0, true)
+	return c, err
+}
+
+func (f *fakeFeed) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
+	end := time.After(wait)
+	for {
+		c, changed, err := f.read(table, after, false)
+		if err != nil || len(c.Rows) > 0 {
+			return c, err
+		}
+		select {
+		case <-ctx.Done():
+			return c, ctx.Err()
+		case <-end:
+			return c, nil
+		case <-changed:
+		}
+	}
+}
+
+// fakeDecoder reads configurations as numbers, versions as numbers and upstreams
+// as JSON of the type itself.
+type fakeDecoder struct{}
+
+func (fakeDecoder) Tables() (operator, upstreams string) { return "op", "up" }
+
+func (fakeDecoder) Config(key string, value []byte) (*catalog.Config, bool, error) {
+	if key != "config" {
+		return nil, false, nil
+	}
+	n, err := strconv.ParseInt(string(value), 10, 64)
+	return catalog.NewConfig(catalog.Parts{Version: n}), true, err
+}
+
+func (fakeDecoder) Version(key string, value []byte) (catalog.AdapterRef, int64, bool, error) {
+	name, ok := strings.CutPrefix(key, "v/")
+	if !ok {
+		return catalog.AdapterRef{}, 0, false, nil
+	}
+	n, err := strconv.ParseInt(string(value), 10, 64)
+	return catalog.AdapterRef{Model: "m", Adapter: name}, n, true, err
+}
+
+func (fakeDecoder) Upstream(_ string, value []byte) (*catalog.Upstream, error) {
+	var u catalog.Upstream
+	return &u, json.Unmarshal(value, &u)
+}
+
+func upstream(id string) catalog.Upstream { return catalog.Upstream{ID: id, Born: 1, Service: "s"} }
+
+// run runs a watcher in virtual time.
+func run(t *testing.T, f func(feed *fakeFeed, w *Watcher)) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := newFakeFeed()
+		w := New(Options{Log: hclog.NewNullLogger(), Feed: feed, Decoder: fakeDecoder{}, Changed: func(*View) {}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { w.Run(ctx) })
+		f(feed, w)
+		cancel()
+		group.Wait()
+	})
+}
+
+func TestChangesAreSeen(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		feed.put("op", "config", 1, false)
+		feed.put("up", "a", upstream("a"), false)
+		time.Sleep(time.Second)
+		require.Equal(t, int64(1), w.View().Config.Version)
+		require.Contains(t, w.View().Upstreams, "a")
+		feed.put("op", "config", 3, false)
+		feed.put("op", "v/x", 2, false)
+		feed.put("up", "a", upstream("a"), true)
+		time.Sleep(upstreamPause + time.Millisecond)
+		require.Equal(t, int64(3), w.View().Config.Version)
+		require.Equal(t, int64(2), w.View().Versions[catalog.AdapterRef{Model: "m", Adapter: "x"}])
+		require.Empty(t, w.View().Upstreams)
+		require.Less(t, w.Contact(), 2*time.Second)
+	})
+}
+
+func TestAHostNeverGoesBackToAnOlderConfiguration(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		feed.put("op", "config", 5, false)
+		time.Sleep(time.Second)
+		feed.put("op", "config", 4, false)
+		feed.put("op", "v/x", 7, false)
+		time.Sleep(time.Second)
+		feed.put("op", "v/x", 6, false)
+		time.Sleep(time.Second)
+		require.Equal(t, int64(5), w.View().Config.Version)
+		require.Equal(t, int64(7), w.View().Versions[catalog.AdapterRef{Model: "m", Adapter: "x"}])
+	})
+}
+
+func TestWhatCannotBeReadChangesNothingElse(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		feed.put("op", "config", 5, false)
+		feed.put("up", "a", upstream("a"), false)
+		feed.put("up", "b", upstream("b"), false)
+		time.Sleep(time.Second)
+		feed.put("op", "config", "nonsense", false)
+		feed.put("up", "b", 17, false)
+		time.Sleep(time.Second)
+		require.Equal(t, int64(5), w.View().Config.Version)
+		require.Contains(t, w.View().Upstreams, "a")
+		require.NotContains(t, w.View().Upstreams, "b")
+	})
+}
+
+func TestALostHistoryIsMadeUpByAWholeRead(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		feed.put("up", "a", upstream("a"), false)
+		feed.put("up", "b", upstream("b"), false)
+		time.Sleep(time.Second)
+		feed.put("up", "b", upstream("b"), true)
+		feed.set(func() { feed.kept = feed.version })
+		time.Sleep(2 * time.Second)
+		require.Len(t, w.View().Upstreams, 1)
+	})
+}
+
+// Pattern: the store is away for seconds and entries lapse meanwhile. Those that
+// live are back within two seconds of its return; the others are gone then.
+func TestLapsedEntriesAreKeptForAWhile(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		for _, id := range []string{"lives", "gone"} {
+			feed.put("up", id, upstream(id), false)
+		}
+		time.Sleep(time.Second)
+		feed.set(func() { feed.down = true })
+		time.Sleep(5 * time.Second)
+		require.Len(t, w.View().Upstreams, 2, "while the store is away nothing is gone")
+		feed.put("up", "lives", upstream("lives"), true)
+		feed.put("up", "gone", upstream("gone"), true)
+		feed.set(func() { feed.down = false })
+		time.Sleep(time.Second)
+		require.Len(t, w.View().Upstreams, 2, "they may come back")
+		feed.put("up", "lives", upstream("lives"), false)
+		time.Sleep(returnGrace)
+		require.Contains(t, w.View().Upstreams, "lives")
+		require.NotContains(t, w.View().Upstreams, "gone")
+	})
+}
+
+func TestAnEntryRemovedInPeaceIsGoneAtOnce(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		feed.put("up", "a", upstream("a"), false)
+		time.Sleep(time.Second)
+		feed.put("up", "a", upstream("a"), true)
+		time.Sleep(upstreamPause + time.Millisecond)
+		require.Empty(t, w.View().Upstreams)
+	})
+}
+
+// Pattern: seventy hosts would each follow the tables. One that is told of the
+// changes reads nothing, and reads all again when it is no longer told.
+func TestAWatchRestsWhileChangesArePassedOn(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		feed.put("op", "config", 1, false)
+		feed.put("up", "a", upstream("a"), false)
+		time.Sleep(time.Second)
+		w.Relayed(true)
+		time.Sleep(2 * time.Second)
+		before := feed.readCount()
+		packed, err := PackConfig(store.Row{Key: "config", Value: []byte("2")})
+		require.NoError(t, err)
+		w.TakeConfig(packed, catalog.Versions{{Model: "m", Adapter: "x"}: 4})
+		b := upstream("b")
+		w.TakeUpstreams(false, []*catalog.Upstream{&b}, []string{"a"})
+		time.Sleep(time.Minute)
+		require.Equal(t, before, feed.readCount())
+		require.Equal(t, int64(2), w.View().Config.Version)
+		require.Equal(t, int64(4), w.View().Versions[catalog.AdapterRef{Model: "m", Adapter: "x"}])
+		require.Len(t, w.View().Upstreams, 1)
+		require.Contains(t, w.View().Upstreams, "b")
+		w.TakeUpstreams(true, nil, nil)
+		require.Empty(t, w.View().Upstreams)
+		w.Relayed(false)
+		time.Sleep(time.Second)
+		require.Contains(t, w.View().Upstreams, "a")
+	})
+}
+
+func TestAConfigurationPassedOnThatCannotBeReadIsIgnored(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		feed.put("op", "config", 1, false)
+		time.Sleep(time.Second)
+		w.TakeConfig([]byte{200, 1}, nil)
+		w.TakeConfig([]byte{1, 'c', 0xff, 0xff}, nil)
+		require.Equal(t, int64(1), w.View().Config.Version)
+	})
+}
