Hosts in one process against stand-ins; metrics; upstreams that all failed are tried

Found by the tests: requests were refused at once while every upstream of a service was left alone after failures or full for a moment. They go to one that failed, or wait for one that is full.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -99,11 +99,22 @@
 
 // bestOption returns the way with the least expected time to the first token.
 func (a *Assigner) bestOption(now time.Time, s *service, e *entry) (option, bool) {
+	candidates := a.candidates(s, e)
+	best, found := a.bestOf(now, s, e, candidates, (*upstream).usable)
+	if !found && !a.anyUsable(now, s) {
+		// Where all have failed, one that is left alone is better than none.
+		return a.bestOf(now, s, e, candidates, (*upstream).present)
+	}
+	return best, found
+}
+
+// bestOf returns the best way over the candidates that may be used.
+func (a *Assigner) bestOf(now time.Time, s *service, e *entry, candidates []*upstream, may func(*upstream, time.Time) bool) (option, bool) {
 	var best option
 	found := false
 	held := a.heldSomewhere(now, s, e)
-	for _, u := range a.candidates(s, e) {
-		if !u.usable(now) || slices.Contains(e.request.Avoid, u.record.ID) {
+	for _, u := range candidates {
+		if !may(u, now) || slices.Contains(e.request.Avoid, u.record.ID) {
 			continue
 		}
 		o, ok := a.option(now, u, e, held)
--- a/assign/choose_test.go
+++ b/assign/choose_test.go
@@ -195,6 +195,31 @@
 	require.Equal(t, map[string]int{"p0": 5, "p1": 5}, counts)
 }
 
+// Pattern: every upstream of a service has failed, or is full for a moment.
+// Requests still go to those that failed, and wait for those that are full.
+func TestWhereAllHaveFailedOneIsTried(t *testing.T) {
+	w := newWorld(t, 1, 1, 1)
+	records := map[string]*catalog.Upstream{}
+	for _, id := range []string{"p0", "p1"} {
+		records[id] = &catalog.Upstream{ID: id, Service: "plain", Zone: "z", Slots: 6}
+	}
+	w.handle(UpstreamsSeen{records})
+	plain := func(r *Request) { r.Service, r.Adapter = "plain", catalog.AdapterRef{} }
+	for i := range uint64(2) {
+		id := w.ask(i+1, "", plain)
+		w.handle(Ended{ID: id, Outcome: Unreachable})
+	}
+	require.Contains(t, w.granted, w.ask(3, "", plain))
+	for _, u := range w.assigner.service("plain").upstreams {
+		u.fullUntil = w.now.Add(fullPause)
+	}
+	waits := w.ask(4, "", plain)
+	require.NotContains(t, w.granted, waits)
+	require.NotContains(t, w.refused, waits)
+	w.run(fullPause + 20*time.Millisecond)
+	require.Contains(t, w.granted, waits)
+}
+
 func TestAChoiceWeighsABoundedNumberOfEngines(t *testing.T) {
 	w := newWorld(t, 1, 400, 3)
 	w.run(50 * time.Millisecond)
--- a/assign/orders.go
+++ b/assign/orders.go
@@ -106,8 +106,8 @@
 	return n
 }
 
-// present counts the adapters that take room on the engine now.
-func (u *upstream) present() int {
+// loadedSlots counts the adapters that take room on the engine now.
+func (u *upstream) loadedSlots() int {
 	n := 0
 	for _, s := range u.slots {
 		if s.state != slotQueued {
@@ -152,7 +152,7 @@
 		case slotEvicting:
 			return order{evict: true, ref: s.ref}, true
 		case slotQueued:
-			if load == nil && u.present() < u.engine.AdapterSlots {
+			if load == nil && u.loadedSlots() < u.engine.AdapterSlots {
 				load = s
 			}
 		case slotComing:
--- a/assign/queue.go
+++ b/assign/queue.go
@@ -108,7 +108,7 @@
 // hopeless reports whether a new request that found no room would wait in vain.
 func (a *Assigner) hopeless(now time.Time, e *entry) (string, bool) {
 	s := a.service(e.request.Service)
-	if !a.anyUsable(now, s) {
+	if !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.record.Draining }) {
 		return "no_upstream", true
 	}
 	if now.Add(a.drainTime(s, now)).After(e.giveUpAt(a)) {
@@ -136,7 +136,18 @@
 		}
 	}
 	if rate == 0 {
-		return mostReturn
+		return s.returnsIn(now)
 	}
 	return time.Duration(float64(tokens) / rate)
 }
+
+// returnsIn is the time until one of a service's upstreams may be tried again.
+func (s *service) returnsIn(now time.Time) time.Duration {
+	soonest := mostReturn
+	for _, u := range s.upstreams {
+		if !u.record.Draining {
+			soonest = min(soonest, max(u.fullUntil.Sub(now), u.pausedUntil.Sub(now), 0))
+		}
+	}
+	return soonest
+}
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -64,8 +64,11 @@
 	errors float64
 	load   Load
 
-	failures    int
+	failures int
+	// pausedUntil is when the upstream may be tried again after failures,
+	// fullUntil after it was full.
 	pausedUntil time.Time
+	fullUntil   time.Time
 
 	slots map[string]*slot
 	// warm holds when adapters were last held, which load faster again.
@@ -225,7 +228,7 @@
 	case Failed:
 		failed, u.failures = 1, 0
 	case Full:
-		u.pause(now, fullPause)
+		u.fullUntil = now.Add(fullPause)
 		return
 	case TimedOut:
 		failed = 1
@@ -252,7 +255,13 @@
 
 // usable reports whether the upstream may be given a request now.
 func (u *upstream) usable(now time.Time) bool {
-	return !u.record.Draining && !now.Before(u.pausedUntil)
+	return u.present(now) && !now.Before(u.pausedUntil)
+}
+
+// present reports whether the upstream could take a request, were it not left
+// alone after failures.
+func (u *upstream) present(now time.Time) bool {
+	return !u.record.Draining && !now.Before(u.fullUntil)
 }
 
 // backlog is the expected time until the engine has read what it was given.
--- a/host/host.go
+++ b/host/host.go
@@ -77,6 +77,7 @@
 	links   *peer.Links
 	pool    *forward.Pool
 	server  *entry.Server
+	metrics *hostMetrics
 	started time.Time
 }
 
@@ -103,9 +104,13 @@
 			RateWindow: time.Duration(s.Fleet.RateWindow), RateOver: s.Fleet.RateOver, RateSlackTokens: s.Fleet.RateSlackTokens,
 		},
 	})
+	var err error
+	if h.metrics, err = newHostMetrics(h); err != nil {
+		return nil, err
+	}
 	h.server = entry.New(entry.Options{
 		Log: h.log.Named("entry"), Codec: platform.Codec{}, Broker: h.broker, Pool: h.pool, View: h.watcher.View,
-		Leaving: h.leaving, Draw: rand.Float64, Observe: func(entry.Result) {},
+		Leaving: h.leaving, Draw: rand.Float64, Observe: h.metrics.observe,
 	})
 	return h, nil
 }
@@ -159,25 +164,31 @@
 	return nil
 }
 
+// listener is a server with the address that it listens on.
+type listener struct {
+	field, address string
+	server         *http.Server
+}
+
 // serve runs the listeners of callers until the end.
 func (h *Host) serve(ctx context.Context, group *sync.WaitGroup) error {
 	callers := h.newServer(h.server)
-	all := []struct {
-		field, address string
-		server         *http.Server
-	}{
+	all := []listener{
 		{"listen.callers", h.settings.Listen.Callers, callers},
 		{"listen.readiness", h.settings.Listen.Readiness, h.newServer(platform.Readiness(h.ready))},
 		{"listen.directory", h.settings.Listen.Directory, h.newServer(platform.Directory(h.callersFor, answerLife(h.settings)))},
 	}
+	if h.settings.Listen.Metrics != "" {
+		all = append(all, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(h.metrics.handler())})
+	}
 	failed := make(chan error, len(all))
 	for _, one := range all {
-		listener, err := listen(ctx, one.address)
+		l, err := listen(ctx, one.address)
 		if err != nil {
 			return fmt.Errorf("%s: %w", one.field, err)
 		}
 		group.Go(func() {
-			if err := one.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := one.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("%s: %w", one.field, err)
 			}
 		})
--- /dev/null
+++ b/host/host_test.go
@@ -0,0 +1,376 @@
+package host
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/settings"
+	"github.com/jasminelock/jasminelock/standin"
+	"github.com/jasminelock/jasminelock/standin/replica"
+	"github.com/jasminelock/jasminelock/standin/tables"
+)
+
+// patience bounds what a test waits for; it is long, so that only what never
+// comes fails a test on a busy machine.
+const patience = 30 * time.Second
+
+// deployment is some hosts, replicas and the platform's tables in one process.
+type deployment struct {
+	t        *testing.T
+	tables   *tables.Tables
+	store    string
+	hosts    map[string]*runningHost
+	replicas map[string]*replica.Replica
+	config   map[string]any
+	version  int
+}
+
+type runningHost struct {
+	*Host
+	settings *settings.Entry
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func route(name, prefix, kind, service string, more map[string]any) map[string]any {
+	r := map[string]any{
+		"name": name, "host": "x.example", "path_prefix": prefix, "kind": kind, "service": service,
+		"timeout_ms": 20000, "target_latency_ms": 1000, "max_attempts": 2,
+	}
+	for k, v := range more {
+		r[k] = v
+	}
+	return r
+}
+
+func deploy(t *testing.T) *deployment {
+	d := &deployment{t: t, tables: tables.New(), hosts: map[string]*runningHost{}, replicas: map[string]*replica.Replica{}}
+	server, err := standin.Serve("127.0.0.1:0", d.tables)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	d.store = strings.TrimPrefix(server.URL, "http://")
+	d.config = map[string]any{
+		"routes": []any{
+			route("chat", "/chat/", "streaming", "engines", map[string]any{"max_attempts": 1}),
+			route("resume", "/resume/", "streaming", "engines", map[string]any{"resumable": true}),
+			route("book", "/book/", "unsafe", "app", map[string]any{"max_attempts": 1}),
+			route("status", "/status/", "safe", "app", nil),
+			route("open", "/open/", "safe", "app", map[string]any{"public": true}),
+			route("slow", "/slow/", "safe", "nobody", map[string]any{"timeout_ms": 300}),
+		},
+		"services": []any{
+			map[string]any{"name": "engines", "max_connections": 100, "engine": map[string]any{
+				"slots": 8, "kv_capacity": 100000, "adapter_slots": 2, "weights_mb": 100,
+				"models": []any{map[string]any{"name": "m", "weights_mb": 50}},
+			}},
+			map[string]any{"name": "app", "max_connections": 100},
+		},
+		"limits":  map[string]any{"max_body_bytes": 10000},
+		"tenants": []any{map[string]any{"name": "org", "api_keys": []any{"key"}, "plain_tokens": 10, "rate_per_s": 100000, "burst": 100000}},
+	}
+	d.putConfig()
+	return d
+}
+
+func (d *deployment) putConfig() {
+	d.version++
+	d.config["version"] = d.version
+	d.tables.Put("op", "config", d.config)
+}
+
+// addReplica starts a replica and lists it.
+func (d *deployment) addReplica(service string, o replica.Options) *replica.Replica {
+	r := replica.New(o)
+	server, err := standin.Serve("127.0.0.1:0", r)
+	require.NoError(d.t, err)
+	d.t.Cleanup(server.Close)
+	entry := map[string]any{
+		"service": service, "address": strings.TrimPrefix(server.URL, "http://"), "zone": "z", "slots": 8, "state": "ready", "born": 1,
+	}
+	if o.Model != "" {
+		entry["models"] = []any{map[string]any{"name": o.Model, "version": 1, "adapters": []any{}}}
+	}
+	d.tables.Put("servers", o.ID, entry)
+	d.replicas[o.ID] = r
+	return r
+}
+
+// addHost starts a host and waits until it is ready.
+func (d *deployment) addHost(name string) *runningHost {
+	s := &settings.Entry{
+		Host: name, Zone: "z", Store: d.store, MemoryMB: 200, Cores: 1, Grace: settings.Duration(8 * time.Second),
+		Listen: settings.EntryListen{
+			Callers: freeAddress(d.t), Readiness: freeAddress(d.t), Directory: freeAddress(d.t), Peers: freeAddress(d.t), Metrics: freeAddress(d.t),
+		},
+		Fleet: settings.EntryFleet{
+			RetryRatio: 0.2, RetrySlack: 50, RateWindow: settings.Duration(8 * time.Second), Fenced: true,
+			AnswerLife: settings.Duration(time.Second),
+		},
+		Log: settings.Log{Level: "error"},
+	}
+	h, err := New(s)
+	require.NoError(d.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &runningHost{Host: h, settings: s, cancel: cancel, done: make(chan error, 1)}
+	go func() { r.done <- h.Run(ctx) }()
+	var once sync.Once
+	r.cancel = func() { once.Do(func() { cancel(); <-r.done }) }
+	d.t.Cleanup(r.cancel)
+	d.hosts[name] = r
+	require.Eventually(d.t, func() bool {
+		code, _ := get("http://" + s.Listen.Readiness + "/v1/readyz")
+		return code == http.StatusOK && len(h.broker.Hosts()) > 0
+	}, patience, 10*time.Millisecond)
+	return r
+}
+
+func get(url string) (int, string) {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+// answer is what a caller has got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// last says that the host closes the connection.
+	last bool
+	err  error
+}
+
+// call sends a request to a host. A header with an empty value is left out.
+func (r *runningHost) call(method, path, body string, header map[string]string) answer {
+	req, err := http.NewRequest(method, "http://"+r.settings.Listen.Callers+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = "x.example"
+	req.Header.Set("Authorization", "Token key")
+	req.Header.Set("Jasminelock-Attempt-Id", "id-"+path)
+	for k, v := range header {
+		req.Header.Set(k, v)
+		if v == "" {
+			req.Header.Del(k)
+		}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(raw), resp.Close, err}
+}
+
+var generation = map[string]string{"Jasminelock-Model": "m/a1", "Jasminelock-Token-Usage": "100,20"}
+
+func TestTheWholePath(t *testing.T) {
+	d := deploy(t)
+	engine := d.addReplica("engines", replica.Options{ID: "e1", Model: "m", AdapterSlots: 2, Events: 5})
+	app := d.addReplica("app", replica.Options{ID: "p1"})
+	h := d.addHost("h1")
+	other := d.addHost("h2")
+	require.Eventually(t, func() bool { return len(h.broker.Hosts()) == 2 && len(other.broker.Hosts()) == 2 }, patience, 10*time.Millisecond)
+
+	for _, one := range []*runningHost{h, other} {
+		a := one.call(http.MethodPost, "/chat/1", "prompt", generation)
+		require.NoError(t, a.err)
+		require.Equal(t, http.StatusOK, a.status, a.body)
+		require.Equal(t, 5, strings.Count(a.body, "data: event"))
+		require.Equal(t, "e1", a.header.Get("Jasminelock-Response-Signature"))
+	}
+	require.Equal(t, 1, engine.Held())
+
+	a := h.call(http.MethodPost, "/book/a%2Fb?c=d", "order", nil)
+	require.Equal(t, http.StatusOK, a.status, a.body)
+	seen := app.Requests()[0]
+	require.Equal(t, "/book/a%2Fb?c=d", seen.URI)
+	require.Equal(t, "order", seen.Body)
+	require.Empty(t, seen.Header.Get("Authorization"))
+	require.Equal(t, "org", seen.Header.Get("Jasminelock-Tenant"))
+	require.Equal(t, "p1", seen.Header.Get("Jasminelock-Expect-Instance"))
+	require.NotEmpty(t, seen.Header.Get("Jasminelock-Deadline-Ms"))
+
+	_, directory := get("http://" + h.settings.Listen.Directory + "/v1/resolve?name=x.example&zone=z")
+	require.Contains(t, directory, h.settings.Listen.Callers)
+	require.Contains(t, directory, other.settings.Listen.Callers)
+}
+
+func TestRefusals(t *testing.T) {
+	d := deploy(t)
+	app := d.addReplica("app", replica.Options{ID: "p1"})
+	h := d.addHost("h1")
+	none := map[string]string{"Authorization": ""}
+	require.Equal(t, http.StatusNotFound, h.call(http.MethodGet, "/nowhere/", "", nil).status)
+	require.Equal(t, http.StatusUnauthorized, h.call(http.MethodGet, "/status/", "", none).status)
+	require.Equal(t, http.StatusUnauthorized, h.call(http.MethodGet, "/status/", "", map[string]string{"Authorization": "Token wrong"}).status)
+	require.Equal(t, http.StatusOK, h.call(http.MethodGet, "/open/", "", none).status)
+	require.Equal(t, http.StatusRequestEntityTooLarge, h.call(http.MethodPost, "/book/", strings.Repeat("x", 10001), nil).status)
+	require.Equal(t, http.StatusBadRequest, h.call(http.MethodPost, "/chat/", "", map[string]string{"Jasminelock-Token-Usage": "many"}).status)
+	require.Len(t, app.Requests(), 1)
+
+	a := h.call(http.MethodGet, "/slow/", "", nil)
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+
+	d.config["tenants"] = []any{map[string]any{"name": "org", "api_keys": []any{"new"}}}
+	d.putConfig()
+	require.Eventually(t, func() bool { return h.call(http.MethodGet, "/status/", "", nil).status == http.StatusUnauthorized }, patience, 10*time.Millisecond)
+}
+
+// What upstreams do to a request, and what its caller is told.
+func TestAttempts(t *testing.T) {
+	d := deploy(t)
+	app := d.addReplica("app", replica.Options{ID: "p1"})
+	d.addReplica("app", replica.Options{ID: "p2"})
+	h := d.addHost("h1")
+	total := func() int { return len(app.Requests()) + len(d.replicas["p2"].Requests()) }
+	faults := func(f replica.Faults) {
+		app.SetFaults(f)
+		d.replicas["p2"].SetFaults(f)
+	}
+	for _, tc := range []struct {
+		name, method, path string
+		faults             replica.Faults
+		status, sent       int
+	}{
+		{"a rejected one has not run and goes elsewhere", http.MethodPost, "/book/", replica.Faults{Full: 1}, http.StatusServiceUnavailable, 2},
+		{"a safe request is sent again after a failure", http.MethodGet, "/status/", replica.Faults{Break: 1}, http.StatusBadGateway, 2},
+		{"an unsafe one is not", http.MethodPost, "/book/", replica.Faults{Break: 1}, http.StatusBadGateway, 1},
+		{"an upstream's own failure is passed on", http.MethodPost, "/book/", replica.Faults{Fail: 1}, http.StatusInternalServerError, 1},
+		{"a success without a signature is none", http.MethodPost, "/book/", replica.Faults{Unsigned: 1}, http.StatusBadGateway, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			before := total()
+			faults(tc.faults)
+			a := h.call(tc.method, tc.path, "", nil)
+			require.NoError(t, a.err)
+			require.Equal(t, tc.status, a.status, a.body)
+			require.Equal(t, tc.sent, total()-before)
+			faults(replica.Faults{})
+		})
+	}
+}
+
+// A stream that breaks off is continued where its route allows it, without a
+// piece lost or doubled; else its caller sees that it is not whole.
+func TestStreamsThatBreakOff(t *testing.T) {
+	d := deploy(t)
+	for _, id := range []string{"e1", "e2"} {
+		d.addReplica("engines", replica.Options{ID: id, Model: "m", AdapterSlots: 2, Events: 6}).
+			SetFaults(replica.Faults{Cuts: 1, CutAfter: 2})
+	}
+	h := d.addHost("h1")
+	a := h.call(http.MethodPost, "/chat/1", "prompt", generation)
+	require.Error(t, a.err)
+	require.NotContains(t, a.body, "id: 3", "a part of an event is not passed on")
+
+	d.replicas["e1"].SetFaults(replica.Faults{Cuts: 1, CutAfter: 2})
+	d.replicas["e2"].SetFaults(replica.Faults{})
+	var whole bool
+	for range 4 {
+		a = h.call(http.MethodPost, "/resume/1", "prompt", generation)
+		require.NoError(t, a.err)
+		for i := 1; i <= 6; i++ {
+			require.Equal(t, 1, strings.Count(a.body, fmt.Sprintf("id: %d\n", i)), a.body)
+		}
+		whole = true
+	}
+	require.True(t, whole)
+}
+
+// The upstream's connection is closed as soon as the caller has left.
+func TestACallerThatLeaves(t *testing.T) {
+	d := deploy(t)
+	e := d.addReplica("engines", replica.Options{ID: "e1", Model: "m", AdapterSlots: 2, Events: 10000, EventPause: 5 * time.Millisecond})
+	h := d.addHost("h1")
+	c, err := net.Dial("tcp", h.settings.Listen.Callers)
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "POST /chat/1 HTTP/1.1\r\nHost: x.example\r\nAuthorization: Token key\r\nJasminelock-Attempt-Id: 1\r\n"+
+		"Jasminelock-Model: m/a1\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	line, err := bufio.NewReader(c).ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, line, "200")
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return e.Canceled() == 1 }, patience, 5*time.Millisecond)
+}
+
+// An upstream that is listed as leaving gets no request any more.
+func TestAnUpstreamThatLeaves(t *testing.T) {
+	d := deploy(t)
+	d.addReplica("app", replica.Options{ID: "p1"})
+	h := d.addHost("h1")
+	require.Equal(t, http.StatusOK, h.call(http.MethodGet, "/status/", "", nil).status)
+	d.tables.Put("servers", "p1", map[string]any{"service": "app", "address": "127.0.0.1:1", "slots": 8, "state": "draining", "born": 1})
+	require.Eventually(t, func() bool {
+		return h.call(http.MethodGet, "/status/", "", nil).status == http.StatusServiceUnavailable
+	}, patience, 10*time.Millisecond)
+}
+
+// A host that is drained serves on, tells callers to go elsewhere, refuses
+// streams that it could not finish, and ends without cutting a request.
+func TestDrain(t *testing.T) {
+	d := deploy(t)
+	d.addReplica("app", replica.Options{ID: "p1"})
+	d.addReplica("engines", replica.Options{ID: "e1", Model: "m", AdapterSlots: 2, Events: 30, EventPause: 50 * time.Millisecond})
+	h := d.addHost("h1")
+	other := d.addHost("h2")
+	require.Eventually(t, func() bool { return len(other.broker.Hosts()) == 2 }, patience, 10*time.Millisecond)
+	running := make(chan answer, 1)
+	go func() { running <- h.call(http.MethodPost, "/chat/1", "prompt", generation) }()
+	require.Eventually(t, func() bool { return len(d.replicas["e1"].Requests()) == 1 }, patience, 5*time.Millisecond)
+	h.Drain()
+	a := h.call(http.MethodGet, "/status/", "", nil)
+	require.Equal(t, http.StatusOK, a.status)
+	require.True(t, a.last)
+	code, _ := get("http://" + h.settings.Listen.Readiness + "/v1/readyz")
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	require.Eventually(t, func() bool {
+		_, told := get("http://" + other.settings.Listen.Directory + "/v1/resolve?zone=z")
+		return !strings.Contains(told, h.settings.Listen.Callers)
+	}, patience, 10*time.Millisecond)
+	got := <-running
+	require.NoError(t, got.err)
+	require.Equal(t, 30, strings.Count(got.body, "data: event"))
+	require.NoError(t, <-h.done)
+	h.done <- nil
+}
+
+func TestMetricsAreServed(t *testing.T) {
+	d := deploy(t)
+	d.addReplica("app", replica.Options{ID: "p1"})
+	h := d.addHost("h1")
+	require.Equal(t, http.StatusOK, h.call(http.MethodGet, "/status/", "", nil).status)
+	require.Eventually(t, func() bool {
+		_, text := get("http://" + h.settings.Listen.Metrics + "/metrics")
+		return strings.Contains(text, "jasminelock_entry_requests_total")
+	}, patience, 10*time.Millisecond)
+}
--- /dev/null
+++ b/host/metrics.go
@@ -0,0 +1,96 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/jasminelock/jasminelock/entry"
+	"github.com/jasminelock/jasminelock/metrics"
+)
+
+// latencyBuckets are the upper bounds of the histograms, in seconds. They span
+// the targets of plain services and of streams.
+var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 15}
+
+// hostMetrics counts what the host does. Its labels are routes, statuses and the
+// closed list of errors, none of which grows with adapters or callers.
+type hostMetrics struct {
+	provider   *metrics.Provider
+	requests   metric.Int64Counter
+	attempts   metric.Int64Counter
+	took       metric.Float64Histogram
+	firstToken metric.Float64Histogram
+}
+
+func newHostMetrics(h *Host) (*hostMetrics, error) {
+	provider, err := metrics.New()
+	if err != nil {
+		return nil, err
+	}
+	m := &hostMetrics{provider: provider}
+	meter := provider.Meter("host")
+	var errs [4]error
+	m.requests, errs[0] = meter.Int64Counter("jasminelock.entry.requests", metric.WithDescription("Requests that have ended, by route, status and reason"))
+	m.attempts, errs[1] = meter.Int64Counter("jasminelock.entry.attempts", metric.WithDescription("Requests sent to upstreams, by route"))
+	m.took, errs[2] = meter.Float64Histogram("jasminelock.entry.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from a request's arrival to its end"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
+	m.firstToken, errs[3] = meter.Float64Histogram("jasminelock.entry.first_token", metric.WithUnit("s"),
+		metric.WithDescription("Time from a request's arrival to the start of its answer"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
+	return m, errors.Join(append(errs[:], m.watch(meter, h))...)
+}
+
+// watch adds the gauges that are read when the metrics are.
+func (m *hostMetrics) watch(meter metric.Meter, h *Host) error {
+	var errs []error
+	for _, g := range []struct {
+		name, description string
+		value             func() float64
+	}{
+		{"jasminelock.config.version", "Version of the configuration in force", h.configVersion},
+		{"jasminelock.store.age", "Seconds since this host last read the store itself", func() float64 { return h.watcher.Contact().Seconds() }},
+		{"jasminelock.upstreams", "Upstreams that are listed", func() float64 { return float64(len(h.watcher.View().Upstreams)) }},
+		{"jasminelock.hosts", "Hosts that callers may be sent to", func() float64 { return float64(len(h.broker.Hosts())) }},
+		{"jasminelock.waiting", "Requests that wait for an upstream here", func() float64 { return float64(h.broker.Stats().Waiting) }},
+		{"jasminelock.leading", "Whether this host leads", func() float64 { return float64(h.broker.Stats().Leading) }},
+		{"jasminelock.log.dropped", "Log lines that were dropped", func() float64 { return float64(h.sink.Dropped()) }},
+	} {
+		_, err := meter.Float64ObservableGauge(g.name, metric.WithDescription(g.description),
+			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+				o.Observe(g.value())
+				return nil
+			}))
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+func (h *Host) configVersion() float64 {
+	if c := h.watcher.View().Config; c != nil {
+		return float64(c.Version)
+	}
+	return 0
+}
+
+// observe takes how a request ended.
+func (m *hostMetrics) observe(r entry.Result) {
+	ctx := context.Background()
+	route := attribute.String("route", r.Route)
+	m.requests.Add(ctx, 1, metric.WithAttributes(route, attribute.String("status", strconv.Itoa(r.Status)), attribute.String("reason", r.Reason)))
+	m.attempts.Add(ctx, int64(r.Attempts), metric.WithAttributes(route))
+	m.took.Record(ctx, r.Took.Seconds(), metric.WithAttributes(route))
+	if r.FirstToken > 0 {
+		m.firstToken.Record(ctx, r.FirstToken.Seconds(), metric.WithAttributes(route))
+	}
+}
+
+// handler serves the metrics.
+func (m *hostMetrics) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.provider.Handler())
+	return mux
+}
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -320,6 +320,25 @@
 	handle(now, assign.UpstreamsSeen{Upstreams: b.view.Upstreams})
 }
 
+// Stats is a summary of what a broker holds.
+type Stats struct {
+	// Waiting counts the requests that wait for this host's decision.
+	Waiting int
+	// Leading is 1 where this host leads.
+	Leading int
+}
+
+// Stats returns a summary.
+func (b *Broker) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Stats{Waiting: b.local.Waiting()}
+	if b.leading != nil {
+		s.Leading, s.Waiting = 1, s.Waiting+b.leading.Waiting()
+	}
+	return s
+}
+
 // step runs f with the lock held and sets the alarms for what waits for time.
 func (b *Broker) step(f func(now time.Time)) {
 	b.mu.Lock()
