A lead that cannot renew is replaced only by a host that reaches the store

Seen in the logs of an incident: when the store came back for all, the lead was replaced at the moment at which it had renewed its lease, and hosts had called the store for it while it was down.

--- a/lead/election.go
+++ b/lead/election.go
@@ -132,12 +132,23 @@
 // does so first.
 func (b *Broker) takeOver(ctx context.Context) {
 	b.mu.Lock()
-	row := b.lead.row
+	row, weak := b.lead.row, b.lead.weak
 	b.mu.Unlock()
-	pause(ctx, b.claimDelay())
+	delay := b.claimDelay()
+	if weak {
+		if b.options.Source.Contact() > relayAge {
+			return // this host does not reach the store either
+		}
+		delay += renewEvery + renewAgain
+	}
+	pause(ctx, delay)
 	b.tryClaim(ctx, row)
 }
 
+// renewAgain is how long the lead is left to renew its lease after the store is
+// back for other hosts.
+const renewAgain = 200 * time.Millisecond
+
 // beat tells the lead that this host is there, and gives it up where it is silent.
 func (b *Broker) beat() {
 	b.step(func(now time.Time) {
