--- a/lead/broker.go
+++ b/lead/broker.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -79,6 +80,9 @@
 	links   Links
 	// wake has Run take its next turn at once.
 	wake chan struct{}
+	// claiming says that the lease is about to be claimed beside Run.
+	claiming atomic.Bool
+	claims   sync.WaitGroup
 	// ctx ends with Run. It is set before any request comes.
 	ctx context.Context
 
--- a/lead/election.go
+++ b/lead/election.go
@@ -85,6 +85,7 @@
 
 // Run keeps this host linked to the lead, or leading, until the context ends.
 func (b *Broker) Run(ctx context.Context) {
+	defer b.claims.Wait()
 	for ctx.Err() == nil {
 		pause := b.turn(ctx)
 		select {
@@ -119,8 +120,12 @@
 	case leading:
 		return b.renew(ctx)
 	case hasLead:
-		if weak && !draining {
-			b.takeOver(ctx)
+		if weak && !draining && b.claiming.CompareAndSwap(false, true) {
+			// Beats go on meanwhile, or the lead would take this host to be gone.
+			b.claims.Go(func() {
+				defer b.claiming.Store(false)
+				b.takeOver(ctx)
+			})
 		}
 		b.beat()
 		return beatEvery
--- a/lead/following.go
+++ b/lead/following.go
@@ -50,6 +50,9 @@
 
 // Lost takes that the last link to a host has ended.
 func (b *Broker) Lost(host string) {
+	if b.ctx.Err() != nil {
+		return // this host is stopping
+	}
 	b.step(func(now time.Time) {
 		if b.leading != nil {
 			b.dropMember(now, host, "link ended")
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -148,6 +148,9 @@
 			retry = firstRetry
 		}
 		err := r.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		wait := r.pause
 		switch {
 		case err == nil:
