--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -23,7 +23,7 @@
 	}
 	id := r.Header.Get(o.Echo)
 	for passed := 0; ; passed++ {
-		resp, err := c.readHeader(r.Method)
+		resp, err := c.readHeader(r.Method) //nolint:bodyclose // the answer's Close ends the connection or empties it
 		if err != nil {
 			return nil, err
 		}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -144,7 +144,7 @@
 }
 
 func (c *conn) close() {
-	_ = c.Conn.Close() // closing twice is harmless
+	_ = c.Close() // closing twice is harmless
 }
 
 // broken wraps the error of a connection that was written to.
--- a/lead/election.go
+++ b/lead/election.go
@@ -366,7 +366,7 @@
 	if yields && !b.lead.yields {
 		b.log.Info("a stronger host may lead")
 		b.lead.yields = true
-		b.rosterChanged(now)
+		b.rosterChanged()
 	}
 }
 
@@ -381,7 +381,7 @@
 	case since > weakAfter && !b.lead.weak:
 		b.lead.weak = true
 		b.log.Warn("lease not renewed", "error", err)
-		b.rosterChanged(now)
+		b.rosterChanged()
 	}
 }
 
--- a/lead/following.go
+++ b/lead/following.go
@@ -98,6 +98,12 @@
 	if b.lead.host != from {
 		b.follow(now, from, m.Fence)
 	}
+	b.noteLead(now, from, m)
+	b.options.Source.Relayed(b.relayWhole && !m.Weak && milliseconds(m.StoreAgeMS) < relayAge)
+}
+
+// noteLead takes what a beat says of the lead, of the hosts and of rates.
+func (b *Broker) noteLead(now time.Time, from string, m *wire.LeadBeat) {
 	if (m.Weak && !b.lead.weak) || (m.Yields && !b.lead.yields) {
 		b.wakeUp()
 	}
@@ -109,7 +115,6 @@
 		b.roster, b.hosts = m.Roster, m.Hosts
 		b.shareChanged()
 	}
-	b.options.Source.Relayed(b.relayWhole && !m.Weak && milliseconds(m.StoreAgeMS) < relayAge)
 	clear(b.exhausted)
 	for _, name := range m.Exhausted {
 		b.exhausted[name] = true
@@ -210,10 +215,10 @@
 // Drain has callers sent elsewhere, and gives the lease back where this host
 // holds it.
 func (b *Broker) Drain() {
-	b.step(func(now time.Time) {
+	b.step(func(time.Time) {
 		b.draining = true
 		if b.leading != nil {
-			b.rosterChanged(now)
+			b.rosterChanged()
 			return
 		}
 		if b.lead.host != "" {
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -138,7 +138,7 @@
 		b.leading.Charge(now, now.Add(-milliseconds(s.AgeMS)), s.Organisation, s.Tokens)
 	}
 	if !known || old.draining != m.Draining {
-		b.rosterChanged(now)
+		b.rosterChanged()
 	}
 	beat := b.leadBeat(now)
 	if m.Roster != b.roster {
@@ -153,7 +153,7 @@
 
 // rosterChanged tells every host who is there, soon: hosts join and leave
 // together.
-func (b *Broker) rosterChanged(now time.Time) {
+func (b *Broker) rosterChanged() {
 	b.roster++
 	b.hosts = b.callerHosts()
 	b.shareChanged()
@@ -223,7 +223,7 @@
 	b.log.Info("host left", "host", host, "reason", why)
 	delete(b.members, host)
 	b.handleLeading(now, assign.HostLost{Host: host})
-	b.rosterChanged(now)
+	b.rosterChanged()
 }
 
 // leadBeat returns what the lead tells every host.
@@ -258,7 +258,7 @@
 	b.seeView(now, b.handleLeading)
 	b.recallUsage(now, before)
 	b.follow(now, b.options.Host, fence)
-	b.rosterChanged(now)
+	b.rosterChanged()
 }
 
 // replaced hands the hosts over to the lead that has taken the lease.
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -45,7 +45,6 @@
 	held     map[string]int64
 	sequence int64
 	faults   Faults
-	running  int
 	canceled int
 }
 
--- a/structure_test.go
+++ b/structure_test.go
@@ -24,8 +24,12 @@
 // no stand-in reaches a product package in a roundabout way.
 var toolUsers = map[string]string{"demo": "cmd/jasminelock", "soak": "cmd/jasminelock-soak"}
 
+// platformUsers are the only packages that may import the adapter to the users'
+// platform: the one that puts a host together.
+var platformUsers = []string{"host"}
+
 // decisionPackages have time and random source passed in.
-var decisionPackages = []string{"core", "sched", "limit", "locate", "request", "quarantine", "fleet", "membership", "spread"}
+var decisionPackages = []string{"core", "sched", "limit", "locate", "request", "quarantine", "fleet", "membership", "spread", "assign", "catalog"}
 
 // forbiddenImports are what a decision package may not import.
 var forbiddenImports = []string{"net", "net/http", "os", "math/rand", "crypto/rand"}
@@ -112,6 +116,43 @@
 	}
 }
 
+func importsPlatform(f *ast.File) bool { return slices.Contains(imports(f), module+"/platform") }
+
+func TestThePlatformIsKnownToOnePackage(t *testing.T) {
+	for _, s := range sources(t) {
+		if !slices.Contains(platformUsers, s.dir) {
+			require.False(t, importsPlatform(s.file), s.path)
+		}
+	}
+}
+
+// platformWords are names of the platform's wire that the product has names of
+// its own for.
+var platformWords = []string{"jasminelock-attempt", "jasminelock-deadline", "tenant", "/v1/rows", "/v1/order", "/v1/report", "fencing_token"}
+
+func TestThePlatformsNamesStayInItsPackage(t *testing.T) {
+	for _, s := range sources(t) {
+		if s.dir == "platform" || strings.HasPrefix(s.dir, "standin") || s.dir == "cmd/jasminelock-entry" {
+			continue
+		}
+		for _, word := range platformWords {
+			require.False(t, mentions(s.file, word), "%s mentions %q", s.path, word)
+		}
+	}
+}
+
+// mentions reports whether a text of a file holds a word.
+func mentions(f *ast.File, word string) bool {
+	found := false
+	ast.Inspect(f, func(n ast.Node) bool {
+		if l, ok := n.(*ast.BasicLit); ok && l.Kind == token.STRING {
+			found = found || strings.Contains(strings.ToLower(l.Value), word)
+		}
+		return true
+	})
+	return found
+}
+
 func TestDecisionPackagesReadNothingFromOutside(t *testing.T) {
 	for _, s := range sources(t) {
 		if slices.Contains(decisionPackages, s.dir) {
@@ -130,4 +171,11 @@
 	require.Equal(t, []string{"soak"}, importsTool("core", file))
 	require.Empty(t, importsTool("cmd/jasminelock-soak", file))
 	require.Equal(t, []string{"os", "time.Now"}, readsOutside(file))
+	const wire = `package entry
+import _ "github.com/jasminelock/jasminelock/platform"
+var _ = "Jasminelock-Attempt-Id"`
+	file, err = parser.ParseFile(token.NewFileSet(), "wire.go", wire, 0)
+	require.NoError(t, err)
+	require.True(t, importsPlatform(file))
+	require.True(t, mentions(file, "jasminelock-attempt"))
 }
