--- a/cmd/jasminelock-entry/main.go
+++ b/cmd/jasminelock-entry/main.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -16,12 +14,6 @@
 	"github.com/jasminelock/jasminelock/settings"
 )
 
-// Exit codes.
-const (
-	exitFailed   = 1
-	exitSettings = 2
-)
-
 // settingsVariable holds the path of the settings file.
 const settingsVariable = "JASMINELOCK_CONFIG"
 
@@ -57,17 +49,7 @@
 	cmd.SetArgs(args)
 	cmd.SetOut(stdout)
 	cmd.SetErr(stderr)
-	err := cmd.Execute()
-	var problems settings.Problems
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &problems), errors.Is(err, os.ErrNotExist):
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitSettings
-	}
-	_, _ = fmt.Fprintln(stderr, "Error:", err)
-	return exitFailed
+	return settings.Exit(stderr, cmd.Execute())
 }
 
 // serve serves until a signal has ended the host.
--- a/cmd/jasminelockd/main_test.go
+++ b/cmd/jasminelockd/main_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/settings"
 )
 
 const valid = `{
@@ -24,8 +26,8 @@
 		code       int
 	}{
 		"valid":         {valid, "settings are valid\n", 0},
-		"unknown field": {"{\n\"hots\": \"a1\"\n}", ":2: field hots: unknown field, did you mean host?\n", exitSettings},
-		"empty":         {"{}", ":1: field listen.callers: want ip:port", exitSettings},
+		"unknown field": {"{\n\"hots\": \"a1\"\n}", ":2: field hots: unknown field, did you mean host?\n", settings.ExitSettings},
+		"empty":         {"{}", ":1: field listen.callers: want ip:port", settings.ExitSettings},
 	} {
 		t.Run(name, func(t *testing.T) {
 			path := filepath.Join(t.TempDir(), "host.jsonc")
@@ -36,7 +38,7 @@
 		})
 	}
 	var out bytes.Buffer
-	require.Equal(t, exitSettings, run([]string{"--config", filepath.Join(t.TempDir(), "none")}, nil, &out, &out))
+	require.Equal(t, settings.ExitSettings, run([]string{"--config", filepath.Join(t.TempDir(), "none")}, nil, &out, &out))
 }
 
 func TestTwoSignalsEndTheHost(t *testing.T) {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -13,17 +11,11 @@
 	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/forward"
+	"github.com/jasminelock/jasminelock/sse"
 )
 
-// Bounds of an answer.
-const (
-	// maxAnswerBytes bounds an answer that is read whole before it is passed on.
-	maxAnswerBytes = 16 << 20
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
-	// eventBufferBytes is the buffer of a stream; usual events are smaller.
-	eventBufferBytes = 4 << 10
-)
+// maxAnswerBytes bounds an answer that is read whole before it is passed on.
+const maxAnswerBytes = 16 << 20
 
 // pass passes an upstream's answer on and returns how the attempt ended.
 func (x *exchange) pass(a *forward.Answer, info AnswerInfo) assign.Outcome {
@@ -85,11 +77,11 @@
 // passStream passes a stream on, whole events at a time. Of a stream that
 // breaks off, nothing is passed on that another upstream would send again.
 func (x *exchange) passStream(a *forward.Answer) assign.Outcome {
-	events := eventReader{in: bufio.NewReaderSize(a, eventBufferBytes)}
+	events := sse.NewReader(a)
 	for first := true; ; first = false {
-		event, err := events.next()
+		event, err := events.Next()
 		if errors.Is(err, io.EOF) && !first {
-			return x.endStream()
+			return assign.Completed
 		}
 		if err != nil {
 			return x.broken(err)
@@ -97,13 +89,13 @@
 		if first {
 			x.begin(a)
 		}
-		if id := eventID(event); id != "" {
-			x.lastEventID = id
+		if id := sse.Field(event, "id"); len(id) > 0 {
+			x.lastEventID = string(id)
 		}
 		if _, err := x.w.Write(event); err != nil {
 			return assign.CallerLeft
 		}
-		if events.more() {
+		if events.More() {
 			continue
 		}
 		if err := x.out.Flush(); err != nil {
@@ -121,63 +113,6 @@
 	}
 }
 
-func (x *exchange) endStream() assign.Outcome { return assign.Completed }
-
-// eventReader splits a stream into events. It keeps one buffer for all of them.
-type eventReader struct {
-	in  *bufio.Reader
-	buf []byte
-}
-
-// errEventTooLarge says that an event of a stream is over the bound.
-var errEventTooLarge = errors.New("entry: event too large")
-
-// next reads up to and including the blank line that ends an event. The event
-// is valid until the next call. io.EOF comes only between events.
-func (r *eventReader) next() ([]byte, error) {
-	r.buf = r.buf[:0]
-	for {
-		part, err := r.in.ReadSlice('\n')
-		r.buf = append(r.buf, part...)
-		switch {
-		case len(r.buf) > maxEventBytes:
-			return nil, errEventTooLarge
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && len(r.buf) > 0:
-			return nil, io.ErrUnexpectedEOF
-		case err != nil:
-			return nil, err
-		}
-		if ends(r.buf) {
-			return r.buf, nil
-		}
-	}
-}
-
-// ends reports whether an event's text ends with a blank line.
-func ends(text []byte) bool {
-	return bytes.HasSuffix(text, []byte("\n\n")) || bytes.HasSuffix(text, []byte("\n\r\n"))
-}
-
-// more reports whether a whole event has been read ahead.
-func (r *eventReader) more() bool {
-	ahead, err := r.in.Peek(r.in.Buffered())
-	return err == nil && (bytes.Contains(ahead, []byte("\n\n")) || bytes.Contains(ahead, []byte("\n\r\n")))
-}
-
-var idField = []byte("id:")
-
-// eventID returns the id of an event, "" where it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(rest))
-		}
-	}
-	return ""
-}
-
 // fail tells the caller that there is no answer, or no whole one.
 func (x *exchange) fail(err *apierr.Error) {
 	if err == nil {
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/jasminelock/jasminelock/request"
+	"github.com/jasminelock/jasminelock/sse"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
@@ -23,7 +24,7 @@
 
 // failedResult is the result of an attempt that ended in an error of the call.
 func failedResult(ctx context.Context, err error) attemptResult {
-	if errors.Is(err, errAnswerTooLarge) || errors.Is(err, errEventTooLarge) {
+	if errors.Is(err, errAnswerTooLarge) || errors.Is(err, sse.ErrTooLarge) {
 		return attemptResult{outcome: request.Errored, used: unknownUsage}
 	}
 	r := attemptResult{outcome: callOutcome(ctx, err), used: unknownUsage}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/request"
 	"github.com/jasminelock/jasminelock/sched"
+	"github.com/jasminelock/jasminelock/sse"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
@@ -186,7 +187,7 @@
 		require.True(t, isSubsequence(out, stream))
 		whole := false
 		for event := range bytes.SplitSeq(bytes.ReplaceAll(out, []byte("\r"), nil), []byte("\n\n")) {
-			whole = bytes.Equal(eventData(event), doneData) || whole
+			whole = bytes.Equal(sse.Field(event, "data"), doneData) || whole
 		}
 		require.Equal(t, whole, result.outcome == request.Completed, "%q", out)
 	})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -11,27 +10,18 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/request"
+	"github.com/jasminelock/jasminelock/sse"
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
-// Buffers of a relayed stream.
-const (
-	streamBufferBytes = 4 << 10
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
-	// maxErrorBytes bounds the error body of an upstream.
-	maxErrorBytes = 64 << 10
-)
+// maxErrorBytes bounds the error body of an upstream.
+const maxErrorBytes = 64 << 10
 
 var (
-	dataPrefix = []byte("data:")
 	doneData   = []byte("[DONE]")
 	usageField = []byte(`"usage"`)
 )
 
-// errEventTooLarge says that an event of a stream is over the bound.
-var errEventTooLarge = errors.New("gateway: event too large")
-
 // streamRelay passes one engine's event stream on, event by event. It reads no
 // further event before the last one was taken by the caller.
 type streamRelay struct {
@@ -71,13 +61,13 @@
 
 // pass passes events on until the stream ends. An error says that it broke off.
 func (s *streamRelay) pass(ctx context.Context, body io.Reader) (attemptResult, error) {
-	reader := eventReader{in: bufio.NewReaderSize(body, streamBufferBytes)}
+	reader := sse.NewReader(body)
 	for {
-		event, err := reader.next()
+		event, err := reader.Next()
 		if err != nil {
 			return attemptResult{}, err
 		}
-		data := eventData(event)
+		data := sse.Field(event, "data")
 		if len(data) > 0 {
 			s.events++
 		}
@@ -147,49 +137,6 @@
 	return x.out.Flush()
 }
 
-// eventReader splits a stream into events. It keeps one buffer for all of them.
-type eventReader struct {
-	in  *bufio.Reader
-	buf []byte
-}
-
-// next reads up to and including the blank line that ends an event. The event
-// is valid until the next call.
-func (r *eventReader) next() ([]byte, error) {
-	r.buf = r.buf[:0]
-	lineStart := 0
-	for {
-		part, err := r.in.ReadSlice('\n')
-		r.buf = append(r.buf, part...)
-		switch {
-		case len(r.buf) > maxEventBytes:
-			return nil, errEventTooLarge
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case err != nil:
-			return nil, err
-		}
-		blank := len(bytes.TrimRight(r.buf[lineStart:], "\r\n")) == 0
-		if blank && lineStart > 0 {
-			return r.buf, nil
-		}
-		lineStart = len(r.buf)
-		if blank {
-			r.buf, lineStart = r.buf[:0], 0 // a blank line before an event
-		}
-	}
-}
-
-// eventData returns the data of an event's first data line.
-func eventData(event []byte) []byte {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, dataPrefix); ok {
-			return bytes.TrimSpace(rest)
-		}
-	}
-	return nil
-}
-
 // usageBody is the part of an answer that tells what it cost.
 type usageBody struct {
 	Usage *struct {
