--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -277,7 +277,12 @@
 // be tried.
 func (x *exchange) attempt(g assign.Grant) (bool, *apierr.Error) {
 	x.grant, x.grantedAfter = g, time.Since(x.arrived)
-	u := x.server.View().Upstreams[g.Upstream]
+	view := x.server.View()
+	if err := x.stillAllowed(view.Config); err != nil {
+		x.server.Broker.Ended(x.ticket, assign.CallerLeft, nil)
+		return false, err
+	}
+	u := view.Upstreams[g.Upstream]
 	left := time.Until(x.deadline)
 	switch {
 	case u == nil || u.Draining || u.Born != g.Born:
@@ -296,6 +301,22 @@
 	return x.again(outcome)
 }
 
+// stillAllowed checks the key of a request that has waited, against the
+// configuration that is in force now.
+func (x *exchange) stillAllowed(config *catalog.Config) *apierr.Error {
+	if x.organisation == nil || x.route.Open || config == x.view.Config {
+		return nil
+	}
+	if o := config.KeyOwner(x.call.Key); o != nil && o.Name == x.organisation.Name {
+		return nil
+	}
+	err := apierr.New(apierr.InvalidKey, "it was withdrawn while the request waited")
+	if x.ran > 0 {
+		return x.failed(err.Message())
+	}
+	return err
+}
+
 // exchangeWith sends the request to an upstream and passes its answer on.
 func (x *exchange) exchangeWith(u *catalog.Upstream, left time.Duration) (assign.Outcome, *assign.Load) {
 	fresh := keptFor
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -245,6 +245,26 @@
 	require.Eventually(t, func() bool { return h.call(http.MethodGet, "/status/", "", nil).status == http.StatusUnauthorized }, patience, 10*time.Millisecond)
 }
 
+// A key that is withdrawn while its request waits starts nothing any more.
+func TestAKeyWithdrawnWhileARequestWaits(t *testing.T) {
+	d := deploy(t)
+	h := d.addHost("h1")
+	waiting := make(chan answer, 1)
+	e := d.addReplica("engines", replica.Options{ID: "e1", Model: "m", AdapterSlots: 2, Events: 1})
+	d.tables.Put("servers", "e1", map[string]any{"service": "engines", "address": "127.0.0.1:1", "slots": 8, "state": "ready", "born": 1})
+	require.Eventually(t, func() bool { return h.watcher.View().Upstreams["e1"] != nil }, patience, 5*time.Millisecond)
+	go func() { waiting <- h.call(http.MethodPost, "/chat/1", "prompt", generation) }()
+	require.Eventually(t, func() bool { return h.broker.Stats().Waiting == 1 }, patience, time.Millisecond)
+	d.config["tenants"] = []any{map[string]any{"name": "org", "api_keys": []any{"new"}}}
+	d.putConfig()
+	require.Eventually(t, func() bool { return h.watcher.View().Config.KeyOwner("key") == nil }, patience, time.Millisecond)
+	d.addReplica("engines", replica.Options{ID: "e2", Model: "m", AdapterSlots: 2, Events: 1})
+	got := <-waiting
+	require.NotEqual(t, http.StatusOK, got.status)
+	require.Empty(t, e.Requests())
+	require.Empty(t, d.replicas["e2"].Requests())
+}
+
 // What upstreams do to a request, and what its caller is told.
 func TestAttempts(t *testing.T) {
 	d := deploy(t)
