--- a/assign/choose_test.go
+++ b/assign/choose_test.go
@@ -144,7 +144,7 @@
 	w := newWorld(t, 1, 1, 1)
 	w.run(50 * time.Millisecond)
 	w.ask(1, "a")
-	w.run(310 * time.Millisecond) // it runs, and holds the only place
+	w.run(400 * time.Millisecond) // it runs, and holds the only place
 	late := w.ask(2, "b", func(r *Request) { r.Target = w.now })
 	low := w.ask(3, "b", func(r *Request) { r.Priority = 2 })
 	high := w.ask(4, "b", func(r *Request) { r.Priority = 0 })
--- a/assign/engine_test.go
+++ b/assign/engine_test.go
@@ -98,7 +98,7 @@
 		e.remember(now)
 		return OrderHolds
 	}
-	took := 250 * time.Millisecond
+	took := 330 * time.Millisecond
 	if e.warm[name] {
 		took = 25 * time.Millisecond
 	}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -377,6 +377,11 @@
 		_, told := get("http://" + other.settings.Listen.Directory + "/v1/resolve?zone=z")
 		return !strings.Contains(told, h.settings.Listen.Callers)
 	}, patience, 10*time.Millisecond)
+	time.Sleep(2600 * time.Millisecond)
+	a = h.call(http.MethodPost, "/chat/2", "prompt", generation)
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	require.Len(t, d.replicas["e1"].Requests(), 1)
 	got := <-running
 	require.NoError(t, got.err)
 	require.Equal(t, 30, strings.Count(got.body, "data: event"))
