A lease's age is read off the store's clock; a silent lead is noticed sooner

Cause of four seconds without a lead when it freezes: each host that read the row for the first time watched it for its whole time. The row says when it was renewed by the store's own clock.

--- a/lead/election.go
+++ b/lead/election.go
@@ -28,7 +28,10 @@
 	weakAfter = 1100 * time.Millisecond
 	// beatEvery is how often hosts tell the lead that they are there, which it
 	// answers.
-	beatEvery = 400 * time.Millisecond
+	beatEvery = 300 * time.Millisecond
+	// clockMargin is how far the holder's reckoning of the store's clock may be
+	// behind: the way of an answer that took its time.
+	clockMargin = 300 * time.Millisecond
 	// lookEvery is how often a host without a lead reads the lease.
 	lookEvery = 250 * time.Millisecond
 	// claimSpread keeps hosts from claiming a free lease all at once.
@@ -52,6 +55,9 @@
 	Released bool `cbor:"5,keyasint"`
 	// Usage is what organisations had used of late, for the next lead.
 	Usage usageRecord `cbor:"6,keyasint"`
+	// RenewedMS is the store's clock at the last renewal, as its holder reckons,
+	// in milliseconds; 0 where the holder does not know it.
+	RenewedMS int64 `cbor:"7,keyasint"`
 }
 
 // leaseView is the lease's row as last seen.
@@ -63,12 +69,25 @@
 	released bool
 	// since is when the version was first seen.
 	since time.Time
-	// usage is what the last lead recorded, readAt and clock when it was read.
-	usage  usageRecord
+	// usage is what the last lead recorded.
+	usage usageRecord
+	// readAt and clock are when the row was read or written, by this host's clock
+	// and by the store's.
 	readAt time.Time
 	clock  time.Duration
+	// renewed is the store's clock at the last renewal, 0 where it is not known.
+	renewed time.Duration
 }
 
+// lapsed reports whether the lease may be taken over: it was seen unchanged for
+// its whole time, or is older than that by the store's own clock.
+func (v *leaseView) lapsed(now time.Time) bool {
+	return now.Sub(v.since) >= leaseTTL || (v.renewed > 0 && v.clock-v.renewed >= leaseTTL+clockMargin)
+}
+
+// storeClock reckons the store's clock from when the row was read or written.
+func (v *leaseView) storeClock(now time.Time) time.Duration { return v.clock + now.Sub(v.readAt) }
+
 // Secret returns what hosts present on their links, "" before it is known.
 func (b *Broker) Secret() string {
 	b.mu.Lock()
@@ -201,9 +220,9 @@
 			*seen = row
 		} else {
 			seen.url, seen.secret, seen.released = row.url, row.secret, seen.released || row.released
-			seen.usage, seen.readAt, seen.clock = row.usage, row.readAt, row.clock
+			seen.usage, seen.readAt, seen.clock, seen.renewed = row.usage, row.readAt, row.clock, row.renewed
 		}
-		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || now.Sub(seen.since) >= leaseTTL
+		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || seen.lapsed(now)
 		if !claim {
 			b.sendTo(seen.host, b.hostBeat())
 		}
@@ -274,7 +293,7 @@
 	}
 	return leaseView{
 		host: l.Host, url: l.URL, secret: l.Secret, version: row.Version, released: l.Released,
-		usage: l.Usage, readAt: time.Now(), clock: stamp.Clock,
+		usage: l.Usage, readAt: time.Now(), clock: stamp.Clock, renewed: milliseconds(l.RenewedMS),
 	}, nil
 }
 
@@ -293,7 +312,7 @@
 	}
 	l := lease{Host: b.options.Host, URL: b.options.PeerURL, Secret: secret}
 	if !seen.readAt.IsZero() {
-		l.Usage = seen.usage
+		l.Usage, l.RenewedMS = seen.usage, seen.storeClock(time.Now()).Milliseconds()
 	}
 	stamp, err := b.writeLease(ctx, l, seen.version)
 	version := stamp.Version
@@ -332,7 +351,9 @@
 	row, fence := b.lead.row, b.lead.fence
 	usage := b.recordUsage(time.Now())
 	b.mu.Unlock()
-	stamp, err := b.writeLease(ctx, lease{Host: row.host, URL: row.url, Secret: row.secret, Fence: fence, Usage: usage}, row.version)
+	stamp, err := b.writeLease(ctx, lease{
+		Host: row.host, URL: row.url, Secret: row.secret, Fence: fence, Usage: usage, RenewedMS: usage.ClockMS,
+	}, row.version)
 	if errors.Is(err, store.ErrConflict) {
 		return b.conflict(ctx, fence)
 	}
--- a/lead/following.go
+++ b/lead/following.go
@@ -9,7 +9,7 @@
 )
 
 // leadSilence is how long the lead may be silent before a host goes on by itself.
-const leadSilence = time.Second
+const leadSilence = 800 * time.Millisecond
 
 // Receive takes a message of another host. It does not wait.
 func (b *Broker) Receive(from string, m wire.Message) {
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -479,6 +479,28 @@
 	})
 }
 
+// Pattern: the lead freezes, right after it has renewed its lease. Hosts that see
+// the row for the first time need not watch it for its whole time.
+func TestAFrozenLeadIsReplacedByTheStoresClock(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		frozen := f.hosts[lead]
+		f.mu.Lock()
+		frozen.cut, f.storeCut[lead] = true, true
+		f.mu.Unlock()
+		started := time.Now()
+		for len(f.leads()) < 2 {
+			time.Sleep(10 * time.Millisecond)
+			require.Less(t, time.Since(started), leaseTTL+clockMargin+2*lookEvery+claimSpread+renewEvery)
+		}
+		f.mu.Lock()
+		frozen.cut, f.storeCut[lead] = false, false
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		require.Len(t, f.leads(), 1)
+	})
+}
+
 // Requests that wait when the lead is lost are decided by their host, or by the
 // next lead; those that run are told to it.
 func TestRequestsOutliveTheirLead(t *testing.T) {
--- a/lead/usage.go
+++ b/lead/usage.go
@@ -27,7 +27,7 @@
 // recordUsage returns what organisations have used, to be kept with the lease.
 // It is called with the lock held.
 func (b *Broker) recordUsage(now time.Time) usageRecord {
-	r := usageRecord{ClockMS: (b.lead.row.clock + now.Sub(b.lead.row.readAt)).Milliseconds()}
+	r := usageRecord{ClockMS: b.lead.row.storeClock(now).Milliseconds()}
 	if b.leading == nil {
 		return r
 	}
