--- /dev/null
+++ b/cmd/jasminelock-soak/entries.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jasminelock/jasminelock/soak"
+)
+
+// entriesCommand soaks entry hosts with several seeds.
+func entriesCommand() *cobra.Command {
+	o := soak.EntryOptions{}
+	var seeds uint64
+	var atOnce int
+	cmd := &cobra.Command{
+		Use:          "entries --bin DIRECTORY",
+		Short:        "Soak entry hosts of the users' platform, one run for each seed",
+		SilenceUsage: true,
+		Args:         cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runSeeds(cmd, o, seeds, atOnce)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.Bin, "bin", "", "directory of the built jasminelock-entry")
+	f.StringVar(&o.Dir, "dir", "", "empty directory for settings and logs; a new one where empty")
+	f.DurationVar(&o.Duration, "duration", 10*time.Second, "how long faults go on in each run")
+	f.IntVar(&o.Hosts, "hosts", 5, "entry hosts")
+	f.IntVar(&o.Engines, "engines", 4, "engines")
+	f.Float64Var(&o.Rate, "rate", 40, "requests a second")
+	f.DurationVar(&o.FaultEvery, "fault-every", time.Second, "mean time between faults, which overlap")
+	f.Uint64Var(&o.Seed, "seed", 1, "first seed")
+	f.Uint64Var(&seeds, "seeds", 1, "number of seeds")
+	f.IntVar(&atOnce, "at-once", 1, "runs at the same time")
+	return cmd
+}
+
+// runSeeds runs each seed and fails where one broke a condition.
+func runSeeds(cmd *cobra.Command, o soak.EntryOptions, seeds uint64, atOnce int) error {
+	if o.Dir == "" {
+		dir, err := os.MkdirTemp("", "jasminelock-soak-")
+		if err != nil {
+			return err
+		}
+		o.Dir = dir
+	}
+	places := make(chan struct{}, max(atOnce, 1))
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	broken := 0
+	for seed := o.Seed; seed < o.Seed+seeds; seed++ {
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			text, ok := runSeed(cmd.Context(), o, seed)
+			mu.Lock()
+			defer mu.Unlock()
+			cmd.Print(text)
+			if !ok {
+				broken++
+			}
+		})
+	}
+	group.Wait()
+	if broken > 0 {
+		return fmt.Errorf("%d of %d seeds: %w", broken, seeds, errBroken)
+	}
+	return nil
+}
+
+// runSeed runs one seed in a directory of its own.
+func runSeed(ctx context.Context, o soak.EntryOptions, seed uint64) (string, bool) {
+	o.Seed, o.Dir = seed, filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return fmt.Sprintf("seed %d: %s\n", seed, err), false
+	}
+	log, err := os.Create(filepath.Join(o.Dir, "faults.log"))
+	if err != nil {
+		return fmt.Sprintf("seed %d: %s\n", seed, err), false
+	}
+	defer func() { _ = log.Close() }()
+	o.Log = io.Writer(log)
+	s, err := soak.RunEntries(ctx, o)
+	if err != nil {
+		return fmt.Sprintf("seed %d: %s\n", seed, err), false
+	}
+	text := fmt.Sprintf("seed %d: %d requests, statuses %v, %d kinds of fault, %.2f served after\n",
+		seed, s.Requests, s.Statuses, len(s.Faults), s.ServedAfter)
+	for _, f := range s.Findings {
+		text += "  broken: " + f + "\n"
+	}
+	if len(s.Findings) > 0 {
+		text += "  logs: " + o.Dir + "\n"
+	}
+	return text, len(s.Findings) == 0
+}
--- a/cmd/jasminelock-soak/main.go
+++ b/cmd/jasminelock-soak/main.go
@@ -48,6 +48,7 @@
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of load and faults")
 	f.BoolVar(&asJSON, "json", false, "print JSON")
 	f.BoolVar(&verbose, "verbose", false, "tell what is done on standard error")
+	cmd.AddCommand(entriesCommand())
 	if err := cmd.ExecuteContext(context.Background()); err != nil {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/soak/entries.go
@@ -0,0 +1,267 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jasminelock/jasminelock/standin"
+	"github.com/jasminelock/jasminelock/standin/link"
+	"github.com/jasminelock/jasminelock/standin/replica"
+	"github.com/jasminelock/jasminelock/standin/tables"
+)
+
+// EntryOptions say how entry hosts are soaked: real processes of
+// jasminelock-entry, with stand-ins for the platform's tables and for replicas.
+type EntryOptions struct {
+	// Bin is the directory of the built jasminelock-entry.
+	Bin string
+	// Dir is an empty directory for settings and logs.
+	Dir      string
+	Duration time.Duration
+	Hosts    int
+	Engines  int
+	// Rate is the number of requests a second.
+	Rate float64
+	// FaultEvery is the mean time between faults.
+	FaultEvery time.Duration
+	Seed       uint64
+	// Log takes what is done.
+	Log io.Writer
+}
+
+// Sizes of the deployment.
+const (
+	plainReplicas = 2
+	streamEvents  = 8
+	eventPause    = 10 * time.Millisecond
+	adapterSlots  = 3
+	adapterCount  = 20
+	// entrySettle is how long after the last fault requests must be served again.
+	entrySettle = 8 * time.Second
+	// judgedTime is how long requests are counted after that.
+	judgedTime = 4 * time.Second
+	// servedAfter is the least part of the requests that must be served then.
+	servedAfter = 0.9
+)
+
+// entrySoak is a running deployment of entry hosts.
+type entrySoak struct {
+	options  EntryOptions
+	tables   *tables.Tables
+	hosts    []*entryHost
+	replicas []*entryReplica
+	judge    *judge
+	client   *http.Client
+	closers  []func()
+
+	// mu guards all below.
+	mu      sync.Mutex
+	version int
+	key     string
+}
+
+// entryHost is one host's process and its link to the store.
+type entryHost struct {
+	*process
+	callers string
+	ready   string
+	store   *link.Link
+}
+
+// entryReplica is a replica behind a link.
+type entryReplica struct {
+	*replica.Replica
+	id      string
+	service string
+	model   string
+	link    *link.Link
+	born    int64
+}
+
+// RunEntries soaks entry hosts and returns what was found.
+func RunEntries(ctx context.Context, o EntryOptions) (*EntrySummary, error) {
+	s := &entrySoak{
+		options: o, tables: tables.New(), judge: newJudge(), key: "key-0",
+		client: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}},
+	}
+	defer s.close()
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	random := rand.New(rand.NewPCG(o.Seed, 2))
+	loadCtx, endLoad := context.WithCancel(ctx)
+	var load, faults sync.WaitGroup
+	load.Go(func() { s.load(loadCtx) })
+	s.runFaults(ctx, random, &faults)
+	faults.Wait()
+	s.logf("faults are over")
+	sleep(ctx, entrySettle)
+	s.judge.mark()
+	sleep(ctx, judgedTime)
+	endLoad()
+	load.Wait()
+	return s.judge.summary(s.replicas), nil
+}
+
+func (s *entrySoak) logf(format string, args ...any) {
+	_, _ = fmt.Fprintf(s.options.Log, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
+}
+
+func (s *entrySoak) close() {
+	for _, h := range s.hosts {
+		h.kill()
+	}
+	for _, f := range s.closers {
+		f()
+	}
+}
+
+// start starts the stand-ins and the hosts, and waits until all are ready.
+func (s *entrySoak) start() error {
+	server, err := standin.Serve("127.0.0.1:0", s.tables)
+	if err != nil {
+		return err
+	}
+	s.closers = append(s.closers, server.Close)
+	s.putConfig()
+	for i := range s.options.Engines {
+		o := replica.Options{ID: "e" + strconv.Itoa(i), Model: "m", AdapterSlots: adapterSlots, Events: streamEvents, EventPause: eventPause}
+		if err := s.addReplica("engines", o); err != nil {
+			return err
+		}
+	}
+	for i := range plainReplicas {
+		if err := s.addReplica("app", replica.Options{ID: "p" + strconv.Itoa(i)}); err != nil {
+			return err
+		}
+	}
+	for i := range s.options.Hosts {
+		if err := s.addHost("h"+strconv.Itoa(i), server.URL[len("http://"):]); err != nil {
+			return err
+		}
+	}
+	for _, h := range s.hosts {
+		if err := s.awaitReady(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *entrySoak) awaitReady(h *entryHost) error {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		resp, err := s.client.Get("http://" + h.ready + "/v1/readyz") //nolint:noctx // bounded by the client
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("soak: %s is not ready", h.name)
+}
+
+// addReplica starts a replica behind a link and lists it.
+func (s *entrySoak) addReplica(service string, o replica.Options) error {
+	r := replica.New(o)
+	server, err := standin.Serve("127.0.0.1:0", r)
+	if err != nil {
+		return err
+	}
+	l, err := link.Listen("127.0.0.1:0", server.URL[len("http://"):])
+	if err != nil {
+		return err
+	}
+	s.closers = append(s.closers, l.Close, server.Close)
+	e := &entryReplica{Replica: r, id: o.ID, service: service, model: o.Model, link: l, born: 1}
+	s.replicas = append(s.replicas, e)
+	s.list(e, "ready")
+	return nil
+}
+
+// list writes a replica's entry.
+func (s *entrySoak) list(e *entryReplica, state string) {
+	entry := map[string]any{
+		"service": e.service, "address": e.link.Address(), "zone": "z", "slots": 16, "state": state, "born": e.born,
+	}
+	if e.model != "" {
+		entry["models"] = []any{map[string]any{"name": e.model, "version": 1, "adapters": []any{}}}
+	}
+	s.tables.Put("servers", e.id, entry)
+}
+
+// putConfig writes a configuration with the key in force.
+func (s *entrySoak) putConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "x.example", "path_prefix": "/" + name + "/", "kind": kind, "service": service,
+			"timeout_ms": 6000, "target_latency_ms": 1000, "max_attempts": attempts, "resumable": resumable,
+		}
+	}
+	s.tables.Put("op", "config", map[string]any{
+		"version": s.version,
+		"routes": []any{
+			route("chat", "streaming", "engines", 1, false), route("resume", "streaming", "engines", 2, true),
+			route("book", "unsafe", "app", 1, false), route("status", "safe", "app", 2, false),
+		},
+		"services": []any{
+			map[string]any{"name": "engines", "engine": map[string]any{
+				"slots": 16, "kv_capacity": 1000000, "adapter_slots": adapterSlots, "weights_mb": 100,
+				"models": []any{map[string]any{"name": "m", "weights_mb": 50}},
+			}},
+			map[string]any{"name": "app"},
+		},
+		"limits":  map[string]any{"max_body_bytes": 100000},
+		"tenants": []any{map[string]any{"name": "org", "api_keys": []any{s.key}, "plain_tokens": 10, "rate_per_s": 10000000, "burst": 10000000}},
+	})
+}
+
+// settingsText is a host's settings file.
+const settingsText = `{
+  "host": %q, "zone": "z", "store": %q, "memory_mb": 200, "cores": 1, "grace": "8s",
+  "listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q},
+  "fleet": {"retry_ratio": 0.2, "retry_slack": 50, "rate_window": "8s", "fenced": true, "answer_life": "1s"},
+  "log": {"level": "info", "json": true},
+}
+`
+
+// addHost starts a host as a process, with a link to the store.
+func (s *entrySoak) addHost(name, store string) error {
+	l, err := link.Listen("127.0.0.1:0", store)
+	if err != nil {
+		return err
+	}
+	s.closers = append(s.closers, l.Close)
+	var addresses [4]string
+	for i := range addresses {
+		if addresses[i], err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	path := filepath.Join(s.options.Dir, name+".jsonc")
+	text := fmt.Sprintf(settingsText, name, l.Address(), addresses[0], addresses[1], addresses[2], addresses[3])
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return err
+	}
+	h := &entryHost{
+		process: &process{
+			name: name, path: filepath.Join(s.options.Bin, "jasminelock-entry"), args: []string{"--config", path},
+			log: filepath.Join(s.options.Dir, name+".log"),
+		},
+		callers: addresses[0], ready: addresses[1], store: l,
+	}
+	s.hosts = append(s.hosts, h)
+	return h.start()
+}
--- /dev/null
+++ b/soak/entryfaults.go
@@ -0,0 +1,155 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jasminelock/jasminelock/standin/replica"
+	"github.com/jasminelock/jasminelock/standin/tables"
+)
+
+// Lengths of faults.
+const (
+	faultLeast = time.Second
+	faultMost  = 4 * time.Second
+	// restartAfter is how long a killed host is away.
+	restartAfter = 400 * time.Millisecond
+	// termGrace is how long a host may take to end after SIGTERM.
+	termGrace = 9 * time.Second
+)
+
+// entryFault brings a fault about, and ends it before it returns.
+type entryFault struct {
+	name string
+	run  func(ctx context.Context, s *entrySoak, r *rand.Rand)
+}
+
+// entryFaults are the faults that are drawn.
+var entryFaults = []entryFault{
+	{"host killed", func(ctx context.Context, s *entrySoak, r *rand.Rand) { s.restart(ctx, s.someHost(r), syscall.SIGKILL) }},
+	{"host stopped gracefully", func(ctx context.Context, s *entrySoak, r *rand.Rand) { s.restart(ctx, s.someHost(r), syscall.SIGTERM) }},
+	{"host frozen", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		h := s.someHost(r)
+		h.signal(syscall.SIGSTOP)
+		sleep(ctx, faultTime(r))
+		h.signal(syscall.SIGCONT)
+	}},
+	{"all hosts killed", func(ctx context.Context, s *entrySoak, _ *rand.Rand) {
+		var all sync.WaitGroup
+		for _, h := range s.hosts {
+			all.Go(func() { s.restart(ctx, h, syscall.SIGKILL) })
+		}
+		all.Wait()
+	}},
+	{"host cut off the store", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		h := s.someHost(r)
+		h.store.SetCut(true)
+		sleep(ctx, faultTime(r))
+		h.store.SetCut(false)
+	}},
+	{"host's store silent", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		h := s.someHost(r)
+		h.store.SetSilent(true)
+		sleep(ctx, faultTime(r))
+		h.store.SetSilent(false)
+	}},
+	{"store down", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		s.tables.SetFaults(tables.Faults{Down: true})
+		sleep(ctx, faultTime(r))
+		s.tables.SetFaults(tables.Faults{})
+	}},
+	{"store loses answers", func(_ context.Context, s *entrySoak, _ *rand.Rand) { s.tables.SetFaults(tables.Faults{LoseCommits: 3}) }},
+	{"store forgets its history", func(_ context.Context, s *entrySoak, _ *rand.Rand) { s.tables.Forget() }},
+	{"replica restarts empty", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		e := s.someReplica(r)
+		e.link.SetCut(true)
+		e.Restart()
+		s.tables.Remove("servers", e.id)
+		sleep(ctx, faultLeast)
+		e.link.SetCut(false)
+		e.born++
+		s.list(e, "ready")
+	}},
+	{"replica leaves for a while", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		e := s.someReplica(r)
+		s.list(e, "draining")
+		sleep(ctx, faultTime(r))
+		s.list(e, "ready")
+	}},
+	{"replica silent", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		e := s.someReplica(r)
+		e.link.SetSilent(true)
+		sleep(ctx, faultTime(r))
+		e.link.SetSilent(false)
+	}},
+	{"replica fails requests", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		e := s.someReplica(r)
+		e.SetFaults(replica.Faults{Full: 3, Fail: 3, Break: 3, Cuts: 3, CutAfter: 2, LoseOrders: 3})
+		sleep(ctx, faultTime(r))
+		e.SetFaults(replica.Faults{})
+	}},
+	{"key replaced", func(_ context.Context, s *entrySoak, _ *rand.Rand) { s.replaceKey() }},
+}
+
+func faultTime(r *rand.Rand) time.Duration {
+	return faultLeast + time.Duration(r.Int64N(int64(faultMost-faultLeast)))
+}
+
+// runFaults draws faults, which may overlap, for the soak's time.
+func (s *entrySoak) runFaults(ctx context.Context, r *rand.Rand, running *sync.WaitGroup) {
+	for end := time.Now().Add(s.options.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+		sleep(ctx, time.Duration((0.5+r.Float64())*float64(s.options.FaultEvery)))
+		f := entryFaults[r.IntN(len(entryFaults))]
+		own := rand.New(rand.NewPCG(r.Uint64(), 1))
+		s.logf("fault: %s", f.name)
+		s.judge.fault(f.name)
+		running.Go(func() { f.run(ctx, s, own) })
+	}
+}
+
+func (s *entrySoak) someHost(r *rand.Rand) *entryHost { return s.hosts[r.IntN(len(s.hosts))] }
+func (s *entrySoak) someReplica(r *rand.Rand) *entryReplica {
+	return s.replicas[r.IntN(len(s.replicas))]
+}
+
+// restart ends a host with a signal and starts it again.
+func (s *entrySoak) restart(ctx context.Context, h *entryHost, sig syscall.Signal) {
+	s.logf("%s gets %s", h.name, sig)
+	h.signal(syscall.SIGCONT)
+	h.signal(sig)
+	if !h.wait(termGrace) {
+		s.judge.broken("%s did not end within %s of %s", h.name, termGrace, sig)
+		h.kill()
+	}
+	sleep(ctx, restartAfter)
+	if err := h.startOnce(); err != nil {
+		s.judge.broken("%s did not start: %s", h.name, err)
+	}
+}
+
+// startOnce starts the process unless it runs, since faults may overlap.
+func (p *process) startOnce() error {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	select {
+	case <-exited:
+		return p.start()
+	default:
+		return nil
+	}
+}
+
+// replaceKey withdraws the key in force and gives another one.
+func (s *entrySoak) replaceKey() {
+	s.mu.Lock()
+	old := s.key
+	s.key = "key-" + strconv.Itoa(s.version)
+	s.mu.Unlock()
+	s.judge.withdrawn(old, time.Now())
+	s.putConfig()
+}
--- /dev/null
+++ b/soak/entryload.go
@@ -0,0 +1,237 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jasminelock/jasminelock/standin/replica"
+)
+
+// callerPatience is how long callers wait.
+const callerPatience = 5 * time.Second
+
+// keyTime is how long a withdrawn key may still be answered: the bound of a
+// configuration, and what an unreachable store adds.
+const keyTime = 10 * time.Second
+
+// call is one request of a caller and what came of it.
+type call struct {
+	id   string
+	kind string
+	key  string
+	path string
+	at   time.Time
+	// status is 0 where no answer came.
+	status int
+	body   string
+	whole  bool
+}
+
+// judge collects what callers saw.
+type judge struct {
+	// mu guards all below.
+	mu       sync.Mutex
+	calls    []call
+	findings []string
+	faults   map[string]int
+	dropped  map[string]time.Time
+	markedAt time.Time
+}
+
+func newJudge() *judge { return &judge{faults: map[string]int{}, dropped: map[string]time.Time{}} }
+
+func (j *judge) add(c call) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.calls = append(j.calls, c)
+}
+
+func (j *judge) broken(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.findings = append(j.findings, fmt.Sprintf(format, args...))
+}
+
+func (j *judge) fault(name string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.faults[name]++
+}
+
+func (j *judge) withdrawn(key string, at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.dropped[key] = at
+}
+
+// mark begins the time in which requests must be served.
+func (j *judge) mark() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.markedAt = time.Now()
+}
+
+// EntrySummary is what a soak of entry hosts found.
+type EntrySummary struct {
+	Requests int            `json:"requests"`
+	Statuses map[int]int    `json:"statuses"`
+	Faults   map[string]int `json:"faults"`
+	// ServedAfter is the part of the requests served after the faults.
+	ServedAfter float64 `json:"served_after"`
+	// Findings are the conditions that were broken.
+	Findings []string `json:"findings"`
+}
+
+// summary judges what callers saw by what replicas did.
+func (j *judge) summary(replicas []*entryReplica) *EntrySummary {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s := &EntrySummary{Requests: len(j.calls), Statuses: map[int]int{}, Faults: j.faults, Findings: j.findings}
+	runs := map[string]int{}
+	for _, r := range replicas {
+		for _, seen := range r.Requests() {
+			if seen.Ran {
+				runs[seen.Header.Get("Jasminelock-Attempt-Id")]++
+			}
+			s.checkSeen(seen)
+		}
+	}
+	after, served := 0, 0
+	for i := range j.calls {
+		c := &j.calls[i]
+		s.Statuses[c.status]++
+		s.checkCall(c, runs[c.id], j.dropped)
+		if !j.markedAt.IsZero() && c.at.After(j.markedAt) {
+			after++
+			if c.status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	s.ServedAfter = float64(served) / float64(max(after, 1))
+	if s.ServedAfter < servedAfter {
+		s.find("%.2f of %d requests were served after the faults, want %.2f", s.ServedAfter, after, servedAfter)
+	}
+	slices.Sort(s.Findings)
+	return s
+}
+
+func (s *EntrySummary) find(format string, args ...any) {
+	s.Findings = append(s.Findings, fmt.Sprintf(format, args...))
+}
+
+// checkSeen checks what a replica was sent.
+func (s *EntrySummary) checkSeen(seen replica.Seen) {
+	if seen.Header.Get("Authorization") != "" {
+		s.find("a replica was shown a key")
+	}
+	if seen.Header.Get("Jasminelock-Tenant") != "org" {
+		s.find("a replica was told the organisation %q", seen.Header.Get("Jasminelock-Tenant"))
+	}
+}
+
+// checkCall checks one request's answer.
+func (s *EntrySummary) checkCall(c *call, ran int, dropped map[string]time.Time) {
+	once := c.kind == "book" || c.kind == "chat"
+	if once && ran > 1 {
+		s.find("%s %s ran %d times", c.kind, c.id, ran)
+	}
+	promise := c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
+	if once && promise && ran > 0 {
+		s.find("%s %s was answered %d and ran", c.kind, c.id, c.status)
+	}
+	if c.status != http.StatusOK {
+		return
+	}
+	if at, gone := dropped[c.key]; gone && c.at.After(at.Add(keyTime)) {
+		s.find("%s %s was served with a key that was withdrawn %s before", c.kind, c.id, c.at.Sub(at))
+	}
+	if !c.whole {
+		return
+	}
+	if c.kind == "book" || c.kind == "status" {
+		if !strings.HasSuffix(c.body, " to "+c.path) {
+			s.find("%s %s got %q", c.kind, c.id, c.body)
+		}
+		return
+	}
+	var want strings.Builder
+	for i := 1; i <= streamEvents; i++ {
+		fmt.Fprintf(&want, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	if c.body != want.String() {
+		s.find("%s %s got the stream %q", c.kind, c.id, c.body)
+	}
+}
+
+// load sends requests at a mean rate until the context ends.
+func (s *entrySoak) load(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.options.Seed, 3))
+	var group sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		sleep(ctx, time.Duration(r.ExpFloat64()/s.options.Rate*float64(time.Second)))
+		c, host := s.draw(r, n)
+		group.Go(func() { s.send(host, c) })
+	}
+	group.Wait()
+}
+
+// draw makes a request. One in ten has a key that was withdrawn.
+func (s *entrySoak) draw(r *rand.Rand, n int) (call, *entryHost) {
+	kind := []string{"chat", "resume", "book", "status"}[r.IntN(4)]
+	s.mu.Lock()
+	key := s.key
+	s.mu.Unlock()
+	if r.IntN(10) == 0 {
+		s.judge.mu.Lock()
+		for old := range s.judge.dropped {
+			key = old
+			break
+		}
+		s.judge.mu.Unlock()
+	}
+	id := "r" + strconv.Itoa(n)
+	return call{id: id, kind: kind, key: key, path: "/" + kind + "/" + id}, s.hosts[r.IntN(len(s.hosts))]
+}
+
+// send sends a request and notes what came of it. Callers go on using a
+// connection until it ends.
+func (s *entrySoak) send(h *entryHost, c call) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	defer cancel()
+	method := http.MethodPost
+	if c.kind == "status" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.callers+c.path, strings.NewReader("body"))
+	if err != nil {
+		s.judge.broken("request: %s", err)
+		return
+	}
+	// The client must not send a request again by itself.
+	req.GetBody = nil
+	req.Host = "x.example"
+	req.Header.Set("Authorization", "Token "+c.key)
+	req.Header.Set("Jasminelock-Attempt-Id", c.id)
+	req.Header.Set("Jasminelock-Deadline-Ms", strconv.FormatInt(callerPatience.Milliseconds(), 10))
+	if c.kind == "chat" || c.kind == "resume" {
+		req.Header.Set("Jasminelock-Model", "m/a"+strconv.Itoa(len(c.id)*7%adapterCount))
+		req.Header.Set("Jasminelock-Token-Usage", "500,50")
+	}
+	c.at = time.Now()
+	resp, err := s.client.Do(req)
+	if err == nil {
+		raw, readErr := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		c.status, c.body, c.whole = resp.StatusCode, string(raw), readErr == nil
+	}
+	s.judge.add(c)
+}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -22,6 +22,8 @@
 	mu    sync.Mutex
 	cut   bool
 	conns map[net.Conn]bool
+	// silent is closed where bytes pass.
+	silent chan struct{}
 }
 
 // Listen starts a relay from address to target.
@@ -31,7 +33,8 @@
 	if err != nil {
 		return nil, err
 	}
-	link := &Link{target: target, listener: l, conns: map[net.Conn]bool{}}
+	link := &Link{target: target, listener: l, conns: map[net.Conn]bool{}, silent: make(chan struct{})}
+	close(link.silent)
 	go link.accept()
 	return link, nil
 }
@@ -42,6 +45,7 @@
 // Close ends the relay.
 func (l *Link) Close() {
 	_ = l.listener.Close()
+	l.SetSilent(false)
 	l.SetCut(true)
 }
 
@@ -58,6 +62,38 @@
 	}
 }
 
+// SetSilent holds back every byte in both directions, without closing a
+// connection, or lets them pass.
+func (l *Link) SetSilent(silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.silent:
+		if silent {
+			l.silent = make(chan struct{})
+		}
+	default:
+		if !silent {
+			close(l.silent)
+		}
+	}
+}
+
+// quietReader holds back what it reads while the link is silent.
+type quietReader struct {
+	link *Link
+	from net.Conn
+}
+
+func (q quietReader) Read(b []byte) (int, error) {
+	n, err := q.from.Read(b)
+	q.link.mu.Lock()
+	silent := q.link.silent
+	q.link.mu.Unlock()
+	<-silent
+	return n, err
+}
+
 // switchBody is the body of PUT /cut.
 type switchBody struct {
 	Cut bool `json:"cut"`
@@ -100,11 +136,11 @@
 	}
 	done := make(chan struct{})
 	go func() {
-		_, _ = io.Copy(to, from)
+		_, _ = io.Copy(to, quietReader{l, from})
 		_ = to.Close()
 		close(done)
 	}()
-	_, _ = io.Copy(from, to)
+	_, _ = io.Copy(from, quietReader{l, to})
 	_ = from.Close()
 	<-done
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -33,6 +33,8 @@
 	URI    string
 	Header http.Header
 	Body   string
+	// Ran says that the replica did not turn the request away.
+	Ran bool
 }
 
 // Replica is the stand-in. It implements http.Handler.
@@ -76,6 +78,14 @@
 	r.faults = f
 }
 
+// Restart forgets what the replica held and the orders that it took.
+func (r *Replica) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.held)
+	r.sequence = 0
+}
+
 // Requests returns the requests that ran or were turned away.
 func (r *Replica) Requests() []Seen {
 	r.mu.Lock()
@@ -187,14 +197,15 @@
 			break
 		}
 	}
+	full := r.take(&r.faults.Full)
 	r.mu.Lock()
-	r.seen = append(r.seen, Seen{req.Method, req.RequestURI, req.Header.Clone(), string(body)})
+	r.seen = append(r.seen, Seen{req.Method, req.RequestURI, req.Header.Clone(), string(body), !full})
 	r.mu.Unlock()
 	h := w.Header()
 	h.Set("Jasminelock-Attempt-Id", req.Header.Get("Jasminelock-Attempt-Id"))
 	h.Set("Jasminelock-Replica-Load", "1,0,8")
 	switch {
-	case r.take(&r.faults.Full):
+	case full:
 		h.Set("Jasminelock-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
