--- a/soak/entries.go
+++ b/soak/entries.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -246,7 +248,7 @@
 	s.closers = append(s.closers, l.Close)
 	var addresses [4]string
 	for i := range addresses {
-		if addresses[i], err = freeAddress(); err != nil {
+		if addresses[i], err = lowAddress(); err != nil {
 			return err
 		}
 	}
@@ -265,3 +267,23 @@
 	s.hosts = append(s.hosts, h)
 	return h.start()
 }
+
+// Ports that hosts listen on. They are below those of outgoing connections, which
+// would take them while a host is away.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+// lowAddress returns a free loopback address that no outgoing connection takes.
+func lowAddress() (string, error) {
+	for range 200 {
+		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(portCount))
+		l, err := net.Listen("tcp", address) //nolint:noctx // closed at once
+		if err != nil {
+			continue
+		}
+		return address, l.Close()
+	}
+	return "", errors.New("soak: no free port")
+}
--- a/soak/entryload.go
+++ b/soak/entryload.go
@@ -109,7 +109,8 @@
 		c := &j.calls[i]
 		s.Statuses[c.status]++
 		s.checkCall(c, runs[c.id], j.dropped)
-		if !j.markedAt.IsZero() && c.at.After(j.markedAt) {
+		_, withdrawn := j.dropped[c.key]
+		if !j.markedAt.IsZero() && c.at.After(j.markedAt) && !withdrawn {
 			after++
 			if c.status == http.StatusOK {
 				served++
