After an outage of the store a lease is not taken by its clock alone

The clock counts only for hosts that have followed a renewing lead of late; the row tells them, too, how strong the others are.

--- a/lead/broker.go
+++ b/lead/broker.go
@@ -133,6 +133,8 @@
 	yields bool
 	// ledSince is when this host became the lead.
 	ledSince time.Time
+	// followedUntil is when this host last followed a lead that could renew.
+	followedUntil time.Time
 	// everHeard says that there has been a lead since this host's start.
 	everHeard bool
 }
--- a/lead/election.go
+++ b/lead/election.go
@@ -58,6 +58,8 @@
 	// RenewedMS is the store's clock at the last renewal, as its holder reckons,
 	// in milliseconds; 0 where the holder does not know it.
 	RenewedMS int64 `cbor:"7,keyasint"`
+	// Strongest is the most processor time of a host, in cores.
+	Strongest float64 `cbor:"8,keyasint"`
 }
 
 // leaseView is the lease's row as last seen.
@@ -77,14 +79,25 @@
 	clock  time.Duration
 	// renewed is the store's clock at the last renewal, 0 where it is not known.
 	renewed time.Duration
+	// strongest is the most processor time of a host, in cores.
+	strongest float64
 }
 
 // lapsed reports whether the lease may be taken over: it was seen unchanged for
-// its whole time, or is older than that by the store's own clock.
-func (v *leaseView) lapsed(now time.Time) bool {
-	return now.Sub(v.since) >= leaseTTL || (v.renewed > 0 && v.clock-v.renewed >= leaseTTL+clockMargin)
+// its whole time, or is older than that by the store's own clock. The clock tells
+// nothing to a host that has not followed the lead of late: the store may have
+// been away, so that the lead could not renew.
+func (v *leaseView) lapsed(now time.Time, followed bool) bool {
+	if followed && v.renewed > 0 && v.clock-v.renewed >= leaseTTL+clockMargin {
+		return true
+	}
+	return now.Sub(v.since) >= leaseTTL
 }
 
+// followedLately is how long ago a host must have followed a lead that renewed
+// its lease for the store's clock to tell the lease's age.
+const followedLately = 3 * time.Second
+
 // storeClock reckons the store's clock from when the row was read or written.
 func (v *leaseView) storeClock(now time.Time) time.Duration { return v.clock + now.Sub(v.readAt) }
 
@@ -221,8 +234,9 @@
 		} else {
 			seen.url, seen.secret, seen.released = row.url, row.secret, seen.released || row.released
 			seen.usage, seen.readAt, seen.clock, seen.renewed = row.usage, row.readAt, row.clock, row.renewed
+			seen.strongest = row.strongest
 		}
-		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || seen.lapsed(now)
+		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || seen.lapsed(now, now.Sub(b.lead.followedUntil) < followedLately)
 		if !claim {
 			b.sendTo(seen.host, b.hostBeat())
 		}
@@ -260,6 +274,9 @@
 // that is to be replaced does not count.
 func (b *Broker) strong() bool {
 	most := 0.0
+	if len(b.hosts) == 0 {
+		most = b.lead.row.strongest
+	}
 	for _, h := range b.hosts {
 		if h.Name != b.lead.row.host {
 			most = max(most, h.Cores)
@@ -268,6 +285,15 @@
 	return b.options.Cores >= strongPart*most
 }
 
+// strongest returns the most processor time of a host.
+func (b *Broker) strongest() float64 {
+	most := b.options.Cores
+	for _, h := range b.hosts {
+		most = max(most, h.Cores)
+	}
+	return most
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -293,7 +319,7 @@
 	}
 	return leaseView{
 		host: l.Host, url: l.URL, secret: l.Secret, version: row.Version, released: l.Released,
-		usage: l.Usage, readAt: time.Now(), clock: stamp.Clock, renewed: milliseconds(l.RenewedMS),
+		usage: l.Usage, readAt: time.Now(), clock: stamp.Clock, renewed: milliseconds(l.RenewedMS), strongest: l.Strongest,
 	}, nil
 }
 
@@ -310,7 +336,7 @@
 	if secret == "" {
 		secret = rand.Text()
 	}
-	l := lease{Host: b.options.Host, URL: b.options.PeerURL, Secret: secret}
+	l := lease{Host: b.options.Host, URL: b.options.PeerURL, Secret: secret, Strongest: seen.strongest}
 	if !seen.readAt.IsZero() {
 		l.Usage, l.RenewedMS = seen.usage, seen.storeClock(time.Now()).Milliseconds()
 	}
@@ -326,7 +352,7 @@
 			b.loseLead(now, "replaced by this host")
 		}
 		b.lead.row = leaseView{
-			host: l.Host, url: l.URL, secret: secret, version: version, since: now, readAt: now, clock: stamp.Clock,
+			host: l.Host, url: l.URL, secret: secret, version: version, since: now, readAt: now, clock: stamp.Clock, strongest: seen.strongest,
 		}
 		b.startLeading(now, version, &seen)
 	})
@@ -349,10 +375,11 @@
 func (b *Broker) renew(ctx context.Context) time.Duration {
 	b.mu.Lock()
 	row, fence := b.lead.row, b.lead.fence
-	usage := b.recordUsage(time.Now())
+	usage, strongest := b.recordUsage(time.Now()), b.strongest()
 	b.mu.Unlock()
 	stamp, err := b.writeLease(ctx, lease{
 		Host: row.host, URL: row.url, Secret: row.secret, Fence: fence, Usage: usage, RenewedMS: usage.ClockMS,
+		Strongest: strongest,
 	}, row.version)
 	if errors.Is(err, store.ErrConflict) {
 		return b.conflict(ctx, fence)
--- a/lead/following.go
+++ b/lead/following.go
@@ -189,6 +189,9 @@
 	if b.lead.host != b.options.Host {
 		b.log.Warn("lead lost", "lead", b.lead.host, "reason", why)
 	}
+	if !b.lead.weak {
+		b.lead.followedUntil = now
+	}
 	b.lead.host, b.relayWhole = "", false
 	b.wakeUp()
 	b.options.Source.Relayed(false)
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -501,6 +501,31 @@
 	})
 }
 
+// Pattern: the store is down, and hosts are added meanwhile. When it is back, its
+// clock says that the lease is old, but the lead lives and is left to renew it.
+func TestAddedHostsDoNotTakeTheLeaseAfterAnOutage(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		cut := func(on bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, name := range []string{"h1", "h2", "h3", "new1", "new2", "new3"} {
+				f.storeCut[name] = on
+			}
+		}
+		cut(true)
+		time.Sleep(2 * time.Second)
+		for _, name := range []string{"new1", "new2", "new3"} {
+			f.add(name, 0.4)
+		}
+		time.Sleep(2 * time.Second)
+		cut(false)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, []string{lead}, f.leads())
+		require.Len(t, f.hosts["new1"].broker.Hosts(), 6)
+	})
+}
+
 // Requests that wait when the lead is lost are decided by their host, or by the
 // next lead; those that run are told to it.
 func TestRequestsOutliveTheirLead(t *testing.T) {
