--- a/assign/choose_test.go
+++ b/assign/choose_test.go
@@ -87,6 +87,8 @@
 	for range 30 {
 		load(250 * time.Millisecond)
 	}
+	load(25 * time.Millisecond) // from an engine's memory, which tells nothing of the store
+	load(250 * time.Millisecond)
 	grown := c.window
 	require.Greater(t, grown, 8.0)
 	for range 40 {
--- a/assign/coldloads.go
+++ b/assign/coldloads.go
@@ -8,6 +8,10 @@
 	leastCold = 4
 	// coldPerEngine is how many are allowed for each engine at first.
 	coldPerEngine = 0.6
+	// leastStoreLoad is the least time of a load from the store. One that is faster
+	// came from the memory of the engine, which a new lead does not know to have
+	// held the adapter.
+	leastStoreLoad = 3 * warmLoad
 	// slowCold is how much longer than the fastest a load may take before fewer
 	// are allowed.
 	slowCold = 1.3
@@ -45,7 +49,7 @@
 
 // end takes how long a load took.
 func (c *coldLoads) end(s *slot, took time.Duration) {
-	if _, ok := c.flying[s]; !ok || !s.cold {
+	if _, ok := c.flying[s]; !ok || !s.cold || took < leastStoreLoad {
 		return
 	}
 	if c.fastest == 0 || took < c.fastest {
