--- a/assign/choose_test.go
+++ b/assign/choose_test.go
@@ -40,6 +40,30 @@
 	require.Equal(t, home, w.granted[again].Upstream)
 }
 
+// Pattern: the lead changes. The next one is told by hosts which engines held
+// which adapters, and loads them there.
+func TestANewLeadIsToldWhichEnginesHeldAnAdapter(t *testing.T) {
+	w := newWorld(t, 1, 3, 2)
+	w.run(50 * time.Millisecond)
+	first := w.ask(1, "a")
+	w.run(time.Second)
+	home := w.granted[first].Upstream
+	for i := range uint64(12) {
+		w.ask(i+2, "b"+strconv.Itoa(int(i)))
+		w.run(500 * time.Millisecond)
+	}
+	require.NotContains(t, w.engines[home].held, "a")
+	w.lead()
+	ref := catalog.AdapterRef{Model: simModel, Adapter: "a"}
+	w.assigner.RecallHome(w.now, ref, home, 1)
+	w.assigner.RecallHome(w.now, ref, home, 99)
+	w.assigner.RecallHome(w.now, ref, "gone", 1)
+	w.run(50 * time.Millisecond)
+	again := w.ask(50, "a")
+	w.run(700 * time.Millisecond)
+	require.Equal(t, home, w.granted[again].Upstream)
+}
+
 // Pattern: one adapter gets a fifth of all requests, more than an engine reads.
 // It is copied before its engine has fallen far behind.
 func TestABusyAdapterIsCopied(t *testing.T) {
@@ -87,9 +111,11 @@
 	for range 30 {
 		load(250 * time.Millisecond)
 	}
+	before := c.window
 	load(25 * time.Millisecond) // from an engine's memory, which tells nothing of the store
 	load(250 * time.Millisecond)
 	grown := c.window
+	require.Greater(t, grown, before)
 	require.Greater(t, grown, 8.0)
 	for range 40 {
 		load(600 * time.Millisecond)
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -103,6 +103,7 @@
 	// spent holds the requests that this host has admitted by itself and not told
 	// the lead of.
 	spent     map[string]float64
+	homes     map[catalog.AdapterRef]home
 	draining  bool
 	startedAt time.Time
 	// roster is the version of hosts. The lead counts it up, starting from its
@@ -158,7 +159,7 @@
 func New(o Options) *Broker {
 	b := &Broker{
 		options: o, log: o.Log, tickets: map[uint64]*Ticket{}, number: uint64(o.Random.Uint32()) << 32,
-		wake: make(chan struct{}, 1), members: map[string]*member{}, exhausted: map[string]bool{}, spent: map[string]float64{}, startedAt: time.Now(),
+		wake: make(chan struct{}, 1), members: map[string]*member{}, exhausted: map[string]bool{}, spent: map[string]float64{}, homes: map[catalog.AdapterRef]home{}, startedAt: time.Now(),
 		view: &watch.View{Versions: catalog.Versions{}},
 	}
 	b.local = assign.New(assign.Options{Share: blankShare, Limits: o.Limits, Random: o.Random})
@@ -297,6 +298,7 @@
 	t.settled = true
 	if g, ok := d.(assign.Grant); ok {
 		t.upstream = g.Upstream
+		b.noteHome(time.Now(), t.request.Adapter, &g)
 		if t.toLead && !t.request.Charged {
 			// A new lead asks what was used before it.
 			b.local.Charge(time.Now(), t.request.Arrived, t.request.Organisation, float64(t.request.Cost))
--- a/lead/following.go
+++ b/lead/following.go
@@ -139,6 +139,7 @@
 	b.lead.host, b.lead.fence, b.lead.heardAt, b.lead.everHeard = host, fence, now, true
 	b.lead.weak, b.lead.yields, b.lead.ledSince = false, false, now
 	b.tellUsage(now)
+	b.tellHomes(now)
 	for _, t := range b.tickets {
 		if !b.needsLead(t.request.Service) {
 			continue
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -121,6 +121,8 @@
 		b.memberBeat(now, from, m)
 	case *wire.Successor:
 		b.replaced(now, m)
+	case *wire.Homes:
+		b.recallHomes(now, m)
 	}
 }
 
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -14,6 +14,7 @@
 	TypeSuccessor
 	TypeConfigPush
 	TypeUpstreamPush
+	TypeHomes
 )
 
 var assignDecoders = map[Type]func() Message{
@@ -29,6 +30,7 @@
 	TypeSuccessor:    func() Message { return &Successor{} },
 	TypeConfigPush:   func() Message { return &ConfigPush{} },
 	TypeUpstreamPush: func() Message { return &UpstreamPush{} },
+	TypeHomes:        func() Message { return &Homes{} },
 }
 
 // Part is a part of a prompt that other requests may share.
@@ -200,6 +202,19 @@
 	Draining bool   `cbor:"7,keyasint,omitempty"`
 }
 
+// Homes tells a new lead which engines held which adapters of late.
+type Homes struct {
+	Homes []Home `cbor:"1,keyasint"`
+}
+
+// Home is an adapter and the engine that a request for it was sent to last.
+type Home struct {
+	Model    string `cbor:"1,keyasint"`
+	Adapter  string `cbor:"2,keyasint"`
+	Upstream string `cbor:"3,keyasint"`
+	Born     int64  `cbor:"4,keyasint"`
+}
+
 // Adopt tells a new lead of a request that is already with an upstream.
 type Adopt struct {
 	Ask      Ask    `cbor:"1,keyasint"`
@@ -242,3 +257,6 @@
 
 // WireType implements Message.
 func (*UpstreamPush) WireType() Type { return TypeUpstreamPush }
+
+// WireType implements Message.
+func (*Homes) WireType() Type { return TypeHomes }
