--- a/logtrace/logtrace.go
+++ b/logtrace/logtrace.go
@@ -119,36 +119,48 @@
 // consider keeps a line that may have decided the request.
 func (f *Life) consider(l Line, end *Line, latest map[string]Line) {
 	near := end.At.Sub(l.At) <= ordersBefore
-	switch l.Message {
-	case "log lines dropped":
-		if n, ok := l.Fields["lines"].(float64); ok && near {
+	switch {
+	case l.Message == "log lines dropped" && near:
+		if n, ok := l.Fields["lines"].(float64); ok {
 			f.Dropped += int(n)
 		}
-	case "order":
-		if near && l.Fields["adapter"] == end.Fields["adapter"] && l.Fields["adapter"] != "" {
+	case l.Message == "order":
+		if near && l.Fields["adapter"] != "" && sameField(l, *end, "adapter") {
 			f.Facts = append(f.Facts, l)
 		}
-	case "this host leads", "assignments":
-		latest[l.Message] = l
-	case "lead lost", "lead found", "lease not renewed", "configuration in force", "store does not answer; what was read last stays in force", "store answers again":
-		if l.Host == end.Host {
-			latest[l.Message+fmt.Sprint(l.Fields["table"])] = l
+	default:
+		if key := factKey(l, end); key != "" {
+			latest[key] = l
 		}
+	}
+}
+
+// factKey names the fact that a line tells, of which the latest counts, "" where
+// it has nothing to do with the request.
+func factKey(l Line, end *Line) string {
+	concerns := false
+	switch l.Message {
+	case "this host leads", "assignments":
+		concerns = true
+	case "lead lost", "lead found", "lease not renewed", "configuration in force":
+		concerns = l.Host == end.Host
+	case "store does not answer; what was read last stays in force", "store answers again":
+		concerns = l.Host == end.Host
 	case "organisation's rate":
-		if l.Host == end.Host && l.Fields["organisation"] == end.Fields["organisation"] {
-			latest[l.Message] = l
-		}
+		concerns = l.Host == end.Host && sameField(l, *end, "organisation")
 	case "upstream listed", "upstream gone":
-		if l.Fields["upstream"] == end.Fields["upstream"] {
-			latest["upstream"] = l
-		}
+		concerns = sameField(l, *end, "upstream")
 	case "adapter version announced":
-		if l.Fields["adapter"] == end.Fields["adapter"] {
-			latest[l.Message] = l
-		}
+		concerns = sameField(l, *end, "adapter")
+	}
+	if !concerns {
+		return ""
 	}
+	return l.Message + fmt.Sprint(l.Fields["table"])
 }
 
+func sameField(a, b Line, name string) bool { return a.Fields[name] == b.Fields[name] }
+
 // Write prints the life: what was known with its age, then the request itself.
 func (f *Life) Write(w io.Writer) {
 	end := f.Lines[len(f.Lines)-1]
--- a/soak/entryload.go
+++ b/soak/entryload.go
@@ -155,9 +155,13 @@
 	if at, gone := dropped[c.key]; gone && c.at.After(at.Add(keyTime)) {
 		s.find("%s %s was served with a key that was withdrawn %s before", c.kind, c.id, c.at.Sub(at))
 	}
-	if !c.whole {
-		return
+	if c.whole {
+		s.checkBody(c)
 	}
+}
+
+// checkBody checks an answer that looks whole.
+func (s *EntrySummary) checkBody(c *call) {
 	if c.kind == "book" || c.kind == "status" {
 		if !strings.HasSuffix(c.body, " to "+c.path) {
 			s.find("%s %s got %q", c.kind, c.id, c.body)
