--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -154,7 +154,7 @@
 	case a.crashes.refused(now, r.Fingerprint):
 		a.refuse(e, apierr.NoUpstream, 0, "crashes_upstreams")
 		return
-	case r.retry() && !s.retries.take(now, a.options):
+	case r.retry() && !s.retries.take(a.options):
 		a.refuse(e, apierr.QueueFull, a.returnIn(s, now), "retry_budget")
 		return
 	case !r.Charged:
@@ -164,7 +164,7 @@
 		}
 	}
 	if !r.retry() {
-		s.retries.earn(now, a.options)
+		s.retries.earn(a.options)
 	}
 	a.requests[r.ID] = e
 	a.noteDemand(now, r.Adapter)
--- a/assign/limits.go
+++ b/assign/limits.go
@@ -22,13 +22,13 @@
 }
 
 // earn adds to the budget for a first attempt.
-func (b *retryBudget) earn(_ time.Time, o Options) {
+func (b *retryBudget) earn(o Options) {
 	b.begin(o)
 	b.left = math.Min(b.left+o.Limits.RetryRatio*retryPart, o.Limits.RetrySlack*retryPart*o.Share)
 }
 
 // take uses one retry, where there is one.
-func (b *retryBudget) take(_ time.Time, o Options) bool {
+func (b *retryBudget) take(o Options) bool {
 	b.begin(o)
 	if b.left < 1 {
 		return false
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -35,6 +35,9 @@
 
 // handleLeading brings an event to the fleet's Assigner.
 func (b *Broker) handleLeading(now time.Time, ev assign.Event) {
+	if b.leading == nil {
+		return // an event before has ended it
+	}
 	for _, d := range b.leading.Handle(now, ev) {
 		switch d := d.(type) {
 		case assign.Grant, assign.Refuse:
