--- /dev/null
+++ b/lead/lease.go
@@ -0,0 +1,63 @@
+package lead
+
+import "time"
+
+// lease is the row by which the lead is agreed.
+type lease struct {
+	Host string `cbor:"1,keyasint"`
+	// URL is where hosts link to the lead.
+	URL string `cbor:"2,keyasint"`
+	// Secret is what hosts present on their links.
+	Secret string `cbor:"3,keyasint"`
+	// Fence is the version of the row when the lease was claimed, 0 in the row
+	// that the claim itself wrote.
+	Fence int64 `cbor:"4,keyasint"`
+	// Released says that the holder has given the lease back.
+	Released bool `cbor:"5,keyasint"`
+	// Usage is what organisations had used of late, for the next lead.
+	Usage usageRecord `cbor:"6,keyasint"`
+	// RenewedMS is the store's clock at the last renewal, as its holder reckons,
+	// in milliseconds; 0 where the holder does not know it.
+	RenewedMS int64 `cbor:"7,keyasint"`
+	// Strongest is the most processor time of a host, in cores.
+	Strongest float64 `cbor:"8,keyasint"`
+}
+
+// leaseView is the lease's row as last seen.
+type leaseView struct {
+	host     string
+	url      string
+	secret   string
+	version  int64
+	released bool
+	// since is when the version was first seen.
+	since time.Time
+	// usage is what the last lead recorded.
+	usage usageRecord
+	// readAt and clock are when the row was read or written, by this host's clock
+	// and by the store's.
+	readAt time.Time
+	clock  time.Duration
+	// renewed is the store's clock at the last renewal, 0 where it is not known.
+	renewed time.Duration
+	// strongest is the most processor time of a host, in cores.
+	strongest float64
+}
+
+// lapsed reports whether the lease may be taken over: it was seen unchanged for
+// its whole time, or is older than that by the store's own clock. The clock tells
+// nothing to a host that has not followed the lead of late: the store may have
+// been away, so that the lead could not renew.
+func (v *leaseView) lapsed(now time.Time, followed bool) bool {
+	if followed && v.renewed > 0 && v.clock-v.renewed >= leaseTTL+clockMargin {
+		return true
+	}
+	return now.Sub(v.since) >= leaseTTL
+}
+
+// followedLately is how long ago a host must have followed a lead that renewed
+// its lease for the store's clock to tell the lease's age.
+const followedLately = 3 * time.Second
+
+// storeClock reckons the store's clock from when the row was read or written.
+func (v *leaseView) storeClock(now time.Time) time.Duration { return v.clock + now.Sub(v.readAt) }
