--- a/soak/entries.go
+++ b/soak/entries.go
@@ -275,10 +275,17 @@
 	portCount = 8000
 )
 
-// lowAddress returns a free loopback address that no outgoing connection takes.
+// drawnPorts are those that hosts of this process listen on, or soon will.
+var drawnPorts sync.Map
+
+// lowAddress returns a free loopback address that no outgoing connection takes
+// and that was not returned before.
 func lowAddress() (string, error) {
 	for range 200 {
 		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(portCount))
+		if _, drawn := drawnPorts.LoadOrStore(address, true); drawn {
+			continue
+		}
 		l, err := net.Listen("tcp", address) //nolint:noctx // closed at once
 		if err != nil {
 			continue
