Fields and calls that nothing read are gone

Of the configuration: connections and load times of engines, two limits. Of upstreams: the rest of a notice. Of a request at the lead: whether it may be repeated. Of the lease: its fence, which is the version of the claim.

--- a/assign/events.go
+++ b/assign/events.go
@@ -48,8 +48,6 @@
 	Cost int64
 	// Priority ranks requests; 0 goes first.
 	Priority int
-	// Repeatable requests may run more than once.
-	Repeatable bool
 	// Zone is the availability zone of the host that asks.
 	Zone    string
 	Arrived time.Time
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -65,8 +65,6 @@
 // Service is a group of upstreams that can stand in for one another.
 type Service struct {
 	Name string
-	// MaxConnections is how many connections one upstream accepts from all hosts.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -93,8 +91,6 @@
 	Name string
 	// WeightsMB is the memory that the model takes, in megabytes.
 	WeightsMB float64
-	// LoadTime is the time of a load from the weight store.
-	LoadTime time.Duration
 	// Adapters is how many adapters the model has.
 	Adapters int
 }
@@ -114,11 +110,9 @@
 	PlainTokens int64
 }
 
-// Limits bound what a caller may send and how long a connection may stay idle.
+// Limits bound what a caller may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	IdleTimeout    time.Duration
+	MaxBodyBytes int64
 }
 
 // AdapterRef names an adapter of a model. An empty Adapter is the model alone.
@@ -141,8 +135,6 @@
 	Slots int
 	// Draining upstreams take no new requests.
 	Draining bool
-	// LeavesIn is how long a draining upstream still serves, 0 if not known.
-	LeavesIn time.Duration
 	// Loaded lists the models and adapters held, as of the last change of the entry.
 	Loaded []Loaded
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -192,8 +192,8 @@
 	r := assign.Request{
 		Service: x.route.Pick(x.server.Draw()), Adapter: x.call.Adapter,
 		PromptTokens: x.call.PromptTokens, OutputTokens: x.call.OutputTokens, ExpectedOutput: x.call.LengthHint, Parts: x.call.Parts,
-		Priority: x.route.Priority, Repeatable: x.route.Repeatable(),
-		Arrived: x.arrived, Target: x.arrived.Add(x.route.Target), Deadline: x.deadline,
+		Priority: x.route.Priority,
+		Arrived:  x.arrived, Target: x.arrived.Add(x.route.Target), Deadline: x.deadline,
 	}
 	if o := x.organisation; o != nil {
 		r.Organisation = o.Name
--- a/lead/election.go
+++ b/lead/election.go
@@ -318,7 +318,7 @@
 	usage, strongest := b.recordUsage(time.Now()), b.strongest()
 	b.mu.Unlock()
 	stamp, err := b.writeLease(ctx, lease{
-		Host: row.host, URL: row.url, Secret: row.secret, Fence: fence, Usage: usage, RenewedMS: usage.ClockMS,
+		Host: row.host, URL: row.url, Secret: row.secret, Usage: usage, RenewedMS: usage.ClockMS,
 		Strongest: strongest,
 	}, row.version)
 	if errors.Is(err, store.ErrConflict) {
@@ -395,10 +395,10 @@
 // release gives the lease back.
 func (b *Broker) release(ctx context.Context) {
 	b.mu.Lock()
-	row, fence := b.lead.row, b.lead.fence
+	row := b.lead.row
 	usage := b.recordUsage(time.Now())
 	b.mu.Unlock()
-	l := lease{Host: row.host, URL: row.url, Secret: row.secret, Fence: fence, Released: true, Usage: usage}
+	l := lease{Host: row.host, URL: row.url, Secret: row.secret, Released: true, Usage: usage}
 	_, err := b.writeLease(ctx, l, row.version)
 	if err != nil {
 		b.log.Warn("lease not given back; others take it over when it has lapsed", "error", err)
--- a/lead/lease.go
+++ b/lead/lease.go
@@ -9,9 +9,6 @@
 	URL string `cbor:"2,keyasint"`
 	// Secret is what hosts present on their links.
 	Secret string `cbor:"3,keyasint"`
-	// Fence is the version of the row when the lease was claimed, 0 in the row
-	// that the claim itself wrote.
-	Fence int64 `cbor:"4,keyasint"`
 	// Released says that the holder has given the lease back.
 	Released bool `cbor:"5,keyasint"`
 	// Usage is what organisations had used of late, for the next lead.
--- a/lead/messages.go
+++ b/lead/messages.go
@@ -20,7 +20,7 @@
 	m := &wire.Ask{
 		Number: r.ID.Number, Service: r.Service, Organisation: r.Organisation,
 		Model: r.Adapter.Model, Adapter: r.Adapter.Adapter, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, ExpectedOutput: r.ExpectedOutput,
-		Cost: r.Cost, Priority: r.Priority, Repeatable: r.Repeatable, Zone: r.Zone,
+		Cost: r.Cost, Priority: r.Priority, Zone: r.Zone,
 		AgeMS: now.Sub(r.Arrived).Milliseconds(), TargetMS: r.Target.Sub(now).Milliseconds(),
 		DeadlineMS: r.Deadline.Sub(now).Milliseconds(), Avoid: r.Avoid, Charged: r.Charged, Fingerprint: r.Fingerprint[:],
 	}
@@ -36,7 +36,7 @@
 		ID:      assign.RequestID{Host: host, Number: m.Number},
 		Service: m.Service, Organisation: m.Organisation, Adapter: catalog.AdapterRef{Model: m.Model, Adapter: m.Adapter},
 		PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens, ExpectedOutput: m.ExpectedOutput, Cost: m.Cost, Priority: m.Priority,
-		Repeatable: m.Repeatable, Zone: m.Zone, Avoid: m.Avoid, Charged: m.Charged,
+		Zone: m.Zone, Avoid: m.Avoid, Charged: m.Charged,
 		Arrived: now.Add(-milliseconds(m.AgeMS)), Target: now.Add(milliseconds(m.TargetMS)),
 		Deadline: now.Add(milliseconds(m.DeadlineMS)),
 	}
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -52,7 +52,6 @@
 	Parts        []Part `cbor:"8,keyasint,omitempty"`
 	Cost         int64  `cbor:"9,keyasint,omitempty"`
 	Priority     int    `cbor:"10,keyasint,omitempty"`
-	Repeatable   bool   `cbor:"11,keyasint,omitempty"`
 	Zone         string `cbor:"12,keyasint,omitempty"`
 	// AgeMS is how long ago the request arrived.
 	AgeMS int64 `cbor:"13,keyasint,omitempty"`
