--- a/assign/choose_test.go
+++ b/assign/choose_test.go
@@ -11,6 +11,21 @@
 	"github.com/jasminelock/jasminelock/catalog"
 )
 
+// worldThatForgot returns a world in which an engine held the adapter "a" and
+// gave its place to others since.
+func worldThatForgot(t *testing.T) (w *world, home string) {
+	w = newWorld(t, 1, 3, 2)
+	w.run(50 * time.Millisecond)
+	first := w.ask(1, "a")
+	w.run(time.Second)
+	home = w.granted[first].Upstream
+	for i := range uint64(12) {
+		w.ask(i+2, "b"+strconv.Itoa(int(i)))
+		w.run(500 * time.Millisecond)
+	}
+	return w, home
+}
+
 func TestAResidentAdapterIsUsedAtOnce(t *testing.T) {
 	w := newWorld(t, 1, 4, 3)
 	w.run(50 * time.Millisecond)
@@ -25,15 +40,7 @@
 // Pattern: a rarely used adapter comes back. The engine that held it loads it
 // ten times as fast, and is waited for when its places are taken for a moment.
 func TestAnAdapterReturnsToTheEngineThatHeldIt(t *testing.T) {
-	w := newWorld(t, 1, 3, 2)
-	w.run(50 * time.Millisecond)
-	first := w.ask(1, "a")
-	w.run(time.Second)
-	home := w.granted[first].Upstream
-	for i := range uint64(12) {
-		w.ask(i+2, "b"+strconv.Itoa(int(i)))
-		w.run(500 * time.Millisecond)
-	}
+	w, home := worldThatForgot(t)
 	require.NotContains(t, w.engines[home].held, "a", "others have taken its place")
 	again := w.ask(50, "a")
 	w.run(700 * time.Millisecond)
@@ -43,15 +50,7 @@
 // Pattern: the lead changes. The next one is told by hosts which engines held
 // which adapters, and loads them there.
 func TestANewLeadIsToldWhichEnginesHeldAnAdapter(t *testing.T) {
-	w := newWorld(t, 1, 3, 2)
-	w.run(50 * time.Millisecond)
-	first := w.ask(1, "a")
-	w.run(time.Second)
-	home := w.granted[first].Upstream
-	for i := range uint64(12) {
-		w.ask(i+2, "b"+strconv.Itoa(int(i)))
-		w.run(500 * time.Millisecond)
-	}
+	w, home := worldThatForgot(t)
 	require.NotContains(t, w.engines[home].held, "a")
 	w.lead()
 	ref := catalog.AdapterRef{Model: simModel, Adapter: "a"}
--- a/cmd/jasminelock-entry/main.go
+++ b/cmd/jasminelock-entry/main.go
@@ -8,8 +8,7 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/spf13/cobra"
-
+	"github.com/jasminelock/jasminelock/daemoncmd"
 	"github.com/jasminelock/jasminelock/host"
 	"github.com/jasminelock/jasminelock/settings"
 )
@@ -25,31 +24,16 @@
 
 // run runs the command and returns its exit code.
 func run(args []string, signals <-chan os.Signal, stdout, stderr io.Writer) int {
-	var path string
-	var check bool
-	cmd := &cobra.Command{
+	d := daemoncmd.Daemon[*settings.Entry]{
 		Use:   "jasminelock-entry [--config FILE]",
 		Short: "Run one entry host on the users' platform",
 		Long: "Run one entry host on the users' platform. SIGTERM or SIGINT starts a graceful shutdown, SIGHUP reads the\n" +
 			"settings again. Exit codes: 1 the host could not run, 2 the settings are not valid.",
-		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := settings.LoadEntry(path)
-			if err != nil || check {
-				if err == nil {
-					cmd.Println("settings are valid")
-				}
-				return err
-			}
-			return serve(s, path, signals)
-		},
+		Config: os.Getenv(settingsVariable),
+		Load:   settings.LoadEntry,
+		Serve:  func(s *settings.Entry, path string) error { return serve(s, path, signals) },
 	}
-	cmd.Flags().StringVar(&path, "config", os.Getenv(settingsVariable), "settings file, JSON with comments")
-	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
-	cmd.SetArgs(args)
-	cmd.SetOut(stdout)
-	cmd.SetErr(stderr)
-	return settings.Exit(stderr, cmd.Execute())
+	return d.Run(args, stdout, stderr)
 }
 
 // serve serves until a signal has ended the host.
--- a/cmd/jasminelockd/main.go
+++ b/cmd/jasminelockd/main.go
@@ -8,9 +8,8 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/spf13/cobra"
-
 	"github.com/jasminelock/jasminelock"
+	"github.com/jasminelock/jasminelock/daemoncmd"
 	"github.com/jasminelock/jasminelock/settings"
 )
 
@@ -22,34 +21,17 @@
 
 // run runs the command and returns its exit code.
 func run(args []string, signals <-chan os.Signal, stdout, stderr io.Writer) int {
-	var path string
-	var check bool
-	cmd := &cobra.Command{
+	d := daemoncmd.Daemon[*settings.Settings]{
 		Use:   "jasminelockd --config host.jsonc",
 		Short: "Run one jasminelock host",
 		Long: "Run one jasminelock host. SIGTERM or SIGINT starts a graceful shutdown, which cuts no request; a\n" +
 			"second one ends the host at once and says how many requests were cut. Exit codes: 1 the host could\n" +
 			"not run or cut requests, 2 the settings are not valid.",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-		Args:          cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := settings.Load(path)
-			if err != nil || check {
-				if err == nil {
-					cmd.Println("settings are valid")
-				}
-				return err
-			}
-			return serve(s, signals)
-		},
+		Config: "host.jsonc",
+		Load:   settings.Load,
+		Serve:  func(s *settings.Settings, _ string) error { return serve(s, signals) },
 	}
-	cmd.Flags().StringVar(&path, "config", "host.jsonc", "settings file, JSON with comments")
-	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
-	cmd.SetArgs(args)
-	cmd.SetOut(stdout)
-	cmd.SetErr(stderr)
-	return settings.Exit(stderr, cmd.Execute())
+	return d.Run(args, stdout, stderr)
 }
 
 // serve serves until the first signal, which starts a graceful shutdown. A
