--- a/assign/slots.go
+++ b/assign/slots.go
@@ -39,15 +39,19 @@
 	leaving bool
 }
 
-// Estimates of loads, until measured.
+// What is assumed of loads. The times are those that the users' deployments state
+// for an adapter; they order the ways to serve a request and say when to ask first
+// whether a load has ended, and are not learned.
 const (
 	// coldLoad is a load from the weight store, warmLoad one of an adapter that
-	// the engine held recently.
+	// the engine held recently, a tenth of it.
 	coldLoad = 260 * time.Millisecond
 	warmLoad = 30 * time.Millisecond
-	// maxComing is how many adapters may be on their way to an engine at once.
+	// maxComing is how many adapters may be on their way to an engine at once, by
+	// the platform's protocol.
 	maxComing = 4
-	// maxWarm is how many recently held adapters an engine is taken to keep.
+	// maxWarm is how many recently held adapters an engine is taken to keep. It is
+	// below what the users' engines keep, so that few are taken for warm in vain.
 	maxWarm = 32
 )
 
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -9,9 +9,11 @@
 // What is assumed of an upstream before it has been measured, and how fast
 // measurements change that.
 const (
-	// assumedPrefill is the time that an engine takes to read a token of a prompt.
+	// assumedPrefill is the time that an engine takes to read a token of a prompt,
+	// near what the users' deployments state; it is learned for each engine.
 	assumedPrefill = 40 * time.Microsecond
-	// assumedWork is the time that a plain service takes over a request.
+	// assumedWork is the time that a plain service takes over a request, near what
+	// the users' deployments state; it is learned for each upstream.
 	assumedWork = 20 * time.Millisecond
 	// learnWeight is the weight of a new measurement in a moving average.
 	learnWeight = 0.15
