Soak: a host that two faults start at once runs once

Two faults that overlap each end a host and start it again; startOnce looked whether it ran and started it in two steps, so both started it. The process that was noted first was no longer known: it was left behind when its run ended. The links of a run listen on ports that are free again after it; the process left behind then found the store of a later run where its own had been, claimed that run's lease with a newer fence, and passed on the configuration of its own run.

Ruled out: the fence and the secret of links: the process left behind claimed the lease by the later run's own row, as any host of that run may.

After: start looks and starts under one lock.

--- a/soak/entryfaults.go
+++ b/soak/entryfaults.go
@@ -126,24 +126,11 @@
 		h.kill()
 	}
 	sleep(ctx, restartAfter)
-	if err := h.startOnce(); err != nil {
+	if err := h.start(); err != nil {
 		s.judge.broken("%s did not start: %s", h.name, err)
 	}
 }
 
-// startOnce starts the process unless it runs, since faults may overlap.
-func (p *process) startOnce() error {
-	p.mu.Lock()
-	exited := p.exited
-	p.mu.Unlock()
-	select {
-	case <-exited:
-		return p.start()
-	default:
-		return nil
-	}
-}
-
 // replaceKey withdraws the key in force and gives another one.
 func (s *entrySoak) replaceKey() {
 	s.mu.Lock()
--- a/soak/process.go
+++ b/soak/process.go
@@ -39,8 +39,14 @@
 	return p.started
 }
 
-// start runs the process with its output in its log file.
+// start runs the process with its output in its log file, unless it runs: faults
+// that overlap may both start it.
 func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.runs() {
+		return nil
+	}
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
@@ -57,12 +63,23 @@
 		_ = out.Close()
 		close(exited)
 	}()
-	p.mu.Lock()
 	p.cmd, p.exited, p.started = cmd, exited, time.Now()
-	p.mu.Unlock()
 	return nil
 }
 
+// runs reports whether the process was started and has not ended.
+func (p *process) runs() bool {
+	if p.exited == nil {
+		return false
+	}
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal to the process, if it runs.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- /dev/null
+++ b/soak/process_test.go
@@ -0,0 +1,45 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Faults that overlap may start a host twice. One of the two processes would be
+// left behind when the run ends, and would lead the hosts of a later run whose
+// store listens where its own did.
+func TestAProcessRunsOnce(t *testing.T) {
+	p := &process{
+		name: "sleeper", path: "/bin/sh", args: []string{"-c", "echo $$; exec sleep 60"},
+		log: filepath.Join(t.TempDir(), "log"),
+	}
+	for range 5 {
+		var all sync.WaitGroup
+		for range 8 {
+			all.Go(func() { _ = p.start() })
+		}
+		all.Wait()
+		require.Eventually(t, func() bool { return firstLine(p.log) != "" }, startTimeout, time.Millisecond)
+		p.kill()
+	}
+	raw, err := os.ReadFile(p.log)
+	require.NoError(t, err)
+	for line := range strings.Lines(string(raw)) {
+		pid, err := strconv.Atoi(strings.TrimSpace(line))
+		require.NoError(t, err)
+		left := syscall.Kill(pid, 0) == nil
+		if left {
+			_ = syscall.Kill(pid, syscall.SIGKILL)
+		}
+		assert.False(t, left, "process %d was left behind", pid)
+	}
+}
