A lead that is shut down while the store is away leads on

A write whose answer was lost is found by reading the row.

Before: TestALeadThatShutsDownInAnOutageLeadsOn failed, no lead.

--- a/lead/election.go
+++ b/lead/election.go
@@ -87,8 +87,7 @@
 	b.mu.Unlock()
 	switch {
 	case leading && draining:
-		b.release(ctx)
-		return lookEvery
+		return b.release(ctx)
 	case leading:
 		return b.renew(ctx)
 	case hasLead:
@@ -358,15 +357,19 @@
 	}
 }
 
+// expired reports whether engines that check no fencing tokens must be left
+// alone, before the lease can have been taken over.
+func (b *Broker) expired(now time.Time) bool {
+	return !b.options.Fenced && now.Sub(b.lead.row.since) > leaseTTL-renewEvery
+}
+
 // renewalFailed goes on leading while engines would refuse the orders of a lead
-// that was replaced, and lets others take over. Engines that check no fencing
-// tokens are left alone before the lease can have been taken over.
+// that was replaced, and lets others take over.
 func (b *Broker) renewalFailed(now time.Time, err error) {
-	since := now.Sub(b.lead.row.since)
 	switch {
-	case !b.options.Fenced && since > leaseTTL-renewEvery:
+	case b.expired(now):
 		b.stopLeading(now, "the lease could not be renewed")
-	case since > weakAfter && !b.lead.weak:
+	case now.Sub(b.lead.row.since) > weakAfter && !b.lead.weak:
 		b.lead.weak = true
 		b.log.Warn("lease not renewed", "error", err)
 		b.rosterChanged()
@@ -381,27 +384,55 @@
 		return lookEvery
 	}
 	b.step(func(now time.Time) {
-		if row.host == b.options.Host && b.leading != nil && b.lead.fence == fence {
+		own := row.host == b.options.Host && b.leading != nil && b.lead.fence == fence
+		switch {
+		case own && row.released:
+			b.stopLeading(now, "shutting down")
+		case own:
 			b.lead.row.version, b.lead.row.since = row.version, now
 			return
+		default:
+			b.stopLeading(now, "another host holds the lease")
 		}
-		b.stopLeading(now, "another host holds the lease")
 		row.since = now
 		b.lead.row = row
 	})
 	return 0
 }
 
-// release gives the lease back.
-func (b *Broker) release(ctx context.Context) {
+// release gives the lease back. A lead that cannot goes on leading until the
+// store is back, its process ends, or a host that reaches the store takes over.
+func (b *Broker) release(ctx context.Context) time.Duration {
 	b.mu.Lock()
-	row := b.lead.row
+	row, fence := b.lead.row, b.lead.fence
 	usage := b.recordUsage(time.Now())
 	b.mu.Unlock()
 	l := lease{Host: row.host, URL: row.url, Secret: row.secret, Released: true, Usage: usage}
 	_, err := b.writeLease(ctx, l, row.version)
-	if err != nil {
-		b.log.Warn("lease not given back; others take it over when it has lapsed", "error", err)
+	if errors.Is(err, store.ErrConflict) {
+		return b.conflict(ctx, fence)
+	}
+	b.step(func(now time.Time) {
+		switch {
+		case b.leading == nil:
+		case err == nil:
+			b.stopLeading(now, "shutting down")
+		default:
+			b.dropSilent(now)
+			b.releaseFailed(now, err)
+		}
+	})
+	return lookEvery
+}
+
+// releaseFailed lets others take over at once, since this host is about to end.
+func (b *Broker) releaseFailed(now time.Time, err error) {
+	switch {
+	case b.expired(now):
+		b.stopLeading(now, "the lease could not be given back")
+	case !b.lead.weak:
+		b.lead.weak = true
+		b.log.Warn("lease not given back; this host goes on leading", "error", err)
+		b.rosterChanged()
 	}
-	b.step(func(now time.Time) { b.stopLeading(now, "shutting down") })
 }
--- a/lead/fleet_test.go
+++ b/lead/fleet_test.go
@@ -122,6 +122,16 @@
 	time.Sleep(time.Second) // alarms that are set find nothing to do
 }
 
+// cutStore has the store answer no host, or all again.
+func (f *fleet) cutStore(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.storeCut)
+	for name := range f.hosts {
+		f.storeCut[name] = cut
+	}
+}
+
 // leads returns the names of the hosts that lead.
 func (f *fleet) leads() []string {
 	f.mu.Lock()
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -59,6 +59,63 @@
 	})
 }
 
+// Pattern: the lead is shut down while the store is away. It goes on leading for
+// as long as it runs, and hands over once the store is back.
+func TestALeadThatShutsDownInAnOutageLeadsOn(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		h := f.other(lead)
+		f.cutStore(true)
+		time.Sleep(renewEvery)
+		f.hosts[lead].broker.Drain()
+		for range 4 {
+			time.Sleep(time.Second)
+			require.Equal(t, []string{lead}, f.leads())
+			require.Equal(t, lead, h.broker.lead.host)
+		}
+		require.Len(t, h.broker.Hosts(), 2, "callers are not sent to the host that leaves")
+		h.granted(t, time.Second)
+		f.cutStore(false)
+		time.Sleep(leaseTTL / 2)
+		leads := f.leads()
+		require.Len(t, leads, 1)
+		require.NotEqual(t, lead, leads[0])
+		h.granted(t, time.Second)
+	})
+}
+
+// Pattern: the store turns away the lead alone, which is shut down. Another host
+// takes over at once.
+func TestALeadThatShutsDownCutOffTheStoreIsReplaced(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		f.mu.Lock()
+		f.storeCut[lead] = true
+		f.mu.Unlock()
+		f.hosts[lead].broker.Drain()
+		time.Sleep(renewTimeout + beatEvery + renewEvery + renewAgain + claimSpread)
+		leads := f.leads()
+		require.Len(t, leads, 1)
+		require.NotEqual(t, lead, leads[0])
+		f.other(lead).granted(t, time.Second)
+	})
+}
+
+// Pattern: the lead is shut down and the answer to its last write is lost.
+func TestALeaseIsGivenBackThoughTheAnswerIsLost(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		f.mu.Lock()
+		f.loseCommits = 1
+		f.mu.Unlock()
+		f.hosts[lead].broker.Drain()
+		time.Sleep(leaseTTL)
+		leads := f.leads()
+		require.Len(t, leads, 1)
+		require.NotEqual(t, lead, leads[0])
+	})
+}
+
 // Pattern: the store turns the lead away and serves the others. Another host
 // takes over, and all follow it without reading the store.
 func TestALeadThatCannotRenewIsReplaced(t *testing.T) {
@@ -81,17 +138,11 @@
 func TestWithoutTheStoreTheLeadGoesOn(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
 		lead := f.leads()[0]
-		f.mu.Lock()
-		for name := range f.hosts {
-			f.storeCut[name] = true
-		}
-		f.mu.Unlock()
+		f.cutStore(true)
 		time.Sleep(20 * time.Second)
 		require.Equal(t, []string{lead}, f.leads())
 		f.other(lead).granted(t, time.Second)
-		f.mu.Lock()
-		clear(f.storeCut)
-		f.mu.Unlock()
+		f.cutStore(false)
 		time.Sleep(3 * time.Second)
 		require.Len(t, f.leads(), 1)
 	})
@@ -138,11 +189,7 @@
 	inFleet(t, func(t *testing.T, f *fleet) {
 		lead := f.leads()[0]
 		f.hosts[lead].broker.options.Fenced = false
-		f.mu.Lock()
-		for name := range f.hosts {
-			f.storeCut[name] = true
-		}
-		f.mu.Unlock()
+		f.cutStore(true)
 		time.Sleep(leaseTTL)
 		require.Empty(t, f.leads())
 	})
