Logs keep to a budget and keep failures; metrics of the store, orders, the lead

Cause: the log sink dropped lines in the order in which they came, so that under load the last line of a failed request went as easily as one of a request that was served, and its notice of dropped lines had neither host nor time, so that jasminelock trace never counted them. Of the metrics that operators ask for, those of refusals by rule, tokens, store calls, orders, the lead and the age of engines' states were missing, and nothing checked that series do not grow.

--- a/assign/orders.go
+++ b/assign/orders.go
@@ -217,7 +217,7 @@
 	o := &u.orders
 	o.inFlight = 0
 	if ev.Result != OrderUnanswered {
-		o.unanswered = 0
+		o.unanswered, u.heardAt = 0, now
 	}
 	switch ev.Result {
 	case OrderHolds, OrderAccepted:
@@ -331,6 +331,7 @@
 		o.waitUntil = now.Add(reportRetry)
 		return
 	}
+	u.heardAt = now
 	o.known, o.sequence = true, ev.Report.Sequence
 	u.reconcile(now, ev.Report)
 	a.sendNext(now, u)
--- a/assign/stats.go
+++ b/assign/stats.go
@@ -15,6 +15,9 @@
 	Usable int
 	// Reading is the mean part of their time that engines spend on prefill.
 	Reading float64
+	// OldestReport is the greatest age of what an engine has told: its report, its
+	// answer to an order or to a request.
+	OldestReport time.Duration
 }
 
 // Stats returns a summary.
@@ -29,6 +32,7 @@
 			continue
 		}
 		engines++
+		s.OldestReport = max(s.OldestReport, now.Sub(u.heardAt))
 		s.Reading += u.reading.read(now)
 		for _, one := range u.slots {
 			switch {
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -65,6 +65,8 @@
 	// errors is the moving share of failed requests.
 	errors float64
 	load   Load
+	// heardAt is when it last told anything of itself, or was listed first.
+	heardAt time.Time
 
 	failures int
 	// pausedUntil is when the upstream may be tried again after failures,
@@ -125,6 +127,7 @@
 		engine = configured.Engine
 	}
 	u := newUpstream(record, s, engine, &a.holders, &a.cold)
+	u.heardAt = now
 	a.upstreams[record.ID] = u
 	s.upstreams = append(s.upstreams, u)
 	if engine != nil {
@@ -218,7 +221,7 @@
 // learnOutcome takes how an attempt ended.
 func (u *upstream) learnOutcome(now time.Time, e *entry, ev Ended) {
 	if ev.Load != nil {
-		u.load = *ev.Load
+		u.load, u.heardAt = *ev.Load, now
 	}
 	failed := 0.0
 	switch ev.Outcome {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/catalog"
@@ -154,11 +156,20 @@
 		route = x.route.Name
 	}
 	took := time.Since(x.arrived)
-	x.server.Log.Info("request", "request", x.call.AttemptID, "route", route, "organisation", x.request.Organisation,
+	level := hclog.Info
+	if x.status >= http.StatusBadRequest && x.status != apierr.StatusCallerGone {
+		level = hclog.Warn // kept where routine lines are summed up
+	}
+	x.server.Log.Log(level, "request", "request", x.call.AttemptID, "route", route, "organisation", x.request.Organisation,
 		"adapter", x.request.Adapter.Adapter, "status", x.status, "reason", x.reason, "rule", x.why, "upstream", x.grant.Upstream,
 		"assigned_by", x.grant.Why, "granted_ms", x.grantedAfter.Milliseconds(), "expected_ms", x.grant.Expected.Milliseconds(),
 		"sent", x.sent, "ran", x.ran, "first_ms", x.firstToken.Milliseconds(), "took_ms", took.Milliseconds())
+	tokens := int64(0)
+	if x.sent > 0 {
+		tokens = x.request.Cost
+	}
 	x.server.Observe(Result{
-		Route: route, Status: x.status, Reason: x.reason, Took: took, FirstToken: x.firstToken, Attempts: x.sent,
+		Route: route, Status: x.status, Reason: x.reason, Rule: x.why, Took: took, FirstToken: x.firstToken, Attempts: x.sent,
+		Tokens: tokens,
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,10 +101,15 @@
 	Status int
 	// Reason is the closed error kind, "" for an upstream's own answer.
 	Reason string
-	Took   time.Duration
+	// Rule names what decided that it gets no upstream, "" where it got one.
+	Rule string
+	Took time.Duration
 	// FirstToken is when the answer's body began, 0 where it did not.
 	FirstToken time.Duration
 	Attempts   int
+	// Tokens are those counted against the organisation's rate, 0 for a request
+	// that was sent to no upstream.
+	Tokens int64
 }
 
 // Server serves callers.
--- /dev/null
+++ b/host/counted.go
@@ -0,0 +1,90 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/jasminelock/jasminelock/assign"
+	"github.com/jasminelock/jasminelock/lead"
+	"github.com/jasminelock/jasminelock/store"
+)
+
+// tableService is all that a host asks of the platform's store.
+type tableService interface {
+	store.Feed
+	store.StampedTables
+}
+
+// countedTables counts the calls to the store by kind and result.
+type countedTables struct {
+	tables tableService
+	calls  metric.Int64Counter
+}
+
+func (c *countedTables) count(call string, err error) {
+	c.calls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", storeResult(err))))
+}
+
+// storeResult names how a call to the store ended.
+func storeResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, store.ErrNotFound):
+		return "not_found"
+	case errors.Is(err, store.ErrConflict):
+		return "conflict"
+	case errors.Is(err, store.ErrHistoryLost):
+		return "history_lost"
+	}
+	return "unavailable"
+}
+
+// Snapshot implements store.Feed.
+func (c *countedTables) Snapshot(ctx context.Context, table string) (store.Changes, error) {
+	changes, err := c.tables.Snapshot(ctx, table)
+	c.count("snapshot", err)
+	return changes, err
+}
+
+// Changes implements store.Feed.
+func (c *countedTables) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
+	changes, err := c.tables.Changes(ctx, table, after, wait)
+	c.count("changes", err)
+	return changes, err
+}
+
+// GetStamped implements store.StampedTables.
+func (c *countedTables) GetStamped(ctx context.Context, table, key string) (store.Row, store.Stamp, error) {
+	row, stamp, err := c.tables.GetStamped(ctx, table, key)
+	c.count("get", err)
+	return row, stamp, err
+}
+
+// CommitStamped implements store.StampedTables.
+func (c *countedTables) CommitStamped(ctx context.Context, txn store.Txn) (store.Stamp, error) {
+	stamp, err := c.tables.CommitStamped(ctx, txn)
+	c.count("commit", err)
+	return stamp, err
+}
+
+// countedEngines counts the orders to engines by kind and result.
+type countedEngines struct {
+	lead.Engines
+	orders metric.Int64Counter
+}
+
+// Order implements lead.Engines.
+func (c *countedEngines) Order(ctx context.Context, o assign.Order, holder string) assign.OrderResult {
+	result := c.Engines.Order(ctx, o, holder)
+	kind := "load"
+	if o.Evict {
+		kind = "evict"
+	}
+	c.orders.Add(ctx, 1, metric.WithAttributes(attribute.String("order", kind), attribute.String("result", result.String())))
+	return result
+}
--- a/host/host.go
+++ b/host/host.go
@@ -84,11 +84,15 @@
 // New returns a host that serves nothing before Run.
 func New(s *settings.Entry) (*Host, error) {
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
-	h := &Host{settings: s, sink: logsink.New(os.Stdout), drained: make(chan struct{}), started: time.Now()}
+	h := &Host{settings: s, sink: logsink.New(s.Host, os.Stdout), drained: make(chan struct{}), started: time.Now()}
 	h.log = hclog.New(&hclog.LoggerOptions{
 		Name: s.Host, Output: h.sink, Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON,
 	})
-	tables := platform.NewTables(s.Store)
+	var err error
+	if h.metrics, err = newHostMetrics(h); err != nil {
+		return nil, err
+	}
+	tables := &countedTables{tables: platform.NewTables(s.Store), calls: h.metrics.storeCalls}
 	h.pool = forward.New(forward.Options{
 		DialTimeout: dialTimeout, UserTimeout: userTimeout, MaxIdle: upstreamIdle, MaxIdlePerUpstream: idlePerUpstream,
 		Echo: platform.Codec{}.Echo(), Interim: passedOver,
@@ -98,16 +102,13 @@
 	})
 	h.broker = lead.New(lead.Options{
 		Log: h.log.Named("lead"), Host: s.Host, Zone: s.Zone, Callers: s.Listen.Callers, PeerURL: "http://" + s.Listen.Peers,
-		Tables: tables, Source: h.watcher, Cores: s.Cores, Engines: platform.NewEngines(h.pool), Fenced: s.Fleet.Fenced, Random: newRandom(),
+		Tables: tables, Source: h.watcher, Cores: s.Cores, Fenced: s.Fleet.Fenced, Random: newRandom(),
+		Engines: &countedEngines{Engines: platform.NewEngines(h.pool), orders: h.metrics.orders},
 		Limits: assign.Limits{
 			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack,
 			RateWindow: time.Duration(s.Fleet.RateWindow), RateOver: s.Fleet.RateOver, RateSlackTokens: s.Fleet.RateSlackTokens,
 		},
 	})
-	var err error
-	if h.metrics, err = newHostMetrics(h); err != nil {
-		return nil, err
-	}
 	h.server = entry.New(entry.Options{
 		Log: h.log.Named("entry"), Codec: platform.Codec{}, Broker: h.broker, Pool: h.pool, View: h.watcher.View,
 		Leaving: h.leaving, Draw: rand.Float64, Observe: h.metrics.observe,
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -410,3 +410,80 @@
 		return strings.Contains(text, "jasminelock_entry_requests_total")
 	}, patience, 10*time.Millisecond)
 }
+
+// series returns the names and labels of the product's own series.
+func (r *runningHost) series() map[string]bool {
+	_, text := get("http://" + r.settings.Listen.Metrics + "/metrics")
+	out := map[string]bool{}
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, "jasminelock_") {
+			out[line[:strings.LastIndexByte(line, ' ')]] = true
+		}
+	}
+	return out
+}
+
+// Pattern: other adapters, organisations, paths, keys and request ids all the
+// time. The number of series stays.
+func TestMetricsDoNotGrowWithCallers(t *testing.T) {
+	d := deploy(t)
+	d.addReplica("app", replica.Options{ID: "p1"})
+	d.addReplica("engines", replica.Options{ID: "e1", Model: "m", AdapterSlots: 4, Events: 1})
+	h := d.addHost("h1")
+	const callers = 8
+	round := func(n int) {
+		d.config.Version++
+		d.config.Organisations = nil
+		for i := range callers {
+			name := fmt.Sprintf("org-%d-%d", n, i)
+			d.config.Organisations = append(d.config.Organisations, tables.Organisation{
+				Name: name, Keys: []string{"key-of-" + name}, PlainTokens: 10, TokensPerSecond: 100, BurstTokens: 100,
+			})
+		}
+		d.tables.PutConfig(d.config)
+		require.Eventually(t, func() bool { return int(h.configVersion()) == d.config.Version }, patience, 5*time.Millisecond)
+		for i := range callers {
+			key := fmt.Sprintf("key-of-org-%d-%d", n, i)
+			id := fmt.Sprintf("id-%d-%d", n, i)
+			one := caller.Call{Method: http.MethodGet, Path: "/status/" + id, ID: id, Key: key}
+			require.Equal(t, http.StatusOK, h.send(one, nil).status)
+			one.Path = "/unknown-" + id
+			require.Equal(t, http.StatusNotFound, h.send(one, nil).status)
+			one.Path, one.Key = "/status/", "no-"+key
+			require.Equal(t, http.StatusUnauthorized, h.send(one, nil).status)
+			one = caller.Call{
+				Method: http.MethodPost, Path: "/chat/", Body: "prompt", ID: id + "-chat", Key: key,
+				Model: "m", Adapter: "adapter-" + id, PromptTokens: 100, OutputTokens: 20,
+			}
+			require.Equal(t, http.StatusOK, h.send(one, nil).status)
+			one.PromptTokens = 100_000
+			require.Equal(t, http.StatusTooManyRequests, h.send(one, nil).status)
+		}
+	}
+	round(1)
+	first := h.series()
+	for _, name := range []string{
+		"jasminelock_entry_requests_total", "jasminelock_entry_refusals_total", "jasminelock_entry_tokens_total", "jasminelock_orders_total",
+		"jasminelock_store_calls_total", "jasminelock_lead_fence", "jasminelock_organisations_limited", "jasminelock_upstreams_oldest_state",
+	} {
+		require.Contains(t, fmt.Sprint(first), name)
+	}
+	for n := range 2 {
+		round(2 + n)
+	}
+	var added []string
+	for one := range h.series() {
+		if !first[one] && !strings.HasPrefix(one, "jasminelock_store_calls_total") && !strings.HasPrefix(one, "jasminelock_orders_total") {
+			added = append(added, one)
+		}
+		for _, word := range []string{"org-", "id-", "adapter-", "key-of"} {
+			require.NotContains(t, one, word)
+		}
+	}
+	require.Empty(t, added)
+	require.Less(t, len(first), seriesBound)
+}
+
+// seriesBound is above what six routes with two histograms each, and the closed
+// lists of statuses, reasons, rules, calls and results give.
+const seriesBound = 400
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -23,6 +23,10 @@
 	provider   *metrics.Provider
 	requests   metric.Int64Counter
 	attempts   metric.Int64Counter
+	refusals   metric.Int64Counter
+	tokens     metric.Int64Counter
+	storeCalls metric.Int64Counter
+	orders     metric.Int64Counter
 	took       metric.Float64Histogram
 	firstToken metric.Float64Histogram
 }
@@ -34,14 +38,28 @@
 	}
 	m := &hostMetrics{provider: provider}
 	meter := provider.Meter("host")
-	var errs [4]error
-	m.requests, errs[0] = meter.Int64Counter("jasminelock.entry.requests", metric.WithDescription("Requests that have ended, by route, status and reason"))
-	m.attempts, errs[1] = meter.Int64Counter("jasminelock.entry.attempts", metric.WithDescription("Requests sent to upstreams, by route"))
-	m.took, errs[2] = meter.Float64Histogram("jasminelock.entry.duration", metric.WithUnit("s"),
+	var errs []error
+	for _, c := range []struct {
+		counter           *metric.Int64Counter
+		name, description string
+	}{
+		{&m.requests, "jasminelock.entry.requests", "Requests that have ended, by route, status and reason"},
+		{&m.attempts, "jasminelock.entry.attempts", "Requests sent to upstreams, by route"},
+		{&m.refusals, "jasminelock.entry.refusals", "Requests that got no upstream, by what decided it"},
+		{&m.tokens, "jasminelock.entry.tokens", "Tokens counted against the rates of organisations, by route"},
+		{&m.storeCalls, "jasminelock.store.calls", "Calls to the platform's store, by call and result"},
+		{&m.orders, "jasminelock.orders", "Orders given to engines, by order and result"},
+	} {
+		var err error
+		*c.counter, err = meter.Int64Counter(c.name, metric.WithDescription(c.description))
+		errs = append(errs, err)
+	}
+	var tookErr, firstErr error
+	m.took, tookErr = meter.Float64Histogram("jasminelock.entry.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request's arrival to its end"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
-	m.firstToken, errs[3] = meter.Float64Histogram("jasminelock.entry.first_token", metric.WithUnit("s"),
+	m.firstToken, firstErr = meter.Float64Histogram("jasminelock.entry.first_token", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request's arrival to the start of its answer"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
-	return m, errors.Join(append(errs[:], m.watch(meter, h))...)
+	return m, errors.Join(append(errs, tookErr, firstErr, m.watch(meter, h))...)
 }
 
 // watch adds the gauges that are read when the metrics are.
@@ -57,7 +75,11 @@
 		{"jasminelock.hosts", "Hosts that callers may be sent to", func() float64 { return float64(len(h.broker.Hosts())) }},
 		{"jasminelock.waiting", "Requests that wait for an upstream here", func() float64 { return float64(h.broker.Stats().Waiting) }},
 		{"jasminelock.leading", "Whether this host leads", func() float64 { return float64(h.broker.Stats().Leading) }},
-		{"jasminelock.log.dropped", "Log lines that were dropped", func() float64 { return float64(h.sink.Dropped()) }},
+		{"jasminelock.lead.fence", "Fencing token of the lead that is followed, 0 for none", func() float64 { return float64(h.broker.Stats().Fence) }},
+		{"jasminelock.lead.age", "Seconds since the lead was last heard of", func() float64 { return h.broker.Stats().LeadAge.Seconds() }},
+		{"jasminelock.organisations.limited", "Organisations whose rate is used up", func() float64 { return float64(h.broker.Stats().Limited) }},
+		{"jasminelock.upstreams.oldest_state", "Greatest age, in seconds, of what an engine has told, on the lead", func() float64 { return h.broker.Stats().OldestReport.Seconds() }},
+		{"jasminelock.log.dropped", "Log lines that were dropped or summed up", func() float64 { return float64(h.sink.Dropped()) }},
 	} {
 		_, err := meter.Float64ObservableGauge(g.name, metric.WithDescription(g.description),
 			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
@@ -82,6 +104,10 @@
 	route := attribute.String("route", r.Route)
 	m.requests.Add(ctx, 1, metric.WithAttributes(route, attribute.String("status", strconv.Itoa(r.Status)), attribute.String("reason", r.Reason)))
 	m.attempts.Add(ctx, int64(r.Attempts), metric.WithAttributes(route))
+	m.tokens.Add(ctx, r.Tokens, metric.WithAttributes(route))
+	if r.Rule != "" {
+		m.refusals.Add(ctx, 1, metric.WithAttributes(attribute.String("rule", r.Rule)))
+	}
 	m.took.Record(ctx, r.Took.Seconds(), metric.WithAttributes(route))
 	if r.FirstToken > 0 {
 		m.firstToken.Record(ctx, r.FirstToken.Seconds(), metric.WithAttributes(route))
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -237,15 +237,23 @@
 		Fence: b.lead.fence, Renewed: b.lead.row.version, Weak: b.lead.weak, Yields: b.lead.yields, Roster: b.roster,
 		StoreAgeMS: b.options.Source.Contact().Milliseconds(),
 	}
+	beat.Exhausted = b.exhaustedNames(now)
+	return beat
+}
+
+// exhaustedNames returns the organisations whose rate is used up, as the lead
+// counts it.
+func (b *Broker) exhaustedNames(now time.Time) []string {
+	var names []string
 	if b.view.Config != nil {
 		b.view.Config.Organisations(func(o *catalog.Organisation) {
 			if b.leading.Exhausted(now, o.Name) {
-				beat.Exhausted = append(beat.Exhausted, o.Name)
+				names = append(names, o.Name)
 			}
 		})
 	}
-	slices.Sort(beat.Exhausted)
-	return beat
+	slices.Sort(names)
+	return names
 }
 
 // rosterBits leave room for the versions of one lead's list of hosts.
--- a/logtrace/logtrace.go
+++ b/logtrace/logtrace.go
@@ -85,8 +85,8 @@
 	Lines []Line
 	// Facts are what was known before its end, in order.
 	Facts []Line
-	// Dropped counts lines that were dropped around that time.
-	Dropped int
+	// Unwritten counts lines that were dropped or summed up around that time.
+	Unwritten int
 }
 
 // Trace finds a request by its id in the lines of all logs.
@@ -119,12 +119,12 @@
 // consider keeps a line that may have decided the request.
 func (f *Life) consider(l Line, end *Line, latest map[string]Line) {
 	near := end.At.Sub(l.At) <= ordersBefore
-	switch {
-	case l.Message == "log lines dropped" && near:
-		if n, ok := l.Fields["lines"].(float64); ok {
-			f.Dropped += int(n)
+	switch l.Message {
+	case "log lines dropped", "log lines summed up":
+		if n, ok := l.Fields["lines"].(float64); ok && near {
+			f.Unwritten += int(n)
 		}
-	case l.Message == "order":
+	case "order":
 		if near && l.Fields["adapter"] != "" && sameField(l, *end, "adapter") {
 			f.Facts = append(f.Facts, l)
 		}
@@ -170,8 +170,8 @@
 	for _, l := range f.Lines {
 		_, _ = fmt.Fprintf(w, "%s  %-16s %s%s\n", l.At.Format("15:04:05.000000"), l.Host, l.Message, fields(l.Fields))
 	}
-	if f.Dropped > 0 {
-		_, _ = fmt.Fprintf(w, "%d lines were dropped in the %s before: facts may be missing\n", f.Dropped, ordersBefore)
+	if f.Unwritten > 0 {
+		_, _ = fmt.Fprintf(w, "%d lines of the %s before were dropped or summed up: facts may be missing\n", f.Unwritten, ordersBefore)
 	}
 }
 
--- a/logtrace/logtrace_test.go
+++ b/logtrace/logtrace_test.go
@@ -30,14 +30,14 @@
 	}
 	life, err := Trace(all, "r1")
 	require.NoError(t, err)
-	require.Equal(t, 3, life.Dropped)
+	require.Equal(t, 3, life.Unwritten)
 	var out strings.Builder
 	life.Write(&out)
 	require.Equal(t, `   18.900 s before  h2               this host leads fence=1
     8.400 s before  h1               organisation's rate organisation=o tokens_per_second=11329
     0.900 s before  h2               order adapter=a1 result=accepted
 07:09:48.900000  h1               request adapter=a1 organisation=o request=r1 rule=rate status=429 upstream=
-3 lines were dropped in the 15s before: facts may be missing
+3 lines of the 15s before were dropped or summed up: facts may be missing
 `, out.String())
 	_, err = Trace(all, "unknown")
 	require.ErrorIs(t, err, ErrNotFound)
