A request's log line says why its last attempt failed

Change: the line has "failure": the upstream and the error, 160 bytes at most. trace prints numbers as they were written.

Before: TestAttempts knew nothing of it. After: each kind of failure is named.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -22,7 +23,7 @@
 // pass passes an upstream's answer on and returns how the attempt ended.
 func (x *exchange) pass(a *forward.Answer, info AnswerInfo) assign.Outcome {
 	if info.Outcome == assign.Completed && !info.Signed {
-		x.server.Log.Warn("success without a signature", "request", x.call.AttemptID, "upstream", x.grant.Upstream)
+		x.noteFailure("success without a signature", nil)
 		return assign.Failed
 	}
 	if x.route.Kind == catalog.Streaming && info.Outcome == assign.Completed {
@@ -38,6 +39,9 @@
 	if err != nil || len(body) == maxAnswerBytes {
 		return x.broken(err)
 	}
+	if info.Outcome == assign.Failed {
+		x.noteFailure("answered "+strconv.Itoa(a.Status), nil)
+	}
 	if info.Outcome == assign.Failed && (x.mayTryAnother() || x.wrote) {
 		return assign.Failed
 	}
@@ -63,7 +67,7 @@
 	case x.ctx.Err() != nil:
 		return assign.TimedOut
 	}
-	x.server.Log.Debug("answer broke off", "request", x.call.AttemptID, "upstream", x.grant.Upstream, "error", err)
+	x.noteFailure("answer broke off", err)
 	return assign.Lost
 }
 
@@ -149,6 +153,18 @@
 	}
 }
 
+// maxFailureBytes bounds what a log line says of an attempt's failure.
+const maxFailureBytes = 160
+
+// noteFailure keeps why the last attempt failed, for the request's log line.
+func (x *exchange) noteFailure(what string, err error) {
+	x.failure = x.grant.Upstream + ": " + what
+	if err != nil {
+		x.failure += ": " + err.Error()
+	}
+	x.failure = x.failure[:min(len(x.failure), maxFailureBytes)]
+}
+
 // report logs how the request ended.
 func (x *exchange) report() {
 	route := ""
@@ -163,13 +179,13 @@
 	x.server.Log.Log(level, "request", "request", x.call.AttemptID, "route", route, "organisation", x.request.Organisation,
 		"adapter", x.request.Adapter.Adapter, "status", x.status, "reason", x.reason, "rule", x.why, "upstream", x.grant.Upstream,
 		"assigned_by", x.grant.Why, "granted_ms", x.grantedAfter.Milliseconds(), "expected_ms", x.grant.Expected.Milliseconds(),
-		"sent", x.sent, "ran", x.ran, "first_ms", x.firstToken.Milliseconds(), "took_ms", took.Milliseconds())
+		"sent", x.sent, "ran", x.ran, "failure", x.failure, "first_ms", x.firstToken.Milliseconds(), "took_ms", took.Milliseconds())
 	tokens := int64(0)
 	if x.sent > 0 {
 		tokens = x.request.Cost
 	}
 	x.server.Observe(Result{
-		Route: route, Status: x.status, Reason: x.reason, Rule: x.why, Took: took, FirstToken: x.firstToken, Attempts: x.sent,
+		Route: route, Status: x.status, Reason: x.reason, Rule: x.why, Failure: x.failure, Took: took, FirstToken: x.firstToken, Attempts: x.sent,
 		Tokens: tokens,
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,7 +103,9 @@
 	Reason string
 	// Rule names what decided that it gets no upstream, "" where it got one.
 	Rule string
-	Took time.Duration
+	// Failure says why the last attempt that failed did, "" for none.
+	Failure string
+	Took    time.Duration
 	// FirstToken is when the answer's body began, 0 where it did not.
 	FirstToken time.Duration
 	Attempts   int
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -50,6 +50,8 @@
 	status       int
 	reason       string
 	why          string
+	// failure says why the last attempt that failed did, "" for none.
+	failure string
 }
 
 // errDeadline is the cause of a context that ended at the request's deadline.
@@ -349,7 +351,7 @@
 
 // sendFailed returns the outcome of a request that got no answer.
 func (x *exchange) sendFailed(err error) assign.Outcome {
-	x.server.Log.Debug("no answer", "request", x.call.AttemptID, "upstream", x.grant.Upstream, "error", err)
+	x.noteFailure("no answer", err)
 	if errors.Is(err, forward.ErrNotSent) {
 		if x.ctx.Err() != nil {
 			return assign.CallerLeft
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jasminelock/jasminelock/entry"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/standin"
 	"github.com/jasminelock/jasminelock/standin/caller"
@@ -290,17 +291,21 @@
 		name, method, path string
 		faults             replica.Faults
 		status, sent       int
+		failure            string
 	}{
-		{"a rejected one has not run and goes elsewhere", http.MethodPost, "/book/", replica.Faults{Full: 1}, http.StatusServiceUnavailable, 2},
-		{"a safe request is sent again after a failure", http.MethodGet, "/status/", replica.Faults{Break: 1}, http.StatusBadGateway, 2},
-		{"an unsafe one is not", http.MethodPost, "/book/", replica.Faults{Break: 1}, http.StatusBadGateway, 1},
-		{"an upstream's own failure is passed on", http.MethodPost, "/book/", replica.Faults{Fail: 1}, http.StatusInternalServerError, 1},
-		{"a success without a signature is none", http.MethodPost, "/book/", replica.Faults{Unsigned: 1}, http.StatusBadGateway, 1},
+		{"a rejected one has not run and goes elsewhere", http.MethodPost, "/book/", replica.Faults{Full: 1}, http.StatusServiceUnavailable, 2, ""},
+		{"a safe request is sent again after a failure", http.MethodGet, "/status/", replica.Faults{Break: 1}, http.StatusBadGateway, 2, ": no answer: "},
+		{"an unsafe one is not", http.MethodPost, "/book/", replica.Faults{Break: 1}, http.StatusBadGateway, 1, ": no answer: "},
+		{"an upstream's own failure is passed on", http.MethodPost, "/book/", replica.Faults{Fail: 1}, http.StatusInternalServerError, 1, ": answered 500"},
+		{"a success without a signature is none", http.MethodPost, "/book/", replica.Faults{Unsigned: 1}, http.StatusBadGateway, 1, ": success without a signature"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			before := total()
 			faults(tc.faults)
+			ended := make(chan entry.Result, 1)
+			h.server.Observe = func(r entry.Result) { ended <- r }
 			a := h.call(tc.method, tc.path, "", nil)
+			require.Contains(t, (<-ended).Failure, tc.failure)
 			require.NoError(t, a.err)
 			require.Equal(t, tc.status, a.status, a.body)
 			require.Equal(t, tc.sent, total()-before)
--- a/logtrace/logtrace.go
+++ b/logtrace/logtrace.go
@@ -54,7 +54,9 @@
 		return Line{}, false
 	}
 	var all map[string]any
-	if json.Unmarshal([]byte("{"+text), &all) != nil {
+	decoder := json.NewDecoder(strings.NewReader("{" + text))
+	decoder.UseNumber() // large numbers are told as they were written
+	if decoder.Decode(&all) != nil {
 		return Line{}, false
 	}
 	l := Line{Fields: map[string]any{}}
@@ -121,8 +123,9 @@
 	near := end.At.Sub(l.At) <= ordersBefore
 	switch l.Message {
 	case "log lines dropped", "log lines summed up":
-		if n, ok := l.Fields["lines"].(float64); ok && near {
-			f.Unwritten += int(n)
+		n, ok := l.Fields["lines"].(json.Number)
+		if count, err := n.Int64(); ok && err == nil && near {
+			f.Unwritten += int(count)
 		}
 	case "order":
 		if near && l.Fields["adapter"] != "" && sameField(l, *end, "adapter") {
--- a/logtrace/logtrace_test.go
+++ b/logtrace/logtrace_test.go
@@ -9,6 +9,7 @@
 
 const entryLog = `not a line
 {"@level":"info","@message":"organisation's rate","@module":"h1.watch","@timestamp":"2026-05-29T07:09:40.5Z","organisation":"o","tokens_per_second":11329}
+{"@level":"info","@message":"upstream listed","@module":"h1.watch","@timestamp":"2026-05-29T07:09:41Z","born":1784314194312,"upstream":""}
 {"@level":"info","@message":"organisation's rate","@module":"h1.watch","@timestamp":"2026-05-29T07:09:40.6Z","organisation":"other","tokens_per_second":5}
 {"@level":"info","@message":"log lines dropped","@module":"h1","@timestamp":"2026-05-29T07:09:45Z","lines":3}
   4.0140 h1 {"@level":"info","@message":"request","@module":"h1.entry","@timestamp":"2026-05-29T07:09:48.9Z","adapter":"a1","organisation":"o","request":"r1","rule":"rate","status":429,"upstream":""}
@@ -35,6 +36,7 @@
 	life.Write(&out)
 	require.Equal(t, `   18.900 s before  h2               this host leads fence=1
     8.400 s before  h1               organisation's rate organisation=o tokens_per_second=11329
+    7.900 s before  h1               upstream listed born=1784314194312 upstream=
     0.900 s before  h2               order adapter=a1 result=accepted
 07:09:48.900000  h1               request adapter=a1 organisation=o request=r1 rule=rate status=429 upstream=
 3 lines of the 15s before were dropped or summed up: facts may be missing
