Fewer reads of a store that is away; late claimants follow at once

After a lead's loss 66 hosts lost the race for the lease and looked at the row again 250 ms later.

Change: the wait between failed reads grows to 0.8 s, and while both tables fail only the first one's reader asks; it wakes the other. A claim that the store turns down is followed by a look at the row at once.

Before: 29 reads a host in five seconds; 1 of 20 hosts followed 90 ms after the new lead's first. After: fewer than 16, changes seen within a second of the return; over nine in ten follow.

--- a/lead/election.go
+++ b/lead/election.go
@@ -185,7 +185,9 @@
 		seen := b.lead.row
 		b.mu.Unlock()
 		pause(ctx, b.claimDelay())
-		b.tryClaim(ctx, seen)
+		if b.tryClaim(ctx, seen) {
+			return 0 // the row tells who has claimed it first
+		}
 	}
 	return lookEvery
 }
@@ -263,13 +265,13 @@
 }
 
 // tryClaim takes the lease as it was seen, unless it has changed since, as far
-// as this host knows or the store says.
-func (b *Broker) tryClaim(ctx context.Context, seen leaseView) {
+// as this host knows or the store says. It reports whether the store says so.
+func (b *Broker) tryClaim(ctx context.Context, seen leaseView) bool {
 	b.mu.Lock()
 	stale := b.lead.row.host != seen.host || b.leading != nil || (b.lead.host != "" && !b.lead.weak && !b.lead.yields)
 	b.mu.Unlock()
 	if stale {
-		return
+		return false
 	}
 	secret := seen.secret
 	if secret == "" {
@@ -295,6 +297,7 @@
 		}
 		b.startLeading(now, version, &seen)
 	})
+	return errors.Is(err, store.ErrConflict)
 }
 
 func (b *Broker) writeLease(ctx context.Context, l lease, expect int64) (store.Stamp, error) {
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -237,6 +237,34 @@
 	})
 }
 
+// Pattern: the lead is lost and many hosts claim the lease at once. Those that
+// come too late follow the new lead without waiting for their next look.
+func TestLateClaimsFollowTheNewLeadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		const hosts = 20
+		for i := range hosts {
+			f.add(fmt.Sprintf("h%d", i), 0.4)
+		}
+		time.Sleep(2 * time.Second)
+		f.kill(f.leads()[0])
+		for len(f.leads()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(claimSpread + 30*time.Millisecond)
+		following := 0
+		for _, h := range f.hosts {
+			h.broker.mu.Lock()
+			if h.broker.lead.host != "" {
+				following++
+			}
+			h.broker.mu.Unlock()
+		}
+		require.Greater(t, following, hosts*9/10)
+		f.end()
+	})
+}
+
 // A host that has just started waits for a lead before it decides by itself.
 func TestABlankHostWaitsForALead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -20,10 +20,7 @@
 		return
 	}
 	for _, c := range w.resumed {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
+		wake(c)
 	}
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -25,9 +25,14 @@
 	// change often; it is small against the two seconds in which a host must
 	// have stopped using one that leaves.
 	upstreamPause = 250 * time.Millisecond
-	// firstRetry and longestRetry bound the wait after a failed read.
+	// firstRetry and longestRetry bound the wait after a failed read. The longest
+	// is within the two seconds in which a change must be in force after the
+	// store's return.
 	firstRetry   = 50 * time.Millisecond
-	longestRetry = 400 * time.Millisecond
+	longestRetry = 800 * time.Millisecond
+	// companionRetry is the wait of the second table's reader while the first
+	// one's fails too. It is woken when the first one is answered.
+	companionRetry = 3 * time.Second
 	// returnGrace is how long upstreams whose entries lapsed while the store was
 	// away are kept: those that live are back within two seconds of its return.
 	returnGrace = 2 * time.Second
@@ -78,6 +83,10 @@
 	// does.
 	relayed atomic.Bool
 	resumed [2]chan struct{}
+	// lost says for each table that reads fail. back wakes the second table's
+	// reader when the first one's is answered again.
+	lost [2]atomic.Bool
+	back chan struct{}
 }
 
 // Options are what a Watcher is made of.
@@ -93,6 +102,7 @@
 func New(o Options) *Watcher {
 	w := &Watcher{
 		log: o.Log, feed: o.Feed, decoder: o.Decoder, changed: o.Changed, lapsed: map[string]time.Time{}, started: time.Now(),
+		back: make(chan struct{}, 1),
 	}
 	for i := range w.resumed {
 		w.resumed[i] = make(chan struct{}, 1)
@@ -133,9 +143,8 @@
 	// after is the version read up to, where the table has been read whole.
 	after int64
 	known bool
-	// answeredAt is when the last read was answered, lost that reads now fail.
+	// answeredAt is when the last read was answered.
 	answeredAt time.Time
-	lost       bool
 	// outage is how long reads failed before the last one that was answered.
 	outage time.Duration
 }
@@ -160,12 +169,32 @@
 			r.known, wait = false, 0
 		default:
 			r.failed(err)
-			wait, retry = retry, min(retry*2, longestRetry)
+			r.pauseLost(ctx, retry)
+			wait, retry = 0, min(retry*2, longestRetry)
 		}
 		sleep(ctx, wait)
 	}
 }
 
+// pauseLost waits before a failed read is tried again. While both tables cannot
+// be read, it is the first one's reader that finds out when the store is back.
+func (r *tableReader) pauseLost(ctx context.Context, retry time.Duration) {
+	if r.index == 0 || !r.watcher.lost[0].Load() {
+		sleep(ctx, retry)
+		return
+	}
+	t := time.NewTimer(companionRetry)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.watcher.back:
+	case <-t.C:
+	}
+}
+
+// isLost reports whether reads fail.
+func (r *tableReader) isLost() bool { return r.watcher.lost[r.index].Load() }
+
 // awaitResume waits while another host passes changes on, and reports whether
 // it has waited. The table has to be read whole then.
 func (r *tableReader) awaitResume(ctx context.Context) bool {
@@ -178,7 +207,8 @@
 		}
 	}
 	if waited {
-		r.known, r.lost, r.answeredAt = false, false, time.Now()
+		r.known, r.answeredAt = false, time.Now()
+		r.watcher.lost[r.index].Store(false)
 	}
 	return waited
 }
@@ -191,7 +221,7 @@
 		changes, err = r.watcher.feed.Snapshot(ctx, r.table)
 	} else {
 		wait := changeWait
-		if r.lost {
+		if r.isLost() {
 			wait = 0 // an answer at once tells that the store is back
 		}
 		changes, err = r.watcher.feed.Changes(ctx, r.table, r.after, wait)
@@ -211,8 +241,10 @@
 func (r *tableReader) answered() {
 	now := time.Now()
 	r.outage = 0
-	if r.lost {
-		r.lost = false
+	if r.watcher.lost[r.index].Swap(false) {
+		if r.index == 0 {
+			wake(r.watcher.back)
+		}
 		r.outage = now.Sub(r.answeredAt)
 		r.watcher.log.Info("store answers again", "table", r.table, "after", r.outage)
 	}
@@ -221,8 +253,7 @@
 }
 
 func (r *tableReader) failed(err error) {
-	if !r.lost {
-		r.lost = true
+	if !r.watcher.lost[r.index].Swap(true) {
 		r.watcher.log.Warn("store does not answer; what was read last stays in force", "table", r.table, "error", err)
 	}
 }
@@ -375,6 +406,14 @@
 	w.mu.Unlock()
 }
 
+// wake has whoever waits for c go on, or the next one who will.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // sleep waits, or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -25,9 +25,11 @@
 	log     []store.Change
 	tables  []string
 	down    bool
-	kept    int64
-	reads   int
-	changed chan struct{}
+	// downTable is a table whose reads alone fail, "" for none.
+	downTable string
+	kept      int64
+	reads     int
+	changed   chan struct{}
 }
 
 var errDown = errors.New("down")
@@ -67,7 +69,7 @@
 	defer f.mu.Unlock()
 	f.reads++
 	switch {
-	case f.down:
+	case f.down || f.downTable == table:
 		return store.Changes{}, nil, errDown
 	case !whole && after < f.kept:
 		return store.Changes{}, nil, store.ErrHistoryLost
@@ -279,6 +281,39 @@
 	})
 }
 
+// Pattern: the store is away for five seconds, and every host asks whether it is
+// back. Each asks a few times, and has all changes within a second of its return.
+func TestAStoreThatIsAwayIsAskedRarely(t *testing.T) {
+	run(t, func(f *fakeFeed, w *Watcher) {
+		f.put("op", "config", 1, false)
+		synctest.Wait()
+		f.set(func() { f.down = true })
+		time.Sleep(10 * time.Millisecond)
+		before := f.readCount()
+		const outage = 5 * time.Second
+		time.Sleep(outage)
+		require.Less(t, f.readCount()-before, 16)
+		f.put("op", "config", 2, false)
+		f.put("up", "e1", upstream("e1"), false)
+		f.set(func() { f.down = false })
+		time.Sleep(time.Second)
+		require.EqualValues(t, 2, w.View().Config.Version)
+		require.Contains(t, w.View().Upstreams, "e1")
+	})
+}
+
+// Pattern: only the reads of one table fail, now and then. It is read again at once.
+func TestOneTableThatFailsIsReadAgainSoon(t *testing.T) {
+	run(t, func(f *fakeFeed, w *Watcher) {
+		f.set(func() { f.downTable = "up" })
+		time.Sleep(longestRetry)
+		f.put("up", "e1", upstream("e1"), false)
+		f.set(func() { f.downTable = "" })
+		time.Sleep(longestRetry + upstreamPause)
+		require.Contains(t, w.View().Upstreams, "e1")
+	})
+}
+
 func TestAConfigurationPassedOnThatCannotBeReadIsIgnored(t *testing.T) {
 	run(t, func(feed *fakeFeed, w *Watcher) {
 		feed.put("op", "config", 1, false)
