A new lead drops no adapter before hosts have told what runs

A new lead ordered adapter a109 away 0.25 s after it had taken over, before the host that ran requests on it had found the lead. The engine accepted, to drop it once nothing ran on it, and for 2 s every other order to that engine waited: an eviction that had been accepted was asked about first, again and again.

Ruled out: too few loads at once (waiting 5, places idle 19).

Change: a new lead drops nothing for 0.4 s, or until every host that it knows of has told what it runs (the message on homes, now always sent, ends that). While an engine keeps an adapter, loads and other questions go on, the longest due first; after 0.4 s another adapter is dropped in its place.

Before: TestAnAdapterThatStaysInUseHoldsUpNoOther and TestANewLeadDropsNothingBeforeHostsHaveTold failed. After: both hold.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -13,6 +13,9 @@
 	// Orders says that engines may be given orders, under the fence.
 	Orders bool
 	Fence  int64
+	// HoldEvictions is until when no adapter is dropped, unless HostsTold comes
+	// before: hosts may still tell of requests that run.
+	HoldEvictions time.Time
 	// Share is the part of the fleet's limits that this Assigner hands out, 1
 	// for the lead.
 	Share float64
@@ -47,10 +50,12 @@
 	waiting   []*entry
 	rates     map[string]*usage
 	lastOrder uint64
-	crashes   crashes
-	holders   holders
-	cold      coldLoads
-	demand    map[catalog.AdapterRef]*decayed
+	// holding says that no adapter may be dropped yet.
+	holding bool
+	crashes crashes
+	holders holders
+	cold    coldLoads
+	demand  map[catalog.AdapterRef]*decayed
 	// passedAt is when all waiting requests were last looked at.
 	passedAt time.Time
 	// weighed is reused between choices.
@@ -84,7 +89,7 @@
 // New returns an Assigner that knows nothing.
 func New(o Options) *Assigner {
 	return &Assigner{
-		options: o, config: catalog.NewConfig(catalog.Parts{}), versions: catalog.Versions{},
+		options: o, holding: !o.HoldEvictions.IsZero(), config: catalog.NewConfig(catalog.Parts{}), versions: catalog.Versions{},
 		upstreams: map[string]*upstream{}, services: map[string]*service{}, requests: map[RequestID]*entry{},
 		rates: map[string]*usage{}, crashes: newCrashes(), holders: newHolders(), cold: newColdLoads(), demand: map[catalog.AdapterRef]*decayed{},
 	}
@@ -125,6 +130,8 @@
 		a.end(now, e)
 	case HostLost:
 		a.loseHost(now, e.Host)
+	case HostsTold:
+		a.endHold(now)
 	case OrderEnded:
 		a.orderEnded(now, e)
 	case ReportRead:
@@ -318,6 +325,9 @@
 
 // tick lets time pass.
 func (a *Assigner) tick(now time.Time) {
+	if !now.Before(a.options.HoldEvictions) {
+		a.endHold(now)
+	}
 	for _, u := range a.upstreams {
 		a.followOrders(now, u)
 	}
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -207,7 +207,7 @@
 		return o, false
 	case ok:
 		return o, false
-	case !u.hasRoom():
+	case !a.hasRoom(u):
 		return a.warmOption(now, o, e)
 	case !u.isWarm(ref.Adapter) && !a.cold.free():
 		return o, false
--- a/assign/engine_test.go
+++ b/assign/engine_test.go
@@ -169,6 +169,8 @@
 	lost     float64
 	loads    int
 	versions catalog.Versions
+	// inUse counts the orders to drop an adapter that requests ran on.
+	inUse int
 }
 
 type timed struct {
@@ -205,9 +207,16 @@
 }
 
 // lead starts an Assigner that knows nothing, as a new lead is.
-func (w *world) lead() {
+func (w *world) lead() { w.leadHolding(0) }
+
+// leadHolding starts one that drops no adapter for a while.
+func (w *world) leadHolding(d time.Duration) {
 	w.fence++
-	w.assigner = New(Options{Orders: true, Fence: w.fence, Share: 1, Random: w.random, Limits: simLimits})
+	o := Options{Orders: true, Fence: w.fence, Share: 1, Random: w.random, Limits: simLimits}
+	if d > 0 {
+		o.HoldEvictions = w.now.Add(d)
+	}
+	w.assigner = New(o)
 	w.handle(ConfigSeen{w.config})
 	w.handle(VersionsSeen{w.versions})
 	w.handle(UpstreamsSeen{w.records})
@@ -291,7 +300,12 @@
 		w.answer(a, o, OrderUnanswered, 150*time.Millisecond)
 		return
 	}
-	w.at(time.Millisecond, func() { w.answer(a, o, e.order(w.now, o), time.Millisecond) })
+	w.at(time.Millisecond, func() {
+		if o.Evict && e.running[o.Adapter.Adapter] > 0 && !e.leaving[o.Adapter.Adapter] {
+			w.inUse++
+		}
+		w.answer(a, o, e.order(w.now, o), time.Millisecond)
+	})
 }
 
 func (w *world) answer(a *Assigner, o Order, r OrderResult, after time.Duration) {
--- a/assign/events.go
+++ b/assign/events.go
@@ -181,6 +181,9 @@
 	return [...]string{"holds", "accepted", "conflict", "fenced", "invalid", "misdirected", "unanswered"}[r]
 }
 
+// HostsTold says that every host has told what it runs.
+type HostsTold struct{}
+
 // ReportRead brings an engine's report. A nil Report says that it could not be read.
 type ReportRead struct {
 	Upstream string
@@ -211,6 +214,7 @@
 func (HostLost) isEvent()      {}
 func (OrderEnded) isEvent()    {}
 func (ReportRead) isEvent()    {}
+func (HostsTold) isEvent()     {}
 func (Tick) isEvent()          {}
 
 // Decision is what an Assigner wants done. The types below are the closed list.
--- a/assign/orders.go
+++ b/assign/orders.go
@@ -12,6 +12,13 @@
 const (
 	// pollInterval is how often an engine is asked whether a load has ended.
 	pollInterval = 20 * time.Millisecond
+	// leavingPatience is how long an engine may take to drop an adapter before it is
+	// taken to be in use, so that another one is dropped in its place. It is about
+	// what a load takes, which dropping another one would cost.
+	leavingPatience = 400 * time.Millisecond
+	// leavingPoll is how often an engine is asked after that whether the adapter
+	// has been dropped.
+	leavingPoll = 100 * time.Millisecond
 	// reportLag is how old an engine's report may be. It bounds when a report
 	// shows an order that was accepted.
 	reportLag = 350 * time.Millisecond
@@ -89,7 +96,7 @@
 }
 
 func (a *Assigner) retireSlot(now time.Time, s *slot) {
-	if s.state == slotResident && s.claims == 0 && !a.current(s) {
+	if s.state == slotResident && s.claims == 0 && !a.holding && !a.current(s) {
 		s.state = slotEvicting
 		a.sendNext(now, s.upstream)
 	}
@@ -141,41 +148,63 @@
 }
 
 // nextOrder returns what the engine is to be ordered next: evictions make room
-// for loads, and loads that should have ended are asked for.
+// for loads, then come questions whether loads and evictions have ended.
 func (a *Assigner) nextOrder(now time.Time, u *upstream) (order, bool) {
 	if next, ok := a.nextModelOrder(now, u); ok {
 		return next, true
 	}
-	var load, poll *slot
-	for _, s := range u.sortedSlots() {
-		switch s.state {
-		case slotEvicting:
-			return order{evict: true, ref: s.ref}, true
-		case slotQueued:
-			if load == nil && u.loadedSlots() < u.engine.AdapterSlots {
-				load = s
-			}
-		case slotComing:
-			if poll == nil && !now.Before(s.readyAt) {
-				poll = s
-			}
-		case slotResident:
-		}
+	p := u.pending(now)
+	switch {
+	case p.evict != nil:
+		return order{evict: true, ref: p.evict.ref}, true
+	case p.load != nil && u.loadedSlots() < u.engine.AdapterSlots:
+		return order{ref: p.load.ref, version: p.load.version}, true
 	}
+	next, ok := a.nextEviction(now, u)
 	switch {
-	case load != nil:
-	case poll != nil:
-		load = poll
-	default:
-		return a.nextEviction(now, u)
+	case ok || p.asked == nil:
+		return next, ok
+	case p.asked.state == slotEvicting:
+		return order{evict: true, ref: p.asked.ref}, true
+	}
+	return order{ref: p.asked.ref, version: p.asked.version}, true
+}
+
+// pending is what an engine waits for, nil for nothing.
+type pending struct {
+	// evict is to be ordered away, load to be ordered, the one used longest ago.
+	evict, load *slot
+	// asked was ordered, and it is time to ask whether that has ended: the one
+	// whose time came first, so that no load keeps a place from being found free.
+	asked *slot
+}
+
+func (u *upstream) pending(now time.Time) pending {
+	var p pending
+	first := func(to **slot, s *slot) {
+		if *to == nil {
+			*to = s
+		}
+	}
+	for _, s := range u.sortedSlots() {
+		switch {
+		case s.state == slotEvicting && !s.leaving:
+			first(&p.evict, s)
+		case s.state == slotQueued:
+			first(&p.load, s)
+		case s.state == slotResident || now.Before(s.readyAt):
+		case p.asked == nil || s.readyAt.Before(p.asked.readyAt):
+			p.asked = s
+		}
 	}
-	return order{ref: load.ref, version: load.version}, true
+	return p
 }
 
 // nextEviction makes room for a load that waits for it, which is needed where
-// the engine held more than was known.
+// the engine held more than was known, or keeps what it was to drop since
+// requests run on it.
 func (a *Assigner) nextEviction(now time.Time, u *upstream) (order, bool) {
-	if u.coming() == u.transit() {
+	if u.coming()-u.transit() <= u.leavingSoon(now) {
 		return order{}, false
 	}
 	victim := a.victim(now, u)
@@ -257,8 +286,7 @@
 		if !s.leaving {
 			o.sequence++
 		}
-		s.leaving = true
-		o.waitUntil = now.Add(pollInterval)
+		s.leave(now)
 	case result == OrderHolds && s.version == o.sent.version:
 		a.loaded(now, s)
 	case s.state == slotQueued:
--- a/assign/orders_test.go
+++ b/assign/orders_test.go
@@ -141,3 +141,73 @@
 	}
 	require.True(t, stepDown)
 }
+
+// Pattern: an engine keeps an adapter that it was ordered to drop, since requests
+// run on it that the lead does not know of. Other adapters are loaded meanwhile.
+func TestAnAdapterThatStaysInUseHoldsUpNoOther(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.run(50 * time.Millisecond)
+	for i, name := range []string{"a", "b", "c"} {
+		w.ask(uint64(i+1), name)
+		w.run(time.Second)
+	}
+	for i := range uint64(4) {
+		w.ask(10+i, "b")
+		w.ask(20+i, "c")
+	}
+	w.run(3 * time.Second)
+	engine := w.engines["e0"]
+	engine.running["a"]++
+	for i, name := range []string{"d", "f"} {
+		id := w.ask(uint64(30+i), name)
+		w.run(1200 * time.Millisecond)
+		require.Contains(t, w.granted, id)
+	}
+	require.True(t, engine.leaving["a"])
+	engine.running["a"]--
+	w.run(300 * time.Millisecond)
+	require.NotContains(t, engine.held, "a")
+	require.Equal(t, engine.sequence, w.assigner.upstreams["e0"].orders.sequence)
+}
+
+// Pattern: a new lead is asked for adapters at once, while hosts have yet to tell
+// what runs. Nothing in use is ordered away, and what waits is served soon after.
+func TestANewLeadDropsNothingBeforeHostsHaveTold(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		w := newWorld(t, 1, 2, 3)
+		w.run(50 * time.Millisecond)
+		running := map[RequestID]string{}
+		for i := range uint64(6) {
+			running[w.ask(i+1, "a"+strconv.Itoa(int(i)))] = "a" + strconv.Itoa(int(i))
+		}
+		w.run(700 * time.Millisecond)
+		for _, e := range w.engines {
+			for name := range e.held {
+				e.running[name]++ // they run on
+			}
+		}
+		const hold, late = 600 * time.Millisecond, 300 * time.Millisecond
+		w.leadHolding(hold)
+		id := w.ask(50, "new")
+		w.run(late)
+		for old, name := range running {
+			if name == "a0" {
+				w.engines[w.granted[old].Upstream].running[name] = 0
+				continue
+			}
+			w.handle(Adopted{Upstream: w.granted[old].Upstream, Started: true, Request: Request{
+				ID: old, Service: "s", Adapter: catalog.AdapterRef{Model: simModel, Adapter: name}, PromptTokens: 10, OutputTokens: 10,
+				Arrived: w.now, Target: w.now.Add(time.Second), Deadline: w.now.Add(9 * time.Second),
+			}})
+		}
+		require.NotContains(t, w.granted, id)
+		wait := hold - late
+		if told {
+			w.handle(HostsTold{})
+			wait = 0
+		}
+		w.run(wait + 400*time.Millisecond)
+		require.Contains(t, w.granted, id)
+		require.Zero(t, w.inUse)
+	}
+}
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -28,7 +28,8 @@
 	// claims counts the requests that run on the adapter or wait for it here.
 	claims   int
 	lastUsed time.Time
-	// readyAt is when a load is expected to have ended.
+	// readyAt is when a load is expected to have ended, or the engine to be asked
+	// again whether the adapter has left.
 	readyAt time.Time
 	// orderedAt is when the load was accepted.
 	orderedAt time.Time
@@ -37,6 +38,8 @@
 	// leaving says that the engine has accepted an order to drop the adapter, which
 	// it does once nothing runs on it.
 	leaving bool
+	// leaveAt is when it accepted that.
+	leaveAt time.Time
 }
 
 // What is assumed of loads. The times are those that the users' deployments state
@@ -138,8 +141,11 @@
 }
 
 // victim returns the idle adapter that is asked for least, nil where none is
-// idle.
+// idle or may be dropped.
 func (a *Assigner) victim(now time.Time, u *upstream) *slot {
+	if a.holding {
+		return nil
+	}
 	var least *slot
 	var leastDemand float64
 	for _, s := range u.slots {
@@ -155,7 +161,10 @@
 }
 
 // hasIdle reports whether an adapter could be dropped.
-func (u *upstream) hasIdle() bool {
+func (a *Assigner) hasIdle(u *upstream) bool {
+	if a.holding {
+		return false
+	}
 	for _, s := range u.slots {
 		if s.state == slotResident && s.claims == 0 {
 			return true
@@ -175,11 +184,46 @@
 	return n
 }
 
+// leave notes that the engine has accepted, once more, to drop the adapter.
+func (s *slot) leave(now time.Time) {
+	if !s.leaving {
+		s.leaving, s.leaveAt = true, now
+	}
+	s.readyAt = now.Add(pollInterval)
+	if now.Sub(s.leaveAt) > leavingPatience {
+		s.readyAt = now.Add(leavingPoll)
+	}
+}
+
+// leavingSoon counts the adapters whose places are about to be free.
+func (u *upstream) leavingSoon(now time.Time) int {
+	n := 0
+	for _, s := range u.slots {
+		if s.leaving && now.Sub(s.leaveAt) <= leavingPatience {
+			n++
+		}
+	}
+	return n
+}
+
 // hasRoom reports whether another adapter may be loaded, if need be in place of
 // an idle one.
-func (u *upstream) hasRoom() bool {
+func (a *Assigner) hasRoom(u *upstream) bool {
 	if u.coming() >= maxComing {
 		return false
 	}
-	return u.occupied() < u.engine.AdapterSlots || u.hasIdle()
+	return u.occupied() < u.engine.AdapterSlots || a.hasIdle(u)
+}
+
+// endHold lets adapters be dropped, once all hosts have told what runs.
+func (a *Assigner) endHold(now time.Time) {
+	if !a.holding {
+		return
+	}
+	a.holding = false
+	a.retire(now)
+	for _, u := range a.upstreams {
+		a.sendNext(now, u)
+	}
+	a.serveWaiting(now)
 }
--- a/assign/wake.go
+++ b/assign/wake.go
@@ -9,6 +9,9 @@
 	if len(a.waiting) > 0 {
 		w.at(a.passedAt.Add(passEvery))
 	}
+	if a.holding {
+		w.at(a.options.HoldEvictions)
+	}
 	for _, u := range a.upstreams {
 		a.wakeFor(u, &w)
 	}
@@ -62,7 +65,7 @@
 		}
 	}
 	for _, s := range u.slots {
-		if s.state == slotComing {
+		if s.state == slotComing || s.leaving {
 			after(s.readyAt)
 		}
 	}
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -97,6 +97,9 @@
 	number  uint64
 	lead    leadState
 	members map[string]*member
+	// untold are the hosts that this one, as the lead, has yet to hear what they
+	// run of.
+	untold map[string]bool
 	// hosts are those that callers may be sent to, as the lead said last.
 	hosts     []wire.CallerHost
 	exhausted map[string]bool
--- a/lead/following.go
+++ b/lead/following.go
@@ -139,15 +139,14 @@
 	b.lead.host, b.lead.fence, b.lead.heardAt, b.lead.everHeard = host, fence, now, true
 	b.lead.weak, b.lead.yields, b.lead.ledSince = false, false, now
 	b.tellUsage(now)
-	b.tellHomes(now)
 	for _, t := range b.tickets {
-		if !b.needsLead(t.request.Service) {
-			continue
-		}
-		switch {
-		case t.upstream != "":
+		if t.upstream != "" && b.needsLead(t.request.Service) {
 			b.adopt(now, t)
-		case !t.settled && t.request.Service != "":
+		}
+	}
+	b.tellHomes(now)
+	for _, t := range b.tickets {
+		if t.upstream == "" && !t.settled && t.request.Service != "" && b.needsLead(t.request.Service) {
 			b.handleLocal(now, assign.Withdrawn{ID: t.request.ID})
 			b.send(now, t)
 		}
--- a/lead/homes.go
+++ b/lead/homes.go
@@ -48,6 +48,7 @@
 }
 
 // tellHomes tells a new lead which engines held which adapters, the latest last.
+// It comes after what the host runs, also where there is nothing to say.
 func (b *Broker) tellHomes(now time.Time) {
 	b.dropOldHomes(now)
 	refs := make([]catalog.AdapterRef, 0, len(b.homes))
@@ -66,14 +67,38 @@
 		}
 		m.Homes = append(m.Homes, wire.Home{Model: ref.Model, Adapter: ref.Adapter, Upstream: h.upstream, Born: h.born})
 	}
-	if len(m.Homes) > 0 {
+	if b.leading == nil {
 		b.sendLead(m)
 	}
 }
 
-// recallHomes takes what a host tells.
-func (b *Broker) recallHomes(now time.Time, m *wire.Homes) {
+// recallHomes takes what a host tells. It has told what it runs before.
+func (b *Broker) recallHomes(now time.Time, from string, m *wire.Homes) {
 	for _, h := range m.Homes {
 		b.leading.RecallHome(now, catalog.AdapterRef{Model: h.Model, Adapter: h.Adapter}, h.Upstream, h.Born)
 	}
+	b.hostTold(now, from)
+}
+
+// hostTold notes that a host need not be waited for any more.
+func (b *Broker) hostTold(now time.Time, host string) {
+	if !b.untold[host] {
+		return
+	}
+	delete(b.untold, host)
+	if len(b.untold) == 0 {
+		b.handleLeading(now, assign.HostsTold{})
+	}
+}
+
+// untoldHosts returns the hosts that may run requests which a new lead has yet to
+// hear of: those that the lead before it knew, but for that one.
+func (b *Broker) untoldHosts(before *leaseView) map[string]bool {
+	untold := map[string]bool{}
+	for _, h := range b.hosts {
+		if h.Name != b.options.Host && h.Name != before.host {
+			untold[h.Name] = true
+		}
+	}
+	return untold
 }
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -252,6 +252,10 @@
 			time.Sleep(time.Millisecond)
 		}
 		time.Sleep(claimSpread + 30*time.Millisecond)
+		lead := f.hosts[f.leads()[0]].broker
+		lead.mu.Lock()
+		require.Less(t, len(lead.untold), hosts/10, "hosts have told what they run")
+		lead.mu.Unlock()
 		following := 0
 		for _, h := range f.hosts {
 			h.broker.mu.Lock()
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -125,7 +125,7 @@
 	case *wire.Successor:
 		b.replaced(now, m)
 	case *wire.Homes:
-		b.recallHomes(now, m)
+		b.recallHomes(now, from, m)
 	}
 }
 
@@ -228,6 +228,7 @@
 	b.log.Info("host left", "host", host, "reason", why)
 	delete(b.members, host)
 	b.handleLeading(now, assign.HostLost{Host: host})
+	b.hostTold(now, host)
 	b.rosterChanged()
 }
 
@@ -256,6 +257,10 @@
 	return names
 }
 
+// tellTime is how long hosts may take to find a new lead and to tell it what they
+// run: a look at the lease, and the opening of a link.
+const tellTime = lookEvery + 150*time.Millisecond
+
 // rosterBits leave room for the versions of one lead's list of hosts.
 const rosterBits = 20
 
@@ -264,9 +269,9 @@
 func (b *Broker) startLeading(now time.Time, fence int64, before *leaseView) {
 	b.log.Info("this host leads", "fence", fence)
 	b.leading = assign.New(assign.Options{
-		Orders: true, Fence: fence, Share: 1, Limits: b.options.Limits, Random: b.options.Random,
+		Orders: true, Fence: fence, Share: 1, Limits: b.options.Limits, Random: b.options.Random, HoldEvictions: now.Add(tellTime),
 	})
-	b.members = map[string]*member{}
+	b.members, b.untold = map[string]*member{}, b.untoldHosts(before)
 	b.roster = uint64(fence) << rosterBits
 	b.seeView(now, b.handleLeading)
 	b.recallUsage(now, before)
