Hosts compare checksums of the tables; the list of hosts is told by changes

A count by type of message (80 hosts): of 72 KB a host at the start 46 were whole lists of upstreams, told to hosts that had just read them, and 24 whole lists of hosts, told again for every host that joined; at a lead's loss 46 and 7 of 54. Hosts read both tables whole whenever their lead was lost.

Change: a checksum of what is known goes with every beat. A host that knows what the lead does is told nothing; one that does not for two beats, since a message was lost, is told all again (before, it never was). The lead's beats name the store's versions that it has read up to, and a host in step reads on from there.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,7 +5,10 @@
 // and hands it to whoever decides.
 package catalog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind says what may be repeated of a route's requests.
 type Kind uint8
@@ -139,6 +142,16 @@
 	Loaded []Loaded
 }
 
+// Models names the models held, in order.
+func (u *Upstream) Models() []string {
+	var names []string
+	for _, l := range u.Loaded {
+		names = append(names, l.Model)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Loaded is a model that an upstream holds, with its adapters.
 type Loaded struct {
 	Model    string
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -65,6 +65,11 @@
 type Source interface {
 	// Relayed says whether changes are passed on. It does not wait.
 	Relayed(on bool)
+	// At returns the store's versions up to which the tables of the operator and of
+	// the upstreams are known.
+	At() (operator, upstreams int64)
+	// KnownAt says up to which versions all changes have been passed on.
+	KnownAt(operator, upstreams int64)
 	// TakeConfig takes a configuration, which may be empty, and announced versions.
 	TakeConfig(packed []byte, versions catalog.Versions)
 	// TakeUpstreams takes all upstreams, or those that have changed or are gone.
@@ -112,9 +117,15 @@
 	// roster is the version of hosts. The lead counts it up, starting from its
 	// fence, so that versions of two leads differ.
 	roster uint64
-	// relayWhole says that the lead has passed all upstreams on.
-	relayWhole bool
-	// rosterDue says that hosts are about to be told of a change.
+	// inStep says that this host knows what the lead does. unlike counts the beats
+	// in a row that said otherwise.
+	inStep bool
+	unlike int
+	// sums are checksums of what the lead knew before, the latest last.
+	sums []pastSum
+	// told is the list of hosts as hosts were told it last, rosterDue that they
+	// are about to be told of a change.
+	told      toldRoster
 	rosterDue bool
 	relay     relayState
 
@@ -318,7 +329,7 @@
 		b.seeView(now, b.handleLocal)
 		if b.leading != nil {
 			b.seeView(now, b.handleLeading)
-			b.passOn(before)
+			b.passOn(now, before)
 		}
 	})
 }
--- a/lead/fleet_test.go
+++ b/lead/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -34,6 +35,10 @@
 	orders      []assign.Order
 	fences      []int64
 	view        *watch.View
+	// sentMu guards sent, which counts the bytes of messages by their type. It is
+	// taken with a broker's lock held, which mu is taken before.
+	sentMu sync.Mutex
+	sent   map[string]int
 }
 
 type testHost struct {
@@ -51,7 +56,7 @@
 const adapterName = "a"
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, hosts: map[string]*testHost{}, storeCut: map[string]bool{}, start: time.Now()}
+	f := &fleet{t: t, hosts: map[string]*testHost{}, storeCut: map[string]bool{}, start: time.Now(), sent: map[string]int{}}
 	f.view = &watch.View{
 		Config: catalog.NewConfig(catalog.Parts{
 			Version: 1,
@@ -158,6 +163,9 @@
 	if err != nil {
 		return err
 	}
+	f.sentMu.Lock()
+	f.sent[fmt.Sprintf("%T", m)] += len(raw) + frameHeader
+	f.sentMu.Unlock()
 	go func() {
 		time.Sleep(time.Millisecond)
 		f.mu.Lock()
@@ -186,6 +194,8 @@
 func (h *testHost) TakeConfig([]byte, catalog.Versions)               {}
 func (h *testHost) TakeUpstreams(bool, []*catalog.Upstream, []string) {}
 func (h *testHost) Contact() time.Duration                            { return 0 }
+func (h *testHost) At() (operator, upstreams int64)                   { return 0, 0 }
+func (h *testHost) KnownAt(_, _ int64)                                {}
 func (f *fleet) stamp() store.Stamp {
 	return store.Stamp{Version: f.version, Clock: time.Since(f.start)}
 }
--- a/lead/following.go
+++ b/lead/following.go
@@ -99,7 +99,25 @@
 		b.follow(now, from, m.Fence)
 	}
 	b.noteLead(now, from, m)
-	b.options.Source.Relayed(b.relayWhole && !m.Weak && milliseconds(m.StoreAgeMS) < relayAge)
+	b.noteRelay(m)
+}
+
+// noteRelay notes whether this host knows all that the lead does, so that it
+// need not read the store. A change that was missed shows in the checksum.
+func (b *Broker) noteRelay(m *wire.LeadBeat) {
+	same := m.Sum == b.view.Sum && b.view.Config != nil
+	switch {
+	case same:
+		b.inStep, b.unlike = true, 0
+	case b.unlike < missedBeats:
+		b.unlike++
+	default:
+		b.inStep = false
+	}
+	b.options.Source.Relayed(b.inStep && !m.Weak && milliseconds(m.StoreAgeMS) < relayAge)
+	if same {
+		b.options.Source.KnownAt(m.OperatorAt, m.UpstreamsAt)
+	}
 }
 
 // noteLead takes what a beat says of the lead, of the hosts and of rates.
@@ -111,10 +129,7 @@
 	if m.Renewed > b.lead.row.version && from == b.lead.row.host {
 		b.lead.row.version, b.lead.row.since = m.Renewed, now
 	}
-	if m.Roster != b.roster && len(m.Hosts) > 0 {
-		b.roster, b.hosts = m.Roster, m.Hosts
-		b.shareChanged()
-	}
+	b.takeRoster(m)
 	clear(b.exhausted)
 	for _, name := range m.Exhausted {
 		b.exhausted[name] = true
@@ -192,7 +207,7 @@
 	if !b.lead.weak {
 		b.lead.followedUntil = now
 	}
-	b.lead.host, b.relayWhole = "", false
+	b.lead.host, b.inStep, b.unlike = "", false, 0
 	b.wakeUp()
 	b.options.Source.Relayed(false)
 	for _, t := range b.tickets {
@@ -234,6 +249,7 @@
 func (b *Broker) hostBeat() *wire.HostBeat {
 	beat := &wire.HostBeat{
 		Zone: b.options.Zone, Callers: b.options.Callers, Draining: b.draining, Cores: b.options.Cores, Roster: b.roster,
+		Sum: b.view.Sum,
 	}
 	for name, tokens := range b.spent {
 		beat.Spent = append(beat.Spent, wire.Spent{Organisation: name, Tokens: tokens})
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/jasminelock/jasminelock/assign"
@@ -29,8 +28,10 @@
 	draining bool
 	cores    float64
 	heardAt  time.Time
-	// passed says that the host has been told all that the tables say.
+	// passed says that the host has been told all that the tables say, missed how
+	// many beats in a row said that it knows something else.
 	passed bool
+	missed int
 }
 
 // handleLeading brings an event to the fleet's Assigner.
@@ -136,7 +137,7 @@
 	}
 	joined := &member{zone: m.Zone, callers: m.Callers, draining: m.Draining, cores: m.Cores, heardAt: now}
 	if known {
-		joined.passed = old.passed
+		joined.passed, joined.missed = old.passed, old.missed
 	}
 	b.members[from] = joined
 	for _, s := range m.Spent {
@@ -146,62 +147,11 @@
 		b.rosterChanged()
 	}
 	beat := b.leadBeat(now)
-	if m.Roster != b.roster {
-		beat.Hosts = b.hosts
+	if m.Roster != b.told.version {
+		beat.Hosts = b.told.hosts
 	}
 	b.sendTo(from, beat)
-	if !joined.passed && b.view.Config != nil {
-		joined.passed = true
-		b.passAll(from)
-	}
-}
-
-// rosterChanged tells every host who is there, soon: hosts join and leave
-// together.
-func (b *Broker) rosterChanged() {
-	b.roster++
-	b.hosts = b.callerHosts()
-	b.shareChanged()
-	if b.rosterDue {
-		return
-	}
-	b.rosterDue = true
-	time.AfterFunc(rosterDelay, func() {
-		b.step(func(now time.Time) {
-			b.rosterDue = false
-			if b.leading != nil {
-				b.tellRoster(now)
-			}
-		})
-	})
-}
-
-// rosterDelay is how long changes of the list of hosts are gathered.
-const rosterDelay = 20 * time.Millisecond
-
-func (b *Broker) tellRoster(now time.Time) {
-	beat := b.leadBeat(now)
-	beat.Hosts = b.hosts
-	for host := range b.members {
-		b.sendTo(host, beat)
-	}
-}
-
-// callerHosts returns the hosts that callers may be sent to.
-func (b *Broker) callerHosts() []wire.CallerHost {
-	var hosts []wire.CallerHost
-	if !b.draining {
-		hosts = append(hosts, wire.CallerHost{
-			Name: b.options.Host, Zone: b.options.Zone, Callers: b.options.Callers, Cores: b.options.Cores,
-		})
-	}
-	for name, m := range b.members {
-		if !m.draining {
-			hosts = append(hosts, wire.CallerHost{Name: name, Zone: m.zone, Callers: m.callers, Cores: m.cores})
-		}
-	}
-	slices.SortFunc(hosts, func(x, y wire.CallerHost) int { return strings.Compare(x.Name, y.Name) })
-	return hosts
+	b.keepPassed(now, from, joined, m.Sum)
 }
 
 // logStats tells how far the engines are used.
@@ -235,9 +185,10 @@
 // leadBeat returns what the lead tells every host.
 func (b *Broker) leadBeat(now time.Time) *wire.LeadBeat {
 	beat := &wire.LeadBeat{
-		Fence: b.lead.fence, Renewed: b.lead.row.version, Weak: b.lead.weak, Yields: b.lead.yields, Roster: b.roster,
-		StoreAgeMS: b.options.Source.Contact().Milliseconds(),
+		Fence: b.lead.fence, Renewed: b.lead.row.version, Weak: b.lead.weak, Yields: b.lead.yields, Roster: b.told.version,
+		StoreAgeMS: b.options.Source.Contact().Milliseconds(), Sum: b.view.Sum,
 	}
+	beat.OperatorAt, beat.UpstreamsAt = b.options.Source.At()
 	beat.Exhausted = b.exhaustedNames(now)
 	return beat
 }
@@ -261,9 +212,6 @@
 // run: a look at the lease, and the opening of a link.
 const tellTime = lookEvery + 150*time.Millisecond
 
-// rosterBits leave room for the versions of one lead's list of hosts.
-const rosterBits = 20
-
 // startLeading makes this host the lead. What the lease's row recorded is counted
 // before any request is decided on.
 func (b *Broker) startLeading(now time.Time, fence int64, before *leaseView) {
@@ -272,7 +220,9 @@
 		Orders: true, Fence: fence, Share: 1, Limits: b.options.Limits, Random: b.options.Random, HoldEvictions: now.Add(tellTime),
 	})
 	b.members, b.untold = map[string]*member{}, b.untoldHosts(before)
-	b.roster = uint64(fence) << rosterBits
+	b.roster, b.sums = uint64(fence)<<rosterBits, nil
+	b.hosts = b.callerHosts()
+	b.told = toldRoster{version: b.roster, hosts: b.hosts}
 	b.seeView(now, b.handleLeading)
 	b.recallUsage(now, before)
 	b.follow(now, b.options.Host, fence)
--- a/lead/relay.go
+++ b/lead/relay.go
@@ -38,6 +38,46 @@
 	return b.relay.packed
 }
 
+// passTime is how long a change may be on its way to a host and back in a beat.
+const passTime = 2 * beatEvery
+
+// pastSum is a checksum of what the lead knew until a change.
+type pastSum struct {
+	sum   uint64
+	until time.Time
+}
+
+// knows reports whether a host knows what the lead has passed on, but for what is
+// on its way.
+func (b *Broker) knows(now time.Time, sum uint64) bool {
+	return sum == b.view.Sum || slices.ContainsFunc(b.sums, func(p pastSum) bool { return p.sum == sum && now.Sub(p.until) < passTime })
+}
+
+// noteSum remembers what the lead knew until now.
+func (b *Broker) noteSum(now time.Time, sum uint64) {
+	b.sums = slices.DeleteFunc(b.sums, func(p pastSum) bool { return now.Sub(p.until) >= passTime })
+	b.sums = append(b.sums, pastSum{sum, now})
+}
+
+// keepPassed has a host told all that the tables say where it knows something
+// else: at first, and when it has missed a change.
+func (b *Broker) keepPassed(now time.Time, host string, m *member, sum uint64) {
+	switch {
+	case b.view.Config == nil:
+	case b.knows(now, sum):
+		m.passed, m.missed = true, 0
+	case m.passed && m.missed < missedBeats:
+		m.missed++
+	default:
+		m.passed, m.missed = true, 0
+		b.passAll(host)
+	}
+}
+
+// missedBeats is how many beats in a row may tell that a host knows something
+// else before it is told all again.
+const missedBeats = 2
+
 // passAll tells a host all that the platform's tables say.
 func (b *Broker) passAll(host string) {
 	b.sendTo(host, &wire.ConfigPush{Config: b.packedConfig(), Versions: versionList(b.view.Versions, nil)})
@@ -51,7 +91,8 @@
 
 // passOn tells every host what has changed since the view before. That engines
 // hold other adapters concerns only the lead.
-func (b *Broker) passOn(before *watch.View) {
+func (b *Broker) passOn(now time.Time, before *watch.View) {
+	b.noteSum(now, before.Sum)
 	if len(b.members) == 0 {
 		return
 	}
@@ -100,7 +141,23 @@
 func wireUpstream(u *catalog.Upstream) wire.Upstream {
 	return wire.Upstream{
 		ID: u.ID, Born: u.Born, Service: u.Service, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Draining: u.Draining,
+		Models: strings.Join(u.Models(), modelSeparator),
+	}
+}
+
+// modelSeparator separates the names of models in a message.
+const modelSeparator = "\n"
+
+func listedUpstream(u *wire.Upstream) *catalog.Upstream {
+	out := &catalog.Upstream{
+		ID: u.ID, Born: u.Born, Service: u.Service, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Draining: u.Draining,
+	}
+	for name := range strings.SplitSeq(u.Models, modelSeparator) {
+		if name != "" {
+			out.Loaded = append(out.Loaded, catalog.Loaded{Model: name})
+		}
 	}
+	return out
 }
 
 func sortUpstreams(list []wire.Upstream) {
@@ -125,16 +182,9 @@
 		b.options.Source.TakeConfig(m.Config, versions)
 	case *wire.UpstreamPush:
 		var listed []*catalog.Upstream
-		for _, u := range m.Upstreams {
-			listed = append(listed, &catalog.Upstream{
-				ID: u.ID, Born: u.Born, Service: u.Service, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Draining: u.Draining,
-			})
+		for i := range m.Upstreams {
+			listed = append(listed, listedUpstream(&m.Upstreams[i]))
 		}
 		b.options.Source.TakeUpstreams(m.Whole, listed, m.Gone)
-		if m.Whole {
-			b.mu.Lock()
-			b.relayWhole = b.relayWhole || from == b.lead.host
-			b.mu.Unlock()
-		}
 	}
 }
--- /dev/null
+++ b/lead/scale_test.go
@@ -0,0 +1,109 @@
+package lead
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// grownFleet returns a fleet with ten upstreams for each host, none of which is
+// started yet.
+func grownFleet(t *testing.T, hosts int) *fleet {
+	f := newFleet(t)
+	for i := range 10 * hosts {
+		id := fmt.Sprintf("i-%010d", i)
+		f.view.Upstreams[id] = &catalog.Upstream{
+			ID: id, Born: 1_700_000_000_000, Service: "s", Address: "10.100.100.100:9000", Zone: "zone-a", Slots: 8,
+			Loaded: []catalog.Loaded{{Model: "m"}},
+		}
+	}
+	return f
+}
+
+// taken returns what was sent since the last call, in bytes a host.
+func (f *fleet) taken() float64 {
+	f.sentMu.Lock()
+	defer f.sentMu.Unlock()
+	all := 0
+	for _, n := range f.sent {
+		all += n
+	}
+	clear(f.sent)
+	return float64(all) / float64(len(f.hosts))
+}
+
+// Pattern: all hosts start within half a second, and later lose their lead. They
+// know the platform's tables themselves. What a host sends and is sent stays
+// within the limit, and what grows with the fleet does so slowly enough for that
+// at the size to design for.
+func TestControlTrafficOfAGrowingFleet(t *testing.T) {
+	phases := []struct {
+		name string
+		took time.Duration
+	}{{"start", 3 * time.Second}, {"steady", 5 * time.Second}, {"lead lost", 5 * time.Second}}
+	sizes := []int{20, 40, 80}
+	rates := make([][]float64, len(phases))
+	for _, hosts := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			f := grownFleet(t, hosts)
+			for i := range hosts {
+				f.add(fmt.Sprintf("host-%03d", i), 0.4)
+				time.Sleep(500 * time.Millisecond / time.Duration(hosts))
+			}
+			for i, phase := range phases {
+				time.Sleep(phase.took)
+				require.Len(t, f.leads(), 1)
+				rates[i] = append(rates[i], f.taken()/phase.took.Seconds())
+				if i == 1 {
+					f.kill(f.leads()[0])
+				}
+			}
+			f.end()
+		})
+	}
+	last := len(sizes) - 1
+	for i, phase := range phases {
+		slope := (rates[i][last] - rates[i][last-1]) / float64(sizes[last]-sizes[last-1])
+		atDesign := rates[i][last] + slope*float64(designHosts-sizes[last])
+		t.Logf("%s: %.0f B/s a host at %v hosts, %.0f at %d", phase.name, rates[i], sizes, atDesign, designHosts)
+		require.Less(t, atDesign, controlLimit, phase.name)
+	}
+}
+
+// Pattern: a host misses a change that was passed on. It says so with its beats,
+// and is told all again.
+func TestAChangeThatWasMissedIsToldAgain(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.hosts[f.leads()[0]]
+		missed := f.other(lead.name)
+		next := *f.view
+		next.Sum = 7
+		lead.broker.SeeView(&next)
+		for _, h := range f.hosts {
+			if h != missed {
+				h.broker.SeeView(&next)
+			}
+		}
+		before := f.pushes()
+		time.Sleep(passTime + (missedBeats+2)*beatEvery)
+		require.Greater(t, f.pushes(), before)
+		missed.broker.SeeView(&next)
+		time.Sleep(beatEvery)
+		before = f.pushes()
+		time.Sleep(10 * beatEvery)
+		require.Equal(t, before, f.pushes())
+	})
+}
+
+// pushes returns the bytes of whole lists of upstreams that were sent.
+func (f *fleet) pushes() int {
+	f.sentMu.Lock()
+	defer f.sentMu.Unlock()
+	return f.sent[fmt.Sprintf("%T", &wire.UpstreamPush{})]
+}
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"compress/flate"
+	"fmt"
+	"hash/fnv"
 	"io"
 	"maps"
 
@@ -24,6 +26,45 @@
 	}
 }
 
+// At returns the store's versions as of which this host knows the tables of the
+// operator and of the upstreams.
+func (w *Watcher) At() (operator, upstreams int64) { return w.at[0].Load(), w.at[1].Load() }
+
+// KnownAt says that this host knows what the one that passes changes on has read
+// up to these versions, so that the tables need only be read from there on.
+func (w *Watcher) KnownAt(operator, upstreams int64) {
+	if !w.relayed.Load() {
+		return
+	}
+	if operator > w.at[0].Load() {
+		w.at[0].Store(operator)
+	}
+	// What was passed on may be older than what this host had read itself.
+	w.at[1].Store(upstreams)
+	w.doubtful.Store(false)
+}
+
+// sum returns a checksum of what hosts tell one another of a view. It does not
+// depend on the order of maps.
+func sum(v *View) uint64 {
+	var all uint64
+	add := func(format string, args ...any) {
+		h := fnv.New64a()
+		_, _ = fmt.Fprintf(h, format, args...) // writing to a hash never fails
+		all += h.Sum64()
+	}
+	if v.Config != nil {
+		add("config %d", v.Config.Version)
+	}
+	for ref, version := range v.Versions {
+		add("version %s %s %d", ref.Model, ref.Adapter, version)
+	}
+	for _, u := range v.Upstreams {
+		add("upstream %s %d %s %s %s %d %t %q", u.ID, u.Born, u.Service, u.Address, u.Zone, u.Slots, u.Draining, u.Models())
+	}
+	return all
+}
+
 // PackConfig compresses a configuration's row, to be passed on.
 func PackConfig(row store.Row) ([]byte, error) {
 	var b bytes.Buffer
@@ -74,25 +115,23 @@
 }
 
 // TakeUpstreams takes upstreams that another host passes on: all there are where
-// whole is set, else those that have changed or are gone. What they hold is not
-// passed on; of those known already it stays as it was.
+// whole is set, else those that have changed or are gone. The adapters that they
+// hold are not passed on.
 func (w *Watcher) TakeUpstreams(whole bool, listed []*catalog.Upstream, gone []string) {
 	w.mu.Lock()
 	next := *w.view.Load()
-	before := next.Upstreams
-	next.Upstreams = map[string]*catalog.Upstream{}
-	if !whole {
-		next.Upstreams = maps.Clone(before)
+	if whole {
+		next.Upstreams = map[string]*catalog.Upstream{}
+	} else {
+		next.Upstreams = maps.Clone(next.Upstreams)
 	}
 	for _, u := range listed {
-		if old, ok := before[u.ID]; ok && old.Born == u.Born {
-			u.Loaded = old.Loaded
-		}
 		next.Upstreams[u.ID] = u
 	}
 	for _, id := range gone {
 		delete(next.Upstreams, id)
 	}
 	clear(w.lapsed)
+	w.doubtful.Store(true)
 	w.publish(&next)
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -61,6 +61,8 @@
 	RawConfig store.Row
 	Versions  catalog.Versions
 	Upstreams map[string]*catalog.Upstream
+	// Sum is a checksum of what hosts tell one another of all that.
+	Sum uint64
 }
 
 // Watcher follows the tables.
@@ -87,6 +89,11 @@
 	// reader when the first one's is answered again.
 	lost [2]atomic.Bool
 	back chan struct{}
+	// at are the store's versions as of which the tables are known.
+	at [2]atomic.Int64
+	// doubtful says that upstreams were passed on as of an unknown version, so
+	// that their table has to be read whole where it is read.
+	doubtful atomic.Bool
 }
 
 // Options are what a Watcher is made of.
@@ -196,7 +203,7 @@
 func (r *tableReader) isLost() bool { return r.watcher.lost[r.index].Load() }
 
 // awaitResume waits while another host passes changes on, and reports whether
-// it has waited. The table has to be read whole then.
+// it has waited. The table is read on from what that host is known to have told.
 func (r *tableReader) awaitResume(ctx context.Context) bool {
 	waited := false
 	for r.watcher.relayed.Load() && r.known && ctx.Err() == nil {
@@ -207,13 +214,16 @@
 		}
 	}
 	if waited {
-		r.known, r.answeredAt = false, time.Now()
+		r.after, r.answeredAt = r.watcher.at[r.index].Load(), time.Now()
 		r.watcher.lost[r.index].Store(false)
 	}
 	return waited
 }
 
 func (r *tableReader) read(ctx context.Context) error {
+	if r.index == 1 && r.watcher.doubtful.Swap(false) {
+		r.known = false
+	}
 	whole := !r.known
 	var changes store.Changes
 	var err error
@@ -234,6 +244,7 @@
 	if whole || len(changes.Rows) > 0 {
 		r.apply(changes, whole, r.outage)
 	}
+	r.watcher.at[r.index].Store(r.after)
 	return nil
 }
 
@@ -401,6 +412,7 @@
 
 // publish puts a view in force and releases the lock that its maker holds.
 func (w *Watcher) publish(v *View) {
+	v.Sum = sum(v)
 	w.view.Store(v)
 	w.changed(v)
 	w.mu.Unlock()
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -29,6 +29,8 @@
 	downTable string
 	kept      int64
 	reads     int
+	// snapshots counts the reads of whole tables.
+	snapshots int
 	changed   chan struct{}
 }
 
@@ -94,7 +96,16 @@
 	return c, f.changed, nil
 }
 
+func (f *fakeFeed) snapshotCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshots
+}
+
 func (f *fakeFeed) Snapshot(_ context.Context, table string) (store.Changes, error) {
+	f.mu.Lock()
+	f.snapshots++
+	f.mu.Unlock()
 	c, _, err := f.read(table, 0, true)
 	return c, err
 }
@@ -281,6 +292,64 @@
 	})
 }
 
+// Pattern: the host that passes changes on is lost. What it is known to have told
+// is not read again.
+func TestAWatchGoesOnFromWhatItWasTold(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		feed.put("op", "config", 1, false)
+		feed.put("up", "a", upstream("a"), false)
+		time.Sleep(time.Second)
+		w.Relayed(true)
+		time.Sleep(2 * time.Second)
+		feed.put("up", "b", upstream("b"), false)
+		feed.put("up", "a", upstream("a"), true)
+		b := upstream("b")
+		w.TakeUpstreams(false, []*catalog.Upstream{&b}, []string{"a"})
+		w.KnownAt(4, 4)
+		snapshots := feed.snapshotCount()
+		feed.put("up", "c", upstream("c"), false)
+		w.Relayed(false)
+		time.Sleep(time.Second)
+		require.Equal(t, snapshots, feed.snapshotCount())
+		require.Len(t, w.View().Upstreams, 2)
+		require.Contains(t, w.View().Upstreams, "b")
+		require.Contains(t, w.View().Upstreams, "c")
+	})
+}
+
+// Pattern: a host that reads the store is told of something older than it has
+// read. It reads all again.
+func TestOlderNewsDoNotStay(t *testing.T) {
+	run(t, func(feed *fakeFeed, w *Watcher) {
+		feed.put("op", "config", 1, false)
+		feed.put("up", "a", upstream("a"), true)
+		time.Sleep(time.Second)
+		a := upstream("a")
+		w.TakeUpstreams(true, []*catalog.Upstream{&a}, nil)
+		time.Sleep(changeWait + upstreamPause)
+		require.Empty(t, w.View().Upstreams)
+	})
+}
+
+// Two views that say the same have the same checksum, whatever the store says
+// besides, and others do not.
+func TestSumsOfViews(t *testing.T) {
+	view := func(change func(u *catalog.Upstream)) *View {
+		u := upstream("a")
+		u.Loaded = []catalog.Loaded{{Model: "m", Adapters: []catalog.LoadedAdapter{{Name: "x"}}}}
+		change(&u)
+		return &View{Versions: catalog.Versions{{Model: "m", Adapter: "x"}: 1}, Upstreams: map[string]*catalog.Upstream{"a": &u}}
+	}
+	usual := sum(view(func(*catalog.Upstream) {}))
+	require.Equal(t, usual, sum(view(func(u *catalog.Upstream) { u.Loaded[0].Adapters = nil })))
+	for _, change := range []func(u *catalog.Upstream){
+		func(u *catalog.Upstream) { u.Draining = true }, func(u *catalog.Upstream) { u.Born++ }, func(u *catalog.Upstream) { u.Loaded = nil },
+		func(u *catalog.Upstream) { u.Address = "x" },
+	} {
+		require.NotEqual(t, usual, sum(view(change)))
+	}
+}
+
 // Pattern: the store is away for five seconds, and every host asks whether it is
 // back. Each asks a few times, and has all changes within a second of its return.
 func TestAStoreThatIsAwayIsAskedRarely(t *testing.T) {
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -125,6 +125,8 @@
 	Cores float64 `cbor:"5,keyasint,omitempty"`
 	// Roster is the version of the list of hosts that the host has.
 	Roster uint64 `cbor:"6,keyasint,omitempty"`
+	// Sum is a checksum of what the host knows of the platform's tables.
+	Sum uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Successor tells a lead that it has been replaced by the sender, and hosts
@@ -157,10 +159,19 @@
 	Yields bool `cbor:"9,keyasint,omitempty"`
 	// Released says that the lead has given its lease back.
 	Released bool `cbor:"4,keyasint,omitempty"`
-	// Roster is the version of the list of hosts. Hosts is set where the receiver
-	// has another version.
-	Roster uint64       `cbor:"7,keyasint,omitempty"`
-	Hosts  []CallerHost `cbor:"5,keyasint,omitempty"`
+	// Roster is the version of the list of hosts. Where RosterFrom is 0, Hosts is
+	// the whole list, or empty for a receiver that has it. Else Hosts and Gone are
+	// what has changed since the version RosterFrom.
+	Roster     uint64       `cbor:"7,keyasint,omitempty"`
+	RosterFrom uint64       `cbor:"10,keyasint,omitempty"`
+	Hosts      []CallerHost `cbor:"5,keyasint,omitempty"`
+	Gone       []string     `cbor:"11,keyasint,omitempty"`
+	// Sum is a checksum of what the lead knows of the platform's tables, which it
+	// has passed on. OperatorAt and UpstreamsAt are the store's versions that it
+	// has read them up to.
+	Sum         uint64 `cbor:"12,keyasint,omitempty"`
+	OperatorAt  int64  `cbor:"13,keyasint,omitempty"`
+	UpstreamsAt int64  `cbor:"14,keyasint,omitempty"`
 	// StoreAgeMS is how long ago the lead last read the store.
 	StoreAgeMS int64 `cbor:"8,keyasint,omitempty"`
 	// Exhausted names the organisations whose rate is used up.
@@ -190,7 +201,7 @@
 	Gone      []string   `cbor:"3,keyasint,omitempty"`
 }
 
-// Upstream is an upstream without the adapters that it holds.
+// Upstream is an upstream with the models, but not the adapters, that it holds.
 type Upstream struct {
 	ID       string `cbor:"1,keyasint"`
 	Born     int64  `cbor:"2,keyasint,omitempty"`
@@ -199,6 +210,8 @@
 	Zone     string `cbor:"5,keyasint"`
 	Slots    int    `cbor:"6,keyasint"`
 	Draining bool   `cbor:"7,keyasint,omitempty"`
+	// Models are separated by newlines, which no name contains.
+	Models string `cbor:"8,keyasint,omitempty"`
 }
 
 // Homes tells a new lead which engines held which adapters of late.
