A host that has lost its lead goes by the store's clock, however long ago

The store is slow from 19.0 to 23.6 s, and the lead freezes at 20.4 s.

Change: what counts is that this host has followed a lead and has seen it go. Hosts added in an outage have not, so that a lead that lives is still left to renew its lease.

Before: TestALeadThatFreezesWhileTheStoreIsSlowIsReplacedAfterIt failed.

--- a/lead/broker.go
+++ b/lead/broker.go
@@ -148,8 +148,8 @@
 	yields bool
 	// ledSince is when this host became the lead.
 	ledSince time.Time
-	// followedUntil is when this host last followed a lead that could renew.
-	followedUntil time.Time
+	// lost says that this host has followed a lead and has lost it.
+	lost bool
 	// everHeard says that there has been a lead since this host's start.
 	everHeard bool
 }
--- a/lead/election.go
+++ b/lead/election.go
@@ -175,7 +175,7 @@
 			seen.usage, seen.readAt, seen.clock, seen.renewed = row.usage, row.readAt, row.clock, row.renewed
 			seen.strongest = row.strongest
 		}
-		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || seen.lapsed(now, now.Sub(b.lead.followedUntil) < followedLately)
+		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || seen.lapsed(now, b.lead.lost)
 		if !claim {
 			b.sendTo(seen.host, b.hostBeat())
 		}
--- a/lead/following.go
+++ b/lead/following.go
@@ -204,9 +204,7 @@
 	if b.lead.host != b.options.Host {
 		b.log.Warn("lead lost", "lead", b.lead.host, "reason", why)
 	}
-	if !b.lead.weak {
-		b.lead.followedUntil = now
-	}
+	b.lead.lost = true
 	b.lead.host, b.inStep, b.unlike = "", false, 0
 	b.wakeUp()
 	b.options.Source.Relayed(false)
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -306,6 +306,24 @@
 	})
 }
 
+// Pattern: the store is slow, so that the lead's renewals are carried out without
+// its knowing, and then the lead freezes. The hosts that have seen it go silent
+// need not watch the row for its whole time once they can read it.
+func TestALeadThatFreezesWhileTheStoreIsSlowIsReplacedAfterIt(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		lead := f.leads()[0]
+		f.setSlow(true)
+		time.Sleep(weakAfter + 400*time.Millisecond)
+		f.mu.Lock()
+		f.hosts[lead].cut, f.storeCut[lead] = true, true
+		f.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		f.setSlow(false)
+		time.Sleep(lookEvery + claimSpread + 40*time.Millisecond)
+		require.Len(t, f.leads(), 2, "the one that is frozen does not know yet")
+	})
+}
+
 // Pattern: the store is down, and hosts are added meanwhile. When it is back, its
 // clock says that the lease is old, but the lead lives and is left to renew it.
 func TestAddedHostsDoNotTakeTheLeaseAfterAnOutage(t *testing.T) {
--- a/lead/lease.go
+++ b/lead/lease.go
@@ -43,18 +43,14 @@
 
 // lapsed reports whether the lease may be taken over: it was seen unchanged for
 // its whole time, or is older than that by the store's own clock. The clock tells
-// nothing to a host that has not followed the lead of late: the store may have
-// been away, so that the lead could not renew.
-func (v *leaseView) lapsed(now time.Time, followed bool) bool {
-	if followed && v.renewed > 0 && v.clock-v.renewed >= leaseTTL+clockMargin {
+// nothing to a host that has not seen a lead go: the store may have been away, so
+// that a lead which lives could not renew.
+func (v *leaseView) lapsed(now time.Time, lost bool) bool {
+	if lost && v.renewed > 0 && v.clock-v.renewed >= leaseTTL+clockMargin {
 		return true
 	}
 	return now.Sub(v.since) >= leaseTTL
 }
 
-// followedLately is how long ago a host must have followed a lead that renewed
-// its lease for the store's clock to tell the lease's age.
-const followedLately = 3 * time.Second
-
 // storeClock reckons the store's clock from when the row was read or written.
 func (v *leaseView) storeClock(now time.Time) time.Duration { return v.clock + now.Sub(v.readAt) }
