Whole lists of upstreams are compressed, told at a rate, and followed at once

While upstreams change all the time, a host that still reads the store is ahead of what it has just been told, its checksum differs again, and it is told all again: 300 times 210 KB.

Change: from a whole list on a host goes by what the lead passes on, at once.

Before: TestManyHostsAreToldAllOneAfterAnother failed (all in one beat).

--- a/lead/election.go
+++ b/lead/election.go
@@ -24,8 +24,9 @@
 	renewEvery = 400 * time.Millisecond
 	leaseTTL   = 1300 * time.Millisecond
 	// weakAfter is how long renewals may fail before the lead lets others take
-	// over that reach the store.
-	weakAfter = 1100 * time.Millisecond
+	// over that reach the store. It is above a renewal by a store that takes fifty
+	// times as long as usual, and below relayAge.
+	weakAfter = 1700 * time.Millisecond
 	// beatEvery is how often hosts tell the lead that they are there, which it
 	// answers.
 	beatEvery = 300 * time.Millisecond
--- a/lead/relay.go
+++ b/lead/relay.go
@@ -19,6 +19,12 @@
 	// packed is the compressed configuration of the given version.
 	packed  []byte
 	version int64
+	// upstreams are the compressed upstreams of the view with the given checksum.
+	upstreams []byte
+	sum       uint64
+	// passes is how many hosts may be told all, as of passedAt.
+	passes   float64
+	passedAt time.Time
 }
 
 // packedConfig returns the configuration as it is passed on, nil before there
@@ -33,7 +39,7 @@
 			b.log.Error("configuration not passed on", "error", err)
 			return nil
 		}
-		b.relay = relayState{packed: packed, version: b.view.Config.Version}
+		b.relay.packed, b.relay.version = packed, b.view.Config.Version
 	}
 	return b.relay.packed
 }
@@ -68,7 +74,7 @@
 		m.passed, m.missed = true, 0
 	case m.passed && m.missed < missedBeats:
 		m.missed++
-	default:
+	case b.mayPass(now):
 		m.passed, m.missed = true, 0
 		b.passAll(host)
 	}
@@ -78,15 +84,45 @@
 // else before it is told all again.
 const missedBeats = 2
 
+// mayPass keeps the lead from telling many hosts all at once. The others read the
+// store, and ask again with their next beats.
+func (b *Broker) mayPass(now time.Time) bool {
+	r := &b.relay
+	r.passes = min(r.passes+now.Sub(r.passedAt).Seconds()*passRate, passRate*beatEvery.Seconds())
+	r.passedAt = now
+	if r.passes < 1 {
+		return false
+	}
+	r.passes--
+	return true
+}
+
+// passRate is how many hosts are told all in a second. At the size to design for a
+// list of upstreams is some 50 KB compressed, so that this is 2.5 MB a second, a
+// tenth of a strong host's link.
+const passRate = 50
+
 // passAll tells a host all that the platform's tables say.
 func (b *Broker) passAll(host string) {
 	b.sendTo(host, &wire.ConfigPush{Config: b.packedConfig(), Versions: versionList(b.view.Versions, nil)})
-	push := &wire.UpstreamPush{Whole: true}
-	for _, u := range b.view.Upstreams {
-		push.Upstreams = append(push.Upstreams, wireUpstream(u))
+	b.sendTo(host, &wire.UpstreamPush{Whole: true, Packed: b.packedUpstreams()})
+}
+
+// packedUpstreams returns the upstreams as they are passed on.
+func (b *Broker) packedUpstreams() []byte {
+	if b.relay.upstreams == nil || b.relay.sum != b.view.Sum {
+		var list []wire.Upstream
+		for _, u := range b.view.Upstreams {
+			list = append(list, wireUpstream(u))
+		}
+		sortUpstreams(list)
+		packed, err := wire.PackUpstreams(list)
+		if err != nil {
+			b.log.Error("upstreams not passed on", "error", err)
+		}
+		b.relay.upstreams, b.relay.sum = packed, b.view.Sum
 	}
-	sortUpstreams(push.Upstreams)
-	b.sendTo(host, push)
+	return b.relay.upstreams
 }
 
 // passOn tells every host what has changed since the view before. That engines
@@ -181,10 +217,29 @@
 		}
 		b.options.Source.TakeConfig(m.Config, versions)
 	case *wire.UpstreamPush:
-		var listed []*catalog.Upstream
-		for i := range m.Upstreams {
-			listed = append(listed, listedUpstream(&m.Upstreams[i]))
+		b.takeUpstreams(m)
+	}
+}
+
+// takeUpstreams takes upstreams. From all of them on, this host goes by what the
+// lead passes on, or it would be ahead of the lead again at once.
+func (b *Broker) takeUpstreams(m *wire.UpstreamPush) {
+	list := m.Upstreams
+	if m.Whole {
+		var err error
+		if list, err = wire.UnpackUpstreams(m.Packed); err != nil {
+			b.log.Error("upstreams passed on cannot be read", "error", err)
+			return
 		}
-		b.options.Source.TakeUpstreams(m.Whole, listed, m.Gone)
+		b.mu.Lock()
+		b.inStep, b.unlike = true, 0
+		weak := b.lead.weak
+		b.mu.Unlock()
+		b.options.Source.Relayed(!weak)
+	}
+	var listed []*catalog.Upstream
+	for i := range list {
+		listed = append(listed, listedUpstream(&list[i]))
 	}
+	b.options.Source.TakeUpstreams(m.Whole, listed, m.Gone)
 }
--- a/lead/scale_test.go
+++ b/lead/scale_test.go
@@ -105,3 +105,31 @@
 	defer f.sentMu.Unlock()
 	return f.sent[fmt.Sprintf("%T", &wire.UpstreamPush{})]
 }
+
+// Pattern: many hosts know something else at once, as after a partition. They are
+// told all one after another, so that the lead's link carries it.
+func TestManyHostsAreToldAllOneAfterAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := grownFleet(t, 60)
+		for i := range 60 {
+			f.add(fmt.Sprintf("host-%03d", i), 0.4)
+		}
+		time.Sleep(3 * time.Second)
+		lead := f.hosts[f.leads()[0]].broker
+		next := *f.view
+		next.Sum = 7
+		lead.SeeView(&next)
+		lead.mu.Lock()
+		one := size(t, &wire.UpstreamPush{Whole: true, Packed: lead.packedUpstreams()})
+		lead.mu.Unlock()
+		f.taken()
+		for range 8 {
+			before := f.pushes()
+			time.Sleep(beatEvery)
+			require.LessOrEqual(t, float64(f.pushes()-before)/one, 2*passRate*beatEvery.Seconds()+0.5)
+		}
+		time.Sleep(passTime)
+		require.Greater(t, float64(f.pushes())/one, 59.0, "all are told")
+		f.end()
+	})
+}
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -199,6 +199,8 @@
 	Whole     bool       `cbor:"1,keyasint,omitempty"`
 	Upstreams []Upstream `cbor:"2,keyasint,omitempty"`
 	Gone      []string   `cbor:"3,keyasint,omitempty"`
+	// Packed holds Upstreams compressed, in their place, where Whole is set.
+	Packed []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // Upstream is an upstream with the models, but not the adapters, that it holds.
