--- a/lead/relay.go
+++ b/lead/relay.go
@@ -16,12 +16,12 @@
 
 // relayState is what the lead keeps to pass on.
 type relayState struct {
-	// packed is the compressed configuration of the given version.
-	packed  []byte
-	version int64
+	// config is the compressed configuration of the given version.
+	config        []byte
+	configVersion int64
 	// upstreams are the compressed upstreams of the view with the given checksum.
-	upstreams []byte
-	sum       uint64
+	upstreams    []byte
+	upstreamsSum uint64
 	// passes is how many hosts may be told all, as of passedAt.
 	passes   float64
 	passedAt time.Time
@@ -33,15 +33,15 @@
 	if b.view.Config == nil || b.view.RawConfig.Key == "" {
 		return nil
 	}
-	if b.relay.packed == nil || b.relay.version != b.view.Config.Version {
+	if b.relay.config == nil || b.relay.configVersion != b.view.Config.Version {
 		packed, err := watch.PackConfig(b.view.RawConfig)
 		if err != nil {
 			b.log.Error("configuration not passed on", "error", err)
 			return nil
 		}
-		b.relay.packed, b.relay.version = packed, b.view.Config.Version
+		b.relay.config, b.relay.configVersion = packed, b.view.Config.Version
 	}
-	return b.relay.packed
+	return b.relay.config
 }
 
 // passTime is how long a change may be on its way to a host and back in a beat.
@@ -110,7 +110,7 @@
 
 // packedUpstreams returns the upstreams as they are passed on.
 func (b *Broker) packedUpstreams() []byte {
-	if b.relay.upstreams == nil || b.relay.sum != b.view.Sum {
+	if b.relay.upstreams == nil || b.relay.upstreamsSum != b.view.Sum {
 		var list []wire.Upstream
 		for _, u := range b.view.Upstreams {
 			list = append(list, wireUpstream(u))
@@ -120,7 +120,7 @@
 		if err != nil {
 			b.log.Error("upstreams not passed on", "error", err)
 		}
-		b.relay.upstreams, b.relay.sum = packed, b.view.Sum
+		b.relay.upstreams, b.relay.upstreamsSum = packed, b.view.Sum
 	}
 	return b.relay.upstreams
 }
