--- a/watch/relay.go
+++ b/watch/relay.go
@@ -1,8 +1,6 @@
 package watch
 
 import (
-	"bytes"
-	"compress/flate"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -10,6 +8,7 @@
 
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/store"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 // maxConfigBytes bounds a configuration that another host passes on.
@@ -67,20 +66,12 @@
 
 // PackConfig compresses a configuration's row, to be passed on.
 func PackConfig(row store.Row) ([]byte, error) {
-	var b bytes.Buffer
-	out, err := flate.NewWriter(&b, flate.BestSpeed)
+	value, err := wire.Compress(row.Value)
 	if err != nil {
 		return nil, err
 	}
-	b.WriteByte(byte(len(row.Key)))
-	b.WriteString(row.Key)
-	if _, err := out.Write(row.Value); err != nil {
-		return nil, err
-	}
-	if err := out.Close(); err != nil {
-		return nil, err
-	}
-	return b.Bytes(), nil
+	packed := append([]byte{byte(len(row.Key))}, row.Key...)
+	return append(packed, value...), nil
 }
 
 func unpackConfig(packed []byte) (store.Row, error) {
@@ -88,7 +79,7 @@
 		return store.Row{}, io.ErrUnexpectedEOF
 	}
 	key := string(packed[1 : 1+int(packed[0])])
-	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed[1+len(key):])), maxConfigBytes))
+	value, err := wire.Decompress(packed[1+len(key):], maxConfigBytes)
 	return store.Row{Key: key, Value: value}, err
 }
 
--- a/wire/pack.go
+++ b/wire/pack.go
@@ -18,6 +18,22 @@
 	if err != nil {
 		return nil, err
 	}
+	return Compress(raw)
+}
+
+// UnpackUpstreams returns the list that PackUpstreams has compressed.
+func UnpackUpstreams(packed []byte) ([]Upstream, error) {
+	raw, err := Decompress(packed, maxPackedBytes)
+	if err != nil {
+		return nil, err
+	}
+	var list []Upstream
+	err = cbor.Unmarshal(raw, &list)
+	return list, err
+}
+
+// Compress compresses bytes for a message.
+func Compress(raw []byte) ([]byte, error) {
 	var b bytes.Buffer
 	out, err := flate.NewWriter(&b, flate.BestSpeed)
 	if err != nil {
@@ -32,13 +48,7 @@
 	return b.Bytes(), nil
 }
 
-// UnpackUpstreams returns the list that PackUpstreams has compressed.
-func UnpackUpstreams(packed []byte) ([]Upstream, error) {
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPackedBytes))
-	if err != nil {
-		return nil, err
-	}
-	var list []Upstream
-	err = cbor.Unmarshal(raw, &list)
-	return list, err
+// Decompress returns what Compress was given, up to a limit in bytes.
+func Decompress(packed []byte, limit int64) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), limit))
 }
