Lead: without fencing tokens, orders end with the lease by the machine's clock

Cause: a lead that stood still for 7 s went on giving orders from the moment it woke until it had read the lease, 0.5 s later: the lease's age was looked at only where a renewal had failed, and counted from the answer of the last one. Ruled out: late orders on the way (each one left after the host woke). Change: every event of the lead and every order asks how long ago the call was sent that renewed the lease, by CLOCK_BOOTTIME; renewals and claims whose answer comes too late do not count. The holder stops before it gives the lease back, yields by giving it back, and leaves a pause before it takes another turn. The store's clock is reckoned from when calls were sent, so that a lease never looks older to others than it is.

--- a/host/host.go
+++ b/host/host.go
@@ -103,6 +103,7 @@
 	h.broker = lead.New(lead.Options{
 		Log: h.log.Named("lead"), Host: s.Host, Zone: s.Zone, Callers: s.Listen.Callers, PeerURL: "http://" + s.Listen.Peers,
 		Tables: tables, Source: h.watcher, Cores: s.Cores, Fenced: s.Fleet.Fenced, Random: newRandom(),
+		HolderPause: time.Duration(s.Fleet.HolderPause), Clock: sinceBoot,
 		Engines: &countedEngines{Engines: platform.NewEngines(h.pool), orders: h.metrics.orders},
 		Limits: assign.Limits{
 			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack,
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -57,6 +57,12 @@
 	Limits  assign.Limits
 	// Fenced says that engines refuse orders with an older fencing token.
 	Fenced bool
+	// HolderPause is how long a host that gave engines orders leaves them to others
+	// once another host has led.
+	HolderPause time.Duration
+	// Clock returns the time since some moment in the past. It goes on while the
+	// machine is suspended, which time.Time need not.
+	Clock  func() time.Duration
 	Random *rand.Rand
 }
 
@@ -152,6 +158,11 @@
 	yields bool
 	// ledSince is when this host became the lead.
 	ledSince time.Time
+	// heldFrom is when the call was sent that renewed or claimed the lease of this
+	// host last, by its Clock.
+	heldFrom time.Duration
+	// ledUntil is when this host last stopped leading, by its Clock; 0 for never.
+	ledUntil time.Duration
 	// lost says that this host has followed a lead and has lost it.
 	lost bool
 	// everHeard says that there has been a lead since this host's start.
--- a/lead/election.go
+++ b/lead/election.go
@@ -30,8 +30,7 @@
 	// beatEvery is how often hosts tell the lead that they are there, which it
 	// answers.
 	beatEvery = 300 * time.Millisecond
-	// clockMargin is how far the holder's reckoning of the store's clock may be
-	// behind: the way of an answer that took its time.
+	// clockMargin is what is added where a lease is judged by the store's clock.
 	clockMargin = 300 * time.Millisecond
 	// lookEvery is how often a host without a lead reads the lease.
 	lookEvery = 250 * time.Millisecond
@@ -88,15 +87,15 @@
 func (b *Broker) turn(ctx context.Context) time.Duration {
 	b.mu.Lock()
 	leading, hasLead, draining := b.leading != nil, b.lead.host != "", b.draining
-	weak := b.lead.weak || (b.lead.yields && b.strong())
+	weak, yields := b.lead.weak || (b.lead.yields && b.strong()), b.lead.yields
 	b.mu.Unlock()
 	switch {
-	case leading && draining:
+	case leading && (draining || (yields && !b.options.Fenced)):
 		return b.release(ctx)
 	case leading:
 		return b.renew(ctx)
 	case hasLead:
-		if weak && !draining && b.claiming.CompareAndSwap(false, true) {
+		if weak && !draining && b.options.Fenced && b.claiming.CompareAndSwap(false, true) {
 			// Beats go on meanwhile, or the lead would take this host to be gone.
 			b.claims.Go(func() {
 				defer b.claiming.Store(false)
@@ -177,7 +176,7 @@
 			*seen = row
 		} else {
 			seen.url, seen.secret, seen.released = row.url, row.secret, seen.released || row.released
-			seen.usage, seen.readAt, seen.clock, seen.renewed = row.usage, row.readAt, row.clock, row.renewed
+			seen.usage, seen.sentAt, seen.clock, seen.renewed = row.usage, row.sentAt, row.clock, row.renewed
 			seen.strongest = row.strongest
 		}
 		if b.claimedUnheard(seen) {
@@ -185,6 +184,7 @@
 			return
 		}
 		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || seen.lapsed(now, b.lead.lost)
+		claim = claim && !b.tookTurn(seen)
 		if !claim {
 			b.sendTo(seen.host, b.hostBeat())
 		}
@@ -254,6 +254,7 @@
 func (b *Broker) readLease(ctx context.Context) (leaseView, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := b.options.Clock()
 	row, stamp, err := b.options.Tables.GetStamped(ctx, leaseTable, leaseKey)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
@@ -269,7 +270,7 @@
 	}
 	return leaseView{
 		host: l.Host, url: l.URL, secret: l.Secret, version: row.Version, released: l.Released,
-		usage: l.Usage, readAt: time.Now(), clock: stamp.Clock, renewed: milliseconds(l.RenewedMS), strongest: l.Strongest,
+		usage: l.Usage, sentAt: sentAt, clock: stamp.Clock, renewed: milliseconds(l.RenewedMS), strongest: l.Strongest,
 		claim: l.Claim,
 	}, nil
 }
@@ -288,24 +289,30 @@
 		secret = rand.Text()
 	}
 	l := lease{Host: b.options.Host, URL: b.options.PeerURL, Secret: secret, Strongest: seen.strongest, Claim: b.newClaim(&seen)}
-	if !seen.readAt.IsZero() {
-		l.Usage, l.RenewedMS = seen.usage, seen.storeClock(time.Now()).Milliseconds()
+	sentAt := b.options.Clock()
+	if seen.clock > 0 {
+		l.Usage, l.RenewedMS = seen.usage, seen.storeClock(sentAt).Milliseconds()
 	}
 	stamp, err := b.writeLease(ctx, l, seen.version)
 	version := stamp.Version
 	b.step(func(now time.Time) {
-		if err != nil {
+		switch {
+		case err != nil:
 			b.log.Debug("lease not claimed", "error", err)
 			return
+		case b.heldTooLong(sentAt):
+			b.log.Warn("lease claimed too long ago to lead by it", "fence", version)
+			return
 		}
 		if b.lead.host != "" {
 			b.sendLead(&wire.Successor{Host: l.Host, URL: l.URL, Fence: version})
 			b.loseLead(now, "replaced by this host")
 		}
 		b.lead.row = leaseView{
-			host: l.Host, url: l.URL, secret: secret, version: version, since: now, readAt: now, clock: stamp.Clock, strongest: seen.strongest,
+			host: l.Host, url: l.URL, secret: secret, version: version, since: now, sentAt: sentAt, clock: stamp.Clock, strongest: seen.strongest,
 			claim: l.Claim,
 		}
+		b.lead.heldFrom = sentAt
 		b.startLeading(now, version, &seen)
 	})
 	return errors.Is(err, store.ErrConflict)
@@ -349,6 +356,7 @@
 	row, fence := b.lead.row, b.lead.fence
 	usage, strongest := b.recordUsage(time.Now()), b.strongest()
 	b.mu.Unlock()
+	sentAt := b.options.Clock()
 	stamp, err := b.writeLease(ctx, lease{
 		Host: row.host, URL: row.url, Secret: row.secret, Usage: usage, RenewedMS: usage.ClockMS,
 		Strongest: strongest, Claim: row.claim,
@@ -368,12 +376,13 @@
 				b.log.Info("lease renewed again", "fence", fence)
 			}
 			b.lead.row.version, b.lead.row.since, b.lead.weak = stamp.Version, now, false
-			b.lead.row.clock, b.lead.row.readAt = stamp.Clock, now
-			return
+			b.lead.row.clock, b.lead.row.sentAt, b.lead.heldFrom = stamp.Clock, sentAt, sentAt
+		} else {
+			b.noteWeak(now, err.Error())
 		}
-		b.renewalFailed(now, err)
+		b.endExpired(now)
 	})
-	return renewEvery
+	return max(renewEvery-(b.options.Clock()-sentAt), 0)
 }
 
 // yieldAfter is how long a lead leads before it lets a stronger host take over,
@@ -390,23 +399,6 @@
 	}
 }
 
-// expired reports whether engines that check no fencing tokens must be left
-// alone, before the lease can have been taken over.
-func (b *Broker) expired(now time.Time) bool {
-	return !b.options.Fenced && now.Sub(b.lead.row.since) > leaseTTL-renewEvery
-}
-
-// renewalFailed goes on leading while engines would refuse the orders of a lead
-// that was replaced, and lets others take over.
-func (b *Broker) renewalFailed(now time.Time, err error) {
-	switch {
-	case b.expired(now):
-		b.stopLeading(now, "the lease could not be renewed")
-	default:
-		b.noteWeak(now, err.Error())
-	}
-}
-
 // noteWeak tells hosts when this lead has not renewed its lease for a while, for
 // which a renewal under way is not waited.
 func (b *Broker) noteWeak(now time.Time, why string) {
@@ -431,6 +423,7 @@
 			b.stopLeading(now, "shutting down")
 		case own:
 			b.lead.row.version, b.lead.row.since = row.version, now
+			b.endExpired(now)
 			return
 		default:
 			b.stopLeading(now, "another host holds the lease")
@@ -448,7 +441,11 @@
 	row, fence := b.lead.row, b.lead.fence
 	usage := b.recordUsage(time.Now())
 	b.mu.Unlock()
-	l := lease{Host: row.host, URL: row.url, Secret: row.secret, Released: true, Usage: usage}
+	if !b.options.Fenced {
+		// Another host may lead before the answer is here.
+		b.step(func(now time.Time) { b.stopLeading(now, "the lease is given back") })
+	}
+	l := lease{Host: row.host, URL: row.url, Secret: row.secret, Released: true, Usage: usage, Strongest: row.strongest}
 	_, err := b.writeLease(ctx, l, row.version)
 	if errors.Is(err, store.ErrConflict) {
 		return b.conflict(ctx, fence)
@@ -456,22 +453,22 @@
 	b.step(func(now time.Time) {
 		switch {
 		case b.leading == nil:
+			if err != nil {
+				b.log.Warn("lease not given back; it lapses", "error", err)
+			}
 		case err == nil:
 			b.stopLeading(now, "shutting down")
 		default:
 			b.dropSilent(now)
-			b.releaseFailed(now, err)
+			b.releaseFailed(err)
 		}
 	})
 	return lookEvery
 }
 
 // releaseFailed lets others take over at once, since this host is about to end.
-func (b *Broker) releaseFailed(now time.Time, err error) {
-	switch {
-	case b.expired(now):
-		b.stopLeading(now, "the lease could not be given back")
-	case !b.lead.weak:
+func (b *Broker) releaseFailed(err error) {
+	if !b.lead.weak {
 		b.lead.weak = true
 		b.log.Warn("lease not given back; this host goes on leading", "error", err)
 		b.rosterChanged()
--- a/lead/fleet_test.go
+++ b/lead/fleet_test.go
@@ -39,7 +39,10 @@
 	slowMu sync.Mutex
 	slow   bool
 	orders []assign.Order
-	fences []int64
+	// unfenced says that engines check no fencing tokens.
+	unfenced bool
+	// engine takes the orders in place of the fleet itself, where there is one.
+	engine Engines
 	view   *watch.View
 	// sentMu guards sent, which counts the bytes of messages by their type. It is
 	// taken with a broker's lock held, which mu is taken before.
@@ -57,6 +60,63 @@
 	cut bool
 	// links holds the hosts that this one has an open link to.
 	links map[string]bool
+	// clockMu guards what follows. It is taken after all other locks.
+	clockMu sync.Mutex
+	// standing is since when the host stands still, zero where it does not.
+	standing time.Time
+	// thawedAt is when it went on.
+	thawedAt time.Time
+	// blind has its clock leave out the time for which it stood still.
+	blind bool
+	stood time.Duration
+}
+
+const holderPause = 3 * time.Second
+
+// clock is the host's clock, which does not move on while it stands still. What
+// it missed shows once it goes on.
+func (h *testHost) clock() time.Duration {
+	h.clockMu.Lock()
+	defer h.clockMu.Unlock()
+	now := time.Since(h.fleet.start)
+	if !h.standing.IsZero() {
+		now = h.standing.Sub(h.fleet.start)
+	}
+	if h.blind {
+		now -= h.stood
+	}
+	return now
+}
+
+// freeze has the host stand still as others see it: no message, call or order
+// reaches it or leaves it.
+func (h *testHost) freeze() {
+	h.fleet.mu.Lock()
+	h.cut = true
+	h.fleet.mu.Unlock()
+	h.fleet.storeCut.set(h.name, true)
+	h.clockMu.Lock()
+	defer h.clockMu.Unlock()
+	h.standing = time.Now()
+}
+
+func (h *testHost) thaw() {
+	h.clockMu.Lock()
+	h.thawedAt = time.Now()
+	h.stood += time.Since(h.standing)
+	h.standing = time.Time{}
+	h.clockMu.Unlock()
+	h.fleet.storeCut.set(h.name, false)
+	h.fleet.mu.Lock()
+	h.cut = false
+	h.fleet.mu.Unlock()
+}
+
+// stands reports whether the host stands still, or went on only just now.
+func (h *testHost) stands(slack time.Duration) (still, justThawed bool) {
+	h.clockMu.Lock()
+	defer h.clockMu.Unlock()
+	return !h.standing.IsZero(), !h.thawedAt.IsZero() && time.Since(h.thawedAt) < slack
 }
 
 const adapterName = "a"
@@ -83,9 +143,13 @@
 // add starts a host.
 func (f *fleet) add(name string, cores float64) *testHost {
 	h := &testHost{fleet: f, name: name, links: map[string]bool{}}
+	engines := f.engine
+	if engines == nil {
+		engines = f
+	}
 	h.broker = New(Options{
-		Log: hclog.NewNullLogger(), Host: name, Zone: "z", Callers: name, PeerURL: name, Tables: h, Engines: f, Source: h,
-		Cores: cores, Fenced: true, Random: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[len(name)-1]))),
+		Log: hclog.NewNullLogger(), Host: name, Zone: "z", Callers: name, PeerURL: name, Tables: h, Engines: engines, Source: h,
+		Cores: cores, Fenced: !f.unfenced, HolderPause: holderPause, Clock: h.clock, Random: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[len(name)-1]))),
 		Limits: assign.Limits{RetryRatio: 0.2, RetrySlack: 50, RateWindow: 8 * time.Second},
 	})
 	h.broker.Attach(h)
@@ -266,7 +330,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, o)
-	f.fences = append(f.fences, o.Fence)
 	if len(f.orders)%2 == 1 {
 		return assign.OrderAccepted
 	}
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -36,8 +36,8 @@
 
 // handleLeading brings an event to the fleet's Assigner.
 func (b *Broker) handleLeading(now time.Time, ev assign.Event) {
-	if b.leading == nil {
-		return // an event before has ended it
+	if b.leading == nil || b.endExpired(now) {
+		return // an event before has ended it, or time has
 	}
 	for _, d := range b.leading.Handle(now, ev) {
 		switch d := d.(type) {
@@ -74,6 +74,10 @@
 
 // order gives an order to an engine.
 func (b *Broker) order(o assign.Order) {
+	if !b.mayOrder(o.Fence) {
+		b.log.Info("order not sent", "upstream", o.Upstream.ID, "fence", o.Fence, "reason", "the lease is no longer held")
+		return
+	}
 	ctx, cancel := context.WithTimeout(b.ctx, orderTimeout)
 	defer cancel()
 	result := b.options.Engines.Order(ctx, o, b.options.Host)
@@ -252,6 +256,7 @@
 	}
 	b.log.Info("this host no longer leads", "fence", b.lead.fence, "reason", why)
 	members := b.members
+	b.lead.ledUntil = b.options.Clock()
 	b.leading, b.members = nil, map[string]*member{}
 	beat := &wire.LeadBeat{Fence: b.lead.fence, Released: true}
 	for host := range members {
--- a/lead/lease.go
+++ b/lead/lease.go
@@ -33,10 +33,10 @@
 	since time.Time
 	// usage is what the last lead recorded.
 	usage usageRecord
-	// readAt and clock are when the row was read or written, by this host's clock
-	// and by the store's.
-	readAt time.Time
+	// clock is the store's clock as it answered the last call about the row, which
+	// this host sent when its own clock said sentAt. 0 says that there was none.
 	clock  time.Duration
+	sentAt time.Duration
 	// renewed is the store's clock at the last renewal, 0 where it is not known.
 	renewed time.Duration
 	// strongest is the most processor time of a host, in cores.
@@ -56,5 +56,7 @@
 	return now.Sub(v.since) >= leaseTTL
 }
 
-// storeClock reckons the store's clock from when the row was read or written.
-func (v *leaseView) storeClock(now time.Time) time.Duration { return v.clock + now.Sub(v.readAt) }
+// storeClock returns the store's clock when this host's own says now, or somewhat
+// more: the store read its clock after sentAt. It must not be less, or a lease
+// would look older to others than it is.
+func (v *leaseView) storeClock(now time.Duration) time.Duration { return v.clock + now - v.sentAt }
--- a/lead/usage.go
+++ b/lead/usage.go
@@ -27,7 +27,7 @@
 // recordUsage returns what organisations have used, to be kept with the lease.
 // It is called with the lock held.
 func (b *Broker) recordUsage(now time.Time) usageRecord {
-	r := usageRecord{ClockMS: b.lead.row.storeClock(now).Milliseconds()}
+	r := usageRecord{ClockMS: b.lead.row.storeClock(b.options.Clock()).Milliseconds()}
 	if b.leading == nil {
 		return r
 	}
@@ -41,10 +41,10 @@
 // not known: each organisation is taken to have gone on at its rate until the
 // record would have been renewed.
 func (b *Broker) recallUsage(now time.Time, row *leaseView) {
-	if row.readAt.IsZero() || row.usage.ClockMS == 0 {
+	if row.clock == 0 || row.usage.ClockMS == 0 {
 		return
 	}
-	age := row.clock - milliseconds(row.usage.ClockMS) + now.Sub(row.readAt)
+	age := row.storeClock(b.options.Clock()) - milliseconds(row.usage.ClockMS)
 	recordedAt := now.Add(-age)
 	seen := map[string]bool{}
 	for _, u := range row.usage.Used {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -53,6 +53,9 @@
 	RateSlackTokens float64  `json:"rate_slack_tokens"`
 	// Fenced says that engines refuse orders with an older fencing token.
 	Fenced bool `json:"fenced,omitempty"`
+	// HolderPause is how long engines must have had no order of a host before
+	// another one's orders in between count as settled.
+	HolderPause Duration `json:"holder_pause"`
 	// AnswerLife is the longest time for which callers keep an answer of the
 	// directory.
 	AnswerLife Duration `json:"answer_life"`
@@ -103,6 +106,7 @@
 	c.check(s.Fleet.RetryRatio >= 0 && s.Fleet.RetrySlack >= 0, "fleet.retry_ratio", "want 0 or more")
 	c.check(s.Fleet.RateWindow > 0, "fleet.rate_window", "want a duration above 0")
 	c.check(s.Grace >= leastGrace, "grace", "want %s or more", leastGrace)
+	c.check(s.Fleet.HolderPause >= 0, "fleet.holder_pause", "want a duration of 0 or more")
 	c.check(s.Fleet.AnswerLife > 0, "fleet.answer_life", "want a duration above 0")
 	c.check(slices.Contains(logLevels, s.Log.Level), "log.level", "want one of %v, not %q", logLevels, s.Log.Level)
 	return c.problems
