Forward: what an upstream sends besides its answer is bounded

Cause: heads, interim answers and answers to other requests were read without a bound: a head without end took 422 MB in 1.5 s from a host of 184 MB. Up to 16 MB of a body were held for each answer. Change: 64 KB for a head with its interim answers, 1 MB for another request's answer, 256 KB for an event with the blank lines before it; an answer over 256 KB is passed on as it comes, at most 64 MB. An attempt that is given up resets its connection, so that bytes held up by a cut link do not arrive later.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -17,8 +17,17 @@
 	"github.com/jasminelock/jasminelock/sse"
 )
 
-// maxAnswerBytes bounds an answer that is read whole before it is passed on.
-const maxAnswerBytes = 16 << 20
+// Bounds of an answer that is no stream.
+const (
+	// heldBytes is the longest answer that is read whole before it is passed on. A
+	// longer one is passed on as it comes.
+	heldBytes = 256 << 10
+	// maxAnswerBytes bounds what is passed on.
+	maxAnswerBytes = 64 << 20
+)
+
+// errAnswerTooLong says that an answer is over the bound.
+var errAnswerTooLong = errors.New("entry: the answer is too long")
 
 // pass passes an upstream's answer on and returns how the attempt ended.
 func (x *exchange) pass(a *forward.Answer, info AnswerInfo) assign.Outcome {
@@ -33,10 +42,10 @@
 }
 
 // passWhole reads an answer to its end before it is passed on, so that one that
-// breaks off can still be replaced.
+// breaks off can still be replaced, unless it is long.
 func (x *exchange) passWhole(a *forward.Answer, info AnswerInfo) assign.Outcome {
-	body, err := io.ReadAll(io.LimitReader(a, maxAnswerBytes))
-	if err != nil || len(body) == maxAnswerBytes {
+	body, err := io.ReadAll(io.LimitReader(a, heldBytes))
+	if err != nil {
 		return x.broken(err)
 	}
 	if info.Outcome == assign.Failed {
@@ -50,10 +59,32 @@
 		return assign.CallerLeft
 	}
 	x.firstToken = time.Since(x.arrived)
+	if len(body) == heldBytes {
+		return x.passRest(a)
+	}
 	// A failure that the upstream vouches for is the caller's answer.
 	return assign.Completed
 }
 
+// passRest passes on what comes after the part of an answer that was held.
+func (x *exchange) passRest(a *forward.Answer) assign.Outcome {
+	buf := make([]byte, 32<<10)
+	for passed := 0; passed < maxAnswerBytes; {
+		n, err := a.Read(buf)
+		passed += n
+		if _, writeErr := x.w.Write(buf[:n]); writeErr != nil {
+			return assign.CallerLeft
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return assign.Completed
+		case err != nil:
+			return x.broken(err)
+		}
+	}
+	return x.broken(errAnswerTooLong)
+}
+
 // mayTryAnother reports whether a failure may be followed by another attempt.
 func (x *exchange) mayTryAnother() bool {
 	return x.route.Repeatable() && x.ran < x.route.MaxAttempts && x.ctx.Err() == nil
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -1,8 +1,8 @@
 package forward
 
 import (
-	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +16,19 @@
 // read the body and not read on.
 const inlineBody = 16 << 10
 
+// Bounds of what an upstream may send that is not the body of the answer. What is
+// beyond is no answer, and ends its connection.
+const (
+	// maxHeadBytes bounds the head of an answer together with the interim answers
+	// before it.
+	maxHeadBytes = 64 << 10
+	// maxForeignBytes bounds the body of an answer to an earlier request.
+	maxForeignBytes = 1 << 20
+)
+
+// errTooLong says that an upstream sent more than it may.
+var errTooLong = errors.New("forward: more bytes than allowed")
+
 // exchange writes a request and reads the header of its answer.
 func (c *conn) exchange(r *Request, o Options) (*Answer, error) {
 	if err := c.write(r); err != nil {
@@ -33,8 +46,11 @@
 		if passed >= o.Interim {
 			return nil, fmt.Errorf("%w: the answer belongs to another request", ErrMalformed)
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		switch n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBytes)); {
+		case err != nil:
 			return nil, broken(err)
+		case n == maxForeignBytes:
+			return nil, fmt.Errorf("%w: an answer to another request: %w", ErrMalformed, errTooLong)
 		}
 	}
 }
@@ -108,6 +124,8 @@
 
 // readHeader reads the header of the next final answer.
 func (c *conn) readHeader(method string) (*http.Response, error) {
+	c.in.allow(maxHeadBytes)
+	defer c.in.allowAll()
 	for {
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, broken(err)
@@ -152,7 +170,29 @@
 	}
 }
 
-// newReaderSize is the buffer of a connection; an event of a stream is smaller.
+// readerSize is the buffer of a connection; an event of a stream is smaller.
 const readerSize = 4 << 10
 
-func newReader(r io.Reader) *bufio.Reader { return bufio.NewReaderSize(r, readerSize) }
+// meter is a reader that gives no more bytes than were allowed.
+type meter struct {
+	in      io.Reader
+	bounded bool
+	left    int
+}
+
+func (m *meter) allow(n int) { m.bounded, m.left = true, n }
+
+func (m *meter) allowAll() { m.bounded = false }
+
+// Read implements io.Reader.
+func (m *meter) Read(b []byte) (int, error) {
+	if !m.bounded {
+		return m.in.Read(b)
+	}
+	if m.left == 0 {
+		return 0, errTooLong
+	}
+	n, err := m.in.Read(b[:min(len(b), m.left)])
+	m.left -= n
+	return n, err
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -128,7 +128,9 @@
 	net.Conn
 	key     string
 	address string
-	reader  *bufio.Reader
+	// in is what reader reads from.
+	in     *meter
+	reader *bufio.Reader
 	// idleSince is when the connection was put back, idleUntil when it must no
 	// longer be used.
 	idleSince time.Time
@@ -138,8 +140,18 @@
 	written chan error
 }
 
-// abort ends whatever reads or writes. The connection is closed by its user.
+// newConn returns an open connection to an upstream.
+func newConn(raw net.Conn, key, address string, maxIdle time.Duration) *conn {
+	in := &meter{in: raw}
+	return &conn{Conn: raw, key: key, address: address, in: in, reader: bufio.NewReaderSize(in, readerSize), maxIdle: maxIdle}
+}
+
+// abort ends whatever reads or writes. The connection is closed by its user. What
+// has not reached the upstream is dropped, so that it does not arrive late.
 func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a connection that is closed sends nothing any more
+	}
 	_ = c.SetDeadline(time.Unix(1, 0)) // a closed connection has no deadline to set
 }
 
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, key: key, address: address, reader: newReader(raw), maxIdle: p.options.MaxIdle}, nil
+	return newConn(raw, key, address, p.options.MaxIdle), nil
 }
 
 // pop removes the connection that was used last.
--- a/sse/sse.go
+++ b/sse/sse.go
@@ -12,8 +12,8 @@
 const (
 	// bufferBytes is the buffer of a stream; usual events are smaller.
 	bufferBytes = 4 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event with the blank lines before it.
+	maxEventBytes = 256 << 10
 )
 
 // ErrTooLarge says that an event is over the bound.
@@ -35,12 +35,12 @@
 // ends inside one gives io.ErrUnexpectedEOF.
 func (r *Reader) Next() ([]byte, error) {
 	r.buf = r.buf[:0]
-	lineStart := 0
+	lineStart, skipped := 0, 0
 	for {
 		part, err := r.in.ReadSlice('\n')
 		r.buf = append(r.buf, part...)
 		switch {
-		case len(r.buf) > maxEventBytes:
+		case len(r.buf)+skipped > maxEventBytes:
 			return nil, ErrTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
@@ -55,6 +55,7 @@
 		}
 		lineStart = len(r.buf)
 		if blank {
+			skipped += len(r.buf)
 			r.buf, lineStart = r.buf[:0], 0 // a blank line before an event
 		}
 	}
