Upstreams that say that they leave, or want to be left alone, are heeded at once

Cause: new on the wire are Server-Leaving on answers and Retry-After on a 503, which were passed over. Change: the codec decodes both into typed fields. A host remembers what upstreams told it, for one start of each, and checks it before every send, whoever decides and whether the store answers or not. The lead and the other hosts are told of leaving; a pause holds for the host that was turned away alone, so that one upstream takes no work from others. Where no upstream may be asked, callers are refused at once and told when one may.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -128,6 +128,8 @@
 		a.start(now, e.ID)
 	case Ended:
 		a.end(now, e)
+	case UpstreamLeaving:
+		a.noteLeaving(now, e)
 	case HostLost:
 		a.loseHost(now, e.Host)
 	case HostsTold:
@@ -162,7 +164,7 @@
 		a.refuse(e, apierr.NoUpstream, 0, "crashes_upstreams")
 		return
 	case r.retry() && !s.retries.take(a.options):
-		a.refuse(e, apierr.QueueFull, a.returnIn(s, now), "retry_budget")
+		a.refuse(e, apierr.QueueFull, a.returnIn(s, now, r.ID.Host), "retry_budget")
 		return
 	case !r.Charged:
 		if wait, ok := a.charge(now, &r); !ok {
@@ -181,7 +183,7 @@
 	if why, hopeless := a.hopeless(now, e); hopeless {
 		a.refund(now, e)
 		delete(a.requests, r.ID)
-		a.refuse(e, apierr.QueueFull, a.returnIn(s, now), why)
+		a.refuse(e, apierr.QueueFull, a.returnIn(s, now, r.ID.Host), why)
 		return
 	}
 	a.waiting = append(a.waiting, e)
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -114,7 +114,7 @@
 	found := false
 	held := a.heldSomewhere(now, s, e)
 	for _, u := range candidates {
-		if !may(u, now) || slices.Contains(e.request.Avoid, u.record.ID) {
+		if !may(u, now) || !u.mayAsk(now, e.request.ID.Host) || slices.Contains(e.request.Avoid, u.record.ID) {
 			continue
 		}
 		o, ok := a.option(now, u, e, held)
--- a/assign/engine_test.go
+++ b/assign/engine_test.go
@@ -180,6 +180,9 @@
 
 const simModel = "m"
 
+// simNoAdapter is what a request to a plain service asks for.
+var simNoAdapter catalog.AdapterRef
+
 func newWorld(t *testing.T, seed uint64, engines, slots int) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), engines: map[string]*simEngine{},
--- a/assign/events.go
+++ b/assign/events.go
@@ -88,16 +88,18 @@
 	TimedOut
 	// CallerLeft attempts were given up since nobody waits any more.
 	CallerLeft
+	// Withheld attempts were not sent, since the upstream wants nothing of the host.
+	Withheld
 )
 
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
-	return [...]string{"completed", "failed", "full", "not_loaded", "replaced", "unreachable", "lost", "timed_out", "caller_left"}[o]
+	return [...]string{"completed", "failed", "full", "not_loaded", "replaced", "unreachable", "lost", "timed_out", "caller_left", "withheld"}[o]
 }
 
 // NotRun reports whether the upstream has certainly not run the request.
 func (o Outcome) NotRun() bool {
-	return o == Full || o == NotLoaded || o == Replaced || o == Unreachable
+	return o == Full || o == NotLoaded || o == Replaced || o == Unreachable || o == Withheld
 }
 
 // Event is something that an Assigner learns. The types of this file are the
@@ -133,8 +135,22 @@
 type Ended struct {
 	ID      RequestID
 	Outcome Outcome
-	// Load is what the upstream said of itself, nil where it said nothing.
+	Said    Said
+}
+
+// Said is what an upstream said of itself with an answer.
+type Said struct {
+	// Load is its own count of its requests, nil where it gave none.
 	Load *Load
+	// BackOff is for how long it wants no request of the host that sent this one.
+	BackOff time.Duration
+}
+
+// UpstreamLeaving says that an upstream has told a host that it leaves, which the
+// store's list may tell later.
+type UpstreamLeaving struct {
+	Upstream string
+	Born     int64
 }
 
 // Load is an upstream's own count of its requests.
@@ -203,19 +219,20 @@
 // Tick lets time pass.
 type Tick struct{}
 
-func (ConfigSeen) isEvent()    {}
-func (VersionsSeen) isEvent()  {}
-func (UpstreamsSeen) isEvent() {}
-func (Asked) isEvent()         {}
-func (Adopted) isEvent()       {}
-func (Withdrawn) isEvent()     {}
-func (Started) isEvent()       {}
-func (Ended) isEvent()         {}
-func (HostLost) isEvent()      {}
-func (OrderEnded) isEvent()    {}
-func (ReportRead) isEvent()    {}
-func (HostsTold) isEvent()     {}
-func (Tick) isEvent()          {}
+func (ConfigSeen) isEvent()      {}
+func (VersionsSeen) isEvent()    {}
+func (UpstreamsSeen) isEvent()   {}
+func (Asked) isEvent()           {}
+func (Adopted) isEvent()         {}
+func (Withdrawn) isEvent()       {}
+func (Started) isEvent()         {}
+func (Ended) isEvent()           {}
+func (UpstreamLeaving) isEvent() {}
+func (HostLost) isEvent()        {}
+func (OrderEnded) isEvent()      {}
+func (ReportRead) isEvent()      {}
+func (HostsTold) isEvent()       {}
+func (Tick) isEvent()            {}
 
 // Decision is what an Assigner wants done. The types below are the closed list.
 type Decision interface{ isDecision() }
--- a/assign/limits.go
+++ b/assign/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -129,11 +130,17 @@
 const (
 	leastReturn = 300 * time.Millisecond
 	mostReturn  = 2 * time.Second
+	// mostKnownReturn bounds it where upstreams have said when they may be asked
+	// again. Callers wait no longer for any answer.
+	mostKnownReturn = time.Minute
 )
 
 // returnIn says when a refused caller may find room: when what waits has been
 // read, spread so that callers do not return together.
-func (a *Assigner) returnIn(s *service, now time.Time) time.Duration {
-	wait := min(max(a.drainTime(s, now), leastReturn), mostReturn)
+func (a *Assigner) returnIn(s *service, now time.Time, host string) time.Duration {
+	wait := max(a.drainTime(s, now, host), leastReturn)
+	if slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.usable(now) && u.mayAsk(now, host) }) {
+		wait = min(wait, mostReturn)
+	}
 	return time.Duration(float64(wait) * (1 + a.options.Random.Float64()))
 }
--- a/assign/models.go
+++ b/assign/models.go
@@ -17,7 +17,7 @@
 // after a restart.
 func (a *Assigner) nextModelOrder(now time.Time, u *upstream) (order, bool) {
 	o := &u.orders
-	if len(u.models) > 0 || u.record.Draining {
+	if len(u.models) > 0 || u.draining() {
 		return order{}, false
 	}
 	if o.model == "" {
--- a/assign/queue.go
+++ b/assign/queue.go
@@ -62,7 +62,7 @@
 
 // placeOn gives a waiting request to an upstream that has its adapter and room.
 func (a *Assigner) placeOn(now time.Time, e *entry, u *upstream) bool {
-	if e.request.Service != u.service.name || slices.Contains(e.request.Avoid, u.record.ID) {
+	if e.request.Service != u.service.name || !u.mayAsk(now, e.request.ID.Host) || slices.Contains(e.request.Avoid, u.record.ID) {
 		return false
 	}
 	o, ok := a.option(now, u, e, true)
@@ -92,7 +92,7 @@
 		a.refund(now, e)
 		a.detach(e)
 		delete(a.requests, e.request.ID)
-		a.refuse(e, apierr.QueueFull, a.returnIn(a.service(e.request.Service), now), "waited")
+		a.refuse(e, apierr.QueueFull, a.returnIn(a.service(e.request.Service), now, e.request.ID.Host), "waited")
 	}
 	a.waiting = kept
 }
@@ -108,10 +108,10 @@
 // hopeless reports whether a new request that found no room would wait in vain.
 func (a *Assigner) hopeless(now time.Time, e *entry) (string, bool) {
 	s := a.service(e.request.Service)
-	if !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.record.Draining }) {
+	if !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() }) {
 		return "no_upstream", true
 	}
-	if now.Add(a.drainTime(s, now)).After(e.giveUpAt(a)) {
+	if now.Add(a.drainTime(s, now, e.request.ID.Host)).After(e.giveUpAt(a)) {
 		return "queue_full", true
 	}
 	return "", false
@@ -122,8 +122,8 @@
 }
 
 // drainTime is the expected time until a service has read the prompts of all
-// requests that wait for it.
-func (a *Assigner) drainTime(s *service, now time.Time) time.Duration {
+// requests that wait for it, or may be asked again by the host.
+func (a *Assigner) drainTime(s *service, now time.Time, host string) time.Duration {
 	tokens, rate := 0, 0.0
 	for _, e := range a.waiting {
 		if e.request.Service == s.name {
@@ -131,23 +131,27 @@
 		}
 	}
 	for _, u := range s.upstreams {
-		if u.usable(now) {
+		if u.usable(now) && u.mayAsk(now, host) {
 			rate += 1 / float64(u.prefill)
 		}
 	}
 	if rate == 0 {
-		return s.returnsIn(now)
+		return s.returnsIn(now, host)
 	}
 	return time.Duration(float64(tokens) / rate)
 }
 
-// returnsIn is the time until one of a service's upstreams may be tried again.
-func (s *service) returnsIn(now time.Time) time.Duration {
-	soonest := mostReturn
+// returnsIn is the time until a host may try one of a service's upstreams again.
+func (s *service) returnsIn(now time.Time, host string) time.Duration {
+	soonest, remains := mostKnownReturn, false
 	for _, u := range s.upstreams {
-		if !u.record.Draining {
-			soonest = min(soonest, max(u.fullUntil.Sub(now), u.pausedUntil.Sub(now), 0))
+		if !u.draining() {
+			remains = true
+			soonest = min(soonest, max(u.fullUntil.Sub(now), u.pausedUntil.Sub(now), u.backOff[host].Sub(now), 0))
 		}
 	}
+	if !remains {
+		return mostReturn // others may start at any time
+	}
 	return soonest
 }
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -73,6 +73,10 @@
 	// fullUntil after it was full.
 	pausedUntil time.Time
 	fullUntil   time.Time
+	// leaving says that it has told a host that it leaves.
+	leaving bool
+	// backOff holds the hosts that it wants no requests of, and until when.
+	backOff map[string]time.Time
 
 	slots map[string]*slot
 	// warm holds when adapters were last held, which load faster again.
@@ -220,8 +224,11 @@
 
 // learnOutcome takes how an attempt ended.
 func (u *upstream) learnOutcome(now time.Time, e *entry, ev Ended) {
-	if ev.Load != nil {
-		u.load, u.heardAt = *ev.Load, now
+	if ev.Said.Load != nil {
+		u.load, u.heardAt = *ev.Said.Load, now
+	}
+	if ev.Said.BackOff > 0 {
+		u.backOffFrom(now, ev.ID.Host, ev.Said.BackOff)
 	}
 	failed := 0.0
 	switch ev.Outcome {
@@ -266,7 +273,42 @@
 // present reports whether the upstream could take a request, were it not left
 // alone after failures.
 func (u *upstream) present(now time.Time) bool {
-	return !u.record.Draining && !now.Before(u.fullUntil)
+	return !u.draining() && !now.Before(u.fullUntil)
+}
+
+// draining reports whether the upstream takes no new requests, as the list or its
+// own answers say.
+func (u *upstream) draining() bool { return u.record.Draining || u.leaving }
+
+// noteLeaving takes that an upstream leaves. What waits for it goes elsewhere.
+func (a *Assigner) noteLeaving(now time.Time, ev UpstreamLeaving) {
+	u, ok := a.upstreams[ev.Upstream]
+	if !ok || u.record.Born != ev.Born || u.leaving {
+		return
+	}
+	u.leaving = true
+	a.serveWaiting(now)
+}
+
+// backOffFrom notes that the upstream wants no requests of a host for a while.
+func (u *upstream) backOffFrom(now time.Time, host string, d time.Duration) {
+	if u.backOff == nil {
+		u.backOff = map[string]time.Time{}
+	}
+	for other, until := range u.backOff {
+		if !now.Before(until) {
+			delete(u.backOff, other)
+		}
+	}
+	if until := now.Add(d); until.After(u.backOff[host]) {
+		u.backOff[host] = until
+	}
+}
+
+// mayAsk reports whether a host may send the upstream requests, as far as the
+// upstream itself has said.
+func (u *upstream) mayAsk(now time.Time, host string) bool {
+	return !now.Before(u.backOff[host])
 }
 
 // backlog is the expected time until the engine has read what it was given.
--- a/assign/wake.go
+++ b/assign/wake.go
@@ -57,7 +57,7 @@
 	if !o.known || o.waitUntil.After(w.now) {
 		after(o.waitUntil)
 	}
-	if len(u.models) == 0 && !u.record.Draining {
+	if len(u.models) == 0 && !u.draining() {
 		if o.model != "" {
 			after(o.modelPoll)
 		} else {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,8 +58,9 @@
 	// Signed says that the upstream has vouched for the answer.
 	Signed  bool
 	Outcome assign.Outcome
-	// Load is what the upstream says of itself, nil for nothing.
-	Load *assign.Load
+	Said    assign.Said
+	// Leaving says that the upstream leaves and takes no new requests.
+	Leaving bool
 }
 
 // Codec translates headers.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -281,22 +281,27 @@
 	x.grant, x.grantedAfter = g, time.Since(x.arrived)
 	view := x.server.View()
 	if err := x.stillAllowed(view.Config); err != nil {
-		x.server.Broker.Ended(x.ticket, assign.CallerLeft, nil)
+		x.server.Broker.Ended(x.ticket, assign.CallerLeft, assign.Said{})
 		return false, err
 	}
 	u := view.Upstreams[g.Upstream]
 	left := time.Until(x.deadline)
 	switch {
 	case u == nil || u.Draining || u.Born != g.Born:
-		x.server.Broker.Ended(x.ticket, assign.Replaced, nil)
+		x.server.Broker.Ended(x.ticket, assign.Replaced, assign.Said{})
 		return x.again(assign.Replaced)
 	case left < leastLeft:
-		x.server.Broker.Ended(x.ticket, assign.CallerLeft, nil)
+		x.server.Broker.Ended(x.ticket, assign.CallerLeft, assign.Said{})
 		return false, x.timedOut()
 	}
+	if reason, withheld := x.server.Broker.Withheld(u); withheld {
+		x.noteFailure("not sent: "+reason, nil)
+		x.server.Broker.Ended(x.ticket, assign.Withheld, assign.Said{})
+		return x.again(assign.Withheld)
+	}
 	x.sent++
-	outcome, load := x.exchangeWith(u, left)
-	x.server.Broker.Ended(x.ticket, outcome, load)
+	outcome, said := x.exchangeWith(u, left)
+	x.server.Broker.Ended(x.ticket, outcome, said)
 	if outcome == assign.Completed {
 		return false, nil
 	}
@@ -320,7 +325,7 @@
 }
 
 // exchangeWith sends the request to an upstream and passes its answer on.
-func (x *exchange) exchangeWith(u *catalog.Upstream, left time.Duration) (assign.Outcome, *assign.Load) {
+func (x *exchange) exchangeWith(u *catalog.Upstream, left time.Duration) (assign.Outcome, assign.Said) {
 	fresh := keptFor
 	if !x.route.Repeatable() {
 		fresh = keptForUnsafe
@@ -334,16 +339,19 @@
 	}
 	answer, err := x.server.Pool.Do(x.ctx, u.ID, u.Address, request, fresh)
 	if err != nil {
-		return x.sendFailed(err), nil
+		return x.sendFailed(err), assign.Said{}
 	}
 	defer answer.Close()
 	info := x.server.Codec.Answer(answer.Status, answer.Header, u.ID)
+	if info.Leaving {
+		x.server.Broker.Leaving(u)
+	}
 	if info.Outcome.NotRun() {
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRejectionBytes)) // only to keep the connection
-		return info.Outcome, info.Load
+		return info.Outcome, info.Said
 	}
 	x.ran++
-	return x.pass(answer, info), info.Load
+	return x.pass(answer, info), info.Said
 }
 
 // maxRejectionBytes bounds the body of a rejection that is read.
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -120,7 +120,9 @@
 	exhausted map[string]bool
 	// spent holds the requests that this host has admitted by itself and not told
 	// the lead of.
-	spent     map[string]float64
+	spent map[string]float64
+	// upstreams is what upstreams have said to this host.
+	upstreams toldByUpstreams
 	homes     map[catalog.AdapterRef]home
 	draining  bool
 	startedAt time.Time
@@ -188,7 +190,7 @@
 func New(o Options) *Broker {
 	b := &Broker{
 		options: o, log: o.Log, tickets: map[uint64]*Ticket{}, number: uint64(o.Random.Uint32()) << 32,
-		wake: make(chan struct{}, 1), members: map[string]*member{}, exhausted: map[string]bool{}, spent: map[string]float64{}, homes: map[catalog.AdapterRef]home{}, startedAt: time.Now(),
+		wake: make(chan struct{}, 1), members: map[string]*member{}, exhausted: map[string]bool{}, spent: map[string]float64{}, upstreams: newToldByUpstreams(), homes: map[catalog.AdapterRef]home{}, startedAt: time.Now(),
 		view: &watch.View{Versions: catalog.Versions{}},
 	}
 	b.local = assign.New(assign.Options{Share: blankShare, Limits: o.Limits, Random: o.Random})
@@ -296,14 +298,11 @@
 }
 
 // Ended says how an attempt ended.
-func (b *Broker) Ended(t *Ticket, o assign.Outcome, load *assign.Load) {
+func (b *Broker) Ended(t *Ticket, o assign.Outcome, said assign.Said) {
 	b.step(func(now time.Time) {
+		b.upstreams.backOff(now, t.upstream, said.BackOff)
 		t.upstream = ""
-		m := &wire.Ended{Number: t.request.ID.Number, Outcome: uint8(o)}
-		if load != nil {
-			m.HasLoad, m.Running, m.Waiting = true, load.Running, load.Waiting
-		}
-		b.tell(now, t, assign.Ended{ID: t.request.ID, Outcome: o, Load: load}, m)
+		b.tell(now, t, assign.Ended{ID: t.request.ID, Outcome: o, Said: said}, endedMessage(t.request.ID.Number, o, said))
 	})
 }
 
@@ -355,6 +354,9 @@
 	}
 	handle(now, assign.VersionsSeen{Versions: b.view.Versions})
 	handle(now, assign.UpstreamsSeen{Upstreams: b.view.Upstreams})
+	for u := range b.upstreams.leaving {
+		handle(now, assign.UpstreamLeaving{Upstream: u.id, Born: u.born})
+	}
 }
 
 // Stats is a summary of what a broker holds.
--- a/lead/following.go
+++ b/lead/following.go
@@ -36,6 +36,10 @@
 				b.loseLead(now, "replaced by "+m.Host)
 				b.succeed(now, m)
 			}
+		case *wire.UpstreamLeaving:
+			if b.leading != nil || from == b.lead.host {
+				b.noteLeaving(now, upstreamStart{m.Upstream, m.Born}, from)
+			}
 		case *wire.Grant:
 			b.receiveGrant(from, m)
 		case *wire.Refuse:
@@ -160,6 +164,7 @@
 		}
 	}
 	b.tellHomes(now)
+	b.tellLeaving()
 	for _, t := range b.tickets {
 		if t.upstream == "" && !t.settled && t.request.Service != "" && b.needsLead(t.request.Service) {
 			b.handleLocal(now, assign.Withdrawn{ID: t.request.ID})
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -120,11 +120,7 @@
 	case *wire.Started:
 		b.handleLeading(now, assign.Started{ID: id(m.Number)})
 	case *wire.Ended:
-		ended := assign.Ended{ID: id(m.Number), Outcome: assign.Outcome(m.Outcome)}
-		if m.HasLoad {
-			ended.Load = &assign.Load{Running: m.Running, Waiting: m.Waiting}
-		}
-		b.handleLeading(now, ended)
+		b.handleLeading(now, endedEvent(from, m))
 	case *wire.HostBeat:
 		b.memberBeat(now, from, m)
 	case *wire.Successor:
--- a/lead/messages.go
+++ b/lead/messages.go
@@ -47,6 +47,27 @@
 	return r
 }
 
+// endedMessage returns how an attempt ended as it is told to the lead.
+func endedMessage(number uint64, o assign.Outcome, said assign.Said) *wire.Ended {
+	m := &wire.Ended{Number: number, Outcome: uint8(o), BackOffMS: said.BackOff.Milliseconds()}
+	if said.Load != nil {
+		m.HasLoad, m.Running, m.Waiting = true, said.Load.Running, said.Load.Waiting
+	}
+	return m
+}
+
+// endedEvent returns how an attempt of another host ended.
+func endedEvent(host string, m *wire.Ended) assign.Ended {
+	ended := assign.Ended{
+		ID: assign.RequestID{Host: host, Number: m.Number}, Outcome: assign.Outcome(m.Outcome),
+		Said: assign.Said{BackOff: milliseconds(m.BackOffMS)},
+	}
+	if m.HasLoad {
+		ended.Said.Load = &assign.Load{Running: m.Running, Waiting: m.Waiting}
+	}
+	return ended
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // decisionMessage returns a decision as it is sent to the host that asked.
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -81,6 +82,14 @@
 	LoseOrders int
 	// Unsigned leaves the signature out.
 	Unsigned int
+	// Leaving says in every answer that the replica leaves.
+	Leaving bool
+	// Endless sends bytes without end in place of the body.
+	Endless int
+	// Drip sends a byte of an event each EventPause, and no whole event.
+	Drip int
+	// RetryAfter is sent with every rejection, "" for none.
+	RetryAfter string
 }
 
 // New returns a replica that holds no adapter.
@@ -219,9 +228,18 @@
 	h := w.Header()
 	h.Set("Jasminelock-Attempt-Id", req.Header.Get("Jasminelock-Attempt-Id"))
 	h.Set("Jasminelock-Replica-Load", "1,0,8")
+	r.mu.Lock()
+	leaving, retryAfter := r.faults.Leaving, r.faults.RetryAfter
+	r.mu.Unlock()
+	if leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	switch {
 	case full:
 		h.Set("Jasminelock-Not-Executed", "1")
+		if retryAfter != "" {
+			h.Set("Retry-After", retryAfter)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case r.take(&r.faults.Break):
@@ -234,6 +252,14 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if r.take(&r.faults.Endless) {
+		repeat(w, req, strings.Repeat("x", 16<<10), 0)
+		return
+	}
+	if r.take(&r.faults.Drip) {
+		repeat(w, req, "x", r.options.EventPause)
+		return
+	}
 	if r.options.Events > 0 {
 		r.stream(w, req)
 		return
@@ -241,6 +267,20 @@
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", r.options.ID, req.RequestURI)
 }
 
+// repeat sends a text again and again until the caller closes.
+func repeat(w http.ResponseWriter, req *http.Request, text string, pause time.Duration) {
+	out := http.NewResponseController(w)
+	for req.Context().Err() == nil {
+		if _, err := w.Write([]byte(text)); err != nil {
+			return
+		}
+		if pause > 0 {
+			_ = out.Flush()
+			time.Sleep(pause)
+		}
+	}
+}
+
 // stream sends events, from the one after Last-Event-Id on.
 func (r *Replica) stream(w http.ResponseWriter, req *http.Request) {
 	from, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -15,22 +15,24 @@
 	TypeConfigPush
 	TypeUpstreamPush
 	TypeHomes
+	TypeUpstreamLeaving
 )
 
 var assignDecoders = map[Type]func() Message{
-	TypeAsk:          func() Message { return &Ask{} },
-	TypeWithdraw:     func() Message { return &Withdraw{} },
-	TypeStarted:      func() Message { return &Started{} },
-	TypeEnded:        func() Message { return &Ended{} },
-	TypeGrant:        func() Message { return &Grant{} },
-	TypeRefuse:       func() Message { return &Refuse{} },
-	TypeHostBeat:     func() Message { return &HostBeat{} },
-	TypeLeadBeat:     func() Message { return &LeadBeat{} },
-	TypeAdopt:        func() Message { return &Adopt{} },
-	TypeSuccessor:    func() Message { return &Successor{} },
-	TypeConfigPush:   func() Message { return &ConfigPush{} },
-	TypeUpstreamPush: func() Message { return &UpstreamPush{} },
-	TypeHomes:        func() Message { return &Homes{} },
+	TypeAsk:             func() Message { return &Ask{} },
+	TypeWithdraw:        func() Message { return &Withdraw{} },
+	TypeStarted:         func() Message { return &Started{} },
+	TypeEnded:           func() Message { return &Ended{} },
+	TypeGrant:           func() Message { return &Grant{} },
+	TypeRefuse:          func() Message { return &Refuse{} },
+	TypeHostBeat:        func() Message { return &HostBeat{} },
+	TypeLeadBeat:        func() Message { return &LeadBeat{} },
+	TypeAdopt:           func() Message { return &Adopt{} },
+	TypeSuccessor:       func() Message { return &Successor{} },
+	TypeConfigPush:      func() Message { return &ConfigPush{} },
+	TypeUpstreamPush:    func() Message { return &UpstreamPush{} },
+	TypeHomes:           func() Message { return &Homes{} },
+	TypeUpstreamLeaving: func() Message { return &UpstreamLeaving{} },
 }
 
 // Part is a part of a prompt that other requests may share.
@@ -84,6 +86,14 @@
 	HasLoad bool `cbor:"3,keyasint,omitempty"`
 	Running int  `cbor:"4,keyasint,omitempty"`
 	Waiting int  `cbor:"5,keyasint,omitempty"`
+	// BackOffMS is for how long the upstream wants no request of the sender.
+	BackOffMS int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// UpstreamLeaving says that an upstream has told a host that it leaves.
+type UpstreamLeaving struct {
+	Upstream string `cbor:"1,keyasint"`
+	Born     int64  `cbor:"2,keyasint"`
 }
 
 // Grant gives a request to an upstream.
@@ -274,3 +284,6 @@
 
 // WireType implements Message.
 func (*Homes) WireType() Type { return TypeHomes }
+
+// WireType implements Message.
+func (*UpstreamLeaving) WireType() Type { return TypeUpstreamLeaving }
