Loads from the store are bounded by a round's fastest load

Cause: the bound fell with every load that took 1.3 times the fastest ever seen, and a load's time holds polls, lost answers and the lead's own delay. Ruled out: the store (5 in 100 of what it carries), the engines (reading half of the time), the lead's processor time (0.25 of 0.8 cores). Change: a round of as many loads as are allowed is judged by its fastest; the bound grows only where it held a load up; what a load usually takes is remembered for 10 to 20 s and seen anew with half as many loads under way. Test: stores that carry 6, 30, 72 and 400 at once, polls that are slow, a store that is slow for a while, one load that was too fast.

--- a/assign/orders.go
+++ b/assign/orders.go
@@ -301,7 +301,7 @@
 // loaded notes that an adapter has arrived.
 func (a *Assigner) loaded(now time.Time, s *slot) {
 	if s.state == slotComing {
-		a.cold.end(s, now.Sub(s.orderedAt))
+		a.cold.end(now, s, now.Sub(s.orderedAt))
 	}
 	a.cold.forget(s)
 	s.state = slotResident
