A queue for each adapter; work after an event follows what the event changed

Cause: after an event the first 48 that wait were looked at, so that requests for a busy adapter held up those for others behind them; and every event looked at every engine to find when time had something to do. Waiting for an engine without a free place (wait_warm) was granted like an engine with one, which turned the request away. Ruled out: looking at all that wait (the lead runs out of processor time). Change: requests wait by service and adapter. An engine with room serves the queues of what it holds; every 10 ms the 64 most urgent queues are looked at whose adapter is not on its way. Tokens that wait and reading speed are kept, not summed up for each request; engines that wait for time are in a heap.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -47,7 +47,7 @@
 	upstreams map[string]*upstream
 	services  map[string]*service
 	requests  map[RequestID]*entry
-	waiting   []*entry
+	queues    queues
 	rates     map[string]*usage
 	lastOrder uint64
 	// holding says that no adapter may be dropped yet.
@@ -58,8 +58,16 @@
 	demand  map[catalog.AdapterRef]*decayed
 	// passedAt is when all waiting requests were last looked at.
 	passedAt time.Time
-	// weighed is reused between choices.
+	// alarms are the upstreams that are to be looked at again, touched those whose
+	// alarm may have changed since the last Wake. All were looked at at sweptAt.
+	alarms  alarms
+	touched []*upstream
+	sweptAt time.Time
+	// weighings counts the options that were weighed.
+	weighings uint64
+	// weighed is reused between choices, heads between looks at the queues.
 	weighed []*upstream
+	heads   []*queue
 	out     []Decision
 }
 
@@ -70,6 +78,11 @@
 	retries   retryBudget
 	// nextModelLoad is when the next base model may be loaded.
 	nextModelLoad time.Time
+	// backOffUntil is until when some upstream wants no requests of some host.
+	backOffUntil time.Time
+	// speed is the reading speed as of speedAt.
+	speed   float64
+	speedAt time.Time
 }
 
 // entry is a request that has not ended.
@@ -77,9 +90,11 @@
 	request Request
 	// upstream runs the request, nil while it waits.
 	upstream *upstream
-	slot     *slot
-	started  bool
-	grantAt  time.Time
+	// queue is where it waits, nil where it does not.
+	queue   *queue
+	slot    *slot
+	started bool
+	grantAt time.Time
 	// prefill is the part of the prompt that the engine had to read.
 	prefill int
 	// ahead is the prefill that was before the request's own when it was granted.
@@ -90,7 +105,7 @@
 func New(o Options) *Assigner {
 	return &Assigner{
 		options: o, holding: !o.HoldEvictions.IsZero(), config: catalog.NewConfig(catalog.Parts{}), versions: catalog.Versions{},
-		upstreams: map[string]*upstream{}, services: map[string]*service{}, requests: map[RequestID]*entry{},
+		upstreams: map[string]*upstream{}, services: map[string]*service{}, requests: map[RequestID]*entry{}, queues: newQueues(),
 		rates: map[string]*usage{}, crashes: newCrashes(), holders: newHolders(), cold: newColdLoads(), demand: map[catalog.AdapterRef]*decayed{},
 	}
 }
@@ -99,10 +114,10 @@
 func (a *Assigner) SetShare(share float64) { a.options.Share = share }
 
 // Waiting returns how many requests wait for an upstream.
-func (a *Assigner) Waiting() int { return len(a.waiting) }
+func (a *Assigner) Waiting() int { return a.queues.count }
 
 // InFlight returns how many requests upstreams have been given.
-func (a *Assigner) InFlight() int { return len(a.requests) - len(a.waiting) }
+func (a *Assigner) InFlight() int { return len(a.requests) - a.queues.count }
 
 // Handle takes an event and returns what is to be done, in order.
 func (a *Assigner) Handle(now time.Time, ev Event) []Decision {
@@ -186,7 +201,7 @@
 		a.refuse(e, apierr.QueueFull, a.returnIn(s, now, r.ID.Host), why)
 		return
 	}
-	a.waiting = append(a.waiting, e)
+	a.wait(e)
 }
 
 // adopt takes over a request that is already with an upstream.
@@ -235,6 +250,7 @@
 		return
 	}
 	u, s := e.upstream, e.slot
+	a.touch(u)
 	a.vacate(now, e)
 	delete(a.requests, ev.ID)
 	u.learnOutcome(now, e, ev)
@@ -265,12 +281,7 @@
 		return
 	}
 	a.detach(e)
-	for i, w := range a.waiting {
-		if w == e {
-			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
-			return
-		}
-	}
+	a.queues.remove(e)
 }
 
 // detach ends a waiting request's claim on an adapter's slot.
@@ -330,9 +341,7 @@
 	if !now.Before(a.options.HoldEvictions) {
 		a.endHold(now)
 	}
-	for _, u := range a.upstreams {
-		a.followOrders(now, u)
-	}
+	a.followDue(now)
 	a.giveUp(now)
 	a.serveWaiting(now)
 	a.forgetDemand(now)
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -158,6 +158,7 @@
 
 // option returns how an upstream would serve a request.
 func (a *Assigner) option(now time.Time, u *upstream, e *entry, held bool) (option, bool) {
+	a.weighings++
 	o := option{upstream: u, cost: time.Duration(u.errors * float64(errorCost))}
 	if u.record.Zone != e.request.Zone {
 		o.cost += zoneCost
@@ -232,7 +233,7 @@
 	if !o.upstream.isWarm(e.request.Adapter.Adapter) {
 		return o, false
 	}
-	o.why = "wait_warm"
+	o.grant, o.why = false, "wait_warm"
 	o.cost += warmLoad + placeWait + now.Sub(e.request.Arrived)
 	return o, true
 }
--- a/assign/choose_test.go
+++ b/assign/choose_test.go
@@ -231,8 +231,10 @@
 	high := w.ask(4, "b", func(r *Request) { r.Priority = 0 })
 	w.run(15 * time.Millisecond)
 	var order []RequestID
-	for _, e := range w.assigner.waiting {
-		order = append(order, e.request.ID)
+	for _, q := range w.assigner.queues.byKey {
+		for _, e := range q.entries {
+			order = append(order, e.request.ID)
+		}
 	}
 	require.Equal(t, []RequestID{high, low, late}, order)
 }
--- a/assign/limits.go
+++ b/assign/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -125,22 +124,3 @@
 		a.usage(e.request.Organisation).add(now, e.request.Arrived, -float64(e.request.Cost))
 	}
 }
-
-// Bounds of what a refused caller is told to wait.
-const (
-	leastReturn = 300 * time.Millisecond
-	mostReturn  = 2 * time.Second
-	// mostKnownReturn bounds it where upstreams have said when they may be asked
-	// again. Callers wait no longer for any answer.
-	mostKnownReturn = time.Minute
-)
-
-// returnIn says when a refused caller may find room: when what waits has been
-// read, spread so that callers do not return together.
-func (a *Assigner) returnIn(s *service, now time.Time, host string) time.Duration {
-	wait := max(a.drainTime(s, now, host), leastReturn)
-	if slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.usable(now) && u.mayAsk(now, host) }) {
-		wait = min(wait, mostReturn)
-	}
-	return time.Duration(float64(wait) * (1 + a.options.Random.Float64()))
-}
--- a/assign/orders.go
+++ b/assign/orders.go
@@ -127,6 +127,7 @@
 // sendNext sends the next order that an engine waits for. One is in flight at a
 // time, since each names how many were accepted before it.
 func (a *Assigner) sendNext(now time.Time, u *upstream) {
+	a.touch(u)
 	o := &u.orders
 	if !a.options.Orders || u.engine == nil || o.inFlight != 0 || now.Before(o.waitUntil) {
 		return
@@ -313,6 +314,7 @@
 
 // lookAgain reads the report once it must show what was ordered last.
 func (a *Assigner) lookAgain(now time.Time, u *upstream) {
+	a.touch(u)
 	u.orders.known = false
 	u.orders.waitUntil = now.Add(reportLag)
 }
@@ -345,6 +347,7 @@
 		return
 	}
 	o.reading, o.readAt = true, now.Add(orderPatience)
+	a.touch(u)
 	a.decide(ReadReport{Upstream: u.record})
 }
 
@@ -356,6 +359,7 @@
 	o := &u.orders
 	o.reading = false
 	if ev.Report == nil {
+		a.touch(u)
 		o.waitUntil = now.Add(reportRetry)
 		return
 	}
--- a/assign/stats.go
+++ b/assign/stats.go
@@ -11,6 +11,9 @@
 	SlotsUsed   int
 	SlotsIdle   int
 	SlotsMoving int
+	// Weighings counts how often it was weighed what one upstream would do for one
+	// request.
+	Weighings uint64
 	// Usable counts the upstreams that may be given requests.
 	Usable int
 	// Reading is the mean part of their time that engines spend on prefill.
@@ -22,7 +25,7 @@
 
 // Stats returns a summary.
 func (a *Assigner) Stats(now time.Time) Stats {
-	s := Stats{Waiting: len(a.waiting), InFlight: a.InFlight()}
+	s := Stats{Waiting: a.queues.count, InFlight: a.InFlight(), Weighings: a.weighings}
 	engines := 0
 	for _, u := range a.upstreams {
 		if u.usable(now) {
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -85,6 +85,11 @@
 	models map[string]bool
 	parts  map[partKey]time.Time
 	orders orders
+	// wakeAt is when the upstream is to be looked at again, alarm its place among
+	// the alarms, counted from 1, 0 for none.
+	wakeAt  time.Time
+	alarm   int
+	touched bool
 	// holders is the index that the slots are part of.
 	holders *holders
 	cold    *coldLoads
@@ -160,6 +165,7 @@
 
 func (a *Assigner) dropUpstream(now time.Time, u *upstream) {
 	delete(a.upstreams, u.record.ID)
+	a.touch(u)
 	s := u.service
 	for i, other := range s.upstreams {
 		if other == u {
@@ -172,11 +178,11 @@
 	for _, one := range u.slots {
 		a.cold.forget(one)
 	}
-	for _, e := range a.waiting {
+	a.queues.each(func(e *entry) {
 		if e.slot != nil && e.slot.upstream == u {
 			a.detach(e)
 		}
-	}
+	})
 }
 
 // prefillOf returns how many tokens of a request's prompt the upstream has to read.
@@ -287,6 +293,7 @@
 		return
 	}
 	u.leaving = true
+	a.touch(u)
 	a.serveWaiting(now)
 }
 
@@ -300,9 +307,13 @@
 			delete(u.backOff, other)
 		}
 	}
-	if until := now.Add(d); until.After(u.backOff[host]) {
+	until := now.Add(d)
+	if until.After(u.backOff[host]) {
 		u.backOff[host] = until
 	}
+	if until.After(u.service.backOffUntil) {
+		u.service.backOffUntil = until
+	}
 }
 
 // mayAsk reports whether a host may send the upstream requests, as far as the
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -159,7 +159,7 @@
 func (b *Broker) logStats(now time.Time) {
 	s := b.leading.Stats(now)
 	b.log.Info("assignments", "waiting", s.Waiting, "in_flight", s.InFlight, "slots_used", s.SlotsUsed, "slots_idle", s.SlotsIdle,
-		"slots_moving", s.SlotsMoving, "usable", s.Usable, "reading", s.Reading, "hosts", len(b.members)+1)
+		"slots_moving", s.SlotsMoving, "usable", s.Usable, "reading", s.Reading, "weighings", s.Weighings, "hosts", len(b.members)+1)
 }
 
 // dropSilent forgets the hosts that have not been heard of.
