Engines rest between prompts where streams have had long pauses

Ruled out: waiting for the first event (9 in 100 late); the depth of the backlog alone (prompts follow at once when the first has started). Change: hosts tell with the end of a stream whether its pauses were in time. Engines whose streams are in time are left as they were. The request's log line has its longest pause.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -94,7 +94,9 @@
 	queue   *queue
 	slot    *slot
 	started bool
-	grantAt time.Time
+	// streaming says that it has had its first token.
+	streaming bool
+	grantAt   time.Time
 	// prefill is the part of the prompt that the engine had to read.
 	prefill int
 	// ahead is the prefill that was before the request's own when it was granted.
@@ -221,7 +223,9 @@
 	}
 	a.occupy(now, e, u, held)
 	if ev.Started {
-		u.startedRunning(e)
+		u.startedRunning(now, e)
+		u.streams++
+		e.streaming = true
 	}
 }
 
@@ -240,7 +244,9 @@
 		return
 	}
 	e.upstream.learnSpeed(now, e)
-	e.upstream.startedRunning(e)
+	e.upstream.startedRunning(now, e)
+	e.upstream.streams++
+	e.streaming = true
 	a.serveOn(now, e.upstream)
 }
 
@@ -297,6 +303,7 @@
 	a.detach(e)
 	e.upstream, e.slot, e.grantAt = u, s, now
 	e.prefill = u.prefillOf(now, &e.request)
+	u.noteReading(now, time.Duration(e.prefill)*u.prefill)
 	e.ahead = u.unstarted
 	u.running[e.request.ID] = e
 	u.unstarted += e.prefill
@@ -312,7 +319,10 @@
 // vacate notes that an upstream no longer works on a request.
 func (a *Assigner) vacate(now time.Time, e *entry) {
 	u := e.upstream
-	u.startedRunning(e)
+	u.startedRunning(now, e)
+	if e.streaming {
+		u.streams--
+	}
 	delete(u.running, e.request.ID)
 	u.cacheTokens -= e.request.PromptTokens + e.request.OutputTokens
 	if e.slot != nil {
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -170,8 +170,8 @@
 		return o, false
 	}
 	backlog := u.backlog()
-	o.grant = backlog <= maxBacklog
 	prefill := time.Duration(u.prefillOf(now, &e.request)) * u.prefill
+	o.grant = backlog <= maxBacklog && u.mayRead(now, prefill)
 	o.cost += backlog + prefill
 	o.cost += time.Duration(disturbWeight * float64(prefill) * float64(len(u.running)))
 	o.cost += time.Duration(u.reading.read(now) * float64(disturbedCost(&e.request)))
--- a/assign/engine_test.go
+++ b/assign/engine_test.go
@@ -28,7 +28,10 @@
 	leaving map[string]bool
 	// readUntil is when the prompts given so far have been read.
 	readUntil time.Time
-	broke     string
+	// readSince is when it last began to read after a rest, longAt when the streams
+	// that it ran were last kept waiting for longer than the world's longestPause.
+	readSince, longAt time.Time
+	broke             string
 	// history holds what reports say, which lag behind.
 	history []simReport
 }
@@ -169,6 +172,10 @@
 	lost     float64
 	loads    int
 	versions catalog.Versions
+	// longestPause is how long an engine may read without a rest before its streams
+	// are late, 0 for ever. pauses counts how streams came of late.
+	longestPause time.Duration
+	pauses       map[Pauses]int
 	// inUse counts the orders to drop an adapter that requests ran on.
 	inUse int
 }
@@ -180,6 +187,9 @@
 
 const simModel = "m"
 
+// simEvent is how long an engine that reads nothing takes to make an event.
+const simEvent = 30 * time.Millisecond
+
 // simNoAdapter is what a request to a plain service asks for.
 var simNoAdapter catalog.AdapterRef
 
@@ -273,10 +283,17 @@
 	e.running[name]++
 	a := w.assigner
 	const reading = 80 * time.Millisecond
+	if e.readUntil.Add(simEvent).Before(w.now) {
+		e.readSince = w.now
+	}
 	if e.readUntil.Before(w.now) {
 		e.readUntil = w.now
 	}
 	e.readUntil = e.readUntil.Add(reading)
+	if w.longestPause > 0 && e.readUntil.Sub(e.readSince) > w.longestPause {
+		e.longAt = e.readUntil
+	}
+	began := e.readUntil
 	w.at(e.readUntil.Sub(w.now), func() {
 		if a == w.assigner {
 			w.handle(Started{ID: g.ID})
@@ -284,8 +301,16 @@
 	})
 	w.at(e.readUntil.Sub(w.now)+300*time.Millisecond, func() {
 		e.running[name]--
+		pauses := PausesUnknown
+		if w.longestPause > 0 {
+			pauses = PausesShort
+			if e.longAt.After(began) {
+				pauses = PausesLong
+			}
+			w.pauses[pauses]++
+		}
 		if a == w.assigner {
-			w.handle(Ended{ID: g.ID, Outcome: Completed})
+			w.handle(Ended{ID: g.ID, Outcome: Completed, Pauses: pauses})
 		}
 	})
 }
--- a/assign/events.go
+++ b/assign/events.go
@@ -136,6 +136,7 @@
 	ID      RequestID
 	Outcome Outcome
 	Said    Said
+	Pauses  Pauses
 }
 
 // Said is what an upstream said of itself with an answer.
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -51,6 +51,11 @@
 	engine *catalog.Engine
 
 	running map[RequestID]*entry
+	// streams counts the running requests that have had their first token.
+	streams int
+	// longestPause is how long two events of a stream may be apart, 0 for no bound.
+	longestPause time.Duration
+	stretch      stretch
 	// unstarted is the prefill, in tokens, of requests without a first token.
 	unstarted int
 	// reading is the part of its time that the engine spends on prefill, by what
@@ -136,6 +141,7 @@
 		engine = configured.Engine
 	}
 	u := newUpstream(record, s, engine, &a.holders, &a.cold)
+	u.longestPause = a.config.LongestPause(record.Service)
 	u.heardAt = now
 	a.upstreams[record.ID] = u
 	s.upstreams = append(s.upstreams, u)
@@ -154,6 +160,7 @@
 			continue
 		}
 		isNew := u.engine == nil
+		u.longestPause = a.config.LongestPause(u.record.Service)
 		u.engine = configured.Engine
 		if isNew {
 			a.cold.engines(len(u.service.upstreams))
@@ -211,10 +218,11 @@
 }
 
 // startedRunning notes that an engine has read a request's prompt.
-func (u *upstream) startedRunning(e *entry) {
+func (u *upstream) startedRunning(now time.Time, e *entry) {
 	if !e.started {
 		e.started = true
 		u.unstarted -= e.prefill
+		u.stretch.idleSince = now
 	}
 }
 
@@ -230,6 +238,7 @@
 
 // learnOutcome takes how an attempt ended.
 func (u *upstream) learnOutcome(now time.Time, e *entry, ev Ended) {
+	u.notePauses(now, ev.Pauses)
 	if ev.Said.Load != nil {
 		u.load, u.heardAt = *ev.Said.Load, now
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -44,6 +44,9 @@
 	// Target is the time to the answer, or to a stream's first event, that
 	// callers expect.
 	Target time.Duration
+	// LongestPause is how long two events of a stream may be apart for the answer to
+	// be in time, 0 where the route does not say.
+	LongestPause time.Duration
 	// MaxAttempts is how many upstreams may run one request.
 	MaxAttempts int
 	// Priority ranks requests; 0 goes first.
--- a/catalog/config.go
+++ b/catalog/config.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // Config is one version of the operator's configuration.
@@ -14,6 +15,8 @@
 	organisations map[string]*Organisation
 	keys          map[string]*Organisation
 	routeCount    int
+	// longestPauses holds the least LongestPause of the routes to each service.
+	longestPauses map[string]time.Duration
 }
 
 // Parts are what a Config is built from.
@@ -30,6 +33,7 @@
 	c := &Config{
 		Version: p.Version, Limits: p.Limits, services: map[string]*Service{}, routes: map[string][]*Route{},
 		organisations: map[string]*Organisation{}, keys: map[string]*Organisation{}, routeCount: len(p.Routes),
+		longestPauses: map[string]time.Duration{},
 	}
 	for i := range p.Services {
 		c.services[p.Services[i].Name] = &p.Services[i]
@@ -38,6 +42,7 @@
 		r := &p.Routes[i]
 		name := strings.ToLower(r.HostName)
 		c.routes[name] = append(c.routes[name], r)
+		c.notePause(r)
 	}
 	for _, routes := range c.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -52,6 +57,18 @@
 	return c
 }
 
+func (c *Config) notePause(r *Route) {
+	for _, b := range r.Backends {
+		if least, ok := c.longestPauses[b.Service]; r.LongestPause > 0 && (!ok || r.LongestPause < least) {
+			c.longestPauses[b.Service] = r.LongestPause
+		}
+	}
+}
+
+// LongestPause returns how long two events of a stream of a service may be apart by
+// the strictest of its routes, 0 where none says.
+func (c *Config) LongestPause(service string) time.Duration { return c.longestPauses[service] }
+
 // Route returns the route of a host name and a path, nil where there is none.
 // Of several, the one with the longest prefix goes first.
 func (c *Config) Route(hostName, path string) *Route {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -116,7 +116,11 @@
 func (x *exchange) passStream(a *forward.Answer) assign.Outcome {
 	events := sse.NewReader(a)
 	for first := true; ; first = false {
+		asked := time.Now()
 		event, err := events.Next()
+		if !first {
+			x.notePause(time.Since(asked))
+		}
 		if errors.Is(err, io.EOF) && !first {
 			return assign.Completed
 		}
@@ -141,6 +145,18 @@
 	}
 }
 
+// notePause notes how long the next event of a stream was waited for.
+func (x *exchange) notePause(d time.Duration) {
+	x.longestPause = max(x.longestPause, d)
+	switch {
+	case x.route.LongestPause <= 0 || x.pauses == assign.PausesLong:
+	case d > x.route.LongestPause:
+		x.pauses = assign.PausesLong
+	default:
+		x.pauses = assign.PausesShort
+	}
+}
+
 // begin writes the header of a stream's first upstream.
 func (x *exchange) begin(a *forward.Answer) {
 	x.server.Broker.Started(x.ticket)
@@ -210,7 +226,8 @@
 	x.server.Log.Log(level, "request", "request", x.call.AttemptID, "route", route, "organisation", x.request.Organisation,
 		"adapter", x.request.Adapter.Adapter, "status", x.status, "reason", x.reason, "rule", x.why, "upstream", x.grant.Upstream,
 		"assigned_by", x.grant.Why, "granted_ms", x.grantedAfter.Milliseconds(), "expected_ms", x.grant.Expected.Milliseconds(),
-		"sent", x.sent, "ran", x.ran, "failure", x.failure, "first_ms", x.firstToken.Milliseconds(), "took_ms", took.Milliseconds())
+		"sent", x.sent, "ran", x.ran, "failure", x.failure, "first_ms", x.firstToken.Milliseconds(),
+		"pause_ms", x.longestPause.Milliseconds(), "took_ms", took.Milliseconds())
 	tokens := int64(0)
 	if x.sent > 0 {
 		tokens = x.request.Cost
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -44,7 +44,11 @@
 	// wrote says that a part of the answer has been written.
 	wrote       bool
 	lastEventID string
-	firstToken  time.Duration
+	// pauses is how the events of the last attempt came.
+	pauses     assign.Pauses
+	firstToken time.Duration
+	// longestPause is the longest time between two events.
+	longestPause time.Duration
 	// grantedAfter is when the last upstream was assigned, since the arrival.
 	grantedAfter time.Duration
 	status       int
@@ -281,27 +285,28 @@
 	x.grant, x.grantedAfter = g, time.Since(x.arrived)
 	view := x.server.View()
 	if err := x.stillAllowed(view.Config); err != nil {
-		x.server.Broker.Ended(x.ticket, assign.CallerLeft, assign.Said{})
+		x.server.Broker.Ended(x.ticket, assign.Ended{Outcome: assign.CallerLeft})
 		return false, err
 	}
 	u := view.Upstreams[g.Upstream]
 	left := time.Until(x.deadline)
 	switch {
 	case u == nil || u.Draining || u.Born != g.Born:
-		x.server.Broker.Ended(x.ticket, assign.Replaced, assign.Said{})
+		x.server.Broker.Ended(x.ticket, assign.Ended{Outcome: assign.Replaced})
 		return x.again(assign.Replaced)
 	case left < leastLeft:
-		x.server.Broker.Ended(x.ticket, assign.CallerLeft, assign.Said{})
+		x.server.Broker.Ended(x.ticket, assign.Ended{Outcome: assign.CallerLeft})
 		return false, x.timedOut()
 	}
 	if reason, withheld := x.server.Broker.Withheld(u); withheld {
 		x.noteFailure("not sent: "+reason, nil)
-		x.server.Broker.Ended(x.ticket, assign.Withheld, assign.Said{})
+		x.server.Broker.Ended(x.ticket, assign.Ended{Outcome: assign.Withheld})
 		return x.again(assign.Withheld)
 	}
 	x.sent++
+	x.pauses = assign.PausesUnknown
 	outcome, said := x.exchangeWith(u, left)
-	x.server.Broker.Ended(x.ticket, outcome, said)
+	x.server.Broker.Ended(x.ticket, assign.Ended{Outcome: outcome, Said: said, Pauses: x.pauses})
 	if outcome == assign.Completed {
 		return false, nil
 	}
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -297,12 +297,13 @@
 	})
 }
 
-// Ended says how an attempt ended.
-func (b *Broker) Ended(t *Ticket, o assign.Outcome, said assign.Said) {
+// Ended says how an attempt ended. The ticket's id goes before the event's.
+func (b *Broker) Ended(t *Ticket, ev assign.Ended) {
 	b.step(func(now time.Time) {
-		b.upstreams.backOff(now, t.upstream, said.BackOff)
+		ev.ID = t.request.ID
+		b.upstreams.backOff(now, t.upstream, ev.Said.BackOff)
 		t.upstream = ""
-		b.tell(now, t, assign.Ended{ID: t.request.ID, Outcome: o, Said: said}, endedMessage(t.request.ID.Number, o, said))
+		b.tell(now, t, ev, endedMessage(&ev))
 	})
 }
 
--- a/lead/hold_test.go
+++ b/lead/hold_test.go
@@ -142,7 +142,7 @@
 				if _, ok := d.(assign.Grant); ok {
 					h.broker.Started(ticket)
 					time.Sleep(20 * time.Millisecond)
-					h.broker.Ended(ticket, assign.Completed, assign.Said{})
+					h.broker.Ended(ticket, assign.Ended{Outcome: assign.Completed})
 				}
 			case <-time.After(2 * time.Second):
 			}
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -17,7 +17,7 @@
 		for _, h := range f.hosts {
 			ticket := h.granted(t, time.Second)
 			h.broker.Started(ticket)
-			h.broker.Ended(ticket, assign.Completed, assign.Said{})
+			h.broker.Ended(ticket, assign.Ended{Outcome: assign.Completed})
 			h.broker.Withdraw(ticket)
 			require.Len(t, h.broker.Hosts(), 3)
 		}
@@ -406,7 +406,7 @@
 		inFlight := next.leading.InFlight()
 		next.mu.Unlock()
 		require.Equal(t, 1, inFlight)
-		h.broker.Ended(running, assign.Completed, assign.Said{})
+		h.broker.Ended(running, assign.Ended{Outcome: assign.Completed})
 		time.Sleep(10 * time.Millisecond)
 		next.mu.Lock()
 		defer next.mu.Unlock()
--- a/lead/messages.go
+++ b/lead/messages.go
@@ -48,10 +48,12 @@
 }
 
 // endedMessage returns how an attempt ended as it is told to the lead.
-func endedMessage(number uint64, o assign.Outcome, said assign.Said) *wire.Ended {
-	m := &wire.Ended{Number: number, Outcome: uint8(o), BackOffMS: said.BackOff.Milliseconds()}
-	if said.Load != nil {
-		m.HasLoad, m.Running, m.Waiting = true, said.Load.Running, said.Load.Waiting
+func endedMessage(ev *assign.Ended) *wire.Ended {
+	m := &wire.Ended{
+		Number: ev.ID.Number, Outcome: uint8(ev.Outcome), Pauses: uint8(ev.Pauses), BackOffMS: ev.Said.BackOff.Milliseconds(),
+	}
+	if load := ev.Said.Load; load != nil {
+		m.HasLoad, m.Running, m.Waiting = true, load.Running, load.Waiting
 	}
 	return m
 }
@@ -60,7 +62,7 @@
 func endedEvent(host string, m *wire.Ended) assign.Ended {
 	ended := assign.Ended{
 		ID: assign.RequestID{Host: host, Number: m.Number}, Outcome: assign.Outcome(m.Outcome),
-		Said: assign.Said{BackOff: milliseconds(m.BackOffMS)},
+		Said: assign.Said{BackOff: milliseconds(m.BackOffMS)}, Pauses: assign.Pauses(m.Pauses),
 	}
 	if m.HasLoad {
 		ended.Said.Load = &assign.Load{Running: m.Running, Waiting: m.Waiting}
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -86,6 +86,8 @@
 	HasLoad bool `cbor:"3,keyasint,omitempty"`
 	Running int  `cbor:"4,keyasint,omitempty"`
 	Waiting int  `cbor:"5,keyasint,omitempty"`
+	// Pauses is an assign.Pauses.
+	Pauses uint8 `cbor:"7,keyasint,omitempty"`
 	// BackOffMS is for how long the upstream wants no request of the sender.
 	BackOffMS int64 `cbor:"6,keyasint,omitempty"`
 }
