New leads tell hosts of themselves; hosts rely on the lead for as long as they may

By host and time: 1,359 reads of the upstreams in the second in which one lead could not renew, since all 195 hosts began to read four times a second; 780 lease reads and claims at the first start, since no host knows how strong others are; 390 reads after the lead had changed. Change: a new lead tells every host of its list of itself, by where they accept links; a host too weak to lead waits for that before it reads the lease. A host whose link has ended asks the lead again before it looks for another. Hosts rely on a lead that cannot read the store for as long as the bounds of the deployment leave time for their own read; those that do not lead read the upstreams as rarely as the bounds allow. At the first start a host leaves the lease to others by its own strength, and reads it again before it claims. What hosts are told of the tables is bounded in bytes, not in hosts.

--- a/host/host.go
+++ b/host/host.go
@@ -48,6 +48,9 @@
 	upstreamIdle = 10 * time.Second
 	// idlePerUpstream is how many idle connections are kept to one upstream.
 	idlePerUpstream = 16
+	// drainReserve is what remains of the time in which an upstream that leaves must
+	// be left alone, for reads that fail and requests under way.
+	drainReserve = 3 * time.Second
 	// passedOver is how many answers to earlier requests are passed over on a
 	// connection.
 	passedOver = 2
@@ -99,11 +102,13 @@
 	})
 	h.watcher = watch.New(watch.Options{
 		Log: h.log.Named("watch"), Feed: tables, Decoder: platform.Decoder{}, Changed: func(v *watch.View) { h.broker.SeeView(v) },
+		Patience: time.Duration(s.Fleet.DrainWithin) - drainReserve,
 	})
 	h.broker = lead.New(lead.Options{
 		Log: h.log.Named("lead"), Host: s.Host, Zone: s.Zone, Callers: s.Listen.Callers, PeerURL: "http://" + s.Listen.Peers,
 		Tables: tables, Source: h.watcher, Cores: s.Cores, Fenced: s.Fleet.Fenced, Random: newRandom(),
 		HolderPause: time.Duration(s.Fleet.HolderPause), Clock: sinceBoot,
+		InForce: time.Duration(min(s.Fleet.ConfigWithin, s.Fleet.DrainWithin)),
 		Engines: &countedEngines{Engines: platform.NewEngines(h.pool), orders: h.metrics.orders},
 		Limits: assign.Limits{
 			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack,
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -60,6 +60,8 @@
 	// HolderPause is how long a host that gave engines orders leaves them to others
 	// once another host has led.
 	HolderPause time.Duration
+	// InForce is how soon what the platform's tables say must be in force everywhere.
+	InForce time.Duration
 	// Clock returns the time since some moment in the past. It goes on while the
 	// machine is suspended, which time.Time need not.
 	Clock  func() time.Duration
@@ -71,6 +73,8 @@
 type Source interface {
 	// Relayed says whether changes are passed on. It does not wait.
 	Relayed(on bool)
+	// Leads says whether this host leads.
+	Leads(on bool)
 	// At returns the store's versions up to which the tables of the operator and of
 	// the upstreams are known.
 	At() (operator, upstreams int64)
@@ -133,6 +137,13 @@
 	// in a row that said otherwise.
 	inStep bool
 	unlike int
+	// announcedTo holds where the hosts accept links that this one tells of itself as
+	// the lead.
+	announcedTo map[string]string
+	// lookAt is when this host looks for a lead again, which may tell of itself
+	// before. patience is what it leaves to stronger hosts of a claim.
+	lookAt   time.Time
+	patience patience
 	// sums are checksums of what the lead knew before, the latest last.
 	sums []pastSum
 	// told is the list of hosts as hosts were told it last, rosterDue that they
@@ -167,6 +178,8 @@
 	ledUntil time.Duration
 	// lost says that this host has followed a lead and has lost it.
 	lost bool
+	// lostAt is when a lead was lost last.
+	lostAt time.Time
 	// everHeard says that there has been a lead since this host's start.
 	everHeard bool
 }
--- a/lead/election.go
+++ b/lead/election.go
@@ -52,10 +52,14 @@
 	return b.lead.row.secret
 }
 
-// PeerURL returns where a host accepts links. Only the lead is linked to.
+// PeerURL returns where a host accepts links. Only the lead is linked to, and by a
+// new lead the hosts that it tells of itself.
 func (b *Broker) PeerURL(host string) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if url, ok := b.announcedTo[host]; ok {
+		return url, true
+	}
 	return b.lead.row.url, host == b.lead.row.host && b.lead.row.url != ""
 }
 
@@ -87,6 +91,7 @@
 func (b *Broker) turn(ctx context.Context) time.Duration {
 	b.mu.Lock()
 	leading, hasLead, draining := b.leading != nil, b.lead.host != "", b.draining
+	waits := time.Until(b.lookAt)
 	weak, yields := b.lead.weak || (b.lead.yields && b.strong()), b.lead.yields
 	b.mu.Unlock()
 	switch {
@@ -104,6 +109,8 @@
 		}
 		b.beat()
 		return beatEvery
+	case waits > 0:
+		return waits
 	}
 	return b.look(ctx)
 }
@@ -115,6 +122,11 @@
 	row, weak := b.lead.row, b.lead.weak
 	b.mu.Unlock()
 	delay := b.claimDelay()
+	b.mu.Lock()
+	if !b.strong() {
+		delay += weakDelay
+	}
+	b.mu.Unlock()
 	if weak {
 		if b.options.Source.Contact() > relayAge {
 			return // this host does not reach the store either
@@ -189,31 +201,27 @@
 			b.sendTo(seen.host, b.hostBeat())
 		}
 	})
-	if claim && !draining {
-		b.mu.Lock()
-		seen := b.lead.row
-		b.mu.Unlock()
-		pause(ctx, b.claimDelay())
-		if b.tryClaim(ctx, seen) {
-			return 0 // the row tells who has claimed it first
-		}
+	if !claim || draining {
+		return lookEvery
+	}
+	b.mu.Lock()
+	seen := b.lead.row
+	b.mu.Unlock()
+	if wait := b.leaveToOthers(seen.version); wait > 0 {
+		return wait
+	}
+	pause(ctx, b.claimDelay())
+	if b.tryClaim(ctx, seen) {
+		return 0 // the row tells who has claimed it first
 	}
 	return lookEvery
 }
 
-// weakDelay is how much later than strong hosts a weak one claims a lease. It is
-// above lookEvery, so that every strong host has looked before.
-const weakDelay = 700 * time.Millisecond
-
-// claimDelay is how long this host leaves a lease to others.
+// claimDelay keeps hosts from claiming a lease all at once.
 func (b *Broker) claimDelay() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delay := time.Duration(b.options.Random.Float64() * float64(claimSpread))
-	if !b.strong() {
-		delay += weakDelay
-	}
-	return delay
+	return time.Duration(b.options.Random.Float64() * float64(claimSpread))
 }
 
 // strongPart is the part of the strongest host's processor time that a lead
--- a/lead/following.go
+++ b/lead/following.go
@@ -28,14 +28,7 @@
 		}
 		switch m := m.(type) {
 		case *wire.Successor:
-			if b.leading != nil {
-				b.replaced(now, m)
-				return
-			}
-			if from == b.lead.host {
-				b.loseLead(now, "replaced by "+m.Host)
-				b.succeed(now, m)
-			}
+			b.receiveSuccessor(now, from, m)
 		case *wire.UpstreamLeaving:
 			if b.leading != nil || from == b.lead.host {
 				b.noteLeaving(now, upstreamStart{m.Upstream, m.Born}, from)
@@ -59,10 +52,10 @@
 	}
 	b.step(func(now time.Time) {
 		if b.leading != nil {
-			b.dropMember(now, host, "link ended")
+			b.dropMember(now, host, linkEnded)
 		}
 		if host == b.lead.host {
-			b.loseLead(now, "link ended")
+			b.loseLead(now, linkEnded)
 		}
 	})
 }
@@ -118,12 +111,19 @@
 	default:
 		b.inStep = false
 	}
-	b.options.Source.Relayed(b.inStep && !m.Weak && milliseconds(m.StoreAgeMS) < relayAge)
+	b.options.Source.Relayed(b.inStep && b.fresh(m))
 	if same {
 		b.options.Source.KnownAt(m.OperatorAt, m.UpstreamsAt)
 	}
 }
 
+// fresh reports whether the lead has read the store so lately that hosts can rely on
+// it.
+func (b *Broker) fresh(m *wire.LeadBeat) bool {
+	age := milliseconds(m.StoreAgeMS)
+	return (!m.Weak && age < relayAge) || age < b.options.InForce-readReserve
+}
+
 // noteLead takes what a beat says of the lead, of the hosts and of rates.
 func (b *Broker) noteLead(now time.Time, from string, m *wire.LeadBeat) {
 	if (m.Weak && !b.lead.weak) || (m.Yields && !b.lead.yields) {
@@ -150,6 +150,19 @@
 	b.sendTo(m.Host, b.hostBeat())
 }
 
+// receiveSuccessor takes that the lease has another holder, as the one that was
+// replaced says, or the new one itself.
+func (b *Broker) receiveSuccessor(now time.Time, from string, m *wire.Successor) {
+	switch {
+	case b.leading != nil:
+		b.replaced(now, m)
+	case m.Fence <= b.lead.fence:
+	case from == b.lead.host || from == m.Host:
+		b.loseLead(now, "replaced by "+m.Host)
+		b.succeed(now, m)
+	}
+}
+
 // follow takes a lead: it is told what runs, and asked for what waits.
 func (b *Broker) follow(now time.Time, host string, fence int64) {
 	if host != b.options.Host {
@@ -210,9 +223,8 @@
 		b.log.Warn("lead lost", "lead", b.lead.host, "reason", why)
 	}
 	b.lead.lost = true
-	b.lead.host, b.inStep, b.unlike = "", false, 0
-	b.wakeUp()
-	b.options.Source.Relayed(false)
+	b.lead.host, b.unlike = "", 0
+	b.awaitSuccessor(now, why)
 	for _, t := range b.tickets {
 		if !t.settled && t.toLead {
 			b.send(now, t)
@@ -252,7 +264,7 @@
 func (b *Broker) hostBeat() *wire.HostBeat {
 	beat := &wire.HostBeat{
 		Zone: b.options.Zone, Callers: b.options.Callers, Draining: b.draining, Cores: b.options.Cores, Roster: b.roster,
-		Sum: b.view.Sum,
+		PeerURL: b.options.PeerURL, Sum: b.view.Sum,
 	}
 	for name, tokens := range b.spent {
 		beat.Spent = append(beat.Spent, wire.Spent{Organisation: name, Tokens: tokens})
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -25,6 +25,7 @@
 type member struct {
 	zone     string
 	callers  string
+	peerURL  string
 	draining bool
 	cores    float64
 	heardAt  time.Time
@@ -135,7 +136,7 @@
 	if !known {
 		b.log.Info("host joined", "host", from, "zone", m.Zone, "callers", m.Callers)
 	}
-	joined := &member{zone: m.Zone, callers: m.Callers, draining: m.Draining, cores: m.Cores, heardAt: now}
+	joined := &member{zone: m.Zone, callers: m.Callers, peerURL: m.PeerURL, draining: m.Draining, cores: m.Cores, heardAt: now}
 	if known {
 		joined.passed, joined.missed = old.passed, old.missed
 	}
@@ -221,7 +222,9 @@
 		Orders: true, Fence: fence, Share: 1, Limits: b.options.Limits, Random: b.options.Random, HoldEvictions: now.Add(tellTime),
 	})
 	b.lastClaim, b.claimedFrom = 0, nil
+	b.options.Source.Leads(true)
 	b.members, b.untold = map[string]*member{}, b.untoldHosts(before)
+	known := b.hosts
 	b.roster, b.sums = uint64(fence)<<rosterBits, nil
 	b.hosts = b.callerHosts()
 	b.told = toldRoster{version: b.roster, hosts: b.hosts}
@@ -229,6 +232,7 @@
 	b.recallUsage(now, before)
 	b.follow(now, b.options.Host, fence)
 	b.rosterChanged()
+	b.announce(known, fence)
 }
 
 // replaced hands the hosts over to the lead that has taken the lease.
@@ -254,6 +258,7 @@
 	members := b.members
 	b.lead.ledUntil = b.options.Clock()
 	b.leading, b.members = nil, map[string]*member{}
+	b.options.Source.Leads(false)
 	beat := &wire.LeadBeat{Fence: b.lead.fence, Released: true}
 	for host := range members {
 		b.sendTo(host, beat)
--- a/lead/relay.go
+++ b/lead/relay.go
@@ -14,6 +14,10 @@
 // it. It reads at least once a second; beyond this, hosts read for themselves.
 const relayAge = 2 * time.Second
 
+// readReserve is what remains for a read of the tables where hosts rely on the lead
+// for as long as what must be in force allows: a beat, and a read that fails once.
+const readReserve = beatEvery + 900*time.Millisecond
+
 // relayState is what the lead keeps to pass on.
 type relayState struct {
 	// config is the compressed configuration of the given version.
@@ -22,9 +26,10 @@
 	// upstreams are the compressed upstreams of the view with the given checksum.
 	upstreams    []byte
 	upstreamsSum uint64
-	// passes is how many hosts may be told all, as of passedAt.
-	passes   float64
-	passedAt time.Time
+	// budget is how many bytes may be passed on to hosts that are told all, as of
+	// budgetAt.
+	budget   float64
+	budgetAt time.Time
 }
 
 // packedConfig returns the configuration as it is passed on, nil before there
@@ -88,19 +93,22 @@
 // store, and ask again with their next beats.
 func (b *Broker) mayPass(now time.Time) bool {
 	r := &b.relay
-	r.passes = min(r.passes+now.Sub(r.passedAt).Seconds()*passRate, passRate*beatEvery.Seconds())
-	r.passedAt = now
-	if r.passes < 1 {
+	r.budget = min(r.budget+now.Sub(r.budgetAt).Seconds()*passRate, passRate*beatEvery.Seconds())
+	r.budgetAt = now
+	if r.budget <= 0 {
 		return false
 	}
-	r.passes--
+	r.budget -= float64(len(b.packedConfig()) + len(b.packedUpstreams()) + passOverhead)
 	return true
 }
 
-// passRate is how many hosts are told all in a second. At the size to design for a
-// list of upstreams is some 50 KB compressed, so that this is 2.5 MB a second, a
-// tenth of a strong host's link.
-const passRate = 50
+const (
+	// passRate is how many bytes a second are passed on to hosts that are told all, a
+	// tenth of a strong host's link.
+	passRate = 2.5e6
+	// passOverhead is what telling a host costs beside the bytes of the tables.
+	passOverhead = 4 << 10
+)
 
 // passAll tells a host all that the platform's tables say.
 func (b *Broker) passAll(host string) {
--- a/lead/roster.go
+++ b/lead/roster.go
@@ -109,12 +109,12 @@
 	var hosts []wire.CallerHost
 	if !b.draining {
 		hosts = append(hosts, wire.CallerHost{
-			Name: b.options.Host, Zone: b.options.Zone, Callers: b.options.Callers, Cores: b.options.Cores,
+			Name: b.options.Host, Zone: b.options.Zone, Callers: b.options.Callers, Cores: b.options.Cores, PeerURL: b.options.PeerURL,
 		})
 	}
 	for name, m := range b.members {
 		if !m.draining {
-			hosts = append(hosts, wire.CallerHost{Name: name, Zone: m.zone, Callers: m.callers, Cores: m.cores})
+			hosts = append(hosts, wire.CallerHost{Name: name, Zone: m.zone, Callers: m.callers, Cores: m.cores, PeerURL: m.peerURL})
 		}
 	}
 	slices.SortFunc(hosts, byName)
--- a/soak/entries.go
+++ b/soak/entries.go
@@ -230,7 +230,7 @@
 const settingsText = `{
   "host": %q, "zone": "z", "store": %q, "memory_mb": 200, "cores": 1, "grace": "8s",
   "listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q},
-  "fleet": {"retry_ratio": 0.2, "retry_slack": 50, "rate_window": "8s", "fenced": true, "holder_pause": "3s", "answer_life": "1s"},
+  "fleet": {"retry_ratio": 0.2, "retry_slack": 50, "rate_window": "8s", "fenced": true, "holder_pause": "3s", "config_within": "2s", "drain_within": "2s", "answer_life": "1s"},
   "log": {"level": "info", "json": true},
 }
 `
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -71,6 +71,10 @@
 	feed    store.Feed
 	decoder Decoder
 	changed func(*View)
+	// patience is the least time between two reads of the upstreams, unless this host
+	// leads.
+	patience time.Duration
+	leads    atomic.Bool
 
 	view atomic.Pointer[View]
 
@@ -103,12 +107,15 @@
 	Decoder Decoder
 	// Changed takes each new view. It must not wait.
 	Changed func(*View)
+	// Patience is the least time between two reads of the upstreams on a host that
+	// does not lead, where it is above the usual.
+	Patience time.Duration
 }
 
 // New returns a watcher that knows nothing before Run.
 func New(o Options) *Watcher {
 	w := &Watcher{
-		log: o.Log, feed: o.Feed, decoder: o.Decoder, changed: o.Changed, lapsed: map[string]time.Time{}, started: time.Now(),
+		log: o.Log, feed: o.Feed, decoder: o.Decoder, changed: o.Changed, patience: o.Patience, lapsed: map[string]time.Time{}, started: time.Now(),
 		back: make(chan struct{}, 1),
 	}
 	for i := range w.resumed {
@@ -167,7 +174,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		wait := r.pause
+		wait := r.wait()
 		switch {
 		case err == nil:
 			retry = firstRetry
@@ -183,6 +190,17 @@
 	}
 }
 
+// Leads says whether this host leads, and others go by what it reads.
+func (w *Watcher) Leads(on bool) { w.leads.Store(on) }
+
+// wait returns how long the table is left alone after it was read.
+func (r *tableReader) wait() time.Duration {
+	if r.pause == 0 || r.watcher.leads.Load() {
+		return r.pause
+	}
+	return max(r.pause, r.watcher.patience)
+}
+
 // pauseLost waits before a failed read is tried again. While both tables cannot
 // be read, it is the first one's reader that finds out when the store is back.
 func (r *tableReader) pauseLost(ctx context.Context, retry time.Duration) {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -392,3 +392,17 @@
 		require.Equal(t, int64(1), w.View().Config.Version)
 	})
 }
+
+// Pattern: hundreds of hosts read the upstreams, which change all the time. A host
+// that does not lead reads them as rarely as it may, the lead as soon as they change.
+func TestOnlyTheLeadReadsUpstreamsAtOnce(t *testing.T) {
+	w := New(Options{Log: hclog.NewNullLogger(), Patience: time.Second})
+	r := &tableReader{watcher: w, index: 1, pause: upstreamPause}
+	require.Equal(t, time.Second, r.wait())
+	w.Leads(true)
+	require.Equal(t, upstreamPause, r.wait())
+	w.Leads(false)
+	w.patience = -time.Second
+	require.Equal(t, upstreamPause, r.wait(), "where the bound leaves no time")
+	require.Zero(t, (&tableReader{watcher: w}).wait(), "the operator's table is waited on")
+}
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -139,10 +139,13 @@
 	Roster uint64 `cbor:"6,keyasint,omitempty"`
 	// Sum is a checksum of what the host knows of the platform's tables.
 	Sum uint64 `cbor:"7,keyasint,omitempty"`
+	// PeerURL is where the host accepts links.
+	PeerURL string `cbor:"8,keyasint,omitempty"`
 }
 
 // Successor tells a lead that it has been replaced by the sender, and hosts
-// which one has replaced their lead.
+// which one has replaced their lead. A new lead sends it to every host that it
+// knows, so that they need not look for it.
 type Successor struct {
 	Host string `cbor:"1,keyasint"`
 	// URL is where hosts link to the new lead.
@@ -157,6 +160,8 @@
 	Callers string `cbor:"3,keyasint"`
 	// Cores is the host's processor time, in cores.
 	Cores float64 `cbor:"4,keyasint,omitempty"`
+	// PeerURL is where the host accepts links.
+	PeerURL string `cbor:"5,keyasint,omitempty"`
 }
 
 // LeadBeat tells a host that the lead is there, and what it knows.
