Hosts that will not lead ask a store that is away more rarely

Change: the longest wait after failed reads and the pause between reads of the upstreams follow the bounds of the deployment on hosts too weak to lead; the others read as before, and rely on a weak lead no longer than before.

--- a/host/host.go
+++ b/host/host.go
@@ -51,6 +51,9 @@
 	// drainReserve is what remains of the time in which an upstream that leaves must
 	// be left alone, for reads that fail and requests under way.
 	drainReserve = 3 * time.Second
+	// retryReserve is what remains of the time in which a change must be in force once
+	// the store is back, for the read itself.
+	retryReserve = 1600 * time.Millisecond
 	// passedOver is how many answers to earlier requests are passed over on a
 	// connection.
 	passedOver = 2
@@ -102,7 +105,8 @@
 	})
 	h.watcher = watch.New(watch.Options{
 		Log: h.log.Named("watch"), Feed: tables, Decoder: platform.Decoder{}, Changed: func(v *watch.View) { h.broker.SeeView(v) },
-		Patience: time.Duration(s.Fleet.DrainWithin) - drainReserve,
+		Patience:      time.Duration(s.Fleet.DrainWithin) - drainReserve,
+		RetryPatience: time.Duration(min(s.Fleet.ConfigWithin, s.Fleet.DrainWithin)) - retryReserve,
 	})
 	h.broker = lead.New(lead.Options{
 		Log: h.log.Named("lead"), Host: s.Host, Zone: s.Zone, Callers: s.Listen.Callers, PeerURL: "http://" + s.Listen.Peers,
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -73,8 +73,8 @@
 type Source interface {
 	// Relayed says whether changes are passed on. It does not wait.
 	Relayed(on bool)
-	// Leads says whether this host leads.
-	Leads(on bool)
+	// Eager says whether this host leads or may lead.
+	Eager(on bool)
 	// At returns the store's versions up to which the tables of the operator and of
 	// the upstreams are known.
 	At() (operator, upstreams int64)
--- a/lead/following.go
+++ b/lead/following.go
@@ -117,11 +117,11 @@
 	}
 }
 
-// fresh reports whether the lead has read the store so lately that hosts can rely on
-// it.
+// fresh reports whether the lead has read the store so lately that this host can rely
+// on it. One that may take over reads for itself as soon as the lead is weak.
 func (b *Broker) fresh(m *wire.LeadBeat) bool {
 	age := milliseconds(m.StoreAgeMS)
-	return (!m.Weak && age < relayAge) || age < b.options.InForce-readReserve
+	return (!m.Weak && age < relayAge) || (!b.strong() && age < b.options.InForce-readReserve)
 }
 
 // noteLead takes what a beat says of the lead, of the hosts and of rates.
@@ -233,9 +233,10 @@
 }
 
 // shareChanged gives this host its part of the fleet's limits for the time
-// without a lead.
+// without a lead, and has it read the tables by whether it may lead.
 func (b *Broker) shareChanged() {
 	b.local.SetShare(1 / float64(max(len(b.hosts), 1)))
+	b.options.Source.Eager(b.leading != nil || b.strong())
 }
 
 // Hosts returns the hosts that callers may be sent to.
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -490,11 +490,14 @@
 	beat := func(weak bool, age time.Duration) *wire.LeadBeat {
 		return &wire.LeadBeat{Weak: weak, StoreAgeMS: age.Milliseconds()}
 	}
-	b := &Broker{options: Options{InForce: 2 * time.Second}}
+	b := &Broker{options: Options{InForce: 2 * time.Second, Cores: 0.2}}
+	b.lead.row.strongest = 0.8
 	require.True(t, b.fresh(beat(false, 1900*time.Millisecond)))
 	require.False(t, b.fresh(beat(true, 1900*time.Millisecond)))
 	b.options.InForce = 4 * time.Second
 	require.True(t, b.fresh(beat(true, 2700*time.Millisecond)))
 	require.False(t, b.fresh(beat(true, 2900*time.Millisecond)))
 	require.False(t, b.fresh(beat(false, 2900*time.Millisecond)))
+	b.options.Cores = 0.8
+	require.False(t, b.fresh(beat(true, 1900*time.Millisecond)), "a strong host may have to take over")
 }
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -222,7 +222,6 @@
 		Orders: true, Fence: fence, Share: 1, Limits: b.options.Limits, Random: b.options.Random, HoldEvictions: now.Add(tellTime),
 	})
 	b.lastClaim, b.claimedFrom = 0, nil
-	b.options.Source.Leads(true)
 	b.members, b.untold = map[string]*member{}, b.untoldHosts(before)
 	known := b.hosts
 	b.roster, b.sums = uint64(fence)<<rosterBits, nil
@@ -258,7 +257,6 @@
 	members := b.members
 	b.lead.ledUntil = b.options.Clock()
 	b.leading, b.members = nil, map[string]*member{}
-	b.options.Source.Leads(false)
 	beat := &wire.LeadBeat{Fence: b.lead.fence, Released: true}
 	for host := range members {
 		b.sendTo(host, beat)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -71,10 +71,11 @@
 	feed    store.Feed
 	decoder Decoder
 	changed func(*View)
-	// patience is the least time between two reads of the upstreams, unless this host
-	// leads.
-	patience time.Duration
-	leads    atomic.Bool
+	// patience is the least time between two reads of the upstreams, and
+	// retryPatience the longest wait after failed reads, unless the watcher is eager.
+	patience      time.Duration
+	retryPatience time.Duration
+	eager         atomic.Bool
 
 	view atomic.Pointer[View]
 
@@ -108,19 +109,22 @@
 	// Changed takes each new view. It must not wait.
 	Changed func(*View)
 	// Patience is the least time between two reads of the upstreams on a host that
-	// does not lead, where it is above the usual.
-	Patience time.Duration
+	// will not lead, where it is above the usual. RetryPatience is its longest wait
+	// after failed reads, where it is above the usual.
+	Patience      time.Duration
+	RetryPatience time.Duration
 }
 
 // New returns a watcher that knows nothing before Run.
 func New(o Options) *Watcher {
 	w := &Watcher{
-		log: o.Log, feed: o.Feed, decoder: o.Decoder, changed: o.Changed, patience: o.Patience, lapsed: map[string]time.Time{}, started: time.Now(),
+		log: o.Log, feed: o.Feed, decoder: o.Decoder, changed: o.Changed, patience: o.Patience, retryPatience: o.RetryPatience, lapsed: map[string]time.Time{}, started: time.Now(),
 		back: make(chan struct{}, 1),
 	}
 	for i := range w.resumed {
 		w.resumed[i] = make(chan struct{}, 1)
 	}
+	w.eager.Store(true)
 	w.view.Store(&View{Versions: catalog.Versions{}, Upstreams: map[string]*catalog.Upstream{}})
 	return w
 }
@@ -184,18 +188,28 @@
 		default:
 			r.failed(err)
 			r.pauseLost(ctx, retry)
-			wait, retry = 0, min(retry*2, longestRetry)
+			wait, retry = 0, min(retry*2, w.retryLimit())
 		}
 		sleep(ctx, wait)
 	}
 }
 
-// Leads says whether this host leads, and others go by what it reads.
-func (w *Watcher) Leads(on bool) { w.leads.Store(on) }
+// Eager says whether this host leads or may lead, so that others go by what it reads.
+// A new watcher is eager.
+func (w *Watcher) Eager(on bool) { w.eager.Store(on) }
+
+// retryLimit returns the longest wait after failed reads. Where the lead reads the
+// store again before, it passes on what it has read.
+func (w *Watcher) retryLimit() time.Duration {
+	if w.eager.Load() {
+		return longestRetry
+	}
+	return max(longestRetry, w.retryPatience)
+}
 
 // wait returns how long the table is left alone after it was read.
 func (r *tableReader) wait() time.Duration {
-	if r.pause == 0 || r.watcher.leads.Load() {
+	if r.pause == 0 || r.watcher.eager.Load() {
 		return r.pause
 	}
 	return max(r.pause, r.watcher.patience)
@@ -431,6 +445,7 @@
 // publish puts a view in force and releases the lock that its maker holds.
 func (w *Watcher) publish(v *View) {
 	v.Sum = sum(v)
+	w.eager.Store(true)
 	w.view.Store(v)
 	w.changed(v)
 	w.mu.Unlock()
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -394,15 +394,19 @@
 }
 
 // Pattern: hundreds of hosts read the upstreams, which change all the time. A host
-// that does not lead reads them as rarely as it may, the lead as soon as they change.
-func TestOnlyTheLeadReadsUpstreamsAtOnce(t *testing.T) {
+// that will not lead reads them as rarely as it may, the others as soon as they change.
+func TestOnlyHostsThatMayLeadReadUpstreamsAtOnce(t *testing.T) {
 	w := New(Options{Log: hclog.NewNullLogger(), Patience: time.Second})
 	r := &tableReader{watcher: w, index: 1, pause: upstreamPause}
-	require.Equal(t, time.Second, r.wait())
-	w.Leads(true)
 	require.Equal(t, upstreamPause, r.wait())
-	w.Leads(false)
+	w.Eager(false)
+	require.Equal(t, time.Second, r.wait())
 	w.patience = -time.Second
 	require.Equal(t, upstreamPause, r.wait(), "where the bound leaves no time")
 	require.Zero(t, (&tableReader{watcher: w}).wait(), "the operator's table is waited on")
+	require.Equal(t, longestRetry, w.retryLimit())
+	w.retryPatience = 2 * longestRetry
+	require.Equal(t, 2*longestRetry, w.retryLimit())
+	w.Eager(true)
+	require.Equal(t, longestRetry, w.retryLimit())
 }
