--- a/lead/following.go
+++ b/lead/following.go
@@ -30,9 +30,8 @@
 		case *wire.Successor:
 			b.receiveSuccessor(now, from, m)
 		case *wire.UpstreamLeaving:
-			if b.leading != nil || from == b.lead.host {
-				b.noteLeaving(now, upstreamStart{m.Upstream, m.Born}, from)
-			}
+			// A host that has just joined hears this before it knows that from leads.
+			b.noteLeaving(now, upstreamStart{m.Upstream, m.Born}, from)
 		case *wire.Grant:
 			b.receiveGrant(from, m)
 		case *wire.Refuse:
--- a/lead/relay.go
+++ b/lead/relay.go
@@ -157,6 +157,7 @@
 	}
 	sortUpstreams(push.Upstreams)
 	slices.Sort(push.Gone)
+	b.packChanges(push)
 	for host, m := range b.members {
 		if !m.passed {
 			continue // it is told all of it first
@@ -164,12 +165,29 @@
 		if len(config.Config)+len(config.Versions) > 0 {
 			b.sendTo(host, config)
 		}
-		if len(push.Upstreams)+len(push.Gone) > 0 {
+		if len(push.Upstreams)+len(push.Packed)+len(push.Gone) > 0 {
 			b.sendTo(host, push)
 		}
 	}
 }
 
+// packChanges compresses the upstreams of a change that are many, as when a service
+// starts.
+func (b *Broker) packChanges(push *wire.UpstreamPush) {
+	if len(push.Upstreams) < packedFrom {
+		return
+	}
+	packed, err := wire.PackUpstreams(push.Upstreams)
+	if err != nil {
+		b.log.Error("upstreams not compressed", "error", err)
+		return
+	}
+	push.Packed, push.Upstreams = packed, nil
+}
+
+// packedFrom is how many upstreams are told compressed. A few are not worth it.
+const packedFrom = 8
+
 // versionList returns the versions that differ from those before.
 func versionList(now, before catalog.Versions) []wire.AdapterVersion {
 	var out []wire.AdapterVersion
@@ -233,12 +251,14 @@
 // lead passes on, or it would be ahead of the lead again at once.
 func (b *Broker) takeUpstreams(m *wire.UpstreamPush) {
 	list := m.Upstreams
-	if m.Whole {
+	if len(m.Packed) > 0 {
 		var err error
 		if list, err = wire.UnpackUpstreams(m.Packed); err != nil {
 			b.log.Error("upstreams passed on cannot be read", "error", err)
 			return
 		}
+	}
+	if m.Whole {
 		b.mu.Lock()
 		b.inStep, b.unlike = true, 0
 		weak := b.lead.weak
--- a/lead/scale_test.go
+++ b/lead/scale_test.go
@@ -143,3 +143,34 @@
 		f.end()
 	})
 }
+
+// Pattern: hundreds of hosts join within a second, so that the list of hosts changes all
+// the time. Each is told the whole list once or twice, and else its changes.
+func TestHostsThatJoinTogetherAreToldTheListOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		const hosts = 200
+		f.add("first", 0.8)
+		time.Sleep(2 * time.Second)
+		lead := f.hosts["first"].broker
+		f.taken()
+		for i := range hosts {
+			f.add(fmt.Sprintf("host-%03d", i), 0.2)
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		lead.mu.Lock()
+		whole := size(t, &wire.LeadBeat{Hosts: lead.hosts})
+		require.Len(t, lead.hosts, hosts+1)
+		lead.mu.Unlock()
+		f.sentMu.Lock()
+		sent := float64(f.sent[fmt.Sprintf("%T", &wire.LeadBeat{})])
+		f.sentMu.Unlock()
+		t.Logf("%.1f whole lists a host", sent/hosts/whole)
+		require.Less(t, sent, 3*hosts*whole)
+		for _, h := range f.hosts {
+			require.Len(t, h.broker.Hosts(), hosts+1)
+		}
+		f.end()
+	})
+}
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -216,7 +216,7 @@
 	Whole     bool       `cbor:"1,keyasint,omitempty"`
 	Upstreams []Upstream `cbor:"2,keyasint,omitempty"`
 	Gone      []string   `cbor:"3,keyasint,omitempty"`
-	// Packed holds Upstreams compressed, in their place, where Whole is set.
+	// Packed holds Upstreams compressed, in their place.
 	Packed []byte `cbor:"4,keyasint,omitempty"`
 }
 
