--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -352,6 +352,7 @@
 		x.server.Broker.Leaving(u)
 	}
 	if info.Outcome.NotRun() {
+		x.noteFailure("turned away: "+info.Outcome.String(), nil)
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRejectionBytes)) // only to keep the connection
 		return info.Outcome, info.Said
 	}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -299,7 +299,7 @@
 		status, sent       int
 		failure            string
 	}{
-		{"a rejected one has not run and goes elsewhere", http.MethodPost, "/book/", replica.Faults{Full: 1}, http.StatusServiceUnavailable, 2, ""},
+		{"a rejected one has not run and goes elsewhere", http.MethodPost, "/book/", replica.Faults{Full: 1}, http.StatusServiceUnavailable, 2, ": turned away: full"},
 		{"a safe request is sent again after a failure", http.MethodGet, "/status/", replica.Faults{Break: 1}, http.StatusBadGateway, 2, ": no answer: "},
 		{"an unsafe one is not", http.MethodPost, "/book/", replica.Faults{Break: 1}, http.StatusBadGateway, 1, ": no answer: "},
 		{"an upstream's own failure is passed on", http.MethodPost, "/book/", replica.Faults{Fail: 1}, http.StatusInternalServerError, 1, ": answered 500"},
