Without a lead, hosts hand out rates by what was used through them

The organisations were inside their rates. Ruled out: usage counted twice (the same organisations are refused nothing by the next lead). Change: the lead's beats tell which part of its limit an organisation has used, from a quarter on. A host's part follows what was used through it, as of that beat; a quarter is handed out evenly. The parts of all hosts add up to the rate.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -49,6 +49,9 @@
 	requests  map[RequestID]*entry
 	queues    queues
 	rates     map[string]*usage
+	// shares holds the parts of the limits of some organisations that this Assigner
+	// hands out, in place of Options.Share.
+	shares    map[string]float64
 	lastOrder uint64
 	// holding says that no adapter may be dropped yet.
 	holding bool
--- a/assign/limits.go
+++ b/assign/limits.go
@@ -59,10 +59,35 @@
 	a.usage(organisation).add(now, at, tokens)
 }
 
+// UsedPart returns which part of its limit an organisation has used, 0 for one
+// without a limit.
+func (a *Assigner) UsedPart(now time.Time, organisation string) float64 {
+	limit, ok := a.limit(organisation)
+	if !ok || limit <= 0 {
+		return 0
+	}
+	return a.usage(organisation).sum(now) / limit
+}
+
 // Exhausted reports whether an organisation's rate is used up.
 func (a *Assigner) Exhausted(now time.Time, organisation string) bool {
-	limit, ok := a.limit(organisation)
-	return ok && a.usage(organisation).sum(now) >= limit
+	return a.UsedPart(now, organisation) >= 1
+}
+
+// FleetPart returns which part of the whole fleet's limit an organisation has used
+// here.
+func (a *Assigner) FleetPart(now time.Time, organisation string) float64 {
+	return a.UsedPart(now, organisation) * a.share(organisation)
+}
+
+// SetShares gives organisations other parts of their limits than the usual share.
+func (a *Assigner) SetShares(shares map[string]float64) { a.shares = shares }
+
+func (a *Assigner) share(organisation string) float64 {
+	if share, ok := a.shares[organisation]; ok {
+		return share
+	}
+	return a.options.Share
 }
 
 // Recall counts tokens that an earlier Assigner has recorded. Hosts may tell of
@@ -102,7 +127,7 @@
 	}
 	l := &a.options.Limits
 	whole := (o.TokensPerSecond*l.RateWindow.Seconds()+o.BurstTokens)*(1+ratePart*l.RateOver) + ratePart*l.RateSlackTokens
-	return whole * a.options.Share, true
+	return whole * a.share(organisation), true
 }
 
 // ratePart is the part of the slack in an organisation's rate that is used. The
--- a/lead/broker.go
+++ b/lead/broker.go
@@ -402,7 +402,7 @@
 	case b.leading != nil:
 		leading := b.leading.Stats(now)
 		s.Leading, s.Waiting, s.OldestReport = 1, s.Waiting+leading.Waiting, leading.OldestReport
-		s.Fence, s.Limited = b.lead.fence, len(b.exhaustedNames(now))
+		s.Fence, s.Limited = b.lead.fence, b.exhaustedCount(now)
 	case b.lead.host != "":
 		s.Fence, s.LeadAge = b.lead.fence, now.Sub(b.lead.heardAt)
 	}
--- a/lead/following.go
+++ b/lead/following.go
@@ -138,6 +138,7 @@
 		b.lead.row.version, b.lead.row.since = m.Renewed, now
 	}
 	b.takeRoster(m)
+	b.noteUsed(now, m.Used)
 	clear(b.exhausted)
 	for _, name := range m.Exhausted {
 		b.exhausted[name] = true
--- a/lead/leading.go
+++ b/lead/leading.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/jasminelock/jasminelock/assign"
@@ -202,23 +204,27 @@
 		StoreAgeMS: b.options.Source.Contact().Milliseconds(), Sum: b.view.Sum,
 	}
 	beat.OperatorAt, beat.UpstreamsAt = b.options.Source.At()
-	beat.Exhausted = b.exhaustedNames(now)
+	b.tellUsed(now, beat)
 	return beat
 }
 
-// exhaustedNames returns the organisations whose rate is used up, as the lead
-// counts it.
-func (b *Broker) exhaustedNames(now time.Time) []string {
-	var names []string
-	if b.view.Config != nil {
-		b.view.Config.Organisations(func(o *catalog.Organisation) {
-			if b.leading.Exhausted(now, o.Name) {
-				names = append(names, o.Name)
-			}
-		})
+// tellUsed adds to a beat which organisations have used up their rate, as the lead
+// counts it, and which have used a good part of it.
+func (b *Broker) tellUsed(now time.Time, beat *wire.LeadBeat) {
+	if b.view.Config == nil {
+		return
 	}
-	slices.Sort(names)
-	return names
+	b.view.Config.Organisations(func(o *catalog.Organisation) {
+		part := b.leading.UsedPart(now, o.Name)
+		if b.leading.Exhausted(now, o.Name) {
+			beat.Exhausted = append(beat.Exhausted, o.Name)
+		}
+		if part >= toldPart {
+			beat.Used = append(beat.Used, wire.UsedPart{Organisation: o.Name, Percent: uint16(math.Ceil(100 * min(part, mostPart)))})
+		}
+	})
+	slices.Sort(beat.Exhausted)
+	slices.SortFunc(beat.Used, func(x, y wire.UsedPart) int { return strings.Compare(x.Organisation, y.Organisation) })
 }
 
 // tellTime is how long hosts may take to find a new lead and to tell it what they
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -193,6 +193,15 @@
 	StoreAgeMS int64 `cbor:"8,keyasint,omitempty"`
 	// Exhausted names the organisations whose rate is used up.
 	Exhausted []string `cbor:"6,keyasint,omitempty"`
+	// Used tells of the organisations that have used a good part of theirs.
+	Used []UsedPart `cbor:"15,keyasint,omitempty"`
+}
+
+// UsedPart is which part of its limit an organisation has used over the whole fleet.
+type UsedPart struct {
+	Organisation string `cbor:"1,keyasint"`
+	// Percent is rounded up.
+	Percent uint16 `cbor:"2,keyasint"`
 }
 
 // ConfigPush passes the operator's configuration on, and the announced versions
