--- a/assign/serve.go
+++ b/assign/serve.go
@@ -56,9 +56,7 @@
 }
 
 // serveQueue has serve try the requests of a queue until some cannot be served.
-// It reports whether one was.
-func (a *Assigner) serveQueue(q *queue, serve func(e *entry) bool) bool {
-	served := false
+func (a *Assigner) serveQueue(q *queue, serve func(e *entry) bool) {
 	for i, failed := 0, 0; i < len(q.entries) && failed < triedAtOnce; {
 		e := q.entries[i]
 		if !serve(e) {
@@ -67,9 +65,7 @@
 			continue
 		}
 		a.queues.remove(e)
-		served = true
 	}
-	return served
 }
 
 // serveOn gives waiting requests to an upstream that may have room now: those that
--- a/forward/hostile_test.go
+++ b/forward/hostile_test.go
@@ -83,7 +83,7 @@
 // reach the upstream later, as they would once a cut link is whole again.
 func TestAnAttemptThatIsGivenUpSendsNothingLater(t *testing.T) {
 	reset := make(chan error, 1)
-	s := upstreamDoing(t, func(c net.Conn, r *bufio.Reader) {
+	s := upstreamDoing(t, func(_ net.Conn, r *bufio.Reader) {
 		_, _ = readRequest(r)
 		_, err := r.ReadByte()
 		reset <- err
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -2,214 +2,21 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/entry"
-	"github.com/jasminelock/jasminelock/settings"
-	"github.com/jasminelock/jasminelock/standin"
 	"github.com/jasminelock/jasminelock/standin/caller"
 	"github.com/jasminelock/jasminelock/standin/replica"
 	"github.com/jasminelock/jasminelock/standin/tables"
 )
 
-// patience bounds what a test waits for; it is long, so that only what never
-// comes fails a test on a busy machine.
-const patience = 30 * time.Second
-
-// deployment is some hosts, replicas and the platform's tables in one process.
-type deployment struct {
-	t        *testing.T
-	tables   *tables.Tables
-	store    string
-	hosts    map[string]*runningHost
-	replicas map[string]*replica.Replica
-	config   tables.Config
-}
-
-type runningHost struct {
-	*Host
-	settings *settings.Entry
-	cancel   context.CancelFunc
-	done     chan error
-}
-
-// Ports that hosts listen on: below those of outgoing connections, one of which
-// could take a port before the host does, and apart from those of other tests.
-const (
-	firstPort = 10000
-	portCount = 2000
-)
-
-var portsDrawn atomic.Int64
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range portCount {
-		n := (int64(os.Getpid())*37 + portsDrawn.Add(1)) % portCount
-		address := "127.0.0.1:" + strconv.FormatInt(firstPort+n, 10)
-		if l, err := net.Listen("tcp", address); err == nil {
-			require.NoError(t, l.Close())
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
-func route(name, kind, service string, attempts int) tables.Route {
-	return tables.Route{
-		Name: name, HostName: caller.HostName, Prefix: "/" + name + "/", Kind: kind, Service: service,
-		TimeoutMS: 20000, TargetMS: 1000, MaxAttempts: attempts,
-	}
-}
-
-func deploy(t *testing.T) *deployment {
-	d := &deployment{t: t, tables: tables.New(), hosts: map[string]*runningHost{}, replicas: map[string]*replica.Replica{}}
-	server, err := standin.Serve("127.0.0.1:0", d.tables)
-	require.NoError(t, err)
-	t.Cleanup(server.Close)
-	d.store = strings.TrimPrefix(server.URL, "http://")
-	resume, open, slow := route("resume", "streaming", "engines", 2), route("open", "safe", "app", 2), route("slow", "safe", "nobody", 2)
-	resume.Resumable, open.Open, slow.TimeoutMS = true, true, 300
-	d.config = tables.Config{
-		Routes: []tables.Route{
-			route("chat", "streaming", "engines", 1), resume, route("book", "unsafe", "app", 1), route("status", "safe", "app", 2), open, slow,
-		},
-		Services: []tables.Service{{Name: "app"}, {Name: "engines", Engine: &tables.Engine{
-			BatchSize: 8, CacheTokens: 100_000, AdapterSlots: 2, WeightsMB: 100, Models: []tables.Model{{Name: "m", WeightsMB: 50}},
-		}}},
-		Limits: tables.Limits{MaxBodyBytes: 10_000},
-	}
-	d.putKey("key")
-	return d
-}
-
-// putKey writes the configuration with one key in force.
-func (d *deployment) putKey(key string) {
-	d.config.Version++
-	d.config.Organisations = []tables.Organisation{{
-		Name: "org", Keys: []string{key}, PlainTokens: 10, TokensPerSecond: 100_000, BurstTokens: 100_000,
-	}}
-	d.tables.PutConfig(d.config)
-}
-
-// addReplica starts a replica and lists it.
-func (d *deployment) addReplica(service string, o replica.Options) *replica.Replica {
-	r := replica.New(o)
-	server, err := standin.Serve("127.0.0.1:0", r)
-	require.NoError(d.t, err)
-	d.t.Cleanup(server.Close)
-	d.tables.PutUpstream(o.ID, tables.Upstream{
-		Service: service, Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8, Born: 1, Model: o.Model,
-	})
-	d.replicas[o.ID] = r
-	return r
-}
-
-// addHost starts a host and waits until it is ready.
-func (d *deployment) addHost(name string) *runningHost {
-	r := d.startHost(name)
-	require.Eventually(d.t, func() bool {
-		code, _ := get(caller.ReadyURL(r.settings.Listen.Readiness))
-		return code == http.StatusOK && len(r.broker.Hosts()) > 0
-	}, patience, 10*time.Millisecond)
-	return r
-}
-
-// startHost starts a host.
-func (d *deployment) startHost(name string) *runningHost {
-	s := &settings.Entry{
-		Host: name, Zone: "z", Store: d.store, MemoryMB: 200, Cores: 1, Grace: settings.Duration(8 * time.Second),
-		Listen: settings.EntryListen{
-			Callers: freeAddress(d.t), Readiness: freeAddress(d.t), Directory: freeAddress(d.t), Peers: freeAddress(d.t), Metrics: freeAddress(d.t),
-		},
-		Fleet: settings.EntryFleet{
-			RetryRatio: 0.2, RetrySlack: 50, RateWindow: settings.Duration(8 * time.Second), Fenced: true,
-			AnswerLife: settings.Duration(time.Second),
-		},
-		Log: settings.Log{Level: "error"},
-	}
-	h, err := New(s)
-	require.NoError(d.t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	r := &runningHost{Host: h, settings: s, cancel: cancel, done: make(chan error, 1)}
-	go func() { r.done <- h.Run(ctx) }()
-	var once sync.Once
-	r.cancel = func() { once.Do(func() { cancel(); <-r.done }) }
-	d.t.Cleanup(r.cancel)
-	d.hosts[name] = r
-	return r
-}
-
-func get(url string) (int, string) {
-	resp, err := http.Get(url)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, err.Error()
-	}
-	return resp.StatusCode, string(body)
-}
-
-// answer is what a caller has got.
-type answer struct {
-	status int
-	header http.Header
-	body   string
-	// last says that the host closes the connection.
-	last bool
-	err  error
-}
-
-// call sends a request to a host. A header with an empty value is left out.
-func (r *runningHost) call(method, path, body string, header map[string]string) answer {
-	return r.send(caller.Call{Method: method, Path: path, Body: body, ID: "id-" + path, Key: "key"}, header)
-}
-
-// generate asks an engine.
-func (r *runningHost) generate(path string) answer {
-	return r.send(caller.Call{
-		Method: http.MethodPost, Path: path, Body: "prompt", ID: "id-" + path, Key: "key",
-		Model: "m", Adapter: "a1", PromptTokens: 100, OutputTokens: 20,
-	}, nil)
-}
-
-func (r *runningHost) send(c caller.Call, header map[string]string) answer {
-	req, err := c.Request(context.Background(), r.settings.Listen.Callers)
-	if err != nil {
-		return answer{err: err}
-	}
-	for k, v := range header {
-		req.Header.Set(k, v)
-		if v == "" {
-			req.Header.Del(k)
-		}
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(raw), resp.Close, err}
-}
-
 func TestTheWholePath(t *testing.T) {
 	d := deploy(t)
 	engine := d.addReplica("engines", replica.Options{ID: "e1", Model: "m", AdapterSlots: 2, Events: 5})
--- /dev/null
+++ b/lead/store_test.go
@@ -0,0 +1,153 @@
+package lead
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jasminelock/jasminelock/store"
+)
+
+// cuts are the hosts that the store does not answer, and since when.
+type cuts struct {
+	mu    sync.Mutex
+	since map[string]time.Time
+}
+
+func (c *cuts) set(host string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, is := c.since[host]; is == cut {
+		return
+	}
+	if c.since == nil {
+		c.since = map[string]time.Time{}
+	}
+	if c.since[host] = time.Now(); !cut {
+		delete(c.since, host)
+	}
+}
+
+func (c *cuts) is(host string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, is := c.since[host]
+	return is
+}
+
+// age returns how long ago the store last answered a host.
+func (c *cuts) age(host string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if since, is := c.since[host]; is {
+		return time.Since(since)
+	}
+	return 0
+}
+
+// setSlow makes the store slow, or as fast as usual.
+func (f *fleet) setSlow(slow bool) {
+	f.slowMu.Lock()
+	defer f.slowMu.Unlock()
+	f.slow = slow
+}
+
+func (f *fleet) isSlow() bool {
+	f.slowMu.Lock()
+	defer f.slowMu.Unlock()
+	return f.slow
+}
+
+func (f *fleet) stamp() store.Stamp {
+	return store.Stamp{Version: f.version, Clock: time.Since(f.start)}
+}
+
+// resetCalls begins to count the calls of the store anew.
+func (f *fleet) resetCalls() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.called = map[string]int{}
+}
+
+// calls returns how many calls of the store hosts have made whose names begin so.
+func (f *fleet) calls(prefix string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for host, calls := range f.called {
+		if strings.HasPrefix(host, prefix) {
+			n += calls
+		}
+	}
+	return n
+}
+
+// GetStamped implements store.StampedTables.
+func (h *testHost) GetStamped(context.Context, string, string) (store.Row, store.Stamp, error) {
+	f := h.fleet
+	f.mu.Lock()
+	f.called[h.name]++
+	f.mu.Unlock()
+	time.Sleep(4 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.storeCut.is(h.name) || f.isSlow():
+		return store.Row{}, store.Stamp{}, store.ErrUnavailable
+	case f.row.Version == 0:
+		return store.Row{}, f.stamp(), store.ErrNotFound
+	}
+	return f.row, f.stamp(), nil
+}
+
+// CommitStamped implements store.StampedTables.
+func (h *testHost) CommitStamped(ctx context.Context, txn store.Txn) (store.Stamp, error) {
+	f := h.fleet
+	f.mu.Lock()
+	f.called[h.name]++
+	delay := f.commitDelay
+	f.mu.Unlock()
+	type result struct {
+		stamp store.Stamp
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		time.Sleep(4*time.Millisecond + delay)
+		stamp, err := h.commit(txn)
+		done <- result{stamp, err}
+	}()
+	select {
+	case r := <-done:
+		return r.stamp, r.err
+	case <-ctx.Done():
+		return store.Stamp{}, store.ErrUnavailable
+	}
+}
+
+// delayCommits has the store take longer over transactions.
+func (f *fleet) delayCommits(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commitDelay = d
+}
+
+func (h *testHost) commit(txn store.Txn) (store.Stamp, error) {
+	f := h.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.storeCut.is(h.name):
+		return store.Stamp{}, store.ErrUnavailable
+	case f.row.Version != txn.Conditions[0].Version:
+		return f.stamp(), store.ErrConflict
+	}
+	f.version++
+	f.row = store.Row{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: f.version}
+	if f.loseCommits > 0 || f.isSlow() {
+		f.loseCommits--
+		return store.Stamp{}, store.ErrUnavailable
+	}
+	return f.stamp(), nil
+}
