A lease of two seconds where engines check no fencing tokens

Such a lead must stop 0.2 s before its lease of 1.3 s could be taken, so that a renewal that was sent after the answer to the one before came too late: no lead from 20.6 to 24.1 s but for 0.4 s. Change: 2 s, with calls that may take 1.5 s. Where engines check tokens nothing changes. Test: lead/hold_test.go, a store that takes 0.7 s for 6 s; without the change the lead is lost at once.

--- a/lead/announce.go
+++ b/lead/announce.go
@@ -10,9 +10,9 @@
 // to lead waits for that. So the loss of a lead costs the store a few calls of the
 // strong hosts, not some of each.
 const (
-	// announceWait is how long a weak host waits to hear of the next lead before it
-	// looks for one. A lead that is gone is replaced in less.
-	announceWait = leaseTTL + lookEvery + claimSpread
+	// announceMargin is how long beyond the lease's time a weak host waits to hear of
+	// the next lead before it looks for one. A lead that is gone is replaced in less.
+	announceMargin = lookEvery + claimSpread
 	// tablesReserve is what remains for a change that the lost lead has not passed on:
 	// the time in which its silence was noticed and a read of the tables.
 	tablesReserve = leadSilence + beatEvery + 900*time.Millisecond
@@ -57,6 +57,7 @@
 		b.options.Source.Relayed(false)
 		return
 	}
+	announceWait := b.leaseTime() + announceMargin
 	b.lookAt = now.Add(announceWait)
 	time.AfterFunc(announceWait, b.wakeUp)
 	lostAt := now
--- a/lead/election.go
+++ b/lead/election.go
@@ -19,6 +19,9 @@
 const (
 	renewEvery = 400 * time.Millisecond
 	leaseTTL   = 1300 * time.Millisecond
+	// unfencedTTL is the same where the holder must have stopped before. A store that
+	// takes sixty times as long as usual renews the lease in it.
+	unfencedTTL = 2 * time.Second
 	// weakAfter is how long renewals may fail before the lead lets others take
 	// over that reach the store. It is above a renewal by a store that takes fifty
 	// times as long as usual, and below relayAge.
@@ -38,7 +41,7 @@
 	// usual, as the platform's may, still answers in it. unfencedTimeout bounds it
 	// where the lead must have stopped before the lease lapses.
 	writeTimeout    = 1900 * time.Millisecond
-	unfencedTimeout = 900 * time.Millisecond
+	unfencedTimeout = 1500 * time.Millisecond
 )
 
 // Secret returns what hosts present on their links, "" before it is known.
@@ -191,7 +194,7 @@
 			b.startLeading(now, seen.version, b.claimedFrom)
 			return
 		}
-		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || seen.lapsed(now, b.lead.lost)
+		claim = seen.version == 0 || seen.released || seen.host == b.options.Host || seen.lapsed(now, b.lead.lost, b.leaseTime())
 		claim = claim && !b.tookTurn(seen)
 		if !claim {
 			b.sendTo(seen.host, b.hostBeat())
--- a/lead/hold.go
+++ b/lead/hold.go
@@ -7,14 +7,22 @@
 // on its way: orderTimeout and the way to the engine.
 const holdMargin = 200 * time.Millisecond
 
+// leaseTime is how long a lease that is not renewed is left to its holder.
+func (b *Broker) leaseTime() time.Duration {
+	if b.options.Fenced {
+		return leaseTTL
+	}
+	return unfencedTTL
+}
+
 // heldTooLong reports whether a lease that was written by a call sent at the given
 // time may be another host's by now. Whoever takes it over has seen the row
-// unchanged for leaseTTL, which began after the call was sent.
+// unchanged for leaseTime, which began after the call was sent.
 //
 // Engines that check fencing tokens refuse the orders of a lead that was replaced,
 // so that it need not stop by itself.
 func (b *Broker) heldTooLong(sentAt time.Duration) bool {
-	return !b.options.Fenced && b.options.Clock()-sentAt > leaseTTL-holdMargin
+	return !b.options.Fenced && b.options.Clock()-sentAt > b.leaseTime()-holdMargin
 }
 
 // endExpired stops leading once the lease may be another host's, and reports
--- a/lead/hold_test.go
+++ b/lead/hold_test.go
@@ -273,3 +273,18 @@
 	slow := time.Duration(random.IntN(1200)) * time.Millisecond
 	return func() { f.delayCommits(slow) }, func() { f.delayCommits(0) }
 }
+
+// Pattern: the store takes sixty times as long as usual for a while. The lead goes on
+// giving orders, since each renewal is answered before the lease could be another's.
+func TestALeadOutlivesASlowStore(t *testing.T) {
+	trustingFleet(t, 1, func(f *fleet, e *trustingEngine, _ *rand.Rand) {
+		lead := f.leads()
+		require.Len(t, lead, 1)
+		f.delayCommits(700 * time.Millisecond)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			require.Equal(t, lead, f.leads())
+		}
+		require.Empty(t, e.faults())
+	})
+}
--- a/lead/lease.go
+++ b/lead/lease.go
@@ -49,11 +49,11 @@
 // its whole time, or is older than that by the store's own clock. The clock tells
 // nothing to a host that has not seen a lead go: the store may have been away, so
 // that a lead which lives could not renew.
-func (v *leaseView) lapsed(now time.Time, lost bool) bool {
-	if lost && v.renewed > 0 && v.clock-v.renewed >= leaseTTL+clockMargin {
+func (v *leaseView) lapsed(now time.Time, lost bool, ttl time.Duration) bool {
+	if lost && v.renewed > 0 && v.clock-v.renewed >= ttl+clockMargin {
 		return true
 	}
-	return now.Sub(v.since) >= leaseTTL
+	return now.Sub(v.since) >= ttl
 }
 
 // storeClock returns the store's clock when this host's own says now, or somewhat
