Log and count the rate limits that upstreams state

What callers saw: nothing.

Change: the header is parsed (a decimal number from 0 to 1,000,000; any other text is logged and ignored), kept in a table of limits by incarnation, logged when it changes, and counted in two gauges. Nothing acts on it yet. The stand-in replica can state a limit.

A response without the header withdraws a limit only if its request was sent after the limit was last heard: the response may be older than the limit.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/forward"
 	"github.com/jasminelock/jasminelock/leader"
+	"github.com/jasminelock/jasminelock/throttle"
 	"github.com/jasminelock/jasminelock/watch"
 )
 
@@ -67,6 +68,8 @@
 	Feedback assign.UpstreamFeedback
 	// Leaving reports whether the upstream is leaving and takes no new requests.
 	Leaving bool
+	// RateLimit is what the response states about the request rate that the upstream accepts.
+	RateLimit throttle.Statement
 }
 
 // Codec translates the headers of requests and responses.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -372,6 +372,7 @@
 	upstreamRequest := &forward.Request{
 		Method: x.r.Method, URI: x.uri(), Host: x.r.Host, Header: x.server.Codec.UpstreamHeader(x.r.Header, dispatch), Body: x.body,
 	}
+	sentAt := time.Now()
 	resp, err := x.server.Pool.Do(x.ctx, u.ID, u.Address, upstreamRequest, maxIdle)
 	if err != nil {
 		return x.sendOutcome(err), assign.UpstreamFeedback{}
@@ -381,6 +382,7 @@
 	if info.Leaving {
 		x.server.Broker.UpstreamLeaving(u)
 	}
+	x.server.Broker.RateLimitStated(u, sentAt, info.RateLimit)
 	if info.Outcome.NotRun() {
 		x.recordFailure("rejected: "+info.Outcome.String(), nil)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxRejectionBytes)) // lets the connection be reused
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -80,6 +80,8 @@
 		{"jasminelock.lead.age", "Seconds since the lead was last heard of", func() float64 { return h.broker.Stats().LeaderAge.Seconds() }},
 		{"jasminelock.organisations.limited", "Organisations whose rate is used up", func() float64 { return float64(h.broker.Stats().ExhaustedOrganisations) }},
 		{"jasminelock.requests.quarantined", "Requests that are refused since they crash upstreams", func() float64 { return float64(h.broker.Stats().Quarantined) }},
+		{"jasminelock.upstreams.rate_limited", "Upstreams that state a request rate limit", func() float64 { return float64(h.broker.Stats().RateLimits) }},
+		{"jasminelock.upstreams.rate_limit", "Sum of the rate limits that upstreams state, in requests per second", func() float64 { return h.broker.Stats().RequestsPerSecond }},
 		{"jasminelock.upstreams.oldest_state", "Greatest age, in seconds, of what an engine has told, on the lead", func() float64 { return h.broker.Stats().OldestReportAge.Seconds() }},
 		{"jasminelock.log.dropped", "Log lines that were dropped or summed up", func() float64 { return float64(h.sink.UnwrittenLines()) }},
 	} {
--- a/leader/broker.go
+++ b/leader/broker.go
@@ -20,6 +20,7 @@
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/quarantine"
 	"github.com/jasminelock/jasminelock/store"
+	"github.com/jasminelock/jasminelock/throttle"
 	"github.com/jasminelock/jasminelock/watch"
 	"github.com/jasminelock/jasminelock/wire"
 )
@@ -131,10 +132,14 @@
 	ledger       *quarantine.Ledger
 	suspectCache suspectCache
 	// feedback is what upstreams have reported to this host with their answers.
-	feedback  upstreamFeedback
-	locations map[catalog.AdapterRef]adapterLocation
-	draining  bool
-	startedAt time.Time
+	feedback upstreamFeedback
+	// rateLimits are the request rates that upstreams accept from all hosts together. invalidLimitLoggedAt is when
+	// an invalid one was last logged.
+	rateLimits           *throttle.Table
+	invalidLimitLoggedAt time.Time
+	locations            map[catalog.AdapterRef]adapterLocation
+	draining             bool
+	startedAt            time.Time
 	// noClaimUntil is the time until which this host does not claim the lease. lastHostCount is the number of
 	// hosts before this host, as the leader, lost contact with all of them; 0 once there is a leader again.
 	noClaimUntil  time.Time
@@ -221,7 +226,8 @@
 		options: o, log: o.Log, tickets: map[uint64]*Ticket{}, lastNumber: uint64(o.Random.Uint32()) << 32,
 		wake: make(chan struct{}, 1), members: map[string]*member{}, exhausted: map[string]bool{},
 		unreportedUsage: map[string]float64{}, ledger: quarantine.NewLedger(), feedback: newUpstreamFeedback(),
-		locations: map[catalog.AdapterRef]adapterLocation{}, startedAt: time.Now(), leaderlessSince: time.Now(),
+		rateLimits: throttle.NewTable(),
+		locations:  map[catalog.AdapterRef]adapterLocation{}, startedAt: time.Now(), leaderlessSince: time.Now(),
 		view: &watch.View{Versions: catalog.Versions{}},
 	}
 	b.local = assign.New(assign.Options{Share: startupShare, Limits: o.Limits, Random: o.Random})
--- a/leader/stats.go
+++ b/leader/stats.go
@@ -1,6 +1,10 @@
 package leader
 
-import "time"
+import (
+	"time"
+
+	"github.com/jasminelock/jasminelock/throttle"
+)
 
 // Stats is a summary of a broker's state.
 type Stats struct {
@@ -20,6 +24,10 @@
 	// refused because they crash upstreams.
 	Suspected   int
 	Quarantined int
+	// RateLimits is the number of upstreams that state a rate limit, as far as this host knows.
+	// RequestsPerSecond is the sum of these limits.
+	RateLimits        int
+	RequestsPerSecond float64
 }
 
 // Stats returns a summary of the broker's state.
@@ -29,6 +37,10 @@
 	now := time.Now()
 	s := Stats{Waiting: b.local.Waiting(), ExhaustedOrganisations: len(b.exhausted)}
 	s.Suspected, s.Quarantined = b.ledger.Count(now)
+	b.rateLimits.Each(func(_ throttle.Incarnation, l throttle.Limit) {
+		s.RateLimits++
+		s.RequestsPerSecond += l.PerSecond
+	})
 	switch {
 	case b.leading != nil:
 		leading := b.leading.Stats(now)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -101,6 +101,9 @@
 	DripStreams int
 	// RetryAfter is the header that is sent with every rejection, "" for none.
 	RetryAfter string
+	// RateLimit is the number of requests a second that every answer states as the replica's limit,
+	// "" for none. The replica does not enforce it.
+	RateLimit string
 }
 
 // New returns a replica without adapters.
@@ -253,8 +256,11 @@
 	h.Set("Jasminelock-Attempt-Id", req.Header.Get("Jasminelock-Attempt-Id"))
 	h.Set("Jasminelock-Replica-Load", "1,0,8")
 	r.mu.Lock()
-	leaving, retryAfter, crash := r.faults.Leaving, r.faults.RetryAfter, r.crash
+	leaving, retryAfter, crash, rateLimit := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.faults.RateLimit
 	r.mu.Unlock()
+	if rateLimit != "" {
+		h.Set("Server-Limit", rateLimit)
+	}
 	if leaving {
 		h.Set("Server-Leaving", "1")
 	}
