assign: check an upstream's limits for each queued request that it gets

What callers saw: during the slow start of an upstream, a queue could be assigned to it at once. It then gets far more than it takes and crashes, and the requests fail.

Cause: when an attempt ends, serveOn checks once that the upstream may get a request, and then assigns queued requests until its backlog is full. For a plain service there is no backlog, so the whole queue went to it.

Evidence: TestSlowStart_QueuedRequests, a limit of 4 requests a second and 50 queued requests: 50 within a second before, at most 6 after (go test ./assign -run SlowStart_Queued). It needs an attempt that ends between the moment at which the limit allows the next request and the next pass over the queues, a few milliseconds later.

Change: placeOn asks again for each request. Why it works: an assignment takes from the limit before the next request is tried.

Found while the same loop was read for the rate limits that upstreams state.

--- a/assign/serve.go
+++ b/assign/serve.go
@@ -113,9 +113,10 @@
 	return a.queueBuffer
 }
 
-// placeOn assigns a queued request to an upstream if the upstream holds its adapter and has room.
+// placeOn assigns a queued request to an upstream if the upstream holds its adapter and has room. Each assignment may
+// use up what the upstream's limits allow.
 func (a *Assigner) placeOn(now time.Time, e *requestState, u *upstream) bool {
-	if !u.accepts(now, e.request.ID.Host) || slices.Contains(e.request.Avoid, u.record.ID) {
+	if !u.usable(now) || !u.accepts(now, e.request.ID.Host) || slices.Contains(e.request.Avoid, u.record.ID) {
 		return false
 	}
 	o, ok := a.option(now, u, e, true)
--- a/assign/slowstart_test.go
+++ b/assign/slowstart_test.go
@@ -148,3 +148,43 @@
 	require.LessOrEqual(t, float64(maxPerSecond(assigned)), slowStartCrashRate)
 	require.NotEmpty(t, assigned)
 }
+
+// Guards against queued requests that are assigned beyond the limit of an upstream once one of its attempts ends.
+func TestSlowStart_QueuedRequests(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	a := New(Options{SendsOrders: true, Share: 1, Random: newSimulation(t, 1, 1, 1).random, Limits: simLimits})
+	a.Handle(now, ConfigUpdated{catalog.NewConfig(catalog.ConfigParts{Version: 1, Services: []catalog.Service{{
+		Name: "plain", SlowStart: catalog.SlowStart{RequestsPerSecond: slowStartRate, Period: slowStartTime},
+	}}})})
+	a.Handle(now, UpstreamsUpdated{map[string]*catalog.Upstream{
+		"p": {ID: "p", StartedAt: 1, Service: "plain", Slots: 6, SlowStartRemaining: slowStartTime},
+	}})
+	var assigned []time.Time
+	endsAt := map[RequestID]time.Time{}
+	carryOut := func(decisions []Decision) {
+		for _, d := range decisions {
+			if g, ok := d.(Grant); ok {
+				assigned = append(assigned, now)
+				endsAt[g.ID] = now.Add(307 * time.Millisecond) // between two passes over the queues
+			}
+		}
+	}
+	for n := range uint64(50) {
+		carryOut(a.Handle(now, RequestSubmitted{Request{
+			ID: RequestID{"h", n}, Service: "plain", Arrived: now, Target: now, Deadline: now.Add(time.Minute),
+		}}))
+	}
+	for end := now.Add(slowStartTime); now.Before(end); now = now.Add(time.Millisecond) {
+		for id, at := range endsAt {
+			if !at.After(now) {
+				delete(endsAt, id)
+				carryOut(a.Handle(now, AttemptEnded{ID: id, Outcome: Completed}))
+			}
+		}
+		if at, ok := a.NextWakeup(now); ok && !at.After(now) {
+			carryOut(a.Handle(now, Tick{}))
+		}
+	}
+	require.LessOrEqual(t, maxPerSecond(assigned), slowStartRate+slowStartBurst)
+	require.Greater(t, len(assigned), slowStartRate)
+}
