assign: keep upstreams within the rate limits that they state

Cause this answers: upstreams were chosen by expected time alone, so that one that states a limit got its share of the traffic whatever it stated.

Change: - An upstream with a limit is left out while its limiter is exhausted, so that work goes to upstreams with room first. What a limiter admits is not left unused for long: the time for which it could admit a request and got none lowers the upstream's cost, which also finds out that a limit has ended. - A new request competes with the queued ones for what a limit lets through, by the urgency that already holds. - If all upstreams of a service have limits, a request whose turn comes after the latest time at which it may be assigned is refused at once with the rule upstream_rate, also one that waits and is overtaken. Retry-After gives callers that can return in time one turn each; the others are spread over as much time as they had. - Orders and reports count: an order is followed by the next only after the time of two requests, so that orders use half of a limit at most. - Requests that wait for an exhausted engine claim their adapter there, so that it is not evicted before the limit lets them through. - Grants and refusals carry limit, share and age.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -6,6 +6,7 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/throttle"
 )
 
 // Options configures an Assigner.
@@ -55,6 +56,10 @@
 	lastOrderNumber uint64
 	// evictionsHeld is true while no adapter may be evicted.
 	evictionsHeld bool
+	// rateLimiters enforce the rate limits that upstreams state. They are kept while an upstream is not listed.
+	rateLimiters map[throttle.Incarnation]*throttle.Limiter
+	// lastQueueCheck is the time of the last check of the queues against the rate limits.
+	lastQueueCheck time.Time
 	// evacuatedZones are the availability zones whose upstreams receive no new requests.
 	evacuatedZones map[string]bool
 	adapterIndex   adapterIndex
@@ -89,11 +94,14 @@
 	// prefillSpeed is the service's total prefill speed, in tokens per nanosecond, as computed at prefillSpeedAt.
 	prefillSpeed   float64
 	prefillSpeedAt time.Time
+	// lastReturn is the turn of the last caller that was refused because of rate limits and can return in time.
+	lastReturn time.Time
 }
 
 // requestState is the state of a request that has not ended.
 type requestState struct {
-	request Request
+	request     Request
+	submittedAt time.Time
 	// upstream is the upstream that the request is assigned to, nil while it is queued.
 	upstream *upstream
 	// queue is the queue that holds the request, nil if it is not queued.
@@ -117,6 +125,7 @@
 		config: catalog.NewConfig(catalog.ConfigParts{}), versions: catalog.Versions{},
 		upstreams: map[string]*upstream{}, services: map[string]*service{},
 		requests: map[RequestID]*requestState{}, queues: newQueues(), usages: map[string]*usage{},
+		rateLimiters: map[throttle.Incarnation]*throttle.Limiter{},
 		adapterIndex: newAdapterIndex(), coldLoads: newColdLoadLimiter(), demand: map[catalog.AdapterRef]*decayingRate{},
 	}
 }
@@ -161,6 +170,10 @@
 		a.attemptEnded(now, e)
 	case UpstreamLeaving:
 		a.markLeaving(now, e)
+	case RateLimitUpdated:
+		a.updateRateLimit(now, e)
+	case RateLimitEnded:
+		a.endRateLimit(now, e.Upstream)
 	case HostLost:
 		a.hostLost(now, e.Host)
 	case HostsReported:
@@ -179,8 +192,9 @@
 
 func (a *Assigner) emit(d Decision) { a.decisions = append(a.decisions, d) }
 
-func (a *Assigner) refuse(e *requestState, kind apierr.Kind, retryAfter time.Duration, rule string) {
-	a.emit(Refuse{ID: e.request.ID, Kind: kind, RetryAfter: retryAfter, Rule: rule})
+func (a *Assigner) refuse(now time.Time, e *requestState, kind apierr.Kind, retryAfter time.Duration, rule string) {
+	_, state, _ := a.service(e.request.Service).fleetRate(now)
+	a.emit(Refuse{ID: e.request.ID, Kind: kind, RetryAfter: retryAfter, Rule: rule, RateLimit: state})
 }
 
 // submit handles a new request, or a retry of one: it assigns, queues or refuses the request.
@@ -188,15 +202,15 @@
 	if old, ok := a.requests[r.ID]; ok {
 		a.removeRequest(now, old)
 	}
-	e := &requestState{request: r}
+	e := &requestState{request: r, submittedAt: now}
 	s := a.service(r.Service)
 	switch {
 	case r.retry() && !s.retries.take(a.options):
-		a.refuse(e, apierr.QueueFull, a.retryAfter(s, now, r.ID.Host), "retry_budget")
+		a.refuse(now, e, apierr.QueueFull, a.retryAfter(now, e), "retry_budget")
 		return
 	case !r.Charged:
 		if wait, ok := a.charge(now, &r); !ok {
-			a.refuse(e, apierr.RateLimited, wait, "rate")
+			a.refuse(now, e, apierr.RateLimited, wait, "rate")
 			return
 		}
 	}
@@ -205,13 +219,13 @@
 	}
 	a.requests[r.ID] = e
 	a.recordDemand(now, r.Adapter)
-	if a.place(now, e) {
+	if a.takeTurn(now, s, e) || a.place(now, e) {
 		return
 	}
 	if rule, refused := a.refusalRule(now, e); refused {
 		a.refund(now, e)
 		delete(a.requests, r.ID)
-		a.refuse(e, apierr.QueueFull, a.retryAfter(s, now, r.ID.Host), rule)
+		a.refuse(now, e, apierr.QueueFull, a.retryAfter(now, e), rule)
 		return
 	}
 	a.enqueue(e)
@@ -274,6 +288,9 @@
 	if ev.Outcome.NotRun() {
 		a.refund(now, e)
 	}
+	if ev.Outcome == NotSent {
+		u.rateLimit.Return(now)
+	}
 	if ev.Outcome == NotLoaded && s != nil {
 		a.adapterDenied(now, u, s)
 	}
@@ -364,6 +381,7 @@
 	}
 	a.runDueWakeups(now)
 	a.refuseExpired(now)
+	a.refuseUnservable(now)
 	a.serveWaiting(now)
 	a.pruneDemand(now)
 }
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -35,6 +35,10 @@
 	typicalTokenTime = 9 * time.Millisecond
 	// errorRateCost is the cost of an upstream whose requests all fail.
 	errorRateCost = 2 * time.Second
+	// idleBonusWeight is the weight of the time since the last request to a rate-limited upstream, and maxIdleBonus
+	// the maximum by which that time lowers its cost. It exceeds the other costs.
+	idleBonusWeight = 0.1
+	maxIdleBonus    = 3 * time.Second
 	// cacheMargin is the fraction of the KV cache that assignments may use.
 	cacheMargin = 0.95
 )
@@ -48,6 +52,8 @@
 	// ready is true if the request can be assigned to the upstream now.
 	ready bool
 	cost  time.Duration
+	// score is the cost by which options are compared.
+	score time.Duration
 	rule  string
 }
 
@@ -57,6 +63,9 @@
 	s := a.service(e.request.Service)
 	best, ok := a.bestOption(now, s, e)
 	if !ok {
+		if held := a.exhaustedHolder(now, s, e); held != nil {
+			a.claimSlot(e, held)
+		}
 		return false
 	}
 	if best.needsLoad {
@@ -75,7 +84,11 @@
 func (a *Assigner) grant(now time.Time, e *requestState, o option) {
 	u := o.upstream
 	a.startAttempt(now, e, u, o.slot)
-	g := Grant{ID: e.request.ID, Upstream: u.record.ID, StartedAt: u.record.StartedAt, Rule: o.rule, Expected: o.cost}
+	u.rateLimit.Take(now)
+	g := Grant{
+		ID: e.request.ID, Upstream: u.record.ID, StartedAt: u.record.StartedAt, Rule: o.rule, Expected: o.cost,
+		RateLimit: u.rateLimit.State(now), Held: now.Sub(e.submittedAt),
+	}
 	if o.slot != nil {
 		g.Version = o.slot.version
 	}
@@ -121,7 +134,10 @@
 		if !ok {
 			continue
 		}
-		if !found || o.cost < best.cost || (o.cost == best.cost && o.upstream.record.ID < best.upstream.record.ID) {
+		if o.score = o.cost; o.ready {
+			o.score -= idleBonus(now, u)
+		}
+		if !found || o.score < best.score || (o.score == best.score && o.upstream.record.ID < best.upstream.record.ID) {
 			best, found = o, true
 		}
 	}
@@ -182,6 +198,12 @@
 	return a.adapterOption(now, o, e, held)
 }
 
+// idleBonus lowers the cost of a rate-limited upstream that has been sent less than it accepts, the more the longer
+// this lasts. Without requests it would not be found out that the limit no longer holds.
+func idleBonus(now time.Time, u *upstream) time.Duration {
+	return min(time.Duration(idleBonusWeight*float64(u.rateLimit.Idle(now))), maxIdleBonus)
+}
+
 // decodeDelayCost is the cost for a request of an engine that spends all its time on prefill.
 func decodeDelayCost(r *Request) time.Duration {
 	tokens := r.ExpectedOutput
@@ -213,7 +235,7 @@
 		return o, false
 	}
 	o.needsLoad, o.ready, o.rule = true, false, "load"
-	o.cost += u.loadTime(ref.Adapter) + time.Duration(u.pendingLoads())*warmLoad
+	o.cost += u.loadTime(ref.Adapter) + time.Duration(u.pendingLoads())*warmLoad + u.orderDelay(now)
 	if !u.isWarm(ref.Adapter) {
 		o.cost += storeLoadCost
 	}
--- a/assign/events.go
+++ b/assign/events.go
@@ -13,6 +13,7 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/throttle"
 )
 
 // RequestID identifies a request in the fleet.
@@ -175,6 +176,17 @@
 	Waiting int
 }
 
+// RateLimitUpdated reports the rate limit of an upstream, and the share of it that the Assigner may use. The limit
+// stays until RateLimitEnded, also while the upstream is not listed.
+type RateLimitUpdated struct {
+	Upstream throttle.Incarnation
+	Limit    throttle.Limit
+	Share    float64
+}
+
+// RateLimitEnded reports that an upstream has no rate limit any more.
+type RateLimitEnded struct{ Upstream throttle.Incarnation }
+
 // HostLost reports that a host has gone, and its requests with it.
 type HostLost struct{ Host string }
 
@@ -244,6 +256,8 @@
 func (FirstByteReceived) isEvent()  {}
 func (AttemptEnded) isEvent()       {}
 func (UpstreamLeaving) isEvent()    {}
+func (RateLimitUpdated) isEvent()   {}
+func (RateLimitEnded) isEvent()     {}
 func (HostLost) isEvent()           {}
 func (OrderEnded) isEvent()         {}
 func (ReportReceived) isEvent()     {}
@@ -264,6 +278,10 @@
 	Rule string
 	// Expected is the expected time to the first token.
 	Expected time.Duration
+	// RateLimit is the state of the upstream's rate limit after this assignment.
+	RateLimit throttle.State
+	// Held is the time from the submission of the request to this decision.
+	Held time.Duration
 }
 
 // Refuse ends a request that has not been assigned to an upstream, or is not assigned again.
@@ -273,6 +291,8 @@
 	RetryAfter time.Duration
 	// Rule is the rule that led to the decision, for logs.
 	Rule string
+	// RateLimit is the combined state of the rate limits of the service's upstreams, if all have one.
+	RateLimit throttle.State
 }
 
 // Order asks an engine to load or to evict an adapter.
--- a/assign/orders.go
+++ b/assign/orders.go
@@ -48,7 +48,9 @@
 	sent     order
 	sentAt   time.Time
 	// notBefore is the earliest time at which the next order may be sent.
-	notBefore  time.Time
+	notBefore time.Time
+	// pacedUntil is the earliest time at which the engine's rate limit leaves room for the next order.
+	pacedUntil time.Time
 	unanswered int
 	// loadingModel is the base model that is being loaded, "" if there is none.
 	loadingModel string
@@ -127,7 +129,7 @@
 func (a *Assigner) sendNext(now time.Time, u *upstream) {
 	a.invalidateWakeup(u)
 	o := &u.orders
-	if !a.options.SendsOrders || u.engine == nil || o.inFlight != 0 || now.Before(o.notBefore) {
+	if !a.options.SendsOrders || u.engine == nil || o.inFlight != 0 || now.Before(u.nextOrderAt(now)) {
 		return
 	}
 	if !o.sequenceKnown {
@@ -140,6 +142,8 @@
 	}
 	a.lastOrderNumber++
 	o.inFlight, o.sent, o.sentAt = a.lastOrderNumber, next, now
+	u.rateLimit.Take(now)
+	o.pacedUntil = now.Add(u.orderDelay(now))
 	a.emit(Order{
 		Number: a.lastOrderNumber, Upstream: u.record, Evict: next.evict, Adapter: next.ref, Version: next.version,
 		Sequence: o.sequence, Fence: a.options.Fence,
@@ -344,6 +348,7 @@
 	}
 	o.reportRequested, o.reportDeadline = true, now.Add(orderTimeout)
 	a.invalidateWakeup(u)
+	u.rateLimit.Take(now)
 	a.emit(ReadReport{Upstream: u.record})
 }
 
--- a/assign/refusal.go
+++ b/assign/refusal.go
@@ -27,7 +27,7 @@
 		}
 		a.refund(now, e)
 		a.removeRequest(now, e)
-		a.refuse(e, apierr.QueueFull, a.retryAfter(a.service(e.request.Service), now, e.request.ID.Host), "waited")
+		a.refuse(now, e, apierr.QueueFull, a.retryAfter(now, e), "waited")
 	})
 }
 
@@ -46,6 +46,9 @@
 	if !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() }) {
 		return "no_upstream", true
 	}
+	if _, _, limited := s.fleetRate(now); limited && !now.Add(s.rateWait(now, a.queuedBefore(now, s, e))).Before(e.queueDeadline(a)) {
+		return UpstreamRate, true
+	}
 	if now.Add(a.drainTime(s, now, e.request.ID.Host)).After(e.queueDeadline(a)) {
 		return "queue_full", true
 	}
@@ -113,8 +116,12 @@
 )
 
 // retryAfter returns the time after which a refused caller may find room: the drain time, randomised so that
-// callers do not return together.
-func (a *Assigner) retryAfter(s *service, now time.Time, host string) time.Duration {
+// callers do not return together, or the caller's turn under the rate limits of the service's upstreams.
+func (a *Assigner) retryAfter(now time.Time, e *requestState) time.Duration {
+	s, host := a.service(e.request.Service), e.request.ID.Host
+	if perSecond, _, limited := s.fleetRate(now); limited && perSecond > 0 {
+		return a.rateRetryAfter(now, s, e, perSecond)
+	}
 	wait := max(a.drainTime(s, now, host), minRetryAfter)
 	if s.accepts(now, host) {
 		wait = min(wait, maxRetryAfter)
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/throttle"
 )
 
 // Assumptions about an upstream before it has been measured, and the weight of measurements.
@@ -81,6 +82,8 @@
 	// evacuated is true if the upstream's availability zone is being evacuated.
 	evacuated bool
 	slowStart slowStartLimiter
+	// rateLimit enforces the rate limit that the upstream states, nil for none.
+	rateLimit *throttle.Limiter
 	// backOff holds the hosts from which the upstream accepts no requests, with the end of each back-off.
 	backOff map[string]time.Time
 
@@ -151,6 +154,7 @@
 	u.evacuated = a.evacuatedZones[record.Zone]
 	u.slowStart = slowStartLimiter{limits: a.slowStartLimits(record.Service), options: &a.options}
 	u.updateSlowStart(now, 0)
+	u.rateLimit = a.rateLimiters[throttle.Incarnation{ID: record.ID, StartedAt: record.StartedAt}]
 	a.upstreams[record.ID] = u
 	s.upstreams = append(s.upstreams, u)
 	if engine != nil {
@@ -295,7 +299,7 @@
 
 // present reports whether the upstream may be assigned a request, disregarding a pause after failures.
 func (u *upstream) present(now time.Time) bool {
-	return !u.draining() && !now.Before(u.fullUntil) && !u.slowStart.exhausted(now)
+	return !u.draining() && !now.Before(u.fullUntil) && !u.slowStart.exhausted(now) && !u.rateLimit.Exhausted(now)
 }
 
 // draining reports whether the upstream gets no new requests, according to the store's list, its own announcement
--- a/assign/wakeup.go
+++ b/assign/wakeup.go
@@ -102,8 +102,8 @@
 		return
 	}
 	after := func(t time.Time) {
-		if t.Before(o.notBefore) {
-			t = o.notBefore
+		if earliest := u.nextOrderAt(now); t.Before(earliest) {
+			t = earliest
 		}
 		w.include(t)
 	}
