--- /dev/null
+++ b/entry/admission.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/assign"
+	"github.com/jasminelock/jasminelock/catalog"
+)
+
+// admit resolves the route and the organisation, reads the body and builds the assignment request.
+func (x *exchange) admit() *apierr.Error {
+	x.view = x.server.View()
+	config := x.view.Config
+	if config == nil {
+		return apierr.New(apierr.NotReady, "").WithRetryAfter(notReadyRetryAfter)
+	}
+	requestInfo, err := x.server.Codec.ParseRequest(x.r.Header)
+	x.requestInfo = requestInfo
+	if err != nil {
+		return apierr.New(apierr.InvalidRequest, "%s", err)
+	}
+	path, _, _ := strings.Cut(x.uri(), "?")
+	if x.route = config.Route(x.r.Host, path); x.route == nil {
+		return apierr.New(apierr.UnknownRoute, "")
+	}
+	if err := x.authorise(config); err != nil {
+		return err
+	}
+	if x.refusedByDrain() {
+		return apierr.New(apierr.Draining, "").WithRetryAfter(drainingRetryAfter)
+	}
+	x.deadline = x.arrived.Add(x.maxDuration())
+	if err := x.readBody(config); err != nil {
+		return err
+	}
+	x.buildRequest()
+	return nil
+}
+
+// refusedByDrain reports whether the host has been draining for so long that it may stop before the request ends.
+func (x *exchange) refusedByDrain() bool {
+	since, draining := x.server.Draining()
+	if !draining {
+		return false
+	}
+	if x.route.Kind == catalog.Streaming {
+		return since > acceptStreamsFor
+	}
+	return since > acceptRequestsFor
+}
+
+// drainingRetryAfter is the Retry-After of a draining host, short since the caller can retry on another host.
+const drainingRetryAfter = 10 * time.Millisecond
+
+// notReadyRetryAfter is the Retry-After of a host without a configuration.
+const notReadyRetryAfter = 500 * time.Millisecond
+
+// uri returns the path and the query exactly as the caller sent them.
+func (x *exchange) uri() string {
+	if strings.HasPrefix(x.r.RequestURI, "/") {
+		return x.r.RequestURI
+	}
+	return x.r.URL.RequestURI()
+}
+
+func (x *exchange) authorise(config *catalog.Config) *apierr.Error {
+	if !config.NeedsKeys() {
+		return nil
+	}
+	x.organisation = config.KeyOwner(x.requestInfo.Key)
+	switch {
+	case x.organisation != nil || x.route.Open:
+		return nil
+	case x.requestInfo.Key == "":
+		return apierr.New(apierr.MissingKey, "")
+	}
+	return apierr.New(apierr.InvalidKey, "")
+}
+
+// maxDuration returns the least of maxRequestDuration, the route's timeout and the caller's.
+func (x *exchange) maxDuration() time.Duration {
+	limit := maxRequestDuration
+	if x.route.Timeout > 0 {
+		limit = min(limit, x.route.Timeout)
+	}
+	if x.requestInfo.Timeout > 0 {
+		limit = min(limit, x.requestInfo.Timeout)
+	}
+	return limit
+}
+
+func (x *exchange) readBody(config *catalog.Config) *apierr.Error {
+	limit := config.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		return apierr.New(apierr.BodyTooLarge, "at most %d bytes", limit)
+	}
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	if err := x.controller.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
+		x.server.Log.Debug("read deadline of the connection not set", "error", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	_ = x.controller.SetReadDeadline(time.Time{}) // fails only where deadlines are unsupported
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return apierr.New(apierr.BodyTooLarge, "at most %d bytes", limit)
+	case err != nil:
+		return apierr.New(apierr.RequestTimeout, "")
+	}
+	x.body = body
+	return nil
+}
+
+// buildRequest sets x.request, from which the broker assigns an upstream.
+func (x *exchange) buildRequest() {
+	request := assign.Request{
+		Service: x.route.PickService(x.server.Random()), Adapter: x.requestInfo.Adapter,
+		PromptTokens: x.requestInfo.PromptTokens, OutputTokens: x.requestInfo.OutputTokens,
+		ExpectedOutput: x.requestInfo.LengthHint, PrefixBlocks: x.requestInfo.PrefixBlocks, Priority: x.route.Priority,
+		Arrived: x.arrived, Target: x.arrived.Add(x.route.TargetLatency), Deadline: x.deadline,
+	}
+	if organisation := x.organisation; organisation != nil {
+		request.Organisation = organisation.Name
+		request.Cost = organisation.DefaultCostTokens
+		if organisation.HasPriority {
+			request.Priority = organisation.Priority
+		}
+	}
+	if x.requestInfo.HasUsage {
+		request.Cost = int64(x.requestInfo.PromptTokens + x.requestInfo.OutputTokens)
+	}
+	callerID := request.Organisation
+	if x.organisation == nil {
+		callerID = x.requestInfo.Key
+	}
+	// An organisation may repeat a request under another key, so its name identifies the caller.
+	request.Fingerprint = x.fingerprint(x.r.Method, x.uri(), callerID)
+	if path, _, hasQuery := strings.Cut(x.uri(), "?"); hasQuery {
+		request.Resource = x.fingerprint("", path, callerID)
+	}
+	x.request = request
+}
+
+// fingerprint returns the SHA-256 hash of the texts and the body.
+func (x *exchange) fingerprint(texts ...string) assign.Fingerprint {
+	h := sha256.New()
+	for _, text := range texts {
+		_, _ = io.WriteString(h, text+"\n") // writing to a hash never fails
+	}
+	_, _ = h.Write(x.body)
+	return assign.Fingerprint(h.Sum(nil))
+}
--- a/entry/response.go
+++ b/entry/response.go
@@ -236,6 +236,9 @@
 		"sent", x.sentCount, "ran", x.ranCount, "failure", x.failure, "first_ms", x.timeToFirstToken.Milliseconds(),
 		"pause_ms", x.maxEventGap.Milliseconds(), "took_ms", duration.Milliseconds(),
 	}
+	if x.rateLimit.Limited {
+		fields = append(fields, "rate_limit", x.rateLimit.PerSecond, "rate_share", x.rateLimit.Share, "rate_age_ms", x.rateLimit.Age.Milliseconds())
+	}
 	if x.failure != "" || x.rule != "" {
 		// Identical for all repeats of a request by the same caller, on every host.
 		fields = append(fields, "fingerprint", x.request.Fingerprint.String())
--- a/host/host.go
+++ b/host/host.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/jasminelock/jasminelock/assign"
+	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/entry"
 	"github.com/jasminelock/jasminelock/forward"
 	"github.com/jasminelock/jasminelock/leader"
@@ -25,6 +26,7 @@
 	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/settings"
+	"github.com/jasminelock/jasminelock/throttle"
 	"github.com/jasminelock/jasminelock/watch"
 	"github.com/jasminelock/jasminelock/wire"
 )
@@ -119,7 +121,7 @@
 		Tables: tables, Source: h.watcher, Cores: s.Cores, Fenced: s.Fleet.Fenced, Random: newRandom(),
 		HolderPause: time.Duration(s.Fleet.HolderPause), Clock: timeSinceBoot,
 		MaxPropagation: time.Duration(min(s.Fleet.MaxConfigDelay, s.Fleet.MaxDrainDelay)),
-		Engines:        &countedEngines{Engines: platform.NewEngines(h.pool), orders: h.metrics.orders},
+		Engines:        &countedEngines{Engines: platform.NewEngines(h.pool, h.rateLimitStated), orders: h.metrics.orders},
 		Limits: assign.Limits{
 			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack,
 			RateWindow: time.Duration(s.Fleet.RateWindow), RateTolerance: s.Fleet.RateTolerance, RateSlackTokens: s.Fleet.RateSlackTokens,
@@ -132,6 +134,11 @@
 	return h, nil
 }
 
+// rateLimitStated passes a rate limit that an engine has stated in an answer to an order or a report to the broker.
+func (h *Host) rateLimitStated(u *catalog.Upstream, sentAt time.Time, s throttle.Statement) {
+	h.broker.RateLimitStated(u, sentAt, s)
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Run serves until the context ends, until the shutdown started by Drain is complete,
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -82,6 +82,8 @@
 		{"jasminelock.requests.quarantined", "Requests that are refused since they crash upstreams", func() float64 { return float64(h.broker.Stats().Quarantined) }},
 		{"jasminelock.upstreams.rate_limited", "Upstreams that state a request rate limit", func() float64 { return float64(h.broker.Stats().RateLimits) }},
 		{"jasminelock.upstreams.rate_limit", "Sum of the rate limits that upstreams state, in requests per second", func() float64 { return h.broker.Stats().RequestsPerSecond }},
+		{"jasminelock.upstreams.rate_share", "Part of these limits that this host hands out, in requests per second", func() float64 { return h.broker.Stats().OwnRequestsPerSecond }},
+		{"jasminelock.upstreams.rate_age", "Greatest time in seconds since one of these limits was heard of", func() float64 { return h.broker.Stats().OldestRateLimitAge.Seconds() }},
 		{"jasminelock.upstreams.oldest_state", "Greatest age, in seconds, of what an engine has told, on the lead", func() float64 { return h.broker.Stats().OldestReportAge.Seconds() }},
 		{"jasminelock.log.dropped", "Log lines that were dropped or summed up", func() float64 { return float64(h.sink.UnwrittenLines()) }},
 	} {
--- a/host/ratelimit_test.go
+++ b/host/ratelimit_test.go
@@ -72,7 +72,9 @@
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t)
-			request := func(h *runningHost, n int) response { return h.request(http.MethodGet, "/status/"+strconv.Itoa(n), "", nil) }
+			request := func(h *runningHost, n int) response {
+				return h.request(http.MethodGet, "/status/"+strconv.Itoa(n), "", nil)
+			}
 			for _, id := range []string{"u1", "u2", "u3"} {
 				o := replica.Options{ID: id}
 				service := "app"
--- a/leader/broker.go
+++ b/leader/broker.go
@@ -20,7 +20,6 @@
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/quarantine"
 	"github.com/jasminelock/jasminelock/store"
-	"github.com/jasminelock/jasminelock/throttle"
 	"github.com/jasminelock/jasminelock/watch"
 	"github.com/jasminelock/jasminelock/wire"
 )
@@ -132,14 +131,11 @@
 	ledger       *quarantine.Ledger
 	suspectCache suspectCache
 	// feedback is what upstreams have reported to this host with their answers.
-	feedback upstreamFeedback
-	// rateLimits are the request rates that upstreams accept from all hosts together. invalidLimitLoggedAt is when
-	// an invalid one was last logged.
-	rateLimits           *throttle.Table
-	invalidLimitLoggedAt time.Time
-	locations            map[catalog.AdapterRef]adapterLocation
-	draining             bool
-	startedAt            time.Time
+	feedback   upstreamFeedback
+	rateLimits rateLimits
+	locations  map[catalog.AdapterRef]adapterLocation
+	draining   bool
+	startedAt  time.Time
 	// noClaimUntil is the time until which this host does not claim the lease. lastHostCount is the number of
 	// hosts before this host, as the leader, lost contact with all of them; 0 once there is a leader again.
 	noClaimUntil  time.Time
@@ -214,6 +210,11 @@
 	upstream          string
 	upstreamStartedAt int64
 	firstByteReceived bool
+	// submittedAt is when the request was last submitted, by Options.Clock. held is the part of the time since then
+	// for which the leader held the request before it assigned it, rateLimited whether it did so under a rate limit.
+	submittedAt time.Duration
+	held        time.Duration
+	rateLimited bool
 }
 
 // Decisions returns the channel on which each Broker.RequestAssignment is answered with an assign.Grant or an
@@ -226,7 +227,7 @@
 		options: o, log: o.Log, tickets: map[uint64]*Ticket{}, lastNumber: uint64(o.Random.Uint32()) << 32,
 		wake: make(chan struct{}, 1), members: map[string]*member{}, exhausted: map[string]bool{},
 		unreportedUsage: map[string]float64{}, ledger: quarantine.NewLedger(), feedback: newUpstreamFeedback(),
-		rateLimits: throttle.NewTable(),
+		rateLimits: newRateLimits(),
 		locations:  map[catalog.AdapterRef]adapterLocation{}, startedAt: time.Now(), leaderlessSince: time.Now(),
 		view: &watch.View{Versions: catalog.Versions{}},
 	}
@@ -268,6 +269,7 @@
 		b.deliver(t, d)
 		return
 	}
+	t.submittedAt = b.options.Clock()
 	needsLeader := b.needsLeader(t.request.Service)
 	t.atLeader = needsLeader && b.leader.host != ""
 	switch {
@@ -313,8 +315,10 @@
 	if b.view.Config == nil {
 		return false
 	}
-	s := b.view.Config.Service(service)
-	return s != nil && s.Engine != nil
+	if s := b.view.Config.Service(service); s != nil && s.Engine != nil {
+		return true
+	}
+	return b.rateLimits.services[service] && (b.rateLimits.managed || b.leader.host == "")
 }
 
 // Withdraw closes a ticket whose request waits or has ended.
@@ -369,6 +373,7 @@
 	t.decided = true
 	if g, ok := d.(assign.Grant); ok {
 		t.upstream, t.upstreamStartedAt = g.Upstream, g.StartedAt
+		t.held, t.rateLimited = g.Held, g.RateLimit.Limited
 		b.recordLocation(time.Now(), t.request.Adapter, &g)
 		if t.atLeader && !t.request.Charged {
 			// reportUsage reports this usage to the next leader.
@@ -385,6 +390,7 @@
 		b.view = v
 		b.recordUpstreamEnds(now, before)
 		b.applyView(now, b.handleLocal)
+		b.updateLimitedServices(now)
 		if b.leading != nil {
 			b.applyView(now, b.handleLeading)
 			b.relayChanges(now, before)
--- a/leader/claim.go
+++ b/leader/claim.go
@@ -48,6 +48,7 @@
 	}
 	v.host, v.url, v.secret, v.released = l.Host, l.URL, l.Secret, l.Released
 	v.usage, v.renewedAt, v.maxCores, v.claimID, v.suspects = l.Usage, milliseconds(l.RenewedMS), l.Strongest, l.Claim, l.Suspects
+	v.rateLimits = l.RateLimits
 }
 
 // tryClaim claims the lease, unless it has changed since it was seen. It reports true if the store rejected the
@@ -68,7 +69,7 @@
 		Host: b.options.Host, URL: b.options.PeerURL, Secret: secret, Strongest: seen.maxCores, Claim: b.newClaimID(&seen),
 	}
 	b.mu.Lock()
-	l.Suspects = b.newSuspectRecord(time.Now())
+	l.Suspects, l.RateLimits = b.newSuspectRecord(time.Now()), b.recordedRateLimits(time.Now())
 	b.mu.Unlock()
 	sentAt := b.options.Clock()
 	if seen.storeTime > 0 {
--- a/leader/election.go
+++ b/leader/election.go
@@ -154,6 +154,7 @@
 			return
 		}
 		b.sendToLeader(b.hostHeartbeat())
+		b.removeEndedRateLimits(now)
 	})
 }
 
@@ -184,6 +185,8 @@
 	b.update(func(now time.Time) {
 		draining = b.draining
 		b.restoreSuspects(now, &row)
+		b.restoreRateLimits(now, row.rateLimits)
+		b.removeEndedRateLimits(now)
 		b.handleLeaseRead(now, &row)
 		seen := &b.leader.row
 		if row.version != seen.version || row.host != seen.host {
@@ -192,7 +195,7 @@
 		} else {
 			seen.url, seen.secret, seen.released = row.url, row.secret, seen.released || row.released
 			seen.usage, seen.sentAt, seen.storeTime, seen.renewedAt = row.usage, row.sentAt, row.storeTime, row.renewedAt
-			seen.maxCores, seen.suspects = row.maxCores, row.suspects
+			seen.maxCores, seen.suspects, seen.rateLimits = row.maxCores, row.suspects, row.rateLimits
 		}
 		if b.claimedWithoutAnswer(seen) {
 			b.startLeading(now, seen.version, b.claimedLease)
@@ -286,12 +289,12 @@
 	b.mu.Lock()
 	row, fence := b.leader.row, b.leader.fence
 	now := time.Now()
-	usage, suspects, maxCores := b.newUsageRecord(now), b.newSuspectRecord(now), b.maxCores()
+	usage, suspects, maxCores, limits := b.newUsageRecord(now), b.newSuspectRecord(now), b.maxCores(), b.recordedRateLimits(now)
 	b.mu.Unlock()
 	sentAt := b.options.Clock()
 	stamp, err := b.writeLease(ctx, lease{
 		Host: row.host, URL: row.url, Secret: row.secret, Usage: usage, RenewedMS: usage.ClockMS,
-		Strongest: maxCores, Claim: row.claimID, Suspects: suspects,
+		Strongest: maxCores, Claim: row.claimID, Suspects: suspects, RateLimits: limits,
 	}, row.version)
 	if errors.Is(err, store.ErrConflict) {
 		return b.resolveConflict(ctx, fence)
@@ -302,6 +305,7 @@
 		}
 		noMembers := b.dropSilentMembers(now)
 		b.logStats(now)
+		b.removeEndedRateLimits(now)
 		b.yieldToStronger(now)
 		if noMembers && err == nil {
 			b.stepAside(now)
@@ -374,14 +378,14 @@
 	b.mu.Lock()
 	row, fence := b.leader.row, b.leader.fence
 	now := time.Now()
-	usage, suspects := b.newUsageRecord(now), b.newSuspectRecord(now)
+	usage, suspects, limits := b.newUsageRecord(now), b.newSuspectRecord(now), b.recordedRateLimits(now)
 	b.mu.Unlock()
 	if !b.options.Fenced {
 		// Another host may lead before the store's answer arrives.
 		b.update(func(now time.Time) { b.stopLeading(now, "releasing the lease") })
 	}
 	l := lease{
-		Host: row.host, URL: row.url, Secret: row.secret, Released: true, Usage: usage, Strongest: row.maxCores, Suspects: suspects,
+		Host: row.host, URL: row.url, Secret: row.secret, Released: true, Usage: usage, Strongest: row.maxCores, Suspects: suspects, RateLimits: limits,
 	}
 	_, err := b.writeLease(ctx, l, row.version)
 	if errors.Is(err, store.ErrConflict) {
--- a/leader/fleet_test.go
+++ b/leader/fleet_test.go
@@ -45,6 +45,9 @@
 	// engine handles orders and reports in place of the fleet itself, if it is set.
 	engine Engines
 	view   *watch.View
+	// filter changes messages on their way, or drops them by returning nil; it may be nil. It is called with sentMu
+	// held.
+	filter func(from string, m wire.Message) wire.Message
 	// sentMu guards sent, which counts the bytes of messages by type. It is taken while a broker's lock is held,
 	// which is itself taken while mu is held.
 	sentMu sync.Mutex
@@ -61,6 +64,10 @@
 	cut bool
 	// links holds the hosts to which this one has an open link.
 	links map[string]bool
+	// outbox holds the messages under way to each host, which arrive in order. outboxMu is taken while a broker's lock
+	// is held.
+	outboxMu sync.Mutex
+	outbox   map[string]*outbox
 	// clockMu guards the fields below. It is taken after all other locks.
 	clockMu sync.Mutex
 	// frozenAt is when the host was frozen, zero if it is not frozen.
@@ -72,6 +79,42 @@
 	frozenFor  time.Duration
 }
 
+// outbox holds the messages under way to a host.
+type outbox struct {
+	// deliverMu is held while a message is delivered. mu guards messages.
+	deliverMu sync.Mutex
+	mu        sync.Mutex
+	messages  []wire.Message
+}
+
+// put adds a message at the end.
+func (o *outbox) put(m wire.Message) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.messages = append(o.messages, m)
+}
+
+// take removes the first message.
+func (o *outbox) take() wire.Message {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	m := o.messages[0]
+	o.messages = o.messages[1:]
+	return m
+}
+
+// outboxTo returns the outbox for messages to a host.
+func (h *testHost) outboxTo(to string) *outbox {
+	h.outboxMu.Lock()
+	defer h.outboxMu.Unlock()
+	o, ok := h.outbox[to]
+	if !ok {
+		o = &outbox{}
+		h.outbox[to] = o
+	}
+	return o
+}
+
 const holderPause = 3 * time.Second
 
 // clock is the host's clock. It stands still while the host is frozen, and includes the missed time after the thaw
@@ -145,7 +188,7 @@
 
 // add starts a host.
 func (f *fleet) add(name string, cores float64) *testHost {
-	h := &testHost{fleet: f, name: name, links: map[string]bool{}}
+	h := &testHost{fleet: f, name: name, links: map[string]bool{}, outbox: map[string]*outbox{}}
 	engines := f.engine
 	if engines == nil {
 		engines = f
@@ -238,9 +281,20 @@
 	}
 	f.sentMu.Lock()
 	f.sent[fmt.Sprintf("%T", m)] += len(raw) + frameHeader
+	if f.filter != nil {
+		decoded = f.filter(h.name, decoded)
+	}
 	f.sentMu.Unlock()
+	if decoded == nil {
+		return nil
+	}
+	o := h.outboxTo(to)
+	o.put(decoded)
 	go func() {
 		time.Sleep(time.Millisecond)
+		o.deliverMu.Lock()
+		defer o.deliverMu.Unlock()
+		m := o.take()
 		f.mu.Lock()
 		other, ok := f.hosts[to]
 		ok = ok && !other.cut && !h.cut
@@ -249,7 +303,7 @@
 		}
 		f.mu.Unlock()
 		if ok {
-			other.broker.Receive(h.name, decoded)
+			other.broker.Receive(h.name, m)
 		}
 	}()
 	return nil
--- a/leader/follower.go
+++ b/leader/follower.go
@@ -32,6 +32,8 @@
 		case *wire.UpstreamLeaving:
 			// A host that has just joined receives this before it knows that the sender leads.
 			b.recordLeaving(now, upstreamIncarnation{m.Upstream, m.StartedAt}, from)
+		case *wire.RateLimits:
+			b.receiveRateLimits(now, from, m)
 		case *wire.Grant:
 			b.receiveGrant(from, m)
 		case *wire.Refuse:
@@ -68,6 +70,7 @@
 	}
 	b.deliver(t, assign.Grant{
 		ID: t.request.ID, Upstream: m.Upstream, StartedAt: m.StartedAt, Version: m.Version, Rule: m.Rule, Expected: milliseconds(m.ExpectedMillis),
+		Held: milliseconds(m.HeldMillis), RateLimit: rateState(m.RateLimit),
 	})
 }
 
@@ -78,7 +81,7 @@
 		kind = apierr.QueueFull
 	}
 	if t, ok := b.tickets[m.Number]; ok && t.atLeader {
-		b.deliver(t, assign.Refuse{ID: t.request.ID, Kind: kind, RetryAfter: milliseconds(m.RetryAfterMillis), Rule: m.Rule})
+		b.deliver(t, assign.Refuse{ID: t.request.ID, Kind: kind, RetryAfter: milliseconds(m.RetryAfterMillis), Rule: m.Rule, RateLimit: rateState(m.RateLimit)})
 	}
 }
 
@@ -97,6 +100,7 @@
 		b.stopLeading(now, "another host leads with a newer lease")
 	}
 	if b.leader.host != from {
+		b.rateLimits.managed = m.RateLimitVersion != 0
 		b.follow(now, from, m.Fence)
 	}
 	b.applyHeartbeat(now, from, m)
@@ -178,6 +182,8 @@
 	b.leader.host, b.leader.fence, b.leader.heardAt, b.leader.startupDone = host, fence, now, true
 	b.leader.renewalOverdue, b.leader.yielding, b.leader.steppingAside, b.leader.ledSince = false, false, false, now
 	b.lastHostCount = 0
+	b.setRateLimitsManaged(now, b.rateLimits.managed)
+	b.reportRateLimits(now)
 	b.reportUsage(now)
 	b.reportSuspects(now)
 	for _, t := range b.tickets {
@@ -187,12 +193,7 @@
 	}
 	b.reportLocations(now)
 	b.reportLeaving(host)
-	for _, t := range b.tickets {
-		if t.upstream == "" && !t.decided && t.request.Service != "" && b.needsLeader(t.request.Service) {
-			b.handleLocal(now, assign.RequestWithdrawn{ID: t.request.ID})
-			b.submit(now, t)
-		}
-	}
+	b.submitToLeader(now)
 }
 
 // reportUsage reports to a new leader the tokens that organisations have used through this host.
@@ -235,6 +236,7 @@
 	}
 	b.leader.hasLostLeader, b.leaderlessSince = true, now
 	b.leader.host, b.mismatches = "", 0
+	b.setRateLimitsManaged(now, false)
 	b.awaitSuccessor(now, reason)
 	for _, t := range b.tickets {
 		if !t.decided && t.atLeader {
@@ -247,6 +249,7 @@
 // reads the tables with low latency, as a host that leads or may lead does.
 func (b *Broker) updateFleetShare() {
 	b.local.SetShare(1 / float64(max(len(b.hosts), b.lastHostCount, 1)))
+	b.updateRateLimitShares(time.Now())
 	b.options.Source.SetLowLatency(b.leading != nil || b.strong())
 }
 
@@ -275,7 +278,7 @@
 func (b *Broker) hostHeartbeat() *wire.HostHeartbeat {
 	heartbeat := &wire.HostHeartbeat{
 		Zone: b.options.Zone, CallerAddress: b.options.CallerAddress, Draining: b.draining, Cores: b.options.Cores, MemberListVersion: b.memberListVersion,
-		PeerURL: b.options.PeerURL, TablesChecksum: b.view.Checksum,
+		PeerURL: b.options.PeerURL, TablesChecksum: b.view.Checksum, RateLimitVersion: b.rateLimits.version,
 	}
 	for name, tokens := range b.unreportedUsage {
 		heartbeat.TokenUsages = append(heartbeat.TokenUsages, wire.TokenUsage{Organisation: name, Tokens: tokens})
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -34,6 +34,8 @@
 	// heartbeats that reported a different view.
 	relayed    bool
 	mismatches int
+	// rateLimits is set if the host understands announcements of rate limits.
+	rateLimits bool
 }
 
 // handleLeading passes an event to the fleet's Assigner and carries out its decisions.
@@ -132,6 +134,8 @@
 		b.receiveHostHeartbeat(now, from, m)
 	case *wire.Successor:
 		b.handOver(now, m)
+	case *wire.RateLimitReport:
+		b.receiveRateLimitReport(now, from, m)
 	case *wire.Suspects:
 		b.mergeSuspects(now, from, m.Suspects, 0)
 	case *wire.AdapterLocations:
@@ -144,7 +148,7 @@
 	if !known {
 		b.log.Info("host joined", "host", from, "zone", m.Zone, "callers", m.CallerAddress)
 	}
-	updated := &member{zone: m.Zone, callers: m.CallerAddress, peerURL: m.PeerURL, draining: m.Draining, cores: m.Cores, heardAt: now}
+	updated := &member{zone: m.Zone, callers: m.CallerAddress, peerURL: m.PeerURL, draining: m.Draining, cores: m.Cores, heardAt: now, rateLimits: m.RateLimitVersion != 0}
 	if known {
 		updated.relayed, updated.mismatches = old.relayed, old.mismatches
 	}
@@ -169,6 +173,7 @@
 	}
 	b.sendTo(from, heartbeat)
 	b.syncMember(now, from, updated, m.TablesChecksum)
+	b.syncRateLimits(now, from, m.RateLimitVersion)
 }
 
 // maxSpentTokens bounds the usage of one entry of a host's heartbeat, in tokens. It exceeds what the largest fleet
@@ -227,6 +232,7 @@
 		Fence: b.leader.fence, LeaseVersion: b.leader.row.version, RenewalOverdue: b.leader.renewalOverdue,
 		Yields: b.leader.yielding, MemberListVersion: b.announced.version,
 		StoreAgeMillis: b.options.Source.StoreAge().Milliseconds(), TablesChecksum: b.view.Checksum,
+		RateLimitVersion: b.rateLimits.version,
 	}
 	heartbeat.OperatorVersion, heartbeat.UpstreamsVersion = b.options.Source.KnownVersions()
 	b.addUsage(now, heartbeat)
@@ -275,6 +281,8 @@
 	b.hosts = b.callerHosts()
 	b.announced = memberList{version: b.memberListVersion, hosts: b.hosts}
 	b.applyView(now, b.handleLeading)
+	b.startRateLimits(now, fence, before.rateLimits)
+	b.rateLimits.managed = true
 	b.restoreUsage(now, before)
 	b.follow(now, b.options.Host, fence)
 	b.memberListChanged()
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -1,6 +1,10 @@
 package leader
 
-import "time"
+import (
+	"time"
+
+	"github.com/jasminelock/jasminelock/wire"
+)
 
 // lease is the value of the lease's row, through which the leader is elected.
 type lease struct {
@@ -22,6 +26,8 @@
 	Claim uint64 `cbor:"9,keyasint"`
 	// Suspects are the requests that crash upstreams, for every host that reads the row.
 	Suspects suspectRecord `cbor:"10,keyasint"`
+	// RateLimits are the rate limits of upstreams, for every host that reads the row.
+	RateLimits []wire.RateLimit `cbor:"11,keyasint,omitempty"`
 }
 
 // leaseView is the lease's row as last seen.
@@ -47,6 +53,8 @@
 	claimID uint64
 	// suspects are the suspects recorded by the holder.
 	suspects suspectRecord
+	// rateLimits are the rate limits recorded by the holder.
+	rateLimits []wire.RateLimit
 	// shared are the suspects shared by hosts without a leader, from a row of their own.
 	shared        suspectRecord
 	sharedVersion int64
--- a/leader/messages.go
+++ b/leader/messages.go
@@ -131,10 +131,10 @@
 	case assign.Grant:
 		return d.ID, &wire.Grant{
 			Number: d.ID.Number, Upstream: d.Upstream, StartedAt: d.StartedAt, Version: d.Version, Rule: d.Rule,
-			ExpectedMillis: d.Expected.Milliseconds(),
+			ExpectedMillis: d.Expected.Milliseconds(), HeldMillis: d.Held.Milliseconds(), RateLimit: wireRateState(d.RateLimit),
 		}
 	case assign.Refuse:
-		return d.ID, &wire.Refuse{Number: d.ID.Number, Kind: uint8(d.Kind), RetryAfterMillis: d.RetryAfter.Milliseconds(), Rule: d.Rule}
+		return d.ID, &wire.Refuse{Number: d.ID.Number, Kind: uint8(d.Kind), RetryAfterMillis: d.RetryAfter.Milliseconds(), Rule: d.Rule, RateLimit: wireRateState(d.RateLimit)}
 	}
 	return assign.RequestID{}, nil
 }
--- /dev/null
+++ b/leader/ratelimit_test.go
@@ -0,0 +1,594 @@
+package leader
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/assign"
+	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/throttle"
+	"github.com/jasminelock/jasminelock/wire"
+)
+
+// The operators' bound on an upstream that states a rate limit: from limitContact after it first states it, at most
+// limitFactor times what the limit allows and limitSlack requests in any limitWindow, from all hosts together.
+const (
+	limitContact = 3 * time.Second
+	limitWindow  = 4 * time.Second
+	limitFactor  = 1.5
+	limitSlack   = 5
+)
+
+// limitedLoad sends requests to a fleet whose upstreams may state rate limits.
+type limitedLoad struct {
+	t       *testing.T
+	f       *fleet
+	service string
+	random  *rand.Rand
+	// deadline is the time that callers wait.
+	deadline time.Duration
+	requests sync.WaitGroup
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// limits are the limits that upstreams state.
+	limits   map[string]float64
+	arrivals map[string][]time.Time
+	refusals []limitedRefusal
+	served   int
+	sent     int
+	// olderBuilds are the hosts of a build without rate limits.
+	olderBuilds map[string]bool
+}
+
+// limitedRefusal is a refusal with the time at which the caller received it.
+type limitedRefusal struct {
+	assign.Refuse
+	at time.Time
+}
+
+// withLimitedLoad runs a test with a fleet of the given size, with three upstreams of a service of engines and three
+// of a plain one, and stops the fleet afterwards.
+func withLimitedLoad(t *testing.T, service string, hosts int, test func(l *limitedLoad)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.engine = loadedEngines{}
+		f.view.Upstreams = map[string]*catalog.Upstream{}
+		for i := range 3 {
+			f.addUpstream(&catalog.Upstream{ID: fmt.Sprintf("s%d", i), StartedAt: 1, Service: "s", Zone: "z", Slots: 8, Loaded: loadedAdapter()})
+			f.addUpstream(&catalog.Upstream{ID: fmt.Sprintf("plain%d", i), StartedAt: 1, Service: "plain", Zone: "z", Slots: 6})
+		}
+		for i := range hosts {
+			f.add(fmt.Sprintf("h%d", i), 0.4)
+		}
+		time.Sleep(2 * time.Second)
+		require.Len(t, f.leaders(), 1)
+		l := &limitedLoad{
+			t: t, f: f, service: service, random: rand.New(rand.NewPCG(1, uint64(hosts))), deadline: 2 * time.Second,
+			limits: map[string]float64{}, arrivals: map[string][]time.Time{},
+		}
+		test(l)
+		l.requests.Wait()
+		f.end()
+	})
+}
+
+// forEachService runs a test for a service whose requests the leader always assigns, and for one whose requests hosts
+// assign themselves as long as no upstream states a limit.
+func forEachService(t *testing.T, hosts int, test func(l *limitedLoad)) {
+	t.Helper()
+	for _, service := range []string{"s", "plain"} {
+		t.Run(service, func(t *testing.T) { withLimitedLoad(t, service, hosts, test) })
+	}
+}
+
+// upstream returns the ID of one of the service's upstreams.
+func (l *limitedLoad) upstream(n int) string { return fmt.Sprintf("%s%d", l.service, n) }
+
+// state makes one of the service's upstreams state a limit, or none if it is negative.
+func (l *limitedLoad) state(n int, perSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if delete(l.limits, l.upstream(n)); perSecond >= 0 {
+		l.limits[l.upstream(n)] = perSecond
+	}
+}
+
+// statement returns what a response of an upstream states.
+func (l *limitedLoad) statement(id string) throttle.Statement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	perSecond, ok := l.limits[id]
+	return throttle.Statement{PerSecond: perSecond, Stated: ok, Absent: !ok}
+}
+
+// run sends requests at a mean rate for some time, each to a random host.
+func (l *limitedLoad) run(d time.Duration, perSecond float64) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		if h := l.randomHost(); h != nil {
+			l.requests.Go(func() { l.arrive(h) })
+		}
+		time.Sleep(time.Duration(l.random.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+}
+
+func (l *limitedLoad) randomHost() *testHost {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	names := make([]string, 0, len(l.f.hosts))
+	for name, h := range l.f.hosts {
+		if frozen, _ := h.frozen(0); !frozen {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	slices.Sort(names)
+	return l.f.hosts[names[l.random.IntN(len(names))]]
+}
+
+// arrive submits a request at a host and sends it as the entry package does.
+func (l *limitedLoad) arrive(h *testHost) {
+	now := time.Now()
+	t := h.broker.NewTicket()
+	defer h.broker.Withdraw(t)
+	r := assign.Request{
+		Service: l.service, Organisation: "o", Cost: 0, Arrived: now, Target: now.Add(200 * time.Millisecond), Deadline: now.Add(l.deadline),
+	}
+	if l.service == "s" {
+		r.Adapter, r.PromptTokens = catalog.AdapterRef{Model: "m", Adapter: adapterName}, 100
+	}
+	l.mu.Lock()
+	l.sent++
+	l.mu.Unlock()
+	for range 3 {
+		h.broker.RequestAssignment(t, r)
+		select {
+		case d := <-t.Decisions():
+			switch d := d.(type) {
+			case assign.Grant:
+				if l.attempt(h, t, d) {
+					return
+				}
+				r.Avoid = append(r.Avoid, d.Upstream)
+			case assign.Refuse:
+				l.mu.Lock()
+				l.refusals = append(l.refusals, limitedRefusal{d, time.Now()})
+				l.mu.Unlock()
+				return
+			}
+		case <-time.After(l.deadline):
+			return
+		}
+	}
+}
+
+// attempt sends a request to the assigned upstream, and reports false if that is not allowed.
+func (l *limitedLoad) attempt(h *testHost, t *Ticket, g assign.Grant) bool {
+	for still := true; still; still, _ = h.frozen(0) {
+		time.Sleep(time.Millisecond)
+	}
+	l.f.mu.Lock()
+	u := l.f.view.Upstreams[g.Upstream]
+	l.f.mu.Unlock()
+	if u == nil || u.StartedAt != g.StartedAt {
+		h.broker.AttemptEnded(t, assign.AttemptEnded{Outcome: assign.Replaced})
+		return false
+	}
+	if _, backOff, admitted := h.broker.RateLimitAdmits(t, u); !admitted && !l.olderBuilds[h.name] {
+		h.broker.AttemptEnded(t, assign.AttemptEnded{Outcome: assign.NotSent, Feedback: assign.UpstreamFeedback{BackOff: backOff}})
+		return false
+	}
+	sentAt := time.Now()
+	time.Sleep(time.Millisecond)
+	l.mu.Lock()
+	if !l.olderBuilds[h.name] {
+		l.arrivals[u.ID] = append(l.arrivals[u.ID], time.Now())
+	}
+	l.served++
+	l.mu.Unlock()
+	stated := l.statement(u.ID)
+	time.Sleep(20 * time.Millisecond)
+	if !l.olderBuilds[h.name] {
+		h.broker.RateLimitStated(u, sentAt, stated)
+	}
+	h.broker.AttemptEnded(t, assign.AttemptEnded{Outcome: assign.Completed, Succeeded: true})
+	return true
+}
+
+// since returns the number of requests that reached an upstream from a time on.
+func (l *limitedLoad) since(n int, from time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i, _ := slices.BinarySearchFunc(l.arrivals[l.upstream(n)], from, time.Time.Compare)
+	return len(l.arrivals[l.upstream(n)]) - i
+}
+
+// checkBound checks the operators' bound on an upstream that has stated a limit since the given time.
+func (l *limitedLoad) checkBound(n int, perSecond float64, stated time.Time) {
+	l.t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	arrivals := l.arrivals[l.upstream(n)]
+	worst, at := 0, time.Duration(0)
+	for i, first := range arrivals {
+		if first.Before(stated.Add(limitContact)) {
+			continue
+		}
+		end, _ := slices.BinarySearchFunc(arrivals, first.Add(limitWindow), time.Time.Compare)
+		if end-i > worst {
+			worst, at = end-i, first.Sub(stated)
+		}
+	}
+	l.t.Logf("%s: %d requests in %s, %s after it stated %.1f a second; %d in all; %d of %d served",
+		l.upstream(n), worst, limitWindow, at, perSecond, len(arrivals), l.served, l.sent)
+	assert.LessOrEqual(l.t, float64(worst), limitFactor*perSecond*limitWindow.Seconds()+limitSlack)
+}
+
+// Guards against hosts that together send an upstream more than the limit that it states, and against a limited
+// upstream that gets less than it accepts.
+func TestRateLimit_SteadyLeader(t *testing.T) {
+	for _, perSecond := range []float64{0.5, 1.9, 12} {
+		forEachService(t, 7, func(l *limitedLoad) {
+			l.run(time.Second, 40)
+			l.state(0, perSecond)
+			stated := time.Now()
+			l.run(20*time.Second, 40)
+			l.checkBound(0, perSecond, stated)
+			assert.Greater(t, float64(l.since(0, stated.Add(limitContact))), 0.9*perSecond*17-1)
+			assert.Equal(t, l.sent, l.served, "the other upstreams have room")
+		})
+	}
+}
+
+// Guards against leaders that begin with a full allowance, or without knowledge of the limits.
+func TestRateLimit_LeadersKilled(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.state(0, 1.9)
+		stated := time.Now()
+		for range 8 {
+			l.run(3*time.Second, 40)
+			for _, leader := range l.f.leaders() {
+				l.f.kill(leader)
+				l.run(400*time.Millisecond, 40)
+				l.f.add(leader, 0.4)
+			}
+		}
+		l.checkBound(0, 1.9, stated)
+		assert.Greater(t, l.since(0, stated.Add(limitContact)), 15)
+	})
+}
+
+// Guards against limits that are forgotten when all hosts are killed at once.
+func TestRateLimit_AllHostsKilled(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.state(0, 1.2)
+		stated := time.Now()
+		for range 5 {
+			l.run(6*time.Second, 40)
+			for i := range 7 {
+				l.f.kill(fmt.Sprintf("h%d", i))
+			}
+			for i := range 7 {
+				l.f.add(fmt.Sprintf("h%d", i), 0.4)
+			}
+		}
+		l.checkBound(0, 1.2, stated)
+	})
+}
+
+// Guards against hosts without a leader that each use the whole limit.
+func TestRateLimit_StoreAwayAndLeaderLost(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.state(0, 1.9)
+		stated := time.Now()
+		l.run(5*time.Second, 40)
+		l.f.cutStore(true)
+		l.run(5*time.Second, 40)
+		l.f.kill(l.f.leaders()[0])
+		lost := time.Now()
+		l.run(20*time.Second, 40)
+		require.Empty(t, l.f.leaders())
+		assert.Greater(t, l.since(0, lost.Add(2*time.Second)), 8, "hosts without a leader use their shares")
+		l.f.cutStore(false)
+		l.run(10*time.Second, 40)
+		l.checkBound(0, 1.9, stated)
+	})
+}
+
+// Guards against a leader and the hosts that it does not reach which use the limit twice.
+func TestRateLimit_HostsCutOff(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.state(0, 1.9)
+		stated := time.Now()
+		l.run(5*time.Second, 40)
+		leader := l.f.leaders()[0]
+		var cut []*testHost
+		for i := range 7 {
+			if name := fmt.Sprintf("h%d", i); name != leader && len(cut) < 4 {
+				cut = append(cut, l.f.hosts[name])
+			}
+		}
+		for range 3 {
+			for _, h := range cut {
+				l.f.setCut(h, true)
+			}
+			l.run(8*time.Second, 40)
+			for _, h := range cut {
+				l.f.setCut(h, false)
+			}
+			l.run(4*time.Second, 40)
+		}
+		l.checkBound(0, 1.9, stated)
+	})
+}
+
+// Guards against an isolated leader whose hosts use the limit beside it.
+func TestRateLimit_LeaderIsolated(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.state(0, 1.9)
+		stated := time.Now()
+		l.run(5*time.Second, 40)
+		h := l.f.hosts[l.f.leaders()[0]]
+		l.f.setCut(h, true)
+		l.run(12*time.Second, 40)
+		l.f.setCut(h, false)
+		l.run(5*time.Second, 40)
+		l.checkBound(0, 1.9, stated)
+	})
+}
+
+func (f *fleet) setCut(h *testHost, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.cut = cut
+}
+
+// Guards against assignments that reach a frozen host, or leave a frozen leader, and are used after the thaw.
+func TestRateLimit_HostsFrozen(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.state(0, 1.9)
+		stated := time.Now()
+		for n := range 8 {
+			l.run(3*time.Second, 40)
+			h := l.f.hosts[fmt.Sprintf("h%d", n%7)]
+			h.freeze()
+			l.run(2*time.Second, 40)
+			h.thaw()
+		}
+		l.checkBound(0, 1.9, stated)
+	})
+}
+
+// Guards against shares that are too large in total, or rounded up to one request each, on many hosts.
+func TestRateLimit_ManyHosts(t *testing.T) {
+	forEachService(t, 390, func(l *limitedLoad) {
+		l.state(0, 1)
+		stated := time.Now()
+		l.run(10*time.Second, 300)
+		assert.Greater(t, l.since(0, stated.Add(limitContact)), 5)
+		l.f.cutStore(true)
+		l.f.kill(l.f.leaders()[0])
+		l.run(10*time.Second, 300)
+		require.Empty(t, l.f.leaders())
+		l.checkBound(0, 1, stated)
+	})
+}
+
+// Guards against limits that outlast what the upstream states, and against a flood once they have ended.
+func TestRateLimit_ComesAndGoes(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		for n := range 3 {
+			l.state(n, 1.9)
+		}
+		stated := time.Now()
+		l.run(6*time.Second, 40)
+		l.checkBound(0, 1.9, stated)
+		for n := range 3 {
+			l.state(n, -1)
+		}
+		gone := time.Now()
+		l.run(time.Second, 40)
+		assert.LessOrEqual(t, l.since(0, gone), 8, "requests rise by degrees")
+		l.run(throttle.RecoveryTime+2*time.Second, 40)
+		for name, h := range l.f.hosts {
+			require.Zero(t, h.broker.Stats().RateLimits, name)
+		}
+		served, sent := l.served, l.sent
+		l.run(5*time.Second, 40)
+		l.requests.Wait()
+		assert.Equal(t, l.sent-sent, l.served-served, "all requests are served again")
+	})
+}
+
+// Guards against a limit that is applied to another start of the upstream under the same ID.
+func TestRateLimit_UpstreamRestarts(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		for n := range 3 {
+			l.state(n, 1)
+		}
+		l.run(5*time.Second, 40)
+		for n := range 3 {
+			l.state(n, -1)
+			restarted := *l.f.view.Upstreams[l.upstream(n)]
+			restarted.StartedAt++
+			l.f.addUpstream(&restarted)
+		}
+		time.Sleep(time.Second)
+		served, sent := l.served, l.sent
+		l.run(5*time.Second, 40)
+		l.requests.Wait()
+		assert.Equal(t, l.sent-sent, l.served-served)
+	})
+}
+
+// Guards against requests that wait although no upstream can take them by their deadline, and against refused callers
+// that all return at once.
+func TestRateLimit_RefusedAtOnce(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		for n := range 3 {
+			l.state(n, 2)
+		}
+		l.run(5*time.Second, 40)
+		l.requests.Wait()
+		from, refusals, served := time.Now(), len(l.refusals), l.served
+		l.run(10*time.Second, 40)
+		l.requests.Wait()
+		assert.Greater(t, l.served-served, 50, "the limits are used")
+		returns := map[int64]int{}
+		for _, r := range l.refusals[refusals:] {
+			assert.Contains(t, []string{assign.UpstreamRate, "waited"}, r.Rule)
+			assert.True(t, r.RateLimit.Limited)
+			assert.InDelta(t, 6, r.RateLimit.PerSecond, 1e-9)
+			assert.Less(t, r.RetryAfter, 2*l.deadline+time.Second)
+			returns[r.at.Add(r.RetryAfter).Unix()]++
+		}
+		for at, n := range returns {
+			assert.LessOrEqual(t, n, 60, "callers do not return together, %d s", at)
+		}
+		l.t.Logf("%d refused in %s", len(l.refusals)-refusals, time.Since(from))
+	})
+}
+
+// withoutRateLimits removes from a message what builds without rate limits do not send, nil if they do not know it.
+func withoutRateLimits(m wire.Message) wire.Message {
+	switch m := m.(type) {
+	case *wire.RateLimits, *wire.RateLimitReport:
+		return nil
+	case *wire.LeaderHeartbeat:
+		m.RateLimitVersion = 0
+	case *wire.HostHeartbeat:
+		m.RateLimitVersion = 0
+	case *wire.Grant:
+		m.RateLimit, m.HeldMillis = nil, 0
+	case *wire.Refuse:
+		m.RateLimit = nil
+	}
+	return m
+}
+
+// Guards against hosts that rely on a leader of a build which does not enforce limits, and against messages that such
+// builds cannot read.
+func TestRateLimit_LeaderOfOlderBuild(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.olderBuilds = map[string]bool{l.f.leaders()[0]: true}
+		l.f.sentMu.Lock()
+		l.f.filter = func(from string, m wire.Message) wire.Message {
+			if l.olderBuilds[from] {
+				return withoutRateLimits(m)
+			}
+			return m
+		}
+		l.f.sentMu.Unlock()
+		time.Sleep(2 * heartbeatInterval)
+		for _, h := range l.f.hosts { // they follow the leader again, as after its replacement by an older build
+			h.broker.update(func(now time.Time) { h.broker.setRateLimitsManaged(now, false) })
+		}
+		l.state(0, 1.9)
+		stated := time.Now()
+		l.run(20*time.Second, 40)
+		l.checkBound(0, 1.9, stated)
+		assert.NotEmpty(t, l.arrivals[l.upstream(0)])
+		assert.Greater(t, l.served, l.sent*95/100, "the other upstreams have room")
+	})
+}
+
+// Guards against a leader that floods hosts of older builds with lists, and against limits that one of them, which
+// reports none, keeps the others from sharing.
+func TestRateLimit_HostsOfOlderBuild(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.olderBuilds = map[string]bool{}
+		for i := range 7 {
+			if name := fmt.Sprintf("h%d", i); name != l.f.leaders()[0] && len(l.olderBuilds) < 2 {
+				l.olderBuilds[name] = true
+			}
+		}
+		lists := 0
+		l.f.sentMu.Lock()
+		l.f.filter = func(from string, m wire.Message) wire.Message {
+			if _, list := m.(*wire.RateLimits); list {
+				lists++
+			}
+			if l.olderBuilds[from] {
+				return withoutRateLimits(m)
+			}
+			return m
+		}
+		l.f.sentMu.Unlock()
+		time.Sleep(2 * heartbeatInterval)
+		l.state(0, 1.9)
+		stated := time.Now()
+		l.run(20*time.Second, 40)
+		l.checkBound(0, 1.9, stated)
+		assert.Less(t, lists, 20)
+		if l.service == "s" {
+			assert.NotEmpty(t, l.arrivals[l.upstream(0)])
+		}
+	})
+}
+
+// Guards against limits that hosts do not learn, or keep, because messages about them are lost.
+func TestRateLimit_MessagesLost(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		random := rand.New(rand.NewPCG(3, 3))
+		l.f.sentMu.Lock()
+		l.f.filter = func(_ string, m wire.Message) wire.Message {
+			switch m.(type) {
+			case *wire.RateLimits, *wire.RateLimitReport:
+				if random.Float64() < 0.7 {
+					return nil
+				}
+			}
+			return m
+		}
+		l.f.sentMu.Unlock()
+		l.state(0, 1.9)
+		stated := time.Now()
+		l.run(15*time.Second, 40)
+		l.checkBound(0, 1.9, stated)
+		for name, h := range l.f.hosts {
+			assert.Equal(t, 1, h.broker.Stats().RateLimits, name)
+		}
+		l.state(0, -1)
+		l.run(20*time.Second, 40)
+		for name, h := range l.f.hosts {
+			assert.Zero(t, h.broker.Stats().RateLimits, name)
+		}
+	})
+}
+
+// Guards against control traffic that grows with the number of limits that change all the time.
+func TestRateLimit_ControlTraffic(t *testing.T) {
+	withLimitedLoad(t, "s", 40, func(l *limitedLoad) {
+		leader := l.f.hosts[l.f.leaders()[0]]
+		l.f.updateUpstreams(func(listed map[string]*catalog.Upstream) {
+			for i := range 100 {
+				id := fmt.Sprintf("i-%010d", i)
+				listed[id] = &catalog.Upstream{ID: id, StartedAt: 1_700_000_000_000, Service: "s", Zone: "z", Slots: 8}
+			}
+		})
+		time.Sleep(time.Second)
+		l.f.bytesPerHost()
+		const seconds = 10
+		for n := range seconds * 20 {
+			for i := range 100 {
+				u := l.f.view.Upstreams[fmt.Sprintf("i-%010d", i)]
+				leader.broker.RateLimitStated(u, time.Now(), throttle.Statement{PerSecond: 1 + float64((n+i)%7)/3, Stated: true})
+			}
+			time.Sleep(time.Second / 20)
+		}
+		perSecond := l.f.bytesPerHost() / seconds
+		t.Logf("%.0f bytes a second and host, with 100 limits that each change 20 times a second", perSecond)
+		assert.Less(t, perSecond, 7000.0)
+	})
+}
--- a/leader/stats.go
+++ b/leader/stats.go
@@ -25,9 +25,12 @@
 	Suspected   int
 	Quarantined int
 	// RateLimits is the number of upstreams that state a rate limit, as far as this host knows.
-	// RequestsPerSecond is the sum of these limits.
-	RateLimits        int
-	RequestsPerSecond float64
+	// RequestsPerSecond is the sum of these limits, OwnRequestsPerSecond the part of it that this host hands out, and
+	// OldestRateLimitAge the greatest time since one of them was heard of.
+	RateLimits           int
+	RequestsPerSecond    float64
+	OwnRequestsPerSecond float64
+	OldestRateLimitAge   time.Duration
 }
 
 // Stats returns a summary of the broker's state.
@@ -37,9 +40,15 @@
 	now := time.Now()
 	s := Stats{Waiting: b.local.Waiting(), ExhaustedOrganisations: len(b.exhausted)}
 	s.Suspected, s.Quarantined = b.ledger.Count(now)
-	b.rateLimits.Each(func(_ throttle.Incarnation, l throttle.Limit) {
+	b.rateLimits.table.Each(func(key throttle.Incarnation, l throttle.Limit) {
+		share := b.rateLimitShare(key.ID)
+		if b.leading != nil {
+			share = throttle.LeaderShare
+		}
 		s.RateLimits++
 		s.RequestsPerSecond += l.PerSecond
+		s.OwnRequestsPerSecond += share * l.PerSecond
+		s.OldestRateLimitAge = max(s.OldestRateLimitAge, now.Sub(l.HeardAt))
 	})
 	switch {
 	case b.leading != nil:
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -141,6 +141,11 @@
 	Version        int64  `cbor:"4,keyasint,omitempty"`
 	Rule           string `cbor:"5,keyasint,omitempty"`
 	ExpectedMillis int64  `cbor:"6,keyasint,omitempty"`
+	// HeldMillis is the time from the arrival of the request at the sender to the
+	// assignment, in milliseconds.
+	HeldMillis int64 `cbor:"7,keyasint,omitempty"`
+	// RateLimit is the state of the upstream's rate limit, nil if it has none.
+	RateLimit *RateLimitState `cbor:"8,keyasint,omitempty"`
 }
 
 // Refuse rejects a request, which is assigned to no upstream.
@@ -150,6 +155,9 @@
 	Kind             uint8  `cbor:"2,keyasint"`
 	RetryAfterMillis int64  `cbor:"3,keyasint,omitempty"`
 	Rule             string `cbor:"4,keyasint,omitempty"`
+	// RateLimit is the combined state of the rate limits of the service's upstreams, nil if
+	// not all have one.
+	RateLimit *RateLimitState `cbor:"5,keyasint,omitempty"`
 }
 
 // TokenUsage is the number of tokens that an organisation has used through a host.
@@ -176,6 +184,9 @@
 	TablesChecksum uint64 `cbor:"7,keyasint,omitempty"`
 	// PeerURL is the URL at which the host accepts peer links.
 	PeerURL string `cbor:"8,keyasint,omitempty"`
+	// RateLimitVersion is the version of the host's list of upstreams' rate limits, 1 if it
+	// has none yet. Hosts of builds without rate limits send 0.
+	RateLimitVersion uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Successor announces a new leader. The new leader sends it to the leader that it
@@ -238,6 +249,9 @@
 	// Suspects are the requests that the leader refuses, or is close to refusing, because
 	// they crash upstreams.
 	Suspects []Suspect `cbor:"16,keyasint,omitempty"`
+	// RateLimitVersion is the version of the leader's list of upstreams' rate limits. A
+	// leader of a build without rate limits sends 0.
+	RateLimitVersion uint64 `cbor:"17,keyasint,omitempty"`
 }
 
 // LimitUsage is the share of its rate limit that an organisation has used across the
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -22,6 +22,12 @@
 		&ConfigPull{After: 3},
 		&SnapshotOffer{Revision: 4, Buckets: 256},
 		&SnapshotPull{Bucket: 255},
+		&RateLimits{
+			Version: 1 << 40, Base: 3, Limits: []RateLimit{{Upstream: "u", StartedAt: 1_700_000_000_000, PerSecond: 1.9, Withdrawn: true, AgeMillis: 4, Version: 7}},
+			Ended: []RateLimit{{Upstream: "v", StartedAt: 2}},
+		},
+		&RateLimitReport{Limits: []RateLimit{{Upstream: "u", PerSecond: 0.25}}},
+		&Grant{Number: 1, Upstream: "u", HeldMillis: 3, RateLimit: &RateLimitState{PerSecond: 1.9, Share: 1, AgeMillis: 20}},
 		&SnapshotPart{Revision: 4, Bucket: 1, Parts: 1, Data: []byte{1, 2}},
 	}
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -43,7 +43,7 @@
 // decoders maps each message type to a constructor of an empty message. Each
 // file of messages contributes its own map.
 var decoders = mergeDecoders(linkDecoders, membershipDecoders, configDecoders, limitDecoders, schedDecoders,
-	outcomeDecoders, assignDecoders)
+	outcomeDecoders, assignDecoders, rateLimitDecoders)
 
 func mergeDecoders(groups ...map[Type]func() Message) map[Type]func() Message {
 	merged := map[Type]func() Message{}
