soak: replicas state rate limits

What was missing: neither the stand-ins nor the soak had an upstream that states a limit, so that no run could show the fault of the incident.

--- a/cmd/jasminelock-soak/entries.go
+++ b/cmd/jasminelock-soak/entries.go
@@ -93,8 +93,8 @@
 	if err != nil {
 		return fmt.Sprintf("seed %d: %s\n", seed, err), false
 	}
-	text := fmt.Sprintf("seed %d: %d requests, statuses %v, %d kinds of fault, %d crashes, %.2f served after\n",
-		seed, s.Requests, s.Statuses, len(s.Faults), s.Crashes, s.ServedAfterFaults)
+	text := fmt.Sprintf("seed %d: %d requests, statuses %v, %d kinds of fault, %d crashes, %d limited replicas, %.2f served after\n",
+		seed, s.Requests, s.Statuses, len(s.Faults), s.Crashes, s.LimitedReplicas, s.ServedAfterFaults)
 	for _, f := range s.Violations {
 		text += "  broken: " + f + "\n"
 	}
--- a/host/ratelimit_test.go
+++ b/host/ratelimit_test.go
@@ -97,7 +97,7 @@
 			}
 			sendEvenly(hosts, perSecond, time.Second, request)
 			stated := time.Now()
-			d.replicas["u1"].SetFaults(replica.Faults{RateLimit: strconv.FormatFloat(limit, 'f', -1, 64)})
+			d.replicas["u1"].SetRateLimit(strconv.FormatFloat(limit, 'f', -1, 64))
 			statuses := sendEvenly(hosts, perSecond, contactTime+6*time.Second, request)
 			sent := d.maxInWindow("u1", stated.Add(contactTime))
 			t.Logf("%d requests in %s, answers by status: %v", sent, limitWindow, statuses)
--- a/soak/entries.go
+++ b/soak/entries.go
@@ -125,8 +125,11 @@
 	var load, faults sync.WaitGroup
 	load.Go(func() { s.sendLoad(loadCtx) })
 	load.Go(func() { s.sendCrashingRequests(loadCtx) })
+	limitCtx, endLimits := context.WithCancel(ctx)
+	load.Go(func() { s.stateRateLimits(limitCtx) })
 	s.runFaults(ctx, random, &faults)
 	faults.Wait()
+	endLimits()
 	s.logf("all faults have ended")
 	sleep(ctx, entryRecoveryTime)
 	s.recorder.markFaultsOver()
--- a/soak/entries_test.go
+++ b/soak/entries_test.go
@@ -117,3 +117,26 @@
 		require.Len(t, s.Violations, want)
 	}
 }
+
+// Too many requests to a replica that states a rate limit are a violation, unless it states the limit for too short a
+// time for hosts to know of it.
+func TestEntrySummary_RateLimit(t *testing.T) {
+	start := time.Now()
+	const perSecond = 1.2
+	for _, c := range []struct {
+		rate       float64
+		stated     time.Duration
+		violations int
+	}{
+		{perSecond, rateLimitTime, 0}, {3 * perSecond, rateLimitTime, 1}, {3 * perSecond, rateLimitContact / 2, 0},
+	} {
+		rec, s := newEntryRecorder(), &EntrySummary{}
+		rec.rateLimits = append(rec.rateLimits, rateLimitPeriod{replica: "p", from: start, to: start.Add(c.stated), highest: perSecond})
+		r := &entryReplica{Replica: replica.New(replica.Options{ID: "p"}), id: "p"}
+		for i := range int(c.rate * rateLimitTime.Seconds()) {
+			r.AddRequest(replica.Request{ReceivedAt: start.Add(time.Duration(float64(i) / c.rate * float64(time.Second)))})
+		}
+		s.checkRateLimits(rec, []*entryReplica{r})
+		require.Len(t, s.Violations, c.violations, "%+v", c)
+	}
+}
--- a/soak/entryload.go
+++ b/soak/entryload.go
@@ -53,6 +53,8 @@
 	// evacuations holds the evacuations of zones, slowStarts the slow starts of replicas.
 	evacuations []evacuation
 	slowStarts  []slowStart
+	// rateLimits holds the periods in which replicas stated rate limits.
+	rateLimits []rateLimitPeriod
 }
 
 func newEntryRecorder() *entryRecorder {
@@ -104,6 +106,9 @@
 	Violations []string `json:"findings"`
 	// Crashes counts how often a replica started to run a crashing request.
 	Crashes int `json:"crashes"`
+	// LimitedReplicas counts the periods in which a replica stated a rate limit for so long that the
+	// hosts had to keep to it.
+	LimitedReplicas int `json:"limited"`
 }
 
 // summary checks the answers that callers received against the requests that replicas ran.
@@ -115,6 +120,7 @@
 	s.checkCrashing(rec, replicas)
 	s.checkEvacuations(rec, replicas)
 	s.checkSlowStarts(rec, replicas)
+	s.checkRateLimits(rec, replicas)
 	for _, r := range replicas {
 		for _, seen := range r.Requests() {
 			if seen.Executed {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -74,6 +74,8 @@
 	cancelled int
 	// crash takes the replica down; it may be nil.
 	crash func()
+	// rateLimit is the limit that answers state, "" for none.
+	rateLimit string
 }
 
 // Faults are the faults that a test can inject. A number is that of the requests,
@@ -101,9 +103,6 @@
 	DripStreams int
 	// RetryAfter is the header that is sent with every rejection, "" for none.
 	RetryAfter string
-	// RateLimit is the number of requests a second that every answer states as the replica's limit,
-	// "" for none. The replica does not enforce it.
-	RateLimit string
 }
 
 // New returns a replica without adapters.
@@ -116,6 +115,14 @@
 	r.faults = f
 }
 
+// SetRateLimit sets the number of requests a second that every answer states as the replica's limit,
+// "" for none. The replica does not enforce it.
+func (r *Replica) SetRateLimit(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rateLimit = text
+}
+
 // OnCrash sets the function that takes the replica down. It is called when a request
 // with CrashBody starts to be executed; that request is not answered.
 func (r *Replica) OnCrash(f func()) {
@@ -256,7 +263,7 @@
 	h.Set("Jasminelock-Attempt-Id", req.Header.Get("Jasminelock-Attempt-Id"))
 	h.Set("Jasminelock-Replica-Load", "1,0,8")
 	r.mu.Lock()
-	leaving, retryAfter, crash, rateLimit := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.faults.RateLimit
+	leaving, retryAfter, crash, rateLimit := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.rateLimit
 	r.mu.Unlock()
 	if rateLimit != "" {
 		h.Set("Server-Limit", rateLimit)
