soak: a replica states its limit with its first answer

Trace: from 14.9 to 19.6 s e3 was silent, and all hosts were killed at 14.3 s. No request reached e3 after it was given the limit at 12.2 s until 19.6 s, when 15 that had waited in its link arrived at once; the hosts' first line "upstream states a rate limit" is of 19.584 s. The bound holds from 3 s after the replica first states the limit, which is with an answer, so that the case is allowed.

The stand-in records with each request what its answer states, and the judge counts from the first one. Nothing else changes: all hosts count, and the factor, slack and window stay.

--- a/soak/entryratelimits.go
+++ b/soak/entryratelimits.go
@@ -101,23 +101,30 @@
 func (s *EntrySummary) checkRateLimits(rec *entryRecorder, replicas []*entryReplica) {
 	for _, p := range rec.rateLimits {
 		i := slices.IndexFunc(replicas, func(r *entryReplica) bool { return r.id == p.replica })
-		if i < 0 || p.to.Sub(p.from) < rateLimitContact {
-			continue
-		}
-		s.LimitedReplicas++
 		var times []time.Time
 		for _, seen := range replicas[i].Requests() {
-			if seen.ReceivedAt.After(p.from.Add(rateLimitContact)) && seen.ReceivedAt.Before(p.to) {
+			if seen.RateLimit != "" && seen.ReceivedAt.After(p.from) && seen.ReceivedAt.Before(p.to) {
 				times = append(times, seen.ReceivedAt)
 			}
 		}
+		if len(times) == 0 {
+			continue
+		}
 		slices.SortFunc(times, time.Time.Compare)
+		// A replica states its limit with its first answer, which may be long after it got the limit.
+		bindsAt := times[0].Add(rateLimitContact)
+		if p.to.Before(bindsAt) {
+			continue
+		}
+		s.LimitedReplicas++
+		n, _ := slices.BinarySearchFunc(times, bindsAt, time.Time.Compare)
+		times = times[n:]
 		allowed := rateLimitFactor*p.highest*rateLimitWindow.Seconds() + rateLimitSlack
 		for first, from := range times {
 			end, _ := slices.BinarySearchFunc(times, from.Add(rateLimitWindow), time.Time.Compare)
 			if float64(end-first) > allowed {
 				s.addViolation("replica %s, which stated at most %.2f requests a second, was sent %d within %s, allowed %.1f, %s after it first stated a limit at %s",
-					p.replica, p.highest, end-first, rateLimitWindow, allowed, from.Sub(p.from), p.from.Format("15:04:05.000"))
+					p.replica, p.highest, end-first, rateLimitWindow, allowed, from.Sub(bindsAt)+rateLimitContact, bindsAt.Add(-rateLimitContact).Format("15:04:05.000"))
 				break
 			}
 		}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -43,6 +43,8 @@
 	Executed bool
 	// ReceivedAt is the time of arrival.
 	ReceivedAt time.Time
+	// RateLimit is the limit that the answer states, "" for none.
+	RateLimit string
 }
 
 // AttemptID returns the attempt id that was sent with the request.
@@ -258,13 +260,13 @@
 		}
 	}
 	full := r.consume(&r.faults.Full)
-	r.AddRequest(Request{req.Method, req.RequestURI, req.Header.Clone(), string(body), !full, time.Now()})
-	h := w.Header()
-	h.Set("Jasminelock-Attempt-Id", req.Header.Get("Jasminelock-Attempt-Id"))
-	h.Set("Jasminelock-Replica-Load", "1,0,8")
 	r.mu.Lock()
 	leaving, retryAfter, crash, rateLimit := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.rateLimit
 	r.mu.Unlock()
+	r.AddRequest(Request{req.Method, req.RequestURI, req.Header.Clone(), string(body), !full, time.Now(), rateLimit})
+	h := w.Header()
+	h.Set("Jasminelock-Attempt-Id", req.Header.Get("Jasminelock-Attempt-Id"))
+	h.Set("Jasminelock-Replica-Load", "1,0,8")
 	if rateLimit != "" {
 		h.Set("Server-Limit", rateLimit)
 	}
