leader: a host that starts does not wait for a leader because of a limit

What callers saw: a host that starts and does not reach the leader would have held requests to a plain service back for up to 3 s if an upstream of it has a limit, although others have room.

Cause: requests that the leader assigns wait at the start for a leader, which knows the rates that organisations have used. Services with a limited upstream were treated alike; hosts need no leader for them.

Change: a plain service needs the leader only while there is one that enforces limits. Without one the host uses its share, or the other upstreams.

--- a/leader/broker.go
+++ b/leader/broker.go
@@ -318,7 +318,7 @@
 	if s := b.view.Config.Service(service); s != nil && s.Engine != nil {
 		return true
 	}
-	return b.rateLimits.services[service] && (b.rateLimits.managed || b.leader.host == "")
+	return b.rateLimits.managed && b.rateLimits.services[service]
 }
 
 // Withdraw closes a ticket whose request waits or has ended.
