--- a/assign/ratelimit.go
+++ b/assign/ratelimit.go
@@ -173,7 +173,7 @@
 // takeTurn lets a new request compete with the queued ones for what the rate limits of the service's upstreams
 // allow, so that it does not overtake more urgent ones. It reports whether the request was assigned.
 func (a *Assigner) takeTurn(now time.Time, s *service, e *requestState) bool {
-	if a.queues.count == 0 || !s.rateLimited() {
+	if a.queues.count == 0 || len(a.rateLimiters) == 0 || !s.rateLimited() {
 		return false
 	}
 	a.enqueue(e)
--- a/leader/ratelimit.go
+++ b/leader/ratelimit.go
@@ -90,9 +90,11 @@
 func (b *Broker) rateLimitStated(now time.Time, key throttle.Incarnation, perSecond float64, toldBy string) {
 	before, known := b.rateLimits.table.Get(key)
 	if !b.rateLimits.table.Set(now, key, perSecond) {
+		interval := rateLimitRestateInterval
 		if before.Version == 0 {
-			b.reportRateLimit(now, key) // the last report may have been lost
+			interval = rateLimitReportInterval // the last report may have been lost
 		}
+		b.reportRateLimit(now, key, interval)
 		return
 	}
 	b.log.Info("upstream states a rate limit", "upstream", key.ID, "born", key.StartedAt, "per_second", perSecond,
@@ -100,8 +102,7 @@
 	if b.leading != nil {
 		b.confirmRateLimit(now, key)
 	} else {
-		delete(b.rateLimits.reportedAt, key)
-		b.reportRateLimit(now, key)
+		b.reportRateLimit(now, key, 0)
 	}
 	b.applyRateLimit(now, key)
 	b.updateLimitedServices(now)
@@ -198,6 +199,12 @@
 	}
 }
 
+func (b *Broker) removeRateLimit(now time.Time, key throttle.Incarnation) {
+	b.rateLimits.table.Remove(key)
+	delete(b.rateLimits.reportedAt, key)
+	b.applyRateLimit(now, key)
+}
+
 // removeEndedRateLimits removes the limits that have recovered, and those of upstreams that have restarted or are
 // gone. If there is a leader that enforces the limits, it decides.
 func (b *Broker) removeEndedRateLimits(now time.Time) {
@@ -216,11 +223,10 @@
 		removed = true
 		b.log.Info("rate limit of an upstream removed", "upstream", key.ID, "born", key.StartedAt, "per_second", l.PerSecond,
 			"recovered", recovered, "gone", gone, "restarted", restarted)
-		b.rateLimits.table.Remove(key)
+		b.removeRateLimit(now, key)
 		if b.leading != nil {
 			b.rateLimitChanged(now, key)
 		}
-		b.applyRateLimit(now, key)
 	})
 	if removed {
 		b.updateLimitedServices(now)
--- a/leader/ratelimit_test.go
+++ b/leader/ratelimit_test.go
@@ -397,3 +397,15 @@
 		require.Equal(t, l.sent, l.served)
 	})
 }
+
+// Guards against a leader that does not know how recent a limit is because other hosts hear it.
+func TestRateLimit_AgeOnLeader(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.state(0, 4)
+		l.run(15*time.Second, 40)
+		l.requests.Wait()
+		leader := l.f.hosts[l.f.leaders()[0]]
+		assert.Less(t, leader.broker.Stats().OldestRateLimitAge, rateLimitRestateInterval+time.Second)
+		assert.InDelta(t, 4, leader.broker.Stats().OwnRequestsPerSecond, 1e-9)
+	})
+}
--- a/leader/ratelimitspread.go
+++ b/leader/ratelimitspread.go
@@ -19,8 +19,10 @@
 	// that only change their value, which hosts need when they lose their leader.
 	rateLimitDelay      = 50 * time.Millisecond
 	rateLimitValueDelay = time.Second
-	// rateLimitReportInterval is the minimum time between two reports of the same limit to the leader.
-	rateLimitReportInterval = 250 * time.Millisecond
+	// rateLimitReportInterval is the minimum time between two reports of the same limit to the leader until it has
+	// confirmed it, rateLimitRestateInterval afterwards, so that the leader knows how old the limit is.
+	rateLimitReportInterval  = 250 * time.Millisecond
+	rateLimitRestateInterval = 2 * time.Second
 	// unconfirmedLimitTTL is how long a limit stays that is not on the leader's list: the report may be under way.
 	unconfirmedLimitTTL = 2 * time.Second
 	// maxRecordedRateLimits is the maximum number of limits in the lease's row.
@@ -142,9 +144,9 @@
 	return all[:min(len(all), maxRecordedRateLimits)]
 }
 
-// reportRateLimit reports a limit to the leader, unless it was reported just before.
-func (b *Broker) reportRateLimit(now time.Time, key throttle.Incarnation) {
-	if b.leading != nil || !b.rateLimits.managed || now.Sub(b.rateLimits.reportedAt[key]) < rateLimitReportInterval {
+// reportRateLimit reports a limit to the leader, unless it was reported less than interval ago.
+func (b *Broker) reportRateLimit(now time.Time, key throttle.Incarnation, interval time.Duration) {
+	if b.leading != nil || !b.rateLimits.managed || now.Sub(b.rateLimits.reportedAt[key]) < interval {
 		return
 	}
 	if l, ok := b.rateLimits.table.Get(key); ok {
@@ -206,15 +208,12 @@
 		}
 	}
 	for i := range m.Ended {
-		key := throttle.Incarnation{ID: m.Ended[i].Upstream, StartedAt: m.Ended[i].StartedAt}
-		r.table.Remove(key)
-		b.applyRateLimit(now, key)
+		b.removeRateLimit(now, throttle.Incarnation{ID: m.Ended[i].Upstream, StartedAt: m.Ended[i].StartedAt})
 	}
 	if m.Base == 0 {
 		r.table.Each(func(key throttle.Incarnation, l throttle.Limit) {
 			if !listed[key] && (l.Version != 0 || now.Sub(l.HeardAt) > unconfirmedLimitTTL) {
-				r.table.Remove(key)
-				b.applyRateLimit(now, key)
+				b.removeRateLimit(now, key)
 			}
 		})
 	}
