--- a/leader/ratelimitload_test.go
+++ b/leader/ratelimitload_test.go
@@ -233,4 +233,3 @@
 		l.upstream(n), worst, limitWindow, at, perSecond, len(arrivals), l.served, l.sent)
 	assert.LessOrEqual(l.t, float64(worst), limitFactor*perSecond*limitWindow.Seconds()+limitSlack)
 }
-
