host: ready only once the list of upstreams has been read

What callers saw: a host that has just started says that it is ready and then refuses requests with no_upstream, as if no upstream of the service ran.

Cause: readiness asked for a configuration alone. Both tables are read at the same time, and the upstreams' may come later.

Evidence: TestStart_UpstreamsReadLate, that read made 700 ms slower: 503 with no_upstream from a host that is ready.

Change: the view of the tables says whether the whole list of upstreams has been read, or relayed by a host that has read it. Without it a host is not ready and refuses with host_not_ready, which says what is missing.

--- a/apierr/kind.go
+++ b/apierr/kind.go
@@ -104,7 +104,7 @@
 	NoUpstream:            {http.StatusServiceUnavailable, typeUnavailable, "no_upstream", "no upstream can take the request now", true, onlyNotRun},
 	AdapterUnavailable:    {http.StatusServiceUnavailable, typeUnavailable, "adapter_unavailable", "the adapter could not be loaded", true, onlyNotRun},
 	Draining:              {http.StatusServiceUnavailable, typeUnavailable, "host_draining", "this host is leaving; ask for another", true, onlyNotRun},
-	NotReady:              {http.StatusServiceUnavailable, typeUnavailable, "host_not_ready", "this host has no configuration yet", true, onlyNotRun},
+	NotReady:              {http.StatusServiceUnavailable, typeUnavailable, "host_not_ready", "this host is not ready yet", true, onlyNotRun},
 	ConfigStale:           {http.StatusServiceUnavailable, typeUnavailable, "host_cut_off", "this host cannot confirm its configuration; ask for another", true, onlyNotRun},
 	IdempotencyMismatch:   {http.StatusUnprocessableEntity, typeConflict, "idempotency_key_reused", "the idempotency key was used with another request", false, onlyNotRun},
 	IdempotencyInProgress: {http.StatusConflict, typeConflict, "idempotency_in_progress", "the request with this idempotency key has not ended", true, mayOrHasRun},
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -17,8 +17,11 @@
 func (x *exchange) admit() *apierr.Error {
 	x.view = x.server.View()
 	config := x.view.Config
-	if config == nil {
-		return apierr.New(apierr.NotReady, "").WithRetryAfter(notReadyRetryAfter)
+	switch {
+	case config == nil:
+		return apierr.New(apierr.NotReady, "it has no configuration").WithRetryAfter(notReadyRetryAfter)
+	case !x.view.UpstreamsRead:
+		return apierr.New(apierr.NotReady, "it has not read the list of upstreams").WithRetryAfter(notReadyRetryAfter)
 	}
 	requestInfo, err := x.server.Codec.ParseRequest(x.r.Header)
 	x.requestInfo = requestInfo
@@ -58,7 +61,8 @@
 // drainingRetryAfter is the Retry-After of a draining host, short since the caller can retry on another host.
 const drainingRetryAfter = 10 * time.Millisecond
 
-// notReadyRetryAfter is the Retry-After of a host without a configuration.
+// notReadyRetryAfter is the Retry-After of a host without a configuration or the list of
+// upstreams.
 const notReadyRetryAfter = 500 * time.Millisecond
 
 // uri returns the path and the query exactly as the caller sent them.
--- a/host/drain.go
+++ b/host/drain.go
@@ -70,11 +70,12 @@
 	return nil
 }
 
-// ready reports whether the host can serve callers: it has a configuration and is not
-// draining.
+// ready reports whether the host can serve callers: it has a configuration and the list
+// of upstreams, and is not draining.
 func (h *Host) ready() bool {
 	_, draining := h.draining()
-	return !draining && h.watcher.View().Config != nil
+	view := h.watcher.View()
+	return !draining && view.Config != nil && view.UpstreamsRead
 }
 
 // addressesForZone returns the addresses announced to a caller in an availability zone. It
--- a/host/upstreams_test.go
+++ b/host/upstreams_test.go
@@ -86,6 +86,28 @@
 	require.GreaterOrEqual(t, time.Since(started), pause)
 }
 
+// Guards against a host that says it is ready, or refuses requests for want of an upstream, before it has read the
+// table of upstreams.
+func TestStart_UpstreamsReadLate(t *testing.T) {
+	d := newDeployment(t)
+	d.addReplica("app", replica.Options{ID: "p1"})
+	d.tables.SetFaults(tables.Faults{SlowTable: tables.UpstreamTable, SlowBy: 700 * time.Millisecond})
+	h := d.startHost("h1")
+	early := make(chan response, 1)
+	require.Eventually(t, func() bool { return h.watcher.View().Config != nil }, testTimeout, time.Millisecond)
+	go func() { early <- h.request(http.MethodGet, "/status/early", "", nil) }()
+	require.Eventually(t, func() bool {
+		code, _ := get(caller.ReadyURL(h.settings.Listen.Readiness))
+		return code == http.StatusOK
+	}, testTimeout, time.Millisecond)
+	require.Equal(t, http.StatusOK, h.request(http.MethodGet, "/status/", "", nil).status)
+	if resp := <-early; resp.status != http.StatusOK { // the reads may have been quick after all
+		require.Equal(t, http.StatusServiceUnavailable, resp.status)
+		require.Contains(t, resp.body, "not_ready")
+		require.NotEmpty(t, resp.header.Get("Retry-After"))
+	}
+}
+
 // maxHeapGrowth is how many bytes an endless body may add to a host's heap. The smallest
 // host of the users' deployments has 184 MB.
 const maxHeapGrowth = 40 << 20
--- a/standin/tables/rows.go
+++ b/standin/tables/rows.go
@@ -67,6 +67,9 @@
 	BurstTokens     int      `json:"burst"`
 }
 
+// UpstreamTable is the table in which replicas register.
+const UpstreamTable = "servers"
+
 // Upstream is the entry that a replica writes about itself.
 type Upstream struct {
 	Service   string
@@ -111,8 +114,8 @@
 	if u.Model != "" {
 		row["models"] = []any{map[string]any{"name": u.Model, "version": 1, "adapters": []any{}}}
 	}
-	t.Put("servers", id, row)
+	t.Put(UpstreamTable, id, row)
 }
 
 // RemoveUpstream deletes a replica's entry.
-func (t *Tables) RemoveUpstream(id string) { t.Remove("servers", id) }
+func (t *Tables) RemoveUpstream(id string) { t.Remove(UpstreamTable, id) }
--- a/standin/tables/tables.go
+++ b/standin/tables/tables.go
@@ -32,6 +32,9 @@
 	Silent bool
 	// LoseCommits is the number of transactions that are committed and not answered.
 	LoseCommits int
+	// SlowTable is a table whose reads take SlowBy longer, "" for none.
+	SlowTable string
+	SlowBy    time.Duration
 }
 
 // Tables is the stand-in. It implements http.Handler.
@@ -136,6 +139,9 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
+			if r.Method == http.MethodGet && r.URL.Query().Get("table") == faults.SlowTable {
+				time.Sleep(faults.SlowBy)
+			}
 			t.mux.ServeHTTP(w, r)
 			return
 		}
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -140,6 +140,7 @@
 	}
 	next.UpstreamsVersion = p.StoreVersion
 	if p.Whole {
+		next.UpstreamsRead = next.UpstreamsRead || p.StoreVersion > 0 // 0 is relayed by a host that has not read them
 		next.Upstreams = map[string]*catalog.Upstream{}
 	} else {
 		next.Upstreams = maps.Clone(next.Upstreams)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -71,6 +71,9 @@
 	Versions  catalog.Versions
 	Evacuated Evacuations
 	Upstreams map[string]*catalog.Upstream
+	// UpstreamsRead is true once the whole table of upstreams has been read or relayed. Before,
+	// Upstreams may lack upstreams that are running.
+	UpstreamsRead bool
 	// UpstreamsVersion is the version of the store up to which Upstreams is known.
 	UpstreamsVersion int64
 	// Checksum is a checksum over the parts of the view that hosts relay.
@@ -282,6 +285,7 @@
 			}
 		}
 	}
+	next.UpstreamsRead = next.UpstreamsRead || whole
 	next.UpstreamsVersion = max(next.UpstreamsVersion, readVersion(c, whole))
 	w.keepExpired(&next, before, outage)
 	w.publish(&next)
