--- a/assign/ratelimit_test.go
+++ b/assign/ratelimit_test.go
@@ -211,8 +211,14 @@
 		}
 	}
 	requireBound(t, times, perSecond)
-	require.Greater(t, len(w.granted), 15, "orders leave room for requests")
+	for i := range times {
+		for j := i; j < len(times); j++ {
+			allowed := 1 + perSecond*(times[j].Sub(times[i])+250*time.Millisecond).Seconds()
+			require.LessOrEqual(t, float64(j-i+1), allowed+1, "the limit itself, with what may be sent at once")
+		}
+	}
 	require.Greater(t, float64(len(times)), 0.7*perSecond*20)
+	require.Greater(t, float64(len(w.granted)), 0.5*perSecond*20, "orders leave half of the limit to requests")
 }
 
 // Guards against orders to an engine with a limit that keep the Assigner busy without an effect.
--- a/leader/ratelimit_test.go
+++ b/leader/ratelimit_test.go
@@ -281,3 +281,55 @@
 		}
 	})
 }
+
+// Guards against a limit that only one host hears, and that reaches neither the leader nor the next leader.
+func TestRateLimit_HeardByOneHost(t *testing.T) {
+	forEachService(t, 7, func(l *limitedLoad) {
+		l.answerAfter = time.Second
+		l.callersOf = l.f.add("weak", 0.1) // so that it does not lead
+		time.Sleep(time.Second)
+		l.f.sentMu.Lock()
+		l.f.filter = func(_ string, m wire.Message) wire.Message {
+			if _, announcement := m.(*wire.RateLimits); announcement {
+				return nil // so that only reports carry the limit
+			}
+			return m
+		}
+		l.f.sentMu.Unlock()
+		l.state(0, 1.2)
+		stated := time.Now()
+		l.run(8*time.Second, 40)
+		l.f.kill(l.f.leaders()[0])
+		l.run(8*time.Second, 40)
+		l.checkBound(0, 1.2, stated)
+		assert.NotContains(t, l.f.leaders(), l.callersOf.name)
+	})
+}
+
+// Guards against requests that wait for a host's own Assigner on and on once a limit makes the leader assign them.
+func TestRateLimit_QueuedRequestsMoveToLeader(t *testing.T) {
+	withLimitedLoad(t, "plain", 3, func(l *limitedLoad) {
+		leader := l.f.hosts[l.f.leaders()[0]]
+		h := l.f.otherThan(leader.name)
+		now := time.Now()
+		r := assign.Request{Service: "plain", Arrived: now, Target: now.Add(5 * time.Second), Deadline: now.Add(5 * time.Second)}
+		for range 3 { // all upstreams are full for a moment
+			ticket := h.broker.NewTicket()
+			h.broker.RequestAssignment(ticket, r)
+			require.IsType(t, assign.Grant{}, <-ticket.Decisions())
+			h.broker.AttemptEnded(ticket, assign.AttemptEnded{Outcome: assign.Full})
+		}
+		ticket := h.broker.NewTicket()
+		h.broker.RequestAssignment(ticket, r)
+		for n := range 3 {
+			leader.broker.RateLimitStated(l.f.view.Upstreams[l.upstream(n)], now, throttle.Statement{PerSecond: 2, Stated: true})
+		}
+		time.Sleep(time.Second)
+		select {
+		case d := <-ticket.Decisions():
+			require.IsType(t, assign.Grant{}, d)
+		default:
+			require.Fail(t, "the request waits on")
+		}
+	})
+}
--- a/leader/ratelimitload_test.go
+++ b/leader/ratelimitload_test.go
@@ -38,6 +38,9 @@
 	answerAfter time.Duration
 	requests    sync.WaitGroup
 
+	// callersOf is the only host that gets requests, nil for all hosts.
+	callersOf *testHost
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// limits are the limits that upstreams state.
@@ -123,6 +126,9 @@
 }
 
 func (l *limitedLoad) randomHost() *testHost {
+	if l.callersOf != nil {
+		return l.callersOf
+	}
 	l.f.mu.Lock()
 	defer l.f.mu.Unlock()
 	names := make([]string, 0, len(l.f.hosts))
--- a/leader/ratelimitmessages_test.go
+++ b/leader/ratelimitmessages_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/catalog"
@@ -201,3 +203,43 @@
 		}
 	})
 }
+
+// Guards against a report that a limit is gone which was sent before its host knew the present one.
+func TestRateLimit_OutdatedWithdrawal(t *testing.T) {
+	withLimitedLoad(t, "s", 3, func(l *limitedLoad) {
+		leader := l.f.hosts[l.f.leaders()[0]]
+		h := l.f.otherThan(leader.name)
+		u := l.f.view.Upstreams["s0"]
+		key := throttle.Incarnation{ID: u.ID, StartedAt: u.StartedAt}
+		limit := func() throttle.Limit {
+			leader.broker.mu.Lock()
+			defer leader.broker.mu.Unlock()
+			known, ok := leader.broker.rateLimits.table.Get(key)
+			require.True(t, ok)
+			return known
+		}
+		leader.broker.RateLimitStated(u, time.Now(), throttle.Statement{PerSecond: 2, Stated: true})
+		first := limit()
+		leader.broker.RateLimitStated(u, time.Now(), throttle.Statement{PerSecond: 3, Stated: true})
+		for _, version := range []uint64{first.Version, 0, limit().Version + 1} {
+			leader.broker.Receive(h.name, &wire.RateLimitReport{Limits: []wire.RateLimit{{Upstream: u.ID, StartedAt: u.StartedAt, PerSecond: 2, Withdrawn: true, Version: version}}})
+			require.Zero(t, limit().WithdrawnAt)
+		}
+		leader.broker.Receive(h.name, &wire.RateLimitReport{Limits: []wire.RateLimit{{Upstream: u.ID, StartedAt: u.StartedAt, PerSecond: 3, Withdrawn: true, Version: limit().Version}}})
+		require.NotZero(t, limit().WithdrawnAt)
+	})
+}
+
+// Guards against limits out of range in messages of other hosts.
+func TestRateLimit_InvalidReport(t *testing.T) {
+	withLimitedLoad(t, "s", 3, func(l *limitedLoad) {
+		leader := l.f.hosts[l.f.leaders()[0]]
+		h := l.f.otherThan(leader.name)
+		for _, perSecond := range []float64{-1, math.NaN(), math.Inf(1), 2 * throttle.MaxPerSecond} {
+			leader.broker.Receive(h.name, &wire.RateLimitReport{Limits: []wire.RateLimit{{Upstream: "s0", StartedAt: 1, PerSecond: perSecond}}})
+			h.broker.Receive(leader.name, &wire.RateLimits{Version: 1 << 60, Limits: []wire.RateLimit{{Upstream: "s0", StartedAt: 1, PerSecond: perSecond}}})
+		}
+		require.Zero(t, leader.broker.Stats().RateLimits)
+		require.Zero(t, h.broker.Stats().RateLimits)
+	})
+}
