--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -168,26 +168,34 @@
 		a.firstByteReceived(now, e.ID)
 	case AttemptEnded:
 		a.attemptEnded(now, e)
+	case HostLost:
+		a.hostLost(now, e.Host)
+	case HostsReported:
+		a.allowEvictions(now)
+	case Tick:
+		a.tick(now)
+	default:
+		a.handleUpstreamEvent(now, ev)
+	}
+	decisions := a.decisions
+	a.decisions = nil
+	return decisions
+}
+
+// handleUpstreamEvent applies what an upstream has answered or stated about itself.
+func (a *Assigner) handleUpstreamEvent(now time.Time, ev Event) {
+	switch e := ev.(type) {
 	case UpstreamLeaving:
 		a.markLeaving(now, e)
 	case RateLimitUpdated:
 		a.updateRateLimit(now, e)
 	case RateLimitEnded:
 		a.endRateLimit(now, e.Upstream)
-	case HostLost:
-		a.hostLost(now, e.Host)
-	case HostsReported:
-		a.allowEvictions(now)
 	case OrderEnded:
 		a.orderEnded(now, e)
 	case ReportReceived:
 		a.reportReceived(now, e)
-	case Tick:
-		a.tick(now)
 	}
-	decisions := a.decisions
-	a.decisions = nil
-	return decisions
 }
 
 func (a *Assigner) emit(d Decision) { a.decisions = append(a.decisions, d) }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -248,17 +248,22 @@
 	})
 }
 
-// serve executes a request, or fails it as the faults demand.
-func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+// readBody returns what can be read of a request's body.
+func readBody(req *http.Request) []byte {
 	body := make([]byte, 0, max(req.ContentLength, 0))
 	buf := make([]byte, 4096)
 	for {
 		n, err := req.Body.Read(buf)
 		body = append(body, buf[:n]...)
 		if err != nil {
-			break
+			return body
 		}
 	}
+}
+
+// serve executes a request, or fails it as the faults demand.
+func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	body := readBody(req)
 	full := r.consume(&r.faults.Full)
 	r.mu.Lock()
 	leaving, retryAfter, crash, rateLimit := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.rateLimit
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -8,10 +8,13 @@
 )
 
 func TestParse(t *testing.T) {
-	for text, want := range map[string]float64{"1.9": 1.9, " 0.25 ": 0.25, "12": 12, "0": 0, "1e2": 100, "1000000": MaxPerSecond} {
+	for text, want := range map[string]float64{"1.9": 1.9, "0.25": 0.25, "12": 12, "0": 0, "1e2": 100, "1000000": MaxPerSecond} {
 		got, err := Parse(text)
 		require.NoError(t, err, text)
 		require.InDelta(t, want, got, 1e-9, text)
+		got, err = Parse(" " + text + "\t")
+		require.NoError(t, err, text)
+		require.InDelta(t, want, got, 1e-9, text)
 	}
 }
 
