Hosts without a leader pass rate limits on to one another

What callers saw: nothing. An upstream that first states a limit while there is no leader, as with the store away after the leader is lost, would have been sent requests by every host that has not heard it itself; and hosts that may not use it would not have learned that the limit has ended.

With 7 hosts a limit that had ended stayed on 6 for good; it is removed also while the store is away.

Change: a host that learns of a new or withdrawn limit sends it to six random others of the member list, unless a leader announces limits. Links to other hosts are looked up in that list meanwhile.

--- a/host/ratelimit_test.go
+++ b/host/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/jasminelock/jasminelock/standin/caller"
 	"github.com/jasminelock/jasminelock/standin/replica"
+	"github.com/jasminelock/jasminelock/standin/tables"
 )
 
 // The operators' bound on an upstream that states a rate limit: after contactTime, at most
@@ -106,3 +108,29 @@
 		})
 	}
 }
+
+// Guards against a limit that only the host which heard it knows while there is no leader.
+func TestStatedRateLimit_SpreadWithoutLeader(t *testing.T) {
+	d := newDeployment(t)
+	d.addReplica("app", replica.Options{ID: "u1"})
+	var others []*runningHost
+	for n := range 3 {
+		others = append(others, d.addHost("h"+strconv.Itoa(n)))
+	}
+	for _, h := range others {
+		require.Eventually(t, func() bool { return len(h.broker.Hosts()) == len(others) }, testTimeout, 10*time.Millisecond)
+	}
+	d.tables.SetFaults(tables.Faults{Down: true})
+	leader := slices.IndexFunc(others, func(h *runningHost) bool { return h.broker.Stats().Leading == 1 })
+	others[leader].cancel()
+	others = slices.Delete(others, leader, leader+1)
+	for _, h := range others {
+		require.Eventually(t, func() bool { return h.broker.Stats().Fence == 0 }, testTimeout, 10*time.Millisecond)
+	}
+	d.replicas["u1"].SetRateLimit("1.9")
+	require.Equal(t, http.StatusOK, others[0].request(http.MethodGet, "/status/", "", nil).status)
+	for _, h := range others {
+		require.Eventually(t, func() bool { return h.broker.Stats().RateLimits == 1 }, testTimeout, 10*time.Millisecond)
+	}
+	require.Equal(t, 1, d.requestCount("u1"))
+}
--- a/leader/election.go
+++ b/leader/election.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/jasminelock/jasminelock/store"
+	"github.com/jasminelock/jasminelock/wire"
 )
 
 // Table and keys of the lease.
@@ -53,15 +55,22 @@
 	return b.leader.row.secret
 }
 
-// PeerURL returns the URL at which a host accepts links. It is known for the leader, and, on a new leader, for the
-// hosts to which it announces itself.
+// PeerURL returns the URL at which a host accepts links. It is known for the leader, on a new leader for the hosts to
+// which it announces itself, and on a host whose leader does not announce rate limits for all hosts.
 func (b *Broker) PeerURL(host string) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if url, ok := b.announcedTo[host]; ok {
 		return url, true
 	}
-	return b.leader.row.url, host == b.leader.row.host && b.leader.row.url != ""
+	if host == b.leader.row.host && b.leader.row.url != "" {
+		return b.leader.row.url, true
+	}
+	i := slices.IndexFunc(b.hosts, func(h wire.CallerHost) bool { return h.Name == host })
+	if i < 0 || b.rateLimits.managed || b.hosts[i].PeerURL == "" {
+		return "", false
+	}
+	return b.hosts[i].PeerURL, true
 }
 
 // Run keeps this host in contact with the leader, or leading, until the context ends.
@@ -177,6 +186,7 @@
 // delay until the next read.
 func (b *Broker) lookForLeader(ctx context.Context) time.Duration {
 	b.endStartupWait()
+	b.update(b.removeEndedRateLimits)
 	row, err := b.readLease(ctx)
 	if err != nil {
 		return leaseReadInterval
@@ -186,7 +196,6 @@
 		draining = b.draining
 		b.restoreSuspects(now, &row)
 		b.restoreRateLimits(now, row.rateLimits)
-		b.removeEndedRateLimits(now)
 		b.handleLeaseRead(now, &row)
 		seen := &b.leader.row
 		if row.version != seen.version || row.host != seen.host {
--- a/leader/fleet_test.go
+++ b/leader/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -196,7 +197,7 @@
 	h.broker = New(Options{
 		Log: hclog.NewNullLogger(), Host: name, Zone: "z", CallerAddress: name, PeerURL: name, Tables: h, Engines: engines, Source: h,
 		Cores: cores, Fenced: !f.unfenced, HolderPause: holderPause, MaxPropagation: 4 * time.Second, Clock: h.clock,
-		Random: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[len(name)-1]))),
+		Random: rand.New(rand.NewPCG(1, hashName(name))),
 		Limits: assign.Limits{RetryRatio: 0.2, RetrySlack: 50, RateWindow: 8 * time.Second},
 	})
 	h.broker.Attach(h)
@@ -211,6 +212,13 @@
 	return h
 }
 
+// hashName returns a seed that differs between hosts.
+func hashName(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // writing to a hash never fails
+	return h.Sum64()
+}
+
 // kill stops a host at once and breaks its links.
 func (f *fleet) kill(name string) {
 	f.mu.Lock()
--- a/leader/follower.go
+++ b/leader/follower.go
@@ -34,6 +34,12 @@
 			b.recordLeaving(now, upstreamIncarnation{m.Upstream, m.StartedAt}, from)
 		case *wire.RateLimits:
 			b.receiveRateLimits(now, from, m)
+		case *wire.RateLimitReport:
+			if b.leading != nil {
+				b.receiveAsLeader(now, from, m)
+			} else {
+				b.receiveSpreadRateLimits(now, from, m)
+			}
 		case *wire.Grant:
 			b.receiveGrant(from, m)
 		case *wire.Refuse:
--- a/leader/ratelimit.go
+++ b/leader/ratelimit.go
@@ -9,7 +9,7 @@
 )
 
 // An upstream may state in its responses how many requests per second it accepts from all hosts together. Every host
-// reports such limits to the leader, which announces them to all hosts. While some upstream of a service has a limit,
+// reports such limits to the leader, which announces them to all hosts; without a leader hosts spread them. While some upstream of a service has a limit,
 // the leader assigns all requests of that service, also if it is not a service of engines, so that one limiter counts
 // the requests of the fleet. A host without a leader, or with a leader of an older build, uses a part of the limit that
 // no other host uses (throttle.Share). The lease's row holds the limits too, so that they survive the loss of every
@@ -106,6 +106,9 @@
 	}
 	b.applyRateLimit(now, key)
 	b.updateLimitedServices(now)
+	if !known || !before.WithdrawnAt.IsZero() {
+		b.spreadRateLimit(now, key)
+	}
 }
 
 // rateLimitAbsent handles a response that shows that a limit no longer holds. If there is a leader that enforces the
@@ -131,6 +134,7 @@
 		b.confirmRateLimit(now, key)
 	}
 	b.applyRateLimit(now, key)
+	b.spreadRateLimit(now, key)
 }
 
 // applyRateLimit passes an upstream's limit, or its end, to the Assigners.
--- a/leader/ratelimit_test.go
+++ b/leader/ratelimit_test.go
@@ -164,6 +164,37 @@
 	})
 }
 
+// Guards against hosts that do not hear of a limit which an upstream first states while there is no leader, and do not
+// hear that it has ended.
+func TestRateLimit_StatedWithoutLeader(t *testing.T) {
+	for _, hosts := range []int{7, 390} {
+		withLimitedLoad(t, "plain", hosts, func(l *limitedLoad) {
+			l.f.cutStore(true)
+			l.f.kill(l.f.leaders()[0])
+			l.run(2*time.Second, 100)
+			require.Empty(t, l.f.leaders())
+			l.state(0, 1)
+			stated := time.Now()
+			l.run(10*time.Second, 100)
+			l.checkBound(0, 1, stated)
+			uninformed := 0
+			for _, h := range l.f.hosts {
+				if h.broker.Stats().RateLimits == 0 {
+					uninformed++
+				}
+			}
+			assert.LessOrEqual(t, uninformed, hosts/100)
+			l.state(0, -1)
+			l.run(throttle.RecoveryTime+15*time.Second, 100)
+			limited := 0
+			for _, h := range l.f.hosts {
+				limited += h.broker.Stats().RateLimits
+			}
+			assert.LessOrEqual(t, limited, hosts/100)
+		})
+	}
+}
+
 // Guards against limits that outlast what the upstream states, and against a flood once they have ended.
 func TestRateLimit_ComesAndGoes(t *testing.T) {
 	forEachService(t, 7, func(l *limitedLoad) {
--- a/leader/ratelimitspread.go
+++ b/leader/ratelimitspread.go
@@ -25,6 +25,9 @@
 	rateLimitRestateInterval = 2 * time.Second
 	// unconfirmedLimitTTL is how long a limit stays that is not on the leader's list: the report may be under way.
 	unconfirmedLimitTTL = 2 * time.Second
+	// rateLimitFanout is the number of hosts to which a host without a leader that enforces limits passes on a limit
+	// that it did not know. With it, one host in some hundred is missed; it hears the limit with its own requests.
+	rateLimitFanout = 6
 	// maxRecordedRateLimits is the maximum number of limits in the lease's row.
 	maxRecordedRateLimits = 256
 )
@@ -172,6 +175,45 @@
 	}
 }
 
+// spreadRateLimit passes a new or withdrawn limit on to some hosts, unless there is a leader that announces it.
+func (b *Broker) spreadRateLimit(now time.Time, key throttle.Incarnation) {
+	l, ok := b.rateLimits.table.Get(key)
+	if !ok || b.leading != nil || b.rateLimits.managed {
+		return
+	}
+	m := &wire.RateLimitReport{Limits: []wire.RateLimit{wireRateLimit(now, key, l)}}
+	if !l.WithdrawnAt.IsZero() {
+		m.Limits[0].AgeMillis = now.Sub(l.WithdrawnAt).Milliseconds()
+	}
+	sent := 0
+	for _, i := range b.options.Random.Perm(len(b.hosts)) {
+		if host := b.hosts[i].Name; host != b.options.Host && sent < rateLimitFanout {
+			b.sendTo(host, m)
+			sent++
+		}
+	}
+}
+
+// receiveSpreadRateLimits handles limits that another host has passed on to this one, which does not lead.
+func (b *Broker) receiveSpreadRateLimits(now time.Time, from string, m *wire.RateLimitReport) {
+	for i := range m.Limits {
+		key, perSecond, ok := b.decodeRateLimit(&m.Limits[i], from)
+		if !ok {
+			continue
+		}
+		l, known := b.rateLimits.table.Get(key)
+		newer := now.Add(-milliseconds(m.Limits[i].AgeMillis)).After(l.HeardAt)
+		switch {
+		case m.Limits[i].Withdrawn:
+			if known && newer && l.WithdrawnAt.IsZero() && !b.rateLimits.managed {
+				b.withdrawRateLimit(now, key, from)
+			}
+		case !known || newer && !l.WithdrawnAt.IsZero():
+			b.rateLimitStated(now, key, perSecond, from)
+		}
+	}
+}
+
 // receiveRateLimitReport handles a host's report to this host, the leader.
 func (b *Broker) receiveRateLimitReport(now time.Time, from string, m *wire.RateLimitReport) {
 	for i := range m.Limits {
--- a/wire/ratelimit.go
+++ b/wire/ratelimit.go
@@ -37,7 +37,8 @@
 	Ended []RateLimit `cbor:"4,keyasint,omitempty"`
 }
 
-// RateLimitReport reports limits that a host knows to the leader.
+// RateLimitReport reports limits that a host knows to the leader, or to some other hosts if no
+// leader announces them.
 type RateLimitReport struct {
 	Limits []RateLimit `cbor:"1,keyasint"`
 }
