--- a/leader/ratelimit.go
+++ b/leader/ratelimit.go
@@ -9,11 +9,11 @@
 )
 
 // An upstream may state in its responses how many requests per second it accepts from all hosts together. Every host
-// reports such limits to the leader, which announces them to all hosts; without a leader hosts spread them. While some upstream of a service has a limit,
+// reports such limits to the leader, which announces them to all hosts. While some upstream of a service has a limit,
 // the leader assigns all requests of that service, also if it is not a service of engines, so that one limiter counts
 // the requests of the fleet. A host without a leader, or with a leader of an older build, uses a part of the limit that
-// no other host uses (throttle.Share). The lease's row holds the limits too, so that they survive the loss of every
-// host.
+// no other host uses (throttle.Share); such hosts pass limits on to one another. The lease's row holds the limits too,
+// so that they survive the loss of every host.
 const (
 	// maxGrantTransit is how long an assignment to a rate-limited upstream may take from the leader to this host. The
 	// leader counts it when it is made, so that late ones could reach the upstream together with newer ones.
@@ -137,6 +137,12 @@
 	b.spreadRateLimit(now, key)
 }
 
+// logRateLimitLearned logs a limit that this host has not heard itself.
+func (b *Broker) logRateLimitLearned(key throttle.Incarnation, l throttle.Limit, toldBy string) {
+	b.log.Info("rate limit of an upstream learned", "upstream", key.ID, "born", key.StartedAt, "per_second", l.PerSecond,
+		"withdrawn", !l.WithdrawnAt.IsZero(), "told_by", toldBy)
+}
+
 // applyRateLimit passes an upstream's limit, or its end, to the Assigners.
 func (b *Broker) applyRateLimit(now time.Time, key throttle.Incarnation) {
 	l, ok := b.rateLimits.table.Get(key)
--- a/leader/ratelimitspread.go
+++ b/leader/ratelimitspread.go
@@ -128,6 +128,7 @@
 			l.WithdrawnAt = now
 		}
 		b.rateLimits.table.Put(key, l)
+		b.logRateLimitLearned(key, l, "store")
 		b.applyRateLimit(now, key)
 	}
 	b.updateLimitedServices(now)
@@ -209,6 +210,7 @@
 				b.withdrawRateLimit(now, key, from)
 			}
 		case !known || newer && !l.WithdrawnAt.IsZero():
+			// Changed values are not passed on: the hosts that may use the upstream hear them.
 			b.rateLimitStated(now, key, perSecond, from)
 		}
 	}
@@ -245,7 +247,7 @@
 	for i := range m.Limits {
 		if key, perSecond, ok := b.decodeRateLimit(&m.Limits[i], from); ok {
 			listed[key] = true
-			b.learnRateLimit(now, key, perSecond, &m.Limits[i])
+			b.learnRateLimit(now, from, key, perSecond, &m.Limits[i])
 		}
 	}
 	for i := range m.Ended {
@@ -263,16 +265,19 @@
 }
 
 // learnRateLimit applies one limit of the leader's list.
-func (b *Broker) learnRateLimit(now time.Time, key throttle.Incarnation, perSecond float64, m *wire.RateLimit) {
+func (b *Broker) learnRateLimit(now time.Time, from string, key throttle.Incarnation, perSecond float64, m *wire.RateLimit) {
 	before, known := b.rateLimits.table.Get(key)
 	if known && before.Version == m.Version {
-		return
+		return // nothing has changed since this host heard of it
 	}
 	l := throttle.Limit{PerSecond: perSecond, HeardAt: now, Version: m.Version}
 	if m.Withdrawn {
 		l.WithdrawnAt = now
 	}
 	b.rateLimits.table.Put(key, l)
+	if !known || before.WithdrawnAt.IsZero() == m.Withdrawn {
+		b.logRateLimitLearned(key, l, from)
+	}
 	b.applyRateLimit(now, key)
 }
 
