--- a/leader/ratelimitmessages_test.go
+++ b/leader/ratelimitmessages_test.go
@@ -243,3 +243,19 @@
 		require.Zero(t, h.broker.Stats().RateLimits)
 	})
 }
+
+// Guards against a new leader that does not learn of a limit which one of its hosts knows.
+func TestRateLimit_ReportedToNextLeader(t *testing.T) {
+	withLimitedLoad(t, "s", 3, func(l *limitedLoad) {
+		h := l.f.add("weak", 0.1) // so that it does not lead
+		time.Sleep(time.Second)
+		h.broker.update(func(now time.Time) {
+			h.broker.rateLimits.table.Put(throttle.Incarnation{ID: "s0", StartedAt: 1}, throttle.Limit{PerSecond: 2, HeardAt: now, Version: 7})
+		})
+		l.f.kill(l.f.leaders()[0])
+		time.Sleep(4 * time.Second)
+		for name, host := range l.f.hosts {
+			require.Equal(t, 1, host.broker.Stats().RateLimits, name)
+		}
+	})
+}
