--- a/leader/ratelimit_test.go
+++ b/leader/ratelimit_test.go
@@ -24,6 +24,7 @@
 			l.run(20*time.Second, 40)
 			l.checkBound(0, perSecond, stated)
 			assert.Greater(t, float64(l.since(0, stated.Add(limitContact))), 0.9*perSecond*17-1)
+			l.requests.Wait()
 			assert.Equal(t, l.sent, l.served, "the other upstreams have room")
 		})
 	}
@@ -214,6 +215,7 @@
 		for name, h := range l.f.hosts {
 			require.Zero(t, h.broker.Stats().RateLimits, name)
 		}
+		l.requests.Wait()
 		served, sent := l.served, l.sent
 		l.run(5*time.Second, 40)
 		l.requests.Wait()
@@ -235,6 +237,7 @@
 			l.f.addUpstream(&restarted)
 		}
 		time.Sleep(time.Second)
+		l.requests.Wait()
 		served, sent := l.served, l.sent
 		l.run(5*time.Second, 40)
 		l.requests.Wait()
--- a/leader/ratelimitmessages_test.go
+++ b/leader/ratelimitmessages_test.go
@@ -54,6 +54,7 @@
 		stated := time.Now()
 		l.run(20*time.Second, 40)
 		l.checkBound(0, 1.9, stated)
+		l.requests.Wait()
 		assert.NotEmpty(t, l.arrivals[l.upstream(0)])
 		assert.Greater(t, l.served, l.sent*95/100, "the other upstreams have room")
 	})
@@ -86,7 +87,10 @@
 		stated := time.Now()
 		l.run(20*time.Second, 40)
 		l.checkBound(0, 1.9, stated)
+		l.requests.Wait()
+		l.f.sentMu.Lock()
 		assert.Less(t, lists, 20)
+		l.f.sentMu.Unlock()
 		if l.service == "s" {
 			assert.NotEmpty(t, l.arrivals[l.upstream(0)])
 		}
