assign: an idle engine with a limit is given an adapter that is in use

What callers saw: nothing while others have room. An engine whose limit has ended would not have been used again: if none of the adapters on it is asked for, it gets no request, and only the answer of a request ends a limit.

Evidence: TestRateLimit_EngineWithoutAdapters, two engines, one with a limit and without the three adapters that are asked for, 60 s: 0 requests before, some now; all 240 requests assigned within their target of 0.8 s.

Tried first: the bonus for idle time also for loads. The engine was used, but the request that caused the load waited for it, though the other engine held its adapter. Now the load is ordered beside the assignment, once an engine has had neither request nor order for 10 s, and the next requests use it.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -76,6 +76,7 @@
 		a.claimSlot(e, best.slot)
 		return false
 	}
+	a.loadOnIdle(now, s, e.request.Adapter)
 	a.grant(now, e, best)
 	return true
 }
--- a/assign/ratelimit.go
+++ b/assign/ratelimit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/throttle"
 )
 
@@ -21,6 +22,10 @@
 // the order itself and one request, so that orders leave half of the limit to requests.
 const orderTokens = 2
 
+// loadOnIdleAfter is the time without a request or an order after which a rate-limited engine is ordered to load an
+// adapter that is in use.
+const loadOnIdleAfter = 10 * time.Second
+
 // minOrderRate bounds the delay between orders, in requests per second.
 const minOrderRate = 0.01
 
@@ -170,6 +175,21 @@
 	return nil
 }
 
+// loadOnIdle has a rate-limited engine that has long been idle load an adapter that is in use on another engine.
+// Requests for it then find out whether the limit still holds.
+func (a *Assigner) loadOnIdle(now time.Time, s *service, ref catalog.AdapterRef) {
+	if len(a.rateLimiters) == 0 || ref.Adapter == "" || !a.options.SendsOrders {
+		return
+	}
+	for _, u := range s.upstreams {
+		_, held := u.slots[ref.Adapter]
+		if u.rateLimit.Idle(now) >= loadOnIdleAfter && !held && u.usable(now) && u.models[ref.Model] && u.orders.sequenceKnown && a.hasRoom(u) {
+			a.startLoad(now, u, ref)
+			return
+		}
+	}
+}
+
 // takeTurn lets a new request compete with the queued ones for what the rate limits of the service's upstreams
 // allow, so that it does not overtake more urgent ones. It reports whether the request was assigned.
 func (a *Assigner) takeTurn(now time.Time, s *service, e *requestState) bool {
--- a/assign/ratelimit_test.go
+++ b/assign/ratelimit_test.go
@@ -301,3 +301,24 @@
 	w.run(20 * time.Millisecond)
 	require.Contains(t, w.granted, id)
 }
+
+// Guards against an engine with a limit that is never sent a request again, since it holds none of the adapters that
+// are asked for. Nobody would find out that its limit has ended.
+func TestRateLimit_EngineWithoutAdapters(t *testing.T) {
+	w := newSimulation(t, 1, 2, 3)
+	w.run(time.Second)
+	w.limitRate("e0", 1.5)
+	served := 0
+	for n := range uint64(240) {
+		id := w.submit(n, "a"+strconv.Itoa(int(n)%3))
+		w.run(250 * time.Millisecond)
+		if w.granted[id].Upstream == "e0" {
+			served++
+		}
+	}
+	require.Positive(t, served)
+	require.Len(t, w.granted, 240, "the other engine has room")
+	for _, wait := range w.waits {
+		require.Less(t, wait, 800*time.Millisecond, "no request misses its target because of the engine with the limit")
+	}
+}
