leader: a host drops a limit that its leader does not know

What callers saw: nothing. A host whose report of a limit was lost, and whose upstream then stated no limit any more, would have kept the limit for good and passed the requests of a plain service to the leader: the leader ignored its word that the limit had ended, since it did not know the limit.

Change: the leader answers such a report with its whole list.

Evidence: TestRateLimit_UnreportedLimitEnds fails without the answer.

--- a/leader/ratelimitmessages_test.go
+++ b/leader/ratelimitmessages_test.go
@@ -263,3 +263,19 @@
 		}
 	})
 }
+
+// Guards against a limit that a host keeps for good because its report to the leader was lost and the upstream states
+// it no more.
+func TestRateLimit_UnreportedLimitEnds(t *testing.T) {
+	withLimitedLoad(t, "plain", 3, func(l *limitedLoad) {
+		h := l.f.otherThan(l.f.leaders()[0])
+		h.broker.update(func(now time.Time) {
+			h.broker.rateLimits.table.Set(now, throttle.Incarnation{ID: "plain0", StartedAt: 1}, 2)
+			h.broker.updateLimitedServices(now)
+		})
+		l.run(unconfirmedLimitTTL+3*time.Second, 40)
+		l.requests.Wait()
+		require.Zero(t, h.broker.Stats().RateLimits)
+		require.Equal(t, l.sent, l.served)
+	})
+}
--- a/leader/ratelimitspread.go
+++ b/leader/ratelimitspread.go
@@ -89,12 +89,15 @@
 // syncRateLimits sends a host the leader's whole list if its heartbeat reports another version than the last one
 // announced.
 func (b *Broker) syncRateLimits(now time.Time, host string, version uint64) {
-	r := &b.rateLimits
-	if version == 0 || version == r.announcedVersion {
-		return
+	if version != 0 && version != b.rateLimits.announcedVersion {
+		b.sendRateLimits(now, host)
 	}
-	m := &wire.RateLimits{Version: r.announcedVersion}
-	for key, l := range r.announced {
+}
+
+// sendRateLimits sends a host the leader's whole list as last announced.
+func (b *Broker) sendRateLimits(now time.Time, host string) {
+	m := &wire.RateLimits{Version: b.rateLimits.announcedVersion}
+	for key, l := range b.rateLimits.announced {
 		m.Limits = append(m.Limits, wireRateLimit(now, key, l))
 	}
 	b.sendTo(host, m)
@@ -230,6 +233,8 @@
 			// A host that does not know the present version may have received an older response.
 			if known && l.WithdrawnAt.IsZero() && l.Version == reported.Version {
 				b.withdrawRateLimit(now, key, from)
+			} else if !known {
+				b.sendRateLimits(now, from) // so that the host drops the limit
 			}
 		case !known || reported.Version == 0 || now.Add(-milliseconds(reported.AgeMillis)).After(l.HeardAt):
 			b.rateLimitStated(now, key, perSecond, from)
