host: the test of a late list of upstreams waits for the host's listener

The host had read its configuration and did not listen yet, so that the connection was refused, which the test took for an answer. It waits for the listener now and asks for the same answers.

--- a/host/upstreams_test.go
+++ b/host/upstreams_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -94,7 +95,7 @@
 	d.tables.SetFaults(tables.Faults{SlowTable: tables.UpstreamTable, SlowBy: 700 * time.Millisecond})
 	h := d.startHost("h1")
 	early := make(chan response, 1)
-	require.Eventually(t, func() bool { return h.watcher.View().Config != nil }, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return h.watcher.View().Config != nil && isListening(h.settings.Listen.Callers) }, testTimeout, time.Millisecond)
 	go func() { early <- h.request(http.MethodGet, "/status/early", "", nil) }()
 	require.Eventually(t, func() bool {
 		code, _ := get(caller.ReadyURL(h.settings.Listen.Readiness))
@@ -108,6 +109,16 @@
 	}
 }
 
+// isListening reports whether connections to an address are accepted.
+func isListening(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // maxHeapGrowth is how many bytes an endless body may add to a host's heap. The smallest
 // host of the users' deployments has 184 MB.
 const maxHeapGrowth = 40 << 20
