assign: the test of a limit among many upstreams prefers the others

A mutant that lets a limited upstream go unused survived: ties are decided by name, and the limited one came first. It comes last now, so that only the time for which it is idle makes up for that.

--- a/assign/ratelimit_test.go
+++ b/assign/ratelimit_test.go
@@ -77,17 +77,18 @@
 func TestRateLimit_OneOfMany(t *testing.T) {
 	for _, count := range []int{3, 60} {
 		w := newSimulation(t, 1, 1, 3)
-		ids := make([]string, count)
-		for i := range ids {
-			ids[i] = "p" + strconv.Itoa(i)
+		const limited = "q" // the last one by name, which ties are decided by
+		ids := []string{limited}
+		for i := range count - 1 {
+			ids = append(ids, "p"+strconv.Itoa(i))
 		}
 		w.addPlain(ids...)
-		w.limitRate("p0", 1.9)
+		w.limitRate(limited, 1.9)
 		var times []time.Time
 		for n := range uint64(1000) {
 			id := w.submitPlain(n)
 			require.Contains(t, w.granted, id, "the other upstreams have room")
-			if g := w.granted[id]; g.Upstream == "p0" {
+			if g := w.granted[id]; g.Upstream == limited {
 				times = append(times, w.now)
 				require.Equal(t, throttle.State{Limited: true, PerSecond: 1.9, Share: 1, Age: g.RateLimit.Age}, g.RateLimit)
 			} else {
