--- a/soak/entryratelimits.go
+++ b/soak/entryratelimits.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -37,14 +38,17 @@
 	highest float64
 }
 
-// stateRateLimits lets one replica after the other, or all of a service, state a rate limit that changes, until the
-// context ends.
+// stateRateLimits lets one replica after the other, often the busiest one, or all of a service, state a rate limit that
+// changes, until the context ends.
 func (s *entrySoak) stateRateLimits(ctx context.Context) {
 	r := rand.New(rand.NewPCG(s.options.Seed, 5))
 	for ctx.Err() == nil {
 		limited := []*entryReplica{s.randomReplica(r)}
-		if r.IntN(4) == 0 {
+		switch r.IntN(4) {
+		case 0:
 			limited = slices.DeleteFunc(slices.Clone(s.replicas), func(e *entryReplica) bool { return e.service != limited[0].service })
+		case 1, 2:
+			limited[0] = slices.MaxFunc(s.replicas, func(x, y *entryReplica) int { return cmp.Compare(x.recentRequests(), y.recentRequests()) })
 		}
 		for _, e := range limited {
 			e.SetRateLimit(invalidRateLimits[r.IntN(len(invalidRateLimits))])
@@ -54,6 +58,17 @@
 	}
 }
 
+// recentRequests returns the number of requests that the replica has received within rateLimitPause.
+func (e *entryReplica) recentRequests() int {
+	n := 0
+	for _, seen := range e.Requests() {
+		if time.Since(seen.ReceivedAt) < rateLimitPause {
+			n++
+		}
+	}
+	return n
+}
+
 // stateRateLimit lets replicas state the same rate limit for rateLimitTime. A period ends when a replica restarts.
 func (s *entrySoak) stateRateLimit(ctx context.Context, r *rand.Rand, limited []*entryReplica) {
 	const checkInterval = 20 * time.Millisecond
