leader: older builds in the tests receive no messages about rate limits

A mutant that trusts an older build's leader survived since hosts pass limits on to one another: the test took such messages from older builds, but not from what reaches them, so that the leader learned the limit. Messages are filtered by both ends now.

--- a/leader/fleet_test.go
+++ b/leader/fleet_test.go
@@ -48,7 +48,7 @@
 	view   *watch.View
 	// filter changes messages on their way, or drops them by returning nil; it may be nil. It is called with sentMu
 	// held.
-	filter func(from string, m wire.Message) wire.Message
+	filter func(from, to string, m wire.Message) wire.Message
 	// sentMu guards sent, which counts the bytes of messages by type. It is taken while a broker's lock is held,
 	// which is itself taken while mu is held.
 	sentMu sync.Mutex
@@ -290,7 +290,7 @@
 	f.sentMu.Lock()
 	f.sent[fmt.Sprintf("%T", m)] += len(raw) + frameHeader
 	if f.filter != nil {
-		decoded = f.filter(h.name, decoded)
+		decoded = f.filter(h.name, to, decoded)
 	}
 	f.sentMu.Unlock()
 	if decoded == nil {
--- a/leader/ratelimit_test.go
+++ b/leader/ratelimit_test.go
@@ -280,7 +280,7 @@
 		l.state(0, 1)
 		l.run(3*time.Second, 20)
 		l.f.sentMu.Lock()
-		l.f.filter = func(from string, m wire.Message) wire.Message {
+		l.f.filter = func(from, _ string, m wire.Message) wire.Message {
 			if from == "late" {
 				return nil
 			}
@@ -323,7 +323,7 @@
 		l.callersOf = l.f.add("weak", 0.1) // so that it does not lead
 		time.Sleep(time.Second)
 		l.f.sentMu.Lock()
-		l.f.filter = func(_ string, m wire.Message) wire.Message {
+		l.f.filter = func(_, _ string, m wire.Message) wire.Message {
 			if _, announcement := m.(*wire.RateLimits); announcement {
 				return nil // so that only reports carry the limit
 			}
--- a/leader/ratelimitmessages_test.go
+++ b/leader/ratelimitmessages_test.go
@@ -39,8 +39,8 @@
 	forEachService(t, 7, func(l *limitedLoad) {
 		l.olderBuilds = map[string]bool{l.f.leaders()[0]: true}
 		l.f.sentMu.Lock()
-		l.f.filter = func(from string, m wire.Message) wire.Message {
-			if l.olderBuilds[from] {
+		l.f.filter = func(from, to string, m wire.Message) wire.Message {
+			if l.olderBuilds[from] || l.olderBuilds[to] {
 				return withoutRateLimits(m)
 			}
 			return m
@@ -72,11 +72,11 @@
 		}
 		lists := 0
 		l.f.sentMu.Lock()
-		l.f.filter = func(from string, m wire.Message) wire.Message {
+		l.f.filter = func(from, to string, m wire.Message) wire.Message {
 			if _, list := m.(*wire.RateLimits); list {
 				lists++
 			}
-			if l.olderBuilds[from] {
+			if l.olderBuilds[from] || l.olderBuilds[to] {
 				return withoutRateLimits(m)
 			}
 			return m
@@ -102,7 +102,7 @@
 	forEachService(t, 7, func(l *limitedLoad) {
 		random := rand.New(rand.NewPCG(3, 3))
 		l.f.sentMu.Lock()
-		l.f.filter = func(_ string, m wire.Message) wire.Message {
+		l.f.filter = func(_, _ string, m wire.Message) wire.Message {
 			switch m.(type) {
 			case *wire.RateLimits, *wire.RateLimitReport:
 				if random.Float64() < 0.7 {
@@ -168,7 +168,7 @@
 		var held []wire.Message
 		hold := false
 		l.f.sentMu.Lock()
-		l.f.filter = func(from string, m wire.Message) wire.Message {
+		l.f.filter = func(from, _ string, m wire.Message) wire.Message {
 			if g, ok := m.(*wire.Grant); ok && hold && from == leader && g.RateLimit != nil {
 				held = append(held, m)
 				return nil
