review: a stream goes on at a second replica while the first still works on it (TWICE)

Seen: when the open connections to the replicas go silent, each of six resumable streams goes on at a second replica 3.3 s later, while the first one, which can be reached, goes on with it for 2.9 s.

At fault: entry/exchange.go (retryOrError) takes a connection that timed out like one that the upstream has ended; forward/forward.go (connectionError) doesn't tell them apart.

--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -35,6 +35,8 @@
 	began   time.Time
 	ended   time.Time
 	whole   bool
+	// after is the number of the last event before the run.
+	after int
 }
 
 // heldAdapter is an adapter on an engine.
@@ -231,7 +233,8 @@
 		}
 	}
 	if !e.quiet {
-		e.record.line("run at %s of %s on %s: %.3f to %.3f, whole %t", e.id, x.id, x.adapter, e.record.at(x.began), e.record.at(x.ended), whole)
+		e.record.line("run at %s of %s on %s after event %d: %.3f to %.3f, whole %t",
+			e.id, x.id, x.adapter, x.after, e.record.at(x.began), e.record.at(x.ended), whole)
 	}
 }
 
@@ -246,12 +249,14 @@
 	_, output, _ := strings.Cut(r.Header.Get(p("usage")), ",")
 	tokens, _ := strconv.Atoi(output)
 	events := max(tokens/tokensPerEvent, 1)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // none means 0
+	x.after = after
 	w.Header().Set(p("signature"), "sig."+e.id+"."+x.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := http.NewResponseController(w)
-	for i := 1; i <= events; i++ {
+	for i := after + 1; i <= events; i++ {
 		wait := e.pause
-		if i == 1 {
+		if i == after+1 {
 			wait = firstEventTime
 		}
 		select {
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -22,6 +22,8 @@
 	dir     string
 	store   *store
 	engines []*engine
+	// links are the relays before the engines.
+	links   []*relay
 	hosts   []*host
 	calls   sync.WaitGroup
 	storeAt string
@@ -45,6 +47,7 @@
 var cases = map[string]func(w *world) (bool, error){
 	"stopped-while-waiting": stoppedWhileWaiting,
 	"silent-links":          silentLinks,
+	"silent-streams":        silentStreams,
 }
 
 func main() {
@@ -113,13 +116,14 @@
 		return map[string]any{
 			"name": name, "host": hostName, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout,
 			"target_latency_ms": target, "priority": 1, "service": service, "max_attempts": attempts, "public": false,
-			"sticky": kind == "streaming", "resumable": false, "gap_aim_ms": 400,
+			"sticky": kind == "streaming", "resumable": kind == "streaming" && attempts > 1, "gap_aim_ms": 400,
 		}
 	}
 	w.store.put("op", "config", map[string]any{
 		"version": 7,
 		"routes": []any{
 			route("menu-draft", "streaming", engineService, 4000, 800, 1),
+			route("special-draft", "streaming", engineService, 12000, 1000, 2),
 			route("layout-plan", "streaming", engineService, 15000, 800, 1),
 		},
 		"services": []any{map[string]any{
@@ -138,15 +142,19 @@
 	return nil
 }
 
-// addEngine starts an engine and writes its row.
+// addEngine starts an engine behind a relay and writes its row.
 func (w *world) addEngine(id string, pause time.Duration, adapters ...string) error {
 	e := newEngine(id, pause, w.record, adapters...)
 	address, err := serve(e)
 	if err != nil {
 		return err
 	}
-	w.store.put("servers", id, e.row(engineService, address, zones[len(w.engines)%len(zones)]))
-	w.engines = append(w.engines, e)
+	link, err := newRelay(address)
+	if err != nil {
+		return err
+	}
+	w.store.put("servers", id, e.row(engineService, link.address(), zones[len(w.engines)%len(zones)]))
+	w.engines, w.links = append(w.engines, e), append(w.links, link)
 	return nil
 }
 
--- a/review/driver/relay.go
+++ b/review/driver/relay.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// timeOut ends connections at the end that opened them, as its own time-out does. The other end hears nothing of it.
+func (r *relay) timeOut(pairs []*pair) {
+	for _, x := range pairs {
+		_ = x.from.SetLinger(0)
+		_ = x.from.Close()
+	}
+}
+
 // reset resets connections at both ends.
 func (r *relay) reset(pairs []*pair) {
 	for _, x := range pairs {
