--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -38,16 +38,22 @@
 
 // Keys and organisations of the callers.
 const (
-	callerKey        = "i9n73hh2b9wu3fexd9dn"
-	engineService    = "wording"
-	organisationName = "hule930"
+	engineService = "wording"
+	plainService  = "booking"
+	// large is the number of large organisations, plainTokens what a request to the plain service counts for.
+	large       = 5
+	plainTokens = 200
 )
 
+func largeKey(i int) string { return fmt.Sprintf("i9n73hh2b9wu3fexd9d%d", i) }
+func smallKey(i int) string { return fmt.Sprintf("n2ctnfzs989anu6w%04d", i) }
+
 // cases maps the names of the cases to functions that return whether the rule was broken.
 var cases = map[string]func(w *world) (bool, error){
 	"stopped-while-waiting": stoppedWhileWaiting,
 	"silent-links":          silentLinks,
 	"silent-streams":        silentStreams,
+	"many-organisations":    manyOrganisations,
 }
 
 func main() {
@@ -105,12 +111,21 @@
 	return l.Addr().String(), nil
 }
 
-// startStore starts the store, with the configuration of a small site.
-func (w *world) startStore() error {
-	w.store = newStore(w.record)
-	var err error
-	if w.storeAt, err = serve(w.store); err != nil {
-		return err
+// config returns a configuration like that of a small site, with five large organisations and some small ones. A small
+// one uses about half of its rate if it sends five requests a second to the plain service.
+func (w *world) config(version, small int) any {
+	organisation := func(name, key string, rate float64) map[string]any {
+		return map[string]any{
+			"name": name, "api_keys": []string{key}, "priority": 1, "unit": "token_stream", "plain_tokens": plainTokens,
+			"rate_per_s": rate, "burst": rate,
+		}
+	}
+	var organisations []any
+	for i := range large {
+		organisations = append(organisations, organisation(fmt.Sprintf("hule93%d", i), largeKey(i), 71007))
+	}
+	for i := range small {
+		organisations = append(organisations, organisation(fmt.Sprintf("franchisee-budapest-%04d", i), smallKey(i), 1800))
 	}
 	route := func(name, kind, service string, timeout, target, attempts int) map[string]any {
 		return map[string]any{
@@ -119,12 +134,13 @@
 			"sticky": kind == "streaming", "resumable": kind == "streaming" && attempts > 1, "gap_aim_ms": 400,
 		}
 	}
-	w.store.put("op", "config", map[string]any{
-		"version": 7,
+	return map[string]any{
+		"version": version,
 		"routes": []any{
 			route("menu-draft", "streaming", engineService, 4000, 800, 1),
 			route("special-draft", "streaming", engineService, 12000, 1000, 2),
 			route("layout-plan", "streaming", engineService, 15000, 800, 1),
+			route("job-status", "safe", plainService, 1000, 100, 2),
 		},
 		"services": []any{map[string]any{
 			"name": engineService, "health_path": "/healthz", "max_connections": 360, "protocol": "h1", "tls": false,
@@ -132,13 +148,22 @@
 				"slots": 64, "kv_capacity": 149132, "weights_mb": 35200.0, "adapter_slots": engineSlots, "loads_per_s": 2.1,
 				"models": []any{map[string]any{"name": modelName, "weights_mb": 34300.0, "load_s": 1.5, "adapters": 3000, "adapter_mb": 40.0}},
 			},
+		}, map[string]any{
+			"name": plainService, "health_path": "/healthz", "max_connections": 100, "protocol": "h1", "tls": false,
 		}},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		p("organisations"): []any{map[string]any{
-			"name": organisationName, "api_keys": []string{callerKey}, "priority": 1, "unit": "token_stream", "plain_tokens": 200,
-			"rate_per_s": 71007, "burst": 71007,
-		}},
-	})
+		"limits":           map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		p("organisations"): organisations,
+	}
+}
+
+// startStore starts the store, with the configuration of a small site.
+func (w *world) startStore() error {
+	w.store = newStore(w.record)
+	var err error
+	if w.storeAt, err = serve(w.store); err != nil {
+		return err
+	}
+	w.store.put("op", "config", w.config(7, 0))
 	return nil
 }
 
@@ -214,7 +239,7 @@
 	defer w.mu.Unlock()
 	w.lastID++
 	c := &call{
-		id: fmt.Sprintf("c%05d", w.lastID), host: h.name, address: h.callers, method: http.MethodPost, key: callerKey,
+		id: fmt.Sprintf("c%05d", w.lastID), host: h.name, address: h.callers, method: http.MethodPost, key: largeKey(0),
 		path: fmt.Sprintf("/%s/%d", route, w.lastID), adapter: adapter, output: events * tokensPerEvent, budget: budget,
 	}
 	w.all = append(w.all, c)
