--- a/review/driver/hosts.go
+++ b/review/driver/hosts.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -77,12 +78,17 @@
 }
 `
 
-// freeAddress returns a free loopback address below the ports of outgoing connections.
+// drawn holds the ports that freeAddress has returned.
+var drawn = map[int]bool{}
+
+// freeAddress returns a free loopback address below the ports of outgoing connections, and never the same twice.
 func freeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(16000))
-		if l, err := net.Listen("tcp", address); err == nil {
+		port := 12000 + rand.IntN(16000)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", address); err == nil && !drawn[port] {
 			_ = l.Close()
+			drawn[port] = true
 			return address
 		}
 	}
@@ -130,10 +136,18 @@
 	h.peers.close()
 }
 
+// errNotStarted reports that a process has ended before it was ready, since another program took one of its ports.
+var errNotStarted = errors.New("the process has ended before it was ready")
+
 // awaitReady waits until the host says that it is ready.
 func (h *host) awaitReady() error {
 	client := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-h.ended:
+			return fmt.Errorf("%s: %w", h.name, errNotStarted)
+		default:
+		}
 		resp, err := client.Get("http://" + h.ready + p("readyz"))
 		if err != nil {
 			continue
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -193,9 +194,21 @@
 		}
 		w.hosts = append(w.hosts, h)
 	}
-	for _, h := range w.hosts {
-		if err := h.awaitReady(); err != nil {
-			return err
+	for i := range w.hosts {
+		for try := 0; ; try++ {
+			err := w.hosts[i].awaitReady()
+			if err == nil {
+				break
+			}
+			if try == 4 || !errors.Is(err, errNotStarted) {
+				return err
+			}
+			w.record.line("%s; it is started again with other ports", err)
+			h, err := startHost(w.dir, w.hosts[i].name, zones[i%len(zones)], w.storeAt)
+			if err != nil {
+				return err
+			}
+			w.hosts[i] = h
 		}
 	}
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
