--- a/review/driver/manyorganisations.go
+++ b/review/driver/manyorganisations.go
@@ -15,7 +15,7 @@
 // manyOrganisations adds organisations to the configuration, as operators do, whose callers then send requests. Without
 // the change, the large organisations send as many. No host, link, replica or store is disturbed.
 func manyOrganisations(w *world) (bool, error) {
-	const added, perOrganisation, length = 80, 195 * time.Millisecond, 25 * time.Second
+	const added, perOrganisation, length = 160, 195 * time.Millisecond, 35 * time.Second
 	if err := w.startStore(); err != nil {
 		return false, err
 	}
@@ -66,7 +66,7 @@
 
 // poll sends requests of one organisation to the plain service at a fixed interval until the end.
 func (w *world) poll(counts *statusCounts, caller int, key string, interval time.Duration, end time.Time) {
-	time.Sleep(time.Duration(caller) * interval / 80)
+	time.Sleep(time.Duration(caller) * interval / 160)
 	for k := caller; time.Now().Before(end); k++ {
 		c := w.newCall(w.hosts[k%len(w.hosts)], "job-status", "", 0, time.Second)
 		c.method, c.key = http.MethodGet, key
