--- a/review/driver/manyorganisations.go
+++ b/review/driver/manyorganisations.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -28,7 +29,7 @@
 		}
 		w.engines[i].quiet = true
 	}
-	if err := w.startHosts(3); err != nil {
+	if err := w.startHosts(2); err != nil {
 		return false, err
 	}
 	if w.trouble {
@@ -53,7 +54,15 @@
 	w.calls.Wait()
 	w.record.line("answers to requests for the plain service: %v", counts.counts)
 	for _, h := range w.hosts {
-		w.record.line("%s has begun to lead %d times", h.name, len(h.log.lines("this host leads", "fence")))
+		for _, line := range h.log.lines("this host leads", "fence") {
+			var fields struct {
+				At    time.Time `json:"@timestamp"`
+				Fence int64     `json:"fence"`
+			}
+			if err := json.Unmarshal([]byte(line), &fields); err == nil {
+				w.record.line("%s has begun to lead at %.3f with fence %d", h.name, w.record.at(fields.At), fields.Fence)
+			}
+		}
 	}
 	return w.turns() > 0, nil
 }
--- a/review/driver/stoppedwaiting.go
+++ b/review/driver/stoppedwaiting.go
@@ -73,6 +73,9 @@
 		lost := !c.whole && c.endedAt.Sub(c.sentAt) > lossSlack && c.endedAt.Sub(c.sentAt) < c.budget && len(w.runsOf(c)) == 0
 		w.record.line("verdict on %s: sent %.3f s after the begin of the shutdown, ended after %.3f s, status %d, whole %t, runs %d, lost %t",
 			c.id, c.sentAt.Sub(at).Seconds(), c.endedAt.Sub(c.sentAt).Seconds(), c.status, c.whole, len(w.runsOf(c)), lost)
+		for _, line := range stopped.log.lines(c.id) {
+			w.record.line("log of %s: %s", stopped.name, line)
+		}
 		broken = broken || lost
 	}
 	return broken, nil
