--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -53,8 +53,6 @@
 	born   int64
 	pause  time.Duration
 	record *record
-	// quiet leaves the runs out of the record's lines.
-	quiet bool
 
 	mu       sync.Mutex
 	sequence int64
@@ -150,7 +148,7 @@
 	defer e.mu.Unlock()
 	status := e.apply(operation, adapter, holder, fence, hasExpect, expect)
 	e.orders = append(e.orders, order{time.Now(), holder, fence, adapter, status})
-	if !e.quiet && status == http.StatusAccepted {
+	if status == http.StatusAccepted {
 		e.record.line("order at %s: %s %s of %s, fence %d: %d", e.id, operation, adapter, holder, fence, status)
 	}
 	w.WriteHeader(status)
@@ -232,10 +230,8 @@
 			e.drop(x.adapter)
 		}
 	}
-	if !e.quiet {
-		e.record.line("run at %s of %s on %s after event %d: %.3f to %.3f, whole %t",
-			e.id, x.id, x.adapter, x.after, e.record.at(x.began), e.record.at(x.ended), whole)
-	}
+	e.record.line("run at %s of %s on %s after event %d: %.3f to %.3f, whole %t",
+		e.id, x.id, x.adapter, x.after, e.record.at(x.began), e.record.at(x.ended), whole)
 }
 
 // serve answers a request with a stream of as many events as its usage states.
--- a/review/driver/manyorganisations.go
+++ b/review/driver/manyorganisations.go
@@ -27,7 +27,6 @@
 		if err := w.addEngine(fmt.Sprintf("i-%d", i+1), 50*time.Millisecond, "a1", "a2", "a3"); err != nil {
 			return false, err
 		}
-		w.engines[i].quiet = true
 	}
 	if err := w.startHosts(2); err != nil {
 		return false, err
@@ -48,11 +47,11 @@
 	}
 	for k := 0; time.Since(began) < length; k++ {
 		c := w.newCall(w.hosts[k%len(w.hosts)], "menu-draft", fmt.Sprintf("a%d", k%40+1), 6, 4*time.Second)
-		w.calls.Go(func() { c.send(w.record, true) })
+		w.start(c)
 		time.Sleep(50 * time.Millisecond)
 	}
 	w.calls.Wait()
-	w.record.line("answers to requests for the plain service: %v", counts.counts)
+	w.record.line("answers to requests for the plain service, by status: %v", counts.counts)
 	for _, h := range w.hosts {
 		for _, line := range h.log.lines("this host leads", "fence") {
 			var fields struct {
