entry: requests that wait on a host that stops are refused before it ends

What callers saw: a host got SIGTERM while all adapter slots of the engines were in use. Requests that waited on it for an assignment were closed without an answer 7.7 s after the signal (grace 8 s), 5.7 to 7.2 s after they were sent. None had run; the host logged them as caller_gone.

Cause: a request that waits knew of the decision, its deadline and its caller only. It may wait for half of the time to its deadline, 7.5 s of 15 s, which is more than is left of the grace time; at the end of the shutdown the server was closed under it. The shutdown's times lay in two packages and no wait ended with them.

Ruled out: that the assignments or refusals were lost on the way from the leader (nothing was sent: the same with the leader itself stopped, where no message is involved), and that the listener closed the connections early (7.7 s is the end of the process, the listener closes at 6 s).

Change: package drain holds the schedule of a shutdown, for any grace time, and tells requests how far it has come. From 2.5 s after the signal (5/16 of a shorter grace time) a request whose deadline is later than the last moment for answers is no longer sent to an upstream: one that waits is refused as not run, at once, so that its caller can use another host. This fixes it, since every request that waits now either has its deadline before the end of the process, or is refused.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -48,7 +48,7 @@
 
 // refusedByDrain reports whether the host has been draining for so long that it may stop before the request ends.
 func (x *exchange) refusedByDrain() bool {
-	since, draining := x.server.Draining()
+	since, draining := x.server.Shutdown.Since()
 	if !draining {
 		return false
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/forward"
 	"github.com/jasminelock/jasminelock/leader"
 	"github.com/jasminelock/jasminelock/throttle"
@@ -98,9 +99,8 @@
 	Pool   *forward.Pool
 	// View returns the current view of the platform's tables.
 	View func() *watch.View
-	// Draining returns how long the host has been draining, and false if it is
-	// not draining.
-	Draining func() (time.Duration, bool)
+	// Shutdown is the graceful shutdown of the host.
+	Shutdown *drain.Shutdown
 	// Random returns a random number in [0, 1).
 	Random func() float64
 	// Observe is called with the result of each request.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -72,7 +72,7 @@
 // serve handles the request from its admission to its log line.
 func (x *exchange) serve() {
 	defer x.logResult()
-	if _, draining := x.server.Draining(); draining {
+	if x.server.Shutdown.InProgress() {
 		x.w.Header().Set("Connection", "close")
 	}
 	if err := x.admit(); err != nil {
@@ -94,6 +94,9 @@
 // run has the request assigned and sent until it ends. It returns nil if a complete response was written.
 func (x *exchange) run() *apierr.Error {
 	for {
+		if x.outlastsShutdown() {
+			return x.shutdownError()
+		}
 		x.server.Broker.RequestAssignment(x.ticket, x.request)
 		grant, err := x.awaitDecision()
 		if err != nil {
@@ -108,23 +111,53 @@
 	}
 }
 
-// awaitDecision waits for the broker's decision, the deadline or the caller's disconnection.
+// awaitDecision waits for the broker's decision, the deadline, the caller's disconnection, or the moment of the host's
+// shutdown from which the request could not be served to its end.
 func (x *exchange) awaitDecision() (assign.Grant, *apierr.Error) {
-	select {
-	case decision := <-x.ticket.Decisions():
-		switch decision := decision.(type) {
-		case assign.Grant:
-			return decision, nil
-		case assign.Refuse:
-			x.rule, x.ruleDetail, x.rateLimit = decision.Rule, decision.Detail, decision.RateLimit
-			return assign.Grant{}, x.refusalError(decision)
-		}
-	case <-x.ctx.Done():
-		if x.r.Context().Err() != nil {
-			return assign.Grant{}, apierr.New(apierr.CallerGone, "")
+	longRefused := x.server.Shutdown.LongRefused().Done()
+	for {
+		select {
+		case decision := <-x.ticket.Decisions():
+			return x.applyDecision(decision)
+		case <-x.ctx.Done():
+			return assign.Grant{}, x.cancelledError()
+		case <-longRefused:
+			if x.outlastsShutdown() {
+				return assign.Grant{}, x.shutdownError()
+			}
+			longRefused = nil
 		}
 	}
-	return assign.Grant{}, x.timeoutError()
+}
+
+// applyDecision returns the grant of a decision, or the error for a refusal.
+func (x *exchange) applyDecision(decision assign.Decision) (assign.Grant, *apierr.Error) {
+	switch decision := decision.(type) {
+	case assign.Grant:
+		return decision, nil
+	case assign.Refuse:
+		x.rule, x.ruleDetail, x.rateLimit = decision.Rule, decision.Detail, decision.RateLimit
+		return assign.Grant{}, x.refusalError(decision)
+	}
+	return assign.Grant{}, apierr.New(apierr.Internal, "decision of type %T", decision)
+}
+
+// outlastsShutdown reports whether the request may no longer be sent, since it could outlast the host's shutdown. A stream
+// that has begun may be, since it would be interrupted otherwise.
+func (x *exchange) outlastsShutdown() bool {
+	s := x.server.Shutdown
+	return !x.headerWritten && s.LongRefused().Err() != nil && s.MayOutlast(x.deadline)
+}
+
+// shutdownError returns the error for a request that the host cannot serve to its end before it stops.
+func (x *exchange) shutdownError() *apierr.Error {
+	switch {
+	case x.ranCount == 0:
+		return apierr.New(apierr.Draining, "").WithRetryAfter(drainingRetryAfter)
+	case x.route.Repeatable():
+		return apierr.New(apierr.AnswerCut, "this host is stopping").WithRan(apierr.MayHaveRun)
+	}
+	return apierr.New(apierr.OutcomeUnknown, "this host is stopping").WithRan(apierr.MayHaveRun)
 }
 
 // refusalError returns the error for a request that the broker refused, at its first attempt or a later one.
@@ -139,6 +172,14 @@
 	return apierr.New(refusal.Kind, "%s", detail).WithRetryAfter(refusal.RetryAfter)
 }
 
+// cancelledError returns the error for a request whose context has ended.
+func (x *exchange) cancelledError() *apierr.Error {
+	if x.r.Context().Err() != nil {
+		return apierr.New(apierr.CallerGone, "")
+	}
+	return x.timeoutError()
+}
+
 // timeoutError returns the error for a request whose deadline has passed.
 func (x *exchange) timeoutError() *apierr.Error {
 	err := apierr.New(apierr.DeadlineExceeded, "")
@@ -288,10 +329,8 @@
 // retryOrError reports whether to try another upstream after an outcome, or returns the error for the caller.
 func (x *exchange) retryOrError(outcome assign.Outcome) (bool, *apierr.Error) {
 	switch {
-	case x.r.Context().Err() != nil:
-		return false, apierr.New(apierr.CallerGone, "")
 	case x.ctx.Err() != nil:
-		return false, x.timeoutError()
+		return false, x.cancelledError()
 	case x.headerWritten && !x.resumable():
 		return false, x.upstreamFailedError("")
 	case outcome.NotRun():
--- a/host/drain.go
+++ b/host/drain.go
@@ -16,12 +16,6 @@
 	maxDirectoryTTL = 2 * time.Second
 	// staleTTLFactor is the factor by which some callers exceed the directory's TTL.
 	staleTTLFactor = 3
-	// minFinishTime is the least time left for running requests to finish after the
-	// listener has stopped accepting.
-	minFinishTime = 1500 * time.Millisecond
-	// killMargin is the time between the end of the shutdown and the moment at which the
-	// platform kills the process.
-	killMargin = 300 * time.Millisecond
 	// standaloneAfter is the time since the start after which a host without a member list
 	// from the leader goes standalone and announces only itself.
 	standaloneAfter = 2 * time.Second
@@ -36,34 +30,24 @@
 // other hosts, callers with a cached answer are still served, and running requests
 // finish. Further calls do nothing.
 func (h *Host) Drain() {
-	h.drainOnce.Do(func() {
-		h.log.Info("draining")
-		h.drainStartedAt.Store(int64(time.Since(h.started)) + 1)
+	if h.shutdown.Start() {
+		h.log.Info("draining", "grace", time.Duration(h.settings.Grace))
 		h.broker.Drain()
-		close(h.drainStarted)
-	})
-}
-
-// draining returns how long the host has been draining, and false if it is not
-// draining.
-func (h *Host) draining() (time.Duration, bool) {
-	startedAt := h.drainStartedAt.Load()
-	return time.Since(h.started) - time.Duration(startedAt), startedAt > 0
+	}
 }
 
 // shutDown shuts down the listener for callers once the directory answers that callers
-// may have cached have expired, at the latest minFinishTime before the end of the grace
-// time. Requests that still run killMargin before that end are aborted.
+// may have cached have expired, and waits for the requests that still run. Those that do not
+// end in time are aborted.
 func (h *Host) shutDown(ctx context.Context, callers *http.Server) error {
-	grace := time.Duration(h.settings.Grace)
-	serveFor := min(staleTTLFactor*directoryTTL(h.settings), max(grace-minFinishTime, 0))
-	shutdownCtx, cancel := context.WithTimeout(ctx, max(grace-killMargin, 0))
-	defer cancel()
 	select {
-	case <-shutdownCtx.Done():
-	case <-time.After(serveFor):
+	case <-ctx.Done():
+	case <-time.After(time.Until(h.shutdown.ListenerCloses())):
 	}
 	h.log.Info("closing the listener for callers; waiting for running requests")
+	shutdownCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(h.shutdown.Aborted(), cancel)()
 	if err := callers.Shutdown(shutdownCtx); err != nil {
 		h.log.Warn("running requests aborted at the end of the grace time", "error", err)
 	}
@@ -73,9 +57,8 @@
 // ready reports whether the host can serve callers: it has a configuration and the list
 // of upstreams, and is not draining.
 func (h *Host) ready() bool {
-	_, draining := h.draining()
 	view := h.watcher.View()
-	return !draining && view.Config != nil && view.UpstreamsRead
+	return !h.shutdown.InProgress() && view.Config != nil && view.UpstreamsRead
 }
 
 // addressesForZone returns the addresses announced to a caller in an availability zone. It
--- a/host/host.go
+++ b/host/host.go
@@ -12,13 +12,13 @@
 	"os"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/entry"
 	"github.com/jasminelock/jasminelock/forward"
 	"github.com/jasminelock/jasminelock/leader"
@@ -78,12 +78,7 @@
 	settings *settings.Entry
 	log      hclog.Logger
 	sink     *logsink.Sink
-	// drainStartedAt is the time from the host's start to the start of draining, in nanoseconds;
-	// 0 if the host is not draining.
-	drainStartedAt atomic.Int64
-	// drainStarted is closed when draining starts.
-	drainStarted chan struct{}
-	drainOnce    sync.Once
+	shutdown *drain.Shutdown
 
 	watcher *watch.Watcher
 	broker  *leader.Broker
@@ -97,7 +92,8 @@
 // New returns a host that does not serve until Run is called.
 func New(s *settings.Entry) (*Host, error) {
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
-	h := &Host{settings: s, sink: logsink.New(s.Host, os.Stdout), drainStarted: make(chan struct{}), started: time.Now()}
+	h := &Host{settings: s, sink: logsink.New(s.Host, os.Stdout), started: time.Now()}
+	h.shutdown = drain.New(drain.NewSchedule(time.Duration(s.Grace), staleTTLFactor*directoryTTL(s)))
 	h.log = hclog.New(&hclog.LoggerOptions{
 		Name: s.Host, Output: h.sink, Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON,
 	})
@@ -129,7 +125,7 @@
 	})
 	h.server = entry.New(entry.Options{
 		Log: h.log.Named("entry"), Codec: platform.Codec{}, Broker: h.broker, Pool: h.pool, View: h.watcher.View,
-		Draining: h.draining, Random: rand.Float64, Observe: h.metrics.recordResult,
+		Shutdown: h.shutdown, Random: rand.Float64, Observe: h.metrics.recordResult,
 	})
 	return h, nil
 }
@@ -228,7 +224,7 @@
 		return nil
 	case err := <-failed:
 		return err
-	case <-h.drainStarted:
+	case <-h.shutdown.Started():
 		return h.shutDown(ctx, callers)
 	}
 }
--- a/host/shutdown_test.go
+++ b/host/shutdown_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/standin/caller"
@@ -111,3 +112,35 @@
 	}, testTimeout, 20*time.Millisecond)
 	require.Equal(t, http.StatusUnauthorized, restarted.request(http.MethodGet, "/status/", "", nil).status)
 }
+
+// A host is stopped while requests wait for an upstream longer than its grace time lasts. It must answer each of them, as
+// not run, while another host can still serve them. Before, it closed their connections when it ended.
+func TestDrain_RefusesRequestsThatWait(t *testing.T) {
+	for _, stopped := range []string{"leader", "follower"} {
+		t.Run(stopped, func(t *testing.T) {
+			d := newDeployment(t)
+			// Nothing listens at the engine's address, so that requests wait.
+			d.tables.PutUpstream("e1", tables.Upstream{Service: "engines", Address: "127.0.0.1:1", Slots: 8, StartedAt: 1})
+			hosts := map[string]*runningHost{"leader": d.addHost("h1"), "follower": d.addHost("h2")}
+			h := hosts[stopped]
+			h.Drain()
+			drained := time.Now()
+			var callers sync.WaitGroup
+			for i := range 20 {
+				callers.Go(func() {
+					sent := time.Now()
+					resp := h.generate(fmt.Sprintf("/chat/%d", i))
+					assert.NoError(t, resp.err, "after %s", time.Since(sent))
+					assert.Equal(t, http.StatusServiceUnavailable, resp.status, resp.body)
+					assert.Contains(t, resp.body, `"ran":"not_run"`)
+					assert.NotEmpty(t, resp.header.Get("Retry-After"))
+					assert.Less(t, time.Since(drained), 4*time.Second, "refused while most of the grace time is left")
+				})
+				time.Sleep(100 * time.Millisecond)
+			}
+			callers.Wait()
+			require.NoError(t, <-h.done)
+			h.done <- nil
+		})
+	}
+}
