entry: a host that stops accepts what must end before it does, and nothing else

Cause: the host accepted requests to plain services for 5 s and streams for 2.5 s, whatever their deadline and whatever the grace time. A request with a deadline of 20 s and one of 1 s were treated alike; at a grace time of 3 s streams were accepted nearly to its end.

Ruled out: that the requests crossed the close of the listener. They were read whole and had reached the upstream.

Admission now asks the same schedule, before the body is read: until 2.5 s after the signal every request is accepted, until 5 s those whose deadline is before the moment at which all must be answered (both scale with a shorter grace time), then none. Streams with a short deadline are accepted for longer than before.

--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -37,9 +37,10 @@
 func TestShutdown_Steps(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := New(NewSchedule(8*time.Second, 6*time.Second))
-		_, started := d.Since()
-		require.False(t, started)
-		require.False(t, d.MayOutlast(time.Now().Add(time.Hour)))
+		far := time.Now().Add(time.Hour)
+		require.False(t, d.InProgress())
+		require.True(t, d.Accepts(far))
+		require.False(t, d.MayOutlast(far))
 
 		require.True(t, d.Start())
 		require.False(t, d.Start(), "a second signal changes nothing")
@@ -47,8 +48,14 @@
 		require.True(t, d.MayOutlast(begin.Add(7301*time.Millisecond)))
 		require.False(t, d.MayOutlast(begin.Add(7300*time.Millisecond)))
 		require.Equal(t, begin.Add(6*time.Second), d.ListenerCloses())
+		require.True(t, d.Accepts(far))
 		<-d.LongRefused().Done()
 		require.Equal(t, 2500*time.Millisecond, time.Since(begin))
+		require.False(t, d.Accepts(far))
+		require.True(t, d.Accepts(begin.Add(7300*time.Millisecond)))
+		require.False(t, d.Accepts(begin.Add(7301*time.Millisecond)))
+		time.Sleep(2500 * time.Millisecond)
+		require.False(t, d.Accepts(time.Now().Add(time.Millisecond)), "the listener is about to close")
 		<-d.AnswersDue().Done()
 		require.Equal(t, 7300*time.Millisecond, time.Since(begin))
 		<-d.Aborted().Done()
--- a/drain/shutdown.go
+++ b/drain/shutdown.go
@@ -54,14 +54,6 @@
 	}
 }
 
-// Since returns the time since the start, and false if the shutdown has not started.
-func (d *Shutdown) Since() (time.Duration, bool) {
-	if !d.InProgress() {
-		return 0, false
-	}
-	return time.Since(d.startedAt), true
-}
-
 // ListenerCloses returns when the listener is to be closed. The shutdown must have started.
 func (d *Shutdown) ListenerCloses() time.Time { return d.startedAt.Add(d.schedule.CloseListenerAt) }
 
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -35,10 +35,10 @@
 	if err := x.authorise(config); err != nil {
 		return err
 	}
-	if x.refusedByDrain() {
-		return apierr.New(apierr.Draining, "").WithRetryAfter(drainingRetryAfter)
-	}
 	x.deadline = x.arrived.Add(x.maxDuration())
+	if !x.server.Shutdown.Accepts(x.deadline) {
+		return x.shutdownError()
+	}
 	if err := x.readBody(config); err != nil {
 		return err
 	}
@@ -46,18 +46,6 @@
 	return nil
 }
 
-// refusedByDrain reports whether the host has been draining for so long that it may stop before the request ends.
-func (x *exchange) refusedByDrain() bool {
-	since, draining := x.server.Shutdown.Since()
-	if !draining {
-		return false
-	}
-	if x.route.Kind == catalog.Streaming {
-		return since > acceptStreamsFor
-	}
-	return since > acceptRequestsFor
-}
-
 // drainingRetryAfter is the Retry-After of a draining host, short since the caller can retry on another host.
 const drainingRetryAfter = 10 * time.Millisecond
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -169,15 +169,6 @@
 	maxIdleTimeUnsafe = 1500 * time.Millisecond
 )
 
-// Times after the start of draining during which new requests are accepted. The
-// platform tolerates the interruption of a request that was accepted within 3 s
-// of the signal and still runs when the process ends. A request accepted later
-// must have ended by then.
-const (
-	acceptStreamsFor  = 2500 * time.Millisecond
-	acceptRequestsFor = 5 * time.Second
-)
-
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), controller: http.NewResponseController(w)}
--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -34,6 +34,8 @@
 	hosts        map[string]*runningHost
 	replicas     map[string]*replica.Replica
 	config       tables.Config
+	// grace and directoryTTL are settings of the hosts.
+	grace, directoryTTL time.Duration
 }
 
 type runningHost struct {
@@ -75,7 +77,7 @@
 }
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{t: t, tables: tables.New(), hosts: map[string]*runningHost{}, replicas: map[string]*replica.Replica{}}
+	d := &deployment{t: t, tables: tables.New(), hosts: map[string]*runningHost{}, replicas: map[string]*replica.Replica{}, grace: 8 * time.Second, directoryTTL: time.Second}
 	server, err := standin.Serve("127.0.0.1:0", d.tables)
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
@@ -157,13 +159,13 @@
 // startHost starts a host without waiting for it.
 func (d *deployment) startHost(name string) *runningHost {
 	entrySettings := &settings.Entry{
-		Host: name, Zone: "z", Store: d.storeAddress, MemoryMB: 200, Cores: 1, Grace: settings.Duration(8 * time.Second),
+		Host: name, Zone: "z", Store: d.storeAddress, MemoryMB: 200, Cores: 1, Grace: settings.Duration(d.grace),
 		Listen: settings.EntryListen{
 			Callers: freeAddress(d.t), Readiness: freeAddress(d.t), Directory: freeAddress(d.t), Peers: freeAddress(d.t), Metrics: freeAddress(d.t),
 		},
 		Fleet: settings.EntryFleet{
 			RetryRatio: 0.2, RetrySlack: 50, RateWindow: settings.Duration(8 * time.Second), Fenced: true,
-			MaxDirectoryTTL: settings.Duration(time.Second),
+			MaxDirectoryTTL: settings.Duration(d.directoryTTL),
 		},
 		Log: settings.Log{Level: "error"},
 	}
--- a/host/shutdown_test.go
+++ b/host/shutdown_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -144,3 +146,54 @@
 		})
 	}
 }
+
+// Requests arrive late in the grace time at an upstream that needs longer than the rest of it. They must not be sent. Before,
+// they were, and the host cut them without an answer at its end.
+func TestDrain_SendsNoRequestThatOutlastsIt(t *testing.T) {
+	for _, grace := range []time.Duration{3 * time.Second, 8 * time.Second} {
+		for _, path := range []string{"/book/", "/status/"} {
+			t.Run(grace.String()+path, func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				d.grace, d.directoryTTL = grace, 2*time.Second
+				app := d.addReplica("app", replica.Options{ID: "p1", AnswerAfter: grace / 2})
+				h := d.addHost("h1")
+				d.addHost("h2")
+				h.Drain()
+				time.Sleep(grace * 3 / 8)
+				var callers sync.WaitGroup
+				for i := range 20 {
+					callers.Go(func() {
+						resp := h.request(http.MethodPost, fmt.Sprintf("%s%d", path, i), "", nil)
+						if errors.Is(resp.err, syscall.ECONNREFUSED) {
+							return // the listener is closed
+						}
+						assert.NoError(t, resp.err)
+						assert.Equal(t, http.StatusServiceUnavailable, resp.status, resp.body)
+						assert.Contains(t, resp.body, `"ran":"not_run"`)
+					})
+					time.Sleep(grace / 53)
+				}
+				callers.Wait()
+				require.Empty(t, app.Requests())
+				require.NoError(t, <-h.done)
+				h.done <- nil
+			})
+		}
+	}
+}
+
+// Requests with a deadline before the end of the grace time are served while the host drains.
+func TestDrain_ServesShortRequests(t *testing.T) {
+	d := newDeployment(t)
+	d.directoryTTL = 2 * time.Second
+	d.addReplica("app", replica.Options{ID: "p1", AnswerAfter: 100 * time.Millisecond})
+	h := d.addHost("h1")
+	h.Drain()
+	for start := time.Now(); time.Since(start) < 4500*time.Millisecond; time.Sleep(250 * time.Millisecond) {
+		call := caller.Call{Method: http.MethodPost, Path: "/book/", ID: time.Since(start).String(), Key: "key", Timeout: 2 * time.Second}
+		resp := h.send(call, nil)
+		require.NoError(t, resp.err, "after %s", time.Since(start))
+		require.Equal(t, http.StatusOK, resp.status, "after %s: %s", time.Since(start), resp.body)
+	}
+}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -28,6 +28,8 @@
 	// events means an answer without a stream.
 	Events     int
 	EventPause time.Duration
+	// AnswerAfter is the time from the receipt of a request to the head of its answer.
+	AnswerAfter time.Duration
 }
 
 // CrashBody is the body of a request that crashes the replica that starts to execute
@@ -402,6 +404,11 @@
 	case r.consume(&r.faults.DropConnections):
 		panic(http.ErrAbortHandler)
 	}
+	select {
+	case <-time.After(r.options.AnswerAfter):
+	case <-req.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
 	if !r.consume(&r.faults.Unsigned) {
 		h.Set("Jasminelock-Response-Signature", r.options.ID)
 	}
