entry: a host that stops answers what may have run before it ends

What callers saw: requests that a host had sent to an upstream before or shortly after SIGTERM, and whose response had not begun when the grace time was over, were cut without an answer. A caller could not tell them from requests that had never been read, and the host logged them as caller_gone. A request whose body was still arriving was cut the same way.

Cause: nothing but the close of the server ended such a request, and after that no answer can be written.

Ruled out: that the platform killed the process. It ended by itself, 0.3 s before the end of the grace time.

Change: 0.7 s before the end of the grace time (less where that is short) the host gives up each request whose response has not begun: 503 host_draining if it has not been sent or was not read whole, 502 outcome_unknown if it may have run and must not be repeated, 502 answer_cut if it may be repeated. Whether the response or the error is written is decided under one lock. Responses that have begun go on until 0.3 s before the end, are then aborted, counted and logged with that reason. Responses written during the shutdown tell the caller to close its connection, also to requests that were sent before it.

--- a/assign/events.go
+++ b/assign/events.go
@@ -93,7 +93,7 @@
 	Lost
 	// TimedOut means that the attempt was cancelled at the deadline.
 	TimedOut
-	// CallerLeft means that the attempt was cancelled because the caller disconnected.
+	// CallerLeft means that the attempt was cancelled because the caller disconnected or its host stops.
 	CallerLeft
 	// NotSent means that the request was not sent: the upstream refuses requests from the host, or the request
 	// must not be sent to any upstream.
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -98,13 +98,15 @@
 	if x.r.ContentLength == 0 {
 		return nil
 	}
-	if err := x.controller.SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
-		x.server.Log.Debug("read deadline of the connection not set", "error", err)
+	if !x.setReadingBody(true) {
+		return x.shutdownError()
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	_ = x.controller.SetReadDeadline(time.Time{}) // fails only where deadlines are unsupported
+	goesOn := x.setReadingBody(false)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case !goesOn:
+		return x.shutdownError()
 	case errors.As(err, &tooLarge):
 		return apierr.New(apierr.BodyTooLarge, "at most %d bytes", limit)
 	case err != nil:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -136,6 +137,7 @@
 type Server struct {
 	Options
 	listeners listenerChecks
+	running   atomic.Int64
 }
 
 // New returns a server with the given options.
@@ -171,6 +173,11 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), controller: http.NewResponseController(w)}
 	x.serve()
 }
+
+// Running returns the number of requests that have not ended.
+func (s *Server) Running() int { return int(s.running.Load()) }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -44,6 +44,7 @@
 	rateLimit throttle.State
 	// headerWritten reports whether the response header has been written.
 	headerWritten bool
+	stop          stopState
 	lastEventID   string
 	// eventGaps classifies the gaps between the events of the last attempt.
 	eventGaps assign.EventGaps
@@ -72,14 +73,13 @@
 // serve handles the request from its admission to its log line.
 func (x *exchange) serve() {
 	defer x.logResult()
-	if x.server.Shutdown.InProgress() {
-		x.w.Header().Set("Connection", "close")
-	}
+	stoppable, release := x.followShutdown(x.r.Context())
+	defer release()
 	if err := x.admit(); err != nil {
 		x.writeError(err)
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errDeadline)
+	ctx, cancel := context.WithDeadlineCause(stoppable, x.deadline, errDeadline)
 	defer cancel()
 	x.ctx = ctx
 	if err := x.controller.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
@@ -142,24 +142,6 @@
 	return assign.Grant{}, apierr.New(apierr.Internal, "decision of type %T", decision)
 }
 
-// outlastsShutdown reports whether the request may no longer be sent, since it could outlast the host's shutdown. A stream
-// that has begun may be, since it would be interrupted otherwise.
-func (x *exchange) outlastsShutdown() bool {
-	s := x.server.Shutdown
-	return !x.headerWritten && s.LongRefused().Err() != nil && s.MayOutlast(x.deadline)
-}
-
-// shutdownError returns the error for a request that the host cannot serve to its end before it stops.
-func (x *exchange) shutdownError() *apierr.Error {
-	switch {
-	case x.ranCount == 0:
-		return apierr.New(apierr.Draining, "").WithRetryAfter(drainingRetryAfter)
-	case x.route.Repeatable():
-		return apierr.New(apierr.AnswerCut, "this host is stopping").WithRan(apierr.MayHaveRun)
-	}
-	return apierr.New(apierr.OutcomeUnknown, "this host is stopping").WithRan(apierr.MayHaveRun)
-}
-
 // refusalError returns the error for a request that the broker refused, at its first attempt or a later one.
 func (x *exchange) refusalError(refusal assign.Refuse) *apierr.Error {
 	if x.ranCount > 0 || x.headerWritten {
@@ -174,12 +156,23 @@
 
 // cancelledError returns the error for a request whose context has ended.
 func (x *exchange) cancelledError() *apierr.Error {
-	if x.r.Context().Err() != nil {
+	switch {
+	case x.r.Context().Err() != nil:
 		return apierr.New(apierr.CallerGone, "")
+	case errors.Is(context.Cause(x.ctx), errStopping):
+		return x.shutdownError()
 	}
 	return x.timeoutError()
 }
 
+// cancelledOutcome returns the outcome of an attempt that was cancelled by the end of the request's context.
+func (x *exchange) cancelledOutcome() assign.Outcome {
+	if x.r.Context().Err() != nil || errors.Is(context.Cause(x.ctx), errStopping) {
+		return assign.CallerLeft
+	}
+	return assign.TimedOut
+}
+
 // timeoutError returns the error for a request whose deadline has passed.
 func (x *exchange) timeoutError() *apierr.Error {
 	err := apierr.New(apierr.DeadlineExceeded, "")
@@ -317,11 +310,8 @@
 		return assign.Unreachable
 	}
 	x.ranCount++
-	switch {
-	case x.r.Context().Err() != nil:
-		return assign.CallerLeft
-	case x.ctx.Err() != nil:
-		return assign.TimedOut
+	if x.ctx.Err() != nil {
+		return x.cancelledOutcome()
 	}
 	return assign.Lost
 }
--- a/entry/response.go
+++ b/entry/response.go
@@ -67,7 +67,9 @@
 	if info.Outcome == assign.Failed && (x.canRetry() || x.headerWritten) {
 		return assign.Failed
 	}
-	x.writeHeader(resp)
+	if !x.writeHeader(resp) {
+		return x.cancelledOutcome()
+	}
 	if _, err := x.w.Write(body); err != nil {
 		return assign.CallerLeft
 	}
@@ -106,23 +108,33 @@
 // interrupted returns the outcome of a response whose body could not be read to its
 // end, and records the failure unless the caller left or the deadline passed.
 func (x *exchange) interrupted(err error) assign.Outcome {
-	switch {
-	case x.r.Context().Err() != nil:
-		return assign.CallerLeft
-	case x.ctx.Err() != nil:
-		return assign.TimedOut
+	if x.ctx.Err() != nil {
+		return x.cancelledOutcome()
 	}
 	x.recordFailure("response interrupted", err)
 	return assign.Lost
 }
 
-func (x *exchange) writeHeader(resp *forward.Response) {
+// writeHeader writes the response header. It reports false, and writes nothing, if the host has given up the request.
+func (x *exchange) writeHeader(resp *forward.Response) bool {
+	if !x.beginResponse() {
+		return false
+	}
 	h := x.w.Header()
 	for name, values := range x.server.Codec.CallerHeader(resp.Header) {
 		h[name] = values
 	}
+	x.askToReconnect(h)
 	x.w.WriteHeader(resp.Status)
 	x.status, x.headerWritten = resp.Status, true
+	return true
+}
+
+// askToReconnect tells the caller of a host that is stopping not to reuse the connection.
+func (x *exchange) askToReconnect(h http.Header) {
+	if x.server.Shutdown.InProgress() {
+		h.Set("Connection", "close")
+	}
 }
 
 // relayStream relays an event stream, complete events only. A partial event of an
@@ -147,8 +159,8 @@
 			x.recordFailure("resumed stream goes on at event "+strconv.Quote(id)+" after "+strconv.Quote(x.lastEventID), nil)
 			return assign.Failed
 		}
-		if first {
-			x.startStream(resp)
+		if first && !x.startStream(resp) {
+			return x.cancelledOutcome()
 		}
 		if id != "" {
 			x.lastEventID = id
@@ -186,13 +198,15 @@
 }
 
 // startStream reports the first event of an attempt to the broker, and writes the
-// response header unless an earlier attempt of the request has written it.
-func (x *exchange) startStream(resp *forward.Response) {
+// response header unless an earlier attempt of the request has written it. It reports
+// false if the host has given up the request.
+func (x *exchange) startStream(resp *forward.Response) bool {
 	x.server.Broker.FirstByteReceived(x.ticket)
-	if !x.headerWritten {
-		x.timeToFirstToken = time.Since(x.arrived)
-		x.writeHeader(resp)
+	if x.headerWritten {
+		return true
 	}
+	x.timeToFirstToken = time.Since(x.arrived)
+	return x.writeHeader(resp)
 }
 
 // writeError sends err to the caller. Once the response header has been written, it
@@ -224,6 +238,7 @@
 	if err.RetryAfter > 0 {
 		h.Set("Retry-After", x.server.Codec.FormatRetryAfter(err.RetryAfter))
 	}
+	x.askToReconnect(h)
 	x.w.WriteHeader(x.status)
 	if _, writeErr := x.w.Write(raw); writeErr != nil {
 		x.server.Log.Debug("error response not written to the caller", "request", x.requestInfo.AttemptID, "error", writeErr)
--- a/host/drain.go
+++ b/host/drain.go
@@ -16,6 +16,8 @@
 	maxDirectoryTTL = 2 * time.Second
 	// staleTTLFactor is the factor by which some callers exceed the directory's TTL.
 	staleTTLFactor = 3
+	// abortTime is how long the host waits for aborted responses to end.
+	abortTime = 100 * time.Millisecond
 	// standaloneAfter is the time since the start after which a host without a member list
 	// from the leader goes standalone and announces only itself.
 	standaloneAfter = 2 * time.Second
@@ -44,12 +46,23 @@
 	case <-ctx.Done():
 	case <-time.After(time.Until(h.shutdown.ListenerCloses())):
 	}
-	h.log.Info("closing the listener for callers; waiting for running requests")
-	shutdownCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(h.shutdown.Aborted(), cancel)()
-	if err := callers.Shutdown(shutdownCtx); err != nil {
-		h.log.Warn("running requests aborted at the end of the grace time", "error", err)
+	h.log.Info("closing the listener for callers; waiting for running requests", "count", h.server.Running())
+	ended := make(chan error, 1)
+	go func() { ended <- callers.Shutdown(ctx) }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			h.log.Warn("listener for callers not shut down; closing it", "error", err)
+		}
+		return nil
+	case <-h.shutdown.Aborted().Done():
+	}
+	if running := h.server.Running(); running > 0 {
+		h.log.Warn("aborting the responses that still run at the end of the grace time", "count", running)
+	}
+	select {
+	case <-ended:
+	case <-time.After(abortTime): // the caller closes the connections that are left
 	}
 	return nil
 }
