--- a/host/drain.go
+++ b/host/drain.go
@@ -41,20 +41,22 @@
 // shutDown shuts down the listener for callers once the directory answers that callers
 // may have cached have expired, and waits for the requests that still run. Those that do not
 // end in time are aborted.
-func (h *Host) shutDown(ctx context.Context, callers *http.Server) error {
+func (h *Host) shutDown(ctx context.Context, callers *http.Server) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(time.Until(h.shutdown.ListenerCloses())):
 	}
 	h.log.Info("closing the listener for callers; waiting for running requests", "count", h.server.Running())
-	ended := make(chan error, 1)
-	go func() { ended <- callers.Shutdown(ctx) }()
-	select {
-	case err := <-ended:
-		if err != nil {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := callers.Shutdown(ctx); err != nil && ctx.Err() == nil {
 			h.log.Warn("listener for callers not shut down; closing it", "error", err)
 		}
-		return nil
+	}()
+	select {
+	case <-ended:
+		return
 	case <-h.shutdown.Aborted().Done():
 	}
 	if running := h.server.Running(); running > 0 {
@@ -62,9 +64,8 @@
 	}
 	select {
 	case <-ended:
-	case <-time.After(abortTime): // the caller closes the connections that are left
+	case <-time.After(abortTime): // serve closes the connections that are left
 	}
-	return nil
 }
 
 // ready reports whether the host can serve callers: it has a configuration and the list
--- a/host/host.go
+++ b/host/host.go
@@ -225,7 +225,8 @@
 	case err := <-failed:
 		return err
 	case <-h.shutdown.Started():
-		return h.shutDown(ctx, callers)
+		h.shutDown(ctx, callers)
+		return nil
 	}
 }
 
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -404,11 +404,7 @@
 	case r.consume(&r.faults.DropConnections):
 		panic(http.ErrAbortHandler)
 	}
-	select {
-	case <-time.After(r.options.AnswerAfter):
-	case <-req.Context().Done():
-		panic(http.ErrAbortHandler)
-	}
+	r.work(req)
 	if !r.consume(&r.faults.Unsigned) {
 		h.Set("Jasminelock-Response-Signature", r.options.ID)
 	}
@@ -431,6 +427,18 @@
 	_, _ = fmt.Fprintf(w, "answer of %s to %s", r.options.ID, req.RequestURI)
 }
 
+// work waits for Options.AnswerAfter, and aborts if the caller leaves meanwhile.
+func (r *Replica) work(req *http.Request) {
+	if r.options.AnswerAfter <= 0 {
+		return
+	}
+	select {
+	case <-time.After(r.options.AnswerAfter):
+	case <-req.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // repeat sends the text repeatedly, with a pause after each, until the caller closes
 // the connection.
 func repeat(w http.ResponseWriter, req *http.Request, text string, pause time.Duration) {
