host: requests on open connections are answered after the listener has closed

What callers saw: a host that stops closed its listener for callers 6 s after SIGTERM. If other requests still ran, a request that came on an open connection after that was read, and its connection was closed without an answer; to its caller it might have run.

Cause: the listener was closed with Server.Shutdown of net/http, which drops each request that it reads from then on.

Change: only the listener is closed. Open connections stay in use, and requests on them are refused as not run. The host ends when no request has run for 0.3 s, so that a caller that has just connected gets its answer too.

Evidence: TestDrain_AnswersOnOpenConnectionsAfterListenerCloses; before, the first connection ended with "unexpected EOF".

--- a/host/drain.go
+++ b/host/drain.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http"
+	"net"
 	"time"
 
 	"github.com/jasminelock/jasminelock/settings"
@@ -18,6 +18,9 @@
 	staleTTLFactor = 3
 	// abortTime is how long the host waits for aborted responses to end.
 	abortTime = 100 * time.Millisecond
+	// quietTime is how long no request must have run before the host ends. A caller that connected just
+	// before the listener closed sends its request meanwhile.
+	quietTime = 300 * time.Millisecond
 	// standaloneAfter is the time since the start after which a host without a member list
 	// from the leader goes standalone and announces only itself.
 	standaloneAfter = 2 * time.Second
@@ -38,33 +41,41 @@
 	}
 }
 
-// shutDown shuts down the listener for callers once the directory answers that callers
-// may have cached have expired, and waits for the requests that still run. Those that do not
-// end in time are aborted.
-func (h *Host) shutDown(ctx context.Context, callers *http.Server) {
+// shutDown closes the listener for callers once the directory answers that callers may have cached
+// have expired, and waits for the requests that still run. Open connections stay in use meanwhile, so
+// that requests on them are refused with an answer. Responses that do not end in time are aborted.
+func (h *Host) shutDown(ctx context.Context, callers net.Listener) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(time.Until(h.shutdown.ListenerCloses())):
 	}
 	h.log.Info("closing the listener for callers; waiting for running requests", "count", h.server.Running())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		if err := callers.Shutdown(ctx); err != nil && ctx.Err() == nil {
-			h.log.Warn("listener for callers not shut down; closing it", "error", err)
-		}
-	}()
-	select {
-	case <-ended:
-		return
-	case <-h.shutdown.Aborted().Done():
+	if err := callers.Close(); err != nil {
+		h.log.Warn("listener for callers not closed; it is closed with the process", "error", err)
 	}
+	h.awaitQuiet(ctx)
 	if running := h.server.Running(); running > 0 {
 		h.log.Warn("aborting the responses that still run at the end of the grace time", "count", running)
+		time.Sleep(abortTime)
 	}
-	select {
-	case <-ended:
-	case <-time.After(abortTime): // serve closes the connections that are left
+}
+
+// awaitQuiet returns when no request has run for quietTime, when the responses that still run are
+// aborted, or when the context ends.
+func (h *Host) awaitQuiet(ctx context.Context) {
+	ticker := time.NewTicker(quietTime / 10)
+	defer ticker.Stop()
+	for quietSince := time.Now(); time.Since(quietSince) < quietTime; {
+		if h.server.Running() > 0 {
+			quietSince = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.shutdown.Aborted().Done():
+			return
+		case <-ticker.C:
+		}
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -207,11 +207,15 @@
 		listeners = append(listeners, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(h.operatorHandler())})
 	}
 	failed := make(chan error, len(listeners))
+	var callersListener net.Listener
 	for _, spec := range listeners {
 		netListener, err := listen(ctx, spec.address)
 		if err != nil {
 			return fmt.Errorf("%s: %w", spec.field, err)
 		}
+		if spec.server == callers {
+			callersListener = netListener
+		}
 		group.Go(func() {
 			if err := spec.server.Serve(netListener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- fmt.Errorf("%s: %w", spec.field, err)
@@ -225,7 +229,7 @@
 	case err := <-failed:
 		return err
 	case <-h.shutdown.Started():
-		h.shutDown(ctx, callers)
+		h.shutDown(ctx, callersListener)
 		return nil
 	}
 }
--- a/host/shutdownanswers_test.go
+++ b/host/shutdownanswers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -73,3 +74,62 @@
 	require.NoError(t, <-h.done)
 	h.done <- nil
 }
+
+// A host that stops still has a request to finish when it closes its listener. Requests on connections that callers hold open
+// must be refused with an answer meanwhile. Before, net/http closed such a connection when it had read the request.
+func TestDrain_AnswersOnOpenConnectionsAfterListenerCloses(t *testing.T) {
+	d := newDeployment(t)
+	d.grace = 4 * time.Second
+	app := d.addReplica("app", replica.Options{ID: "p1", AnswerAfter: time.Minute})
+	h := d.addHost("h1")
+	running := make(chan response, 1)
+	go func() { running <- h.request(http.MethodPost, "/book/", "", nil) }()
+	require.Eventually(t, func() bool { return len(app.Requests()) == 1 }, testTimeout, 5*time.Millisecond)
+	unused, kept := newOpenConnection(t, h), newOpenConnection(t, h)
+	require.Equal(t, http.StatusNotFound, kept.request("/nowhere/").StatusCode)
+	h.Drain()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", h.settings.Listen.Callers)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil // the listener is closed
+	}, testTimeout, 20*time.Millisecond)
+	for _, c := range []*openConnection{unused, kept} {
+		resp := c.request("/status/")
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.True(t, resp.Close)
+	}
+	require.Equal(t, http.StatusBadGateway, (<-running).status)
+	require.NoError(t, <-h.done)
+	h.done <- nil
+}
+
+// openConnection is a connection of a caller to a host.
+type openConnection struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+	host   *runningHost
+}
+
+func newOpenConnection(t *testing.T, h *runningHost) *openConnection {
+	conn, err := net.Dial("tcp", h.settings.Listen.Callers)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &openConnection{t, conn, bufio.NewReader(conn), h}
+}
+
+// request sends a request and returns the response, whose body has been read.
+func (c *openConnection) request(path string) *http.Response {
+	call := caller.Call{Method: http.MethodPost, Path: path, ID: path, Key: "key"}
+	req, err := call.Request(c.t.Context(), c.host.settings.Listen.Callers)
+	require.NoError(c.t, err)
+	require.NoError(c.t, req.Write(c.conn))
+	resp, err := http.ReadResponse(c.reader, req)
+	require.NoError(c.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(c.t, err)
+	require.NoError(c.t, resp.Body.Close())
+	return resp
+}
