daemon: a host that is stopped at once answers its requests first

What callers saw: on a second signal, or when the drain timeout had passed, jasminelockd closed the connections of all requests, without an answer: those that waited and had not run as well as those that may have run.

Cause: nothing but the close of the server ended a request.

Change: the core handles StopStarted, which ends each request that waits (host_draining, not run) and lets no attempt be repeated. The gateway then cancels the attempts and claims that still run; their requests end with outcome_unknown, upstream_failed or, in a stream, an error event. The host waits up to 2 s for these answers, then closes.

The walk over the scenarios of a request's life may stop the host in every state, and checks that nothing waits or is dispatched after that; a mutant that takes the stop for a drain is caught.

--- a/core/core.go
+++ b/core/core.go
@@ -26,6 +26,8 @@
 	budget       loadBudget
 	reservations reservations
 	draining     bool
+	// stopping is set once every request must end.
+	stopping bool
 	// freshness is how long the configuration may be used as being in force.
 	freshness freshness
 	// memberListSeen is set by the first MembersUpdated. From then on, the member list and not the host
--- a/core/events.go
+++ b/core/events.go
@@ -121,6 +121,10 @@
 // DrainStarted reports that this host is leaving: new requests are refused.
 type DrainStarted struct{}
 
+// StopStarted reports that this host is about to end, and that every request must get its final answer now. The
+// gateway cancels the attempts that still run.
+type StopStarted struct{}
+
 // Tick reports that time has passed. The interval between two ticks must not exceed TickInterval.
 type Tick struct{}
 
@@ -156,6 +160,7 @@
 func (StoreEnded) isEvent()          {}
 func (LeaveStarted) isEvent()        {}
 func (DrainStarted) isEvent()        {}
+func (StopStarted) isEvent()         {}
 func (Tick) isEvent()                {}
 
 func (ConfigUpdated) isFleetEvent()       {}
@@ -166,6 +171,7 @@
 func (StoreEnded) isFleetEvent()          {}
 func (LeaveStarted) isFleetEvent()        {}
 func (DrainStarted) isFleetEvent()        {}
+func (StopStarted) isFleetEvent()         {}
 func (Tick) isFleetEvent()                {}
 
 // Request is a caller's request in the form that the core decides on.
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -34,6 +34,8 @@
 		c.applyLimiter(c.limiter.Leave(now), out)
 	case DrainStarted:
 		c.draining = true
+	case StopStarted:
+		c.onStop(now, out)
 	case Tick:
 		c.resumeBackingOff(now, out)
 		c.applyLimiter(c.limiter.Tick(now), out)
--- a/core/lifecycle_test.go
+++ b/core/lifecycle_test.go
@@ -113,8 +113,11 @@
 	// unauthorisedDispatches counts the dispatches after the withdrawal of the key.
 	unauthorisedDispatches int
 	keyWithdrawn           bool
-	finishes               []Finish
-	mutate                 mutant
+	stopped                bool
+	// waitsAfterStop and dispatchedAfterStop are set if the request waited or was dispatched after StopStarted.
+	waitsAfterStop, dispatchedAfterStop bool
+	finishes                            []Finish
+	mutate                              mutant
 }
 
 // mutant simulates a fault of the core: it changes the events that go in or the decisions that come
@@ -168,6 +171,7 @@
 		switch d := d.(type) {
 		case Dispatch:
 			s.dispatches++
+			s.dispatchedAfterStop = s.dispatchedAfterStop || s.stopped
 			if s.keyWithdrawn {
 				s.unauthorisedDispatches++
 			}
@@ -178,6 +182,10 @@
 			s.finishes = append(s.finishes, d)
 		}
 	}
+	if e, ok := s.core.requests[1]; ok && s.stopped {
+		state := e.machine.State()
+		s.waitsAfterStop = s.waitsAfterStop || state == request.Queued || state == request.BackingOff || state == request.Reserved
+	}
 }
 
 // eventStep is one event that can occur next.
@@ -207,6 +215,7 @@
 	callerLeaves   = eventStep{"caller leaves", func(s *scenario) { s.handle(CallerLeft{ID: 1}) }}
 	timePasses     = eventStep{"time passes", func(s *scenario) { s.now = s.now.Add(2 * time.Second); s.handle(Tick{}) }}
 	hostDrains     = eventStep{"host drains", func(s *scenario) { s.handle(DrainStarted{}) }}
+	hostStops      = eventStep{"host stops", func(s *scenario) { s.stopped = true; s.handle(StopStarted{}) }}
 	upstreamFree   = eventStep{"upstream is free", func(s *scenario) { s.handle(LoadReported{Upstream: "u"}) }}
 	schedulerDrops = eventStep{"scheduler drops", func(s *scenario) {
 		s.handle(LoadReported{Upstream: "u", Report: upstream.Report{Waiting: 1}})
@@ -265,6 +274,9 @@
 	if !s.core.draining && s.dispatches == 0 {
 		out = append(out, hostDrains)
 	}
+	if !s.stopped {
+		out = append(out, hostStops)
+	}
 	return out
 }
 
@@ -293,6 +305,10 @@
 		return fmt.Errorf("not_run cost %d tokens", s.limiter.spent)
 	case err != nil && err.Ran != apierr.NotRun && err.Kind.Definition().Retry && !s.class.repeatable && err.Kind != apierr.CallerGone:
 		return fmt.Errorf("%s tells the caller to retry a request that may have run", err.Kind)
+	case s.waitsAfterStop:
+		return fmt.Errorf("still waits after the stop")
+	case s.dispatchedAfterStop:
+		return fmt.Errorf("dispatched after the stop")
 	case s.core.InFlight() != 0:
 		return fmt.Errorf("still in flight")
 	}
@@ -370,6 +386,12 @@
 			}
 			return d, true
 		}}, "without a complete answer"},
+		"waiting request not ended by the stop of its host": {requestClasses[0], mutant{event: func(ev Event) Event {
+			if _, ok := ev.(StopStarted); ok {
+				return DrainStarted{}
+			}
+			return ev
+		}}, "after the stop"},
 		"retry requested for a request that may have run": {requestClasses[1], mutant{decision: func(d Decision) (Decision, bool) {
 			if f, ok := d.(Finish); ok && f.Err != nil && f.Err.Kind == apierr.OutcomeUnknown {
 				f.Err = apierr.New(apierr.UpstreamFailed, "").WithRan(f.Err.Ran)
--- a/core/requests.go
+++ b/core/requests.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
@@ -83,6 +85,8 @@
 		c.fail(now, e, end.Err, "claim", out)
 	case end.Replayed:
 		c.complete(now, e, 0, out)
+	case c.stopping:
+		c.fail(now, e, apierr.New(apierr.Draining, ""), "stop", out)
 	default:
 		c.enqueue(now, e, out)
 	}
@@ -101,6 +105,20 @@
 	c.fail(now, e, e.withExecution(apierr.New(apierr.CallerGone, "")), "caller_left", out)
 }
 
+// onStop ends every request that waits. The others end with their attempt, or with the claim of their idempotency key.
+func (c *Core) onStop(now time.Time, out *decisions) {
+	c.draining, c.stopping = true, true
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		e := c.requests[id]
+		switch e.machine.State() {
+		case request.Dispatched, request.Streaming, request.Claiming:
+			continue
+		}
+		c.applyScheduler(now, c.scheduler.Cancel(now, id), out)
+		c.fail(now, e, e.withExecution(apierr.New(apierr.Draining, "")), "stop", out)
+	}
+}
+
 func (c *Core) onFirstByte(ev FirstByteReceived) {
 	e, ok := c.requests[ev.ID]
 	if ok && e.machine.State() == request.Dispatched {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,6 +61,9 @@
 
 	drainOnce    sync.Once
 	drainStarted chan struct{}
+	// stopping ends when the requests that still run must get their final answer.
+	stopping context.Context
+	stop     context.CancelFunc
 }
 
 // New returns a host whose listeners are open but do not serve before Run. It returns an error if the
@@ -77,6 +80,7 @@
 
 		incarnation: uint64(time.Now().UnixMilli()),
 	}
+	d.stopping, d.stop = context.WithCancel(context.Background())
 	d.outcomes = outcome.New(d.platform, d.platform.Objects())
 	c := core.New(core.Options{
 		Board: d.board, Limiter: newLimiter(s), Scheduler: newScheduler(s),
@@ -145,7 +149,8 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	callers := d.callerServer()
+	handler := d.callerHandler()
+	callers := d.callerServer(handler)
 	operators := &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: gateway.DefaultReadTimeout}
 	var group sync.WaitGroup
 	group.Go(func() { _ = callers.Serve(d.callerListener) })
@@ -164,9 +169,12 @@
 	select {
 	case <-ctx.Done():
 	case <-d.drainStarted:
-		d.shutdown(ctx, callers)
+		d.finishRequests(ctx, callers)
+	}
+	interrupted := d.interruptRequests(handler)
+	if d.isDraining() {
+		d.leave()
 	}
-	interrupted := d.runtime.InFlight()
 	_ = callers.Close()
 	_ = operators.Close()
 	cancel()
@@ -179,9 +187,10 @@
 	return nil
 }
 
-func (d *Daemon) callerServer() *http.Server {
+func (d *Daemon) callerHandler() *gateway.Server {
 	r := d.settings.Requests
-	handler := gateway.New(gateway.Options{
+	return gateway.New(gateway.Options{
+		Stopping: d.stopping,
 		Log: d.log, Runtime: d.runtime, Board: d.board, UpstreamCaller: d.upstreamClient, Ready: d.ready, KeyClaims: d.outcomes,
 		Limits: gateway.Limits{
 			MaxBodyBytes: r.MaxBodyBytes, MaxHeaderBytes: r.MaxHeaderBytes,
@@ -189,6 +198,10 @@
 			WriteTimeout:   time.Duration(r.WriteTimeout),
 		},
 	})
+}
+
+func (d *Daemon) callerServer(handler http.Handler) *http.Server {
+	r := d.settings.Requests
 	return &http.Server{
 		Handler:        handler,
 		ReadTimeout:    time.Duration(r.ReadTimeout),
@@ -214,11 +227,11 @@
 	}
 }
 
-// shutdown first announces to the other hosts and on the host list that this host is leaving, so that
+// finishRequests first announces to the other hosts and on the host list that this host is leaving, so that
 // callers are no longer sent here. It waits for the settings' locate_wait, after which no caller uses a
 // cached answer that names this host, and then until every request has ended or the drain timeout has
 // passed.
-func (d *Daemon) shutdown(ctx context.Context, callers *http.Server) {
+func (d *Daemon) finishRequests(ctx context.Context, callers *http.Server) {
 	d.log.Info("draining", "in_flight", d.runtime.InFlight())
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Drain.Timeout))
 	defer cancel()
@@ -231,13 +244,33 @@
 	d.runtime.Handle(core.DrainStarted{})
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("graceful shutdown incomplete; the remaining requests are interrupted", "count", d.runtime.InFlight(), "reason", err)
-	} else {
-		d.waitForOutcomes(ctx)
+		return
 	}
+	d.waitForOutcomes(ctx)
+}
+
+// answerTime is how long this host waits for the requests that it interrupts to get their final answer. It exceeds the time
+// that an engine gets to cancel a stream.
+const answerTime = 2 * time.Second
+
+// interruptRequests ends the requests that still run, each with an answer that says whether it may have run, and returns
+// their number.
+func (d *Daemon) interruptRequests(handler *gateway.Server) int {
+	interrupted := d.runtime.InFlight()
+	d.runtime.Handle(core.StopStarted{})
+	d.stop()
+	for end := time.Now().Add(answerTime); handler.Running() > 0 && time.Now().Before(end); {
+		time.Sleep(answerTime / 200)
+	}
+	return interrupted
+}
+
+// leave announces that this host has left, and removes it from the host list.
+func (d *Daemon) leave() {
 	d.fleet.announceLeft()
-	withdrawCtx, cancelWithdraw := context.WithTimeout(context.Background(), time.Duration(d.settings.Platform.Timeout))
-	defer cancelWithdraw()
-	if err := d.withdraw(withdrawCtx); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Platform.Timeout))
+	defer cancel()
+	if err := d.withdraw(ctx); err != nil {
 		d.log.Warn("host not removed from the host list; its entry stays until it expires", "error", err)
 	}
 }
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -40,6 +40,8 @@
 
 // claimKey claims the request's idempotency key and reports the result to the core.
 func (x *exchange) claimKey(ctx context.Context, d core.Claim) {
+	ctx, cancel := x.server.untilStopped(ctx)
+	defer cancel()
 	claim, stored, apiErr := x.server.keyClaims.Begin(ctx, outcome.Request{
 		Organisation: d.Organisation, Key: d.Key, Fingerprint: d.Fingerprint[:], Deadline: d.Deadline,
 	})
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -101,6 +102,8 @@
 		defer cancel()
 		ctx = boundedCtx
 	}
+	ctx, cancel := x.server.untilStopped(ctx)
+	defer cancel()
 	startedAt := time.Now()
 	x.dispatchedAt = startedAt
 	result := x.send(ctx, d)
@@ -110,6 +113,19 @@
 	})
 }
 
+// errStopping is the context cause of an attempt that still runs when this host is about to end.
+var errStopping = errors.New("gateway: this host is stopping")
+
+// untilStopped returns a context that ends with ctx, and with errStopping when this host is about to end.
+func (s *Server) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(s.stopping, func() { cancel(errStopping) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // withoutCancel returns a context with ctx's deadline that is not cancelled with ctx.
 func withoutCancel(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,9 +3,11 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -81,6 +83,8 @@
 	mux       *http.ServeMux
 	ready     func() bool
 	keyClaims KeyClaims
+	stopping  context.Context
+	running   atomic.Int64
 	// attemptPrefix makes attempt ids unique across hosts and across restarts of one host.
 	attemptPrefix string
 }
@@ -97,6 +101,9 @@
 	Ready func() bool
 	// KeyClaims records the idempotency keys of requests to services.
 	KeyClaims KeyClaims
+	// Stopping ends when this host is about to end, which cancels the attempts that still run. Nil means never. The
+	// core must have handled StopStarted before.
+	Stopping context.Context
 }
 
 // New returns a Server. A WriteTimeout of 0 or less is replaced by DefaultWriteTimeout.
@@ -104,7 +111,10 @@
 	s := &Server{
 		log: o.Log, runtime: o.Runtime, board: o.Board, upstreams: o.UpstreamCaller,
 		limits: o.Limits, ready: o.Ready, mux: http.NewServeMux(),
-		keyClaims: o.KeyClaims, attemptPrefix: uuid.NewString()[:attemptPrefixLength] + "-",
+		keyClaims: o.KeyClaims, stopping: o.Stopping, attemptPrefix: uuid.NewString()[:attemptPrefixLength] + "-",
+	}
+	if s.stopping == nil {
+		s.stopping = context.Background()
 	}
 	if s.limits.WriteTimeout <= 0 {
 		s.limits.WriteTimeout = DefaultWriteTimeout
@@ -122,6 +132,8 @@
 // ServeHTTP implements http.Handler. The response repeats the caller's X-Request-Id, or has
 // a new one if that is missing, not a valid token or contains a key.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	id := r.Header.Get("X-Request-Id")
 	if !validToken(id, maxRequestIDBytes) || newRedactor(r.Header).containsKey(id) {
 		id = uuid.NewString()
@@ -130,6 +142,9 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// Running returns the number of requests that have not ended.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
 // maxRequestIDBytes is the maximum length of a caller's X-Request-Id in bytes.
 const maxRequestIDBytes = 128
 
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -12,12 +12,12 @@
 )
 
 // outcomeOfError returns the outcome of a call that failed with err: not executed if nothing
-// was sent, CallerLeft if the caller cancelled it, otherwise Lost.
+// was sent, CallerLeft if the caller cancelled it, otherwise Lost, also if this host cancelled it.
 func outcomeOfError(ctx context.Context, err error) request.Outcome {
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		return request.NotExecuted
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errStopping):
 		return request.CallerLeft
 	}
 	return request.Lost
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 
@@ -110,7 +109,7 @@
 // interrupted returns the result of a stream that ended with err before "[DONE]".
 func (s *streamRelay) interrupted(ctx context.Context, err error) attemptResult {
 	result := failedResult(ctx, err)
-	if result.outcome == request.CallerLeft || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if ctx.Err() != nil {
 		s.exchange.cancelUpstream(ctx)
 	}
 	if !s.exchange.headerWritten {
