daemon: requests on open connections are answered after the listener has closed

What callers saw: jasminelockd, too, closed its listener with Server.Shutdown of net/http, which drops each request that it reads on an open connection from then on. Its connection was closed without an answer while the host still finished others, for up to the drain timeout.

Change: as on entry hosts, only the listener is closed. Requests on open connections are refused as not run, with the request to close the connection, and the host ends when none has run for 0.3 s. Both fronts share the wait.

Evidence: TestHost_DrainAnswersOnOpenConnections; before, "unexpected EOF".

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/jasminelock/jasminelock/blackboard"
 	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/gateway"
 	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/peer"
@@ -169,7 +170,7 @@
 	select {
 	case <-ctx.Done():
 	case <-d.drainStarted:
-		d.finishRequests(ctx, callers)
+		d.finishRequests(ctx, handler)
 	}
 	interrupted := d.interruptRequests(handler)
 	if d.isDraining() {
@@ -190,7 +191,7 @@
 func (d *Daemon) callerHandler() *gateway.Server {
 	r := d.settings.Requests
 	return gateway.New(gateway.Options{
-		Stopping: d.stopping,
+		Leaving: d.isDraining, Stopping: d.stopping,
 		Log: d.log, Runtime: d.runtime, Board: d.board, UpstreamCaller: d.upstreamClient, Ready: d.ready, KeyClaims: d.outcomes,
 		Limits: gateway.Limits{
 			MaxBodyBytes: r.MaxBodyBytes, MaxHeaderBytes: r.MaxHeaderBytes,
@@ -230,8 +231,8 @@
 // finishRequests first announces to the other hosts and on the host list that this host is leaving, so that
 // callers are no longer sent here. It waits for the settings' locate_wait, after which no caller uses a
 // cached answer that names this host, and then until every request has ended or the drain timeout has
-// passed.
-func (d *Daemon) finishRequests(ctx context.Context, callers *http.Server) {
+// passed. Requests that arrive on open connections meanwhile are refused.
+func (d *Daemon) finishRequests(ctx context.Context, handler *gateway.Server) {
 	d.log.Info("draining", "in_flight", d.runtime.InFlight())
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Drain.Timeout))
 	defer cancel()
@@ -242,8 +243,12 @@
 	d.runtime.Handle(core.LeaveStarted{})
 	sleep(ctx, time.Duration(d.settings.Drain.LocateWait))
 	d.runtime.Handle(core.DrainStarted{})
-	if err := callers.Shutdown(ctx); err != nil {
-		d.log.Warn("graceful shutdown incomplete; the remaining requests are interrupted", "count", d.runtime.InFlight(), "reason", err)
+	if err := d.callerListener.Close(); err != nil {
+		d.log.Warn("listener for callers not closed; it is closed with the process", "error", err)
+	}
+	drain.AwaitQuiet(ctx, handler.Running)
+	if ctx.Err() != nil {
+		d.log.Warn("graceful shutdown incomplete; the remaining requests are interrupted", "count", d.runtime.InFlight(), "reason", context.Cause(ctx))
 		return
 	}
 	d.waitForOutcomes(ctx)
--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -1,7 +1,12 @@
 package demo
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -48,3 +53,42 @@
 	require.ErrorAs(t, h.err, &interrupted)
 	require.Equal(t, 12, interrupted.Requests)
 }
+
+// A host that stops still has a request to finish when it closes its listener. A request on a connection that a caller holds
+// open must be refused with an answer meanwhile. Before, net/http closed the connection when it had read the request.
+func TestHost_DrainAnswersOnOpenConnections(t *testing.T) {
+	c := startCluster(t, hclog.NewNullLogger(), configInterval)
+	c.service.SetDelay(5 * locateWait)
+	h := c.hosts[0]
+	address := strings.TrimPrefix(h.daemon.CallerURL(), "http://")
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	answered := make(chan reply, 1)
+	go func() {
+		got, err := newCaller(organisations[1].secret).call(t.Context(), http.MethodPost, h.daemon.CallerURL()+ordersRoute, "")
+		assert.NoError(t, err)
+		answered <- got
+	}()
+	require.Eventually(t, func() bool { return c.service.Active() == 1 }, generousBound, time.Millisecond)
+	h.daemon.Drain()
+	require.Eventually(t, func() bool {
+		other, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = other.Close()
+		}
+		return err != nil // the listener is closed
+	}, generousBound, 10*time.Millisecond)
+	_, err = fmt.Fprintf(conn, "GET %s/lamp HTTP/1.1\r\nHost: %s\r\n\r\n", stockRoute, address)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Contains(t, string(body), "host_draining")
+	require.True(t, resp.Close)
+	require.Equal(t, http.StatusOK, (<-answered).status)
+	<-h.stopped
+	require.NoError(t, h.err)
+}
--- a/drain/shutdown.go
+++ b/drain/shutdown.go
@@ -6,6 +6,27 @@
 	"time"
 )
 
+// QuietTime is how long no request must have run before a host ends. A caller that connected just before the listener closed
+// sends its request meanwhile.
+const QuietTime = 300 * time.Millisecond
+
+// AwaitQuiet returns when running, the number of requests that have not ended, has been 0 for QuietTime, or when the context
+// ends.
+func AwaitQuiet(ctx context.Context, running func() int) {
+	ticker := time.NewTicker(QuietTime / 10)
+	defer ticker.Stop()
+	for quietSince := time.Now(); time.Since(quietSince) < QuietTime; {
+		if running() > 0 {
+			quietSince = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // Shutdown is the graceful shutdown of one host, which may not have started. It is safe for concurrent use.
 type Shutdown struct {
 	schedule  Schedule
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 	mux       *http.ServeMux
 	ready     func() bool
 	keyClaims KeyClaims
+	leaving   func() bool
 	stopping  context.Context
 	running   atomic.Int64
 	// attemptPrefix makes attempt ids unique across hosts and across restarts of one host.
@@ -101,6 +102,8 @@
 	Ready func() bool
 	// KeyClaims records the idempotency keys of requests to services.
 	KeyClaims KeyClaims
+	// Leaving reports whether callers are to close their connections to this host. Nil means never.
+	Leaving func() bool
 	// Stopping ends when this host is about to end, which cancels the attempts that still run. Nil means never. The
 	// core must have handled StopStarted before.
 	Stopping context.Context
@@ -111,7 +114,10 @@
 	s := &Server{
 		log: o.Log, runtime: o.Runtime, board: o.Board, upstreams: o.UpstreamCaller,
 		limits: o.Limits, ready: o.Ready, mux: http.NewServeMux(),
-		keyClaims: o.KeyClaims, stopping: o.Stopping, attemptPrefix: uuid.NewString()[:attemptPrefixLength] + "-",
+		keyClaims: o.KeyClaims, leaving: o.Leaving, stopping: o.Stopping, attemptPrefix: uuid.NewString()[:attemptPrefixLength] + "-",
+	}
+	if s.leaving == nil {
+		s.leaving = func() bool { return false }
 	}
 	if s.stopping == nil {
 		s.stopping = context.Background()
@@ -134,6 +140,9 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	if s.leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	id := r.Header.Get("X-Request-Id")
 	if !validToken(id, maxRequestIDBytes) || newRedactor(r.Header).containsKey(id) {
 		id = uuid.NewString()
--- a/host/drain.go
+++ b/host/drain.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/settings"
 	"github.com/jasminelock/jasminelock/wire"
 )
@@ -18,9 +19,6 @@
 	staleTTLFactor = 3
 	// abortTime is how long the host waits for aborted responses to end.
 	abortTime = 100 * time.Millisecond
-	// quietTime is how long no request must have run before the host ends. A caller that connected just
-	// before the listener closed sends its request meanwhile.
-	quietTime = 300 * time.Millisecond
 	// standaloneAfter is the time since the start after which a host without a member list
 	// from the leader goes standalone and announces only itself.
 	standaloneAfter = 2 * time.Second
@@ -53,32 +51,16 @@
 	if err := callers.Close(); err != nil {
 		h.log.Warn("listener for callers not closed; it is closed with the process", "error", err)
 	}
-	h.awaitQuiet(ctx)
+	quietCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(h.shutdown.Aborted(), cancel)()
+	drain.AwaitQuiet(quietCtx, h.server.Running)
 	if running := h.server.Running(); running > 0 {
 		h.log.Warn("aborting the responses that still run at the end of the grace time", "count", running)
 		time.Sleep(abortTime)
 	}
 }
 
-// awaitQuiet returns when no request has run for quietTime, when the responses that still run are
-// aborted, or when the context ends.
-func (h *Host) awaitQuiet(ctx context.Context) {
-	ticker := time.NewTicker(quietTime / 10)
-	defer ticker.Stop()
-	for quietSince := time.Now(); time.Since(quietSince) < quietTime; {
-		if h.server.Running() > 0 {
-			quietSince = time.Now()
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.shutdown.Aborted().Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // ready reports whether the host can serve callers: it has a configuration and the list
 // of upstreams, and is not draining.
 func (h *Host) ready() bool {
