core: a host that is leaving refuses what may outlast it

What callers saw: jasminelockd served new requests for drain.locate_wait after the signal, whatever their deadline. The settings make sure that a completion fits into the drain timeout, but not a call to a route with a longer timeout: it was interrupted at the end.

Change: LeaveStarted says when the host ends, and a request whose deadline is later is refused as not run, so that its caller takes another host.

Evidence: TestLeavingHost_RefusesWhatMayOutlastIt; before, the request was dispatched.

--- a/core/authorise.go
+++ b/core/authorise.go
@@ -12,7 +12,7 @@
 // may use the route or adapter.
 func (c *Core) authorise(now time.Time, e *entry) *apierr.Error {
 	switch {
-	case c.draining:
+	case c.draining, !c.leavingUntil.IsZero() && e.request.Deadline.After(c.leavingUntil):
 		return apierr.New(apierr.Draining, "")
 	case c.config.Revision == 0:
 		return apierr.New(apierr.NotReady, "")
--- a/core/authorise_test.go
+++ b/core/authorise_test.go
@@ -235,3 +235,19 @@
 	c.Handle(now, core.HostsUpdated{})
 	require.Equal(t, []string{"a", "b"}, limiter.names, "host list used after the member list")
 }
+
+// A host that is leaving gets a request whose deadline is after its end. It must refuse the request, which it would have to
+// interrupt. Before, the timeouts of routes were not compared with the rest of the drain timeout.
+func TestLeavingHost_RefusesWhatMayOutlastIt(t *testing.T) {
+	h, _ := newTestHost(t)
+	h.handle(core.LeaveStarted{Until: h.now.Add(time.Minute)})
+	h.arrive(1, "/stock") // its deadline is in one minute
+	dispatched, err := h.outcome(1)
+	require.True(t, dispatched, "%v", err)
+	h.now = h.now.Add(time.Millisecond)
+	h.arrive(2, "/stock")
+	dispatched, err = h.outcome(2)
+	require.False(t, dispatched)
+	require.Equal(t, apierr.Draining, err.Kind)
+	require.Equal(t, apierr.NotRun, err.Ran)
+}
--- a/core/core.go
+++ b/core/core.go
@@ -26,6 +26,8 @@
 	budget       loadBudget
 	reservations reservations
 	draining     bool
+	// leavingUntil is when this host ends, zero if it is not leaving.
+	leavingUntil time.Time
 	// stopping is set once every request must end.
 	stopping bool
 	// freshness is how long the configuration may be used as being in force.
--- a/core/events.go
+++ b/core/events.go
@@ -115,8 +115,9 @@
 }
 
 // LeaveStarted reports that this host is about to stop. The limiter hands over the state that it keeps
-// for other hosts; the host serves requests until DrainStarted.
-type LeaveStarted struct{}
+// for other hosts; until DrainStarted, the host serves the requests whose deadline is not after Until,
+// when the host ends.
+type LeaveStarted struct{ Until time.Time }
 
 // DrainStarted reports that this host is leaving: new requests are refused.
 type DrainStarted struct{}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -31,6 +31,7 @@
 	case StoreEnded:
 		c.applyLimiter(c.limiter.HandleStoreResult(now, e.End), out)
 	case LeaveStarted:
+		c.leavingUntil = e.Until
 		c.applyLimiter(c.limiter.Leave(now), out)
 	case DrainStarted:
 		c.draining = true
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -234,13 +234,14 @@
 // passed. Requests that arrive on open connections meanwhile are refused.
 func (d *Daemon) finishRequests(ctx context.Context, handler *gateway.Server) {
 	d.log.Info("draining", "in_flight", d.runtime.InFlight())
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Drain.Timeout))
+	until := time.Now().Add(time.Duration(d.settings.Drain.Timeout))
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	d.fleet.announceLeaving()
 	if err := d.announce(ctx); err != nil {
 		d.log.Warn("shutdown not announced on the host list", "error", err)
 	}
-	d.runtime.Handle(core.LeaveStarted{})
+	d.runtime.Handle(core.LeaveStarted{Until: until})
 	sleep(ctx, time.Duration(d.settings.Drain.LocateWait))
 	d.runtime.Handle(core.DrainStarted{})
 	if err := d.callerListener.Close(); err != nil {
