soak: planned stops under waiting requests, with repeated signals

Two faults: a host is stopped while further signals and a configuration arrive, and while all replicas are silent, so that requests wait, are being sent and run when it ends; their callers wait for longer than the grace time. The new condition: a host that is being stopped, and is not disrupted otherwise, closes no connection without an answer if the request has run, or if it was sent more than a second before.

--- a/soak/entries.go
+++ b/soak/entries.go
@@ -241,7 +241,7 @@
 	route := func(name, kind, service string, attempts int, resumable bool) tables.Route {
 		return tables.Route{
 			Name: name, HostName: caller.HostName, Prefix: "/" + name + "/", Kind: kind, Service: service,
-			TimeoutMS: 6000, TargetMS: 1000, MaxAttempts: attempts, Resumable: resumable,
+			TimeoutMS: int(longTimeout.Milliseconds()), TargetMS: 1000, MaxAttempts: attempts, Resumable: resumable,
 		}
 	}
 	s.tables.PutConfig(tables.Config{
--- a/soak/entries_test.go
+++ b/soak/entries_test.go
@@ -103,6 +103,38 @@
 	}
 }
 
+// A request that loses its connection while its host is stopped is a violation, unless it crossed the close, or the host was
+// disrupted otherwise.
+func TestEntrySummary_PlannedStop(t *testing.T) {
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	stop := plannedStop{host: "h", from: at(10), to: at(18)}
+	waited := call{kind: "book", host: "h", unanswered: true, sentAt: at(11), endedAt: at(17)}
+	crossed := waited
+	crossed.sentAt = waited.endedAt.Add(-closeSlack / 2)
+	answered := waited
+	answered.unanswered = false
+	for name, c := range map[string]struct {
+		call       call
+		runs       int
+		disrupted  hostDisruption
+		violations int
+	}{
+		"waited":                  {waited, 0, hostDisruption{host: "other"}, 1},
+		"ran":                     {crossed, 1, hostDisruption{host: "other"}, 1},
+		"the stop itself":         {waited, 0, hostDisruption{host: "h", from: at(10), planned: true}, 1},
+		"crossed the close":       {crossed, 0, hostDisruption{host: "other"}, 0},
+		"answered":                {answered, 0, hostDisruption{host: "other"}, 0},
+		"the host was frozen too": {waited, 1, hostDisruption{host: "h", from: at(7), to: at(9)}, 0},
+	} {
+		rec, s := newEntryRecorder(), &EntrySummary{}
+		rec.recordStop(stop)
+		rec.disruptions = []hostDisruption{c.disrupted}
+		s.checkStops(rec, &c.call, c.runs)
+		require.Len(t, s.Violations, c.violations, name)
+	}
+}
+
 // Too many requests within a second of a slow start are a violation.
 func TestEntrySummary_SlowStart(t *testing.T) {
 	start := time.Now()
--- a/soak/entrycrashes.go
+++ b/soak/entrycrashes.go
@@ -57,14 +57,20 @@
 type hostDisruption struct {
 	host     string
 	from, to time.Time
+	// planned is set for a graceful stop.
+	planned bool
 }
 
 // beginDisruption records that a host is disrupted until the returned function is called.
 func (rec *entryRecorder) beginDisruption(host string) (end func()) {
+	return rec.beginPlanned(host, false)
+}
+
+func (rec *entryRecorder) beginPlanned(host string, planned bool) (end func()) {
 	from := time.Now()
 	rec.mu.Lock()
 	n := len(rec.disruptions)
-	rec.disruptions = append(rec.disruptions, hostDisruption{host: host, from: from})
+	rec.disruptions = append(rec.disruptions, hostDisruption{host: host, from: from, planned: planned})
 	rec.mu.Unlock()
 	return func() {
 		rec.mu.Lock()
--- a/soak/entryfaults.go
+++ b/soak/entryfaults.go
@@ -40,6 +40,12 @@
 	{"host stopped gracefully", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
 		s.restart(ctx, s.randomHost(r), syscall.SIGTERM)
 	}},
+	{"host stopped, signals repeated", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		s.stopWithSignals(ctx, r, s.randomHost(r))
+	}},
+	{"host stopped under waiting requests", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
+		s.stopUnderWaitingRequests(ctx, r)
+	}},
 	{"host frozen", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
 		h := s.randomHost(r)
 		defer s.recorder.beginDisruption(h.name)()
@@ -203,13 +209,18 @@
 // a violation if the host does not exit within termTimeout or does not start.
 func (s *entrySoak) restart(ctx context.Context, h *entryHost, sig syscall.Signal) {
 	s.logf("host %s gets signal %s", h.name, sig)
-	defer s.recorder.beginDisruption(h.name)()
+	planned := sig == syscall.SIGTERM
+	defer s.recorder.beginPlanned(h.name, planned)()
 	h.signal(syscall.SIGCONT)
+	from := time.Now()
 	h.signal(sig)
 	if !h.wait(termTimeout) {
 		s.recorder.recordViolation("host %s did not exit within %s of signal %s", h.name, termTimeout, sig)
 		h.kill()
 	}
+	if planned {
+		s.recorder.recordStop(plannedStop{host: h.name, from: from, to: time.Now()})
+	}
 	sleep(ctx, restartDelay)
 	if err := h.start(); err != nil {
 		s.recorder.recordViolation("host %s did not start again: %s", h.name, err)
--- a/soak/entryload.go
+++ b/soak/entryload.go
@@ -1,22 +1,25 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jasminelock/jasminelock/standin/caller"
 	"github.com/jasminelock/jasminelock/standin/replica"
 )
 
-// callerTimeout is how long a caller waits for an answer.
+// callerTimeout is how long most callers wait for an answer.
 const callerTimeout = 5 * time.Second
 
 // withdrawnKeyGrace is how long requests with a withdrawn key may still be served: the time in
@@ -39,6 +42,11 @@
 	complete bool // whether the body was read to its end
 	// host is the name of the host that the request was sent to.
 	host string
+	// timeout is how long the caller waits, callerTimeout if it is 0.
+	timeout time.Duration
+	// unanswered is set if the connection ended after the whole request was written and before an answer arrived.
+	unanswered bool
+	endedAt    time.Time
 }
 
 // entryRecorder collects the calls, the faults and the violations of one soak of entry hosts.
@@ -58,6 +66,7 @@
 	slowStarts  []slowStart
 	// rateLimits holds the periods in which replicas stated rate limits.
 	rateLimits []rateLimitPeriod
+	stops      []plannedStop
 }
 
 func newEntryRecorder() *entryRecorder {
@@ -143,6 +152,7 @@
 		s.checkSoundNotRefused(c)
 		s.Statuses[c.status]++
 		s.checkCall(c, runs[c.id], rec.withdrawnAt)
+		s.checkStops(rec, c, runs[c.id])
 		_, withdrawn := rec.withdrawnAt[c.key]
 		if !rec.faultsOverAt.IsZero() && c.sentAt.After(rec.faultsOverAt) && !withdrawn {
 			afterFaults++
@@ -250,9 +260,14 @@
 
 // send sends a request and records its answer. Callers reuse their connections until these end.
 func (s *entrySoak) send(h *entryHost, c call) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	c.timeout = cmp.Or(c.timeout, callerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 	defer cancel()
-	out := caller.Call{Method: http.MethodPost, Path: c.path, Body: "body", ID: c.id, Key: c.key, Timeout: callerTimeout}
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { written.Store(info.Err == nil) },
+	})
+	out := caller.Call{Method: http.MethodPost, Path: c.path, Body: "body", ID: c.id, Key: c.key, Timeout: c.timeout}
 	switch c.kind {
 	case "status":
 		out.Method = http.MethodGet
@@ -279,6 +294,7 @@
 		_ = resp.Body.Close()
 		c.status, c.body, c.complete = resp.StatusCode, string(raw), readErr == nil
 	}
-	c.host = h.name
+	c.host, c.endedAt = h.name, time.Now()
+	c.unanswered = err != nil && written.Load() && ctx.Err() == nil
 	s.recorder.addCall(c)
 }
