--- /dev/null
+++ b/standin/replica/raw.go
@@ -0,0 +1,89 @@
+package replica
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+)
+
+// Raw is a stand-in for a replica whose answers a test writes byte by byte, so that they can be cut, or be no answers at all.
+type Raw struct {
+	listener net.Listener
+	answer   func(c *net.TCPConn, r *http.Request) bool
+}
+
+// ServeRaw starts a replica on loopback. It calls answer with each request, whose body has been read. Answer writes to the
+// connection and reports whether more requests may follow on it; otherwise the connection is closed.
+func ServeRaw(answer func(c *net.TCPConn, r *http.Request) bool) (*Raw, error) {
+	var listen net.ListenConfig
+	listener, err := listen.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	raw := &Raw{listener, answer}
+	go raw.accept()
+	return raw, nil
+}
+
+// Address returns the address that the replica listens on.
+func (r *Raw) Address() string { return r.listener.Addr().String() }
+
+// Close closes the listener. Open connections stay in use.
+func (r *Raw) Close() { _ = r.listener.Close() }
+
+func (r *Raw) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c.(*net.TCPConn)) //nolint:forcetypeassert // the listener is one for TCP
+	}
+}
+
+func (r *Raw) serve(c *net.TCPConn) {
+	defer func() { _ = c.Close() }()
+	for reader := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		if !r.answer(c, req) {
+			return
+		}
+	}
+}
+
+// IsControl reports whether a request is an order or the question for a report.
+func IsControl(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/v1/") }
+
+// ExpectedInstance returns the ID of the replica that a request is meant for.
+func ExpectedInstance(r *http.Request) string { return r.Header.Get("Jasminelock-Expect-Instance") }
+
+// Control writes the answer of a replica to a control request.
+func (r *Replica) Control(c net.Conn, req *http.Request) error {
+	recorder := httptest.NewRecorder()
+	r.ServeHTTP(recorder, req)
+	resp := recorder.Result()
+	defer func() { _ = resp.Body.Close() }()
+	resp.ContentLength = int64(recorder.Body.Len())
+	return resp.Write(c)
+}
+
+// SignedHead returns the status line and the header of a signed answer with status 200, without the lines that frame the body
+// and the blank line.
+func SignedHead(req *http.Request, contentType string) string {
+	const attempt = "Jasminelock-Attempt-Id"
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nJasminelock-Response-Signature: s\r\nContent-Type: %s\r\n", attempt, req.Header.Get(attempt), contentType)
+}
