soak: requests that wait for a slow replica, in place of silent replicas

The fault that stops a host under waiting requests made all replicas silent. The fault now sends its requests to a replica of its own, with six slots, that answers after 9 s: some run, the others wait, and nothing else is disturbed.

--- a/soak/entries.go
+++ b/soak/entries.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -67,9 +68,11 @@
 	tables   *tables.Tables
 	hosts    []*entryHost
 	replicas []*entryReplica
-	recorder *entryRecorder
-	client   *http.Client
-	closers  []func()
+	// faultless are the replicas that get no faults.
+	faultless []*entryReplica
+	recorder  *entryRecorder
+	client    *http.Client
+	closers   []func()
 	// evacuating is true while a zone is evacuated. At most one is at a time.
 	evacuating atomic.Bool
 
@@ -137,7 +140,7 @@
 	sleep(ctx, finalLoadTime)
 	endLoad()
 	load.Wait()
-	return s.recorder.summary(s.replicas), nil
+	return s.recorder.summary(slices.Concat(s.replicas, s.faultless)), nil
 }
 
 func (s *entrySoak) logf(format string, args ...any) {
@@ -175,6 +178,10 @@
 			return err
 		}
 	}
+	if err := s.addReplica(slowService, replica.Options{ID: slowService, AnswerAfter: slowAnswerTime}); err != nil {
+		return err
+	}
+	s.faultless, s.replicas = s.replicas[len(s.replicas)-1:], s.replicas[:len(s.replicas)-1]
 	for i := range s.options.Hosts {
 		if err := s.addHost("h"+strconv.Itoa(i), server.URL[len("http://"):]); err != nil {
 			return err
@@ -228,11 +235,19 @@
 func (s *entrySoak) publishReplica(e *entryReplica, draining bool) {
 	s.tables.PutUpstream(e.id, tables.Upstream{
 		SlowStart: max(time.Until(time.Unix(0, e.slowStartUntil.Load())), 0),
-		Service:   e.service, Address: e.link.Address(), Slots: 16, StartedAt: e.incarnation.Load(),
+		Service:   e.service, Address: e.link.Address(), Slots: e.slots(), StartedAt: e.incarnation.Load(),
 		Draining: draining, Model: e.model, Zone: e.zone,
 	})
 }
 
+// slots returns the number of requests that the replica takes at once.
+func (e *entryReplica) slots() int {
+	if e.service == slowService {
+		return slowSlots
+	}
+	return 16
+}
+
 // putConfig writes the next version of the configuration, with the valid key.
 func (s *entrySoak) putConfig() {
 	s.mu.Lock()
@@ -241,16 +256,18 @@
 	route := func(name, kind, service string, attempts int, resumable bool) tables.Route {
 		return tables.Route{
 			Name: name, HostName: caller.HostName, Prefix: "/" + name + "/", Kind: kind, Service: service,
-			TimeoutMS: int(longTimeout.Milliseconds()), TargetMS: 1000, MaxAttempts: attempts, Resumable: resumable,
+			TimeoutMS: 6000, TargetMS: 1000, MaxAttempts: attempts, Resumable: resumable,
 		}
 	}
+	hold, holdSafe := route(holdKind, "unsafe", slowService, 1, false), route(holdSafeKind, "safe", slowService, 2, false)
+	hold.TimeoutMS, holdSafe.TimeoutMS = int(longTimeout.Milliseconds()), int(longTimeout.Milliseconds())
 	s.tables.PutConfig(tables.Config{
 		Version: s.version,
 		Routes: []tables.Route{
 			route("chat", "streaming", "engines", 1, false), route("resume", "streaming", "engines", 2, true),
-			route("book", "unsafe", "app", 1, false), route("status", "safe", "app", 2, false),
+			route("book", "unsafe", "app", 1, false), route("status", "safe", "app", 2, false), hold, holdSafe,
 		},
-		Services: []tables.Service{{
+		Services: []tables.Service{{Name: slowService}, {
 			Name: "app", SlowStartSeconds: slowStartTime.Seconds(), SlowStartPerSecond: slowStartRate,
 		}, {Name: "engines", SlowStartSeconds: slowStartTime.Seconds(), SlowStartPerSecond: slowStartRate, Engine: &tables.Engine{
 			BatchSize: 16, CacheTokens: 1_000_000, AdapterSlots: adapterSlots, WeightsMB: 100,
--- a/soak/entryfaults.go
+++ b/soak/entryfaults.go
@@ -49,6 +49,7 @@
 	{"host frozen", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
 		h := s.randomHost(r)
 		defer s.recorder.beginDisruption(h.name)()
+		s.logf("host %s freezes", h.name)
 		h.signal(syscall.SIGSTOP)
 		sleep(ctx, randomFaultTime(r))
 		h.signal(syscall.SIGCONT)
@@ -215,7 +216,7 @@
 	from := time.Now()
 	h.signal(sig)
 	if !h.wait(termTimeout) {
-		s.recorder.recordViolation("host %s did not exit within %s of signal %s", h.name, termTimeout, sig)
+		s.recorder.recordLateExit(h.name, from, sig)
 		h.kill()
 	}
 	if planned {
--- a/soak/entryload.go
+++ b/soak/entryload.go
@@ -186,7 +186,7 @@
 
 // checkCall checks the answer of one request that replicas ran the given number of times.
 func (s *EntrySummary) checkCall(c *call, runs int, withdrawnAt map[string]time.Time) {
-	nonRepeatable := c.kind == "book" || c.kind == "chat"
+	nonRepeatable := c.kind == "book" || c.kind == "chat" || c.kind == holdKind
 	if nonRepeatable && runs > 1 {
 		s.addViolation("%s %s may run at most once but ran %d times", c.kind, c.id, runs)
 	}
@@ -205,9 +205,14 @@
 	}
 }
 
+// isPlain reports whether the request is one to a plain service.
+func (c *call) isPlain() bool {
+	return slices.Contains([]string{"book", "status", holdKind, holdSafeKind}, c.kind)
+}
+
 // checkBody checks the body of an answer that was read to its end.
 func (s *EntrySummary) checkBody(c *call) {
-	if c.kind == "book" || c.kind == "status" {
+	if c.isPlain() {
 		if !strings.HasSuffix(c.body, " to "+c.path) {
 			s.addViolation("%s %s got the wrong answer %q", c.kind, c.id, c.body)
 		}
@@ -269,12 +274,12 @@
 	})
 	out := caller.Call{Method: http.MethodPost, Path: c.path, Body: "body", ID: c.id, Key: c.key, Timeout: c.timeout}
 	switch c.kind {
-	case "status":
+	case "status", holdSafeKind:
 		out.Method = http.MethodGet
 	case crashKind:
 		out.Body = replica.CrashBody
 	}
-	if c.kind != "book" && c.kind != "status" && c.path != crashPaths[1] {
+	if !c.isPlain() && c.path != crashPaths[1] {
 		out.Model, out.Adapter = "m", "a"+strconv.Itoa(len(c.id)*7%adapterCount)
 		out.PromptTokens, out.OutputTokens = 500, 50
 		out.Parts = []string{sharedPart, "topic-" + strconv.Itoa(len(c.id)%3), c.id}
--- a/soak/entrystops.go
+++ b/soak/entrystops.go
@@ -17,12 +17,14 @@
 	// closeSlack is the time after it was sent within which a request that no replica has run may lose its connection: it
 	// crossed the close. It leaves room for a busy machine.
 	closeSlack = time.Second
-	// waitingCalls is the number of requests that are sent to a host that stops while the replicas are silent, longTimeout
-	// the time that their callers wait, which exceeds the grace time of the host.
+	// waitingCalls is the number of requests to the slow replica that are sent to a host that stops, longTimeout the time that
+	// their callers wait, which exceeds the grace time of the host.
 	waitingCalls = 24
 	longTimeout  = 14 * time.Second
-	// silentTime is how long the replicas are silent. It exceeds the grace time too.
-	silentTime = 9 * time.Second
+	// slowAnswerTime is how long the slow replica takes to answer. It exceeds the grace time too.
+	slowAnswerTime = 9 * time.Second
+	// slowSlots is the number of requests that the slow replica takes at once. The others wait.
+	slowSlots = 6
 	// lateSignals is the number of signals that follow the first one.
 	lateSignals = 3
 )
@@ -47,20 +49,21 @@
 	signals.Wait()
 }
 
-// stopUnderWaitingRequests stops a host while all replicas are silent, so that requests wait, are being sent and run when it
-// ends.
+// slowService is the service of the slow replica. holdKind and holdSafeKind are the kinds of requests to it, which may not and
+// may be repeated.
+const (
+	slowService  = "slow"
+	holdKind     = "hold"
+	holdSafeKind = "holdsafe"
+)
+
+// stopUnderWaitingRequests stops a host while requests to the slow replica wait and run there for longer than the grace time.
 func (s *entrySoak) stopUnderWaitingRequests(ctx context.Context, r *rand.Rand) {
 	h := s.randomHost(r)
-	stall := func(on bool) {
-		for _, e := range s.replicas {
-			e.link.SetStalled(on)
-		}
-	}
-	stall(true)
 	var group sync.WaitGroup
 	group.Go(func() { s.restart(ctx, h, syscall.SIGTERM) })
 	for n := range waitingCalls {
-		kind := []string{"chat", "resume", "book", "status"}[r.IntN(4)]
+		kind := []string{holdKind, holdSafeKind}[r.IntN(2)]
 		id := fmt.Sprintf("w%d-%d", r.Uint32(), n)
 		s.mu.Lock()
 		c := call{id: id, kind: kind, key: s.key, path: "/" + kind + "/" + id, timeout: longTimeout}
@@ -68,13 +71,20 @@
 		group.Go(func() { s.send(h, c) })
 		sleep(ctx, time.Duration(r.Int64N(int64(150*time.Millisecond))))
 	}
-	group.Go(func() {
-		sleep(ctx, silentTime)
-		stall(false)
-	})
 	group.Wait()
 }
 
+// recordLateExit records a violation by a host that has not exited within termTimeout of a signal, unless it was frozen or
+// disrupted otherwise meanwhile.
+func (rec *entryRecorder) recordLateExit(host string, signalled time.Time, sig syscall.Signal) {
+	rec.mu.Lock()
+	disrupted := sig == syscall.SIGTERM && rec.wasDisrupted(host, signalled, time.Now())
+	rec.mu.Unlock()
+	if !disrupted {
+		rec.recordViolation("host %s did not exit within %s of signal %s", host, termTimeout, sig)
+	}
+}
+
 func (rec *entryRecorder) recordStop(stop plannedStop) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
