--- a/cmd/jasminelockd/main.go
+++ b/cmd/jasminelockd/main.go
@@ -25,8 +25,8 @@
 		Use:   "jasminelockd --config host.jsonc",
 		Short: "Run one jasminelock host",
 		Long: "Run one jasminelock host. SIGTERM or SIGINT starts a graceful shutdown, which interrupts no request; a\n" +
-			"second signal stops the host at once and reports how many requests were cut. Exit codes: 1 the host\n" +
-			"could not run or cut requests, 2 the settings are invalid.",
+			"second signal ends the requests that still run, each with an answer, and reports their number. Exit\n" +
+			"codes: 1 the host could not run or interrupted requests, 2 the settings are invalid.",
 		DefaultConfig: "host.jsonc",
 		Load:          settings.Load,
 		Serve:         func(s *settings.Settings, _ string) error { return serve(s, signals) },
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -142,7 +142,7 @@
 
 // Error implements the error interface.
 func (e *InterruptedError) Error() string {
-	return fmt.Sprintf("%d requests were cut", e.Requests)
+	return fmt.Sprintf("%d requests were interrupted", e.Requests)
 }
 
 // Run serves until the context ends, which interrupts the requests in flight, or until a graceful
