--- a/drain/schedule.go
+++ b/drain/schedule.go
@@ -6,12 +6,12 @@
 
 // Schedule holds the steps of a graceful shutdown, each as the time since its start. They are in ascending order.
 type Schedule struct {
-	// AcceptLongUntil is when the host stops sending requests to upstreams whose deadline is after AnswerBy, so that
-	// they might outlast it.
+	// AcceptLongUntil is when the host stops accepting long requests, and sending them to upstreams. A request is long if
+	// its deadline is after AnswerBy, so that it might outlast the host.
 	AcceptLongUntil time.Duration
 	// AcceptUntil is when the host stops accepting requests.
 	AcceptUntil time.Duration
-	// CloseListenerAt is when the host closes its listener and the idle connections of callers.
+	// CloseListenerAt is when the host closes its listener. Open connections stay in use until it ends.
 	CloseListenerAt time.Duration
 	// AnswerBy is when the host gives up the requests whose response has not begun, and answers them.
 	AnswerBy time.Duration
@@ -28,8 +28,8 @@
 	acceptLongShare = 5.0 / 16
 	// listenShare is the share of the grace time that bounds CloseListenerAt.
 	listenShare = 0.75
-	// acceptShare is the ratio of AcceptUntil to CloseListenerAt. Between the two, requests are refused: net/http may
-	// close a connection as idle on which a request has just arrived.
+	// acceptShare is the ratio of AcceptUntil to CloseListenerAt. Between the two, requests are refused, so that callers
+	// with an old answer of the directory learn that they have to use another host before they cannot connect.
 	acceptShare = 5.0 / 6
 	// maxAnswerTime is the time from AnswerBy to AbortAt in which answers reach the callers, maxExitTime the time from
 	// AbortAt to the end of the grace time. Both are at most marginShare of the grace time.
--- a/drain/shutdown.go
+++ b/drain/shutdown.go
@@ -35,6 +35,7 @@
 	startedAt time.Time
 	started   chan struct{}
 
+	// Each context ends at one step of the schedule.
 	longRefused, answersDue, aborted             context.Context
 	endLongRequests, demandAnswers, abortStreams context.CancelFunc
 }
@@ -83,16 +84,16 @@
 	return !d.InProgress() || d.schedule.accepts(time.Since(d.startedAt), time.Until(deadline))
 }
 
-// MayOutlast reports whether a request with the given deadline may still run when all requests must be answered.
+// MayOutlast reports whether the shutdown has started and a request with the given deadline is long.
 func (d *Shutdown) MayOutlast(deadline time.Time) bool {
 	return d.InProgress() && deadline.After(d.startedAt.Add(d.schedule.AnswerBy))
 }
 
-// LongRefused ends when requests that may outlast the shutdown are no longer sent to upstreams.
+// LongRefused ends at Schedule.AcceptLongUntil.
 func (d *Shutdown) LongRefused() context.Context { return d.longRefused }
 
-// AnswersDue ends when all requests whose response has not begun must be answered.
+// AnswersDue ends at Schedule.AnswerBy.
 func (d *Shutdown) AnswersDue() context.Context { return d.answersDue }
 
-// Aborted ends when the responses that still run are aborted.
+// Aborted ends at Schedule.AbortAt.
 func (d *Shutdown) Aborted() context.Context { return d.aborted }
