--- a/host/shutdownload_test.go
+++ b/host/shutdownload_test.go
@@ -36,18 +36,34 @@
 // callMix draws requests of all kinds: plain ones that may and may not be repeated, and streams that may and may not be
 // resumed, for more adapters than the engine holds; with deadlines within and beyond the grace time.
 type callMix struct {
+	// name is the prefix of the requests' IDs. No request is sent once done is closed.
+	name   string
+	done   chan struct{}
 	mu     sync.Mutex
 	random *rand.Rand
 	drawn  int
 	ended  []sentCall
 }
 
+func newCallMix(name string, random *rand.Rand) *callMix {
+	return &callMix{name: name, done: make(chan struct{}), random: random}
+}
+
+func (m *callMix) isDone() bool {
+	select {
+	case <-m.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // next returns a request and the pause before it.
 func (m *callMix) next() (caller.Call, time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.drawn++
-	c := caller.Call{Method: http.MethodPost, Key: "key", Body: "order", ID: fmt.Sprintf("c%d", m.drawn)}
+	c := caller.Call{Method: http.MethodPost, Key: "key", Body: "order", ID: fmt.Sprintf("%s%d", m.name, m.drawn)}
 	c.Path = []string{"/book/", "/status/", "/chat/", "/resume/"}[m.random.IntN(4)] + c.ID
 	if strings.HasPrefix(c.Path, "/chat/") || strings.HasPrefix(c.Path, "/resume/") {
 		c.Model, c.Adapter, c.PromptTokens, c.OutputTokens = "m", fmt.Sprintf("a%d", m.random.IntN(6)), 100, 20
@@ -65,9 +81,9 @@
 }
 
 // callUntilClosed sends requests one after the other and keeps each connection for as long as the host lets it, until the
-// host accepts no more connections.
+// host accepts no more connections or the load is done.
 func (m *callMix) callUntilClosed(address string) {
-	for {
+	for !m.isDone() {
 		conn, err := net.DialTimeout("tcp", address, time.Second)
 		if err != nil {
 			return
@@ -82,6 +98,9 @@
 func (m *callMix) callOnce(conn net.Conn, reader *bufio.Reader, address string) bool {
 	c, pause := m.next()
 	time.Sleep(pause)
+	if m.isDone() {
+		return false
+	}
 	req, err := c.Request(context.Background(), address)
 	if err != nil {
 		return false
@@ -126,7 +145,7 @@
 }
 
 // A host is stopped, as the leader or as a follower, under requests of all kinds on kept and on new connections. Signals, a
-// reload and configurations come in the same seconds. Each request must get an accurate answer.
+// reload and configurations come in the same seconds. Each request must get an accurate answer, on the host that stays too.
 func TestDrain_AnswersEveryRequestUnderMixedLoad(t *testing.T) {
 	for seed, grace := range []time.Duration{3 * time.Second, 8 * time.Second} {
 		for _, stopped := range []string{"leader", "follower"} {
@@ -141,11 +160,19 @@
 				d.addReplica("engines", replica.Options{ID: "e2", Model: "m", AdapterSlots: 2, Events: 20, EventPause: grace / 30})
 				hosts := map[string]*runningHost{"leader": d.addHost("h1"), "follower": d.addHost("h2")}
 				h := hosts[stopped]
-				mix := &callMix{random: rand.New(rand.NewPCG(uint64(seed), uint64(len(stopped))))}
+				stays := hosts["leader"]
+				if stopped == "leader" {
+					stays = hosts["follower"]
+				}
+				random := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(seed), n)) }
+				mix, other := newCallMix("c", random(uint64(len(stopped)))), newCallMix("o", random(99))
 				var callers sync.WaitGroup
 				for range 40 {
 					callers.Go(func() { mix.callUntilClosed(h.settings.Listen.Callers) })
 				}
+				for range 12 {
+					callers.Go(func() { other.callUntilClosed(stays.settings.Listen.Callers) })
+				}
 				time.Sleep(500 * time.Millisecond)
 				h.Drain()
 				stoppedAt := time.Now()
@@ -158,6 +185,7 @@
 				require.NoError(t, <-h.done)
 				h.done <- nil
 				require.Less(t, time.Since(stoppedAt), grace)
+				close(other.done)
 				callers.Wait()
 
 				runs := map[string]int{}
@@ -176,7 +204,12 @@
 							c.sentAt.Sub(stoppedAt), c.endedAt.Sub(c.sentAt), c.status, runs[c.ID])
 					}
 				}
-				t.Logf("answers by status: %v", statuses)
+				for _, c := range other.ended { // nothing is tolerated on the host that stays
+					if promise := c.broken(c.endedAt, grace, runs[c.ID]); promise != "" {
+						t.Errorf("%s on the other host: %s; ended after %s, status %d, runs %d", c.Path, promise, c.endedAt.Sub(c.sentAt), c.status, runs[c.ID])
+					}
+				}
+				t.Logf("answers by status: %v; %d on the other host", statuses, len(other.ended))
 				require.Positive(t, statuses[http.StatusOK])
 				require.Positive(t, statuses[http.StatusServiceUnavailable])
 				require.Positive(t, statuses[http.StatusBadGateway])
