assign: a request that is refused on arrival gives up its claim on an adapter slot

A new request may start the load of its adapter, or claim a slot that is being loaded, before it is refused with queue_full; the claim was never released, and a claimed slot is not evicted. Ruled out: requests withdrawn or expired (both release it).

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -232,7 +232,7 @@
 	}
 	if rule, refused := a.refusalRule(now, e); refused {
 		a.refund(now, e)
-		delete(a.requests, r.ID)
+		a.removeRequest(now, e)
 		a.refuse(now, e, apierr.QueueFull, a.retryAfter(now, e), rule)
 		return
 	}
