--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -23,10 +23,22 @@
 	FirstInFleet bool
 	// Limits are the fleet-wide bounds on retries and on organisations' rates.
 	Limits Limits
+	// Scheduling is the order of waiting requests in services whose upstreams state no pace.
+	Scheduling Scheduling
 	// Random breaks ties. It must not be shared.
 	Random *rand.Rand
 }
 
+// Scheduling is an order of waiting requests.
+type Scheduling uint8
+
+const (
+	// ByArrival serves requests that can still meet their target first, then by priority and arrival.
+	ByArrival Scheduling = iota
+	// ByUrgency serves requests by rank, then fairly between organisations.
+	ByUrgency
+)
+
 // Limits are the fleet-wide bounds, as configured for the deployment.
 type Limits struct {
 	// RetryRatio is the number of retries allowed per request.
@@ -96,8 +108,13 @@
 	prefillSpeedAt time.Time
 	// lastReturn is the turn of the last caller that was refused because of rate limits and can return in time.
 	lastReturn time.Time
+	// statesPace is true once an upstream of the service has stated its pace.
+	statesPace bool
 }
 
+// ranked reports whether the waiting requests of a service are ordered by rank and shared fairly.
+func (s *service) ranked(o *Options) bool { return o.Scheduling == ByUrgency || s.statesPace }
+
 // requestState is the state of a request that has not ended.
 type requestState struct {
 	request     Request
--- a/host/host.go
+++ b/host/host.go
@@ -117,6 +117,7 @@
 		Tables: tables, Source: h.watcher, Cores: s.Cores, Fenced: s.Fleet.Fenced, Random: newRandom(),
 		HolderPause: time.Duration(s.Fleet.HolderPause), Clock: timeSinceBoot,
 		MaxPropagation: time.Duration(min(s.Fleet.MaxConfigDelay, s.Fleet.MaxDrainDelay)),
+		Scheduling:     scheduling(s),
 		Engines:        &countedEngines{Engines: platform.NewEngines(h.pool, h.rateLimitStated), orders: h.metrics.orders},
 		Limits: assign.Limits{
 			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack,
@@ -135,6 +136,14 @@
 	h.broker.RateLimitStated(u, sentAt, s)
 }
 
+// scheduling returns the order of waiting requests that the settings ask for.
+func scheduling(s *settings.Entry) assign.Scheduling {
+	if s.Fleet.Scheduling == "urgency" || (s.Fleet.Scheduling == "" && platform.RanksRequests(s.Features)) {
+		return assign.ByUrgency
+	}
+	return assign.ByArrival
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Run serves until the context ends, until the shutdown started by Drain is complete,
--- a/leader/broker.go
+++ b/leader/broker.go
@@ -56,6 +56,8 @@
 	Cores   float64
 	Engines Engines
 	Limits  assign.Limits
+	// Scheduling is the order of waiting requests.
+	Scheduling assign.Scheduling
 	// Fenced is set if engines reject orders with a fencing token older than the newest one they have seen.
 	Fenced bool
 	// HolderPause is how long a host that has sent orders to engines must not lead again once another host has
@@ -210,7 +212,7 @@
 		locations:  map[catalog.AdapterRef]adapterLocation{}, startedAt: time.Now(), leaderlessSince: time.Now(),
 		view: &watch.View{Versions: catalog.Versions{}},
 	}
-	b.local = assign.New(assign.Options{Share: startupShare, Limits: o.Limits, Random: o.Random})
+	b.local = assign.New(assign.Options{Share: startupShare, Limits: o.Limits, Scheduling: o.Scheduling, Random: o.Random})
 	b.localTimer.fire = func() { b.update(b.tickLocal) }
 	b.leadingTimer.fire = func() { b.update(b.tickLeading) }
 	return b
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -271,7 +271,7 @@
 func (b *Broker) startLeading(now time.Time, fence int64, before *leaseView) {
 	b.log.Info("this host leads", "fence", fence)
 	b.leading = assign.New(assign.Options{
-		SendsOrders: true, Fence: fence, Share: 1, FirstInFleet: before.version == 0, Limits: b.options.Limits,
+		SendsOrders: true, Fence: fence, Share: 1, FirstInFleet: before.version == 0, Limits: b.options.Limits, Scheduling: b.options.Scheduling,
 		Random: b.options.Random, HoldEvictions: now.Add(followerReportTime),
 	})
 	b.lastClaimID, b.claimedLease = 0, nil
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -25,6 +25,8 @@
 	// cores are assigned more work.
 	Cores float64    `json:"cores"`
 	Fleet EntryFleet `json:"fleet"`
+	// Features are the names of the optional parts of the platform's contract that are in force.
+	Features []string `json:"features,omitempty"`
 	// Grace is the time from the first termination signal to the final one.
 	Grace Duration `json:"grace"`
 	Log   Log      `json:"log,omitzero"`
@@ -78,6 +80,8 @@
 	MaxDrainDelay  Duration `json:"drain_within"`
 	// MaxDirectoryTTL is the maximum time for which callers cache an answer of the directory.
 	MaxDirectoryTTL Duration `json:"answer_life"`
+	// Scheduling is the order of waiting requests, "arrival" or "urgency". If it is empty, Entry.Features decide.
+	Scheduling string `json:"scheduling,omitempty"`
 }
 
 // LoadEntry reads an entry host's settings file, sets defaults and validates it.
@@ -105,6 +109,9 @@
 	return &s, nil
 }
 
+// schedulings are the valid values of EntryFleet.Scheduling.
+var schedulings = []string{"", "arrival", "urgency"}
+
 // minGrace is the minimum time in which a host can redirect its callers to other hosts.
 const minGrace = Duration(time.Second)
 
@@ -133,6 +140,7 @@
 	v.check(s.Fleet.MaxConfigDelay >= 0, "fleet.config_within", "want a duration of 0 or more")
 	v.check(s.Fleet.MaxDrainDelay >= 0, "fleet.drain_within", "want a duration of 0 or more")
 	v.check(s.Fleet.MaxDirectoryTTL > 0, "fleet.answer_life", "want a duration above 0")
+	v.check(slices.Contains(schedulings, s.Fleet.Scheduling), "fleet.scheduling", "want \"arrival\" or \"urgency\"")
 	v.check(slices.Contains(logLevels, s.Log.Level), "log.level", "want one of %v, not %q", logLevels, s.Log.Level)
 	return v.problems
 }
