--- a/sched/fair/fair_test.go
+++ b/fairshare/queue_test.go
@@ -1,4 +1,4 @@
-package fair
+package fairshare
 
 import (
 	"testing"
@@ -10,6 +10,10 @@
 
 var testStart = time.Unix(1000, 0)
 
+func newTestQueue(c *Counters) *Queue[int] {
+	return NewQueue(Options[int]{Counters: func(int) *Counters { return c }, AgingTime: AgingTime})
+}
+
 // dispatch dispatches up to n requests and returns how many of each organisation.
 func dispatch(q *Queue[int], now time.Time, n int) map[string]int {
 	out := map[string]int{}
@@ -29,13 +33,13 @@
 		next := e
 		next.Organisation = org
 		next.EnqueuedAt = e.EnqueuedAt.Add(time.Duration(i) * time.Millisecond)
-		q.Push(&next)
+		q.Push(e.EnqueuedAt, &next)
 	}
 }
 
 func TestQueue_Order(t *testing.T) {
 	prompt := Entry[int]{Cost: 100, EnqueuedAt: testStart}
-	batch := Entry[int]{Cost: 100, EnqueuedAt: testStart, Batch: true}
+	batch := Entry[int]{Cost: 100, EnqueuedAt: testStart, Rank: 1}
 	cases := map[string]struct {
 		fill func(*Queue[int])
 		at   time.Duration
@@ -57,11 +61,11 @@
 		"aged batch requests alternate with prompt requests": {func(q *Queue[int]) {
 			pushMany(q, "batch", 5, batch)
 			pushMany(q, "prompt", 5, prompt)
-		}, AgingLimit + time.Second, 4, map[string]int{"prompt": 2, "batch": 2}},
+		}, AgingTime + time.Second, 4, map[string]int{"prompt": 2, "batch": 2}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			q := NewQueue[int](NewCounters())
+			q := newTestQueue(NewCounters())
 			c.fill(q)
 			assert.Equal(t, c.want, dispatch(q, testStart.Add(c.at), c.take))
 		})
@@ -69,7 +73,7 @@
 }
 
 func TestQueue_IdleOrganisationSavesNoCredit(t *testing.T) {
-	q := NewQueue[int](NewCounters())
+	q := newTestQueue(NewCounters())
 	pushMany(q, "busy", 50, Entry[int]{Cost: 100, EnqueuedAt: testStart})
 	dispatch(q, testStart, 30)
 	pushMany(q, "idle", 50, Entry[int]{Cost: 100, EnqueuedAt: testStart})
@@ -81,7 +85,7 @@
 
 func TestQueue_RemovedNotServed(t *testing.T) {
 	c := NewCounters()
-	q := NewQueue[int](c)
+	q := newTestQueue(c)
 	pushMany(q, "a", 3, Entry[int]{Cost: 1, EnqueuedAt: testStart})
 	q.Remove(q.Head(testStart))
 	q.Remove(q.Youngest("a"))
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/jasminelock/jasminelock/sched/fair"
+	"github.com/jasminelock/jasminelock/fairshare"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -122,7 +122,7 @@
 	if g.coldSince.IsZero() {
 		g.coldSince = now
 	}
-	batch := head.Batch && now.Sub(head.EnqueuedAt) < fair.AgingLimit
+	batch := head.Rank == batchRank && now.Sub(head.EnqueuedAt) < fairshare.AgingTime
 	return loadDemand{group: g, organisation: head.Organisation, cold: !served, batch: batch, since: g.coldSince}, true
 }
 
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
+	"github.com/jasminelock/jasminelock/fairshare"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/request"
-	"github.com/jasminelock/jasminelock/sched/fair"
 	"github.com/jasminelock/jasminelock/upstream"
 	"github.com/jasminelock/jasminelock/wire"
 )
@@ -34,7 +34,7 @@
 	names    map[string]*requestGroup
 	pools    map[string]*requestGroup
 
-	counters  *fair.Counters
+	counters  *fairshare.Counters
 	waiting   map[RequestID]*waitingRequest
 	deadlines deadlineHeap
 	running   map[RequestID]runningSlot
@@ -107,7 +107,7 @@
 		host: o.Host, zone: o.Zone, random: o.Random, config: record.NewConfig(),
 		upstreams: map[string]*upstreamView{}, engines: map[string][]*upstreamView{},
 		adapters: map[record.AdapterRef]*requestGroup{}, names: map[string]*requestGroup{}, pools: map[string]*requestGroup{},
-		counters: fair.NewCounters(), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
+		counters: fairshare.NewCounters(), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
 		pendingGroups: map[*requestGroup]struct{}{}, remoteLoads: map[*requestGroup]struct{}{},
 		unresponsiveOwners: map[string]struct{}{}, receivedLoads: map[loadKey]*receivedLoad{},
 		shares: newLoadShares(), slotsByOrg: map[string]*orgSlots{},
@@ -234,7 +234,7 @@
 	organisation, ownerSlots := p.organisationSlots(ref.Name)
 	return &requestGroup{
 		organisation: organisation, ownerSlots: ownerSlots, ref: ref, name: name, model: model,
-		queue: fair.NewQueue[*waitingRequest](p.counters), retryAt: map[string]time.Time{},
+		queue: p.newQueue(), retryAt: map[string]time.Time{},
 	}
 }
 
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/fairshare"
 	"github.com/jasminelock/jasminelock/record"
-	"github.com/jasminelock/jasminelock/sched/fair"
 )
 
 // Limits of the Retry-After sent when the queue is full.
@@ -25,12 +25,12 @@
 	}
 	g := p.groupOf(r)
 	w := &waitingRequest{request: r, group: g}
-	w.entry = &fair.Entry[*waitingRequest]{
-		Value: w, Organisation: r.Organisation, Batch: r.Priority == record.PriorityBatch,
+	w.entry = &fairshare.Entry[*waitingRequest]{
+		Value: w, Organisation: r.Organisation, Rank: rankOf(r),
 		Cost: float64(max(r.Tokens, 1)) / p.queueWeight(r.Organisation), EnqueuedAt: now,
 	}
 	p.waiting[r.ID] = w
-	g.queue.Push(w.entry)
+	g.queue.Push(now, w.entry)
 	g.demand.add(now, 1)
 	g.lastUsed = now
 	p.pendingGroups[g] = struct{}{}
@@ -42,6 +42,23 @@
 	return p.endEvent(now)
 }
 
+// batchRank is the rank of batch requests. Prompt requests have rank 0.
+const batchRank = 1
+
+func rankOf(r Request) int {
+	if r.Priority == record.PriorityBatch {
+		return batchRank
+	}
+	return 0
+}
+
+// newQueue returns a queue that is ordered by the counters of the host's organisations, which cover both ranks.
+func (p *Policy) newQueue() *fairshare.Queue[*waitingRequest] {
+	return fairshare.NewQueue(fairshare.Options[*waitingRequest]{
+		Counters: func(int) *fairshare.Counters { return p.counters }, AgingTime: fairshare.AgingTime,
+	})
+}
+
 func (p *Policy) groupOf(r Request) *requestGroup {
 	if r.Pool != "" {
 		return p.poolGroup(r.Pool)
@@ -72,8 +89,8 @@
 }
 
 func younger(a, b *waitingRequest) bool {
-	if a.entry.Batch != b.entry.Batch {
-		return a.entry.Batch
+	if a.entry.Rank != b.entry.Rank {
+		return a.entry.Rank > b.entry.Rank
 	}
 	if !a.entry.EnqueuedAt.Equal(b.entry.EnqueuedAt) {
 		return a.entry.EnqueuedAt.After(b.entry.EnqueuedAt)
@@ -144,7 +161,7 @@
 // the resident adapters it serves the one whose next request is first in the fair order.
 func (p *Policy) serveUpstream(now time.Time, v *upstreamView) {
 	for v.freeCapacity() > 0 && v.usable(now) {
-		var best *fair.Entry[*waitingRequest]
+		var best *fairshare.Entry[*waitingRequest]
 		var from *slot
 		for _, s := range v.slots {
 			if s.group.queue.Len() == 0 || s.state != slotResident {
@@ -168,11 +185,12 @@
 // before reports whether a is served before b, for requests of different groups. Ties are
 // broken by the request ID, so that the result does not depend on the iteration order of a
 // map.
-func (p *Policy) before(now time.Time, a, b *fair.Entry[*waitingRequest]) bool {
-	if fair.Before(p.counters, now, a, b) {
+func (p *Policy) before(now time.Time, a, b *fairshare.Entry[*waitingRequest]) bool {
+	q := a.Value.group.queue
+	if q.Before(now, a, b) {
 		return true
 	}
-	return !fair.Before(p.counters, now, b, a) && a.Value.request.ID < b.Value.request.ID
+	return !q.Before(now, b, a) && a.Value.request.ID < b.Value.request.ID
 }
 
 func (p *Policy) dispatch(now time.Time, w *waitingRequest, s *slot) {
--- a/sched/view.go
+++ b/sched/view.go
@@ -5,15 +5,15 @@
 	"slices"
 	"time"
 
+	"github.com/jasminelock/jasminelock/fairshare"
 	"github.com/jasminelock/jasminelock/record"
-	"github.com/jasminelock/jasminelock/sched/fair"
 )
 
 // waitingRequest is a request that has not been dispatched to an upstream.
 type waitingRequest struct {
 	request Request
 	group   *requestGroup
-	entry   *fair.Entry[*waitingRequest]
+	entry   *fairshare.Entry[*waitingRequest]
 }
 
 // requestGroup is the unit that requests are queued for: one adapter version, or one pool of
@@ -27,7 +27,7 @@
 	organisation string
 	ownerSlots   *orgSlots
 	slots        []*slot
-	queue        *fair.Queue[*waitingRequest]
+	queue        *fairshare.Queue[*waitingRequest]
 	// demand counts requests and decays with time.
 	demand decayingCount
 	// failures counts consecutive failed loads.
