assign: ranked services order, admit and displace requests by urgency and fair sharing

With 170 routine requests waiting (2 engines), 0 of 20 urgent ones are served, for the same adapter and for another one: a new request is refused for the prompts of all that wait, also of those behind it. One organisation that sends 60 requests/s beside four that send 4 to 5 gets 196 of the 255 turns of 20 s; the others get 10 to 22, where an equal share is 51: the organisation is not considered.

A ranked service has a line: per adapter a queue ordered by rank, virtual counters of organisations and loss for the caller, and a heap of the queues' heads. New requests join the line and get an upstream only if they are first among those that can use it. A request is refused on arrival if its turn (work ahead by fluid fair sharing, over the measured rate of work) falls after its last useful moment. Waiting requests whose turn is put back too far are refused with rule displaced. Services that are not ranked are served by the former code.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -92,6 +92,7 @@
 	candidateBuffer []*upstream
 	queueBuffer     []*queue
 	decisions       []Decision
+	rankStats       rankStats
 }
 
 // service holds the state of one service and its upstreams.
@@ -110,6 +111,8 @@
 	lastReturn time.Time
 	// statesPace is true once an upstream of the service has stated its pace.
 	statesPace bool
+	// line orders the waiting requests, nil while the service is not ranked.
+	line *line
 }
 
 // ranked reports whether the waiting requests of a service are ordered by rank and shared fairly.
@@ -133,6 +136,19 @@
 	// prefillAhead is the number of tokens waiting for prefill on the engine when the request was assigned,
 	// without the request's own.
 	prefillAhead int
+
+	// line, waiting, work and lastUseful are set in a ranked service: its line, the place in it while the request is
+	// queued, the expected work, and the last time at which it is of use to assign the request.
+	line       *line
+	waiting    *waitingEntry
+	work       time.Duration
+	lastUseful time.Time
+	// estimatedTurn is the expected wait at admission, pushedAtAdmission the value of rankLine.pushed then. checkAt is
+	// the delay at which the request is checked next, checkIndex its position in the heap of checks, counted from 1.
+	estimatedTurn     time.Duration
+	pushedAtAdmission time.Duration
+	checkAt           time.Duration
+	checkIndex        int
 }
 
 // New returns an Assigner without configuration, upstreams or requests.
@@ -165,6 +181,7 @@
 	case ConfigUpdated:
 		a.config = e.Config
 		a.configureEngines(now)
+		a.configureLines(now)
 		a.serveWaiting(now)
 	case VersionsUpdated:
 		a.versions = e.Versions
@@ -244,6 +261,10 @@
 	}
 	a.requests[r.ID] = e
 	a.recordDemand(now, r.Adapter)
+	if a.lineOf(now, s) != nil {
+		a.submitRanked(now, s, e)
+		return
+	}
 	if a.takeTurn(now, s, e) || a.place(now, e) {
 		return
 	}
@@ -253,7 +274,7 @@
 		a.refuse(now, e, apierr.QueueFull, a.retryAfter(now, e), rule)
 		return
 	}
-	a.enqueue(e)
+	a.enqueue(now, e)
 }
 
 // adopt records a request that is already running on an upstream.
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -61,29 +61,40 @@
 // was assigned.
 func (a *Assigner) place(now time.Time, e *requestState) bool {
 	s := a.service(e.request.Service)
+	best, ok := a.readyOption(now, s, e)
+	if !ok {
+		return false
+	}
+	a.loadOnIdle(now, s, e.request.Adapter)
+	a.grant(now, e, best)
+	return true
+}
+
+// readyOption returns the best option for a request if the request can be assigned to it now. Otherwise it starts the
+// load of the adapter or claims a slot that holds it, and returns false.
+func (a *Assigner) readyOption(now time.Time, s *service, e *requestState) (option, bool) {
 	best, ok := a.bestOption(now, s, e)
 	if !ok {
 		if held := a.exhaustedHolder(now, s, e); held != nil {
 			a.claimSlot(e, held)
 		}
-		return false
+		return best, false
 	}
 	if best.needsLoad {
 		a.claimSlot(e, a.startLoad(now, best.upstream, e.request.Adapter))
-		return false
+		return best, false
 	}
 	if !best.ready {
 		a.claimSlot(e, best.slot)
-		return false
+		return best, false
 	}
-	a.loadOnIdle(now, s, e.request.Adapter)
-	a.grant(now, e, best)
-	return true
+	return best, true
 }
 
 // grant assigns a request to the upstream of an option.
 func (a *Assigner) grant(now time.Time, e *requestState, o option) {
 	u := o.upstream
+	a.grantRanked(now, e)
 	a.startAttempt(now, e, u, o.slot)
 	u.rateLimit.Take(now)
 	g := Grant{
--- a/assign/engine_test.go
+++ b/assign/engine_test.go
@@ -179,6 +179,9 @@
 	eventGaps       map[EventGaps]int
 	// evictsInUse counts the orders to drop an adapter that running requests used.
 	evictsInUse int
+	// prefillOfTokens makes the prefill time of a request depend on its prompt; promptTokens holds the prompts.
+	prefillOfTokens bool
+	promptTokens    map[RequestID]int
 }
 
 type timedEvent struct {
@@ -199,6 +202,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), engines: map[string]*simEngine{},
 		records: map[string]*catalog.Upstream{}, granted: map[RequestID]Grant{}, adapters: map[RequestID]string{},
 		refused: map[RequestID]Refuse{}, submittedAt: map[RequestID]time.Time{}, lastAnswer: map[string]OrderResult{}, versions: catalog.Versions{},
+		promptTokens: map[RequestID]int{},
 	}
 	w.config = catalog.NewConfig(catalog.ConfigParts{
 		Version: 1,
@@ -285,7 +289,10 @@
 	}
 	e.running[name]++
 	a := w.assigner
-	const prefillTime = 80 * time.Millisecond
+	prefillTime := 80 * time.Millisecond
+	if w.prefillOfTokens {
+		prefillTime = time.Duration(w.promptTokens[g.ID]) * assumedPrefillPerToken
+	}
 	if e.prefillUntil.Add(simEventTime).Before(w.now) {
 		e.burstStart = w.now
 	}
@@ -363,7 +370,7 @@
 	for _, f := range change {
 		f(&r)
 	}
-	w.adapters[r.ID], w.submittedAt[r.ID] = adapter, w.now
+	w.adapters[r.ID], w.submittedAt[r.ID], w.promptTokens[r.ID] = adapter, w.now, r.PromptTokens
 	w.handle(RequestSubmitted{r})
 	return r.ID
 }
--- /dev/null
+++ b/assign/line.go
@@ -0,0 +1,292 @@
+package assign
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/jasminelock/jasminelock/fairshare"
+)
+
+// agingTime is the time after which a waiting request moves up by one rank. It exceeds half of the usual deadlines, so
+// that routine requests do not compete with urgent ones while they still have time.
+const agingTime = 10 * time.Second
+
+// waitingEntry is a queued request of a ranked service.
+type waitingEntry = fairshare.Entry[*requestState]
+
+// line holds the waiting requests of a ranked service in the order in which they are served.
+type line struct {
+	service *service
+	ranks   []*rankLine
+	// heads orders the service's queues by their first requests, as of the last look at each queue. A queue's place is
+	// updated when it reaches the front, since counters only grow.
+	heads headHeap
+	// count is the number of waiting requests.
+	count   int
+	weights weights
+	rate    workRate
+	// prior is the rate of work as computed at priorAt.
+	prior   capacityEstimate
+	priorAt time.Time
+	sweptAt time.Time
+	// checkedAt is the time of the last check of waiting requests, checkedRate the greatest theoretical capacity since
+	// all were checked.
+	checkedAt   time.Time
+	checkedRate float64
+	// grants counts the requests assigned to upstreams.
+	grants uint64
+	stats  *rankStats
+}
+
+// rankLine holds what is counted for the waiting requests of one rank.
+type rankLine struct {
+	counters *fairshare.Counters
+	accounts map[string]*account
+	// list holds the accounts in no particular order, since estimates visit all of them.
+	list  []*account
+	work  time.Duration
+	count int
+	// waiting is the number of organisations with waiting requests, interval the time between two turns of one.
+	waiting  int
+	interval time.Duration
+	// arrivals is the rate of work of the requests that are admitted.
+	arrivals decayingRate
+	// delay is the time by which the turns of the waiting requests may have moved back so far; checks orders the
+	// requests by the delay at which they have to be checked again.
+	delay  time.Duration
+	checks checkHeap
+	// pushed is the part of delay for which more urgent requests or a loss of capacity are the reason.
+	pushed time.Duration
+	// promisedUntil is the turn of the last refused caller that may return in time.
+	promisedUntil time.Time
+}
+
+// account holds what is counted for an organisation in one rank. It is kept for some time after its last request.
+type account struct {
+	organisation string
+	// index is the account's place in rankLine.list.
+	index int
+	// number is the place in the order in which organisations began to wait, which decides between equal counters.
+	number uint64
+	// rate is the organisation's configured rate, 0 for none.
+	rate float64
+	// arrivals is the rate of work of the organisation's requests, admitted or not.
+	arrivals decayingRate
+	// order holds the counters that share an organisation's turns between its adapters.
+	order    *fairshare.Counters
+	work     time.Duration
+	count    int
+	adapters map[string]*adapterAccount
+}
+
+// adapterAccount holds the waiting requests of an organisation for one adapter, in one rank.
+type adapterAccount struct {
+	work    time.Duration
+	entries map[*waitingEntry]struct{}
+}
+
+func newLine(s *service, w weights, stats *rankStats) *line {
+	return &line{service: s, weights: w, stats: stats}
+}
+
+func (l *line) rank(rank int) *rankLine {
+	for len(l.ranks) <= rank {
+		l.ranks = append(l.ranks, &rankLine{
+			counters: fairshare.NewCounters(), accounts: map[string]*account{}, arrivals: decayingRate{halfLife: arrivalHalfLife},
+		})
+	}
+	return l.ranks[rank]
+}
+
+// newQueue returns the order of a queue of the service.
+func (l *line) newQueue() *fairshare.Queue[*requestState] {
+	return fairshare.NewQueue(fairshare.Options[*requestState]{
+		Counters:  func(rank int) *fairshare.Counters { return l.rank(rank).counters },
+		AgingTime: agingTime, Moved: l.moved, Interval: l.interval,
+	})
+}
+
+// add counts a request that begins to wait.
+func (l *line) add(now time.Time, q *queue, e *requestState) {
+	if q.ordered == nil {
+		q.ordered = l.newQueue()
+	}
+	entry := &waitingEntry{
+		Value: e, Organisation: e.request.Organisation, Rank: e.request.Priority, EnqueuedAt: e.request.Arrived,
+		Target: e.request.Target, LastUseful: e.lastUseful, Work: e.work,
+	}
+	e.waiting = entry
+	l.weights.add(entry.Organisation)
+	q.ordered.Push(now, entry)
+	l.count++
+	l.countEntry(entry)
+	l.updateHead(now, q)
+}
+
+// countEntry adds an entry to the sums of its rank.
+func (l *line) countEntry(entry *waitingEntry) {
+	r := l.rank(entry.CurrentRank())
+	acct := l.account(r, entry.Organisation)
+	if acct.count == 0 {
+		r.waiting++
+		l.stats.accounts++
+		acct.number = l.stats.accounts
+	}
+	name := adapterKey(&entry.Value.request)
+	held, ok := acct.adapters[name]
+	if !ok {
+		held = &adapterAccount{entries: map[*waitingEntry]struct{}{}}
+		acct.adapters[name] = held
+	}
+	acct.order.AddWaiting(name)
+	held.entries[entry] = struct{}{}
+	held.work += entry.Work
+	acct.work += entry.Work
+	acct.count++
+	r.work += entry.Work
+	r.count++
+}
+
+// uncountEntry takes an entry out of the sums of a rank.
+func (l *line) uncountEntry(entry *waitingEntry, rank int) {
+	r := l.ranks[rank]
+	acct := r.accounts[entry.Organisation]
+	name := adapterKey(&entry.Value.request)
+	held := acct.adapters[name]
+	delete(held.entries, entry)
+	held.work -= entry.Work
+	acct.order.RemoveWaiting(name)
+	if len(held.entries) == 0 {
+		delete(acct.adapters, name)
+	}
+	acct.work -= entry.Work
+	if acct.count--; acct.count == 0 {
+		r.waiting--
+	}
+	r.work -= entry.Work
+	r.count--
+}
+
+// account returns the account of an organisation in a rank and creates it if there is none.
+func (l *line) account(r *rankLine, organisation string) *account {
+	acct, ok := r.accounts[organisation]
+	if !ok {
+		acct = &account{
+			organisation: organisation, index: len(r.list), rate: l.weights.configured(organisation),
+			arrivals: decayingRate{halfLife: arrivalHalfLife}, order: fairshare.NewCounters(), adapters: map[string]*adapterAccount{},
+		}
+		r.accounts[organisation] = acct
+		r.list = append(r.list, acct)
+	}
+	return acct
+}
+
+// arrived counts the work of a new request, whether it is admitted or not: an organisation that sends more than its
+// share uses its share.
+func (l *line) arrived(now time.Time, rank int, e *requestState) {
+	l.account(l.rank(rank), e.request.Organisation).arrivals.add(now, e.work.Seconds())
+}
+
+// admitted counts the work of a new request that is admitted.
+func (l *line) admitted(now time.Time, rank int, e *requestState) {
+	l.rank(rank).arrivals.add(now, e.work.Seconds())
+}
+
+// prune drops the accounts of organisations that send hardly anything.
+func (r *rankLine) prune(now time.Time) {
+	for i := len(r.list) - 1; i >= 0; i-- {
+		acct := r.list[i]
+		if acct.count > 0 || acct.arrivals.rate(now) >= minArrivals {
+			continue
+		}
+		last := len(r.list) - 1
+		r.list[i] = r.list[last]
+		r.list[i].index = i
+		r.list[last] = nil
+		r.list = r.list[:last]
+		delete(r.accounts, acct.organisation)
+	}
+}
+
+const (
+	// arrivalHalfLife is the half-life of the rates at which work arrives. It is about the time that requests wait.
+	arrivalHalfLife = 4 * time.Second
+	// minArrivals is the rate of work below which an organisation without waiting requests is no longer counted.
+	minArrivals = 1e-4
+)
+
+// adapterKey names the adapter of a request within its organisation.
+func adapterKey(r *Request) string { return r.Adapter.Adapter }
+
+// moved counts an entry that has aged from a rank to its present one.
+func (l *line) moved(entry *waitingEntry, from int) {
+	l.uncountEntry(entry, from)
+	l.countEntry(entry)
+	l.ranks[from].checks.remove(entry.Value)
+	l.ranks[entry.CurrentRank()].scheduleCheck(entry.Value, 0)
+}
+
+// remove takes a request out of the line.
+func (l *line) remove(q *queue, e *requestState) {
+	entry := e.waiting
+	l.uncountEntry(entry, entry.CurrentRank())
+	l.ranks[entry.CurrentRank()].checks.remove(e)
+	q.ordered.Remove(entry)
+	l.weights.remove(entry.Organisation)
+	l.count--
+	e.waiting = nil
+	if l.count == 0 {
+		l.rate.saturated = false
+	}
+	if q.ordered.Len() == 0 && q.headIndex > 0 {
+		heap.Remove(&l.heads, q.headIndex-1)
+	}
+}
+
+// charge counts the work of a request that is assigned to an upstream.
+func (l *line) charge(now time.Time, e *requestState) {
+	l.grants++
+	rank, organisation := max(e.request.Priority, 0), e.request.Organisation
+	if e.waiting != nil {
+		rank = e.waiting.CurrentRank()
+	}
+	r := l.rank(rank)
+	r.counters.Charge(organisation, e.work.Seconds()/l.weights.of(organisation))
+	if acct, ok := r.accounts[organisation]; ok && acct.count > 0 {
+		acct.order.Charge(adapterKey(&e.request), e.work.Seconds())
+	}
+	l.rate.served(now, e.work)
+}
+
+// interval returns the expected time between two turns of an organisation's requests for one adapter.
+func (l *line) interval(entry *waitingEntry) time.Duration {
+	r := l.ranks[entry.CurrentRank()]
+	return r.interval * time.Duration(len(r.accounts[entry.Organisation].adapters))
+}
+
+// updateIntervals computes the time between two turns of an organisation: at the rate of work that more urgent ranks
+// leave, each organisation that waits, or sends as much as its share, has a request served.
+func (l *line) updateIntervals(now time.Time, rate float64) {
+	for _, r := range l.ranks {
+		r.interval = 0
+		if r.count > 0 {
+			mean := float64(r.work) / float64(r.count)
+			r.interval = min(time.Duration(mean*r.competitors(now, rate)/max(rate, minRate)), maxInterval)
+		}
+		rate -= r.arrivals.rate(now)
+	}
+}
+
+// competitors returns the number of organisations that use their share of a rate of work. One that uses a part of it
+// counts for that part.
+func (r *rankLine) competitors(now time.Time, rate float64) float64 {
+	share := max(rate, minRate) / float64(max(len(r.list), 1))
+	n := 0.0
+	for _, acct := range r.list {
+		n += min(1, (acct.arrivals.rate(now)+acct.work.Seconds())/share)
+	}
+	return max(n, 1)
+}
+
+// maxInterval bounds the expected time between two turns of an organisation.
+const maxInterval = time.Second
--- a/assign/queue.go
+++ b/assign/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/fairshare"
 )
 
 // queueKey identifies a queue: its requests can be served by the same upstreams. The adapter is empty for a plain
@@ -20,8 +21,14 @@
 // no other queue.
 type queue struct {
 	key queueKey
-	// entries are sorted as of the last call of sort; requests queued since are at the end.
+	// entries are sorted as of the last call of sort; requests queued since are at the end. They are not used in a
+	// ranked service, whose requests are in ordered.
 	entries []*requestState
+	ordered *fairshare.Queue[*requestState]
+	// head is the place of the first request of ordered, as of the last look at the queue, and headIndex the queue's
+	// position in the heap of the service's queues, counted from 1; 0 if it is not in the heap.
+	head      headKey
+	headIndex int
 }
 
 // queues holds all queued requests.
@@ -34,14 +41,19 @@
 
 func newQueues() queues { return queues{byKey: map[queueKey]*queue{}, promptTokens: map[string]int{}} }
 
-func (q *queues) add(key queueKey, e *requestState) {
+// add queues a request, in the line of its service if the service is ranked.
+func (q *queues) add(now time.Time, key queueKey, l *line, e *requestState) {
 	waiting, ok := q.byKey[key]
 	if !ok {
 		waiting = &queue{key: key}
 		q.byKey[key] = waiting
 	}
-	waiting.entries = append(waiting.entries, e)
 	e.queue = waiting
+	if l != nil {
+		l.add(now, waiting, e)
+	} else {
+		waiting.entries = append(waiting.entries, e)
+	}
 	q.count++
 	q.promptTokens[key.service] += e.request.PromptTokens
 }
@@ -52,9 +64,13 @@
 	if waiting == nil {
 		return
 	}
-	i := slices.Index(waiting.entries, e)
-	waiting.entries = slices.Delete(waiting.entries, i, i+1)
-	if len(waiting.entries) == 0 {
+	if e.waiting != nil {
+		e.line.remove(waiting, e)
+	} else {
+		i := slices.Index(waiting.entries, e)
+		waiting.entries = slices.Delete(waiting.entries, i, i+1)
+	}
+	if waiting.len() == 0 {
 		delete(q.byKey, waiting.key)
 	}
 	e.queue = nil
@@ -65,12 +81,25 @@
 // each calls f for every queued request. f may remove the request.
 func (q *queues) each(f func(e *requestState)) {
 	for _, waiting := range q.byKey {
-		for _, e := range slices.Clone(waiting.entries) {
+		entries := slices.Clone(waiting.entries)
+		if waiting.ordered != nil {
+			waiting.ordered.Each(func(entry *waitingEntry) { entries = append(entries, entry.Value) })
+		}
+		for _, e := range entries {
 			f(e)
 		}
 	}
 }
 
+// len returns the number of requests in the queue.
+func (q *queue) len() int {
+	n := len(q.entries)
+	if q.ordered != nil {
+		n += q.ordered.Len()
+	}
+	return n
+}
+
 // sort orders the requests by whether they can still meet their target, then by priority and arrival.
 func (q *queue) sort(now time.Time) {
 	if len(q.entries) > 1 {
--- /dev/null
+++ b/assign/ranked.go
@@ -0,0 +1,341 @@
+package assign
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/jasminelock/jasminelock/apierr"
+)
+
+// Rules of refusals in ranked services.
+const (
+	// Turn is the rule for new requests whose turn would come too late.
+	Turn = "turn"
+	// Displaced is the rule for waiting requests whose turn would come too late because of more urgent ones or a loss
+	// of capacity.
+	Displaced = "displaced"
+	// Expired is the rule for waiting requests that have reached their last useful moment.
+	Expired = "expired"
+)
+
+// maxHeadsPerPass is the number of queues that a pass looks at, including those whose adapter is being loaded.
+const maxHeadsPerPass = 4 * maxQueuesPerPass
+
+// lineOf returns the order of a ranked service, nil if the service is not ranked. Requests that were queued before the
+// service became ranked are moved to it.
+func (a *Assigner) lineOf(now time.Time, s *service) *line {
+	if s.line != nil || !s.ranked(&a.options) {
+		return s.line
+	}
+	s.line = newLine(s, newWeights(a.config), &a.rankStats)
+	a.queues.each(func(e *requestState) {
+		if e.request.Service == s.name && e.waiting == nil {
+			a.queues.remove(e)
+			a.prepareRanked(now, s, e)
+			a.enqueue(now, e)
+			s.line.ranks[e.waiting.CurrentRank()].scheduleCheck(e, 0)
+		}
+	})
+	return s.line
+}
+
+// prepareRanked computes what the order of a ranked service needs to know of a request.
+func (a *Assigner) prepareRanked(now time.Time, s *service, e *requestState) {
+	e.work = max(a.expectedWork(s, &e.request), time.Microsecond)
+	e.lastUseful = a.lastUseful(now, s, e)
+}
+
+// submitRanked handles a new request of a ranked service: it assigns, queues or refuses the request. The request
+// competes with those that wait.
+func (a *Assigner) submitRanked(now time.Time, s *service, e *requestState) {
+	l := s.line
+	a.prepareRanked(now, s, e)
+	rank := max(e.request.Priority, 0)
+	l.arrived(now, rank, e)
+	if l.count == 0 && a.place(now, e) {
+		l.admitted(now, rank, e)
+		return
+	}
+	a.enqueue(now, e)
+	if l.count > 1 && a.compete(now, s, e) {
+		l.admitted(now, rank, e)
+		return
+	}
+	t := a.estimateTurn(now, s, e)
+	if rule, refused := a.refusesTurn(now, s, e, t); refused {
+		a.refuseQueued(now, s, e, t, rule)
+		return
+	}
+	l.admitted(now, t.rank, e)
+	e.estimatedTurn, e.pushedAtAdmission = t.wait, l.ranks[t.rank].pushed
+	l.pushBack(t.rank, time.Duration(float64(e.work)/l.rate.estimate(now, a.capacity(now, s).rate)))
+	l.ranks[t.rank].scheduleCheck(e, e.lastUseful.Sub(now)-t.wait)
+}
+
+// refusesTurn reports whether a new request is refused because its turn would come too late, and the rule.
+func (a *Assigner) refusesTurn(now time.Time, s *service, e *requestState, t turnEstimate) (string, bool) {
+	switch {
+	case !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() }):
+		return "no_upstream", true
+	case !now.Add(t.wait).After(e.lastUseful) && !s.line.endangersLate(now, e.waiting):
+		return "", false
+	case s.rateWait(now, int(t.count)) >= t.wait:
+		return UpstreamRate, true
+	}
+	return Turn, true
+}
+
+// refuseQueued refuses a queued request of a ranked service.
+func (a *Assigner) refuseQueued(now time.Time, s *service, e *requestState, t turnEstimate, rule string) {
+	retryAfter := a.turnRetryAfter(now, s, e, t)
+	a.refund(now, e)
+	a.removeRequest(now, e)
+	_, state, _ := s.fleetRate(now)
+	a.emit(Refuse{
+		ID: e.request.ID, Kind: apierr.QueueFull, RetryAfter: retryAfter, Rule: rule, Detail: t.String(), RateLimit: state,
+	})
+}
+
+// turnRetryAfter returns the time after which the turn of a refused caller is likely. Callers that can return before
+// their deadline each get a turn after the one before; turns of more urgent ranks put back those of less urgent ones.
+func (a *Assigner) turnRetryAfter(now time.Time, s *service, e *requestState, t turnEstimate) time.Duration {
+	l := s.line
+	step := time.Duration(float64(e.work) / l.rate.estimate(now, a.capacity(now, s).rate))
+	if perSecond, _, limited := s.fleetRate(now); limited && perSecond > 0 {
+		step = max(step, time.Duration(float64(time.Second)/perSecond))
+	}
+	step = min(step, maxKnownRetryAfter)
+	// By then the queue is short enough for a request like this one.
+	turn := now.Add(max(now.Add(t.wait).Sub(e.lastUseful), minRetryAfter))
+	if promised := l.ranks[t.rank].promisedUntil.Add(step); turn.Before(promised) {
+		turn = promised
+	}
+	spread := step
+	if turn.After(e.request.Deadline) {
+		spread = max(e.request.Deadline.Sub(now)/2, step)
+	} else {
+		l.ranks[t.rank].promisedUntil = turn
+		for _, r := range l.ranks[t.rank+1:] {
+			if r.promisedUntil.After(now) {
+				r.promisedUntil = r.promisedUntil.Add(step)
+			}
+		}
+	}
+	wait := turn.Sub(now) + time.Duration(a.options.Random.Float64()*float64(spread))
+	return min(wait, maxKnownRetryAfter)
+}
+
+// compete lets a new request, which is queued, compete with the other ones for the upstreams that it could use now. It
+// reports whether the request was assigned.
+func (a *Assigner) compete(now time.Time, s *service, e *requestState) bool {
+	for range maxFailedTries {
+		o, ok := a.bestOption(now, s, e)
+		if !ok || !o.ready {
+			break
+		}
+		a.serveOn(now, o.upstream)
+		if e.upstream != nil {
+			return true
+		}
+	}
+	a.serveWaiting(now)
+	return e.upstream != nil
+}
+
+// serveLine tries the queues of a ranked service in the order of their first requests.
+func (a *Assigner) serveLine(now time.Time, s *service) {
+	l := s.line
+	l.sweep(now)
+	l.updateIntervals(now, l.rate.estimate(now, a.capacity(now, s).rate))
+	a.checkTurns(now, s)
+	var tried []*queue
+	lacking := false
+	for failed := 0; failed < maxQueuesPerPass && len(tried) < maxHeadsPerPass; {
+		q := l.first(now)
+		if q == nil {
+			break
+		}
+		head := q.ordered.Head(now).Value
+		if !isLoading(now, head) && a.serveRankedQueue(now, s, q) {
+			continue
+		}
+		if !isLoading(now, head) {
+			lacking = true
+			failed++
+		}
+		heap.Remove(&l.heads, q.headIndex-1)
+		tried = append(tried, q)
+	}
+	for _, q := range tried {
+		l.updateHead(now, q)
+	}
+	l.rate.advance(now)
+	l.rate.saturated = lacking
+}
+
+// serveRankedQueue looks for an upstream that is ready for one of the first requests of a queue, and offers it to all
+// requests that could use it, in their order. It reports whether a request was assigned.
+func (a *Assigner) serveRankedQueue(now time.Time, s *service, q *queue) bool {
+	var found *upstream
+	var aside [maxFailedTries]*waitingEntry
+	tried := 0
+	for tried < maxFailedTries && found == nil {
+		entry := q.ordered.Head(now)
+		if entry == nil {
+			break
+		}
+		if o, ok := a.readyOption(now, s, entry.Value); ok {
+			found = o.upstream
+			break
+		}
+		q.ordered.SetAside(entry)
+		aside[tried] = entry
+		tried++
+	}
+	for _, entry := range aside[:tried] {
+		q.ordered.Restore(entry)
+	}
+	if found == nil {
+		return false
+	}
+	before := s.line.grants
+	a.serveOn(now, found)
+	return s.line.grants > before
+}
+
+// serveRankedOn assigns queued requests to an upstream that may have room now, in their order.
+func (a *Assigner) serveRankedOn(now time.Time, u *upstream) {
+	l := u.service.line
+	waiting := a.queuesFor(u)
+	for len(waiting) > 0 && (u.engine == nil || u.backlog() <= maxBacklog) && u.usable(now) {
+		first := slices.MinFunc(waiting, func(x, y *queue) int {
+			return l.key(now, x.ordered.Head(now)).compare(l.key(now, y.ordered.Head(now)))
+		})
+		if !a.serveFirstOn(now, first, u) || first.ordered.Len() == 0 {
+			waiting = slices.DeleteFunc(waiting, func(q *queue) bool { return q == first })
+		}
+	}
+}
+
+// serveFirstOn assigns one of the first requests of a queue to an upstream, and reports whether it did.
+func (a *Assigner) serveFirstOn(now time.Time, q *queue, u *upstream) bool {
+	var aside [maxFailedTries]*waitingEntry
+	tried, served := 0, false
+	for tried < maxFailedTries && !served {
+		entry := q.ordered.Head(now)
+		if entry == nil {
+			break
+		}
+		if served = a.placeOn(now, entry.Value, u); served {
+			break
+		}
+		q.ordered.SetAside(entry)
+		aside[tried] = entry
+		tried++
+	}
+	for _, entry := range aside[:tried] {
+		q.ordered.Restore(entry)
+	}
+	return served
+}
+
+// checkTurns refuses the waiting requests whose turn would come too late. A request is looked at only after its turn
+// may have moved back by as much as it can afford.
+func (a *Assigner) checkTurns(now time.Time, s *service) {
+	l := s.line
+	if rate := a.capacity(now, s).rate; rate < lostCapacity*l.checkedRate {
+		l.pushAll()
+		l.checkedRate = rate
+	} else {
+		l.checkedRate = max(l.checkedRate, rate)
+	}
+	if !l.checkedAt.IsZero() {
+		for _, r := range l.ranks {
+			r.delay += now.Sub(l.checkedAt)
+		}
+	}
+	l.checkedAt = now
+	for _, r := range l.ranks {
+		for len(r.checks) > 0 && r.checks[0].checkAt <= r.delay {
+			a.checkTurn(now, s, r, r.checks[0])
+		}
+	}
+}
+
+// lostCapacity is the fraction of a service's theoretical capacity below which all waiting requests are checked again.
+const lostCapacity = 0.9
+
+// checkTurn refuses a waiting request if its turn would come too late, else schedules its next check.
+func (a *Assigner) checkTurn(now time.Time, s *service, r *rankLine, e *requestState) {
+	if !now.Before(e.lastUseful) {
+		a.refuseQueued(now, s, e, a.estimateTurn(now, s, e), Expired)
+		return
+	}
+	slack := e.lastUseful.Sub(now)
+	if r.pushed > e.pushedAtAdmission {
+		t := a.estimateTurn(now, s, e)
+		late := time.Duration((1-turnTolerance)*float64(t.wait)) - slack
+		if late > 0 {
+			a.refuseQueued(now, s, e, t, Displaced)
+			return
+		}
+		slack = -late
+	}
+	r.scheduleCheck(e, slack)
+}
+
+// pushBack records that a new request has put back the turns of the less urgent ranks and, by fair sharing, of the
+// other organisations of its own rank.
+func (l *line) pushBack(rank int, d time.Duration) {
+	for i, r := range l.ranks[min(rank, len(l.ranks)):] {
+		r.delay += d
+		if i > 0 || len(r.accounts) > 1 {
+			r.pushed += d
+		}
+	}
+}
+
+// pushAll has all waiting requests checked again.
+func (l *line) pushAll() {
+	for _, r := range l.ranks {
+		r.delay += maxKnownRetryAfter
+		r.pushed++
+	}
+}
+
+// grantRanked counts the work of a request of a ranked service that is assigned to an upstream, and takes the request
+// out of the queue.
+func (a *Assigner) grantRanked(now time.Time, e *requestState) {
+	s := a.service(e.request.Service)
+	if s.line == nil {
+		return
+	}
+	s.line.charge(now, e)
+	a.queues.remove(e)
+}
+
+// configureLines applies a configuration to the orders of ranked services: the weights, and the priorities of
+// organisations. The priority of a route has been applied to each request on its host.
+func (a *Assigner) configureLines(now time.Time) {
+	for _, s := range a.services {
+		if s.line != nil {
+			s.line.weights.configure(a.config)
+			for _, r := range s.line.ranks {
+				for _, acct := range r.list {
+					acct.rate = s.line.weights.configured(acct.organisation)
+				}
+			}
+		}
+	}
+	a.queues.each(func(e *requestState) {
+		o := a.config.Organisation(e.request.Organisation)
+		if e.waiting == nil || o == nil || !o.HasPriority || o.Priority == e.request.Priority {
+			return
+		}
+		a.queues.remove(e)
+		e.request.Priority = o.Priority
+		a.enqueue(now, e)
+		e.line.ranks[e.waiting.CurrentRank()].scheduleCheck(e, 0)
+	})
+}
--- a/assign/ratelimit.go
+++ b/assign/ratelimit.go
@@ -196,7 +196,7 @@
 	if a.queues.count == 0 || len(a.rateLimiters) == 0 || !s.rateLimited() {
 		return false
 	}
-	a.enqueue(e)
+	a.enqueue(now, e)
 	e.queue.sort(now)
 	for _, u := range s.upstreams {
 		if u.rateLimit != nil {
@@ -218,7 +218,11 @@
 	}
 	a.lastQueueCheck = now
 	queued := map[string][]*requestState{}
-	a.queues.each(func(e *requestState) { queued[e.request.Service] = append(queued[e.request.Service], e) })
+	a.queues.each(func(e *requestState) {
+		if e.waiting == nil {
+			queued[e.request.Service] = append(queued[e.request.Service], e)
+		}
+	})
 	for name, waiting := range queued {
 		s := a.service(name)
 		if _, _, limited := s.fleetRate(now); !limited {
--- a/assign/refusal.go
+++ b/assign/refusal.go
@@ -22,7 +22,7 @@
 // refuseExpired refuses the requests that have been queued for as long as they may be.
 func (a *Assigner) refuseExpired(now time.Time) {
 	a.queues.each(func(e *requestState) {
-		if now.Before(e.queueDeadline(a)) {
+		if e.waiting != nil || now.Before(e.queueDeadline(a)) {
 			return
 		}
 		a.refund(now, e)
--- a/assign/serve.go
+++ b/assign/serve.go
@@ -20,12 +20,13 @@
 )
 
 // enqueue adds a request to the queue of its service and adapter.
-func (a *Assigner) enqueue(e *requestState) {
+func (a *Assigner) enqueue(now time.Time, e *requestState) {
 	key := queueKey{service: e.request.Service}
 	if configured := a.config.Service(e.request.Service); configured != nil && configured.Engine != nil {
 		key.adapter = e.request.Adapter
 	}
-	a.queues.add(key, e)
+	e.line = a.service(e.request.Service).line
+	a.queues.add(now, key, e.line, e)
 }
 
 // serveWaiting tries the queues in the order of their first requests. Queues whose adapter is being loaded are
@@ -36,7 +37,15 @@
 	}
 	a.lastPassAt = now
 	a.queueBuffer = a.queueBuffer[:0]
+	for _, s := range a.services {
+		if a.lineOf(now, s) != nil {
+			a.serveLine(now, s)
+		}
+	}
 	for _, q := range a.queues.byKey {
+		if q.ordered != nil {
+			continue
+		}
 		q.sort(now)
 		if !isLoading(now, q.entries[0]) {
 			a.queueBuffer = append(a.queueBuffer, q)
@@ -73,6 +82,10 @@
 	if a.queues.count == 0 || !u.usable(now) {
 		return
 	}
+	if a.lineOf(now, u.service) != nil {
+		a.serveRankedOn(now, u)
+		return
+	}
 	waiting := a.queuesFor(u)
 	for len(waiting) > 0 && (u.engine == nil || u.backlog() <= maxBacklog) {
 		first := slices.MinFunc(waiting, func(x, y *queue) int { return compareWaiting(now, x.entries[0], y.entries[0]) })
--- /dev/null
+++ b/assign/turn.go
@@ -0,0 +1,353 @@
+package assign
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// rateHalfLife is the half-life of the measured rate of work. priorTime is the time for which the theoretical rate
+	// counts in it. Within a second of a full queue, the measurement outweighs the prior.
+	rateHalfLife = 3 * time.Second
+	priorTime    = 250 * time.Millisecond
+	// capacityMaxAge is the time for which the theoretical rate of a service is reused.
+	capacityMaxAge = 100 * time.Millisecond
+	// maxServiceFraction is the maximum fraction of a request's time that it is assumed to need on the upstream. The
+	// expected output may be far from the real one.
+	maxServiceFraction = 0.5
+	// turnTolerance is the fraction by which the estimated turn of a waiting request may exceed what is useful before
+	// the request is displaced. An estimate that varies must not refuse admitted requests.
+	turnTolerance = 0.1
+	// minCheckInterval is the time after which a waiting request is checked again at the earliest.
+	minCheckInterval = 10 * time.Millisecond
+	// minRate is the lowest rate of work, in units of time per time, that estimates assume.
+	minRate = 1e-3
+)
+
+// workRate measures the work per time that a service begins while requests wait for capacity.
+type workRate struct {
+	work, busy float64
+	at         time.Time
+	// saturated is set while waiting requests lack capacity, as of the last pass.
+	saturated bool
+}
+
+// advance counts the time since the last call.
+func (r *workRate) advance(now time.Time) {
+	elapsed := now.Sub(r.at)
+	if elapsed <= 0 {
+		return
+	}
+	decay := math.Exp2(-float64(elapsed) / float64(rateHalfLife))
+	r.work *= decay
+	r.busy *= decay
+	if r.saturated && !r.at.IsZero() {
+		r.busy += elapsed.Seconds()
+	}
+	r.at = now
+}
+
+func (r *workRate) served(now time.Time, work time.Duration) {
+	r.advance(now)
+	if r.saturated {
+		r.work += work.Seconds()
+	}
+}
+
+// estimate returns the rate of work, given the theoretical rate.
+func (r *workRate) estimate(now time.Time, prior float64) float64 {
+	r.advance(now)
+	return max((r.work+prior*priorTime.Seconds())/(r.busy+priorTime.Seconds()), minRate)
+}
+
+// capacityEstimate is what is known of the capacity of a service without a measurement.
+type capacityEstimate struct {
+	// rate is the work per time that the upstreams can do.
+	rate float64
+	// opensIn is the time until the first upstream may be assigned requests.
+	opensIn time.Duration
+	// requestTime is the mean time of a request of a plain service.
+	requestTime time.Duration
+}
+
+// capacity returns the theoretical capacity of a service. Limits on the number of requests count with the mean work of
+// those that wait.
+func (a *Assigner) capacity(now time.Time, s *service) capacityEstimate {
+	l := s.line
+	if !l.priorAt.IsZero() && now.Sub(l.priorAt) < capacityMaxAge {
+		return l.prior
+	}
+	work, count := time.Duration(0), 0
+	for _, r := range l.ranks {
+		work, count = work+r.work, count+r.count
+	}
+	meanWork := assumedRequestTime
+	if count > 0 {
+		meanWork = work / time.Duration(count)
+	}
+	c := capacityEstimate{opensIn: maxKnownRetryAfter}
+	present := 0
+	for _, u := range s.upstreams {
+		if u.draining() {
+			continue
+		}
+		present++
+		c.requestTime += u.requestTime
+		opensIn := max(u.pausedUntil.Sub(now), u.fullUntil.Sub(now), 0)
+		c.opensIn = min(c.opensIn, opensIn)
+		if now.Before(u.pausedUntil) {
+			continue
+		}
+		c.rate += u.workRate(now, meanWork)
+	}
+	c.requestTime /= time.Duration(max(present, 1))
+	l.prior, l.priorAt = c, now
+	return c
+}
+
+// workRate returns the theoretical rate of work of an upstream.
+func (u *upstream) workRate(now time.Time, meanWork time.Duration) float64 {
+	rate := float64(assumedPrefillPerToken) / float64(max(u.prefillPerToken, 1))
+	if u.engine == nil {
+		rate = float64(max(u.record.Slots, 1)) * float64(assumedRequestTime) / float64(max(u.requestTime, 1))
+	}
+	if u.rateLimit != nil {
+		rate = min(rate, u.rateLimit.Rate(now)*meanWork.Seconds())
+	}
+	if u.slowStart.active(now) {
+		rate = min(rate, slowStartFraction*u.slowStart.limits.RequestsPerSecond*u.slowStart.options.Share*meanWork.Seconds())
+	}
+	return rate
+}
+
+// lastUseful returns the last time at which it is of use to assign a request to an upstream: its deadline less the time
+// needed to serve it.
+func (a *Assigner) lastUseful(now time.Time, s *service, e *requestState) time.Time {
+	r := &e.request
+	need := a.capacity(now, s).requestTime
+	if configured := a.config.Service(s.name); configured != nil && configured.Engine != nil {
+		output := r.ExpectedOutput
+		if output == 0 {
+			output = r.OutputTokens / 2
+		}
+		need = time.Duration(r.PromptTokens)*assumedPrefillPerToken + time.Duration(output)*typicalTokenTime
+	}
+	last := r.Deadline.Add(-min(need, time.Duration(maxServiceFraction*float64(r.Deadline.Sub(r.Arrived)))))
+	if !a.options.SendsOrders && !a.heldAdapter(s, e) {
+		// No order makes an upstream ready for the request.
+		if bound := r.Arrived.Add(maxWaitWithoutOrders); bound.Before(last) {
+			return bound
+		}
+	}
+	return last
+}
+
+// turnEstimate is the expected time until a request's turn, and what is ahead of the request.
+type turnEstimate struct {
+	rank int
+	wait time.Duration
+	// ahead is the work of the requests that go before, count their approximate number.
+	ahead time.Duration
+	count float64
+}
+
+// String describes the estimate in logs.
+func (t turnEstimate) String() string {
+	return fmt.Sprintf("rank %d, turn in %d ms, %.0f requests with %d ms of work ahead", t.rank, t.wait.Milliseconds(), t.count, t.ahead.Milliseconds())
+}
+
+// estimateTurn estimates the turn of a queued request.
+func (a *Assigner) estimateTurn(now time.Time, s *service, e *requestState) turnEstimate {
+	c := a.capacity(now, s)
+	rate := max(c.rate, minRate)
+	if _, _, limited := s.fleetRate(now); !limited {
+		rate = s.line.rate.estimate(now, c.rate)
+	}
+	t := s.line.estimate(now, e.waiting, rate)
+	t.wait = min(max(t.wait, c.opensIn, s.rateWait(now, int(t.count))), maxKnownRetryAfter)
+	if !s.accepts(now, e.request.ID.Host) {
+		t.wait = max(t.wait, s.hostRetryDelay(now, e.request.ID.Host))
+	}
+	if e.queue.key.adapter.Adapter != "" && !a.heldAdapter(s, e) {
+		t.wait = max(t.wait, a.loadWait(now, e))
+	}
+	return t
+}
+
+// loadWait returns the expected time until the adapter of a request is loaded.
+func (a *Assigner) loadWait(now time.Time, e *requestState) time.Duration {
+	if e.slot != nil {
+		return max(e.slot.readyAt.Sub(now), 0)
+	}
+	return coldLoad
+}
+
+// maxEstimateSteps bounds the steps in which an estimate counts the work that arrives while the request waits.
+const maxEstimateSteps = 5
+
+// estimate returns the turn of an entry at a rate of work.
+func (l *line) estimate(now time.Time, entry *waitingEntry, rate float64) turnEstimate {
+	rank := entry.CurrentRank()
+	r := l.ranks[rank]
+	acct := r.accounts[entry.Organisation]
+	own, ownCount := acct.ahead(entry)
+	t := turnEstimate{rank: rank}
+	for range maxEstimateSteps {
+		before := t.wait
+		t.ahead, t.count = own, ownCount
+		for _, urgent := range l.ranks[:rank] {
+			t.ahead += urgent.work + time.Duration(urgent.arrivals.rate(now)*float64(t.wait))
+			t.count += float64(urgent.count)
+		}
+		l.addShares(now, r, acct, float64(own+entry.Work), &t)
+		t.wait = min(time.Duration(float64(t.ahead)/rate), maxKnownRetryAfter)
+		if t.wait-before < estimatePrecision {
+			break
+		}
+	}
+	return t
+}
+
+// estimatePrecision is the change of the estimate below which no further step is made.
+const estimatePrecision = 5 * time.Millisecond
+
+// addShares adds what fair sharing gives to the other organisations of a rank while the given work of an organisation
+// is done: no more than their weight allows, and no more than waits or arrives.
+func (l *line) addShares(now time.Time, r *rankLine, acct *account, own float64, t *turnEstimate) {
+	weighted := l.weights.unrated == 0 && acct.rate > 0
+	wait := float64(t.wait)
+	for _, other := range r.list {
+		if other == acct {
+			continue
+		}
+		share := own
+		if weighted {
+			share *= other.rate / acct.rate
+		}
+		work := float64(other.work)
+		served := min(work+other.arrivals.rate(now)*wait, share)
+		t.ahead += time.Duration(served)
+		if work > 0 {
+			t.count += float64(other.count) * min(served/work, 1)
+		}
+	}
+}
+
+// ahead returns the work of an organisation that has to be done before one of its entries, and the approximate number
+// of requests. An entry that would put others of its organisation past their last useful moment is late itself.
+func (c *account) ahead(entry *waitingEntry) (time.Duration, float64) {
+	name := adapterKey(&entry.Value.request)
+	own, count := time.Duration(0), 0.0
+	for other := range c.adapters[name].entries {
+		if other != entry && dueBefore(other, entry) {
+			own += other.Work
+			count++
+		}
+	}
+	total, share := own, own+2*entry.Work
+	for other, held := range c.adapters {
+		if other != name {
+			served := min(held.work, share)
+			total += served
+			count += float64(len(held.entries)) * float64(served) / max(float64(held.work), 1)
+		}
+	}
+	return total, count
+}
+
+// dueBefore reports whether an entry must be served before another one of the same organisation and rank, if both are
+// to be served in time. The order in which they are served is another one, since fresh requests go before late ones
+// that can wait; but a late request goes first when its last useful moment is close.
+func dueBefore(x, y *waitingEntry) bool {
+	if !x.LastUseful.Equal(y.LastUseful) {
+		return x.LastUseful.Before(y.LastUseful)
+	}
+	return x.Sequence() < y.Sequence()
+}
+
+// endangersLate reports whether an entry that can still meet its target would put a late one of the same organisation
+// and rank past its last useful moment, by going before it. An admitted request is served, so the entry is not admitted
+// then.
+func (l *line) endangersLate(now time.Time, entry *waitingEntry) bool {
+	if now.After(entry.Target) {
+		return false
+	}
+	interval := l.interval(entry)
+	for _, held := range l.ranks[entry.CurrentRank()].accounts[entry.Organisation].adapters {
+		if held.losesLate(now, interval) {
+			return true
+		}
+	}
+	return false
+}
+
+// losesLate reports whether a late entry will not be served in time if all entries that are on time go before it.
+func (h *adapterAccount) losesLate(now time.Time, interval time.Duration) bool {
+	var late []*waitingEntry
+	for entry := range h.entries {
+		if now.After(entry.Target) {
+			late = append(late, entry)
+		}
+	}
+	slices.SortFunc(late, func(x, y *waitingEntry) int { return x.LastUseful.Compare(y.LastUseful) })
+	onTime := len(h.entries) - len(late)
+	for i, entry := range late {
+		left := entry.LastUseful.Sub(now)
+		if turn := interval * time.Duration(i+onTime); turn > left && left > interval {
+			return true
+		}
+	}
+	return false
+}
+
+// scheduleCheck schedules the next check of a request, after its turn may have moved back by the given time.
+func (r *rankLine) scheduleCheck(e *requestState, slack time.Duration) {
+	e.checkAt = r.delay + max(slack, minCheckInterval)
+	if e.checkIndex > 0 {
+		heap.Fix(&r.checks, e.checkIndex-1)
+		return
+	}
+	heap.Push(&r.checks, e)
+}
+
+// checkHeap orders requests by the delay at which they have to be checked.
+type checkHeap []*requestState
+
+// Len implements heap.Interface.
+func (h checkHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h checkHeap) Less(i, j int) bool { return h[i].checkAt < h[j].checkAt }
+
+// Swap implements heap.Interface.
+func (h checkHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].checkIndex, h[j].checkIndex = i+1, j+1
+}
+
+// Push implements heap.Interface.
+func (h *checkHeap) Push(x any) {
+	e := x.(*requestState) //nolint:errcheck,forcetypeassert // only scheduleCheck pushes
+	*h = append(*h, e)
+	e.checkIndex = len(*h)
+}
+
+// Pop implements heap.Interface.
+func (h *checkHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	e.checkIndex = 0
+	return e
+}
+
+// remove takes a request out of the heap. It does nothing if the request is not in it.
+func (h *checkHeap) remove(e *requestState) {
+	if e.checkIndex > 0 {
+		heap.Remove(h, e.checkIndex-1)
+	}
+}
--- a/fairshare/lane.go
+++ b/fairshare/lane.go
@@ -39,9 +39,8 @@
 	heap.Remove(&l.onTime, e.position)
 }
 
-// head returns the lane's next request. A late request that will soon be of no use goes before requests that still
-// meet their targets after it.
-func (l *lane[T]) head(now time.Time) *Entry[T] {
+// head returns the lane's next request.
+func (l *lane[T]) head(now time.Time, interval func(*Entry[T]) time.Duration) *Entry[T] {
 	for len(l.onTime) > 0 && !l.onTime[0].Target.IsZero() && now.After(l.onTime[0].Target) {
 		e, _ := heap.Pop(&l.onTime).(*Entry[T])
 		e.late = true
@@ -53,13 +52,30 @@
 	case len(l.onTime) == 0:
 		return l.late[0]
 	}
-	e := l.late[0]
-	if e.LastUseful.Sub(now) <= CloseDeadline && l.onTime[0].Target.Sub(now) > e.Work {
-		return e
+	var between time.Duration
+	if interval != nil {
+		between = interval(l.late[0])
+	}
+	if GoesFirst(now, l.late[0], l.onTime[0], between) {
+		return l.late[0]
 	}
 	return l.onTime[0]
 }
 
+// closeTurns is the number of turns before its last useful moment from which a late request may go before others.
+const closeTurns = 3
+
+// GoesFirst reports whether a late request goes before one of the same organisation and rank that can still meet its
+// target, given the time between two turns of the organisation. It does if there will be no other turn for it, or if
+// its last useful moment is close and the other request still meets its target one turn later.
+func GoesFirst[T any](now time.Time, late, onTime *Entry[T], interval time.Duration) bool {
+	left := late.LastUseful.Sub(now)
+	if left <= interval {
+		return true
+	}
+	return left <= closeTurns*interval && onTime.Target.Sub(now) > interval
+}
+
 // laneHeap orders lanes by their recorded counters.
 type laneHeap[T any] []*lane[T]
 
--- a/fairshare/queue.go
+++ b/fairshare/queue.go
@@ -9,9 +9,6 @@
 // ordered in the same way.
 const AgingTime = 5 * time.Second
 
-// CloseDeadline is the time before its last useful moment from which a late request may go before others.
-const CloseDeadline = 300 * time.Millisecond
-
 // Entry is one waiting request.
 type Entry[T any] struct {
 	Value        T
@@ -65,6 +62,8 @@
 	Counters func(rank int) *Counters
 	// AgingTime is the time after which a waiting request moves up by one rank.
 	AgingTime time.Duration
+	// Interval, if set, returns the expected time between two turns of an entry's lane.
+	Interval func(e *Entry[T]) time.Duration
 	// Moved, if set, is called when a request has moved up from a rank to the next one.
 	Moved func(e *Entry[T], from int)
 }
@@ -190,7 +189,7 @@
 				heap.Fix(lanes, 0)
 				continue
 			}
-			return l.head(now)
+			return l.head(now, q.options.Interval)
 		}
 	}
 	return nil
