--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -23,10 +23,22 @@
 	FirstInFleet bool
 	// Limits are the fleet-wide bounds on retries and on organisations' rates.
 	Limits Limits
+	// Scheduling is the order of waiting requests in services whose upstreams state no pace.
+	Scheduling Scheduling
 	// Random breaks ties. It must not be shared.
 	Random *rand.Rand
 }
 
+// Scheduling is an order of waiting requests.
+type Scheduling uint8
+
+const (
+	// ByArrival serves requests that can still meet their target first, then by priority and arrival.
+	ByArrival Scheduling = iota
+	// ByUrgency serves requests by rank, then fairly between organisations.
+	ByUrgency
+)
+
 // Limits are the fleet-wide bounds, as configured for the deployment.
 type Limits struct {
 	// RetryRatio is the number of retries allowed per request.
@@ -80,6 +92,7 @@
 	candidateBuffer []*upstream
 	queueBuffer     []*queue
 	decisions       []Decision
+	rankStats       rankStats
 }
 
 // service holds the state of one service and its upstreams.
@@ -96,8 +109,15 @@
 	prefillSpeedAt time.Time
 	// lastReturn is the turn of the last caller that was refused because of rate limits and can return in time.
 	lastReturn time.Time
+	// statesPace is true once an upstream of the service has stated its pace.
+	statesPace bool
+	// line orders the waiting requests, nil while the service is not ranked.
+	line *line
 }
 
+// ranked reports whether the waiting requests of a service are ordered by rank and shared fairly.
+func (s *service) ranked(o *Options) bool { return o.Scheduling == ByUrgency || s.statesPace }
+
 // requestState is the state of a request that has not ended.
 type requestState struct {
 	request     Request
@@ -116,6 +136,19 @@
 	// prefillAhead is the number of tokens waiting for prefill on the engine when the request was assigned,
 	// without the request's own.
 	prefillAhead int
+
+	// line, waiting, work and lastUseful are set in a ranked service: its line, the place in it while the request is
+	// queued, the expected work, and the last time at which it is of use to assign the request.
+	line       *line
+	waiting    *waitingEntry
+	work       time.Duration
+	lastUseful time.Time
+	// estimatedTurn is the expected wait at admission, pushedAtAdmission the value of rankLine.pushed then. checkAt is
+	// the delay at which the request is checked next, checkIndex its position in the heap of checks, counted from 1.
+	estimatedTurn     time.Duration
+	pushedAtAdmission time.Duration
+	checkAt           time.Duration
+	checkIndex        int
 }
 
 // New returns an Assigner without configuration, upstreams or requests.
@@ -148,6 +181,7 @@
 	case ConfigUpdated:
 		a.config = e.Config
 		a.configureEngines(now)
+		a.configureLines(now)
 		a.serveWaiting(now)
 	case VersionsUpdated:
 		a.versions = e.Versions
@@ -227,6 +261,10 @@
 	}
 	a.requests[r.ID] = e
 	a.recordDemand(now, r.Adapter)
+	if a.lineOf(now, s) != nil {
+		a.submitRanked(now, s, e)
+		return
+	}
 	if a.takeTurn(now, s, e) || a.place(now, e) {
 		return
 	}
@@ -236,7 +274,7 @@
 		a.refuse(now, e, apierr.QueueFull, a.retryAfter(now, e), rule)
 		return
 	}
-	a.enqueue(e)
+	a.enqueue(now, e)
 }
 
 // adopt records a request that is already running on an upstream.
