assign: upstreams that state their pace are chosen by pace and remaining work

The fourth figure of the load report, the pace of the upstream, was not decoded, and engines were chosen by the number of their requests and by one slowly learned prefill speed.

Hosts pass it to the leader with the first byte of an answer or with the end of the attempt. For a service whose upstreams state a pace, or that is ranked, assign estimates the time to the first token from the work that is left, the slow and the fast component of the pace, and what overdue prefills show. All other services are served as before.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -77,6 +77,7 @@
 	adapterIndex   adapterIndex
 	coldLoads      coldLoadLimiter
 	demand         map[catalog.AdapterRef]*decayingRate
+	costs          costs
 	// lastPassAt is the time of the last pass over all queues.
 	lastPassAt time.Time
 	// wakeups orders upstreams by the time of their next check; staleWakeups are the upstreams whose wake-up time
@@ -133,6 +134,20 @@
 	// prefillAhead is the number of tokens waiting for prefill on the engine when the request was assigned,
 	// without the request's own.
 	prefillAhead int
+	// paceAtGrant and runningAtGrant are the pace of the upstream and the number of its requests when the request was
+	// assigned.
+	paceAtGrant    float64
+	runningAtGrant int
+	// cacheTokens is the KV cache that is reserved for the request.
+	cacheTokens int
+	// expectedTokens is the expected output and expectedTime the expected time on a plain service at usual pace, each
+	// 0 until it is estimated.
+	expectedTokens int
+	expectedTime   time.Duration
+	// firstByteAt is the time of the first byte of the answer, the zero time before. loadStated is true if the load
+	// in the answer's header was received before the answer's end.
+	firstByteAt time.Time
+	loadStated  bool
 }
 
 // New returns an Assigner without configuration, upstreams or requests.
@@ -144,6 +159,7 @@
 		requests: map[RequestID]*requestState{}, queues: newQueues(), usages: map[string]*usage{},
 		rateLimiters: map[throttle.Incarnation]*throttle.Limiter{},
 		adapterIndex: newAdapterIndex(), coldLoads: newColdLoadLimiter(), demand: map[catalog.AdapterRef]*decayingRate{},
+		costs: newCosts(),
 	}
 }
 
@@ -204,6 +220,8 @@
 	switch e := ev.(type) {
 	case UpstreamLeaving:
 		a.markLeaving(now, e)
+	case LoadStated:
+		a.loadStated(now, e)
 	case RateLimitUpdated:
 		a.updateRateLimit(now, e)
 	case RateLimitEnded:
@@ -293,6 +311,7 @@
 	if !ok || e.upstream == nil || e.prefillDone {
 		return
 	}
+	e.firstByteAt = now
 	e.upstream.learnPrefillTime(now, e)
 	e.upstream.finishPrefill(now, e)
 	e.upstream.streams++
@@ -310,6 +329,7 @@
 	a.endAttempt(now, e)
 	delete(a.requests, ev.ID)
 	u.recordOutcome(now, e, ev)
+	a.learnCost(now, u, e, &ev)
 	if ev.Outcome.NotRun() {
 		a.refund(now, e)
 	}
@@ -355,12 +375,18 @@
 	a.releaseClaim(e)
 	e.upstream, e.slot, e.grantedAt = u, s, now
 	e.prefillTokens = u.uncachedTokens(now, &e.request)
-	u.recordPrefill(now, time.Duration(e.prefillTokens)*u.prefillPerToken)
-	e.prefillAhead = u.pendingPrefillTokens
+	prefill := u.prefillTime(now, e.prefillTokens)
+	u.recordPrefill(now, prefill)
+	e.prefillAhead, e.paceAtGrant, e.runningAtGrant = u.tokensAhead(now), u.pace.current(now), len(u.running)
+	if u.engine == nil && u.byWork() {
+		a.expectedRequestTimeOf(e)
+	}
 	u.running[e.request.ID] = e
 	u.pendingPrefillTokens += e.prefillTokens
-	u.prefillLoad.add(now, (time.Duration(e.prefillTokens) * u.prefillPerToken).Seconds())
-	u.cacheTokens += e.request.PromptTokens + e.request.OutputTokens
+	u.addPrefill(now, e)
+	u.prefillLoad.add(now, prefill.Seconds())
+	e.cacheTokens = a.cacheNeed(u, e)
+	u.cacheTokens += e.cacheTokens
 	if s != nil {
 		s.claims++
 		s.lastUsed = now
@@ -377,7 +403,7 @@
 		u.streams--
 	}
 	delete(u.running, e.request.ID)
-	u.cacheTokens -= e.request.PromptTokens + e.request.OutputTokens
+	u.cacheTokens -= e.cacheTokens
 	if e.slot != nil {
 		e.slot.claims--
 		e.slot.lastUsed = now
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -181,17 +181,19 @@
 		o.cost += crossZoneCost
 	}
 	if u.engine == nil {
+		if u.byWork() {
+			o.cost += a.plainWorkCost(now, u, e)
+			o.ready, o.rule = true, "least_work"
+			return o, true
+		}
 		return u.plainOption(o)
 	}
-	if !u.models[e.request.Adapter.Model] || !u.fits(&e.request) {
+	if !u.models[e.request.Adapter.Model] || !a.fits(u, e) {
 		return o, false
 	}
-	backlog := u.backlog()
-	prefill := time.Duration(u.uncachedTokens(now, &e.request)) * u.prefillPerToken
-	o.ready = backlog <= maxBacklog && u.mayPrefill(now, prefill)
-	o.cost += backlog + prefill
-	o.cost += time.Duration(decodeDelayWeight * float64(prefill) * float64(len(u.running)))
-	o.cost += time.Duration(u.prefillLoad.rate(now) * float64(decodeDelayCost(&e.request)))
+	cost, ready := a.engineCost(now, u, e)
+	o.cost += cost
+	o.ready = ready
 	if e.request.Adapter.Adapter == "" {
 		o.rule = "least_expected"
 		return o, true
@@ -199,6 +201,20 @@
 	return a.adapterOption(now, o, e, held)
 }
 
+// engineCost returns the cost of serving a request on an engine that holds its adapter, and whether the request can be
+// assigned now.
+func (a *Assigner) engineCost(now time.Time, u *upstream, e *requestState) (cost time.Duration, ready bool) {
+	if u.byWork() {
+		return a.workCost(now, u, e)
+	}
+	backlog := u.backlog()
+	prefill := u.prefillWork(u.uncachedTokens(now, &e.request))
+	cost = backlog + prefill
+	cost += time.Duration(decodeDelayWeight * float64(prefill) * float64(len(u.running)))
+	cost += time.Duration(u.prefillLoad.rate(now) * float64(decodeDelayCost(&e.request)))
+	return cost, backlog <= maxBacklog && u.mayPrefill(now, prefill)
+}
+
 // idleBonus lowers the cost of a rate-limited upstream that has been sent less than it accepts, the more the longer
 // this lasts. Without requests it would not be found out that the limit no longer holds.
 func idleBonus(now time.Time, u *upstream) time.Duration {
@@ -297,13 +313,12 @@
 }
 
 // fits reports whether an engine has room for a request in its batch and its KV cache. An idle engine always has.
-func (u *upstream) fits(r *Request) bool {
+func (a *Assigner) fits(u *upstream, e *requestState) bool {
 	if len(u.running) == 0 {
 		return true
 	}
-	need := r.PromptTokens + r.OutputTokens
 	return len(u.running) < u.engine.BatchSize &&
-		float64(u.cacheTokens+need) <= cacheMargin*float64(u.engine.CacheTokens)
+		float64(u.cacheTokens+a.cacheNeed(u, e)) <= cacheMargin*float64(u.engine.CacheTokens)
 }
 
 // plainOption returns how an upstream of a plain service would serve a request. The cost is the average request
--- a/assign/events.go
+++ b/assign/events.go
@@ -37,8 +37,10 @@
 
 // Request describes a request that needs an upstream.
 type Request struct {
-	ID           RequestID
-	Service      string
+	ID      RequestID
+	Service string
+	// Route is the name of the route, "" if unknown.
+	Route        string
 	Organisation string
 	Adapter      catalog.AdapterRef
 	// PromptTokens and OutputTokens are upper bounds on the tokens of the prompt and of the answer.
@@ -142,6 +144,16 @@
 // FirstByteReceived reports that the first byte of an answer's body has been received.
 type FirstByteReceived struct{ ID RequestID }
 
+// LoadStated reports the load that an upstream stated in the header of an answer.
+type LoadStated struct {
+	// ID is the request that was answered. Upstream and StartedAt identify the upstream if the request was assigned by
+	// another Assigner.
+	ID        RequestID
+	Upstream  string
+	StartedAt int64
+	Load      Load
+}
+
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	ID        RequestID
@@ -162,6 +174,8 @@
 type UpstreamFeedback struct {
 	// Load is the upstream's own count of its requests, nil if it reported none.
 	Load *Load
+	// OutputTokens is the number of tokens of a complete answer, 0 if unknown.
+	OutputTokens int
 	// BackOff is the time for which the upstream accepts no further request from the host that sent this one.
 	BackOff time.Duration
 }
@@ -177,6 +191,9 @@
 type Load struct {
 	Running int
 	Waiting int
+	// Pace is the time that work takes on the upstream at this moment, relative to the usual: larger is slower. It is 0
+	// if the upstream does not state it.
+	Pace float64
 }
 
 // RateLimitUpdated reports the rate limit of an upstream, and the share of it that the Assigner may use. The limit
@@ -258,6 +275,7 @@
 func (RequestWithdrawn) isEvent()   {}
 func (FirstByteReceived) isEvent()  {}
 func (AttemptEnded) isEvent()       {}
+func (LoadStated) isEvent()         {}
 func (UpstreamLeaving) isEvent()    {}
 func (RateLimitUpdated) isEvent()   {}
 func (RateLimitEnded) isEvent()     {}
--- /dev/null
+++ b/assign/remainingwork.go
@@ -0,0 +1,160 @@
+package assign
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// firstTokenOverhead is the time to a first token, at usual pace, that does not depend on the prompt: the step that
+	// is in progress and the one that generates the token.
+	firstTokenOverhead = 14 * time.Millisecond
+	// maxHeadProgress is the fraction of a prompt that is taken to be prefilled at most until its first token is there.
+	// How far an engine has come is not known; with 0.9, requests were sent to engines that were slower than believed.
+	maxHeadProgress = 0.3
+	// overdueRatio is the ratio of the time since a prefill began to its expected time from which the engine counts as
+	// slower than its pace says.
+	overdueRatio = 1.2
+	// minPrefillFactor and maxPrefillFactor bound one measurement of the prefill time, relative to the expected one.
+	minPrefillFactor = 0.5
+	maxPrefillFactor = 2
+	// longOutputTokens is the shortest output from which the time per token is measured.
+	longOutputTokens = 16
+)
+
+// byWork reports whether requests are assigned to the upstream by its remaining work and its pace.
+func (u *upstream) byWork() bool { return u.service.ranked(u.options) }
+
+// addPrefill records a prompt that the engine will prefill after those it was assigned before.
+func (u *upstream) addPrefill(now time.Time, e *requestState) {
+	if len(u.prefills) == 0 {
+		u.headSince = now
+	}
+	u.prefills = append(u.prefills, e)
+}
+
+// removePrefill records that a prompt has been prefilled, or that the attempt has ended before.
+func (u *upstream) removePrefill(now time.Time, e *requestState) {
+	if i := slices.Index(u.prefills, e); i >= 0 {
+		u.prefills = slices.Delete(u.prefills, i, i+1)
+		if i == 0 {
+			u.headSince = now
+		}
+	}
+}
+
+// prefillWork is the time that a number of prompt tokens takes at usual pace.
+func (u *upstream) prefillWork(tokens int) time.Duration {
+	return time.Duration(tokens) * u.prefillPerToken
+}
+
+// headWork is the work of the prompt that the engine prefills now, at usual pace.
+func (u *upstream) headWork() time.Duration {
+	return u.prefillWork(u.prefills[0].prefillTokens) + firstTokenOverhead
+}
+
+// overduePace returns the pace that explains why the prompt that the engine prefills now has no first token yet, 0 if
+// it is not overdue.
+func (u *upstream) overduePace(now time.Time) float64 {
+	if len(u.prefills) == 0 {
+		return 0
+	}
+	elapsed, expected := now.Sub(u.headSince), u.pace.timeFor(u.headSince, u.headWork())
+	if float64(elapsed) < overdueRatio*float64(expected) {
+		return 0
+	}
+	return BoundPace(float64(elapsed) / float64(u.headWork()))
+}
+
+// timeFor returns how long work takes on the upstream from now on that takes the given time at usual pace.
+func (u *upstream) timeFor(now time.Time, work time.Duration) time.Duration {
+	took := u.pace.timeFor(now, work)
+	if overdue := u.overduePace(now); overdue > 0 {
+		took = max(took, fractionOf(work, overdue))
+	}
+	return took
+}
+
+// remainingPrefill returns the work, at usual pace, that is left of the prompts assigned to the engine.
+func (u *upstream) remainingPrefill(now time.Time) time.Duration {
+	if len(u.prefills) == 0 {
+		return 0
+	}
+	head := u.prefillWork(u.prefills[0].prefillTokens)
+	done := fractionOf(now.Sub(u.headSince), 1/u.pace.current(now))
+	return u.prefillWork(u.pendingPrefillTokens) - min(done, fractionOf(head, maxHeadProgress))
+}
+
+// tokenTime is the expected time that the engine takes to generate one token.
+func (u *upstream) tokenTime() time.Duration {
+	return fractionOf(typicalTokenTime, u.pace.slowComponent()*u.decodeFactor)
+}
+
+// learnPrefillPace updates the prefill speed from the time to a first token: the pace if the upstream does not state
+// it, else the time per token at usual pace. Slow starts are not learned, since they end.
+func (u *upstream) learnPrefillPace(now time.Time, e *requestState) {
+	if u.engine == nil || e.prefillTokens+e.prefillAhead < minMeasuredTokens || u.slowStart.active(now) {
+		return
+	}
+	expected := u.prefillWork(e.prefillTokens+e.prefillAhead) + firstTokenOverhead
+	measured := float64(now.Sub(e.grantedAt)) / float64(expected)
+	if !u.pace.stated {
+		u.pace.observe(now, measured)
+		return
+	}
+	factor := measured * 2 / (e.paceAtGrant + u.pace.current(now))
+	factor = min(max(factor, minPrefillFactor), maxPrefillFactor)
+	u.prefillPerToken = min(fractionOf(u.prefillPerToken, 1+learnWeight*(factor-1)), maxPrefillPerToken)
+}
+
+// learnTokenTime updates the decode speed from a complete stream.
+func (u *upstream) learnTokenTime(now time.Time, e *requestState, tokens int) {
+	if tokens < longOutputTokens || e.firstByteAt.IsZero() || u.slowStart.active(now) {
+		return
+	}
+	expected := float64(tokens) * float64(typicalTokenTime) * u.pace.slowComponent()
+	factor := min(max(float64(now.Sub(e.firstByteAt))/expected, minPace), maxPace)
+	u.decodeFactor += learnWeight * (factor - u.decodeFactor)
+}
+
+// loadStated applies the load that an upstream has stated at the beginning of an answer. Without a pace it is applied at
+// the end of the answer only, unless requests are assigned by work.
+func (a *Assigner) loadStated(now time.Time, ev LoadStated) {
+	u := a.upstreams[ev.Upstream]
+	e, ok := a.requests[ev.ID]
+	switch {
+	case ok && e.upstream != nil:
+		u = e.upstream
+	case u == nil || u.record.StartedAt != ev.StartedAt:
+		return
+	}
+	if BoundPace(ev.Load.Pace) == 0 && !u.byWork() {
+		return
+	}
+	u.recordLoad(now, ev.Load)
+	if ok {
+		e.loadStated = true
+	}
+}
+
+// recordLoad records the load and the pace that the upstream has stated in a response.
+func (u *upstream) recordLoad(now time.Time, l Load) {
+	u.reportedLoad, u.lastHeardAt = l, now
+	u.others.record(now, float64(max(l.Running+l.Waiting-len(u.running), 0)))
+	figure := BoundPace(l.Pace)
+	if figure == 0 {
+		return
+	}
+	if !u.byWork() {
+		u.service.resetSpeeds()
+	}
+	u.service.statesPace = true
+	u.pace.state(now, figure)
+}
+
+// resetSpeeds discards what was learned of the speeds of the upstreams while their pace was not considered.
+func (s *service) resetSpeeds() {
+	for _, u := range s.upstreams {
+		u.prefillPerToken, u.requestTime = assumedPrefillPerToken, assumedRequestTime
+	}
+}
--- a/assign/serve.go
+++ b/assign/serve.go
@@ -74,7 +74,7 @@
 		return
 	}
 	waiting := a.queuesFor(u)
-	for len(waiting) > 0 && (u.engine == nil || u.backlog() <= maxBacklog) {
+	for len(waiting) > 0 && (u.engine == nil || u.hasBacklogRoom(now)) {
 		first := slices.MinFunc(waiting, func(x, y *queue) int { return compareWaiting(now, x.entries[0], y.entries[0]) })
 		served := false
 		a.serveQueue(first, func(e *requestState) bool {
--- /dev/null
+++ b/assign/unevenengines_test.go
@@ -0,0 +1,454 @@
+package assign
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/catalog"
+)
+
+// Figures of the simulated engines, in the middle of the ranges that users' deployments state.
+const (
+	unevenStep           = 8800 * time.Microsecond
+	unevenStepPerRequest = 23 * time.Microsecond
+	unevenStepPer1000    = 30 * time.Microsecond
+	unevenPrefillToken   = 45 * time.Microsecond
+	unevenChunk          = 2048
+	unevenBatch          = 64
+	unevenCache          = 130_000
+	// unevenTurn is the time for which an engine is unevenSlowdown times slower.
+	unevenTurn     = 600 * time.Millisecond
+	unevenSlowdown = 2.5
+	// unevenDelay is the time that a response takes to the host and its report to the Assigner.
+	unevenDelay = 2 * time.Millisecond
+	// unevenRatio is the bound on the 95th percentile of the time to first token, relative to the oracle's.
+	unevenRatio = 1.2
+)
+
+// unevenSpeeds are the speeds of the kinds of machines, as time per unit of work.
+var unevenSpeeds = []float64{0.7, 0.7, 1.7}
+
+// unevenRequest is a simulated request with its true cost.
+type unevenRequest struct {
+	request Request
+	output  int
+	// prefillLeft and generated are the progress of the request on its engine.
+	prefillLeft, generated int
+	firstToken             time.Duration
+}
+
+// unevenEngine generates one token for each stream and prefills at most one chunk of prompts in each step. A prompt waits
+// while the batch or the KV cache has no room for it.
+type unevenEngine struct {
+	id      string
+	index   int
+	speed   float64
+	waiting []*unevenRequest
+	streams []*unevenRequest
+	// chunk is the number of tokens that the present step prefills.
+	chunk   int
+	stepEnd time.Time
+	busy    bool
+}
+
+// copy returns a copy of the engine with copies of its requests.
+func (e *unevenEngine) copy() *unevenEngine {
+	copied := *e
+	copied.waiting, copied.streams = nil, nil
+	for _, r := range e.waiting {
+		other := *r
+		copied.waiting = append(copied.waiting, &other)
+	}
+	for _, r := range e.streams {
+		other := *r
+		copied.streams = append(copied.streams, &other)
+	}
+	return &copied
+}
+
+// context returns the number of tokens in the KV cache of the streams.
+func (e *unevenEngine) context() int {
+	context := 0
+	for _, r := range e.streams {
+		context += r.request.PromptTokens + r.generated
+	}
+	return context
+}
+
+// startStep starts a step and returns its duration at usual pace, 0 if there is no work.
+func (e *unevenEngine) startStep() time.Duration {
+	if len(e.waiting)+len(e.streams) == 0 {
+		return 0
+	}
+	context, running := e.context(), len(e.streams)
+	took := unevenStep + time.Duration(float64(context)/1000*float64(unevenStepPer1000))
+	e.chunk = 0
+	for _, r := range e.waiting {
+		context += r.request.PromptTokens
+		running++
+		if running > unevenBatch || context > unevenCache || e.chunk == unevenChunk {
+			break
+		}
+		e.chunk += min(r.prefillLeft, unevenChunk-e.chunk)
+	}
+	return took + time.Duration(running)*unevenStepPerRequest + time.Duration(e.chunk)*unevenPrefillToken
+}
+
+// endStep ends a step and returns the requests that have their first token since, and those that have ended.
+func (e *unevenEngine) endStep() (started, ended []*unevenRequest) {
+	e.streams = slices.DeleteFunc(e.streams, func(r *unevenRequest) bool {
+		r.generated++
+		if r.generated >= r.output {
+			ended = append(ended, r)
+		}
+		return r.generated >= r.output
+	})
+	for e.chunk > 0 {
+		r := e.waiting[0]
+		done := min(e.chunk, r.prefillLeft)
+		r.prefillLeft -= done
+		e.chunk -= done
+		if r.prefillLeft > 0 {
+			break
+		}
+		e.waiting = e.waiting[1:]
+		r.generated = 1
+		started = append(started, r)
+		e.streams = append(e.streams, r)
+	}
+	return started, ended
+}
+
+// unevenFleet simulates engines of uneven speed in virtual time.
+type unevenFleet struct {
+	random  *rand.Rand
+	start   time.Time
+	now     time.Time
+	engines []*unevenEngine
+	byID    map[string]*unevenEngine
+	// slow holds, for each turn, the engines that are slower during that turn.
+	slow   []map[int]bool
+	events unevenEvents
+	order  int
+	// reportAge is the age of the pace that engines state, reported is false if they state none.
+	reportAge time.Duration
+	reported  func() bool
+	// perSecond is the rate of requests.
+	perSecond float64
+
+	assigner *Assigner
+	requests map[RequestID]*unevenRequest
+	arrived  []*unevenRequest
+	refused  int
+}
+
+type unevenEvent struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type unevenEvents []unevenEvent
+
+func (h unevenEvents) Len() int { return len(h) }
+func (h unevenEvents) Less(i, j int) bool {
+	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].order, h[j].order)) < 0
+}
+func (h unevenEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *unevenEvents) Push(x any)   { *h = append(*h, x.(unevenEvent)) }
+func (h *unevenEvents) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func (f *unevenFleet) schedule(at time.Time, do func()) {
+	f.order++
+	heap.Push(&f.events, unevenEvent{at, f.order, do})
+}
+
+const (
+	unevenEngines  = 12
+	unevenDuration = 60 * time.Second
+)
+
+func newUnevenFleet(seed uint64, perSecond float64, scheduling Scheduling) *unevenFleet {
+	f := &unevenFleet{
+		perSecond: perSecond,
+		random:    rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1_000_000, 0), now: time.Unix(1_000_000, 0),
+		byID: map[string]*unevenEngine{}, requests: map[RequestID]*unevenRequest{}, reported: func() bool { return true },
+	}
+	records := map[string]*catalog.Upstream{}
+	for i := range unevenEngines {
+		e := &unevenEngine{id: "e" + strconv.Itoa(i), index: i, speed: unevenSpeeds[i%len(unevenSpeeds)]}
+		f.engines = append(f.engines, e)
+		f.byID[e.id] = e
+		records[e.id] = &catalog.Upstream{
+			ID: e.id, StartedAt: 1, Service: "s", Address: "10.0.0.1:1", Zone: "z", Slots: unevenBatch,
+			Loaded: []catalog.LoadedModel{{Model: simModel}},
+		}
+	}
+	for range int(2*unevenDuration/unevenTurn) + 2 {
+		turn := map[int]bool{}
+		for _, i := range f.random.Perm(unevenEngines)[:unevenEngines/6] {
+			turn[i] = true
+		}
+		f.slow = append(f.slow, turn)
+	}
+	f.assigner = New(Options{
+		SendsOrders: true, Fence: 1, Share: 1, Random: rand.New(rand.NewPCG(seed, 8)), Limits: simLimits, Scheduling: scheduling,
+	})
+	f.handle(ConfigUpdated{catalog.NewConfig(catalog.ConfigParts{Version: 1, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{
+		BatchSize: unevenBatch, CacheTokens: unevenCache, AdapterSlots: 6, WeightsMB: 100,
+		Models: []catalog.Model{{Name: simModel, WeightsMB: 50, AdapterCount: 100}},
+	}}}})})
+	f.handle(UpstreamsUpdated{records})
+	return f
+}
+
+// pace returns the pace of an engine at a time.
+func (f *unevenFleet) pace(e *unevenEngine, at time.Time) float64 {
+	turn := min(max(int(at.Sub(f.start)/unevenTurn), 0), len(f.slow)-1)
+	if f.slow[turn][e.index] {
+		return e.speed * unevenSlowdown
+	}
+	return e.speed
+}
+
+// begin starts the next step of an engine that has work.
+func (f *unevenFleet) begin(e *unevenEngine) {
+	if e.busy {
+		return
+	}
+	if took := e.startStep(); took > 0 {
+		e.busy, e.stepEnd = true, f.now.Add(fractionOf(took, f.pace(e, f.now)))
+		f.schedule(e.stepEnd, func() { f.endStep(e) })
+	}
+}
+
+func (f *unevenFleet) endStep(e *unevenEngine) {
+	e.busy = false
+	started, ended := e.endStep()
+	for _, r := range started {
+		r.firstToken = f.now.Sub(r.request.Arrived)
+		f.report(LoadStated{ID: r.request.ID, Load: f.load(e)})
+		f.report(FirstByteReceived{r.request.ID})
+	}
+	for _, r := range ended {
+		f.report(AttemptEnded{ID: r.request.ID, Outcome: Completed, Succeeded: true, Feedback: UpstreamFeedback{OutputTokens: r.output}})
+	}
+	f.begin(e)
+}
+
+// report passes an event of a request to the Assigner.
+func (f *unevenFleet) report(ev Event) {
+	f.schedule(f.now.Add(unevenDelay), func() { f.handle(ev) })
+}
+
+// load returns the load that an engine states.
+func (f *unevenFleet) load(e *unevenEngine) Load {
+	l := Load{Running: len(e.streams), Waiting: len(e.waiting)}
+	if f.reported() {
+		l.Pace = f.pace(e, f.now.Add(-f.reportAge))
+	}
+	return l
+}
+
+func (f *unevenFleet) handle(ev Event) {
+	for _, d := range f.assigner.Handle(f.now, ev) {
+		switch d := d.(type) {
+		case Grant:
+			f.send(f.byID[d.Upstream], f.requests[d.ID])
+		case Refuse:
+			f.refused++
+		case ReadReport:
+			f.schedule(f.now.Add(3*time.Millisecond), func() {
+				f.handle(ReportReceived{Upstream: d.Upstream.ID, StartedAt: 1, Report: &Report{Loaded: []catalog.LoadedModel{{Model: simModel}}}})
+			})
+		}
+	}
+}
+
+func (f *unevenFleet) send(e *unevenEngine, r *unevenRequest) {
+	e.waiting = append(e.waiting, r)
+	f.begin(e)
+}
+
+// logNormal returns a sample of a distribution with the given median and the log-spread of the acceptance test.
+func (f *unevenFleet) logNormal(median float64, most int) int {
+	const spread = 1.5
+	return min(max(int(median*math.Exp(spread*f.random.NormFloat64())), 1), most)
+}
+
+// run submits requests at random times and lets choose assign each of them.
+func (f *unevenFleet) run(choose func(r *unevenRequest)) {
+	number := uint64(0)
+	var arrive func()
+	arrive = func() {
+		number++
+		r := &unevenRequest{output: max(f.logNormal(60, 1500), 2)}
+		prompt := f.logNormal(700, 16_000)
+		r.prefillLeft = prompt
+		r.request = Request{
+			ID: RequestID{"h", number}, Service: "s", Organisation: "free", Adapter: catalog.AdapterRef{Model: simModel},
+			PromptTokens: prompt, OutputTokens: 1500, Zone: "z",
+			ExpectedOutput: max(int(float64(r.output)*math.Exp(0.5*f.random.NormFloat64())), 1),
+			Arrived:        f.now, Target: f.now.Add(900 * time.Millisecond), Deadline: f.now.Add(20 * time.Second),
+		}
+		f.requests[r.request.ID] = r
+		f.arrived = append(f.arrived, r)
+		choose(r)
+		if f.now.Sub(f.start) < unevenDuration {
+			f.schedule(f.now.Add(time.Duration(f.random.ExpFloat64()/f.perSecond*float64(time.Second))), arrive)
+		}
+	}
+	f.schedule(f.start.Add(100*time.Millisecond), arrive)
+	for len(f.events) > 0 {
+		ev := f.events[0]
+		if at, ok := f.assigner.NextWakeup(f.now); ok && at.Before(ev.at) {
+			f.now = later(f.now.Add(time.Millisecond), at)
+			if f.now.Before(ev.at) {
+				f.handle(Tick{})
+				continue
+			}
+		}
+		heap.Pop(&f.events)
+		f.now = ev.at
+		ev.do()
+	}
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+// firstTokenTimes returns the times to first token, without those of the first five seconds.
+func (f *unevenFleet) firstTokenTimes() []time.Duration {
+	var times []time.Duration
+	for _, r := range f.arrived {
+		if r.request.Arrived.Sub(f.start) >= 5*time.Second {
+			times = append(times, r.firstToken)
+		}
+	}
+	return times
+}
+
+func percentile95(times []time.Duration) time.Duration {
+	slices.Sort(times)
+	return times[len(times)*95/100]
+}
+
+// firstTokenOn returns when an engine would generate the first token of a request that is sent to it now, given its
+// true state, the true output of its requests and the true pace until then.
+func (f *unevenFleet) firstTokenOn(e *unevenEngine, r *unevenRequest) time.Time {
+	copied, sent := e.copy(), *r
+	copied.waiting = append(copied.waiting, &sent)
+	at := f.now
+	if e.busy {
+		at = e.stepEnd
+		copied.endStep()
+	}
+	for sent.generated == 0 {
+		at = at.Add(fractionOf(copied.startStep(), f.pace(e, at)))
+		copied.endStep()
+	}
+	return at
+}
+
+// oracle assigns a request to the engine that generates its first token first.
+func (f *unevenFleet) oracle(r *unevenRequest) {
+	var best *unevenEngine
+	var bestAt time.Time
+	for _, e := range f.engines {
+		if at := f.firstTokenOn(e, r); best == nil || at.Before(bestAt) {
+			best, bestAt = e, at
+		}
+	}
+	f.send(best, r)
+}
+
+func (f *unevenFleet) submit(r *unevenRequest) { f.handle(RequestSubmitted{r.request}) }
+
+// unevenReport is a quality of the reports of load: their age, the fraction of them that state no pace, and the order of
+// requests while there is no statement.
+type unevenReport struct {
+	name       string
+	age        time.Duration
+	missing    float64
+	scheduling Scheduling
+}
+
+// unevenReports are the qualities of the reports of load.
+var unevenReports = []unevenReport{
+	{name: "current"},
+	{name: "old", age: 200 * time.Millisecond},
+	{name: "half missing", missing: 0.5},
+	{name: "missing", missing: 1, scheduling: ByUrgency},
+}
+
+// unevenLoads are about half and three quarters of the rate at which the oracle's times begin to grow without bound.
+var unevenLoads = []float64{60, 78}
+
+const unevenSeeds = 3
+
+// unevenOracle returns the oracle's 95th percentile over all seeds.
+func unevenOracle(perSecond float64) time.Duration {
+	var times []time.Duration
+	for seed := range uint64(unevenSeeds) {
+		f := newUnevenFleet(seed, perSecond, ByArrival)
+		f.run(f.oracle)
+		times = append(times, f.firstTokenTimes()...)
+	}
+	return percentile95(times)
+}
+
+// unevenResult returns the 95th percentile over all seeds with an Assigner.
+func unevenResult(t *testing.T, perSecond float64, reports unevenReport) time.Duration {
+	var times []time.Duration
+	for seed := range uint64(unevenSeeds) {
+		f := newUnevenFleet(seed, perSecond, reports.scheduling)
+		f.reportAge = reports.age
+		random := rand.New(rand.NewPCG(seed, 9))
+		f.reported = func() bool { return random.Float64() >= reports.missing }
+		f.run(f.submit)
+		require.Zero(t, f.refused)
+		times = append(times, f.firstTokenTimes()...)
+	}
+	return percentile95(times)
+}
+
+// Engines of uneven speed, some of them slower for a moment, with requests of very different cost. Without the pace and
+// the remaining work of each engine, requests queue behind others on slow engines.
+func TestUnevenEngines_TimeToFirstToken(t *testing.T) {
+	for _, perSecond := range unevenLoads {
+		oracle := unevenOracle(perSecond)
+		for _, reports := range unevenReports {
+			t.Run(fmt.Sprintf("%g per second, reports %s", perSecond, reports.name), func(t *testing.T) {
+				got := unevenResult(t, perSecond, reports)
+				t.Logf("p95 %s, oracle %s, ratio %.2f", got, oracle, float64(got)/float64(oracle))
+				require.LessOrEqual(t, float64(got), unevenRatio*float64(oracle))
+			})
+		}
+	}
+}
+
+// The bound must find an Assigner that does not consider the pace: the one of a service whose upstreams state none.
+func TestUnevenEngines_PaceIgnored(t *testing.T) {
+	perSecond := unevenLoads[len(unevenLoads)-1]
+	oracle := unevenOracle(perSecond)
+	got := unevenResult(t, perSecond, unevenReport{missing: 1})
+	t.Logf("p95 %s, oracle %s, ratio %.2f", got, oracle, float64(got)/float64(oracle))
+	require.Greater(t, float64(got), unevenRatio*float64(oracle))
+}
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -64,6 +64,17 @@
 	cacheTokens int
 	// prefillPerToken is the prefill time per prompt token.
 	prefillPerToken time.Duration
+	// prefills are the requests without a first token, in the order of their assignment. headSince is the time at which
+	// the engine began with the first of them.
+	prefills  []*requestState
+	headSince time.Time
+	// pace is the pace of the upstream. prefillPerToken is the time at usual pace if requests are assigned by work.
+	pace pace
+	// decodeFactor is the time per generated token, relative to typicalTokenTime at the upstream's usual pace.
+	decodeFactor float64
+	// others is the load of other hosts' requests.
+	others  othersLoad
+	options *Options
 	// requestTime is the time from assignment to answer of a plain service.
 	requestTime time.Duration
 	// errorRate is the moving average of the fraction of failed requests.
@@ -110,9 +121,10 @@
 	block   string
 }
 
-func newUpstream(record *catalog.Upstream, s *service, engine *catalog.Engine, h *adapterIndex, c *coldLoadLimiter) *upstream {
+func newUpstream(record *catalog.Upstream, s *service, engine *catalog.Engine, a *Assigner) *upstream {
 	return &upstream{
-		record: record, service: s, engine: engine, adapterIndex: h, coldLoads: c, running: map[RequestID]*requestState{},
+		record: record, service: s, engine: engine, adapterIndex: &a.adapterIndex, coldLoads: &a.coldLoads,
+		options: &a.options, decodeFactor: 1, running: map[RequestID]*requestState{},
 		prefillPerToken: assumedPrefillPerToken, requestTime: assumedRequestTime,
 		prefillLoad: decayingRate{halfLife: prefillHalfLife}, slots: map[string]*slot{}, warm: map[string]time.Time{},
 		models: map[string]bool{}, cachedBlocks: map[blockKey]time.Time{},
@@ -148,7 +160,7 @@
 	if configured := a.config.Service(record.Service); configured != nil {
 		engine = configured.Engine
 	}
-	u := newUpstream(record, s, engine, &a.adapterIndex, &a.coldLoads)
+	u := newUpstream(record, s, engine, a)
 	u.maxEventGap = a.config.MaxEventGap(record.Service)
 	u.lastHeardAt = now
 	u.evacuated = a.evacuatedZones[record.Zone]
@@ -234,12 +246,17 @@
 	if !e.prefillDone {
 		e.prefillDone = true
 		u.pendingPrefillTokens -= e.prefillTokens
+		u.removePrefill(now, e)
 		u.burst.idleSince = now
 	}
 }
 
 // learnPrefillTime updates the prefill time per token from the time to a first token.
 func (u *upstream) learnPrefillTime(now time.Time, e *requestState) {
+	if u.byWork() {
+		u.learnPrefillPace(now, e)
+		return
+	}
 	tokens := e.prefillTokens + e.prefillAhead
 	if u.engine == nil || tokens < minMeasuredTokens {
 		return
@@ -251,8 +268,9 @@
 // recordOutcome applies the outcome of an attempt and the feedback that came with it.
 func (u *upstream) recordOutcome(now time.Time, e *requestState, ev AttemptEnded) {
 	u.recordEventGaps(now, ev.EventGaps)
-	if ev.Feedback.Load != nil {
-		u.reportedLoad, u.lastHeardAt = *ev.Feedback.Load, now
+	// The load of a stream was stated at its beginning.
+	if ev.Feedback.Load != nil && !e.loadStated {
+		u.recordLoad(now, *ev.Feedback.Load)
 	}
 	if ev.Feedback.BackOff > 0 {
 		u.recordBackOff(now, ev.ID.Host, ev.Feedback.BackOff)
@@ -264,6 +282,7 @@
 		if u.engine == nil {
 			u.requestTime += time.Duration(learnWeight * float64(now.Sub(e.grantedAt)-u.requestTime))
 		}
+		u.learnTokenTime(now, e, ev.Feedback.OutputTokens)
 	case Failed:
 		failed, u.consecutiveFailures = 1, 0
 	case Full:
@@ -362,7 +381,31 @@
 	return !now.Before(u.backOff[host])
 }
 
-// backlog is the expected time until the engine has prefilled the prompts assigned to it.
+// backlog is the time that the prompts assigned to the engine take at usual pace.
 func (u *upstream) backlog() time.Duration {
-	return time.Duration(u.pendingPrefillTokens) * u.prefillPerToken
+	return u.prefillWork(u.pendingPrefillTokens)
+}
+
+// hasBacklogRoom reports whether the engine may be assigned another prompt in advance.
+func (u *upstream) hasBacklogRoom(now time.Time) bool {
+	if u.byWork() {
+		return u.timeFor(now, u.remainingPrefill(now)) <= maxWorkBacklog
+	}
+	return u.backlog() <= maxBacklog
+}
+
+// prefillTime is the expected time of the prefill of a number of prompt tokens.
+func (u *upstream) prefillTime(now time.Time, tokens int) time.Duration {
+	if u.byWork() {
+		return u.timeFor(now, u.prefillWork(tokens))
+	}
+	return u.prefillWork(tokens)
+}
+
+// tokensAhead is the number of prompt tokens that are left to prefill.
+func (u *upstream) tokensAhead(now time.Time) int {
+	if u.byWork() {
+		return int(u.remainingPrefill(now) / max(u.prefillPerToken, 1))
+	}
+	return u.pendingPrefillTokens
 }
--- /dev/null
+++ b/assign/workchoice.go
@@ -0,0 +1,103 @@
+package assign
+
+import (
+	"time"
+)
+
+// Weights for the choice of an upstream by its remaining work. Costs are added to the expected time to the first token.
+const (
+	// prefillDelayWeight is the weight of a prompt's prefill time, per running request of the engine. It is lower than
+	// decodeDelayWeight, since the limit on prefill bursts protects streams, and since fast engines run more requests
+	// at once than slow ones.
+	prefillDelayWeight = 0.003
+	// maxWorkBacklog is maxBacklog for engines that are chosen by work. It is shorter, since the pace of an engine may
+	// change before it begins with a request that was assigned in advance.
+	maxWorkBacklog = 250 * time.Millisecond
+	// maxRequestTime bounds the expected time of a request to a plain service.
+	maxRequestTime = time.Minute
+	// minRemainingFraction is the fraction of its time that a request to a plain service is taken to need still, for
+	// as long as it runs.
+	minRemainingFraction = 0.2
+)
+
+// workCost returns the cost of serving a request on an engine, and whether the request can be assigned now.
+func (a *Assigner) workCost(now time.Time, u *upstream, e *requestState) (cost time.Duration, ready bool) {
+	backlogWork, prefillWork := u.remainingPrefill(now), u.prefillWork(u.uncachedTokens(now, &e.request))
+	backlog := u.timeFor(now, backlogWork)
+	firstToken := u.timeFor(now, backlogWork+prefillWork+firstTokenOverhead)
+	prefill := firstToken - backlog
+	decode := time.Duration(a.expectedTokensOf(e)) * u.tokenTime()
+	cost = firstToken + fractionOf(prefill, prefillDelayWeight*float64(len(u.running)))
+	if late := firstToken + decode - e.request.Deadline.Sub(now); late > 0 {
+		cost += late // the answer would be cut off
+	}
+	return cost, backlog <= maxWorkBacklog && u.mayPrefill(now, prefill)
+}
+
+// expectedTokensOf returns the expected output of a request, which is estimated once.
+func (a *Assigner) expectedTokensOf(e *requestState) int {
+	if e.expectedTokens == 0 {
+		e.expectedTokens = max(a.expectedTokens(&e.request), 1)
+	}
+	return e.expectedTokens
+}
+
+// cacheNeed returns the KV cache, in tokens, that a request may use at most or, if requests are assigned by work, is
+// expected to use.
+func (a *Assigner) cacheNeed(u *upstream, e *requestState) int {
+	r := &e.request
+	if !u.byWork() {
+		return r.PromptTokens + r.OutputTokens
+	}
+	return r.PromptTokens + min(r.OutputTokens, a.expectedTokensOf(e))
+}
+
+// slotCount returns the number of requests that the upstream runs at once.
+func (u *upstream) slotCount() int { return max(u.record.Slots, 1) }
+
+// plainWorkCost returns the expected time in which a plain service answers a request.
+func (a *Assigner) plainWorkCost(now time.Time, u *upstream, e *requestState) time.Duration {
+	own := a.expectedRequestTimeOf(e)
+	ahead := u.remainingPlainWork(now) + fractionOf(assumedRequestTime, u.others.expected(now))
+	return u.timeFor(now, own+ahead/time.Duration(u.slotCount()))
+}
+
+// expectedRequestTimeOf returns the expected time of a request, which is estimated once.
+func (a *Assigner) expectedRequestTimeOf(e *requestState) time.Duration {
+	if e.expectedTime == 0 {
+		e.expectedTime = max(a.expectedRequestTime(&e.request), 1)
+	}
+	return e.expectedTime
+}
+
+// remainingPlainWork returns the work, at usual pace, that is left of the requests that run on the upstream.
+func (u *upstream) remainingPlainWork(now time.Time) time.Duration {
+	total, speed := time.Duration(0), 1/u.pace.current(now)
+	for _, e := range u.running {
+		total += max(e.expectedTime-fractionOf(now.Sub(e.grantedAt), speed), fractionOf(e.expectedTime, minRemainingFraction))
+	}
+	return total
+}
+
+// othersLoad is the number of requests that other hosts have sent to an upstream: an average, and the latest figure,
+// which counts the less the older it is.
+type othersLoad struct {
+	average, latest float64
+	at              time.Time
+}
+
+// othersWeight is the weight of a new figure in the average.
+const othersWeight = 0.1
+
+func (l *othersLoad) record(now time.Time, n float64) {
+	if l.at.IsZero() {
+		l.average = n
+	}
+	l.average += othersWeight * (n - l.average)
+	l.latest, l.at = n, now
+}
+
+func (l *othersLoad) expected(now time.Time) float64 {
+	age := float64(now.Sub(l.at)) / float64(momentaryPaceTime)
+	return l.average + (l.latest-l.average)*max(0, 1-age)
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -102,6 +102,8 @@
 	// WeightsMB is the memory of an engine for models and adapters, in megabytes.
 	WeightsMB float64
 	Models    []Model
+	// TokensPerEvent is the number of tokens in an event of a stream, 0 if unknown.
+	TokensPerEvent int
 }
 
 // Model is a base model.
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -119,7 +119,7 @@
 // buildRequest sets x.request, from which the broker assigns an upstream.
 func (x *exchange) buildRequest() {
 	request := assign.Request{
-		Service: x.route.PickService(x.server.Random()), Adapter: x.requestInfo.Adapter,
+		Service: x.route.PickService(x.server.Random()), Route: x.route.Name, Adapter: x.requestInfo.Adapter,
 		PromptTokens: x.requestInfo.PromptTokens, OutputTokens: x.requestInfo.OutputTokens,
 		ExpectedOutput: x.requestInfo.LengthHint, PrefixBlocks: x.requestInfo.PrefixBlocks, Priority: x.route.Priority,
 		Arrived: x.arrived, Target: x.arrived.Add(x.route.TargetLatency), Deadline: x.deadline,
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -46,6 +46,8 @@
 	headerWritten bool
 	stop          stopState
 	lastEventID   string
+	// events counts the events of the stream that were relayed, over all attempts.
+	events int
 	// eventGaps classifies the gaps between the events of the last attempt.
 	eventGaps assign.EventGaps
 	// noListener reports whether the last upstream refused the connection, unframed whether only the end of the
@@ -286,6 +288,7 @@
 		x.server.Broker.UpstreamLeaving(u)
 	}
 	x.server.Broker.RateLimitStated(u, sentAt, info.RateLimit)
+	x.server.Broker.LoadStated(x.ticket, info.Feedback.Load)
 	if info.Outcome.NotRun() {
 		x.recordFailure("rejected: "+info.Outcome.String(), nil)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxRejectionBytes)) // lets the connection be reused
@@ -293,7 +296,11 @@
 	}
 	x.ranCount++
 	x.unframed = resp.Unframed()
-	return x.relay(resp, info), info.Feedback
+	outcome := x.relay(resp, info)
+	if outcome == assign.Completed {
+		info.Feedback.OutputTokens = x.outputTokens()
+	}
+	return outcome, info.Feedback
 }
 
 // maxRejectionBytes limits how much of a rejection's body is read.
--- a/entry/response.go
+++ b/entry/response.go
@@ -165,6 +165,7 @@
 		if id != "" {
 			x.lastEventID = id
 		}
+		x.events++
 		if _, err := x.w.Write(event); err != nil {
 			return assign.CallerLeft
 		}
@@ -177,6 +178,16 @@
 	}
 }
 
+// outputTokens returns the number of tokens of a complete stream, 0 if unknown: the events of another stream's beginning
+// were relayed before this request, or the service does not state the tokens per event.
+func (x *exchange) outputTokens() int {
+	service := x.view.Config.Service(x.request.Service)
+	if x.requestInfo.LastEventID != "" || service == nil || service.Engine == nil {
+		return 0
+	}
+	return x.events * service.Engine.TokensPerEvent
+}
+
 // follows reports whether a stream that was interrupted after the event with the id last may go on with the event with the
 // given id. IDs that are no numbers are not compared.
 func follows(id, last string) bool {
--- a/leader/broker.go
+++ b/leader/broker.go
@@ -229,6 +229,7 @@
 	b.update(func(now time.Time) {
 		r.ID, r.Zone = t.request.ID, b.options.Zone
 		t.request, t.decided, t.upstream, t.firstByteReceived = r, false, "", false
+		t.load, t.loadPassedOn = nil, false
 		b.submit(now, t)
 	})
 }
@@ -303,20 +304,13 @@
 	})
 }
 
-// FirstByteReceived records that the first byte of an answer has arrived.
-func (b *Broker) FirstByteReceived(t *Ticket) {
-	b.update(func(now time.Time) {
-		t.firstByteReceived = true
-		b.forwardEvent(now, t, assign.FirstByteReceived{ID: t.request.ID}, &wire.FirstByteReceived{Number: t.request.ID.Number})
-	})
-}
-
 // AttemptEnded records how an attempt ended. The ticket's ID replaces the event's.
 func (b *Broker) AttemptEnded(t *Ticket, ev assign.AttemptEnded) {
 	b.update(func(now time.Time) {
 		ev.ID = t.request.ID
 		b.feedback.setBackOff(now, t.upstream, ev.Feedback.BackOff)
 		b.recordAttempt(now, t, &ev)
+		ev = b.endOfAttempt(now, t, ev)
 		t.upstream = ""
 		b.forwardEvent(now, t, ev, endedMessage(&ev))
 	})
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -127,7 +127,7 @@
 	case *wire.WithdrawRequest:
 		b.handleLeading(now, assign.RequestWithdrawn{ID: requestID(m.Number)})
 	case *wire.FirstByteReceived:
-		b.handleLeading(now, assign.FirstByteReceived{ID: requestID(m.Number)})
+		b.receiveFirstByte(now, requestID(m.Number), m)
 	case *wire.AttemptEnded:
 		b.handleLeading(now, endedEvent(from, m))
 	case *wire.HostHeartbeat:
--- a/leader/messages.go
+++ b/leader/messages.go
@@ -18,7 +18,7 @@
 // requestMessage encodes a request for the leader.
 func requestMessage(now time.Time, r *assign.Request) *wire.AssignRequest {
 	m := &wire.AssignRequest{
-		Number: r.ID.Number, Service: r.Service, Organisation: r.Organisation,
+		Number: r.ID.Number, Service: r.Service, Route: r.Route, Organisation: r.Organisation,
 		Model: r.Adapter.Model, Adapter: r.Adapter.Adapter, PromptTokens: r.PromptTokens,
 		OutputTokens: r.OutputTokens, ExpectedOutput: r.ExpectedOutput,
 		Cost: r.Cost, Priority: r.Priority, Zone: r.Zone,
@@ -38,7 +38,7 @@
 func decodeRequest(now time.Time, host string, m *wire.AssignRequest) assign.Request {
 	r := assign.Request{
 		ID:      assign.RequestID{Host: host, Number: m.Number},
-		Service: m.Service, Organisation: m.Organisation, Adapter: catalog.AdapterRef{Model: m.Model, Adapter: m.Adapter},
+		Service: m.Service, Route: m.Route, Organisation: m.Organisation, Adapter: catalog.AdapterRef{Model: m.Model, Adapter: m.Adapter},
 		PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens,
 		ExpectedOutput: m.ExpectedOutput, Cost: m.Cost, Priority: m.Priority,
 		Zone: m.Zone, Avoid: m.Avoid, Charged: m.Charged,
@@ -59,8 +59,9 @@
 		Number: ev.ID.Number, Outcome: uint8(ev.Outcome), EventGaps: uint8(ev.EventGaps), BackOffMillis: ev.Feedback.BackOff.Milliseconds(),
 	}
 	if load := ev.Feedback.Load; load != nil {
-		m.HasLoad, m.Running, m.Waiting = true, load.Running, load.Waiting
+		m.HasLoad, m.Running, m.Waiting, m.PacePercent = true, load.Running, load.Waiting, pacePercent(load.Pace)
 	}
+	m.OutputTokens = ev.Feedback.OutputTokens
 	return m
 }
 
@@ -71,8 +72,9 @@
 		Feedback: assign.UpstreamFeedback{BackOff: milliseconds(m.BackOffMillis)}, EventGaps: assign.EventGaps(m.EventGaps),
 	}
 	if m.HasLoad {
-		ended.Feedback.Load = &assign.Load{Running: m.Running, Waiting: m.Waiting}
+		ended.Feedback.Load = &assign.Load{Running: m.Running, Waiting: m.Waiting, Pace: decodePace(m.PacePercent)}
 	}
+	ended.Feedback.OutputTokens = max(m.OutputTokens, 0)
 	return ended
 }
 
--- a/leader/ticket.go
+++ b/leader/ticket.go
@@ -17,6 +17,10 @@
 	upstream          string
 	upstreamStartedAt int64
 	firstByteReceived bool
+	// load is what the upstream stated in the header of the present attempt's answer, nil if nothing. loadPassedOn is
+	// set once it has been passed on with the first byte.
+	load         *assign.Load
+	loadPassedOn bool
 	// grantedAt is when the request was last assigned an upstream.
 	grantedAt time.Time
 	// submittedAt is when the request was last submitted, by Options.Clock. held is the part of the time since then
