--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -208,7 +208,7 @@
 func (a *Assigner) serveRankedOn(now time.Time, u *upstream) {
 	l := u.service.line
 	waiting := a.queuesFor(u)
-	for len(waiting) > 0 && (u.engine == nil || u.backlog() <= maxBacklog) && u.usable(now) {
+	for len(waiting) > 0 && (u.engine == nil || u.hasBacklogRoom(now)) && u.usable(now) {
 		first := slices.MinFunc(waiting, func(x, y *queue) int {
 			return l.key(now, x.ordered.Head(now)).compare(l.key(now, y.ordered.Head(now)))
 		})
