assign: work left to decode, copies of hot adapters, decode windows at the pace of the engine

Streams counted by their number only, and a further copy of an adapter was loaded once requests queued for it. The tokens that are left to decode now count as remaining work. In services that are assigned by work, an adapter whose copies use more than maxCopyLoad of their engines' time gets another copy at once, if necessary in the place of an adapter with a quarter of its demand or less. The decode window between prefill bursts is as long as the engine's pace makes it.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -148,6 +148,8 @@
 	// in the answer's header was received before the answer's end.
 	firstByteAt time.Time
 	loadStated  bool
+	// adopted is true if another Assigner has assigned the request, so that its times are not known.
+	adopted bool
 }
 
 // New returns an Assigner without configuration, upstreams or requests.
@@ -279,7 +281,7 @@
 	if _, ok := a.requests[ev.Request.ID]; ok {
 		return
 	}
-	e := &requestState{request: ev.Request}
+	e := &requestState{request: ev.Request, adopted: true}
 	u, ok := a.upstreams[ev.Upstream]
 	if !ok {
 		return
@@ -292,8 +294,7 @@
 	a.startAttempt(now, e, u, held)
 	if ev.FirstByteReceived {
 		u.finishPrefill(now, e)
-		u.streams++
-		e.streaming = true
+		u.addStream(now, e)
 	}
 }
 
@@ -311,11 +312,9 @@
 	if !ok || e.upstream == nil || e.prefillDone {
 		return
 	}
-	e.firstByteAt = now
 	e.upstream.learnPrefillTime(now, e)
 	e.upstream.finishPrefill(now, e)
-	e.upstream.streams++
-	e.streaming = true
+	e.upstream.addStream(now, e)
 	a.serveOn(now, e.upstream)
 }
 
@@ -390,6 +389,9 @@
 	if s != nil {
 		s.claims++
 		s.lastUsed = now
+		if u.byWork() {
+			s.recordCopyLoad(now, prefill)
+		}
 	}
 	u.rememberBlocks(now, &e.request)
 	u.slowStart.take(now)
@@ -400,7 +402,7 @@
 	u := e.upstream
 	u.finishPrefill(now, e)
 	if e.streaming {
-		u.streams--
+		u.removeStream(now, e)
 	}
 	delete(u.running, e.request.ID)
 	u.cacheTokens -= e.cacheTokens
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -78,6 +78,7 @@
 	}
 	a.loadOnIdle(now, s, e.request.Adapter)
 	a.grant(now, e, best)
+	a.copyHotAdapter(now, s, e)
 	return true
 }
 
--- a/assign/prefillburst.go
+++ b/assign/prefillburst.go
@@ -56,7 +56,15 @@
 
 // hadDecodeWindow reports whether each of the engine's streams has had time for an event since the last prefill.
 func (u *upstream) hadDecodeWindow(now time.Time) bool {
-	return u.pendingPrefillTokens == 0 && now.Sub(u.burst.idleSince) >= decodeWindow
+	return u.pendingPrefillTokens == 0 && now.Sub(u.burst.idleSince) >= u.decodeWindow(now)
+}
+
+// decodeWindow returns decodeWindow at the pace of the engine, if it is known.
+func (u *upstream) decodeWindow(now time.Time) time.Duration {
+	if u.byWork() {
+		return fractionOf(decodeWindow, u.pace.current(now))
+	}
+	return decodeWindow
 }
 
 // recordPrefill records that an engine was assigned a prompt with the given prefill time.
--- a/assign/remainingwork.go
+++ b/assign/remainingwork.go
@@ -23,7 +23,7 @@
 )
 
 // byWork reports whether requests are assigned to the upstream by its remaining work and its pace.
-func (u *upstream) byWork() bool { return u.service.ranked(u.options) }
+func (u *upstream) byWork() bool { return u.service != nil && u.service.ranked(u.options) }
 
 // addPrefill records a prompt that the engine will prefill after those it was assigned before.
 func (u *upstream) addPrefill(now time.Time, e *requestState) {
@@ -85,6 +85,49 @@
 	return u.prefillWork(u.pendingPrefillTokens) - min(done, fractionOf(head, maxHeadProgress))
 }
 
+// decodeBacklog is the number of tokens that an engine has yet to generate for its streams, as of the time at.
+type decodeBacklog struct {
+	tokens float64
+	at     time.Time
+}
+
+// remainingDecode returns the number of tokens that are expected to be left to decode: each stream generates one in
+// tokenTime. Each stream has one left at least, since its end is not known before it is there.
+func (u *upstream) remainingDecode(now time.Time) float64 {
+	if u.streams == 0 {
+		return 0
+	}
+	generated := float64(u.streams) * float64(now.Sub(u.decode.at)) / float64(max(u.tokenTime(), 1))
+	return max(u.decode.tokens-generated, float64(u.streams))
+}
+
+// addStream records that a request has its first token.
+func (u *upstream) addStream(now time.Time, e *requestState) {
+	u.decode = decodeBacklog{u.remainingDecode(now) + float64(e.expectedTokens), now}
+	u.streams++
+	e.streaming, e.firstByteAt = true, now
+}
+
+// removeStream records that a stream has ended, with what was expected to be left of it.
+func (u *upstream) removeStream(now time.Time, e *requestState) {
+	left := float64(e.expectedTokens) - float64(now.Sub(e.firstByteAt))/float64(max(u.tokenTime(), 1))
+	u.decode = decodeBacklog{max(u.remainingDecode(now)-max(left, 0), 0), now}
+	u.streams--
+}
+
+// remainingWork returns the work, at usual pace, that the upstream has yet to do for the requests assigned to it.
+func (u *upstream) remainingWork(now time.Time) time.Duration {
+	if u.engine == nil {
+		return u.remainingPlainWork(now)
+	}
+	return u.remainingPrefill(now) + u.decodeWork(now)
+}
+
+// decodeWork is the work, at usual pace, of the tokens that are left to decode.
+func (u *upstream) decodeWork(now time.Time) time.Duration {
+	return time.Duration(u.remainingDecode(now) * float64(decodeTokenWork))
+}
+
 // tokenTime is the expected time that the engine takes to generate one token.
 func (u *upstream) tokenTime() time.Duration {
 	return fractionOf(typicalTokenTime, u.pace.slowComponent()*u.decodeFactor)
@@ -93,7 +136,7 @@
 // learnPrefillPace updates the prefill speed from the time to a first token: the pace if the upstream does not state
 // it, else the time per token at usual pace. Slow starts are not learned, since they end.
 func (u *upstream) learnPrefillPace(now time.Time, e *requestState) {
-	if u.engine == nil || e.prefillTokens+e.prefillAhead < minMeasuredTokens || u.slowStart.active(now) {
+	if u.engine == nil || e.adopted || e.prefillTokens+e.prefillAhead < minMeasuredTokens || u.slowStart.active(now) {
 		return
 	}
 	expected := u.prefillWork(e.prefillTokens+e.prefillAhead) + firstTokenOverhead
@@ -109,7 +152,7 @@
 
 // learnTokenTime updates the decode speed from a complete stream.
 func (u *upstream) learnTokenTime(now time.Time, e *requestState, tokens int) {
-	if tokens < longOutputTokens || e.firstByteAt.IsZero() || u.slowStart.active(now) {
+	if tokens < longOutputTokens || e.adopted || e.firstByteAt.IsZero() || u.slowStart.active(now) {
 		return
 	}
 	expected := float64(tokens) * float64(typicalTokenTime) * u.pace.slowComponent()
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -28,6 +28,8 @@
 	// claims counts the requests that run on the adapter or are queued for it on this engine.
 	claims   int
 	lastUsed time.Time
+	// load is the fraction of the engine's time that requests for the adapter use, if requests are assigned by work.
+	load decayingRate
 	// readyAt is the time at which a load is expected to have ended, or at which the engine is polled again for the
 	// end of an eviction.
 	readyAt time.Time
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -72,6 +72,8 @@
 	pace pace
 	// decodeFactor is the time per generated token, relative to typicalTokenTime at the upstream's usual pace.
 	decodeFactor float64
+	// decode is what is left to decode of the streams.
+	decode decodeBacklog
 	// others is the load of other hosts' requests.
 	others  othersLoad
 	options *Options
--- a/assign/work.go
+++ b/assign/work.go
@@ -79,7 +79,7 @@
 		return
 	}
 	// A request that waited in the upstream's queue took longer than its work.
-	if e.runningAtGrant < u.slotCount() && !u.slowStart.active(now) {
+	if e.runningAtGrant < u.slotCount() && !e.adopted && !u.slowStart.active(now) {
 		took := float64(now.Sub(e.grantedAt)) * 2 / (e.paceAtGrant + u.pace.current(now))
 		a.costs.requestTimes.Observe(costKey(r), float64(assumedRequestTime), took)
 	}
--- a/assign/workchoice.go
+++ b/assign/workchoice.go
@@ -6,10 +6,9 @@
 
 // Weights for the choice of an upstream by its remaining work. Costs are added to the expected time to the first token.
 const (
-	// prefillDelayWeight is the weight of a prompt's prefill time, per running request of the engine. It is lower than
-	// decodeDelayWeight, since the limit on prefill bursts protects streams, and since fast engines run more requests
-	// at once than slow ones.
-	prefillDelayWeight = 0.003
+	// remainingDecodeWeight is the weight of the work of the tokens that are left to decode on the engine. It is low,
+	// since that work hardly delays a first token; more than 0.2 sent requests to slow engines with few streams.
+	remainingDecodeWeight = 0.05
 	// maxWorkBacklog is maxBacklog for engines that are chosen by work. It is shorter, since the pace of an engine may
 	// change before it begins with a request that was assigned in advance.
 	maxWorkBacklog = 250 * time.Millisecond
@@ -27,7 +26,7 @@
 	firstToken := u.timeFor(now, backlogWork+prefillWork+firstTokenOverhead)
 	prefill := firstToken - backlog
 	decode := time.Duration(a.expectedTokensOf(e)) * u.tokenTime()
-	cost = firstToken + fractionOf(prefill, prefillDelayWeight*float64(len(u.running)))
+	cost = firstToken + u.timeFor(now, fractionOf(u.decodeWork(now), remainingDecodeWeight))
 	if late := firstToken + decode - e.request.Deadline.Sub(now); late > 0 {
 		cost += late // the answer would be cut off
 	}
