--- a/host/metrics.go
+++ b/host/metrics.go
@@ -122,10 +122,12 @@
 	}
 }
 
-// operatorHandler returns the HTTP handler for operators: the metrics, and the refusals of what crashes upstreams.
+// operatorHandler returns the HTTP handler for operators: the metrics, the work of the
+// upstreams, and the refusals of what crashes upstreams.
 func (h *Host) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.metrics.provider.Handler())
+	mux.HandleFunc("GET /upstreams", h.listUpstreamWork)
 	mux.HandleFunc("GET /quarantine", h.listRefusals)
 	mux.HandleFunc("DELETE /quarantine/{key}", h.liftRefusal)
 	return mux
--- a/leader/load.go
+++ b/leader/load.go
@@ -8,8 +8,8 @@
 	"github.com/jasminelock/jasminelock/wire"
 )
 
-// LoadStated records the load that an upstream has stated in the header of an answer, nil if it stated none. The load is
-// passed on with the first byte of the answer's body, or with the end of the attempt.
+// LoadStated records the load that an upstream has stated in the header of an answer, nil if it stated none. If it
+// contains a pace, it is passed on with the first byte of the answer's body, otherwise with the end of the attempt.
 func (b *Broker) LoadStated(t *Ticket, load *assign.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -21,8 +21,8 @@
 	b.update(func(now time.Time) {
 		t.firstByteReceived = true
 		m := &wire.FirstByteReceived{Number: t.request.ID.Number}
-		if load := t.load; load != nil {
-			m.HasLoad, m.Running, m.Waiting, m.PacePercent = true, load.Running, load.Waiting, pacePercent(load.Pace)
+		if load := t.load; load != nil && load.Pace > 0 {
+			m.Running, m.Waiting, m.PacePercent = load.Running, load.Waiting, pacePercent(load.Pace)
 			t.loadPassedOn = true
 			b.passLoad(now, t, *load)
 		}
@@ -40,14 +40,14 @@
 	}
 }
 
-// endOfAttempt returns the event of an attempt's end as it is passed on: without the pace if that has been passed on
+// endOfAttempt returns the event of an attempt's end as it is passed on: without the load if that has been passed on
 // before, since it is no longer current.
 func (b *Broker) endOfAttempt(now time.Time, t *Ticket, ev assign.AttemptEnded) assign.AttemptEnded {
 	load := ev.Feedback.Load
 	switch {
 	case load == nil:
 	case t.loadPassedOn:
-		ev.Feedback.Load = &assign.Load{Running: load.Running, Waiting: load.Waiting}
+		ev.Feedback.Load = nil
 	case t.atLeader && load.Pace > 0:
 		b.handleLocal(now, assign.LoadStated{Upstream: t.upstream, StartedAt: t.upstreamStartedAt, Load: *load})
 	}
@@ -56,7 +56,7 @@
 
 // receiveFirstByte handles the first byte of an answer on another host.
 func (b *Broker) receiveFirstByte(now time.Time, id assign.RequestID, m *wire.FirstByteReceived) {
-	if m.HasLoad {
+	if m.PacePercent > 0 {
 		load := assign.Load{Running: m.Running, Waiting: m.Waiting, Pace: decodePace(m.PacePercent)}
 		b.handleLeading(now, assign.LoadStated{ID: id, Load: load})
 	}
@@ -70,3 +70,25 @@
 
 // decodePace decodes a pace in percent of the usual.
 func decodePace(percent uint16) float64 { return assign.BoundPace(float64(percent) / 100) }
+
+// UpstreamStats returns what this host knows of the work and the speed of the upstreams, ordered by ID. On the leader, and
+// for the services whose requests it assigns, this covers the requests of all hosts, otherwise those of this host.
+func (b *Broker) UpstreamStats() []assign.UpstreamStats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	all := b.local.UpstreamStats(now)
+	if b.leading == nil {
+		return all
+	}
+	atLeader := map[string]assign.UpstreamStats{}
+	for _, u := range b.leading.UpstreamStats(now) {
+		atLeader[u.ID] = u
+	}
+	for i, u := range all {
+		if leading, ok := atLeader[u.ID]; ok && b.needsLeader(u.Service) {
+			all[i] = leading
+		}
+	}
+	return all
+}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -115,6 +115,8 @@
 	partCrashes []time.Time
 	// rateLimit is the limit that answers state, "" for none.
 	rateLimit string
+	// pace is the pace that answers state, "" for none.
+	pace string
 }
 
 // Faults are the faults that a test can inject. A number is that of the requests,
@@ -162,6 +164,13 @@
 	r.rateLimit = text
 }
 
+// SetPace sets the pace that every answer states, "" for none. The replica does not work at that pace.
+func (r *Replica) SetPace(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pace = text
+}
+
 // SetCrashParts sets the parts of prompts that crash the replica, unless they are the last part, and how it
 // ends.
 func (r *Replica) SetCrashParts(ending CrashEnding, ids ...string) {
@@ -375,12 +384,15 @@
 	body := readBody(req)
 	full := r.consume(&r.faults.Full)
 	r.mu.Lock()
-	leaving, retryAfter, crash, rateLimit := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.rateLimit
+	leaving, retryAfter, crash, rateLimit, load := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.rateLimit, "1,0,8"
+	if r.pace != "" {
+		load += "," + r.pace
+	}
 	r.mu.Unlock()
 	r.AddRequest(Request{req.Method, req.RequestURI, req.Header.Clone(), string(body), !full, time.Now(), rateLimit})
 	h := w.Header()
 	h.Set("Jasminelock-Attempt-Id", req.Header.Get("Jasminelock-Attempt-Id"))
-	h.Set("Jasminelock-Replica-Load", "1,0,8")
+	h.Set("Jasminelock-Replica-Load", load)
 	if rateLimit != "" {
 		h.Set("Server-Limit", rateLimit)
 	}
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -84,14 +84,14 @@
 // FirstByteReceived reports that the first byte of an answer's body has arrived.
 type FirstByteReceived struct {
 	Number uint64 `cbor:"1,keyasint"`
-	// Running and Waiting are the upstream's own request counts, as stated in the answer's header.
-	// They are valid if HasLoad is set. Hosts of older builds send them with AttemptEnded only.
-	HasLoad bool `cbor:"2,keyasint,omitempty"`
-	Running int  `cbor:"3,keyasint,omitempty"`
-	Waiting int  `cbor:"4,keyasint,omitempty"`
-	// PacePercent is the time that work takes on the upstream, in percent of the usual, 0 if the
-	// upstream does not state it.
-	PacePercent uint16 `cbor:"5,keyasint,omitempty"`
+	// PacePercent is the time that work takes on the upstream, in percent of the usual, as stated in
+	// the answer's header. It is 0 if the upstream does not state it, or the sender's build does not
+	// pass it on.
+	PacePercent uint16 `cbor:"2,keyasint,omitempty"`
+	// Running and Waiting are the upstream's own request counts. They are valid if PacePercent is
+	// not 0; otherwise they are sent with AttemptEnded.
+	Running int `cbor:"3,keyasint,omitempty"`
+	Waiting int `cbor:"4,keyasint,omitempty"`
 }
 
 // AttemptEnded reports the outcome of an attempt.
@@ -108,7 +108,7 @@
 	// BackOffMillis is the time for which the upstream accepts no request from the sender,
 	// in milliseconds.
 	BackOffMillis int64 `cbor:"6,keyasint,omitempty"`
-	// PacePercent is as in FirstByteReceived, 0 if it was sent with that message.
+	// PacePercent is as in FirstByteReceived. If it was sent with that message, this one carries no load.
 	PacePercent uint16 `cbor:"8,keyasint,omitempty"`
 	// OutputTokens is the number of tokens of a complete stream, 0 if unknown.
 	OutputTokens int `cbor:"9,keyasint,omitempty"`
--- a/workcost/workcost.go
+++ b/workcost/workcost.go
@@ -62,6 +62,9 @@
 	depth uint8
 }
 
+// levels is the number of levels of a key.
+const levels = 3
+
 // Learner learns the work of requests. The entries that have not been used for longest are dropped beyond its
 // capacity.
 type Learner struct {
@@ -73,15 +76,15 @@
 
 // New returns a Learner that keeps at most the given number of entries.
 func New(capacity int) *Learner {
-	return &Learner{capacity: max(capacity, len(Key{}.levels())), entries: map[levelKey]*list.Element{}, recent: list.New()}
+	return &Learner{capacity: max(capacity, levels), entries: map[levelKey]*list.Element{}, recent: list.New()}
 }
 
 // Len returns the number of entries.
 func (l *Learner) Len() int { return l.recent.Len() }
 
 // levels returns the keys of the levels, from the most general one.
-func (k Key) levels() [3]levelKey {
-	return [3]levelKey{
+func (k Key) levels() [levels]levelKey {
+	return [levels]levelKey{
 		{Key{Route: k.Route, Hinted: k.Hinted}, 0},
 		{Key{Route: k.Route, Organisation: k.Organisation, Hinted: k.Hinted}, 1},
 		{k, 2},
