assign: a slow start is not learned, and an unused upstream's slow component is forgotten

A pace that is stated while an upstream is in its slow start became its slow component, and an upstream that was slow for long got no requests afterwards and so never stated that it had recovered. Plain upstreams were taken to be overdue by the rule for prefills.

--- a/assign/pace.go
+++ b/assign/pace.go
@@ -20,6 +20,9 @@
 	// so that a deviation of momentaryPaceTime is never in the majority.
 	paceSamples        = 9
 	paceSampleInterval = 150 * time.Millisecond
+	// paceHalfLife is the time after which the slow component counts half, on a logarithmic scale, if there are no
+	// further figures. An upstream that was slow for long, and therefore gets no requests, is tried again.
+	paceHalfLife = 30 * time.Second
 	// samePaceRatio is the ratio up to which a pace does not count as deviating from the slow component.
 	samePaceRatio = 1.2
 )
@@ -52,41 +55,42 @@
 	deviatesSince time.Time
 }
 
-// state records a statement of the upstream.
-func (p *pace) state(now time.Time, figure float64) {
+// state records a statement of the upstream. One that is not permanent does not change the slow component.
+func (p *pace) state(now time.Time, figure float64, permanent bool) {
 	if !p.stated {
 		*p = pace{stated: true}
 	}
-	p.record(now, figure)
+	p.record(now, figure, permanent)
 }
 
 // observe records a measurement. It does nothing if the upstream states its pace.
 func (p *pace) observe(now time.Time, figure float64) {
 	if !p.stated {
-		p.record(now, figure)
+		p.record(now, figure, true)
 	}
 }
 
-func (p *pace) record(now time.Time, figure float64) {
+func (p *pace) record(now time.Time, figure float64, permanent bool) {
 	figure = BoundPace(figure)
 	if figure == 0 {
 		return
 	}
-	if p.count == 0 || now.Sub(p.sampledAt) >= paceSampleInterval {
+	if permanent && (p.count == 0 || now.Sub(p.sampledAt) >= paceSampleInterval) {
 		p.samples[p.next] = figure
 		p.next = (p.next + 1) % paceSamples
 		p.count = min(p.count+1, paceSamples)
 		p.sampledAt = now
 		p.slow = median(p.samples[:p.count])
 	}
-	deviates := max(figure/p.slow, p.slow/figure) > samePaceRatio
+	p.fast, p.at = figure, now
+	slow := p.slowComponent(now)
+	deviates := max(figure/slow, slow/figure) > samePaceRatio
 	switch {
 	case !deviates:
 		p.deviatesSince = time.Time{}
 	case p.deviatesSince.IsZero():
 		p.deviatesSince = now
 	}
-	p.fast, p.at = figure, now
 }
 
 // median returns the lower median of up to paceSamples figures.
@@ -98,11 +102,11 @@
 }
 
 // slowComponent returns the usual pace of the upstream, 1 if unknown.
-func (p *pace) slowComponent() float64 {
+func (p *pace) slowComponent(now time.Time) float64 {
 	if p.slow == 0 {
 		return 1
 	}
-	return p.slow
+	return math.Pow(p.slow, math.Exp2(-float64(now.Sub(p.at))/float64(paceHalfLife)))
 }
 
 // current returns the pace that is expected now.
@@ -110,7 +114,7 @@
 	if p.deviation(now) > 0 {
 		return p.fast
 	}
-	return p.slowComponent()
+	return p.slowComponent(now)
 }
 
 // deviation returns for how much longer the pace is expected to deviate from the slow component.
@@ -124,7 +128,7 @@
 
 // timeFor returns how long work takes from now on that takes the given time at usual pace.
 func (p *pace) timeFor(now time.Time, work time.Duration) time.Duration {
-	slow, left := p.slowComponent(), p.deviation(now)
+	slow, left := p.slowComponent(now), p.deviation(now)
 	if left == 0 {
 		return fractionOf(work, slow)
 	}
--- a/assign/remainingwork.go
+++ b/assign/remainingwork.go
@@ -18,6 +18,8 @@
 	// minPrefillFactor and maxPrefillFactor bound one measurement of the prefill time, relative to the expected one.
 	minPrefillFactor = 0.5
 	maxPrefillFactor = 2
+	// minPrefillPerToken is the shortest prefill time per token that is learned.
+	minPrefillPerToken = assumedPrefillPerToken / 20
 	// longOutputTokens is the shortest output from which the time per token is measured.
 	longOutputTokens = 16
 )
@@ -56,7 +58,7 @@
 // overduePace returns the pace that explains why the prompt that the engine prefills now has no first token yet, 0 if
 // it is not overdue.
 func (u *upstream) overduePace(now time.Time) float64 {
-	if len(u.prefills) == 0 {
+	if u.engine == nil || len(u.prefills) == 0 {
 		return 0
 	}
 	elapsed, expected := now.Sub(u.headSince), u.pace.timeFor(u.headSince, u.headWork())
@@ -97,7 +99,7 @@
 	if u.streams == 0 {
 		return 0
 	}
-	generated := float64(u.streams) * float64(now.Sub(u.decode.at)) / float64(max(u.tokenTime(), 1))
+	generated := float64(u.streams) * float64(now.Sub(u.decode.at)) / float64(max(u.tokenTime(now), 1))
 	return max(u.decode.tokens-generated, float64(u.streams))
 }
 
@@ -110,7 +112,7 @@
 
 // removeStream records that a stream has ended, with what was expected to be left of it.
 func (u *upstream) removeStream(now time.Time, e *requestState) {
-	left := float64(e.expectedTokens) - float64(now.Sub(e.firstByteAt))/float64(max(u.tokenTime(), 1))
+	left := float64(e.expectedTokens) - float64(now.Sub(e.firstByteAt))/float64(max(u.tokenTime(now), 1))
 	u.decode = decodeBacklog{max(u.remainingDecode(now)-max(left, 0), 0), now}
 	u.streams--
 }
@@ -129,8 +131,8 @@
 }
 
 // tokenTime is the expected time that the engine takes to generate one token.
-func (u *upstream) tokenTime() time.Duration {
-	return fractionOf(typicalTokenTime, u.pace.slowComponent()*u.decodeFactor)
+func (u *upstream) tokenTime(now time.Time) time.Duration {
+	return fractionOf(typicalTokenTime, u.pace.slowComponent(now)*u.decodeFactor)
 }
 
 // learnPrefillPace updates the prefill speed from the time to a first token: the pace if the upstream does not state
@@ -147,7 +149,8 @@
 	}
 	factor := measured * 2 / (e.paceAtGrant + u.pace.current(now))
 	factor = min(max(factor, minPrefillFactor), maxPrefillFactor)
-	u.prefillPerToken = min(fractionOf(u.prefillPerToken, 1+learnWeight*(factor-1)), maxPrefillPerToken)
+	learned := fractionOf(u.prefillPerToken, 1+learnWeight*(factor-1))
+	u.prefillPerToken = min(max(learned, minPrefillPerToken), maxPrefillPerToken)
 }
 
 // learnTokenTime updates the decode speed from a complete stream.
@@ -155,7 +158,7 @@
 	if tokens < longOutputTokens || e.adopted || e.firstByteAt.IsZero() || u.slowStart.active(now) {
 		return
 	}
-	expected := float64(tokens) * float64(typicalTokenTime) * u.pace.slowComponent()
+	expected := float64(tokens) * float64(typicalTokenTime) * u.pace.slowComponent(now)
 	factor := min(max(float64(now.Sub(e.firstByteAt))/expected, minPace), maxPace)
 	u.decodeFactor += learnWeight * (factor - u.decodeFactor)
 }
@@ -192,7 +195,7 @@
 		u.service.resetSpeeds()
 	}
 	u.service.statesPace = true
-	u.pace.state(now, figure)
+	u.pace.state(now, figure, !u.slowStart.active(now))
 }
 
 // resetSpeeds discards what was learned of the speeds of the upstreams while their pace was not considered.
--- a/assign/upstreamstats.go
+++ b/assign/upstreamstats.go
@@ -34,7 +34,7 @@
 		work := u.remainingWork(now)
 		stats := UpstreamStats{
 			ID: id, Service: u.record.Service, Running: len(u.running), RemainingWork: work, RemainingTime: u.timeFor(now, work),
-			SlowPace: u.pace.slowComponent(), FastPace: u.pace.current(now), PaceStated: u.pace.stated, ByWork: u.byWork(),
+			SlowPace: u.pace.slowComponent(now), FastPace: u.pace.current(now), PaceStated: u.pace.stated, ByWork: u.byWork(),
 		}
 		if !u.pace.at.IsZero() {
 			stats.PaceAge = now.Sub(u.pace.at)
--- a/assign/workchoice.go
+++ b/assign/workchoice.go
@@ -25,7 +25,7 @@
 	backlog := u.timeFor(now, backlogWork)
 	firstToken := u.timeFor(now, backlogWork+prefillWork+firstTokenOverhead)
 	prefill := firstToken - backlog
-	decode := time.Duration(a.expectedTokensOf(e)) * u.tokenTime()
+	decode := time.Duration(a.expectedTokensOf(e)) * u.tokenTime(now)
 	cost = firstToken + u.timeFor(now, fractionOf(u.decodeWork(now), remainingDecodeWeight))
 	if late := firstToken + decode - e.request.Deadline.Sub(now); late > 0 {
 		cost += late // the answer would be cut off
