--- a/assign/remainingwork.go
+++ b/assign/remainingwork.go
@@ -18,12 +18,14 @@
 	// minPrefillFactor and maxPrefillFactor bound one measurement of the prefill time, relative to the expected one.
 	minPrefillFactor = 0.5
 	maxPrefillFactor = 2
+	// minPrefillPerToken is the shortest prefill time per token that is learned.
+	minPrefillPerToken = assumedPrefillPerToken / 20
 	// longOutputTokens is the shortest output from which the time per token is measured.
 	longOutputTokens = 16
 )
 
 // byWork reports whether requests are assigned to the upstream by its remaining work and its pace.
-func (u *upstream) byWork() bool { return u.service.ranked(u.options) }
+func (u *upstream) byWork() bool { return u.service != nil && u.service.ranked(u.options) }
 
 // addPrefill records a prompt that the engine will prefill after those it was assigned before.
 func (u *upstream) addPrefill(now time.Time, e *requestState) {
@@ -56,7 +58,7 @@
 // overduePace returns the pace that explains why the prompt that the engine prefills now has no first token yet, 0 if
 // it is not overdue.
 func (u *upstream) overduePace(now time.Time) float64 {
-	if len(u.prefills) == 0 {
+	if u.engine == nil || len(u.prefills) == 0 {
 		return 0
 	}
 	elapsed, expected := now.Sub(u.headSince), u.pace.timeFor(u.headSince, u.headWork())
@@ -85,15 +87,58 @@
 	return u.prefillWork(u.pendingPrefillTokens) - min(done, fractionOf(head, maxHeadProgress))
 }
 
+// decodeBacklog is the number of tokens that an engine has yet to generate for its streams, as of the time at.
+type decodeBacklog struct {
+	tokens float64
+	at     time.Time
+}
+
+// remainingDecode returns the number of tokens that are expected to be left to decode: each stream generates one in
+// tokenTime. Each stream has one left at least, since its end is not known before it is there.
+func (u *upstream) remainingDecode(now time.Time) float64 {
+	if u.streams == 0 {
+		return 0
+	}
+	generated := float64(u.streams) * float64(now.Sub(u.decode.at)) / float64(max(u.tokenTime(now), 1))
+	return max(u.decode.tokens-generated, float64(u.streams))
+}
+
+// addStream records that a request has its first token.
+func (u *upstream) addStream(now time.Time, e *requestState) {
+	u.decode = decodeBacklog{u.remainingDecode(now) + float64(e.expectedTokens), now}
+	u.streams++
+	e.streaming, e.firstByteAt = true, now
+}
+
+// removeStream records that a stream has ended, with what was expected to be left of it.
+func (u *upstream) removeStream(now time.Time, e *requestState) {
+	left := float64(e.expectedTokens) - float64(now.Sub(e.firstByteAt))/float64(max(u.tokenTime(now), 1))
+	u.decode = decodeBacklog{max(u.remainingDecode(now)-max(left, 0), 0), now}
+	u.streams--
+}
+
+// remainingWork returns the work, at usual pace, that the upstream has yet to do for the requests assigned to it.
+func (u *upstream) remainingWork(now time.Time) time.Duration {
+	if u.engine == nil {
+		return u.remainingPlainWork(now)
+	}
+	return u.remainingPrefill(now) + u.decodeWork(now)
+}
+
+// decodeWork is the work, at usual pace, of the tokens that are left to decode.
+func (u *upstream) decodeWork(now time.Time) time.Duration {
+	return time.Duration(u.remainingDecode(now) * float64(decodeTokenWork))
+}
+
 // tokenTime is the expected time that the engine takes to generate one token.
-func (u *upstream) tokenTime() time.Duration {
-	return fractionOf(typicalTokenTime, u.pace.slowComponent()*u.decodeFactor)
+func (u *upstream) tokenTime(now time.Time) time.Duration {
+	return fractionOf(typicalTokenTime, u.pace.slowComponent(now)*u.decodeFactor)
 }
 
 // learnPrefillPace updates the prefill speed from the time to a first token: the pace if the upstream does not state
 // it, else the time per token at usual pace. Slow starts are not learned, since they end.
 func (u *upstream) learnPrefillPace(now time.Time, e *requestState) {
-	if u.engine == nil || e.prefillTokens+e.prefillAhead < minMeasuredTokens || u.slowStart.active(now) {
+	if u.engine == nil || e.adopted || e.prefillTokens+e.prefillAhead < minMeasuredTokens || u.slowStart.active(now) {
 		return
 	}
 	expected := u.prefillWork(e.prefillTokens+e.prefillAhead) + firstTokenOverhead
@@ -104,15 +149,16 @@
 	}
 	factor := measured * 2 / (e.paceAtGrant + u.pace.current(now))
 	factor = min(max(factor, minPrefillFactor), maxPrefillFactor)
-	u.prefillPerToken = min(fractionOf(u.prefillPerToken, 1+learnWeight*(factor-1)), maxPrefillPerToken)
+	learned := fractionOf(u.prefillPerToken, 1+learnWeight*(factor-1))
+	u.prefillPerToken = min(max(learned, minPrefillPerToken), maxPrefillPerToken)
 }
 
 // learnTokenTime updates the decode speed from a complete stream.
 func (u *upstream) learnTokenTime(now time.Time, e *requestState, tokens int) {
-	if tokens < longOutputTokens || e.firstByteAt.IsZero() || u.slowStart.active(now) {
+	if tokens < longOutputTokens || e.adopted || e.firstByteAt.IsZero() || u.slowStart.active(now) {
 		return
 	}
-	expected := float64(tokens) * float64(typicalTokenTime) * u.pace.slowComponent()
+	expected := float64(tokens) * float64(typicalTokenTime) * u.pace.slowComponent(now)
 	factor := min(max(float64(now.Sub(e.firstByteAt))/expected, minPace), maxPace)
 	u.decodeFactor += learnWeight * (factor - u.decodeFactor)
 }
@@ -149,7 +195,7 @@
 		u.service.resetSpeeds()
 	}
 	u.service.statesPace = true
-	u.pace.state(now, figure)
+	u.pace.state(now, figure, !u.slowStart.active(now))
 }
 
 // resetSpeeds discards what was learned of the speeds of the upstreams while their pace was not considered.
