assign: requests rank by their route within an organisation's priority, and callers' patience bounds their turn

Organisations that state a priority all ranked their requests alike, so that routine notes were served before urgent look-ups.

--- a/assign/events.go
+++ b/assign/events.go
@@ -52,13 +52,18 @@
 	PrefixBlocks []PrefixBlock
 	// Cost is the number of tokens counted against the organisation's rate.
 	Cost int64
-	// Priority ranks requests; 0 is the highest.
-	Priority int
+	// Priority ranks requests; 0 is the highest. RoutePriority is that of the route, which ranks the requests of
+	// organisations whose own priority replaces it.
+	Priority      int
+	RoutePriority int
 	// Zone is the availability zone of the host that submitted the request.
 	Zone    string
 	Arrived time.Time
 	// Target is the time at which the answer, or its first event, is due.
 	Target time.Time
+	// FirstEventDeadline is the time at which the caller stops waiting for the first event of a stream, the zero time
+	// if it waits for it until Deadline.
+	FirstEventDeadline time.Time
 	// Deadline is the time at which the caller stops waiting.
 	Deadline time.Time
 	// Avoid lists the IDs of the upstreams that have already been tried.
@@ -71,6 +76,16 @@
 	Resource Fingerprint
 }
 
+// routeRanks is the number of ranks that requests of the same priority are divided into by the priorities of their
+// routes.
+const routeRanks = 3
+
+// Rank returns the rank of the request in a ranked service; 0 is served first. An organisation's priority goes before
+// that of its routes, which then ranks the organisation's kinds of requests.
+func (r *Request) Rank() int {
+	return max(r.Priority, 0)*routeRanks + min(max(r.RoutePriority, 0), routeRanks-1)
+}
+
 // retry reports whether the request has been assigned to an upstream before.
 func (r *Request) retry() bool { return len(r.Avoid) > 0 }
 
--- a/assign/line.go
+++ b/assign/line.go
@@ -112,7 +112,7 @@
 		q.ordered = l.newQueue()
 	}
 	entry := &waitingEntry{
-		Value: e, Organisation: e.request.Organisation, Rank: e.request.Priority, EnqueuedAt: e.request.Arrived,
+		Value: e, Organisation: e.request.Organisation, Rank: e.request.Rank(), EnqueuedAt: e.request.Arrived,
 		Target: e.request.Target, LastUseful: e.lastUseful, Work: e.work,
 	}
 	e.waiting = entry
@@ -246,7 +246,7 @@
 // charge counts the work of a request that is assigned to an upstream.
 func (l *line) charge(now time.Time, e *requestState) {
 	l.grants++
-	rank, organisation := max(e.request.Priority, 0), e.request.Organisation
+	rank, organisation := e.request.Rank(), e.request.Organisation
 	if e.waiting != nil {
 		rank = e.waiting.CurrentRank()
 	}
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -51,7 +51,7 @@
 func (a *Assigner) submitRanked(now time.Time, s *service, e *requestState) {
 	l := s.line
 	a.prepareRanked(now, s, e)
-	rank := max(e.request.Priority, 0)
+	rank := e.request.Rank()
 	l.arrived(now, rank, e)
 	if l.count == 0 && a.place(now, e) {
 		l.admitted(now, rank, e)
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -136,6 +136,12 @@
 		need = time.Duration(r.PromptTokens)*assumedPrefillPerToken + time.Duration(output)*typicalTokenTime
 	}
 	last := r.Deadline.Add(-min(need, time.Duration(maxServiceFraction*float64(r.Deadline.Sub(r.Arrived)))))
+	if first := r.FirstEventDeadline; !first.IsZero() {
+		wait := time.Duration(r.PromptTokens)*assumedPrefillPerToken + maxWorkBacklog
+		if bound := first.Add(-min(wait, time.Duration(maxServiceFraction*float64(first.Sub(r.Arrived))))); bound.Before(last) {
+			last = bound
+		}
+	}
 	if !a.options.SendsOrders && !a.heldAdapter(s, e) {
 		// No order makes an upstream ready for the request.
 		if bound := r.Arrived.Add(maxWaitWithoutOrders); bound.Before(last) {
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -47,6 +47,9 @@
 	// MaxEventGap is the largest gap between two events of a stream for which the
 	// answer counts as in time, 0 if the route sets none.
 	MaxEventGap time.Duration
+	// FirstEventTimeout is how long callers wait for the first event of a stream, 0 if they wait for it until the
+	// request's deadline.
+	FirstEventTimeout time.Duration
 	// MaxAttempts is the largest number of upstreams that may run one request.
 	MaxAttempts int
 	// Priority ranks requests: 0 is served first.
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -121,9 +121,12 @@
 	request := assign.Request{
 		Service: x.route.PickService(x.server.Random()), Route: x.route.Name, Adapter: x.requestInfo.Adapter,
 		PromptTokens: x.requestInfo.PromptTokens, OutputTokens: x.requestInfo.OutputTokens,
-		ExpectedOutput: x.requestInfo.LengthHint, PrefixBlocks: x.requestInfo.PrefixBlocks, Priority: x.route.Priority,
+		ExpectedOutput: x.requestInfo.LengthHint, PrefixBlocks: x.requestInfo.PrefixBlocks, Priority: x.route.Priority, RoutePriority: x.route.Priority,
 		Arrived: x.arrived, Target: x.arrived.Add(x.route.TargetLatency), Deadline: x.deadline,
 	}
+	if x.route.FirstEventTimeout > 0 {
+		request.FirstEventDeadline = x.arrived.Add(x.route.FirstEventTimeout)
+	}
 	if organisation := x.organisation; organisation != nil {
 		request.Organisation = organisation.Name
 		request.Cost = organisation.DefaultCostTokens
--- a/leader/messages.go
+++ b/leader/messages.go
@@ -21,10 +21,13 @@
 		Number: r.ID.Number, Service: r.Service, Route: r.Route, Organisation: r.Organisation,
 		Model: r.Adapter.Model, Adapter: r.Adapter.Adapter, PromptTokens: r.PromptTokens,
 		OutputTokens: r.OutputTokens, ExpectedOutput: r.ExpectedOutput,
-		Cost: r.Cost, Priority: r.Priority, Zone: r.Zone,
+		Cost: r.Cost, Priority: r.Priority, RoutePriority: r.RoutePriority, Zone: r.Zone,
 		AgeMillis: now.Sub(r.Arrived).Milliseconds(), TargetMillis: r.Target.Sub(now).Milliseconds(),
 		DeadlineMillis: r.Deadline.Sub(now).Milliseconds(), Avoid: r.Avoid, Charged: r.Charged, Fingerprint: r.Fingerprint[:],
 	}
+	if !r.FirstEventDeadline.IsZero() {
+		m.FirstEventMillis = r.FirstEventDeadline.Sub(now).Milliseconds()
+	}
 	if r.Resource != (assign.Fingerprint{}) {
 		m.Resource = r.Resource[:]
 	}
@@ -40,11 +43,14 @@
 		ID:      assign.RequestID{Host: host, Number: m.Number},
 		Service: m.Service, Route: m.Route, Organisation: m.Organisation, Adapter: catalog.AdapterRef{Model: m.Model, Adapter: m.Adapter},
 		PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens,
-		ExpectedOutput: m.ExpectedOutput, Cost: m.Cost, Priority: m.Priority,
+		ExpectedOutput: m.ExpectedOutput, Cost: m.Cost, Priority: m.Priority, RoutePriority: m.RoutePriority,
 		Zone: m.Zone, Avoid: m.Avoid, Charged: m.Charged,
 		Arrived: now.Add(-milliseconds(m.AgeMillis)), Target: now.Add(milliseconds(m.TargetMillis)),
 		Deadline: now.Add(milliseconds(m.DeadlineMillis)),
 	}
+	if m.FirstEventMillis != 0 {
+		r.FirstEventDeadline = now.Add(milliseconds(m.FirstEventMillis))
+	}
 	copy(r.Fingerprint[:], m.Fingerprint)
 	copy(r.Resource[:], m.Resource)
 	for _, p := range m.PrefixBlocks {
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -74,6 +74,11 @@
 	ExpectedOutput int `cbor:"19,keyasint,omitempty"`
 	// Route is the name of the request's route. Hosts of older builds leave it out.
 	Route string `cbor:"21,keyasint,omitempty"`
+	// RoutePriority is the priority of the route. Hosts of older builds leave it out.
+	RoutePriority int `cbor:"22,keyasint,omitempty"`
+	// FirstEventMillis is the time until the caller stops waiting for the first event of a stream, in milliseconds, 0
+	// if that is no earlier than the deadline.
+	FirstEventMillis int64 `cbor:"23,keyasint,omitempty"`
 }
 
 // WithdrawRequest cancels a waiting request.
