assign: an admitted request of a ranked service is served unless others displace it

20 to 50% of the admitted requests of a saturated service were refused later: fresh requests went before late ones until these were lost, and the estimate took the organisations' shares from what waited at that moment.

The estimate now starts from the virtual counters of the organisations, includes the work that arrives meanwhile, and a new request is admitted only if no request of its organisation that must follow it loses its turn. In a lane, late requests go first when one of them would otherwise miss its last useful moment, with a margin for the gaps that upstreams' own limits impose. No event visits all waiting requests any more.

--- a/assign/heads.go
+++ b/assign/heads.go
@@ -31,7 +31,8 @@
 		adapterServed: acct.order.Served(adapterKey(&e.request)), due: entry.Target, arrived: e.request.Arrived, id: e.request.ID,
 	}
 	if now.After(entry.Target) {
-		k.late, k.due = entry.LastUseful.Sub(now) > l.interval(entry), entry.LastUseful
+		interval, margin := l.interval(entry)
+		k.late, k.due = entry.LastUseful.Sub(now) > interval+margin, entry.LastUseful
 	}
 	return k
 }
--- a/assign/line.go
+++ b/assign/line.go
@@ -68,6 +68,8 @@
 	index int
 	// number is the place in the order in which organisations began to wait, which decides between equal counters.
 	number uint64
+	// served is the organisation's counter, copied here since estimates visit all accounts.
+	served float64
 	// rate is the organisation's configured rate, 0 for none.
 	rate float64
 	// arrivals is the rate of work of the organisation's requests, admitted or not.
@@ -115,6 +117,10 @@
 		Value: e, Organisation: e.request.Organisation, Rank: e.request.Priority, EnqueuedAt: e.request.Arrived,
 		Target: e.request.Target, LastUseful: e.lastUseful, Work: e.work,
 	}
+	// A request that is of no use soon after its target, or before it, has to be treated as late before that.
+	if urgent := e.lastUseful.Add(-lateTurns*l.rank(max(e.request.Priority, 0)).interval - l.prior.gap); urgent.Before(entry.Target) {
+		entry.Target = urgent
+	}
 	e.waiting = entry
 	l.weights.add(entry.Organisation)
 	q.ordered.Push(now, entry)
@@ -139,6 +145,7 @@
 		acct.adapters[name] = held
 	}
 	acct.order.AddWaiting(name)
+	acct.served = r.counters.Served(entry.Organisation)
 	held.entries[entry] = struct{}{}
 	held.work += entry.Work
 	acct.work += entry.Work
@@ -252,16 +259,21 @@
 	}
 	r := l.rank(rank)
 	r.counters.Charge(organisation, e.work.Seconds()/l.weights.of(organisation))
-	if acct, ok := r.accounts[organisation]; ok && acct.count > 0 {
+	acct, ok := r.accounts[organisation]
+	if ok {
+		acct.served = r.counters.Served(organisation)
+	}
+	if ok && acct.count > 0 {
 		acct.order.Charge(adapterKey(&e.request), e.work.Seconds())
 	}
 	l.rate.served(now, e.work)
 }
 
-// interval returns the expected time between two turns of an organisation's requests for one adapter.
-func (l *line) interval(entry *waitingEntry) time.Duration {
+// interval returns the expected time between two turns of an organisation's requests for one adapter, and the time by
+// which a turn may come later, since upstreams open in turns.
+func (l *line) interval(entry *waitingEntry) (interval, margin time.Duration) {
 	r := l.ranks[entry.CurrentRank()]
-	return r.interval * time.Duration(len(r.accounts[entry.Organisation].adapters))
+	return r.interval * time.Duration(len(r.accounts[entry.Organisation].adapters)), l.prior.gap
 }
 
 // updateIntervals computes the time between two turns of an organisation: at the rate of work that more urgent ranks
@@ -288,5 +300,8 @@
 	return max(n, 1)
 }
 
+// lateTurns is the number of turns before its last useful moment from which a request counts as late.
+const lateTurns = 3
+
 // maxInterval bounds the expected time between two turns of an organisation.
 const maxInterval = time.Second
--- a/assign/queue.go
+++ b/assign/queue.go
@@ -34,8 +34,10 @@
 // queues holds all queued requests.
 type queues struct {
 	byKey map[queueKey]*queue
-	// count is the number of queued requests; promptTokens is the sum of their prompt tokens per service.
+	// count is the number of queued requests, unranked that of those in services that are not ranked; promptTokens is
+	// the sum of their prompt tokens per service.
 	count        int
+	unranked     int
 	promptTokens map[string]int
 }
 
@@ -53,6 +55,7 @@
 		l.add(now, waiting, e)
 	} else {
 		waiting.entries = append(waiting.entries, e)
+		q.unranked++
 	}
 	q.count++
 	q.promptTokens[key.service] += e.request.PromptTokens
@@ -69,6 +72,7 @@
 	} else {
 		i := slices.Index(waiting.entries, e)
 		waiting.entries = slices.Delete(waiting.entries, i, i+1)
+		q.unranked--
 	}
 	if waiting.len() == 0 {
 		delete(q.byKey, waiting.key)
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -15,7 +15,8 @@
 	// Displaced is the rule for waiting requests whose turn would come too late because of more urgent ones or a loss
 	// of capacity.
 	Displaced = "displaced"
-	// Expired is the rule for waiting requests that have reached their last useful moment.
+	// Expired is the rule for waiting requests that have reached their last useful moment although no others have put
+	// back their turn: the estimate was wrong.
 	Expired = "expired"
 )
 
@@ -73,12 +74,16 @@
 	l.ranks[t.rank].scheduleCheck(e, e.lastUseful.Sub(now)-t.wait)
 }
 
+// turnPrecision is the time by which a turn may come later than estimated although the estimate is right: the step of
+// rateWait, and a pass before and after it.
+const turnPrecision = rateWaitStep + 2*passInterval
+
 // refusesTurn reports whether a new request is refused because its turn would come too late, and the rule.
 func (a *Assigner) refusesTurn(now time.Time, s *service, e *requestState, t turnEstimate) (string, bool) {
 	switch {
 	case !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() }):
 		return "no_upstream", true
-	case !now.Add(t.wait).After(e.lastUseful) && !s.line.endangersLate(now, e.waiting):
+	case !now.Add(t.wait+turnPrecision).After(e.lastUseful) && !s.line.endangersOthers(now, e.waiting, t.wait):
 		return "", false
 	case s.rateWait(now, int(t.count)) >= t.wait:
 		return UpstreamRate, true
@@ -148,7 +153,6 @@
 	l := s.line
 	l.sweep(now)
 	l.updateIntervals(now, l.rate.estimate(now, a.capacity(now, s).rate))
-	a.checkTurns(now, s)
 	var tried []*queue
 	lacking := false
 	for failed := 0; failed < maxQueuesPerPass && len(tried) < maxHeadsPerPass; {
@@ -172,6 +176,8 @@
 	}
 	l.rate.advance(now)
 	l.rate.saturated = lacking
+	// A request whose last useful moment is now has had its chance.
+	a.checkTurns(now, s)
 }
 
 // serveRankedQueue looks for an upstream that is ready for one of the first requests of a queue, and offers it to all
@@ -269,13 +275,17 @@
 // checkTurn refuses a waiting request if its turn would come too late, else schedules its next check.
 func (a *Assigner) checkTurn(now time.Time, s *service, r *rankLine, e *requestState) {
 	if !now.Before(e.lastUseful) {
-		a.refuseQueued(now, s, e, a.estimateTurn(now, s, e), Expired)
+		rule := Expired
+		if r.pushed > e.pushedAtAdmission {
+			rule = Displaced
+		}
+		a.refuseQueued(now, s, e, a.estimateTurn(now, s, e), rule)
 		return
 	}
 	slack := e.lastUseful.Sub(now)
 	if r.pushed > e.pushedAtAdmission {
 		t := a.estimateTurn(now, s, e)
-		late := time.Duration((1-turnTolerance)*float64(t.wait)) - slack
+		late := time.Duration((1-turnTolerance)*float64(t.wait)) - 2*t.perRequest() - slack
 		if late > 0 {
 			a.refuseQueued(now, s, e, t, Displaced)
 			return
--- a/assign/ranked_test.go
+++ b/assign/ranked_test.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -146,16 +147,16 @@
 
 // shares runs organisations' loads at random times and returns the work that each was sent, that was done for it, and
 // the number of its requests that were refused only after they had been admitted.
-func (w *simulation) runShares(loads []orgLoad, d time.Duration) (sent, served map[string]float64, late map[string]int) {
+func (w *simulation) runShares(seed uint64, loads []orgLoad, d time.Duration) (sent, served map[string]float64, late map[string]int) {
 	sent, served, late = map[string]float64{}, map[string]float64{}, map[string]int{}
 	// The arrivals do not depend on the Assigner's use of its random source.
-	random := rand.New(rand.NewPCG(uint64(len(loads)), uint64(w.now.UnixNano())))
+	random := rand.New(rand.NewPCG(seed, 2))
 	owner, work := map[RequestID]string{}, map[RequestID]float64{}
 	next := make([]time.Time, len(loads))
 	for i := range next {
 		next[i] = w.now.Add(time.Duration(random.ExpFloat64() / loads[i].perSecond * float64(time.Second)))
 	}
-	number, submitted := uint64(10_000)+uint64(w.now.UnixNano())/1000, map[RequestID]bool{}
+	number, submitted := uint64(10_000), map[RequestID]bool{}
 	for end := w.now.Add(d); w.now.Before(end); w.run(time.Millisecond) {
 		for i, o := range loads {
 			for !next[i].After(w.now) {
@@ -238,31 +239,42 @@
 		"weights":       with(orgLoad{name: "a", perSecond: 60, weight: 1}, func(o *orgLoad) { o.weight = o.perSecond - 3 }),
 	}
 	for name, loads := range cases {
-		t.Run(name, func(t *testing.T) {
-			var adapters []string
-			for _, o := range loads {
-				for i := range max(o.adapters, 1) {
-					adapters = append(adapters, o.name+strconv.Itoa(i))
-				}
-			}
-			w := newRankedSimulation(t, 1, 1, adapters...)
-			w.prefillOfTokens = true
-			w.configureWeights(loads)
-			const d = 20 * time.Second
-			sent, served, late := w.runShares(loads, d)
-			capacity := 0.0
-			for _, work := range served {
-				capacity += work
-			}
-			fair := maxMin(loads, sent, capacity)
-			for _, o := range loads {
-				t.Logf("%s: sent %.0f, served %.1f, fair share %.1f, refused after admission %d", o.name, sent[o.name], served[o.name], fair[o.name], late[o.name])
-			}
-			require.Greater(t, capacity, 0.9*d.Seconds()*simEngineRate)
-			for _, o := range loads {
-				require.GreaterOrEqual(t, served[o.name], 0.9*fair[o.name], o.name)
-			}
-		})
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) { testFairShares(t, seed, loads) })
+		}
+	}
+}
+
+func testFairShares(t *testing.T, seed uint64, loads []orgLoad) {
+	var adapters []string
+	for _, o := range loads {
+		for i := range max(o.adapters, 1) {
+			adapters = append(adapters, o.name+strconv.Itoa(i))
+		}
+	}
+	w := newRankedSimulation(t, 1, 1, adapters...)
+	w.prefillOfTokens = true
+	w.configureWeights(loads)
+	const d = 60 * time.Second
+	sent, served, late := w.runShares(seed, loads, d)
+	capacity := 0.0
+	for _, work := range served {
+		capacity += work
+	}
+	fair := maxMin(loads, sent, capacity)
+	onTime := 0
+	for _, g := range w.granted {
+		if g.Held <= 800*time.Millisecond {
+			onTime++
+		}
+	}
+	t.Logf("%d of %d within their target", onTime, len(w.granted))
+	for _, o := range loads {
+		t.Logf("%s: sent %.0f, served %.1f, fair share %.1f, refused after admission %d", o.name, sent[o.name], served[o.name], fair[o.name], late[o.name])
+	}
+	require.Greater(t, capacity, 0.9*d.Seconds()*simEngineRate)
+	for _, o := range loads {
+		require.GreaterOrEqual(t, served[o.name], 0.9*fair[o.name], o.name)
 	}
 }
 
--- /dev/null
+++ b/assign/rankedcost_test.go
@@ -0,0 +1,75 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	costWaiting       = 10_000
+	costOrganisations = 1000
+)
+
+// newRankedSimulationWithQueue returns a simulation of a ranked service in which requests of many organisations are
+// queued for adapters that no engine holds.
+func newRankedSimulationWithQueue(t *testing.T, engines int) *simulation {
+	w := newSimulation(t, 1, engines, 6)
+	for id, e := range w.engines {
+		e.held["own"+id] = 1
+		e.held["all"] = 1
+	}
+	w.startRankedLeader()
+	w.run(5 * time.Millisecond)
+	longDeadline := func(org int) func(r *Request) {
+		return func(r *Request) {
+			r.Organisation = fmt.Sprintf("org%d", org)
+			r.Target, r.Deadline = w.now.Add(3000*time.Second), w.now.Add(10_000*time.Second)
+		}
+	}
+	for n := range costWaiting {
+		w.submit(uint64(n+1_000_000), fmt.Sprintf("cold%d", n%(costWaiting/2)), longDeadline(n%costOrganisations))
+	}
+	require.Greater(t, w.assigner.Waiting(), costWaiting/2)
+	return w
+}
+
+// The number of options that are considered for a request is bounded, regardless of the queue and of the number of
+// engines. It consists of the choice of an upstream, a pass over the first queues every 10 ms, and the queues of its
+// engine when the request starts and ends.
+func TestRanked_CostIndependentOfQueueLength(t *testing.T) {
+	const requests = 200
+	const pass = maxQueuesPerPass * maxFailedTries * (sampledCandidates + 2) / 10
+	for _, engines := range []int{30, 300, 3000} {
+		w := newRankedSimulationWithQueue(t, engines)
+		before := w.assigner.optionsEvaluated
+		for n := range uint64(requests) {
+			w.now = w.now.Add(time.Millisecond)
+			w.runRequest(n+1, "owne1")
+			w.assigner.Handle(w.now, Tick{})
+			w.assigner.NextWakeup(w.now)
+		}
+		got := float64(w.assigner.optionsEvaluated-before) / requests
+		t.Logf("%d engines, %d waiting: %.0f options evaluated per request", engines, w.assigner.Waiting(), got)
+		require.LessOrEqual(t, got, float64(pass+evaluateAllLimit+3*maxFailedTries))
+	}
+}
+
+func BenchmarkRankedRequest(b *testing.B) {
+	for _, engines := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			w := newRankedSimulationWithQueue(&testing.T{}, engines)
+			b.ReportAllocs()
+			n, before := uint64(0), w.assigner.optionsEvaluated
+			for b.Loop() {
+				n++
+				w.now = w.now.Add(time.Millisecond)
+				w.runRequest(n, "owne1")
+				w.assigner.Handle(w.now, Tick{})
+			}
+			b.ReportMetric(float64(w.assigner.optionsEvaluated-before)/float64(n), "options/op")
+		})
+	}
+}
--- a/assign/ratelimit.go
+++ b/assign/ratelimit.go
@@ -213,7 +213,7 @@
 // refuseUnservable refuses the queued requests that the rate limits of their service's upstreams do not let through
 // in time any more, because more urgent ones have arrived or a limit has changed.
 func (a *Assigner) refuseUnservable(now time.Time) {
-	if a.queues.count == 0 || len(a.rateLimiters) == 0 || now.Sub(a.lastQueueCheck) < queueCheckInterval {
+	if a.queues.unranked == 0 || len(a.rateLimiters) == 0 || now.Sub(a.lastQueueCheck) < queueCheckInterval {
 		return
 	}
 	a.lastQueueCheck = now
--- a/assign/refusal.go
+++ b/assign/refusal.go
@@ -21,6 +21,9 @@
 
 // refuseExpired refuses the requests that have been queued for as long as they may be.
 func (a *Assigner) refuseExpired(now time.Time) {
+	if a.queues.unranked == 0 {
+		return
+	}
 	a.queues.each(func(e *requestState) {
 		if e.waiting != nil || now.Before(e.queueDeadline(a)) {
 			return
--- a/assign/serve.go
+++ b/assign/serve.go
@@ -36,12 +36,15 @@
 		return
 	}
 	a.lastPassAt = now
-	a.queueBuffer = a.queueBuffer[:0]
 	for _, s := range a.services {
 		if a.lineOf(now, s) != nil {
 			a.serveLine(now, s)
 		}
 	}
+	if a.queues.unranked == 0 {
+		return
+	}
+	a.queueBuffer = a.queueBuffer[:0]
 	for _, q := range a.queues.byKey {
 		if q.ordered != nil {
 			continue
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -18,8 +18,9 @@
 	// maxServiceFraction is the maximum fraction of a request's time that it is assumed to need on the upstream. The
 	// expected output may be far from the real one.
 	maxServiceFraction = 0.5
-	// turnTolerance is the fraction by which the estimated turn of a waiting request may exceed what is useful before
-	// the request is displaced. An estimate that varies must not refuse admitted requests.
+	// turnTolerance is the fraction by which the estimated turn of a waiting request may exceed what is useful, beside
+	// the time of two requests, before the request is displaced. An estimate that varies must not refuse admitted
+	// requests.
 	turnTolerance = 0.1
 	// minCheckInterval is the time after which a waiting request is checked again at the earliest.
 	minCheckInterval = 10 * time.Millisecond
@@ -71,6 +72,8 @@
 	opensIn time.Duration
 	// requestTime is the mean time of a request of a plain service.
 	requestTime time.Duration
+	// gap is the longest time between two requests to an upstream that its own limits impose.
+	gap time.Duration
 }
 
 // capacity returns the theoretical capacity of a service. Limits on the number of requests count with the mean work of
@@ -101,26 +104,37 @@
 		if now.Before(u.pausedUntil) {
 			continue
 		}
-		c.rate += u.workRate(now, meanWork)
+		rate, gap := u.workRate(now, meanWork)
+		c.rate += rate
+		c.gap = max(c.gap, gap)
 	}
 	c.requestTime /= time.Duration(max(present, 1))
 	l.prior, l.priorAt = c, now
 	return c
 }
 
-// workRate returns the theoretical rate of work of an upstream.
-func (u *upstream) workRate(now time.Time, meanWork time.Duration) float64 {
+// maxGap bounds the time between two requests to an upstream that is taken into account.
+const maxGap = time.Second
+
+// workRate returns the theoretical rate of work of an upstream, and the time between two requests that its own limits
+// impose.
+func (u *upstream) workRate(now time.Time, meanWork time.Duration) (float64, time.Duration) {
 	rate := float64(assumedPrefillPerToken) / float64(max(u.prefillPerToken, 1))
+	limit := math.Inf(1)
 	if u.engine == nil {
 		rate = float64(max(u.record.Slots, 1)) * float64(assumedRequestTime) / float64(max(u.requestTime, 1))
 	}
 	if u.rateLimit != nil {
-		rate = min(rate, u.rateLimit.Rate(now)*meanWork.Seconds())
+		limit = u.rateLimit.Rate(now)
 	}
 	if u.slowStart.active(now) {
-		rate = min(rate, slowStartFraction*u.slowStart.limits.RequestsPerSecond*u.slowStart.options.Share*meanWork.Seconds())
+		limit = min(limit, slowStartFraction*u.slowStart.limits.RequestsPerSecond*u.slowStart.options.Share)
+	}
+	gap := time.Duration(float64(time.Second) / max(limit, 1/maxGap.Seconds()))
+	if math.IsInf(limit, 1) {
+		gap = 0
 	}
-	return rate
+	return min(rate, limit*meanWork.Seconds()), gap
 }
 
 // lastUseful returns the last time at which it is of use to assign a request to an upstream: its deadline less the time
@@ -152,6 +166,13 @@
 	// ahead is the work of the requests that go before, count their approximate number.
 	ahead time.Duration
 	count float64
+	// request is the work of the request itself, in seconds.
+	request float64
+}
+
+// perRequest returns the time that passes for each request that goes before.
+func (t turnEstimate) perRequest() time.Duration {
+	return time.Duration(float64(t.wait) / max(t.count, 1))
 }
 
 // String describes the estimate in logs.
@@ -194,7 +215,7 @@
 	r := l.ranks[rank]
 	acct := r.accounts[entry.Organisation]
 	own, ownCount := acct.ahead(entry)
-	t := turnEstimate{rank: rank}
+	t := turnEstimate{rank: rank, request: entry.Work.Seconds()}
 	for range maxEstimateSteps {
 		before := t.wait
 		t.ahead, t.count = own, ownCount
@@ -202,7 +223,7 @@
 			t.ahead += urgent.work + time.Duration(urgent.arrivals.rate(now)*float64(t.wait))
 			t.count += float64(urgent.count)
 		}
-		l.addShares(now, r, acct, float64(own+entry.Work), &t)
+		l.addShares(now, r, acct, own, &t)
 		t.wait = min(time.Duration(float64(t.ahead)/rate), maxKnownRetryAfter)
 		if t.wait-before < estimatePrecision {
 			break
@@ -214,25 +235,33 @@
 // estimatePrecision is the change of the estimate below which no further step is made.
 const estimatePrecision = 5 * time.Millisecond
 
-// addShares adds what fair sharing gives to the other organisations of a rank while the given work of an organisation
-// is done: no more than their weight allows, and no more than waits or arrives.
-func (l *line) addShares(now time.Time, r *rankLine, acct *account, own float64, t *turnEstimate) {
-	weighted := l.weights.unrated == 0 && acct.rate > 0
-	wait := float64(t.wait)
+// addShares adds what fair sharing gives to the other organisations of a rank before an organisation's counter has
+// grown by the given work: each is served until its counter has passed that value, but no more than waits or arrives.
+func (l *line) addShares(now time.Time, r *rankLine, acct *account, own time.Duration, t *turnEstimate) {
+	scale := l.weights.scale()
+	weight := func(c *account) float64 {
+		if scale == 0 || c.rate == 0 {
+			return 1
+		}
+		return c.rate * scale
+	}
+	wait, clock := t.wait.Seconds(), r.counters.Clock()
+	turn := acct.served + own.Seconds()/weight(acct)
 	for _, other := range r.list {
-		if other == acct {
-			continue
+		served := other.served
+		if other.count == 0 {
+			served = max(served, clock)
 		}
-		share := own
-		if weighted {
-			share *= other.rate / acct.rate
+		if other == acct || served > turn {
+			continue
 		}
-		work := float64(other.work)
-		served := min(work+other.arrivals.rate(now)*wait, share)
-		t.ahead += time.Duration(served)
-		if work > 0 {
-			t.count += float64(other.count) * min(served/work, 1)
+		work, request := other.work.Seconds(), t.request
+		if other.count > 0 {
+			request = work / float64(other.count)
 		}
+		part := min(work+other.arrivals.rate(now)*wait, (turn-served)*weight(other)+request)
+		t.ahead += time.Duration(part * float64(time.Second))
+		t.count += part / request
 	}
 }
 
@@ -268,16 +297,47 @@
 	return x.Sequence() < y.Sequence()
 }
 
-// endangersLate reports whether an entry that can still meet its target would put a late one of the same organisation
-// and rank past its last useful moment, by going before it. An admitted request is served, so the entry is not admitted
-// then.
-func (l *line) endangersLate(now time.Time, entry *waitingEntry) bool {
-	if now.After(entry.Target) {
+// freeFraction is the fraction of the time that a request can wait up to which its turn is early enough to admit it for
+// that alone. A queue that is kept shorter may run empty, so that its organisation loses turns.
+const freeFraction = 0.3
+
+// endangersOthers reports whether an entry would put another one of the same organisation and rank past its last useful
+// moment: one that has to be served after it, or a late one, since entries that are on time go first. An admitted
+// request is served, so the entry is not admitted then.
+func (l *line) endangersOthers(now time.Time, entry *waitingEntry, wait time.Duration) bool {
+	interval, margin := l.interval(entry)
+	adapters := l.ranks[entry.CurrentRank()].accounts[entry.Organisation].adapters
+	if adapters[adapterKey(&entry.Value.request)].losesLater(now, entry, interval, margin) {
+		return true
+	}
+	if now.After(entry.Target) || float64(wait) <= freeFraction*float64(entry.LastUseful.Sub(now)) {
 		return false
 	}
-	interval := l.interval(entry)
-	for _, held := range l.ranks[entry.CurrentRank()].accounts[entry.Organisation].adapters {
-		if held.losesLate(now, interval) {
+	for _, held := range adapters {
+		if held.losesLate(now, interval, margin) {
+			return true
+		}
+	}
+	return false
+}
+
+// losesLater reports whether an entry that is due after the given one is put past its last useful moment by it.
+func (h *adapterAccount) losesLater(now time.Time, entry *waitingEntry, interval, margin time.Duration) bool {
+	var later []*waitingEntry
+	before := 0
+	for other := range h.entries {
+		switch {
+		case other == entry:
+		case dueBefore(other, entry):
+			before++
+		default:
+			later = append(later, other)
+		}
+	}
+	slices.SortFunc(later, func(x, y *waitingEntry) int { return x.LastUseful.Compare(y.LastUseful) })
+	for i, other := range later {
+		left := other.LastUseful.Sub(now)
+		if without := interval * time.Duration(before+i); without <= left && without+interval+margin > left {
 			return true
 		}
 	}
@@ -285,7 +345,7 @@
 }
 
 // losesLate reports whether a late entry will not be served in time if all entries that are on time go before it.
-func (h *adapterAccount) losesLate(now time.Time, interval time.Duration) bool {
+func (h *adapterAccount) losesLate(now time.Time, interval, margin time.Duration) bool {
 	var late []*waitingEntry
 	for entry := range h.entries {
 		if now.After(entry.Target) {
@@ -296,7 +356,7 @@
 	onTime := len(h.entries) - len(late)
 	for i, entry := range late {
 		left := entry.LastUseful.Sub(now)
-		if turn := interval * time.Duration(i+onTime); turn > left && left > interval {
+		if turn := interval * time.Duration(i+onTime); turn+margin > left && left > interval {
 			return true
 		}
 	}
--- a/assign/weights.go
+++ b/assign/weights.go
@@ -54,9 +54,17 @@
 
 // of returns the weight of an organisation.
 func (w *weights) of(organisation string) float64 {
-	rate := w.configured(organisation)
-	if w.unrated > 0 || rate == 0 || len(w.waiting) == 0 || w.rates <= 0 {
+	rate, scale := w.configured(organisation), w.scale()
+	if scale == 0 || rate == 0 {
 		return 1
 	}
-	return rate * float64(len(w.waiting)) / w.rates
+	return rate * scale
+}
+
+// scale returns the weight per configured rate, 0 if all weights are 1.
+func (w *weights) scale() float64 {
+	if w.unrated > 0 || len(w.waiting) == 0 || w.rates <= 0 {
+		return 0
+	}
+	return float64(len(w.waiting)) / w.rates
 }
--- a/fairshare/counters.go
+++ b/fairshare/counters.go
@@ -22,6 +22,9 @@
 // Served returns a member's counter.
 func (c *Counters) Served(member string) float64 { return c.served[member] }
 
+// Clock returns the counter from which an idle member starts.
+func (c *Counters) Clock() float64 { return c.clock }
+
 // Waiting returns how many requests of a member are waiting.
 func (c *Counters) Waiting(member string) int { return c.waiting[member] }
 
--- a/fairshare/lane.go
+++ b/fairshare/lane.go
@@ -1,7 +1,9 @@
 package fairshare
 
 import (
+	"cmp"
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -14,10 +16,15 @@
 	position int
 	// first is the number of the request at the front that arrived first, as of the last change of the lane.
 	first uint64
-	// onTime holds the requests that can still meet their target, by target. late holds the others, by their last
-	// useful moment.
+	// onTime holds the requests that can still meet their target, by target. late holds the others, sorted by their
+	// last useful moment.
 	onTime targetHeap[T]
-	late   lastUsefulHeap[T]
+	late   []*Entry[T]
+	// lateTurn is the latest time from which the late requests must have all turns of the lane to be served in time, if
+	// turns come at the given interval. It is valid if lateKnown is set.
+	lateTurn  time.Time
+	interval  time.Duration
+	lateKnown bool
 }
 
 func (l *lane[T]) len() int { return len(l.onTime) + len(l.late) }
@@ -25,26 +32,39 @@
 func (l *lane[T]) push(e *Entry[T]) {
 	e.lane = l
 	if e.late {
-		heap.Push(&l.late, e)
+		l.insertLate(e)
 		return
 	}
 	heap.Push(&l.onTime, e)
 }
 
+func (l *lane[T]) insertLate(e *Entry[T]) {
+	i, _ := slices.BinarySearchFunc(l.late, e, compareLastUseful)
+	l.late = slices.Insert(l.late, i, e)
+	l.lateKnown = false
+}
+
 func (l *lane[T]) remove(e *Entry[T]) {
-	if e.late {
-		heap.Remove(&l.late, e.position)
+	if !e.late {
+		heap.Remove(&l.onTime, e.position)
 		return
 	}
-	heap.Remove(&l.onTime, e.position)
+	i, _ := slices.BinarySearchFunc(l.late, e, compareLastUseful)
+	l.late = slices.Delete(l.late, i, i+1)
+	l.lateKnown = false
+}
+
+// compareLastUseful orders requests by their last useful moments, then by arrival.
+func compareLastUseful[T any](x, y *Entry[T]) int {
+	return cmp.Or(x.LastUseful.Compare(y.LastUseful), cmp.Compare(x.sequence, y.sequence))
 }
 
 // head returns the lane's next request.
-func (l *lane[T]) head(now time.Time, interval func(*Entry[T]) time.Duration) *Entry[T] {
+func (l *lane[T]) head(now time.Time, interval func(*Entry[T]) (time.Duration, time.Duration)) *Entry[T] {
 	for len(l.onTime) > 0 && !l.onTime[0].Target.IsZero() && now.After(l.onTime[0].Target) {
 		e, _ := heap.Pop(&l.onTime).(*Entry[T])
 		e.late = true
-		heap.Push(&l.late, e)
+		l.insertLate(e)
 	}
 	switch {
 	case len(l.late) == 0:
@@ -52,11 +72,11 @@
 	case len(l.onTime) == 0:
 		return l.late[0]
 	}
-	var between time.Duration
+	between, margin := l.late[0].Work, time.Duration(0)
 	if interval != nil {
-		between = interval(l.late[0])
+		between, margin = interval(l.late[0])
 	}
-	if GoesFirst(now, l.late[0], l.onTime[0], between) {
+	if l.lateFirst(now, between, margin) {
 		return l.late[0]
 	}
 	return l.onTime[0]
@@ -65,15 +85,26 @@
 // closeTurns is the number of turns before its last useful moment from which a late request may go before others.
 const closeTurns = 3
 
-// GoesFirst reports whether a late request goes before one of the same organisation and rank that can still meet its
-// target, given the time between two turns of the organisation. It does if there will be no other turn for it, or if
-// its last useful moment is close and the other request still meets its target one turn later.
-func GoesFirst[T any](now time.Time, late, onTime *Entry[T], interval time.Duration) bool {
-	left := late.LastUseful.Sub(now)
-	if left <= interval {
+// lateFirst reports whether the late requests go before those that can still meet their targets, given the time between
+// two turns of the lane and the time by which a turn may come later. They do if one of them would otherwise not be served in time, or if the last useful moment of
+// the first one is close and the others still meet their targets one turn later.
+func (l *lane[T]) lateFirst(now time.Time, interval, margin time.Duration) bool {
+	if l.late[0].LastUseful.Sub(now) <= closeTurns*interval+margin && l.onTime[0].Target.Sub(now) > interval+margin {
 		return true
 	}
-	return left <= closeTurns*interval && onTime.Target.Sub(now) > interval
+	if !l.lateKnown || l.interval != interval {
+		l.updateLateTurn(interval)
+	}
+	return l.lateTurn.Sub(now) <= interval+margin
+}
+
+func (l *lane[T]) updateLateTurn(interval time.Duration) {
+	l.interval, l.lateKnown = interval, true
+	for i, e := range l.late {
+		if turn := e.LastUseful.Add(-time.Duration(i) * interval); i == 0 || turn.Before(l.lateTurn) {
+			l.lateTurn = turn
+		}
+	}
 }
 
 // laneHeap orders lanes by their recorded counters.
@@ -132,24 +163,6 @@
 // Pop implements heap.Interface.
 func (h *targetHeap[T]) Pop() any { return popLast((*[]*Entry[T])(h)) }
 
-// lastUsefulHeap orders requests by their last useful moments, then by arrival.
-type lastUsefulHeap[T any] []*Entry[T]
-
-func (h lastUsefulHeap[T]) Len() int { return len(h) }
-func (h lastUsefulHeap[T]) Less(i, j int) bool {
-	if !h[i].LastUseful.Equal(h[j].LastUseful) {
-		return h[i].LastUseful.Before(h[j].LastUseful)
-	}
-	return h[i].sequence < h[j].sequence
-}
-func (h lastUsefulHeap[T]) Swap(i, j int) { swapEntries(h, i, j) }
-
-// Push implements heap.Interface.
-func (h *lastUsefulHeap[T]) Push(x any) { pushEntry((*[]*Entry[T])(h), x) }
-
-// Pop implements heap.Interface.
-func (h *lastUsefulHeap[T]) Pop() any { return popLast((*[]*Entry[T])(h)) }
-
 func swapEntries[T any](h []*Entry[T], i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].position, h[j].position = i, j
--- a/fairshare/queue.go
+++ b/fairshare/queue.go
@@ -62,8 +62,9 @@
 	Counters func(rank int) *Counters
 	// AgingTime is the time after which a waiting request moves up by one rank.
 	AgingTime time.Duration
-	// Interval, if set, returns the expected time between two turns of an entry's lane.
-	Interval func(e *Entry[T]) time.Duration
+	// Interval, if set, returns the expected time between two turns of an entry's lane, and the time by which a turn
+	// may come later than that.
+	Interval func(e *Entry[T]) (interval, margin time.Duration)
 	// Moved, if set, is called when a request has moved up from a rank to the next one.
 	Moved func(e *Entry[T], from int)
 }
