--- a/assign/serve.go
+++ b/assign/serve.go
@@ -41,6 +41,9 @@
 			a.serveLine(now, s)
 		}
 	}
+	if a.queues.unranked == 0 {
+		return
+	}
 	a.queueBuffer = a.queueBuffer[:0]
 	for _, q := range a.queues.byKey {
 		if q.ordered != nil {
