assign: urgent requests get slots, displaced callers are told at once, leaders admit again

A slot whose adapter less urgent requests use or wait for was never evicted, so an urgent request for another adapter waited until they had ended; it now makes the slot drain (rule: all users and waiting requests of less urgent ranks). Displacement counts only what waits, admission also what is likely to arrive. Requests that waited at a former leader carry Admitted and are admitted again; so are retries. Ranks and weights follow the configuration.

go test ./assign -run Ranked: all pass. Without lessUrgentSlot TestRanked_UrgentRequestGetsSlot fails, without Admitted TestRanked_AdmittedAgainByNextLeader fails.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -52,6 +52,8 @@
 	// ready is true if the request can be assigned to the upstream now.
 	ready bool
 	cost  time.Duration
+	// evicts is the adapter in use that has to make room for a more urgent request, nil if there is no need.
+	evicts *slot
 	// score is the cost by which options are compared.
 	score time.Duration
 	rule  string
@@ -81,6 +83,9 @@
 		return best, false
 	}
 	if best.needsLoad {
+		if best.evicts != nil {
+			best.evicts.state = slotEvicting
+		}
 		a.claimSlot(e, a.startLoad(now, best.upstream, e.request.Adapter))
 		return best, false
 	}
@@ -241,7 +246,7 @@
 		return o, false
 	case ok:
 		return o, false
-	case !a.hasRoom(u):
+	case !a.makesRoom(u, e, &o):
 		return a.warmOption(now, o, e)
 	case !u.isWarm(ref.Adapter) && !a.coldLoads.mayStart():
 		return o, false
@@ -260,6 +265,19 @@
 	return o, true
 }
 
+// makesRoom reports whether another adapter may be loaded on an engine, if necessary by evicting one that less urgent
+// requests use.
+func (a *Assigner) makesRoom(u *upstream, e *requestState, o *option) bool {
+	if a.hasRoom(u) {
+		return true
+	}
+	if o.evicts = a.lessUrgentSlot(u, e); o.evicts == nil {
+		return false
+	}
+	o.cost += evictUsedCost
+	return true
+}
+
 // warmOption waits for a free slot on an engine that held the adapter recently. Its cost grows with the time that
 // the request has waited, so that a load from the weight store elsewhere becomes the better option.
 func (a *Assigner) warmOption(now time.Time, o option, e *requestState) (option, bool) {
--- a/assign/events.go
+++ b/assign/events.go
@@ -62,7 +62,9 @@
 	// Avoid lists the IDs of the upstreams that have already been tried.
 	Avoid []string
 	// Charged is true if the cost was already counted with an earlier attempt.
-	Charged     bool
+	Charged bool
+	// Admitted is true if the request was waiting at another Assigner, which had admitted it.
+	Admitted    bool
 	Fingerprint Fingerprint
 	// Resource is like Fingerprint, but leaves out the method and the query, which may differ between repeats of a
 	// request that crashes upstreams. It is zero if it adds no information.
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -63,8 +63,9 @@
 		l.admitted(now, rank, e)
 		return
 	}
-	t := a.estimateTurn(now, s, e)
-	if rule, refused := a.refusesTurn(now, s, e, t); refused {
+	t := a.estimateTurn(now, s, e, withArrivals)
+	admitted := (e.request.Admitted || e.request.retry()) && now.Before(e.lastUseful) && s.hasUpstream()
+	if rule, refused := a.refusesTurn(now, s, e, t); refused && !admitted {
 		a.refuseQueued(now, s, e, t, rule)
 		return
 	}
@@ -74,6 +75,11 @@
 	l.ranks[t.rank].scheduleCheck(e, e.lastUseful.Sub(now)-t.wait)
 }
 
+// hasUpstream reports whether some upstream of the service is not draining.
+func (s *service) hasUpstream() bool {
+	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() })
+}
+
 // turnPrecision is the time by which a turn may come later than estimated although the estimate is right: the step of
 // rateWait, and a pass before and after it.
 const turnPrecision = rateWaitStep + 2*passInterval
@@ -81,7 +87,7 @@
 // refusesTurn reports whether a new request is refused because its turn would come too late, and the rule.
 func (a *Assigner) refusesTurn(now time.Time, s *service, e *requestState, t turnEstimate) (string, bool) {
 	switch {
-	case !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() }):
+	case !s.hasUpstream():
 		return "no_upstream", true
 	case !now.Add(t.wait+turnPrecision).After(e.lastUseful) && !s.line.endangersOthers(now, e.waiting, t.wait):
 		return "", false
@@ -279,20 +285,19 @@
 		if r.pushed > e.pushedAtAdmission {
 			rule = Displaced
 		}
-		a.refuseQueued(now, s, e, a.estimateTurn(now, s, e), rule)
+		a.refuseQueued(now, s, e, a.estimateTurn(now, s, e, withoutArrivals), rule)
 		return
 	}
-	slack := e.lastUseful.Sub(now)
-	if r.pushed > e.pushedAtAdmission {
-		t := a.estimateTurn(now, s, e)
-		late := time.Duration((1-turnTolerance)*float64(t.wait)) - 2*t.perRequest() - slack
-		if late > 0 {
-			a.refuseQueued(now, s, e, t, Displaced)
-			return
-		}
-		slack = -late
+	t := a.estimateTurn(now, s, e, withoutArrivals)
+	late := time.Duration((1-turnTolerance)*float64(t.wait)) - 2*t.perRequest() - e.lastUseful.Sub(now)
+	if late > 0 && r.pushed > e.pushedAtAdmission {
+		a.refuseQueued(now, s, e, t, Displaced)
+		return
+	}
+	if late > 0 {
+		late = -queueCheckInterval
 	}
-	r.scheduleCheck(e, slack)
+	r.scheduleCheck(e, -late)
 }
 
 // pushBack records that a new request has put back the turns of the less urgent ranks and, by fair sharing, of the
--- /dev/null
+++ b/assign/rankedfaults_test.go
@@ -0,0 +1,195 @@
+package assign
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/catalog"
+)
+
+// All slots of the engines hold adapters that routine requests use and wait for. Guards against an urgent request for
+// another adapter that gets no slot before these requests have ended.
+func TestRanked_UrgentRequestGetsSlot(t *testing.T) {
+	w := newRankedSimulation(t, 1, 2, "a", "b", "c")
+	routine := func(r *Request) {
+		r.Priority, r.Target, r.Deadline = 2, w.now.Add(10*time.Second), w.now.Add(30*time.Second)
+	}
+	n := uint64(0)
+	send := func() {
+		for _, adapter := range []string{"a", "b", "c"} {
+			n++
+			w.submit(n, adapter, routine)
+		}
+	}
+	for range 60 {
+		send()
+	}
+	w.run(500 * time.Millisecond)
+	id := w.submit(10_000, "d", func(r *Request) {
+		r.Priority, r.Target, r.Deadline = 0, w.now.Add(time.Second), w.now.Add(5*time.Second)
+	})
+	for range 20 {
+		w.run(100 * time.Millisecond)
+		send()
+	}
+	require.Contains(t, w.granted, id)
+	require.Less(t, w.granted[id].Held, 1500*time.Millisecond)
+}
+
+// A queue of routine requests is full when urgent ones arrive that take up all capacity. Guards against callers that
+// are told late, and against urgent or admitted requests that are refused beside them.
+func TestRanked_DisplacedAreToldAtOnce(t *testing.T) {
+	w := newRankedSimulation(t, 1, 1, "a", "b")
+	for n := range uint64(200) {
+		w.submit(n+1, "a", func(r *Request) {
+			r.Priority, r.Target, r.Deadline = 2, w.now.Add(2*time.Second), w.now.Add(6*time.Second)
+		})
+	}
+	w.run(time.Second)
+	waiting := w.assigner.Waiting()
+	require.Greater(t, waiting, 30)
+	before := len(w.refused)
+	const urgent = 20 // 1.6 s of work
+	for n := range uint64(urgent) {
+		w.submit(1000+n, "b", func(r *Request) {
+			r.Priority, r.Target, r.Deadline = 0, w.now.Add(3*time.Second), w.now.Add(5*time.Second)
+		})
+	}
+	arrived := w.now
+	w.run(10 * time.Millisecond)
+	displaced := 0
+	for id, r := range w.refused {
+		if r.Rule == Displaced {
+			displaced++
+			require.Less(t, id.Number, uint64(1000))
+		}
+	}
+	t.Logf("%d waiting, %d displaced within 10 ms", waiting, displaced)
+	require.Equal(t, before+displaced, len(w.refused))
+	// As many as the urgent ones take the place of, less what the tolerance of the estimate keeps.
+	require.Greater(t, displaced, urgent/3)
+	require.LessOrEqual(t, displaced, urgent)
+	w.run(7 * time.Second)
+	late := 0
+	for id, r := range w.refused {
+		if id.Number >= 1000 {
+			t.Fatalf("urgent request refused: %v", r)
+		}
+		if r.Rule == Displaced || r.Rule == Expired {
+			late++
+		}
+	}
+	t.Logf("%d refused after admission, %s after the urgent ones", late, w.now.Sub(arrived))
+	require.LessOrEqual(t, late, urgent+3)
+}
+
+// Urgent requests use all capacity for a long time, and one routine request waits. Guards against starvation.
+func TestRanked_NoRequestStarves(t *testing.T) {
+	w := newRankedSimulation(t, 1, 1, "a")
+	w.now = w.now.Add(time.Second)
+	id := w.submitBehind(t, 2)
+	served := func() bool { return slices.Contains(grantedIDs(w), id) }
+	n := uint64(100)
+	// Three urgent requests are there for each that the engine serves.
+	for range int(2*agingTime/(80*time.Millisecond)) + 50 {
+		for range 3 {
+			n++
+			w.submit(n, "a", func(r *Request) {
+				r.Priority, r.Target, r.Deadline = 0, w.now.Add(500*time.Millisecond), w.now.Add(2*time.Second)
+			})
+		}
+		w.run(80 * time.Millisecond)
+		if served() {
+			break
+		}
+	}
+	require.True(t, served(), "waited for %s", w.now.Sub(w.submittedAt[id]))
+	require.Greater(t, w.granted[id].Held, agingTime)
+}
+
+// submitBehind fills the engine and submits a request of the given rank that has 60 s.
+func (w *simulation) submitBehind(t *testing.T, rank int) RequestID {
+	t.Helper()
+	for n := range uint64(20) {
+		w.submit(n+1, "a", func(r *Request) { r.Deadline = w.now.Add(10 * time.Second) })
+	}
+	id := w.submit(50, "a", func(r *Request) {
+		r.Priority, r.Organisation, r.Target, r.Deadline = rank, "patient", w.now.Add(time.Second), w.now.Add(60*time.Second)
+	})
+	require.NotContains(t, w.granted, id)
+	require.NotContains(t, w.refused, id)
+	return id
+}
+
+func grantedIDs(w *simulation) []RequestID {
+	var ids []RequestID
+	for id := range w.granted {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// The leader changes while requests wait, and the next one has half of the engines. Guards against requests that the
+// former leader has admitted and the next one refuses for their number.
+func TestRanked_AdmittedAgainByNextLeader(t *testing.T) {
+	w := newRankedSimulation(t, 1, 2, "a")
+	var waiting []Request
+	for n := range uint64(200) {
+		w.submit(n+1, "a", func(r *Request) {
+			r.Target, r.Deadline = w.now.Add(2*time.Second), w.now.Add(6*time.Second)
+			waiting = append(waiting, *r)
+		})
+	}
+	waiting = slices.DeleteFunc(waiting, func(r Request) bool {
+		_, granted := w.granted[r.ID]
+		_, refused := w.refused[r.ID]
+		return granted || refused
+	})
+	require.Greater(t, len(waiting), 30)
+	w.run(200 * time.Millisecond)
+	w.records = copyRecords(w.records)
+	delete(w.records, "e1")
+	w.startRankedLeader()
+	w.run(20 * time.Millisecond)
+	for _, r := range waiting {
+		if _, granted := w.granted[r.ID]; granted {
+			continue
+		}
+		r.Admitted = true
+		w.handle(RequestSubmitted{r})
+		require.NotContains(t, w.refused, r.ID)
+	}
+}
+
+// The configuration changes while requests wait. Guards against ranks that stay as they were.
+func TestRanked_RankFollowsConfiguration(t *testing.T) {
+	w := newRankedSimulation(t, 1, 1, "a")
+	far := func(org string) func(r *Request) {
+		return func(r *Request) {
+			r.Organisation, r.Priority, r.Target, r.Deadline = org, 1, w.now.Add(5*time.Second), w.now.Add(20*time.Second)
+		}
+	}
+	for n := range uint64(60) {
+		w.submit(n+1, "a", far("x"))
+	}
+	id := w.submit(100, "a", far("x"))
+	y := w.submit(101, "a", far("y"))
+	w.config = w.configWithPriority("x", 0)
+	w.handle(ConfigUpdated{w.config})
+	e := w.assigner.requests[id]
+	require.Zero(t, e.waiting.CurrentRank())
+	require.Equal(t, 1, w.assigner.requests[y].waiting.CurrentRank())
+	w.run(2 * time.Second)
+	require.NotContains(t, w.granted, y, "requests of the organisation that is now more urgent go first")
+}
+
+// configWithPriority returns the configuration with a priority for an organisation.
+func (w *simulation) configWithPriority(organisation string, priority int) *catalog.Config {
+	return catalog.NewConfig(catalog.ConfigParts{
+		Version: 9, Services: []catalog.Service{*w.config.Service("s")},
+		Organisations: []catalog.Organisation{{Name: organisation, Priority: priority, HasPriority: true}},
+	})
+}
--- a/assign/refusal.go
+++ b/assign/refusal.go
@@ -46,7 +46,7 @@
 // refusal.
 func (a *Assigner) refusalRule(now time.Time, e *requestState) (string, bool) {
 	s := a.service(e.request.Service)
-	if !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() }) {
+	if !s.hasUpstream() {
 		return "no_upstream", true
 	}
 	if _, _, limited := s.fleetRate(now); limited && !now.Add(s.rateWait(now, a.queuedBefore(now, s, e))).Before(e.queueDeadline(a)) {
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -156,6 +156,45 @@
 	return least
 }
 
+// evictUsedCost is the cost of evicting an adapter that less urgent requests use, about the time until these have ended.
+const evictUsedCost = 500 * time.Millisecond
+
+// lessUrgentSlot returns an adapter on an engine without room that makes way for a queued request of a ranked service,
+// since all requests that use it or wait for it are of less urgent ranks; of several, the one with the fewest of them
+// on the engine. It returns nil if there is none.
+func (a *Assigner) lessUrgentSlot(u *upstream, e *requestState) *slot {
+	if e.waiting == nil || a.evictionsHeld || u.pendingLoads() >= maxPendingLoads {
+		return nil
+	}
+	rank := e.waiting.CurrentRank()
+	used := map[*slot]int{}
+	for _, other := range u.running {
+		if other.slot == nil {
+			continue
+		}
+		used[other.slot]++
+		if other.request.Priority <= rank {
+			used[other.slot] += u.engine.BatchSize
+		}
+	}
+	var least *slot
+	for _, s := range u.slots {
+		if s.state != slotResident || used[s] >= u.engine.BatchSize || a.waitsFor(u, s, rank) {
+			continue
+		}
+		if least == nil || used[s] < used[least] || (used[s] == used[least] && s.ref.Adapter < least.ref.Adapter) {
+			least = s
+		}
+	}
+	return least
+}
+
+// waitsFor reports whether a request of the given rank or a more urgent one waits for an adapter.
+func (a *Assigner) waitsFor(u *upstream, s *slot, rank int) bool {
+	q, ok := a.queues.byKey[queueKey{u.record.Service, s.ref}]
+	return ok && (q.ordered == nil || q.ordered.FirstRank() <= rank)
+}
+
 // hasEvictable reports whether an adapter may be evicted.
 func (a *Assigner) hasEvictable(u *upstream) bool {
 	if a.evictionsHeld {
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -21,7 +20,7 @@
 	// turnTolerance is the fraction by which the estimated turn of a waiting request may exceed what is useful, beside
 	// the time of two requests, before the request is displaced. An estimate that varies must not refuse admitted
 	// requests.
-	turnTolerance = 0.1
+	turnTolerance = 0.05
 	// minCheckInterval is the time after which a waiting request is checked again at the earliest.
 	minCheckInterval = 10 * time.Millisecond
 	// minRate is the lowest rate of work, in units of time per time, that estimates assume.
@@ -152,7 +151,11 @@
 	last := r.Deadline.Add(-min(need, time.Duration(maxServiceFraction*float64(r.Deadline.Sub(r.Arrived)))))
 	if !a.options.SendsOrders && !a.heldAdapter(s, e) {
 		// No order makes an upstream ready for the request.
-		if bound := r.Arrived.Add(maxWaitWithoutOrders); bound.Before(last) {
+		from := r.Arrived
+		if r.Admitted {
+			from = now
+		}
+		if bound := from.Add(maxWaitWithoutOrders); bound.Before(last) {
 			return bound
 		}
 	}
@@ -181,13 +184,13 @@
 }
 
 // estimateTurn estimates the turn of a queued request.
-func (a *Assigner) estimateTurn(now time.Time, s *service, e *requestState) turnEstimate {
+func (a *Assigner) estimateTurn(now time.Time, s *service, e *requestState, future arrivalForecast) turnEstimate {
 	c := a.capacity(now, s)
 	rate := max(c.rate, minRate)
 	if _, _, limited := s.fleetRate(now); !limited {
 		rate = s.line.rate.estimate(now, c.rate)
 	}
-	t := s.line.estimate(now, e.waiting, rate)
+	t := s.line.estimate(now, e.waiting, rate, future)
 	t.wait = min(max(t.wait, c.opensIn, s.rateWait(now, int(t.count))), maxKnownRetryAfter)
 	if !s.accepts(now, e.request.ID.Host) {
 		t.wait = max(t.wait, s.hostRetryDelay(now, e.request.ID.Host))
@@ -206,26 +209,38 @@
 	return coldLoad
 }
 
+// arrivalForecast states whether an estimate includes the requests that are likely to arrive and go first. It does when a
+// request is admitted, so that the request is served, and does not when an admitted request is to be displaced.
+type arrivalForecast bool
+
+const (
+	withArrivals    arrivalForecast = true
+	withoutArrivals arrivalForecast = false
+)
+
 // maxEstimateSteps bounds the steps in which an estimate counts the work that arrives while the request waits.
 const maxEstimateSteps = 5
 
 // estimate returns the turn of an entry at a rate of work.
-func (l *line) estimate(now time.Time, entry *waitingEntry, rate float64) turnEstimate {
+func (l *line) estimate(now time.Time, entry *waitingEntry, rate float64, future arrivalForecast) turnEstimate {
 	rank := entry.CurrentRank()
 	r := l.ranks[rank]
 	acct := r.accounts[entry.Organisation]
 	own, ownCount := acct.ahead(entry)
 	t := turnEstimate{rank: rank, request: entry.Work.Seconds()}
 	for range maxEstimateSteps {
-		before := t.wait
+		before, arriving := t.wait, t.wait
+		if future == withoutArrivals {
+			arriving = 0
+		}
 		t.ahead, t.count = own, ownCount
 		for _, urgent := range l.ranks[:rank] {
-			t.ahead += urgent.work + time.Duration(urgent.arrivals.rate(now)*float64(t.wait))
+			t.ahead += urgent.work + time.Duration(urgent.arrivals.rate(now)*float64(arriving))
 			t.count += float64(urgent.count)
 		}
-		l.addShares(now, r, acct, own, &t)
+		l.addShares(now, r, acct, own, arriving, &t)
 		t.wait = min(time.Duration(float64(t.ahead)/rate), maxKnownRetryAfter)
-		if t.wait-before < estimatePrecision {
+		if t.wait-before < estimatePrecision || future == withoutArrivals {
 			break
 		}
 	}
@@ -237,7 +252,7 @@
 
 // addShares adds what fair sharing gives to the other organisations of a rank before an organisation's counter has
 // grown by the given work: each is served until its counter has passed that value, but no more than waits or arrives.
-func (l *line) addShares(now time.Time, r *rankLine, acct *account, own time.Duration, t *turnEstimate) {
+func (l *line) addShares(now time.Time, r *rankLine, acct *account, own, arriving time.Duration, t *turnEstimate) {
 	scale := l.weights.scale()
 	weight := func(c *account) float64 {
 		if scale == 0 || c.rate == 0 {
@@ -245,7 +260,7 @@
 		}
 		return c.rate * scale
 	}
-	wait, clock := t.wait.Seconds(), r.counters.Clock()
+	wait, clock := arriving.Seconds(), r.counters.Clock()
 	turn := acct.served + own.Seconds()/weight(acct)
 	for _, other := range r.list {
 		served := other.served
@@ -287,82 +302,6 @@
 	return total, count
 }
 
-// dueBefore reports whether an entry must be served before another one of the same organisation and rank, if both are
-// to be served in time. The order in which they are served is another one, since fresh requests go before late ones
-// that can wait; but a late request goes first when its last useful moment is close.
-func dueBefore(x, y *waitingEntry) bool {
-	if !x.LastUseful.Equal(y.LastUseful) {
-		return x.LastUseful.Before(y.LastUseful)
-	}
-	return x.Sequence() < y.Sequence()
-}
-
-// freeFraction is the fraction of the time that a request can wait up to which its turn is early enough to admit it for
-// that alone. A queue that is kept shorter may run empty, so that its organisation loses turns.
-const freeFraction = 0.3
-
-// endangersOthers reports whether an entry would put another one of the same organisation and rank past its last useful
-// moment: one that has to be served after it, or a late one, since entries that are on time go first. An admitted
-// request is served, so the entry is not admitted then.
-func (l *line) endangersOthers(now time.Time, entry *waitingEntry, wait time.Duration) bool {
-	interval, margin := l.interval(entry)
-	adapters := l.ranks[entry.CurrentRank()].accounts[entry.Organisation].adapters
-	if adapters[adapterKey(&entry.Value.request)].losesLater(now, entry, interval, margin) {
-		return true
-	}
-	if now.After(entry.Target) || float64(wait) <= freeFraction*float64(entry.LastUseful.Sub(now)) {
-		return false
-	}
-	for _, held := range adapters {
-		if held.losesLate(now, interval, margin) {
-			return true
-		}
-	}
-	return false
-}
-
-// losesLater reports whether an entry that is due after the given one is put past its last useful moment by it.
-func (h *adapterAccount) losesLater(now time.Time, entry *waitingEntry, interval, margin time.Duration) bool {
-	var later []*waitingEntry
-	before := 0
-	for other := range h.entries {
-		switch {
-		case other == entry:
-		case dueBefore(other, entry):
-			before++
-		default:
-			later = append(later, other)
-		}
-	}
-	slices.SortFunc(later, func(x, y *waitingEntry) int { return x.LastUseful.Compare(y.LastUseful) })
-	for i, other := range later {
-		left := other.LastUseful.Sub(now)
-		if without := interval * time.Duration(before+i); without <= left && without+interval+margin > left {
-			return true
-		}
-	}
-	return false
-}
-
-// losesLate reports whether a late entry will not be served in time if all entries that are on time go before it.
-func (h *adapterAccount) losesLate(now time.Time, interval, margin time.Duration) bool {
-	var late []*waitingEntry
-	for entry := range h.entries {
-		if now.After(entry.Target) {
-			late = append(late, entry)
-		}
-	}
-	slices.SortFunc(late, func(x, y *waitingEntry) int { return x.LastUseful.Compare(y.LastUseful) })
-	onTime := len(h.entries) - len(late)
-	for i, entry := range late {
-		left := entry.LastUseful.Sub(now)
-		if turn := interval * time.Duration(i+onTime); turn+margin > left && left > interval {
-			return true
-		}
-	}
-	return false
-}
-
 // scheduleCheck schedules the next check of a request, after its turn may have moved back by the given time.
 func (r *rankLine) scheduleCheck(e *requestState, slack time.Duration) {
 	e.checkAt = r.delay + max(slack, minCheckInterval)
--- a/fairshare/queue.go
+++ b/fairshare/queue.go
@@ -196,6 +196,17 @@
 	return nil
 }
 
+// FirstRank returns the rank of the first request that waits, as of the last call of a method with a time. The queue must
+// not be empty.
+func (q *Queue[T]) FirstRank() int {
+	for rank := range q.ranks {
+		if len(q.ranks[rank]) > 0 {
+			return rank
+		}
+	}
+	return len(q.ranks)
+}
+
 // Each calls f for every request, in no particular order.
 func (q *Queue[T]) Each(f func(e *Entry[T])) {
 	for _, l := range q.lanes {
--- a/leader/follower.go
+++ b/leader/follower.go
@@ -251,6 +251,7 @@
 	b.awaitSuccessor(now, reason)
 	for _, t := range b.tickets {
 		if !t.decided && t.atLeader {
+			t.request.Admitted = true
 			b.submit(now, t)
 		}
 	}
--- a/leader/messages.go
+++ b/leader/messages.go
@@ -24,6 +24,7 @@
 		Cost: r.Cost, Priority: r.Priority, Zone: r.Zone,
 		AgeMillis: now.Sub(r.Arrived).Milliseconds(), TargetMillis: r.Target.Sub(now).Milliseconds(),
 		DeadlineMillis: r.Deadline.Sub(now).Milliseconds(), Avoid: r.Avoid, Charged: r.Charged, Fingerprint: r.Fingerprint[:],
+		Admitted: r.Admitted,
 	}
 	if r.Resource != (assign.Fingerprint{}) {
 		m.Resource = r.Resource[:]
@@ -41,7 +42,7 @@
 		Service: m.Service, Organisation: m.Organisation, Adapter: catalog.AdapterRef{Model: m.Model, Adapter: m.Adapter},
 		PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens,
 		ExpectedOutput: m.ExpectedOutput, Cost: m.Cost, Priority: m.Priority,
-		Zone: m.Zone, Avoid: m.Avoid, Charged: m.Charged,
+		Zone: m.Zone, Avoid: m.Avoid, Charged: m.Charged, Admitted: m.Admitted,
 		Arrived: now.Add(-milliseconds(m.AgeMillis)), Target: now.Add(milliseconds(m.TargetMillis)),
 		Deadline: now.Add(milliseconds(m.DeadlineMillis)),
 	}
--- a/leader/ratelimit.go
+++ b/leader/ratelimit.go
@@ -204,6 +204,7 @@
 	for _, t := range b.tickets {
 		if t.upstream == "" && !t.decided && !t.atLeader && t.request.Service != "" && b.needsLeader(t.request.Service) {
 			b.handleLocal(now, assign.RequestWithdrawn{ID: t.request.ID})
+			t.request.Admitted = true
 			b.submit(now, t)
 		}
 	}
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -72,6 +72,8 @@
 	Resource []byte `cbor:"20,keyasint,omitempty"`
 	// ExpectedOutput is the caller's estimate of the output length, in tokens.
 	ExpectedOutput int `cbor:"19,keyasint,omitempty"`
+	// Admitted is set if the request was waiting at a former leader, or at its host, which had admitted it.
+	Admitted bool `cbor:"24,keyasint,omitempty"`
 }
 
 // WithdrawRequest cancels a waiting request.
