--- a/assign/line.go
+++ b/assign/line.go
@@ -118,7 +118,7 @@
 		Target: e.request.Target, LastUseful: e.lastUseful, Work: e.work,
 	}
 	// A request that is of no use soon after its target, or before it, has to be treated as late before that.
-	if urgent := e.lastUseful.Add(-lateTurns*l.rank(max(e.request.Priority, 0)).interval - l.prior.gap); urgent.Before(entry.Target) {
+	if urgent := e.lastUseful.Add(-lateTurns*l.rank(e.request.Rank()).interval - l.prior.gap); urgent.Before(entry.Target) {
 		entry.Target = urgent
 	}
 	e.waiting = entry
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -79,6 +79,8 @@
 	// FirstEventMillis is the time until the caller stops waiting for the first event of a stream, in milliseconds, 0
 	// if that is no earlier than the deadline.
 	FirstEventMillis int64 `cbor:"23,keyasint,omitempty"`
+	// Admitted is set if the request was waiting at a former leader, or at its host, which had admitted it.
+	Admitted bool `cbor:"24,keyasint,omitempty"`
 }
 
 // WithdrawRequest cancels a waiting request.
