assign: plain services by pace and other hosts' load; overdue prefills for streams only

Hosts assign plain requests without knowing of one another: all took the fastest upstream, or an idle slow one although a fast one had free slots. The load of other hosts now comes from the upstreams' reports and counts less with its age, and work on an upstream with a free slot counts a fifth. No first byte is reported for answers that are no streams, so their prefills are never overdue.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -111,6 +111,8 @@
 	lastReturn time.Time
 	// statesPace is true once an upstream of the service has stated its pace.
 	statesPace bool
+	// streamingRoutes holds the routes of the service whose last answer was a stream.
+	streamingRoutes map[string]bool
 }
 
 // ranked reports whether the waiting requests of a service are ordered by rank and shared fairly.
@@ -118,6 +120,7 @@
 
 // requestState is the state of a request that has not ended.
 type requestState struct {
+	requestWork
 	request     Request
 	submittedAt time.Time
 	// upstream is the upstream that the request is assigned to, nil while it is queued.
@@ -134,22 +137,6 @@
 	// prefillAhead is the number of tokens waiting for prefill on the engine when the request was assigned,
 	// without the request's own.
 	prefillAhead int
-	// paceAtGrant and runningAtGrant are the pace of the upstream and the number of its requests when the request was
-	// assigned.
-	paceAtGrant    float64
-	runningAtGrant int
-	// cacheTokens is the KV cache that is reserved for the request.
-	cacheTokens int
-	// expectedTokens is the expected output and expectedTime the expected time on a plain service at usual pace, each
-	// 0 until it is estimated.
-	expectedTokens int
-	expectedTime   time.Duration
-	// firstByteAt is the time of the first byte of the answer, the zero time before. loadStated is true if the load
-	// in the answer's header was received before the answer's end.
-	firstByteAt time.Time
-	loadStated  bool
-	// adopted is true if another Assigner has assigned the request, so that its times are not known.
-	adopted bool
 }
 
 // New returns an Assigner without configuration, upstreams or requests.
@@ -281,7 +268,7 @@
 	if _, ok := a.requests[ev.Request.ID]; ok {
 		return
 	}
-	e := &requestState{request: ev.Request, adopted: true}
+	e := &requestState{request: ev.Request, requestWork: requestWork{adopted: true}}
 	u, ok := a.upstreams[ev.Upstream]
 	if !ok {
 		return
@@ -374,24 +361,11 @@
 	a.releaseClaim(e)
 	e.upstream, e.slot, e.grantedAt = u, s, now
 	e.prefillTokens = u.uncachedTokens(now, &e.request)
-	prefill := u.prefillTime(now, e.prefillTokens)
-	u.recordPrefill(now, prefill)
-	e.prefillAhead, e.paceAtGrant, e.runningAtGrant = u.tokensAhead(now), u.pace.current(now), len(u.running)
-	if u.engine == nil && u.byWork() {
-		a.expectedRequestTimeOf(e)
-	}
+	a.addWork(now, e, u, s)
 	u.running[e.request.ID] = e
-	u.pendingPrefillTokens += e.prefillTokens
-	u.addPrefill(now, e)
-	u.prefillLoad.add(now, prefill.Seconds())
-	e.cacheTokens = a.cacheNeed(u, e)
-	u.cacheTokens += e.cacheTokens
 	if s != nil {
 		s.claims++
 		s.lastUsed = now
-		if u.byWork() {
-			s.recordCopyLoad(now, prefill)
-		}
 	}
 	u.rememberBlocks(now, &e.request)
 	u.slowStart.take(now)
--- a/assign/remainingwork.go
+++ b/assign/remainingwork.go
@@ -27,6 +27,45 @@
 // byWork reports whether requests are assigned to the upstream by its remaining work and its pace.
 func (u *upstream) byWork() bool { return u.service != nil && u.service.ranked(u.options) }
 
+// requestWork is what is known of the work of a request.
+type requestWork struct {
+	// paceAtGrant and runningAtGrant are the pace of the upstream and the number of its requests when the request was
+	// assigned.
+	paceAtGrant    float64
+	runningAtGrant int
+	// cacheTokens is the KV cache that is reserved for the request.
+	cacheTokens int
+	// expectedTokens is the expected output and expectedTime the expected time on a plain service at usual pace, each
+	// 0 until it is estimated.
+	expectedTokens int
+	expectedTime   time.Duration
+	// firstByteAt is the time of the first byte of the answer, the zero time before. loadStated is true if the load
+	// in the answer's header was received before the answer's end.
+	firstByteAt time.Time
+	loadStated  bool
+	// adopted is true if another Assigner has assigned the request, so that its times are not known.
+	adopted bool
+}
+
+// addWork records the work of a request that is assigned to an upstream.
+func (a *Assigner) addWork(now time.Time, e *requestState, u *upstream, s *slot) {
+	prefill := u.prefillTime(now, e.prefillTokens)
+	u.recordPrefill(now, prefill)
+	e.prefillAhead, e.paceAtGrant, e.runningAtGrant = u.tokensAhead(now), u.pace.current(now), len(u.running)
+	u.pendingPrefillTokens += e.prefillTokens
+	u.addPrefill(now, e)
+	u.prefillLoad.add(now, prefill.Seconds())
+	e.cacheTokens = a.cacheNeed(u, e)
+	u.cacheTokens += e.cacheTokens
+	switch {
+	case !u.byWork():
+	case u.engine == nil:
+		a.expectedRequestTimeOf(e)
+	case s != nil:
+		s.recordCopyLoad(now, prefill)
+	}
+}
+
 // addPrefill records a prompt that the engine will prefill after those it was assigned before.
 func (u *upstream) addPrefill(now time.Time, e *requestState) {
 	if len(u.prefills) == 0 {
@@ -58,7 +97,7 @@
 // overduePace returns the pace that explains why the prompt that the engine prefills now has no first token yet, 0 if
 // it is not overdue.
 func (u *upstream) overduePace(now time.Time) float64 {
-	if u.engine == nil || len(u.prefills) == 0 {
+	if u.engine == nil || len(u.prefills) == 0 || !u.service.streamingRoutes[u.prefills[0].request.Route] {
 		return 0
 	}
 	elapsed, expected := now.Sub(u.headSince), u.pace.timeFor(u.headSince, u.headWork())
@@ -103,11 +142,21 @@
 	return max(u.decode.tokens-generated, float64(u.streams))
 }
 
+// setStreaming records whether the answers of a route are streams. A first byte is reported for streams only, so that other
+// requests are not overdue without one.
+func (s *service) setStreaming(route string, streams bool) {
+	if s.streamingRoutes == nil {
+		s.streamingRoutes = map[string]bool{}
+	}
+	s.streamingRoutes[route] = streams
+}
+
 // addStream records that a request has its first token.
 func (u *upstream) addStream(now time.Time, e *requestState) {
 	u.decode = decodeBacklog{u.remainingDecode(now) + float64(e.expectedTokens), now}
 	u.streams++
 	e.streaming, e.firstByteAt = true, now
+	u.service.setStreaming(e.request.Route, true)
 }
 
 // removeStream records that a stream has ended, with what was expected to be left of it.
--- a/assign/work.go
+++ b/assign/work.go
@@ -74,6 +74,10 @@
 		return
 	}
 	r := &e.request
+	if u.engine != nil && !e.streaming {
+		u.service.setStreaming(r.Route, false)
+		return
+	}
 	if u.engine != nil {
 		a.costs.outputTokens.Observe(costKey(r), outputPrior(r), float64(ev.Feedback.OutputTokens))
 		return
--- a/assign/workchoice.go
+++ b/assign/workchoice.go
@@ -14,6 +14,9 @@
 	maxWorkBacklog = 250 * time.Millisecond
 	// maxRequestTime bounds the expected time of a request to a plain service.
 	maxRequestTime = time.Minute
+	// freeSlotWeight is the weight of the work on a plain upstream that has a free slot as far as is known: other hosts
+	// may just have taken it. With 1, requests went to idle slow upstreams instead of fast ones with free slots.
+	freeSlotWeight = 0.2
 	// minRemainingFraction is the fraction of its time that a request to a plain service is taken to need still, for
 	// as long as it runs.
 	minRemainingFraction = 0.2
@@ -57,8 +60,10 @@
 // plainWorkCost returns the expected time in which a plain service answers a request.
 func (a *Assigner) plainWorkCost(now time.Time, u *upstream, e *requestState) time.Duration {
 	own := a.expectedRequestTimeOf(e)
-	ahead := u.remainingPlainWork(now) + fractionOf(assumedRequestTime, u.others.expected(now))
-	return u.timeFor(now, own+ahead/time.Duration(u.slotCount()))
+	ahead := u.remainingPlainWork(now) + fractionOf(own, u.others.expected(now))
+	slots := float64(u.slotCount())
+	queued := max(float64(len(u.running))+u.others.expected(now)+1-slots, 0)
+	return u.timeFor(now, own+fractionOf(ahead, min(freeSlotWeight+queued/slots, 1)/slots))
 }
 
 // expectedRequestTimeOf returns the expected time of a request, which is estimated once.
@@ -85,8 +90,13 @@
 	at              time.Time
 }
 
-// othersWeight is the weight of a new figure in the average.
-const othersWeight = 0.1
+const (
+	// othersWeight is the weight of a new figure in the average.
+	othersWeight = 0.1
+	// othersLoadAge is the age at which a figure counts as little as the average. Requests to plain services last some
+	// tens of milliseconds.
+	othersLoadAge = 150 * time.Millisecond
+)
 
 func (l *othersLoad) record(now time.Time, n float64) {
 	if l.at.IsZero() {
@@ -97,6 +107,6 @@
 }
 
 func (l *othersLoad) expected(now time.Time) float64 {
-	age := float64(now.Sub(l.at)) / float64(momentaryPaceTime)
+	age := float64(now.Sub(l.at)) / float64(othersLoadAge)
 	return l.average + (l.latest-l.average)*max(0, 1-age)
 }
--- a/assign/workchoice_test.go
+++ b/assign/workchoice_test.go
@@ -236,10 +236,24 @@
 	w := newSimulation(t, 1, 2, 2)
 	a := w.assigner
 	statePaces(a, w.now, map[string]float64{"e0": 1, "e1": 1.1})
-	require.Equal(t, "e0", grantedTo(a, w.now, modelRequest(w.now, 1)))
-	now := w.now.Add(400 * time.Millisecond)
+	start := runPaced(a, w.now, modelRequest(w.now, 1), 90*time.Millisecond)
+	require.Equal(t, "e0", grantedTo(a, start, modelRequest(start, 2)))
+	now := start.Add(400 * time.Millisecond)
 	require.InDelta(t, 4, a.upstreams["e0"].overduePace(now), 0.5)
-	require.Equal(t, "e1", grantedTo(a, now, modelRequest(now, 2)))
+	require.Equal(t, "e1", grantedTo(a, now, modelRequest(now, 3)))
+}
+
+// No first byte is reported for answers that are no streams. Their engines must not count as slow.
+func TestOverdue_NotForOtherAnswers(t *testing.T) {
+	w := newSimulation(t, 1, 1, 2)
+	a, now := w.assigner, w.now
+	statePaces(a, now, map[string]float64{"e0": 1})
+	first := modelRequest(now, 1)
+	grantedTo(a, now, first)
+	a.Handle(now.Add(time.Second), AttemptEnded{ID: first.ID, Outcome: Completed})
+	now = now.Add(2 * time.Second)
+	grantedTo(a, now, modelRequest(now, 2))
+	require.Zero(t, a.upstreams["e0"].overduePace(now.Add(time.Second)))
 }
 
 // All that is accounted as remaining work must end with the requests.
