--- a/assign/line.go
+++ b/assign/line.go
@@ -7,13 +7,29 @@
 	"github.com/jasminelock/jasminelock/fairshare"
 )
 
-// agingTime is the time after which a waiting request moves up by one rank. It exceeds half of the usual deadlines, so
+// agingTime is the time after which a waiting request moves up by one priority. It exceeds half of the usual deadlines, so
 // that routine requests do not compete with urgent ones while they still have time.
 const agingTime = 10 * time.Second
 
 // waitingEntry is a queued request of a ranked service.
 type waitingEntry = fairshare.Entry[*requestState]
 
+// requestRank is what a ranked service knows of a request.
+type requestRank struct {
+	// line is the order of the service, waiting the place in it while the request is queued, work the expected work,
+	// lastUseful the last time at which it is of use to assign the request.
+	line       *line
+	waiting    *waitingEntry
+	work       time.Duration
+	lastUseful time.Time
+	// estimatedTurn is the expected wait at admission, pushedAtAdmission the value of rankLine.pushed then. checkAt is
+	// the delay at which the request is checked next, checkIndex its position in the heap of checks, counted from 1.
+	estimatedTurn     time.Duration
+	pushedAtAdmission time.Duration
+	checkAt           time.Duration
+	checkIndex        int
+}
+
 // line holds the waiting requests of a ranked service in the order in which they are served.
 type line struct {
 	service *service
@@ -104,7 +120,7 @@
 func (l *line) newQueue() *fairshare.Queue[*requestState] {
 	return fairshare.NewQueue(fairshare.Options[*requestState]{
 		Counters:  func(rank int) *fairshare.Counters { return l.rank(rank).counters },
-		AgingTime: agingTime, Moved: l.moved, Interval: l.interval,
+		AgingTime: agingTime, AgingRanks: routeRanks, Moved: l.moved, Interval: l.interval,
 	})
 }
 
--- a/fairshare/queue.go
+++ b/fairshare/queue.go
@@ -60,8 +60,9 @@
 type Options[T any] struct {
 	// Counters returns the counters that order the organisations of a rank.
 	Counters func(rank int) *Counters
-	// AgingTime is the time after which a waiting request moves up by one rank.
-	AgingTime time.Duration
+	// AgingTime is the time after which a waiting request moves up by AgingRanks ranks, 1 if that is 0.
+	AgingTime  time.Duration
+	AgingRanks int
 	// Interval, if set, returns the expected time between two turns of an entry's lane, and the time by which a turn
 	// may come later than that.
 	Interval func(e *Entry[T]) (interval, margin time.Duration)
@@ -148,7 +149,8 @@
 	heap.Fix(&q.ranks[e.rank], l.position)
 	e.agingIndex = -1
 	if e.rank > 0 && q.options.AgingTime > 0 {
-		e.agesAt = e.EnqueuedAt.Add(time.Duration(e.Rank-e.rank+1) * q.options.AgingTime)
+		step := max(q.options.AgingRanks, 1)
+		e.agesAt = e.EnqueuedAt.Add(time.Duration((e.Rank-e.rank)/step+1) * q.options.AgingTime)
 		heap.Push(&q.aging, e)
 	}
 }
@@ -157,7 +159,7 @@
 func (q *Queue[T]) agedRank(now time.Time, e *Entry[T]) int {
 	rank := max(e.Rank, 0)
 	if q.options.AgingTime > 0 {
-		rank -= int(max(now.Sub(e.EnqueuedAt), 0) / q.options.AgingTime)
+		rank -= int(max(now.Sub(e.EnqueuedAt), 0)/q.options.AgingTime) * max(q.options.AgingRanks, 1)
 	}
 	return max(rank, 0)
 }
