forward: a status outside the protocol ends the attempt at once

Cause: http.ReadResponse accepts statuses such as 000 and +20, and readHeader took every status below 200 for an interim response. The body of a response with status 000, 042, 101 or 199 was read as the next response: with a body that looks like one, Do returned its status 200. Without such a body, or with the status line only, Do waited for the deadline. 600, 999 and HTTP/2.0 were passed on, and so was the body of a 103 response that states its length.

Change: package statusline checks a status line byte by byte. An interim response that states a body, or is one of HTTP/1.0, is malformed. The error wraps ErrMalformed, which callers treat as an attempt that may have run.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/jasminelock/jasminelock/statusline"
 )
 
 // maxInlineBodyBytes is the largest request body, in bytes, that is written before the
@@ -141,16 +143,38 @@
 	c.limited.setLimit(maxHeaderBytes)
 	defer c.limited.removeLimit()
 	for {
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, connectionError(err)
+		if err := c.checkStatusLine(); err != nil {
+			return nil, err
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if statusline.IsFinal(resp.StatusCode) {
 			return resp, nil
 		}
+		if err := statusline.CheckInterim(resp); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
+	}
+}
+
+// checkStatusLine checks the beginning of the next status line without reading it. Each byte is
+// checked as it arrives, since an upstream in trouble may send no more.
+func (c *conn) checkStatusLine() error {
+	var line statusline.Line
+	for n := 1; ; n++ {
+		b, err := c.reader.Peek(n)
+		if err != nil {
+			return connectionError(err)
+		}
+		complete, err := line.Add(b[n-1])
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
+		if complete {
+			return nil
+		}
 	}
 }
 
--- /dev/null
+++ b/forward/status_test.go
@@ -0,0 +1,115 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/standin/replica"
+)
+
+// answerTimeout is the deadline of the requests below. An attempt that reaches it has waited for more bytes.
+const answerTimeout = 20 * time.Second
+
+// requireRejected sends a request to an upstream that answers it with odd, as the first request of a connection or the second
+// one. The attempt must fail before its deadline, and the connection must be closed.
+func requireRejected(t *testing.T, odd replica.OddResponse, reused bool) {
+	t.Helper()
+	closed := make(chan struct{})
+	upstream := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		defer close(closed)
+		if reused {
+			id, _ := readRequest(r)
+			writeResponse(c, id, "first")
+		}
+		if _, ok := readRequest(r); !ok || !odd.Send(c) {
+			return
+		}
+		_, _ = r.ReadByte()
+	})
+	p := newTestPool()
+	if reused {
+		_, err := get(t, p, upstream, "1")
+		require.NoError(t, err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
+	defer cancel()
+	resp, err := p.Do(ctx, "u", upstream.address, newRequest("2"), time.Minute)
+	if err == nil {
+		t.Errorf("%s, reused %t: status %d taken as a response", odd.Name, reused, resp.Status)
+		resp.Close()
+		return
+	}
+	if ctx.Err() != nil {
+		t.Errorf("%s, reused %t: not answered before the deadline", odd.Name, reused)
+		return
+	}
+	require.ErrorIs(t, err, ErrMalformed, "%s, reused %t", odd.Name, reused)
+	require.EqualValues(t, 1, upstream.dials.Load(), "%s, reused %t", odd.Name, reused)
+	require.Empty(t, p.idle["u"])
+	<-closed
+}
+
+// An upstream in trouble answers with a status that is none, on a new connection and on one that has served a request, with a
+// body that looks like a response. Guards against the body being read as the response, and against an attempt that waits for
+// its deadline.
+func TestDo_InvalidStatus(t *testing.T) {
+	forged := replica.ForgedResponse(idHeader + ": 2\r\n")
+	for _, status := range replica.InvalidStatuses() {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			for _, odd := range replica.OddResponses(status, idHeader+": 2\r\n", forged) {
+				requireRejected(t, odd, false)
+				requireRejected(t, odd, true)
+			}
+		})
+	}
+}
+
+// Guards against the body of an interim response, which it cannot have, being read as the response.
+func TestDo_InterimResponseWithBody(t *testing.T) {
+	forged := replica.ForgedResponse(idHeader + ": 2\r\n")
+	for _, status := range []int{100, 102, 103} {
+		for _, odd := range replica.InterimWithBody(status, forged) {
+			requireRejected(t, odd, false)
+			requireRejected(t, odd, true)
+		}
+	}
+}
+
+// Guards against a status line that is no line of HTTP/1.1, and against interim responses of HTTP/1.0, which has none.
+func TestDo_InvalidStatusLine(t *testing.T) {
+	const head = idHeader + ": 2\r\nContent-Length: 2\r\n\r\nok"
+	for _, line := range []string{
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "http/1.1 200 OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/11 200 OK", " HTTP/1.1 200 OK",
+		"HTTP/1.x 200 OK", "HTTP/1.10 200 OK", "\r\nHTTP/1.1 200 OK", "ICY 200 OK", "garbage", "HTTP/1.0 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+	} {
+		requireRejected(t, replica.OddResponse{Name: line, Bytes: line + "\r\n" + head}, false)
+	}
+}
+
+// Interim responses before the final one, and final ones of all kinds, are taken as before.
+func TestDo_ValidStatus(t *testing.T) {
+	const head = idHeader + ": 1\r\nContent-Length: 2\r\n\r\nok"
+	for line, status := range map[string]int{
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK": 200, "HTTP/1.1 102\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 201 Created": 201,
+		"HTTP/1.0 200 OK": 200, "HTTP/1.1 200": 200, "HTTP/1.1 200 ": 200, "HTTP/1.1 299 Two": 299, "HTTP/1.1 404 Not Found": 404, "HTTP/1.1 599 Last": 599,
+	} {
+		upstream := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+			_, _ = readRequest(r)
+			for part := range strings.SplitAfterSeq(line+"\r\n"+head, "1") { // in pieces, as they may arrive
+				_, _ = c.Write([]byte(part))
+			}
+			_, _ = r.ReadByte()
+		})
+		resp, err := newTestPool().Do(t.Context(), "u", upstream.address, newRequest("1"), time.Minute)
+		require.NoError(t, err, line)
+		require.Equal(t, status, resp.Status)
+		resp.Close()
+	}
+}
--- /dev/null
+++ b/standin/replica/odd.go
@@ -0,0 +1,81 @@
+package replica
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+)
+
+// InvalidStatuses returns the statuses that no response of HTTP/1.1 has, and texts that are none.
+func InvalidStatuses() []string {
+	var all []string
+	for status := range 1000 {
+		valid := 200 <= status && status <= 599 || status == 100 || status == 102 || status == 103
+		if !valid {
+			all = append(all, fmt.Sprintf("%03d", status))
+		}
+	}
+	return append(all, MalformedStatuses()...)
+}
+
+// MalformedStatuses returns texts in place of a status that are not three digits.
+func MalformedStatuses() []string {
+	return []string{"+20", "-20", "-00", "+00", "20", "2", "", "2000", "0200", "2 00", "2OO", "20x", "0x1", "1e2", " 200", "\t200", "200\t", "200,", "²00", "\x00200"}
+}
+
+// SampleStatuses returns a few of InvalidStatuses of each kind.
+func SampleStatuses() []string {
+	return []string{"000", "001", "042", "099", "101", "104", "199", "600", "999", "+20", "2000", "20x"}
+}
+
+// ForgedBody is the body of ForgedResponse. No caller may receive it.
+const ForgedBody = "forged"
+
+// ForgedResponse returns the bytes of a response with status 200 and further fields, each with its line end, to be sent as the
+// body of an invalid one.
+func ForgedResponse(fields string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(ForgedBody), ForgedBody)
+}
+
+// OddResponse is a response with an invalid status.
+type OddResponse struct {
+	Name string
+	// Bytes is all that is sent.
+	Bytes string
+	// Ends reports whether the connection is closed after the bytes. Otherwise it stays open, so that a
+	// client that expects more waits until its deadline.
+	Ends bool
+}
+
+// OddResponses returns responses with the text in place of the status, with a body framed by its length, by
+// chunks and by the end of the connection, without a body, and begun only. Fields are added to the head.
+func OddResponses(status, fields, body string) []OddResponse {
+	head := "HTTP/1.1 " + status + " Odd\r\n" + fields
+	return []OddResponse{
+		{"length", head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), false},
+		{"chunks", head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body), false},
+		{"close", head + "Connection: close\r\n\r\n" + body, true},
+		{"close, open", head + "\r\n" + body, false},
+		{"empty", head + "Content-Length: 0\r\n\r\n", false},
+		{"begun", "HTTP/1.1 " + status + " ", false},
+	}
+}
+
+// InterimWithBody returns interim responses that state a body, which they cannot have.
+func InterimWithBody(status int, body string) []OddResponse {
+	head := fmt.Sprintf("HTTP/1.1 %d Interim\r\n", status)
+	length, chunks := fmt.Sprintf("Length: %d\r\n\r\n%s", len(body), body), fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	return []OddResponse{
+		{"length", head + "Content-" + length, false},
+		{"length in lower case", head + "Link: x\r\ncontent-" + strings.ToLower(length[:6]) + length[6:], false},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n" + chunks, false},
+		{"lone line ends", strings.ReplaceAll(head, "\r", "") + "Content-" + strings.ReplaceAll(length, "\r\n", "\n"), false},
+	}
+}
+
+// Send writes the response and reports whether the connection stays open.
+func (o OddResponse) Send(c net.Conn) bool {
+	_, err := io.WriteString(c, o.Bytes)
+	return err == nil && !o.Ends
+}
--- /dev/null
+++ b/statusline/statusline.go
@@ -0,0 +1,104 @@
+// Package statusline checks the beginning of HTTP/1.1 responses before net/http reads them.
+//
+// http.ReadResponse accepts statuses such as 000 and +20, and the client of net/http takes every
+// status from 102 to 199 except 101 for an interim response: it reads the body of such a response as
+// the next response. A server in trouble can thereby make it return content that the server never
+// sent as a response.
+package statusline
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrInvalid reports a response that HTTP/1.1 does not allow.
+var ErrInvalid = errors.New("statusline: invalid response")
+
+// The least and the greatest status of a final response.
+const (
+	minFinal = 200
+	maxFinal = 599
+)
+
+// IsFinal reports whether a status is that of a final response.
+func IsFinal(status int) bool { return minFinal <= status && status <= maxFinal }
+
+// IsInterim reports whether a status is that of an interim response. 101 is none: no request asks
+// for another protocol.
+func IsInterim(status int) bool {
+	switch status {
+	case http.StatusContinue, http.StatusProcessing, http.StatusEarlyHints:
+		return true
+	}
+	return false
+}
+
+// Line checks the beginning of a status line as its bytes arrive, so that an invalid one is known
+// before the end of the line. Its zero value expects the first byte.
+type Line struct {
+	count  int
+	minor  byte
+	status int
+}
+
+// pattern is the form of the beginning of a status line. d stands for a digit.
+const pattern = "HTTP/1.d ddd"
+
+// Positions in the pattern.
+const (
+	minorAt      = len("HTTP/1.")
+	lastStatusAt = len(pattern) - 1
+)
+
+// Add checks the next byte. It reports whether the status and the byte after it are complete, or
+// returns an error that wraps ErrInvalid.
+func (l *Line) Add(b byte) (bool, error) {
+	at := l.count
+	l.count++
+	switch {
+	case at == len(pattern):
+		if b != ' ' && b != '\r' && b != '\n' {
+			return false, fmt.Errorf("%w: byte %q after status %d", ErrInvalid, b, l.status)
+		}
+		return true, nil
+	case pattern[at] != 'd':
+		if b != pattern[at] {
+			return false, fmt.Errorf("%w: byte %q at position %d of the status line", ErrInvalid, b, at)
+		}
+		return false, nil
+	case b < '0' || b > '9':
+		return false, fmt.Errorf("%w: byte %q for a digit of the status line", ErrInvalid, b)
+	case at == minorAt:
+		l.minor = b
+		return false, nil
+	}
+	l.status = l.status*10 + int(b-'0')
+	if at == lastStatusAt {
+		return false, l.checkStatus()
+	}
+	return false, nil
+}
+
+func (l *Line) checkStatus() error {
+	if IsFinal(l.status) || IsInterim(l.status) && l.minor != '0' {
+		return nil
+	}
+	return fmt.Errorf("%w: status %03d of HTTP/1.%c", ErrInvalid, l.status, l.minor)
+}
+
+// Status returns the status once it is complete.
+func (l *Line) Status() int { return l.status }
+
+// CheckInterim returns an error if an interim response states a body. Its bytes would be read as the
+// next response.
+func CheckInterim(resp *http.Response) error {
+	if len(resp.TransferEncoding) > 0 || len(resp.Header["Content-Length"]) > 0 {
+		return errInterimBody(resp.StatusCode)
+	}
+	return nil
+}
+
+func errInterimBody(status int) error {
+	return fmt.Errorf("%w: interim response %d states a body", ErrInvalid, status)
+}
