upstream, store, platform: clients of net/http reject invalid statuses at once

Cause: the transport of net/http returns 000 to 099 and 600 to 999 as final responses and +20 as 20, returns 101 without its body, and skips 104 to 199 as interim responses, whose body it reads as the next response. A connection is put back into the pool before the caller sees a response without a body, and an incomplete status line is waited for until the deadline.

Change: statusline.Transport wraps an http.Transport. At an invalid byte the read fails, so that net/http closes the connection, and the call ends with statusline.ErrInvalid. The first byte of a response is handed out in any case: net/http repeats a GET whose connection failed before it. upstream.Client, store.Client, platform.Tables and the requests of jasminelock to hosts use it. httptrace.Got1xxResponse was ruled out, since it lifts the limit of all heads together, and a check after RoundTrip alone, since the connection may then be in use by another request. Over TLS the transport dials itself, with HTTP/1.1; the store's client could use HTTP/2 there before.

--- a/cmd/jasminelock/hosts.go
+++ b/cmd/jasminelock/hosts.go
@@ -18,6 +18,7 @@
 
 	"github.com/jasminelock/jasminelock/daemon"
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/statusline"
 )
 
 // Limits of a request to a host: its duration, the size of the response, and the
@@ -28,6 +29,9 @@
 	maxErrorMessage = 200
 )
 
+// hostClient is the client of hosts' operators' listeners.
+var hostClient = &http.Client{Transport: statusline.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 // getJSON sends a GET request to a host's operators' listener and decodes the JSON
 // response into out.
 func getJSON(ctx context.Context, address string, out any) error {
@@ -37,7 +41,7 @@
 	if err != nil {
 		return invalid("%s", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := hostClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/standin/replica/odd.go
+++ b/standin/replica/odd.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
+	"sync"
 )
 
 // InvalidStatuses returns the statuses that no response of HTTP/1.1 has, and texts that are none.
@@ -79,3 +81,21 @@
 	_, err := io.WriteString(c, o.Bytes)
 	return err == nil && !o.Ends
 }
+
+// ServeOdd starts a server on loopback that answers a request with odd. If first is not empty, it answers the first request of
+// each connection with first, so that the odd response comes on a connection that has been used.
+func ServeOdd(first string, odd OddResponse) (*Raw, error) {
+	var mu sync.Mutex
+	used := map[net.Conn]bool{}
+	return ServeRaw(func(c *net.TCPConn, _ *http.Request) bool {
+		mu.Lock()
+		again := used[c]
+		used[c] = true
+		mu.Unlock()
+		if first != "" && !again {
+			_, err := io.WriteString(c, first)
+			return err == nil
+		}
+		return odd.Send(c)
+	})
+}
--- a/standin/replica/raw.go
+++ b/standin/replica/raw.go
@@ -10,12 +10,15 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 )
 
 // Raw is a stand-in for a replica whose answers a test writes byte by byte, so that they can be cut, or be no answers at all.
 type Raw struct {
 	listener net.Listener
 	answer   func(c *net.TCPConn, r *http.Request) bool
+	// open is the number of open connections, received that of the requests.
+	open, received atomic.Int64
 }
 
 // ServeRaw starts a replica on loopback. It calls answer with each request, whose body has been read. Answer writes to the
@@ -26,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	raw := &Raw{listener, answer}
+	raw := &Raw{listener: listener, answer: answer}
 	go raw.accept()
 	return raw, nil
 }
@@ -37,17 +40,25 @@
 // Close closes the listener. Open connections stay in use.
 func (r *Raw) Close() { _ = r.listener.Close() }
 
+// OpenConnections returns the number of connections that neither side has closed.
+func (r *Raw) OpenConnections() int64 { return r.open.Load() }
+
+// Received returns the number of requests that were received.
+func (r *Raw) Received() int64 { return r.received.Load() }
+
 func (r *Raw) accept() {
 	for {
 		c, err := r.listener.Accept()
 		if err != nil {
 			return
 		}
+		r.open.Add(1)
 		go r.serve(c.(*net.TCPConn)) //nolint:forcetypeassert // the listener is one for TCP
 	}
 }
 
 func (r *Raw) serve(c *net.TCPConn) {
+	defer r.open.Add(-1)
 	defer func() { _ = c.Close() }()
 	for reader := bufio.NewReader(c); ; {
 		req, err := http.ReadRequest(reader)
@@ -58,6 +69,7 @@
 		if err != nil {
 			return
 		}
+		r.received.Add(1)
 		req.Body = io.NopCloser(bytes.NewReader(body))
 		if !r.answer(c, req) {
 			return
--- /dev/null
+++ b/statusline/conn.go
@@ -0,0 +1,135 @@
+package statusline
+
+import (
+	"bytes"
+	"net"
+	"sync"
+)
+
+// conn is a connection of a client of net/http. It checks the beginning of each response that is
+// read from it.
+type conn struct {
+	net.Conn
+	// mu guards head: the goroutine of a request calls expectResponse, that of the connection Read.
+	mu   sync.Mutex
+	head head
+}
+
+// expectResponse has the next bytes checked as the beginning of a response.
+func (c *conn) expectResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.start()
+}
+
+// failure returns the error for the invalid byte that was read, or nil.
+func (c *conn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.err
+}
+
+// Read implements net.Conn. At an invalid byte, and from then on, it returns an error that wraps
+// ErrInvalid. It returns at least one byte before that, since net/http repeats requests on
+// connections that fail before the first byte of a response.
+func (c *conn) Read(b []byte) (int, error) {
+	if err := c.failure(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if valid, invalid := c.head.check(b[:n]); invalid != nil {
+		return max(valid, 1), invalid
+	}
+	return n, err
+}
+
+// phase is the part of a response that a head expects next.
+type phase int
+
+const (
+	// unchecked is the phase after the status line of a final response, and before the first request.
+	unchecked phase = iota
+	// inLine is the phase of the status line.
+	inLine
+	// inFields is the phase of the fields of an interim response, until their blank line.
+	inFields
+)
+
+// maxFieldName is the length of the longest field name that is looked for, with its colon.
+const maxFieldName = len("transfer-encoding:")
+
+// head checks the status lines of the interim responses and of the final one, and the fields of the
+// interim ones.
+type head struct {
+	phase phase
+	line  Line
+	// field holds the beginning of the present line of the fields.
+	field []byte
+	// err is the error for an invalid byte. Nothing is checked after it.
+	err error
+}
+
+// start expects the first byte of a response.
+func (h *head) start() { h.phase, h.line = inLine, Line{} }
+
+// check checks the next bytes. It returns the number of valid ones, and an error if not all are.
+func (h *head) check(b []byte) (int, error) {
+	for i, c := range b {
+		if h.phase == unchecked {
+			return len(b), nil
+		}
+		if err := h.add(c); err != nil {
+			h.err = err
+			return i, err
+		}
+	}
+	return len(b), nil
+}
+
+// add checks one byte.
+func (h *head) add(b byte) error {
+	if h.phase == inFields {
+		return h.addToField(b)
+	}
+	complete, err := h.line.Add(b)
+	switch {
+	case err != nil:
+		return err
+	case !complete:
+	case IsFinal(h.line.Status()):
+		h.phase = unchecked
+	default:
+		h.phase, h.field = inFields, h.field[:0]
+		if b != '\n' {
+			h.field = append(h.field, b) // the rest of the status line counts as a line of its own
+		}
+	}
+	return nil
+}
+
+// addToField adds a byte to the present line of an interim response's fields.
+func (h *head) addToField(b byte) error {
+	if b != '\n' {
+		if len(h.field) < maxFieldName {
+			h.field = append(h.field, b)
+		}
+		return nil
+	}
+	name, _, isField := bytes.Cut(bytes.ToLower(h.field), []byte(":"))
+	blank := len(bytes.TrimSuffix(h.field, []byte("\r"))) == 0
+	h.field = h.field[:0]
+	switch {
+	case isField && framesBody(string(name)):
+		return errInterimBody(h.line.Status())
+	case blank:
+		h.start()
+	}
+	return nil
+}
+
+// framesBody reports whether a field states how the body of a response is framed.
+func framesBody(lowerCaseName string) bool {
+	return lowerCaseName == "content-length" || lowerCaseName == "transfer-encoding"
+}
--- /dev/null
+++ b/statusline/transport.go
@@ -0,0 +1,103 @@
+package statusline
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+// Transport is an http.RoundTripper that fails with an error that wraps ErrInvalid as soon as the
+// beginning of a response is invalid, and closes the connection.
+type Transport struct{ base *http.Transport }
+
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewTransport returns a Transport that sends requests over base. It replaces the dial functions of
+// base by ones that call DialContext. Requests over TLS use HTTP/1.1, too.
+func NewTransport(base *http.Transport) *Transport {
+	dial := dialFunc(base.DialContext)
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = checked(dial)
+	base.DialTLSContext = checked(dialTLS(dial, base.TLSClientConfig, base.TLSHandshakeTimeout))
+	return &Transport{base}
+}
+
+// checked returns a function that dials with dial and checks the responses on the connection.
+func checked(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: raw}, nil
+	}
+}
+
+// dialTLS returns a function that dials with dial and performs the TLS handshake, within timeout
+// unless that is 0.
+func dialTLS(dial dialFunc, config *tls.Config, timeout time.Duration) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		own := &tls.Config{MinVersion: tls.VersionTLS12}
+		if config != nil {
+			own = config.Clone()
+		}
+		if own.ServerName == "" {
+			own.ServerName = host
+		}
+		if timeout > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, timeout)
+			defer cancel()
+		}
+		secured := tls.Client(raw, own)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return secured, nil
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			c.expectResponse()
+			used.Store(c)
+		}
+	}}
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	c := used.Load()
+	switch {
+	case err != nil && c != nil && c.failure() != nil:
+		return nil, c.failure()
+	case err != nil || IsFinal(resp.StatusCode):
+		return resp, err
+	}
+	// The bytes came before the request was assigned the connection, so that they were not checked.
+	if c != nil {
+		_ = c.Close()
+	}
+	_ = resp.Body.Close()
+	return nil, fmt.Errorf("%w: status %03d", ErrInvalid, resp.StatusCode)
+}
+
+// CloseIdleConnections closes the connections that are not in use. http.Client calls it.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- /dev/null
+++ b/statusline/transport_test.go
@@ -0,0 +1,176 @@
+package statusline_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/standin/replica"
+	"github.com/jasminelock/jasminelock/statusline"
+)
+
+// answerTimeout is the deadline of a request to a server that answers outside the protocol. A request that reaches it has waited
+// for more bytes.
+const answerTimeout = 20 * time.Second
+
+const firstResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+
+// checkRejected sends a request to a server that answers it with odd, and another one before that on the same connection if
+// reused is set. It returns an error unless the request fails before its deadline, is sent once, and leaves no connection open.
+func checkRejected(t *testing.T, transport http.RoundTripper, odd replica.OddResponse, reused bool) error {
+	t.Helper()
+	first, sent := "", int64(1)
+	if reused {
+		first, sent = firstResponse, 2
+	}
+	server, err := replica.ServeOdd(first, odd)
+	require.NoError(t, err)
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
+	defer cancel()
+	var body []byte
+	for range sent {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address(), nil)
+		require.NoError(t, err)
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			body = nil
+			switch {
+			case ctx.Err() != nil:
+				return errors.New("not answered before the deadline")
+			case !errors.Is(err, statusline.ErrInvalid):
+				return fmt.Errorf("error is %w", err)
+			}
+			continue
+		}
+		body, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || string(body) != "first" {
+			return fmt.Errorf("status %d taken as a response, with body %q", resp.StatusCode, body)
+		}
+	}
+	if body != nil {
+		return errors.New("the request was not answered with the odd response")
+	}
+	if n := server.Received(); n != sent {
+		return fmt.Errorf("%d requests received, %d sent", n, sent)
+	}
+	for server.OpenConnections() > 0 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+// A server in trouble answers with a status that is none, with a body that looks like a response. Guards against the body being
+// read as the response, a request that waits for its deadline or is repeated, and a connection that is used again.
+func TestTransport_InvalidStatus(t *testing.T) {
+	transport := statusline.NewTransport(&http.Transport{})
+	for _, status := range replica.InvalidStatuses() {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			for _, odd := range replica.OddResponses(status, "", replica.ForgedResponse("")) {
+				require.NoError(t, checkRejected(t, transport, odd, false), odd.Name)
+				require.NoError(t, checkRejected(t, transport, odd, true), odd.Name)
+			}
+		})
+	}
+}
+
+// Guards against the body of an interim response, which it cannot have, being read as the response.
+func TestTransport_InterimResponseWithBody(t *testing.T) {
+	transport := statusline.NewTransport(&http.Transport{})
+	for _, status := range []int{100, 102, 103} {
+		for _, odd := range replica.InterimWithBody(status, replica.ForgedResponse("")) {
+			require.NoError(t, checkRejected(t, transport, odd, false), odd.Name)
+			require.NoError(t, checkRejected(t, transport, odd, true), odd.Name)
+		}
+	}
+}
+
+// The check above finds the faults of the transport of net/http.
+func TestTransportCheck_FindsUncheckedResponses(t *testing.T) {
+	odd := func(status, framing string) replica.OddResponse {
+		for _, o := range replica.OddResponses(status, "", replica.ForgedResponse("")) {
+			if o.Name == framing {
+				return o
+			}
+		}
+		require.Fail(t, framing)
+		return replica.OddResponse{}
+	}
+	for _, o := range []replica.OddResponse{
+		odd("000", "length"), odd("042", "close"), odd("+20", "empty"), odd("104", "length"), odd("199", "close"), odd("600", "length"), odd("999", "empty"),
+		replica.InterimWithBody(http.StatusEarlyHints, replica.ForgedResponse(""))[0],
+	} {
+		require.Error(t, checkRejected(t, &http.Transport{}, o, false), o.Name)
+	}
+}
+
+// Valid responses are returned as before, over TLS, too.
+func TestTransport_ValidResponses(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Link", "x")
+		w.WriteHeader(http.StatusEarlyHints)
+		w.WriteHeader(http.StatusProcessing)
+		var status int
+		_, _ = fmt.Sscanf(r.URL.Path, "/%d", &status)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "HTTP/1.1 000 a body of any kind\r\n\r\n")
+	})
+	for _, secure := range []bool{false, true} {
+		server := httptest.NewUnstartedServer(handler)
+		base := &http.Transport{}
+		if secure {
+			server.StartTLS()
+			base.TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig //nolint:forcetypeassert // it is one
+		} else {
+			server.Start()
+		}
+		client := &http.Client{Transport: statusline.NewTransport(base)}
+		for _, status := range []int{200, 204, 299, 304, 404, 500, 599} {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, fmt.Sprintf("%s/%d", server.URL, status), nil)
+			require.NoError(t, err)
+			resp, err := client.Do(req)
+			require.NoError(t, err)
+			require.Equal(t, status, resp.StatusCode)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+		}
+		client.CloseIdleConnections()
+		server.Close()
+	}
+}
+
+// Guards against interim responses without end that are read without a limit, and against memory that grows with their lines.
+func TestTransport_EndlessInterimResponses(t *testing.T) {
+	const maxAllocBytes = 8 << 20
+	endless := []byte(strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 200))
+	server, err := replica.ServeRaw(func(c *net.TCPConn, _ *http.Request) bool {
+		for {
+			if _, err := c.Write(endless); err != nil {
+				return false
+			}
+		}
+	})
+	require.NoError(t, err)
+	defer server.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address(), nil)
+	require.NoError(t, err)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = statusline.NewTransport(&http.Transport{MaxResponseHeaderBytes: 64 << 10}).RoundTrip(req) //nolint:bodyclose // it must fail
+	runtime.ReadMemStats(&after)
+	require.Error(t, err)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocBytes))
+}
--- a/store/http.go
+++ b/store/http.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/jasminelock/jasminelock/statusline"
 )
 
 // Client limits.
@@ -36,11 +38,19 @@
 // fails with ErrUnavailable after timeout.
 func NewClient(base string, timeout time.Duration) *Client {
 	return &Client{
-		baseURL: strings.TrimSuffix(base, "/"), client: &http.Client{Timeout: timeout},
+		baseURL: strings.TrimSuffix(base, "/"), client: &http.Client{Timeout: timeout, Transport: statusline.NewTransport(newTransport())},
 		onUnavailable: func(string) {},
 	}
 }
 
+// newTransport returns a transport with the options of http.DefaultTransport.
+func newTransport() *http.Transport {
+	if transport, ok := http.DefaultTransport.(*http.Transport); ok {
+		return transport.Clone()
+	}
+	return &http.Transport{}
+}
+
 // ObserveErrors registers f, which is called with the name of the service ("tables",
 // "objects", "weights" or "hosts") for each call that failed with ErrUnavailable. It
 // must be called before the first call to a service.
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/jasminelock/jasminelock/statusline"
 )
 
 // Timeouts and bounds of a Client. reportTimeout also bounds reading cache events;
@@ -49,8 +51,8 @@
 	singleUseTransport.DisableKeepAlives = true
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
-		shared:    &http.Client{Transport: transport, CheckRedirect: noRedirect},
-		singleUse: &http.Client{Transport: singleUseTransport, CheckRedirect: noRedirect},
+		shared:    &http.Client{Transport: statusline.NewTransport(transport), CheckRedirect: noRedirect},
+		singleUse: &http.Client{Transport: statusline.NewTransport(singleUseTransport), CheckRedirect: noRedirect},
 	}
 }
 
