leader, wire, host: the lease and its fencing token across a restore of the store

Cause: after a restore the lease's row may be absent, released or an older holder's, and a renewal that is conditional on its version may succeed on another holder's row. A host that has just started knows only the copy, and could accept a key that was withdrawn since.

Change: a leader whose lease is of an older era holds its orders back, claims the lease again at once and continues with the same Assigner and a higher token; its secret, usage, suspects and rate limits go into the new row. Every other host waits, from its first sight of the era, for a lease duration, and for the holder pause in addition where engines check no tokens, unless the row was written in the present era (new field of the row). A new leader that finds an outdated row assumes full use of every rate since the record, for one window at most. Hosts tell one another of an era in heartbeats (new optional fields); only the store's own answer counts, since a wrong era would make a host discard every answer. A leader that has started after the restore asks one host that has lived through it for its configuration, adapter versions and evacuated zones; a host serves callers only after it has heard of the others, or has waited for them. New gauges: era, drills, reclaims, outdated upstreams, held zones.

Ruled out: taking an era from another host's message for the present one (TestReceive_ArbitraryMessages found a fleet without a leader).

--- a/host/drain.go
+++ b/host/drain.go
@@ -64,8 +64,7 @@
 // ready reports whether the host can serve callers: it has a configuration and the list
 // of upstreams, and is not draining.
 func (h *Host) ready() bool {
-	view := h.watcher.View()
-	return !h.shutdown.InProgress() && view.Config != nil && view.UpstreamsRead
+	return !h.shutdown.InProgress() && h.knowsTables()
 }
 
 // addressesForZone returns the addresses announced to a caller in an availability zone. It
--- a/host/host.go
+++ b/host/host.go
@@ -12,6 +12,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -87,6 +88,8 @@
 	server  *entry.Server
 	metrics *hostMetrics
 	started time.Time
+	// settled is set once this host may serve callers by the tables that it has read.
+	settled atomic.Bool
 }
 
 // New returns a host that does not serve until Run is called.
@@ -125,7 +128,7 @@
 		},
 	})
 	h.server = entry.New(entry.Options{
-		Log: h.log.Named("entry"), Codec: platform.Codec{}, Broker: h.broker, Pool: h.pool, View: h.watcher.View,
+		Log: h.log.Named("entry"), Codec: platform.Codec{}, Broker: h.broker, Pool: h.pool, View: h.callerView,
 		Shutdown: h.shutdown, Random: rand.Float64, Observe: h.metrics.recordResult,
 	})
 	return h, nil
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -72,6 +72,11 @@
 	}{
 		{"jasminelock.config.version", "Version of the configuration in force", h.configVersion},
 		{"jasminelock.store.age", "Seconds since this host last read the store itself", func() float64 { return h.watcher.StoreAge().Seconds() }},
+		{"jasminelock.store.era", "Era of the store, 0 if it states none", func() float64 { return float64(h.broker.Stats().StoreEra) }},
+		{"jasminelock.store.drills", "Times since the start that the store has come back from a copy", func() float64 { return float64(h.watcher.Drills()) }},
+		{"jasminelock.lead.reclaims", "Times that this host has claimed the lease again after the store came back from a copy", func() float64 { return float64(h.broker.Stats().LeaseReclaims) }},
+		{"jasminelock.upstreams.outdated", "Entries of upstreams in the restored store that are ignored", func() float64 { return float64(h.watcher.OutdatedUpstreams()) }},
+		{"jasminelock.zones.held", "Zones of which the restored store is outdated", func() float64 { return float64(h.watcher.HeldZones()) }},
 		{"jasminelock.upstreams", "Upstreams that are listed", func() float64 { return float64(len(h.watcher.View().Upstreams)) }},
 		{"jasminelock.hosts", "Hosts that callers may be sent to", func() float64 { return float64(len(h.broker.Hosts())) }},
 		{"jasminelock.waiting", "Requests that wait for an upstream here", func() float64 { return float64(h.broker.Stats().Waiting) }},
--- a/host/restore_test.go
+++ b/host/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,3 +126,36 @@
 	require.Equal(t, http.StatusOK, third.loadAdapter("a5").status)
 	require.Zero(t, d.fencedOrders("e1"))
 }
+
+// A key is withdrawn between the copy and the outage. Guards against hosts that accept it again, also a host that has
+// started after the drill and has read the configuration of the copy.
+func TestRestore_WithdrawnKey(t *testing.T) {
+	d := newDeployment(t)
+	d.addReplica("app", replica.Options{ID: "p1"})
+	h1, h2 := d.startPair()
+	c := d.tables.Copy()
+	d.putKey("new")
+	d.loseWrites()
+	for _, h := range []*runningHost{h1, h2} {
+		require.Eventually(t, func() bool { return h.watcher.View().Config.KeyOwner("new") != nil }, testTimeout, 5*time.Millisecond)
+	}
+	d.restore(c)
+	fresh := d.startHost("h3")
+	refused := func(h *runningHost) {
+		status := h.request(http.MethodGet, "/status/", "", nil).status
+		require.Equal(t, http.StatusUnauthorized, status)
+	}
+	require.Eventually(t, func() bool {
+		refused(h1)
+		refused(h2)
+		code, _ := get(caller.ReadyURL(fresh.settings.Listen.Readiness))
+		return code == http.StatusOK
+	}, testTimeout, 10*time.Millisecond)
+	for range 20 {
+		for _, h := range []*runningHost{h1, h2, fresh} {
+			refused(h)
+		}
+	}
+	resp := fresh.request(http.MethodGet, "/status/", "", map[string]string{caller.HeaderKey: caller.KeyHeaderValue("new")})
+	require.Equal(t, http.StatusOK, resp.status, strings.TrimSpace(resp.body))
+}
--- a/leader/broker.go
+++ b/leader/broker.go
@@ -79,15 +79,20 @@
 	// SetLowLatency sets whether this host leads or is strong enough to lead, so that it reads the tables with low
 	// latency.
 	SetLowLatency(on bool)
-	// KnownVersions returns the store versions up to which the operator's table and the table of upstreams have been read.
+	// KnownVersions returns the store positions up to which the operator's table and the table of upstreams have been read.
 	KnownVersions() (operator, upstreams int64)
-	// SetKnownVersions confirms that all changes up to the given store versions have been relayed.
+	// SetKnownVersions confirms that all changes up to the given store positions have been relayed.
 	SetKnownVersions(operator, upstreams int64)
 	// ApplyRelayedConfig applies a relayed configuration, which may be empty, the adapter versions announced, and the
 	// complete set of evacuated zones.
 	ApplyRelayedConfig(packed []byte, versions catalog.Versions, evacuated watch.Evacuations)
 	// ApplyRelayedUpstreams applies a relayed list of upstreams: all of them, or those that have changed or are gone.
 	ApplyRelayedUpstreams(p watch.RelayedUpstreams)
+	// ObserveEra records an era of the store that this host has learned of.
+	ObserveEra(era int64)
+	// LearnTables adds what another host knows of the time before the store was restored from a copy: a configuration,
+	// which may be empty, adapter versions and evacuated zones.
+	LearnTables(packed []byte, versions catalog.Versions, zones []string)
 	// StoreAge returns the time since the store was last read.
 	StoreAge() time.Duration
 }
@@ -168,6 +173,9 @@
 	announced     memberList
 	memberListDue bool
 	relay         relayState
+	era           storeEra
+	// heldOrders are the orders that are held back while the lease is being claimed again.
+	heldOrders []assign.Order
 
 	localTimer   wakeTimer
 	leadingTimer wakeTimer
@@ -186,6 +194,10 @@
 	renewalOverdue bool
 	// yielding is set if the leader lets a stronger host take over.
 	yielding bool
+	// termFence is the fencing token with which this host began to lead. It differs from fence if the lease was claimed
+	// again since. reclaiming is set while this leader has to claim its lease again in a new era of the store.
+	termFence  int64
+	reclaiming bool
 	// steppingAside is set if this host, the leader, is about to release the lease.
 	steppingAside bool
 	// ledSince is when this host began to follow the present leader, which may be itself.
@@ -358,6 +370,7 @@
 	b.update(func(now time.Time) {
 		before := b.view
 		b.view = v
+		b.observeEra(store.EraOf(max(v.Evacuated.StoreVersion, v.UpstreamsVersion)))
 		b.recordUpstreamEnds(now, before)
 		b.applyView(now, b.handleLocal)
 		b.updateLimitedServices(now)
--- a/leader/claim.go
+++ b/leader/claim.go
@@ -22,7 +22,7 @@
 		b.log.Debug("lease not read", "error", err)
 		return leaseView{}, err
 	}
-	view := leaseView{sentAt: sentAt, storeTime: stamp.Clock}
+	view := leaseView{sentAt: sentAt, storeTime: stamp.Clock, era: store.EraOf(stamp.Version)}
 	for _, row := range rows {
 		switch row.Key {
 		case leaseKey:
@@ -48,14 +48,14 @@
 	}
 	v.host, v.url, v.secret, v.released = l.Host, l.URL, l.Secret, l.Released
 	v.usage, v.renewedAt, v.maxCores, v.claimID, v.suspects = l.Usage, milliseconds(l.RenewedMS), l.Strongest, l.Claim, l.Suspects
-	v.rateLimits = l.RateLimits
+	v.rateLimits, v.writtenIn = l.RateLimits, l.Era
 }
 
 // tryClaim claims the lease, unless it has changed since it was seen. It reports true if the store rejected the
 // claim because of such a change, and false otherwise, also if this host knows of a change and sends no claim.
 func (b *Broker) tryClaim(ctx context.Context, seen leaseView) bool {
 	b.mu.Lock()
-	stale := b.leader.row.host != seen.host || b.leading != nil ||
+	stale := (b.leader.row.host != seen.host && !seen.outdated()) || b.leading != nil || seen.era < b.era.number ||
 		(b.leader.host != "" && !b.leader.renewalOverdue && !b.leader.yielding)
 	b.mu.Unlock()
 	if stale {
@@ -66,7 +66,7 @@
 		secret = rand.Text()
 	}
 	l := lease{
-		Host: b.options.Host, URL: b.options.PeerURL, Secret: secret, Strongest: seen.maxCores, Claim: b.newClaimID(&seen),
+		Host: b.options.Host, URL: b.options.PeerURL, Secret: secret, Strongest: seen.maxCores, Claim: b.newClaimID(&seen), Era: seen.era,
 	}
 	b.mu.Lock()
 	l.Suspects, l.RateLimits = b.newSuspectRecord(time.Now()), b.recordedRateLimits(time.Now())
@@ -85,6 +85,9 @@
 		case b.mayHaveExpired(sentAt):
 			b.log.Warn("lease claim answered too late; the lease may have expired, not leading", "fence", version)
 			return
+		case b.inOtherEra(&seen, version):
+			b.log.Warn("lease claim answered in another era of the store; not leading", "fence", version, "era_read", seen.era)
+			return
 		}
 		if b.leader.host != "" {
 			b.sendToLeader(&wire.Successor{Host: l.Host, URL: l.URL, Fence: version})
@@ -93,7 +96,7 @@
 		b.leader.row = leaseView{
 			host: l.Host, url: l.URL, secret: secret, version: version,
 			firstSeenAt: now, sentAt: sentAt, storeTime: stamp.Clock, maxCores: seen.maxCores,
-			claimID: l.Claim,
+			claimID: l.Claim, era: seen.era, writtenIn: seen.era,
 		}
 		b.leader.renewalSentAt = sentAt
 		b.startLeading(now, version, &seen)
@@ -105,7 +108,7 @@
 // answer. It is always false where engines check no fencing tokens: by now they could have received orders of two
 // leaders, so the lease is claimed again.
 func (b *Broker) claimedWithoutAnswer(seen *leaseView) bool {
-	return b.options.Fenced && b.lastClaimID != 0 && seen.host == b.options.Host && seen.claimID == b.lastClaimID && !seen.released
+	return b.options.Fenced && b.lastClaimID != 0 && !seen.outdated() && seen.host == b.options.Host && seen.claimID == b.lastClaimID && !seen.released
 }
 
 // newClaimID draws the ID of a claim on the given lease and records both.
--- a/leader/election.go
+++ b/leader/election.go
@@ -102,11 +102,11 @@
 	b.mu.Lock()
 	leading, hasLeader, draining := b.leading != nil, b.leader.host != "", b.draining
 	wait := time.Until(b.nextLeaseRead)
-	steppingAside := b.leader.steppingAside
-	mayTakeOver, yielding := b.leader.renewalOverdue || (b.leader.yielding && b.strong()), b.leader.yielding
+	releasing := b.releasing()
+	mayTakeOver := b.leader.renewalOverdue || (b.leader.yielding && b.strong())
 	b.mu.Unlock()
 	switch {
-	case leading && (draining || steppingAside || (yielding && !b.options.Fenced)):
+	case leading && releasing:
 		return b.release(ctx)
 	case leading:
 		return b.renew(ctx)
@@ -129,8 +129,14 @@
 // takeOver claims the lease of a leader that cannot renew it or yields, unless another host does so first.
 func (b *Broker) takeOver(ctx context.Context) {
 	b.mu.Lock()
-	row, renewalOverdue := b.leader.row, b.leader.renewalOverdue
+	row, renewalOverdue, era := b.leader.row, b.leader.renewalOverdue, b.era.number
 	b.mu.Unlock()
+	if row.era < era {
+		var err error
+		if row, err = b.readLease(ctx); err != nil || b.withinEraWait(&row) {
+			return
+		}
+	}
 	delay := b.claimDelay()
 	b.mu.Lock()
 	if !b.strong() {
@@ -197,22 +203,15 @@
 		b.restoreSuspects(now, &row)
 		b.restoreRateLimits(now, row.rateLimits)
 		b.handleLeaseRead(now, &row)
-		seen := &b.leader.row
-		if row.version != seen.version || row.host != seen.host {
-			row.firstSeenAt = now
-			*seen = row
-		} else {
-			seen.url, seen.secret, seen.released = row.url, row.secret, seen.released || row.released
-			seen.usage, seen.sentAt, seen.storeTime, seen.renewedAt = row.usage, row.sentAt, row.storeTime, row.renewedAt
-			seen.maxCores, seen.suspects = row.maxCores, row.suspects
-		}
+		b.observeEra(row.era)
+		seen := b.recordLease(now, &row)
 		if b.claimedWithoutAnswer(seen) {
 			b.startLeading(now, seen.version, b.claimedLease)
 			return
 		}
 		mayClaim = seen.version == 0 || seen.released || seen.host == b.options.Host ||
 			seen.expired(now, b.leader.hasLostLeader, b.leaseDuration())
-		mayClaim = mayClaim && !b.withinHolderPause(seen) && !now.Before(b.noClaimUntil)
+		mayClaim = mayClaim && !b.withinHolderPause(seen) && !b.eraWait(seen) && !now.Before(b.noClaimUntil)
 		if !mayClaim {
 			b.sendTo(seen.host, b.hostHeartbeat())
 		}
@@ -296,6 +295,10 @@
 // renew renews the lease that this host holds.
 func (b *Broker) renew(ctx context.Context) time.Duration {
 	b.mu.Lock()
+	if b.leader.reclaiming {
+		b.mu.Unlock()
+		return b.reclaim(ctx)
+	}
 	row, fence := b.leader.row, b.leader.fence
 	now := time.Now()
 	usage, suspects, maxCores, limits := b.newUsageRecord(now), b.newSuspectRecord(now), b.maxCores(), b.recordedRateLimits(now)
@@ -303,7 +306,7 @@
 	sentAt := b.options.Clock()
 	stamp, err := b.writeLease(ctx, lease{
 		Host: row.host, URL: row.url, Secret: row.secret, Usage: usage, RenewedMS: usage.ClockMS,
-		Strongest: maxCores, Claim: row.claimID, Suspects: suspects, RateLimits: limits,
+		Strongest: maxCores, Claim: row.claimID, Suspects: suspects, RateLimits: limits, Era: row.era,
 	}, row.version)
 	if errors.Is(err, store.ErrConflict) {
 		return b.resolveConflict(ctx, fence)
@@ -312,6 +315,9 @@
 		if b.leading == nil {
 			return
 		}
+		if err == nil && b.inOtherEra(&row, stamp.Version) {
+			return // the row may be another holder's: the lease is claimed again
+		}
 		noMembers := b.dropSilentMembers(now)
 		b.logStats(now)
 		b.removeEndedRateLimits(now)
@@ -364,6 +370,9 @@
 		return leaseReadInterval
 	}
 	b.update(func(now time.Time) {
+		if b.observeEra(row.era); b.leading != nil && b.leader.reclaiming {
+			return
+		}
 		own := row.host == b.options.Host && b.leading != nil && b.leader.fence == fence
 		switch {
 		case own && row.released:
@@ -395,6 +404,7 @@
 	}
 	l := lease{
 		Host: row.host, URL: row.url, Secret: row.secret, Released: true, Usage: usage, Strongest: row.maxCores, Suspects: suspects, RateLimits: limits,
+		Era: row.era,
 	}
 	_, err := b.writeLease(ctx, l, row.version)
 	if errors.Is(err, store.ErrConflict) {
--- a/leader/expiry.go
+++ b/leader/expiry.go
@@ -1,6 +1,10 @@
 package leader
 
-import "time"
+import (
+	"time"
+
+	"github.com/jasminelock/jasminelock/assign"
+)
 
 // leaseEndMargin is how long before the lease expires its holder stops sending orders where engines check no
 // fencing tokens. It covers an order in transit: orderTimeout and the way to the engine.
@@ -34,18 +38,24 @@
 	return true
 }
 
-// mayOrder reports whether an order under the fence may be sent now.
-func (b *Broker) mayOrder(fence int64) bool {
-	allowed := false
+// mayOrder reports whether an order may be sent now, and sets its fencing token to the present one: it may have been issued
+// before this leader claimed the lease again. An order that comes while the lease is being claimed again is held back.
+func (b *Broker) mayOrder(o *assign.Order) (allowed, held bool) {
 	b.update(func(now time.Time) {
-		allowed = !b.stopIfExpired(now) && b.leading != nil && b.leader.fence == fence
+		switch {
+		case b.stopIfExpired(now) || b.leading == nil || o.Fence < b.leader.termFence || o.Fence > b.leader.fence:
+		case b.leader.reclaiming:
+			b.heldOrders, held = append(b.heldOrders, *o), true
+		default:
+			o.Fence, allowed = b.leader.fence, true
+		}
 	})
-	return allowed
+	return allowed, held
 }
 
 // withinHolderPause reports whether this host has led less than HolderPause ago and another host holds the lease.
 // It must not lead again yet: the orders of two alternating holders could overtake each other within that time.
 func (b *Broker) withinHolderPause(seen *leaseView) bool {
 	ledRecently := b.leader.ledUntil > 0 && b.options.Clock()-b.leader.ledUntil < b.options.HolderPause
-	return ledRecently && seen.host != b.options.Host
+	return ledRecently && (seen.host != b.options.Host || seen.outdated())
 }
--- a/leader/fleet_test.go
+++ b/leader/fleet_test.go
@@ -27,7 +27,10 @@
 	hosts   map[string]*testHost
 	rows    map[string]store.Row
 	version int64
-	start   time.Time
+	// era is the era of the store. mutant makes hosts see it wrongly.
+	era    int64
+	mutant mutant
+	start  time.Time
 	// storeCut holds the hosts that the store does not answer.
 	storeCut storeCuts
 	// loseCommits is the number of transactions that will be carried out without an answer.
@@ -65,6 +68,8 @@
 	done   sync.WaitGroup
 	// cut is set if no message reaches or leaves the host.
 	cut bool
+	// learnedZones are the evacuated zones that this host has learned of from another one.
+	learnedZones []string
 	// links holds the hosts to which this one has an open link.
 	links map[string]bool
 	// outbox holds the messages under way to each host, which arrive in order. outboxMu is taken while a broker's lock
--- a/leader/follower.go
+++ b/leader/follower.go
@@ -5,6 +5,7 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/assign"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -148,6 +149,11 @@
 	b.leader.fence, b.leader.heardAt, b.leader.renewalOverdue, b.leader.yielding = m.Fence, now, m.RenewalOverdue, m.Yields
 	if m.LeaseVersion > b.leader.row.version && from == b.leader.row.host {
 		b.leader.row.version, b.leader.row.firstSeenAt = m.LeaseVersion, now
+		b.leader.row.era, b.leader.row.writtenIn = store.EraOf(m.LeaseVersion), store.EraOf(m.LeaseVersion)
+	}
+	b.hearOfEra(now, m.StoreEra)
+	if m.WantsTables {
+		b.pushKnownTables(from)
 	}
 	b.applyMemberList(m)
 	b.updateOrganisationShares(now, m.LimitUsages)
@@ -165,7 +171,7 @@
 	if m.Fence <= b.leader.fence || m.Host == b.options.Host {
 		return
 	}
-	b.leader.row = leaseView{host: m.Host, url: m.URL, secret: b.leader.row.secret, version: m.Fence, firstSeenAt: now}
+	b.leader.row = leaseView{host: m.Host, url: m.URL, secret: b.leader.row.secret, version: m.Fence, firstSeenAt: now, era: store.EraOf(m.Fence), writtenIn: store.EraOf(m.Fence)}
 	b.sendTo(m.Host, b.hostHeartbeat())
 }
 
@@ -290,6 +296,7 @@
 	heartbeat := &wire.HostHeartbeat{
 		Zone: b.options.Zone, CallerAddress: b.options.CallerAddress, Draining: b.draining, Cores: b.options.Cores, MemberListVersion: b.memberListVersion,
 		PeerURL: b.options.PeerURL, TablesChecksum: b.view.Checksum, RateLimitVersion: b.rateLimits.version,
+		StoreEra: b.era.number, KnowsPriorEra: b.view.Evacuated.Continuous,
 	}
 	for name, tokens := range b.unreportedUsage {
 		heartbeat.TokenUsages = append(heartbeat.TokenUsages, wire.TokenUsage{Organisation: name, Tokens: tokens})
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -78,7 +78,11 @@
 
 // sendOrder sends an order to an engine, unless this host no longer holds the lease.
 func (b *Broker) sendOrder(o assign.Order) {
-	if !b.mayOrder(o.Fence) {
+	allowed, held := b.mayOrder(&o)
+	switch {
+	case held:
+		return
+	case !allowed:
 		b.log.Info("order not sent", "upstream", o.Upstream.ID, "fence", o.Fence, "reason", "the lease is no longer held")
 		return
 	}
@@ -165,7 +169,9 @@
 		b.reportLeaving(from)
 	}
 	b.markRenewalOverdue(now, "no answer to the renewal yet")
+	b.hearOfEra(now, m.StoreEra)
 	heartbeat := b.leaderHeartbeat(now)
+	heartbeat.WantsTables = b.wantsTables(now, from, m)
 	if m.MemberListVersion != b.announced.version {
 		heartbeat.Hosts = b.announced.hosts
 	}
@@ -233,7 +239,7 @@
 		Fence: b.leader.fence, LeaseVersion: b.leader.row.version, RenewalOverdue: b.leader.renewalOverdue,
 		Yields: b.leader.yielding, MemberListVersion: b.announced.version,
 		StoreAgeMillis: b.options.Source.StoreAge().Milliseconds(), TablesChecksum: b.view.Checksum,
-		RateLimitVersion: b.rateLimits.version,
+		RateLimitVersion: b.rateLimits.version, StoreEra: b.era.number,
 	}
 	heartbeat.OperatorVersion, heartbeat.UpstreamsVersion = b.options.Source.KnownVersions()
 	b.addUsage(now, heartbeat)
@@ -270,8 +276,9 @@
 // assigned.
 func (b *Broker) startLeading(now time.Time, fence int64, before *leaseView) {
 	b.log.Info("this host leads", "fence", fence)
+	b.leader.termFence, b.leader.reclaiming, b.heldOrders = fence, false, nil
 	b.leading = assign.New(assign.Options{
-		SendsOrders: true, Fence: fence, Share: 1, FirstInFleet: before.version == 0, Limits: b.options.Limits, Scheduling: b.options.Scheduling,
+		SendsOrders: true, Fence: fence, Share: 1, FirstInFleet: before.version == 0 && (!before.outdated() || !b.leader.hasLostLeader), Limits: b.options.Limits, Scheduling: b.options.Scheduling,
 		Random: b.options.Random, HoldEvictions: now.Add(followerReportTime),
 	})
 	b.lastClaimID, b.claimedLease = 0, nil
@@ -315,6 +322,7 @@
 	b.keepRefusals(now)
 	b.leader.ledUntil = b.options.Clock()
 	b.leading, b.members = nil, map[string]*member{}
+	b.leader.reclaiming, b.heldOrders = false, nil
 	heartbeat := &wire.LeaderHeartbeat{Fence: b.leader.fence, Released: true}
 	for host := range members {
 		b.sendTo(host, heartbeat)
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -28,6 +29,8 @@
 	Suspects suspectRecord `cbor:"10,keyasint"`
 	// RateLimits are the rate limits of upstreams, for every host that reads the row.
 	RateLimits []wire.RateLimit `cbor:"11,keyasint,omitempty"`
+	// Era is the era of the store in which the holder has written the row.
+	Era int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // leaseView is the lease's row as last seen.
@@ -35,8 +38,12 @@
 	host     string
 	url      string
 	secret   string
-	version  int64
+	version  store.Position
 	released bool
+	// era is the era of the store in which the row was read, and writtenIn the one in which it was written. They differ
+	// if the store was restored from a copy since.
+	era       int64
+	writtenIn int64
 	// firstSeenAt is when this host first saw the version.
 	firstSeenAt time.Time
 	// usage is the usage recorded by the last leader.
@@ -73,3 +80,25 @@
 // storeTimeAt returns an upper bound of the store's clock at the time now of this host's own clock: the store read
 // its clock after sentAt. A lower value would make a lease look older to other hosts than it is.
 func (v *leaseView) storeTimeAt(now time.Duration) time.Duration { return v.storeTime + now - v.sentAt }
+
+// releasing reports whether this host, if it leads, is to release the lease.
+func (b *Broker) releasing() bool {
+	return !b.leader.reclaiming && (b.draining || b.leader.steppingAside || (b.leader.yielding && !b.options.Fenced))
+}
+
+// recordLease records the lease's row as read and returns the record.
+func (b *Broker) recordLease(now time.Time, row *leaseView) *leaseView {
+	seen := &b.leader.row
+	if row.outdated() && seen.secret != "" {
+		row.secret = seen.secret // the copy may be older than the secret
+	}
+	if row.version != seen.version || row.host != seen.host {
+		row.firstSeenAt = now
+		*seen = *row
+		return seen
+	}
+	seen.url, seen.secret, seen.released = row.url, row.secret, seen.released || row.released
+	seen.usage, seen.sentAt, seen.storeTime, seen.renewedAt = row.usage, row.sentAt, row.storeTime, row.renewedAt
+	seen.maxCores, seen.suspects, seen.era, seen.writtenIn = row.maxCores, row.suspects, row.era, row.writtenIn
+	return seen
+}
--- a/leader/relay.go
+++ b/leader/relay.go
@@ -195,6 +195,7 @@
 	return &wire.ConfigPush{
 		Config: packed, Versions: changedVersions(b.view.Versions, before),
 		EvacuatedZones: slices.Sorted(maps.Keys(b.view.Evacuated.Zones)), EvacuatedVersion: b.view.Evacuated.StoreVersion,
+		KnowsPriorEra: b.view.Evacuated.Continuous,
 	}
 }
 
@@ -251,26 +252,35 @@
 func (b *Broker) receivePush(from string, m wire.Message) {
 	b.mu.Lock()
 	known := from == b.leader.host && b.leading == nil
+	asked := b.leading != nil && b.era.askedFor == from
 	b.mu.Unlock()
+	if push, ok := m.(*wire.ConfigPush); ok && asked && push.KnowsPriorEra {
+		b.options.Source.LearnTables(push.Config, decodeVersions(push.Versions), push.EvacuatedZones)
+		return
+	}
 	if !known {
 		return
 	}
 	switch m := m.(type) {
 	case *wire.ConfigPush:
-		versions := catalog.Versions{}
-		for _, v := range m.Versions {
-			versions[catalog.AdapterRef{Model: v.Model, Adapter: v.Adapter}] = v.Version
-		}
-		evacuated := watch.Evacuations{Zones: map[string]bool{}, StoreVersion: m.EvacuatedVersion}
+		evacuated := watch.Evacuations{Zones: map[string]bool{}, StoreVersion: m.EvacuatedVersion, Continuous: m.KnowsPriorEra}
 		for _, zone := range m.EvacuatedZones {
 			evacuated.Zones[zone] = true
 		}
-		b.options.Source.ApplyRelayedConfig(m.Config, versions, evacuated)
+		b.options.Source.ApplyRelayedConfig(m.Config, decodeVersions(m.Versions), evacuated)
 	case *wire.UpstreamPush:
 		b.applyUpstreams(m)
 	}
 }
 
+func decodeVersions(list []wire.AdapterVersion) catalog.Versions {
+	versions := catalog.Versions{}
+	for _, v := range list {
+		versions[catalog.AdapterRef{Model: v.Model, Adapter: v.Adapter}] = v.Version
+	}
+	return versions
+}
+
 // applyUpstreams applies relayed upstreams. Once it has received all of them, this host relies on the leader's
 // relay; with its own reads, it would be ahead of the leader again at once.
 func (b *Broker) applyUpstreams(m *wire.UpstreamPush) {
--- a/leader/stats.go
+++ b/leader/stats.go
@@ -32,6 +32,10 @@
 	RequestsPerSecond    float64
 	OwnRequestsPerSecond float64
 	OldestRateLimitAge   time.Duration
+	// StoreEra is the era of the store, 0 if it states none. LeaseReclaims is the number of times that this host, as the
+	// leader, has claimed its lease again in a new era.
+	StoreEra      int64
+	LeaseReclaims int64
 }
 
 // Stats returns a summary of the broker's state.
@@ -39,7 +43,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	s := Stats{Waiting: b.local.Waiting(), ExhaustedOrganisations: len(b.exhausted)}
+	s := Stats{Waiting: b.local.Waiting(), ExhaustedOrganisations: len(b.exhausted), StoreEra: b.era.number, LeaseReclaims: b.era.reclaims}
 	s.Suspected = b.ledger.CountSuspects(now)
 	for _, r := range b.refusals(now) {
 		if _, isPart := r.Key.Part(); isPart {
--- a/leader/store_test.go
+++ b/leader/store_test.go
@@ -60,7 +60,7 @@
 }
 
 func (f *fleet) stamp() store.Stamp {
-	return store.Stamp{Version: f.version, Clock: time.Since(f.start)}
+	return store.Stamp{Version: f.position(f.version), Clock: time.Since(f.start)}
 }
 
 // resetStoreCalls resets the count of store calls.
@@ -98,7 +98,7 @@
 	var rows []store.Row
 	for _, key := range []string{leaseKey, suspectsKey} {
 		if row, ok := f.rows[key]; ok {
-			rows = append(rows, row)
+			rows = append(rows, f.read(row))
 		}
 	}
 	return rows, f.stamp(), nil
@@ -143,7 +143,7 @@
 	switch {
 	case f.storeCut.isCut(h.name):
 		return store.Stamp{}, store.ErrUnavailable
-	case f.rows[txn.Conditions[0].Key].Version != txn.Conditions[0].Version:
+	case f.rows[txn.Conditions[0].Key].Version != store.VersionOf(txn.Conditions[0].Version):
 		return f.stamp(), store.ErrConflict
 	}
 	f.version++
@@ -152,5 +152,5 @@
 		f.loseCommits--
 		return store.Stamp{}, store.ErrUnavailable
 	}
-	return f.stamp(), nil
+	return f.commitStamp(txn), nil
 }
--- a/leader/usage.go
+++ b/leader/usage.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/jasminelock/jasminelock/catalog"
 )
 
 // usageRecord is the recent usage of organisations as stored in the lease's row. It survives the loss of all
@@ -35,9 +37,38 @@
 	return r
 }
 
+// restoreOutdatedUsage restores the usage from a row that is older than the last holder's, as after the store was restored
+// from a copy: every organisation is assumed to have used its full rate since the record, for one window at most, so that
+// no allowance is granted twice. What hosts report replaces the assumption where it is higher.
+func (b *Broker) restoreOutdatedUsage(now time.Time, row *leaseView) {
+	window := b.options.Limits.RateWindow
+	if b.view.Config == nil || window <= 0 || (row.version == 0 && !b.leader.hasLostLeader) {
+		return // without a row and an earlier leader, the fleet has just started
+	}
+	age := row.storeTimeAt(b.options.Clock()) - milliseconds(row.usage.ClockMS)
+	if row.usage.ClockMS == 0 || age < 0 {
+		age = window // unknown, or the store's clock was set back
+	}
+	recordedAt := now.Add(-age)
+	for _, u := range row.usage.Used {
+		b.leading.RestoreUsage(now, recordedAt.Add(-milliseconds(u.AgeMS)), u.Organisation, float64(u.Tokens))
+	}
+	age = min(age, window)
+	b.view.Config.Organisations(func(o *catalog.Organisation) {
+		for since := time.Duration(0); since < age; since += renewInterval {
+			b.leading.RestoreEstimatedUsage(now, now.Add(since-age), min(renewInterval, age-since), o.Name)
+		}
+	})
+	b.log.Warn("usage of organisations since the copy is lost; full use is assumed", "since", age)
+}
+
 // restoreUsage restores the usage recorded by the last leader. Later usage is unknown: each organisation is
 // assumed to have used its full rate from the record until its next renewal was due.
 func (b *Broker) restoreUsage(now time.Time, row *leaseView) {
+	if row.outdated() {
+		b.restoreOutdatedUsage(now, row)
+		return
+	}
 	if row.storeTime == 0 || row.usage.ClockMS == 0 {
 		return
 	}
--- a/watch/era.go
+++ b/watch/era.go
@@ -17,6 +17,20 @@
 // Drills returns the number of changes of era since the start of this host.
 func (w *Watcher) Drills() int64 { return w.drills.Load() }
 
+// OutdatedUpstreams returns the number of entries of upstreams in the restored store that are ignored.
+func (w *Watcher) OutdatedUpstreams() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.known.stale)
+}
+
+// HeldZones returns the number of zones of which the restored store is outdated.
+func (w *Watcher) HeldZones() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.evacuations.held)
+}
+
 // ObserveEra records an era of the store that this host has learned of, by its own reads or from another host. Reads that
 // are answered in an older era are discarded from then on, and both tables are read whole.
 func (w *Watcher) ObserveEra(era int64) {
--- a/watch/evacuations.go
+++ b/watch/evacuations.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/store"
 )
 
@@ -267,11 +268,10 @@
 		return
 	}
 	m := &w.evacuations
-	restored := raise(&w.tableEras[0], store.EraOf(e.StoreVersion))
 	switch {
 	case e.Continuous:
 		clear(m.held)
-	case restored:
+	case raise(&w.tableEras[0], store.EraOf(e.StoreVersion)):
 		for zone := range next.Evacuated.Zones {
 			if !e.Zones[zone] {
 				m.held[zone] = heldZone{evacuated: true, until: time.Now().Add(evacuationHold)}
@@ -285,6 +285,25 @@
 	w.setEvacuated(next, e)
 }
 
+// LearnTables adds what another host knows of the time before the store was restored to what this host has read from the
+// restored store: the configuration and adapter versions if they are newer, and evacuated zones. packed is the result of
+// PackConfig, or empty.
+func (w *Watcher) LearnTables(packed []byte, versions catalog.Versions, zones []string) {
+	w.mu.Lock()
+	next := *w.view.Load()
+	w.applyPacked(&next, packed, versions)
+	for _, zone := range zones {
+		if !next.Evacuated.Zones[zone] {
+			w.evacuations.held[zone] = heldZone{evacuated: true, until: time.Now().Add(evacuationHold)}
+		}
+	}
+	w.awaitHoldEnd()
+	e := next.Evacuated
+	e.Zones, e.Continuous = w.evacuations.stored, true
+	w.setZones(&next, e)
+	w.publish(&next)
+}
+
 // awaitHoldEnd sets the timer that ends the holds.
 func (w *Watcher) awaitHoldEnd() {
 	if len(w.evacuations.held) > 0 {
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -41,8 +41,6 @@
 	if operator > w.knownVersions[0].Load() {
 		w.knownVersions[0].Store(operator)
 	}
-	raise(&w.tableEras[0], store.EraOf(operator))
-	raise(&w.tableEras[1], store.EraOf(upstreams))
 	// The relayed upstreams may be older than what this host had read itself.
 	w.knownVersions[1].Store(upstreams)
 	w.unconfirmed.Store(false)
@@ -102,12 +100,18 @@
 	w.mu.Lock()
 	next := *w.view.Load()
 	w.setRelayedEvacuations(&next, evacuated)
+	w.applyPacked(&next, packed, versions)
+	w.publish(&next)
+}
+
+// applyPacked sets the configuration and the adapter versions of a new view to those of another host where they are newer.
+func (w *Watcher) applyPacked(next *View, packed []byte, versions catalog.Versions) {
 	if len(packed) > 0 {
 		row, err := unpackConfig(packed)
 		if err != nil {
 			w.log.Error("relayed configuration cannot be decoded; the previous one stays in force", "error", err)
 		} else {
-			w.applyConfig(&next, row)
+			w.applyConfig(next, row)
 		}
 	}
 	if len(versions) > 0 {
@@ -116,7 +120,6 @@
 			next.Versions[ref] = max(next.Versions[ref], v)
 		}
 	}
-	w.publish(&next)
 }
 
 // RelayedUpstreams holds upstreams that another host relays.
@@ -141,7 +144,6 @@
 		return
 	}
 	next.UpstreamsVersion = p.StoreVersion
-	raise(&w.tableEras[1], store.EraOf(p.StoreVersion))
 	before := next.Upstreams
 	if p.Whole {
 		next.UpstreamsRead = next.UpstreamsRead || p.StoreVersion > 0 // 0 is relayed by a host that has not read them
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -13,7 +13,7 @@
 	w.mu.Lock()
 	next := *w.view.Load()
 	era := store.EraOf(c.Version)
-	if era < w.tableEras[1].Load() {
+	if era < store.EraOf(next.UpstreamsVersion) {
 		w.mu.Unlock()
 		return // newer ones were relayed meanwhile
 	}
@@ -42,7 +42,9 @@
 	if restored && len(before) > 0 {
 		w.logRestoredUpstreams(c, before, seen)
 	}
-	raise(&w.tableEras[1], era)
+	if whole {
+		raise(&w.tableEras[1], era)
+	}
 	w.publish(&next)
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -120,8 +120,8 @@
 	// unconfirmed is true if upstreams were relayed and no version has been confirmed for them
 	// since, so that the next read of their table has to be of the whole table.
 	unconfirmed atomic.Bool
-	// era is the highest era of the store that this host knows of, and tableEras holds the era
-	// as of which each table is known. drills counts the changes of era since the start.
+	// era is the highest era of the store that this host knows of, and tableEras holds the latest
+	// era in which each table was compared with what was known before. drills counts the changes of era since the start.
 	era       atomic.Int64
 	tableEras [2]atomic.Int64
 	drills    atomic.Int64
@@ -187,7 +187,7 @@
 func (w *Watcher) applyOperator(c store.Changes, whole bool, _ time.Duration) {
 	w.mu.Lock()
 	next := *w.view.Load()
-	if store.EraOf(c.Version) < w.tableEras[0].Load() {
+	if store.EraOf(c.Version) < store.EraOf(next.Evacuated.StoreVersion) {
 		w.mu.Unlock()
 		return // newer ones were relayed meanwhile
 	}
@@ -210,7 +210,9 @@
 			w.log.Info("adapter version announced", "model", ref.Model, "adapter", ref.Adapter, "version", version)
 		}
 	}
-	raise(&w.tableEras[0], store.EraOf(c.Version))
+	if whole {
+		raise(&w.tableEras[0], store.EraOf(c.Version))
+	}
 	w.publish(&next)
 }
 
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -204,6 +204,11 @@
 	// RateLimitVersion is the version of the host's list of upstreams' rate limits, 1 if it
 	// has none yet. Hosts of builds without rate limits send 0.
 	RateLimitVersion uint64 `cbor:"9,keyasint,omitempty"`
+	// StoreEra is the highest era of the store that the host knows of.
+	StoreEra int64 `cbor:"10,keyasint,omitempty"`
+	// KnowsPriorEra means that the host knows the tables from before the store was last
+	// restored from a copy.
+	KnowsPriorEra bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Successor announces a new leader. The new leader sends it to the leader that it
@@ -230,7 +235,7 @@
 type LeaderHeartbeat struct {
 	// Fence is the fencing token of the leader's lease.
 	Fence int64 `cbor:"1,keyasint"`
-	// LeaseVersion is the version of the lease's row after its last renewal.
+	// LeaseVersion is the position of the lease's row after its last renewal.
 	LeaseVersion int64 `cbor:"2,keyasint"`
 	// RenewalOverdue means that the renewal of the leader's lease is overdue.
 	RenewalOverdue bool `cbor:"3,keyasint,omitempty"`
@@ -251,10 +256,10 @@
 	// TablesChecksum is a checksum of the leader's copy of the platform's tables, which it has
 	// relayed.
 	TablesChecksum uint64 `cbor:"12,keyasint,omitempty"`
-	// OperatorVersion is the store version up to which the leader has read the operator's
+	// OperatorVersion is the store position, of era and version, up to which the leader has read the operator's
 	// table.
 	OperatorVersion int64 `cbor:"13,keyasint,omitempty"`
-	// UpstreamsVersion is the store version up to which the leader has read the upstreams'
+	// UpstreamsVersion is the store position up to which the leader has read the upstreams'
 	// table.
 	UpstreamsVersion int64 `cbor:"14,keyasint,omitempty"`
 	// StoreAgeMillis is the time since the leader last read the store, in milliseconds.
@@ -272,6 +277,11 @@
 	// DecidesSuspects means that the leader decides for all hosts which suspects are
 	// refused. Hosts decide themselves if the leader's build does not.
 	DecidesSuspects bool `cbor:"18,keyasint,omitempty"`
+	// StoreEra is the highest era of the store that the leader knows of.
+	StoreEra int64 `cbor:"19,keyasint,omitempty"`
+	// WantsTables asks the receiver for a ConfigPush, since the leader does not know the
+	// tables from before the store was last restored from a copy.
+	WantsTables bool `cbor:"20,keyasint,omitempty"`
 }
 
 // LimitUsage is the share of its rate limit that an organisation has used across the
@@ -291,8 +301,11 @@
 	Versions []AdapterVersion `cbor:"2,keyasint,omitempty"`
 	// EvacuatedZones are all availability zones whose upstreams must receive no requests.
 	EvacuatedZones []string `cbor:"3,keyasint,omitempty"`
-	// EvacuatedVersion is the store version as of which the evacuated zones are known.
+	// EvacuatedVersion is the store position as of which the evacuated zones are known.
 	EvacuatedVersion int64 `cbor:"4,keyasint,omitempty"`
+	// KnowsPriorEra means that the sender knows the tables from before the store was last
+	// restored from a copy, so that the evacuated zones are complete.
+	KnowsPriorEra bool `cbor:"5,keyasint,omitempty"`
 }
 
 // AdapterVersion is the announced version of an adapter.
@@ -308,7 +321,7 @@
 	Complete         bool       `cbor:"1,keyasint,omitempty"`
 	Upstreams        []Upstream `cbor:"2,keyasint,omitempty"`
 	RemovedUpstreams []string   `cbor:"3,keyasint,omitempty"`
-	// UpstreamsVersion is the store version up to which the sender has read the upstreams.
+	// UpstreamsVersion is the store position up to which the sender has read the upstreams.
 	UpstreamsVersion int64 `cbor:"5,keyasint,omitempty"`
 	// Packed is the output of PackUpstreams. If it is set, Upstreams is empty.
 	Packed []byte `cbor:"4,keyasint,omitempty"`
