assign, host: metrics, shares of organisations and the error of estimates for ranked services

Nothing showed who got what of a scarce service, nor whether the estimates are right. A grant from the queue of a ranked service carries the estimate made at admission; entry hosts record the difference to the real wait as the histogram jasminelock.entry.turn_error and count requests by route, rank, result and rule (jasminelock.entry.ranked). GET /shares on the operators' port lists, per ranked service and organisation, what waits and the share of the work against the share of the weights.

--- a/assign/choose.go
+++ b/assign/choose.go
@@ -99,12 +99,13 @@
 // grant assigns a request to the upstream of an option.
 func (a *Assigner) grant(now time.Time, e *requestState, o option) {
 	u := o.upstream
-	a.grantRanked(now, e)
+	queued := a.grantRanked(now, e)
 	a.startAttempt(now, e, u, o.slot)
 	u.rateLimit.Take(now)
 	g := Grant{
 		ID: e.request.ID, Upstream: u.record.ID, StartedAt: u.record.StartedAt, Rule: o.rule, Expected: o.cost,
 		RateLimit: u.rateLimit.State(now), Held: now.Sub(e.submittedAt),
+		Turn: e.estimatedTurn, Ranked: queued,
 	}
 	if o.slot != nil {
 		g.Version = o.slot.version
--- a/assign/events.go
+++ b/assign/events.go
@@ -285,8 +285,11 @@
 	Expected time.Duration
 	// RateLimit is the state of the upstream's rate limit after this assignment.
 	RateLimit throttle.State
-	// Held is the time from the submission of the request to this decision.
-	Held time.Duration
+	// Held is the time from the submission of the request to this decision. Turn is the estimate of it at admission, for a
+	// request that was queued in a ranked service; it is valid if Ranked is set.
+	Held   time.Duration
+	Turn   time.Duration
+	Ranked bool
 }
 
 // Refuse ends a request that has not been assigned to an upstream, or is not assigned again.
--- a/assign/line.go
+++ b/assign/line.go
@@ -74,6 +74,8 @@
 	rate float64
 	// arrivals is the rate of work of the organisation's requests, admitted or not.
 	arrivals decayingRate
+	// done is the rate of the work that is begun for the organisation.
+	done decayingRate
 	// order holds the counters that share an organisation's turns between its adapters.
 	order    *fairshare.Counters
 	work     time.Duration
@@ -180,7 +182,7 @@
 	if !ok {
 		acct = &account{
 			organisation: organisation, index: len(r.list), rate: l.weights.configured(organisation),
-			arrivals: decayingRate{halfLife: arrivalHalfLife}, order: fairshare.NewCounters(), adapters: map[string]*adapterAccount{},
+			arrivals: decayingRate{halfLife: arrivalHalfLife}, done: decayingRate{halfLife: doneHalfLife}, order: fairshare.NewCounters(), adapters: map[string]*adapterAccount{},
 		}
 		r.accounts[organisation] = acct
 		r.list = append(r.list, acct)
@@ -216,6 +218,8 @@
 }
 
 const (
+	// doneHalfLife is the half-life of the work that the operators' page shows.
+	doneHalfLife = 10 * time.Second
 	// arrivalHalfLife is the half-life of the rates at which work arrives. It is about the time that requests wait.
 	arrivalHalfLife = 4 * time.Second
 	// minArrivals is the rate of work below which an organisation without waiting requests is no longer counted.
@@ -262,6 +266,7 @@
 	acct, ok := r.accounts[organisation]
 	if ok {
 		acct.served = r.counters.Served(organisation)
+		acct.done.add(now, e.work.Seconds())
 	}
 	if ok && acct.count > 0 {
 		acct.order.Charge(adapterKey(&e.request), e.work.Seconds())
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -320,14 +320,16 @@
 }
 
 // grantRanked counts the work of a request of a ranked service that is assigned to an upstream, and takes the request
-// out of the queue.
-func (a *Assigner) grantRanked(now time.Time, e *requestState) {
+// out of the queue. It reports whether the request was queued there after its admission.
+func (a *Assigner) grantRanked(now time.Time, e *requestState) bool {
 	s := a.service(e.request.Service)
 	if s.line == nil {
-		return
+		return false
 	}
+	admitted := e.checkIndex > 0
 	s.line.charge(now, e)
 	a.queues.remove(e)
+	return admitted
 }
 
 // configureLines applies a configuration to the orders of ranked services: the weights, and the priorities of
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,6 +119,13 @@
 	// Rule names the rule by which the request was refused instead of being sent to
 	// an upstream, "" if it was not refused.
 	Rule string
+	// Rank is the priority of the request, 0 being the highest. Queued is set if the last assignment was made from the
+	// queue of a ranked service, Held after the time for which the request had waited there, and Turn the time that was
+	// expected at its admission.
+	Rank   int
+	Queued bool
+	Held   time.Duration
+	Turn   time.Duration
 	// Failure is the reason of the last failed attempt, "" if none failed.
 	Failure string
 	// Duration is the time from the arrival to the end of the request.
--- a/entry/response.go
+++ b/entry/response.go
@@ -300,6 +300,7 @@
 	x.server.Observe(Result{
 		Route: route, Status: x.status, Reason: x.reason, Rule: x.rule, Failure: x.failure, Duration: duration,
 		TimeToFirstToken: x.timeToFirstToken, Attempts: x.sentCount, Tokens: tokens,
+		Rank: x.request.Priority, Queued: x.grant.Ranked, Held: x.grant.Held, Turn: x.grant.Turn,
 	})
 }
 
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/entry"
 	"github.com/jasminelock/jasminelock/metrics"
 )
@@ -17,6 +18,13 @@
 // latency targets of plain services and of streams.
 var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 15}
 
+// turnErrorBuckets are the upper bounds of the histogram buckets of the error of estimated turns, in seconds. It is
+// negative for a request whose turn came early.
+var turnErrorBuckets = []float64{-4, -2, -1, -0.5, -0.2, -0.1, 0, 0.1, 0.2, 0.5, 1, 2, 4}
+
+// maxRankLabel bounds the label for the rank of requests.
+const maxRankLabel = 9
+
 // hostMetrics holds the instruments of a host. Their labels are routes, statuses and
 // closed lists of reasons, rules, calls, orders and results, so that the number of series
 // does not grow with adapters or callers.
@@ -25,11 +33,13 @@
 	requests         metric.Int64Counter
 	attempts         metric.Int64Counter
 	refusals         metric.Int64Counter
+	ranked           metric.Int64Counter
 	tokens           metric.Int64Counter
 	storeCalls       metric.Int64Counter
 	orders           metric.Int64Counter
 	duration         metric.Float64Histogram
 	timeToFirstToken metric.Float64Histogram
+	turnError        metric.Float64Histogram
 }
 
 func newHostMetrics(h *Host) (*hostMetrics, error) {
@@ -47,6 +57,7 @@
 		{&m.requests, "jasminelock.entry.requests", "Requests that have ended, by route, status and reason"},
 		{&m.attempts, "jasminelock.entry.attempts", "Requests sent to upstreams, by route"},
 		{&m.refusals, "jasminelock.entry.refusals", "Requests that got no upstream, by what decided it"},
+		{&m.ranked, "jasminelock.entry.ranked", "Requests by route, rank and result: served, waited, refused or displaced, and by what refused them"},
 		{&m.tokens, "jasminelock.entry.tokens", "Tokens counted against the rates of organisations, by route"},
 		{&m.storeCalls, "jasminelock.store.calls", "Calls to the platform's store, by call and result"},
 		{&m.orders, "jasminelock.orders", "Orders given to engines, by order and result"},
@@ -60,7 +71,11 @@
 		metric.WithDescription("Time from a request's arrival to its end"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
 	m.timeToFirstToken, firstTokenErr = meter.Float64Histogram("jasminelock.entry.first_token", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request's arrival to the start of its answer"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
-	return m, errors.Join(append(errs, durationErr, firstTokenErr, m.registerGauges(meter, h))...)
+	var turnErr error
+	m.turnError, turnErr = meter.Float64Histogram("jasminelock.entry.turn_error", metric.WithUnit("s"),
+		metric.WithDescription("Time by which the turn of a request that waited came later than estimated at its admission"),
+		metric.WithExplicitBucketBoundaries(turnErrorBuckets...))
+	return m, errors.Join(append(errs, durationErr, firstTokenErr, turnErr, m.registerGauges(meter, h))...)
 }
 
 // registerGauges registers the gauges, whose values are read when the metrics are collected.
@@ -116,17 +131,36 @@
 	if r.Rule != "" {
 		m.refusals.Add(ctx, 1, metric.WithAttributes(attribute.String("rule", r.Rule)))
 	}
+	m.ranked.Add(ctx, 1, metric.WithAttributes(route, attribute.Int("rank", min(max(r.Rank, 0), maxRankLabel)),
+		attribute.String("result", rankedResult(r)), attribute.String("rule", r.Rule)))
+	if r.Queued {
+		m.turnError.Record(ctx, (r.Held - r.Turn).Seconds(), metric.WithAttributes(route))
+	}
 	m.duration.Record(ctx, r.Duration.Seconds(), metric.WithAttributes(route))
 	if r.TimeToFirstToken > 0 {
 		m.timeToFirstToken.Record(ctx, r.TimeToFirstToken.Seconds(), metric.WithAttributes(route))
 	}
 }
 
+// rankedResult returns what became of a request in the order of waiting requests.
+func rankedResult(r entry.Result) string {
+	switch {
+	case r.Rule == assign.Displaced:
+		return "displaced"
+	case r.Rule != "":
+		return "refused"
+	case r.Queued:
+		return "waited"
+	}
+	return "served"
+}
+
 // operatorHandler returns the HTTP handler for operators: the metrics, and the refusals of what crashes upstreams.
 func (h *Host) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.metrics.provider.Handler())
 	mux.HandleFunc("GET /quarantine", h.listRefusals)
+	mux.HandleFunc("GET /shares", h.listShares)
 	mux.HandleFunc("DELETE /quarantine/{key}", h.liftRefusal)
 	return mux
 }
--- a/leader/follower.go
+++ b/leader/follower.go
@@ -78,7 +78,7 @@
 	}
 	b.deliver(t, assign.Grant{
 		ID: t.request.ID, Upstream: m.Upstream, StartedAt: m.StartedAt, Version: m.Version, Rule: m.Rule, Expected: milliseconds(m.ExpectedMillis),
-		Held: milliseconds(m.HeldMillis), RateLimit: rateState(m.RateLimit),
+		Held: milliseconds(m.HeldMillis), RateLimit: rateState(m.RateLimit), Ranked: m.Ranked, Turn: milliseconds(m.TurnMillis),
 	})
 }
 
--- a/leader/messages.go
+++ b/leader/messages.go
@@ -86,6 +86,7 @@
 		return d.ID, &wire.Grant{
 			Number: d.ID.Number, Upstream: d.Upstream, StartedAt: d.StartedAt, Version: d.Version, Rule: d.Rule,
 			ExpectedMillis: d.Expected.Milliseconds(), HeldMillis: d.Held.Milliseconds(), RateLimit: wireRateState(d.RateLimit),
+			Ranked: d.Ranked, TurnMillis: d.Turn.Milliseconds(),
 		}
 	case assign.Refuse:
 		return d.ID, &wire.Refuse{Number: d.ID.Number, Kind: uint8(d.Kind), RetryAfterMillis: d.RetryAfter.Milliseconds(), Rule: d.Rule, Detail: d.Detail, RateLimit: wireRateState(d.RateLimit)}
--- a/leader/stats.go
+++ b/leader/stats.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/throttle"
 )
 
@@ -34,6 +35,18 @@
 	OldestRateLimitAge   time.Duration
 }
 
+// OrganisationShares returns what organisations get of the ranked services whose requests this host assigns.
+func (b *Broker) OrganisationShares() []assign.OrganisationShare {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	shares := b.local.OrganisationShares(now)
+	if b.leading != nil {
+		shares = append(shares, b.leading.OrganisationShares(now)...)
+	}
+	return shares
+}
+
 // Stats returns a summary of the broker's state.
 func (b *Broker) Stats() Stats {
 	b.mu.Lock()
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -163,6 +163,10 @@
 	HeldMillis int64 `cbor:"7,keyasint,omitempty"`
 	// RateLimit is the state of the upstream's rate limit, nil if it has none.
 	RateLimit *RateLimitState `cbor:"8,keyasint,omitempty"`
+	// Ranked is set if the request was queued in a ranked service. TurnMillis is then the estimate of HeldMillis at its
+	// admission.
+	Ranked     bool  `cbor:"9,keyasint,omitempty"`
+	TurnMillis int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Refuse rejects a request, which is assigned to no upstream.
