--- a/assign/engine_test.go
+++ b/assign/engine_test.go
@@ -182,6 +182,8 @@
 	// prefillOfTokens makes the prefill time of a request depend on its prompt; promptTokens holds the prompts.
 	prefillOfTokens bool
 	promptTokens    map[RequestID]int
+	// hidesCost makes all prompts look alike to the Assigner.
+	hidesCost bool
 }
 
 type timedEvent struct {
@@ -371,6 +373,9 @@
 		f(&r)
 	}
 	w.adapters[r.ID], w.submittedAt[r.ID], w.promptTokens[r.ID] = adapter, w.now, r.PromptTokens
+	if w.hidesCost {
+		r.PromptTokens = 2000
+	}
 	w.handle(RequestSubmitted{r})
 	return r.ID
 }
--- a/assign/line.go
+++ b/assign/line.go
@@ -49,6 +49,8 @@
 	// waiting is the number of organisations with waiting requests, interval the time between two turns of one.
 	waiting  int
 	interval time.Duration
+	// drain is the time in which all that waits in this rank and in more urgent ones can be done.
+	drain time.Duration
 	// arrivals is the rate of work of the requests that are admitted.
 	arrivals decayingRate
 	// delay is the time by which the turns of the waiting requests may have moved back so far; checks orders the
@@ -284,7 +286,10 @@
 // updateIntervals computes the time between two turns of an organisation: at the rate of work that more urgent ranks
 // leave, each organisation that waits, or sends as much as its share, has a request served.
 func (l *line) updateIntervals(now time.Time, rate float64) {
+	total, work := rate, time.Duration(0)
 	for _, r := range l.ranks {
+		work += r.work
+		r.drain = min(time.Duration(float64(work)/max(total, minRate)), maxKnownRetryAfter)
 		r.interval = 0
 		if r.count > 0 {
 			mean := float64(r.work) / float64(r.count)
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -86,10 +86,11 @@
 
 // refusesTurn reports whether a new request is refused because its turn would come too late, and the rule.
 func (a *Assigner) refusesTurn(now time.Time, s *service, e *requestState, t turnEstimate) (string, bool) {
+	late := t.wait + time.Duration(turnTolerance*float64(t.wait)) + turnPrecision - e.lastUseful.Sub(now)
 	switch {
 	case !s.hasUpstream():
 		return "no_upstream", true
-	case !now.Add(t.wait+turnPrecision).After(e.lastUseful) && !s.line.endangersOthers(now, e.waiting, t.wait):
+	case late <= 0 && !s.line.endangersOthers(now, e.waiting) && !s.line.endangersLate(now, e.waiting, t.wait):
 		return "", false
 	case s.rateWait(now, int(t.count)) >= t.wait:
 		return UpstreamRate, true
@@ -117,8 +118,13 @@
 		step = max(step, time.Duration(float64(time.Second)/perSecond))
 	}
 	step = min(step, maxKnownRetryAfter)
-	// By then the queue is short enough for a request like this one.
-	turn := now.Add(max(now.Add(t.wait).Sub(e.lastUseful), minRetryAfter))
+	// By then the queue is short enough for a request like this one: the part that is too long has been served or, if
+	// others would have lost their turns, those have had them.
+	shorter := now.Add(t.wait).Sub(e.lastUseful)
+	if shorter < 0 {
+		shorter = t.wait
+	}
+	turn := now.Add(max(shorter, minRetryAfter))
 	if promised := l.ranks[t.rank].promisedUntil.Add(step); turn.Before(promised) {
 		turn = promised
 	}
@@ -294,10 +300,11 @@
 		a.refuseQueued(now, s, e, t, Displaced)
 		return
 	}
+	slack := -late
 	if late > 0 {
-		late = -queueCheckInterval
+		slack = queueCheckInterval
 	}
-	r.scheduleCheck(e, -late)
+	r.scheduleCheck(e, min(slack, e.lastUseful.Sub(now)))
 }
 
 // pushBack records that a new request has put back the turns of the less urgent ranks and, by fair sharing, of the
--- a/assign/ranked_test.go
+++ b/assign/ranked_test.go
@@ -245,6 +245,26 @@
 	}
 }
 
+// An Assigner that does not know the costs shares turns by the number of requests. Guards against a check of shares that
+// does not find this.
+func TestRanked_FairSharesFindSharingByNumber(t *testing.T) {
+	loads := []orgLoad{{name: "cheap", perSecond: 60, promptTokens: 500}, {name: "dear", perSecond: 20, promptTokens: 4000}}
+	for _, hides := range []bool{false, true} {
+		w := newRankedSimulation(t, 1, 1, "cheap0", "dear0")
+		w.prefillOfTokens, w.hidesCost = true, hides
+		w.configureWeights(loads)
+		sent, served, _ := w.runShares(1, loads, 60*time.Second)
+		fair := maxMin(loads, sent, served["cheap"]+served["dear"])
+		t.Logf("costs hidden: %t, served %v, fair %v", hides, served, fair)
+		if hides {
+			require.Less(t, served["cheap"], 0.9*fair["cheap"])
+		} else {
+			require.GreaterOrEqual(t, served["cheap"], 0.9*fair["cheap"])
+			require.GreaterOrEqual(t, served["dear"], 0.9*fair["dear"])
+		}
+	}
+}
+
 func testFairShares(t *testing.T, seed uint64, loads []orgLoad) {
 	var adapters []string
 	for _, o := range loads {
--- /dev/null
+++ b/assign/rankedretry_test.go
@@ -0,0 +1,73 @@
+package assign
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// More requests arrive at once than can be served in time, and all refused callers come back after Retry-After with a
+// new request. The error is the difference between Retry-After and the time until the returned caller's turn, relative
+// to the latter. Guards against a Retry-After that has no relation to the queue, against callers that return all at
+// once, and against routine callers that are told to return before urgent ones.
+func TestRanked_RetryAfterIsLikelyTurn(t *testing.T) {
+	for _, ranks := range []int{1, 2} {
+		t.Run(strconv.Itoa(ranks)+" ranks", func(t *testing.T) {
+			w := newRankedSimulation(t, 1, 2, "a")
+			type promise struct {
+				retryAfter time.Duration
+				refusedAt  time.Time
+			}
+			number, again := uint64(0), 0
+			returned := map[RequestID]promise{}
+			perRank := make([][]float64, ranks)
+			var send func(rank int) (RequestID, bool)
+			send = func(rank int) (RequestID, bool) {
+				number++
+				id := w.submit(number, "a", func(r *Request) {
+					r.Priority, r.Organisation = rank, "org"+strconv.Itoa(int(number)%3)
+					r.Target, r.Deadline = w.now.Add(time.Second), w.now.Add(3*time.Second)
+				})
+				r, refused := w.refused[id]
+				if !refused {
+					return id, true
+				}
+				perRank[rank] = append(perRank[rank], r.RetryAfter.Seconds())
+				refusedAt := w.now
+				w.schedule(r.RetryAfter, func() {
+					if id, ok := send(rank); ok {
+						returned[id] = promise{r.RetryAfter, refusedAt}
+					} else {
+						again++
+					}
+				})
+				return id, false
+			}
+			for i := range 160 {
+				send(i % ranks)
+			}
+			w.run(15 * time.Second)
+			var errors []float64
+			for id, p := range returned {
+				if g, ok := w.granted[id]; ok {
+					turn := w.submittedAt[id].Add(g.Held).Sub(p.refusedAt)
+					errors = append(errors, (p.retryAfter-turn).Abs().Seconds()/turn.Seconds())
+				}
+			}
+			require.Greater(t, len(errors), 20)
+			slices.Sort(errors)
+			t.Logf("%d callers were served after their return, %d refused again, median error %.2f", len(errors), again, errors[len(errors)/2])
+			require.Less(t, errors[len(errors)/2], 1.0/3)
+			for rank, after := range perRank {
+				slices.Sort(after)
+				t.Logf("rank %d: %d refused, median Retry-After %.2f s", rank, len(after), after[len(after)/2])
+			}
+			if ranks > 1 {
+				require.Less(t, perRank[0][len(perRank[0])/2], perRank[1][len(perRank[1])/2])
+			}
+		})
+	}
+}
