--- a/assign/line.go
+++ b/assign/line.go
@@ -65,6 +65,8 @@
 	// waiting is the number of organisations with waiting requests, interval the time between two turns of one.
 	waiting  int
 	interval time.Duration
+	// drain is the time in which all that waits in this rank and in more urgent ones can be done.
+	drain time.Duration
 	// arrivals is the rate of work of the requests that are admitted.
 	arrivals decayingRate
 	// delay is the time by which the turns of the waiting requests may have moved back so far; checks orders the
@@ -90,6 +92,8 @@
 	rate float64
 	// arrivals is the rate of work of the organisation's requests, admitted or not.
 	arrivals decayingRate
+	// done is the rate of the work that is begun for the organisation.
+	done decayingRate
 	// order holds the counters that share an organisation's turns between its adapters.
 	order    *fairshare.Counters
 	work     time.Duration
@@ -196,7 +200,7 @@
 	if !ok {
 		acct = &account{
 			organisation: organisation, index: len(r.list), rate: l.weights.configured(organisation),
-			arrivals: decayingRate{halfLife: arrivalHalfLife}, order: fairshare.NewCounters(), adapters: map[string]*adapterAccount{},
+			arrivals: decayingRate{halfLife: arrivalHalfLife}, done: decayingRate{halfLife: doneHalfLife}, order: fairshare.NewCounters(), adapters: map[string]*adapterAccount{},
 		}
 		r.accounts[organisation] = acct
 		r.list = append(r.list, acct)
@@ -232,6 +236,8 @@
 }
 
 const (
+	// doneHalfLife is the half-life of the work that the operators' page shows.
+	doneHalfLife = 10 * time.Second
 	// arrivalHalfLife is the half-life of the rates at which work arrives. It is about the time that requests wait.
 	arrivalHalfLife = 4 * time.Second
 	// minArrivals is the rate of work below which an organisation without waiting requests is no longer counted.
@@ -278,6 +284,7 @@
 	acct, ok := r.accounts[organisation]
 	if ok {
 		acct.served = r.counters.Served(organisation)
+		acct.done.add(now, e.work.Seconds())
 	}
 	if ok && acct.count > 0 {
 		acct.order.Charge(adapterKey(&e.request), e.work.Seconds())
@@ -295,7 +302,10 @@
 // updateIntervals computes the time between two turns of an organisation: at the rate of work that more urgent ranks
 // leave, each organisation that waits, or sends as much as its share, has a request served.
 func (l *line) updateIntervals(now time.Time, rate float64) {
+	total, work := rate, time.Duration(0)
 	for _, r := range l.ranks {
+		work += r.work
+		r.drain = min(time.Duration(float64(work)/max(total, minRate)), maxKnownRetryAfter)
 		r.interval = 0
 		if r.count > 0 {
 			mean := float64(r.work) / float64(r.count)
