assign: without a leader, the load of other hosts on engines counts; a new leader's knowledge is tested

Without a leader each host took an engine to be free of others' requests. Their number, from the engine's reports, now adds to the expected time; it never makes an engine unusable, since reports come with answers only.

go test ./assign: all pass.

--- a/assign/firsttoken_test.go
+++ b/assign/firsttoken_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +73,35 @@
 	}
 }
 
+// A new leader knows no speeds. It must know them again within a second, from the answers to its own and to adopted requests.
+func TestUnevenEngines_NewLeaderLearnsPace(t *testing.T) {
+	const changeAt = 10 * time.Second
+	f := newUnevenFleet(1, unevenLoads[1], ByArrival)
+	f.schedule(f.start.Add(changeAt), func() {
+		f.startLeader(2)
+		for _, r := range f.requests {
+			for _, e := range f.engines {
+				switch {
+				case slices.Contains(e.waiting, r):
+					f.handle(RequestAdopted{Request: r.request, Upstream: e.id})
+				case slices.Contains(e.streams, r):
+					f.handle(RequestAdopted{Request: r.request, Upstream: e.id, FirstByteReceived: true})
+				}
+			}
+		}
+	})
+	known := 0
+	f.schedule(f.start.Add(changeAt+time.Second), func() {
+		for _, s := range f.assigner.UpstreamStats(f.now) {
+			if s.PaceStated && s.SlowPace < 1.1*f.byID[s.ID].speed {
+				known++
+			}
+		}
+	})
+	f.run(f.submit)
+	require.GreaterOrEqual(t, known, unevenEngines-unevenEngines/6, "an engine that is slow at that moment may not be known yet")
+}
+
 // The bound must find an Assigner that does not consider the pace: the one of a service whose upstreams state none.
 func TestUnevenEngines_PaceIgnored(t *testing.T) {
 	perSecond := unevenLoads[len(unevenLoads)-1]
--- a/assign/remainingwork.go
+++ b/assign/remainingwork.go
@@ -236,6 +236,7 @@
 func (u *upstream) recordLoad(now time.Time, l Load) {
 	u.reportedLoad, u.lastHeardAt = l, now
 	u.others.record(now, float64(max(l.Running+l.Waiting-len(u.running), 0)))
+	u.othersWaiting.record(now, float64(max(l.Waiting-len(u.prefills), 0)))
 	figure := BoundPace(l.Pace)
 	if figure == 0 {
 		return
--- a/assign/unevenengines_test.go
+++ b/assign/unevenengines_test.go
@@ -144,10 +144,13 @@
 	adapter func() string
 	orders  map[string]*simEngine
 
-	assigner *Assigner
-	requests map[RequestID]*unevenRequest
-	arrived  []*unevenRequest
-	refused  int
+	seed       uint64
+	scheduling Scheduling
+	records    map[string]*catalog.Upstream
+	assigner   *Assigner
+	requests   map[RequestID]*unevenRequest
+	arrived    []*unevenRequest
+	refused    int
 }
 
 type unevenEvent struct {
@@ -182,8 +185,8 @@
 
 func newUnevenFleet(seed uint64, perSecond float64, scheduling Scheduling) *unevenFleet {
 	f := &unevenFleet{
-		perSecond: perSecond,
-		random:    rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1_000_000, 0), now: time.Unix(1_000_000, 0),
+		perSecond: perSecond, seed: seed, scheduling: scheduling,
+		random: rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1_000_000, 0), now: time.Unix(1_000_000, 0),
 		byID: map[string]*unevenEngine{}, requests: map[RequestID]*unevenRequest{}, reported: func() bool { return true },
 		adapter: func() string { return "" },
 	}
@@ -204,15 +207,21 @@
 		}
 		f.slow = append(f.slow, turn)
 	}
+	f.records = records
+	f.startLeader(1)
+	return f
+}
+
+// startLeader starts an Assigner without state, like that of a new leader.
+func (f *unevenFleet) startLeader(fence int64) {
 	f.assigner = New(Options{
-		SendsOrders: true, Fence: 1, Share: 1, Random: rand.New(rand.NewPCG(seed, 8)), Limits: simLimits, Scheduling: scheduling,
+		SendsOrders: true, Fence: fence, Share: 1, Random: rand.New(rand.NewPCG(f.seed, uint64(fence)+7)), Limits: simLimits, Scheduling: f.scheduling,
 	})
 	f.handle(ConfigUpdated{catalog.NewConfig(catalog.ConfigParts{Version: 1, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{
 		BatchSize: unevenBatch, CacheTokens: unevenCache, AdapterSlots: 6, WeightsMB: 100,
 		Models: []catalog.Model{{Name: simModel, WeightsMB: 50, AdapterCount: 100}},
 	}}}})})
-	f.handle(UpstreamsUpdated{records})
-	return f
+	f.handle(UpstreamsUpdated{f.records})
 }
 
 // pace returns the pace of an engine at a time.
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -74,8 +74,9 @@
 	decodeFactor float64
 	// decode is what is left to decode of the streams.
 	decode decodeBacklog
-	// others is the load of other hosts' requests.
-	others  othersLoad
+	// others is the number of other hosts' requests, othersWaiting that of those without a first token.
+	others        othersLoad
+	othersWaiting othersLoad
 	options *Options
 	// requestTime is the time from assignment to answer of a plain service.
 	requestTime time.Duration
--- a/assign/workchoice.go
+++ b/assign/workchoice.go
@@ -17,6 +17,8 @@
 	// freeSlotWeight is the weight of the work on a plain upstream that has a free slot as far as is known: other hosts
 	// may just have taken it. With 1, requests went to idle slow upstreams instead of fast ones with free slots.
 	freeSlotWeight = 0.2
+	// fullBatchWait is the typical time until an engine whose batch other hosts have filled runs another request.
+	fullBatchWait = 200 * time.Millisecond
 	// minRemainingFraction is the fraction of its time that a request to a plain service is taken to need still, for
 	// as long as it runs.
 	minRemainingFraction = 0.2
@@ -25,6 +27,15 @@
 // workCost returns the cost of serving a request on an engine, and whether the request can be assigned now.
 func (a *Assigner) workCost(now time.Time, u *upstream, e *requestState) (cost time.Duration, ready bool) {
 	backlogWork, prefillWork := u.remainingPrefill(now), u.prefillWork(u.uncachedTokens(now, &e.request))
+	ownBacklog := u.timeFor(now, backlogWork)
+	if !a.options.SendsOrders {
+		// Without a leader, other hosts send requests to the engine too. That is no reason to send none, since without
+		// requests there are no reports.
+		backlogWork += fractionOf(u.prefillWork(typicalPromptTokens), u.othersWaiting.expected(now))
+		if float64(len(u.running))+u.others.expected(now) >= float64(u.engine.BatchSize) {
+			backlogWork += fullBatchWait
+		}
+	}
 	backlog := u.timeFor(now, backlogWork)
 	firstToken := u.timeFor(now, backlogWork+prefillWork+firstTokenOverhead)
 	prefill := firstToken - backlog
@@ -33,7 +44,7 @@
 	if late := firstToken + decode - e.request.Deadline.Sub(now); late > 0 {
 		cost += late // the answer would be cut off
 	}
-	return cost, backlog <= maxWorkBacklog && u.mayPrefill(now, prefill)
+	return cost, ownBacklog <= maxWorkBacklog && u.mayPrefill(now, prefill)
 }
 
 // expectedTokensOf returns the expected output of a request, which is estimated once.
--- a/assign/workchoice_test.go
+++ b/assign/workchoice_test.go
@@ -93,6 +93,24 @@
 	require.Equal(t, "p1", grantedTo(a, now, plainRequest(now, 1)))
 }
 
+// Without a leader, hosts assign requests to engines without knowing of one another. The engines' reports show the load of
+// the others.
+func TestEngines_LoadOfOtherHosts(t *testing.T) {
+	for _, busy := range []Load{{Running: 10, Waiting: 6, Pace: 1}, {Running: 64, Pace: 1}} {
+		w := newSimulation(t, 1, 2, 2)
+		a := New(Options{Share: 1, Random: w.random, Limits: simLimits})
+		a.Handle(w.now, ConfigUpdated{w.config})
+		a.Handle(w.now, UpstreamsUpdated{w.records})
+		a.Handle(w.now, LoadStated{Upstream: "e0", StartedAt: 1, Load: busy})
+		a.Handle(w.now, LoadStated{Upstream: "e1", StartedAt: 1, Load: Load{Running: 10, Pace: 1.2}})
+		require.Equal(t, "e1", grantedTo(a, w.now, modelRequest(w.now, 1)))
+		require.Equal(t, "e1", grantedTo(a, w.now, modelRequest(w.now, 2)))
+		a.Handle(w.now, LoadStated{Upstream: "e1", StartedAt: 1, Load: Load{Running: 64, Waiting: 40, Pace: 1}})
+		a.Handle(w.now, LoadStated{Upstream: "e0", StartedAt: 1, Load: Load{Running: 64, Waiting: 40, Pace: 1}})
+		require.NotEmpty(t, grantedTo(a, w.now, modelRequest(w.now, 3)), "reports come with answers only")
+	}
+}
+
 // A machine that is slow for a moment must be used again when the moment is over, and a machine that is always slow must
 // not count as slow for a moment.
 func TestPace_SlowAndFastComponent(t *testing.T) {
