--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -77,7 +77,7 @@
 	// others is the number of other hosts' requests, othersWaiting that of those without a first token.
 	others        othersLoad
 	othersWaiting othersLoad
-	options *Options
+	options       *Options
 	// requestTime is the time from assignment to answer of a plain service.
 	requestTime time.Duration
 	// errorRate is the moving average of the fraction of failed requests.
