--- a/soak/entries.go
+++ b/soak/entries.go
@@ -75,6 +75,8 @@
 	closers   []func()
 	// evacuating is true while a zone is evacuated. At most one is at a time.
 	evacuating atomic.Bool
+	// restoring is true while the store is being restored from a copy. At most one drill is at a time.
+	restoring atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
--- a/soak/entryfaults.go
+++ b/soak/entryfaults.go
@@ -102,6 +102,7 @@
 		s.tables.SetFaults(tables.Faults{LoseCommits: 3})
 	}},
 	{"store forgets its history", func(_ context.Context, s *entrySoak, _ *rand.Rand) { s.tables.DropLog() }},
+	{"store restored from a copy", func(ctx context.Context, s *entrySoak, r *rand.Rand) { s.restoreStore(ctx, r) }},
 	{"zone evacuated", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
 		zone := zoneName(r.IntN(zoneCount))
 		if !s.evacuating.CompareAndSwap(false, true) {
--- a/standin/tables/rows.go
+++ b/standin/tables/rows.go
@@ -89,16 +89,16 @@
 const DefaultZone = "z"
 
 // PutConfig writes the configuration as the operator does.
-func (t *Tables) PutConfig(c Config) { t.Put("op", "config", c) }
+func (t *Tables) PutConfig(c Config) { t.Put(OperatorTable, "config", c) }
 
 // Evacuate writes the operator's order to send no requests to an availability zone,
 // or removes it if on is false.
 func (t *Tables) Evacuate(zone string, on bool) {
 	if on {
-		t.Put("op", "evacuate/"+zone, struct{}{})
+		t.Put(OperatorTable, "evacuate/"+zone, struct{}{})
 		return
 	}
-	t.Remove("op", "evacuate/"+zone)
+	t.Remove(OperatorTable, "evacuate/"+zone)
 }
 
 // PutUpstream writes a replica's entry.
--- a/standin/tables/tables.go
+++ b/standin/tables/tables.go
@@ -54,6 +54,8 @@
 	calls    map[string]int
 	// era is stated in every response if it is above 0.
 	era int64
+	// written holds the rows that were written or removed since the last restore.
+	written map[string]bool
 }
 
 // New returns an empty service.
@@ -120,6 +122,9 @@
 		t.rows[id] = r
 	}
 	t.log = append(t.log, r)
+	if t.written != nil {
+		t.written[id] = true
+	}
 }
 
 func (t *Tables) notify() {
--- /dev/null
+++ b/wire/era_test.go
@@ -0,0 +1,40 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against fields of the era that a host of an older build does not understand: it must decode the messages as before,
+// and messages without them must decode as those of era 0.
+func TestEra_OlderBuild(t *testing.T) {
+	raw, err := encMode.Marshal(&HostHeartbeat{Zone: "z", TablesChecksum: 7, StoreEra: 3, KnowsPriorEra: true})
+	require.NoError(t, err)
+	var older struct {
+		Zone           string `cbor:"1,keyasint"`
+		TablesChecksum uint64 `cbor:"7,keyasint,omitempty"`
+	}
+	require.NoError(t, decMode.Unmarshal(raw, &older))
+	require.Equal(t, "z", older.Zone)
+	require.Equal(t, uint64(7), older.TablesChecksum)
+	raw, err = encMode.Marshal(older)
+	require.NoError(t, err)
+	var newer HostHeartbeat
+	require.NoError(t, decMode.Unmarshal(raw, &newer))
+	require.Zero(t, newer.StoreEra)
+	require.False(t, newer.KnowsPriorEra)
+}
+
+// Guards against messages that grow while the store states no era.
+func TestEra_NoEraAddsNoBytes(t *testing.T) {
+	type olderHeartbeat struct {
+		Fence        int64 `cbor:"1,keyasint"`
+		LeaseVersion int64 `cbor:"2,keyasint"`
+	}
+	older, err := encMode.Marshal(olderHeartbeat{Fence: 7, LeaseVersion: 8})
+	require.NoError(t, err)
+	newer, err := encMode.Marshal(&LeaderHeartbeat{Fence: 7, LeaseVersion: 8})
+	require.NoError(t, err)
+	require.Equal(t, older, newer)
+}
