intake: tests that uncontrolled clients exceed a host's memory and descriptors

Missing: no test started the system's own processes under clients that nobody controls, which ended a process in a trial.

Changed: the tests start jasminelock-entry and jasminelockd with stand-ins on loopback, with 64 MB, bodies of at most 1 MB and 250 clients of one kind (600 idle ones for 400 descriptors). They check that the process lives, that its peak resident memory and its descriptors stay under the bounds of the settings, and that an ordinary request is answered. Crowds and bounds are fixed here, before the product changes.

--- /dev/null
+++ b/intake/clients_test.go
@@ -0,0 +1,210 @@
+package intake_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// maxBodyBytes is the limit of a request's body in the settings of these tests.
+const maxBodyBytes = 1 << 20
+
+// crowd is a number of clients of one kind. Each opens a connection, sends what its kind sends and leaves the connection
+// open. If the host closes it, the client opens another one until the crowd is dismissed.
+type crowd struct {
+	name    string
+	clients int
+	// memoryMB and descriptors are the settings of the host, and the bounds that it must respect.
+	memoryMB, descriptors int
+	// send writes to a new connection. Path is that of a plain request.
+	send func(c net.Conn, path, header string) error
+}
+
+// crowds are the kinds of uncontrolled clients that ended a process in a trial, and those that hold memory or descriptors in
+// other ways. The numbers of clients and the bounds were fixed before the host had a memory budget.
+func crowds() []crowd {
+	const clients, memoryMB, descriptors = 250, 64, 4100
+	return []crowd{
+		{"whole bodies one byte short", clients, memoryMB, descriptors, sendWhole},
+		{"bodies in pieces one byte short", clients, memoryMB, descriptors, sendInPieces},
+		{"large chunks one byte short", clients, memoryMB, descriptors, chunkSender(256<<10, maxBodyBytes-1)},
+		{"chunks of 16 bytes one byte short", clients, memoryMB, descriptors, chunkSender(16, maxBodyBytes-1)},
+		{"over the limit, announced", clients, memoryMB, descriptors, sendOverLimit},
+		{"over the limit, just sent", clients, memoryMB, descriptors, chunkSender(256<<10, 8*maxBodyBytes)},
+		{"heads that never end", clients, memoryMB, descriptors, sendEndlessHead},
+		{"idle connections", 600, memoryMB, 400, func(net.Conn, string, string) error { return nil }},
+		{"large responses unread", clients, memoryMB, descriptors, sendForLarge},
+		{"streams unread", clients, memoryMB, descriptors, sendForStream},
+	}
+}
+
+// crowdsOfSize are the kinds that send bodies, at the sizes of the users' hosts.
+func crowdsOfSize(clients int) []crowd {
+	var all []crowd
+	for _, c := range crowds() {
+		c.clients, c.memoryMB, c.descriptors = clients, 184, 4100
+		all = append(all, c)
+	}
+	return all
+}
+
+const headEnd = "\r\n\r\n"
+
+func requestLine(method, path, header string) string {
+	return method + " " + path + " HTTP/1.1\r\n" + header
+}
+
+func sendWhole(c net.Conn, path, header string) error {
+	body := strings.Repeat("b", maxBodyBytes-1)
+	_, err := fmt.Fprintf(c, "%sContent-Length: %d%s%s", requestLine("POST", path, header), maxBodyBytes, headEnd, body)
+	return err
+}
+
+func sendInPieces(c net.Conn, path, header string) error {
+	if _, err := fmt.Fprintf(c, "%sContent-Length: %d%s", requestLine("POST", path, header), maxBodyBytes, headEnd); err != nil {
+		return err
+	}
+	piece := strings.Repeat("b", 32<<10)
+	for sent := 0; sent < maxBodyBytes-1; sent += len(piece) {
+		if _, err := io.WriteString(c, piece[:min(len(piece), maxBodyBytes-1-sent)]); err != nil {
+			return err
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return nil
+}
+
+// chunkSender returns a sender of a body of total bytes in chunks of the size, without the last chunk.
+func chunkSender(size, total int) func(net.Conn, string, string) error {
+	return func(c net.Conn, path, header string) error {
+		if _, err := io.WriteString(c, requestLine("POST", path, header)+"Transfer-Encoding: chunked"+headEnd); err != nil {
+			return err
+		}
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("c", size))
+		batch := strings.Repeat(chunk, max(1, 64<<10/size))
+		perBatch := size * max(1, 64<<10/size)
+		for sent := 0; sent < total; sent += perBatch {
+			if sent+perBatch > total {
+				batch = batch[:len(batch)-3] // the last chunk lacks a byte
+			}
+			if _, err := io.WriteString(c, batch); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func sendOverLimit(c net.Conn, path, header string) error {
+	if _, err := fmt.Fprintf(c, "%sContent-Length: %d%s", requestLine("POST", path, header), 8*maxBodyBytes, headEnd); err != nil {
+		return err
+	}
+	piece := strings.Repeat("o", 256<<10)
+	for range 8 * maxBodyBytes / len(piece) {
+		if _, err := io.WriteString(c, piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sendEndlessHead sends header lines that differ, which take many times their size once they are parsed. It stays below the
+// 64 KB that a host accepts, so that it is not refused for its size. The head of jasminelockd is limited to 32 KB.
+func sendEndlessHead(c net.Conn, path, header string) error {
+	if _, err := io.WriteString(c, requestLine("GET", path, header)); err != nil {
+		return err
+	}
+	var lines strings.Builder
+	for i := 0; lines.Len() < 24<<10; i++ {
+		fmt.Fprintf(&lines, "x%x:\r\n", i)
+	}
+	_, err := io.WriteString(c, lines.String())
+	return err
+}
+
+func sendForLarge(c net.Conn, path, header string) error {
+	_, err := io.WriteString(c, requestLine("GET", path+"large", header)+headEnd[2:])
+	return err
+}
+
+func sendForStream(c net.Conn, path, header string) error {
+	_, err := io.WriteString(c, requestLine("GET", path+"stream", header)+headEnd[2:])
+	return err
+}
+
+// reconnectDelay is the time after which a client whose connection was closed opens another one.
+const reconnectDelay = 100 * time.Millisecond
+
+// start starts the clients. Sent is closed when each has sent all that it sends once, or was cut off in it. Dismiss ends them.
+func (d crowd) start(address, path, header string) (sent <-chan struct{}, dismiss func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group, first sync.WaitGroup
+	first.Add(d.clients)
+	for i := range d.clients {
+		group.Go(func() {
+			var once sync.Once
+			for ctx.Err() == nil {
+				_ = d.play(ctx, address, path, strings.ReplaceAll(header, "ID", fmt.Sprintf("c%d-%d", i, attempts.Add(1))), func() { once.Do(first.Done) })
+				once.Do(first.Done)
+				select {
+				case <-ctx.Done():
+				case <-time.After(reconnectDelay):
+				}
+			}
+		})
+	}
+	all := make(chan struct{})
+	go func() { first.Wait(); close(all) }()
+	return all, func() { cancel(); group.Wait() }
+}
+
+var attempts atomic.Int64
+
+// play opens a connection, sends, and waits until the host closes the connection or the context ends. It reads nothing
+// but the end of the connection, which shows since the receive buffer is small.
+func (d crowd) play(ctx context.Context, address, path, header string, sent func()) error {
+	dialer := net.Dialer{Timeout: 5 * time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
+	if err := d.send(c, path, header); err != nil {
+		return err
+	}
+	sent()
+	return awaitEnd(ctx, c)
+}
+
+// awaitEnd waits until the connection was closed by the host or the context ends, without reading.
+func awaitEnd(ctx context.Context, c net.Conn) error {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		closed := false
+		err := raw.Control(func(fd uintptr) {
+			state, stateErr := tcpState(fd)
+			closed = stateErr != nil || state != tcpEstablished
+		})
+		if err != nil || closed {
+			return errors.Join(err, net.ErrClosed)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/intake/process_test.go
@@ -0,0 +1,71 @@
+package intake_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// sizesVariable is the environment variable that enables the tests at the sizes of the users' hosts, which take minutes.
+const sizesVariable = "JASMINELOCK_INTAKE_SIZES"
+
+// Clients that nobody controls made a process exceed its machine's memory and end. The process must live, stay within its
+// memory and its descriptors, and answer an ordinary request while the clients go on.
+func TestProcess_UncontrolledClients(t *testing.T) {
+	runCrowds(t, crowds())
+}
+
+// The same at 184 MB and 4,100 descriptors, with 250 and with 2,000 clients.
+func TestProcess_UncontrolledClientsAtSize(t *testing.T) {
+	if os.Getenv(sizesVariable) == "" {
+		t.Skip("set " + sizesVariable + " to run it")
+	}
+	t.Run("250", func(t *testing.T) { runCrowds(t, crowdsOfSize(250)) })
+	t.Run("2000", func(t *testing.T) { runCrowds(t, crowdsOfSize(2000)) })
+}
+
+// settleTime is how long the clients are left to themselves after they have sent. It gives a fault time to show and decides
+// no verdict on a sound host.
+const settleTime = 500 * time.Millisecond
+
+func runCrowds(t *testing.T, all []crowd) {
+	bin := build(t)
+	for _, front := range []struct {
+		name  string
+		start func(*testing.T, string, crowd) *program
+	}{{"entry", startEntry}, {"daemon", startDaemon}} {
+		for _, d := range all {
+			t.Run(front.name+"/"+d.name, func(t *testing.T) { checkCrowd(t, front.start(t, bin, d), d) })
+		}
+	}
+}
+
+func checkCrowd(t *testing.T, p *program, d crowd) {
+	before, _, err := p.usage()
+	require.NoError(t, err)
+	sent, dismiss := d.start(p.address, p.path, p.header)
+	defer dismiss()
+	select {
+	case <-sent:
+	case <-time.After(testTimeout / 3): // a host may leave bytes unread
+	}
+	peak, descriptors := 0, 0
+	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(settleTime / 20) {
+		memoryNow, descriptorsNow, err := p.usage()
+		require.NoError(t, err, "the process has ended: %s", p.readLog())
+		peak, descriptors = memoryNow, max(descriptors, descriptorsNow)
+	}
+	answered := assert.Eventually(t, func() bool { err = p.ordinaryRequest(); return err == nil }, testTimeout, 100*time.Millisecond, "no ordinary request was answered")
+	if !answered {
+		t.Log(err)
+	}
+	last, descriptorsNow, err := p.usage()
+	require.NoError(t, err, "the process has ended: %s", p.readLog())
+	peak, descriptors = max(peak, last), max(descriptors, descriptorsNow)
+	t.Logf("resident memory %d MB before, %d MB at the peak of %d MB; %d of %d descriptors", before, peak, d.memoryMB, descriptors, d.descriptors)
+	assert.LessOrEqual(t, peak, d.memoryMB, "resident memory in MB")
+	assert.LessOrEqual(t, descriptors, d.descriptors, "open descriptors")
+}
