intake, entry, gateway: a budget for what callers hold of a process

Cause: what callers send was bounded for one request only. 250 clients whose bodies stop one byte short, or whose heads do not end, took several times the memory of a host, and idle connections all descriptors.

Ruled out: a fixed number of requests at once (a host holds thousands of small bodies or a few large ones), and a minimum rate at all times (the documented limits allow slow callers).

Changed: package intake (pure) keeps account of heads, bodies, responses read ahead, requests under way and connections. A quarter of memory_mb is for callers, half of it for connections. Bodies are read into buffers that grow in reserved steps. While memory is short, bodies that have stopped or lack much more give way, as do heads that do not end and callers that do not read; a request that was given up is answered 503 host_overloaded and never sent. A new connection replaces the one that waits for longest. Package intake/callers connects it with net/http. New settings descriptors, callers and, for jasminelockd, memory_mb; metrics jasminelock_callers_*. net/http reads the rest of an unread body for 500 ms at most.

--- a/apierr/kind.go
+++ b/apierr/kind.go
@@ -36,6 +36,7 @@
 	RequestQuarantined
 	CallerGone
 	Internal
+	HostOverloaded
 	kindEnd // one more than the last kind
 )
 
@@ -116,6 +117,7 @@
 	RequestQuarantined:    {http.StatusUnprocessableEntity, typeInvalidRequest, "request_quarantined", "this request has crashed upstreams and is refused for a while", false, anyRan},
 	CallerGone:            {StatusCallerGone, typeInvalidRequest, "caller_gone", "the caller has disconnected", true, anyRan},
 	Internal:              {http.StatusInternalServerError, typeServer, "internal_error", "an internal error", true, anyRan},
+	HostOverloaded:        {http.StatusServiceUnavailable, typeUnavailable, "host_overloaded", "this host has no memory for the request now", true, onlyNotRun},
 }
 
 // Kinds returns all kinds in ascending order.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,7 @@
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/gateway"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/settings"
@@ -29,6 +32,10 @@
 // callerIdleTimeout is how long an idle connection of a caller is kept open.
 const callerIdleTimeout = 2 * time.Minute
 
+// memoryLimitShare is the share of the process's memory that is set as the soft memory limit of the Go runtime, if the memory is
+// stated. Near it the garbage collector runs more often.
+const memoryLimitShare = 0.6
+
 // Daemon is one host.
 type Daemon struct {
 	settings       *settings.Settings
@@ -52,7 +59,9 @@
 	freshUntil atomic.Pointer[time.Time]
 	leases     *leaseKeeper
 
-	callerListener   net.Listener
+	callerListener net.Listener
+	// callers admits the connections and requests of callers.
+	callers          *callers.Gate
 	operatorListener net.Listener
 
 	// announceMu serialises announcements and the withdrawal, so that no announcement follows the
@@ -81,6 +90,14 @@
 
 		incarnation: uint64(time.Now().UnixMilli()),
 	}
+	limits, err := callers.LimitsOf(s.MemoryMB, s.Descriptors, s.Callers.Shares())
+	if err != nil {
+		return nil, eris.Wrap(err, "limits of the process")
+	}
+	d.callers = callers.NewGate(limits)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
+	}
 	d.stopping, d.stop = context.WithCancel(context.Background())
 	d.outcomes = outcome.New(d.platform, d.platform.Objects())
 	c := core.New(core.Options{
@@ -88,12 +105,11 @@
 		Host: s.Host, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.leases = newLeaseKeeper(d.platform, s.Host, time.Now)
-	var err error
 	if d.metrics, err = newDaemonMetrics(); err != nil {
 		return nil, eris.Wrap(err, "metrics")
 	}
 	d.runtime = newRuntime(d.log, d.metrics, c, d.work, d.send)
-	if err := d.metrics.registerGauges(d.board, d.runtime.InFlight); err != nil {
+	if err := errors.Join(d.metrics.registerGauges(d.board, d.runtime.InFlight), d.callers.RegisterMetrics(d.metrics.provider.Meter("daemon"))); err != nil {
 		return nil, eris.Wrap(err, "metrics")
 	}
 	d.platform.ObserveErrors(d.metrics.countStoreError)
@@ -101,6 +117,7 @@
 	if d.callerListener, err = listen.Listen(context.Background(), "tcp", s.Listen.Callers); err != nil {
 		return nil, eris.Wrap(err, "listen.callers")
 	}
+	d.callerListener = d.callers.Listen(d.callerListener)
 	if d.operatorListener, err = listen.Listen(context.Background(), "tcp", s.Listen.Operators); err != nil {
 		_ = d.callerListener.Close()
 		return nil, eris.Wrap(err, "listen.operators")
@@ -203,12 +220,14 @@
 
 func (d *Daemon) callerServer(handler http.Handler) *http.Server {
 	r := d.settings.Requests
-	return &http.Server{
+	server := &http.Server{
 		Handler:        handler,
 		ReadTimeout:    time.Duration(r.ReadTimeout),
 		IdleTimeout:    callerIdleTimeout,
 		MaxHeaderBytes: r.MaxHeaderBytes,
 	}
+	d.callers.Attach(server)
+	return server
 }
 
 // ready reports whether callers may be sent to this host: it has a configuration that is confirmed to be
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -11,6 +11,7 @@
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/catalog"
+	"github.com/jasminelock/jasminelock/intake/callers"
 )
 
 // admit resolves the route and the organisation, reads the body and builds the assignment request.
@@ -35,6 +36,7 @@
 	if err := x.authorise(config); err != nil {
 		return err
 	}
+	x.held.SetKey(x.requestInfo.Key)
 	x.deadline = x.arrived.Add(x.maxDuration())
 	if !x.server.Shutdown.Accepts(x.deadline) {
 		return x.shutdownError()
@@ -101,10 +103,12 @@
 	if !x.setReadingBody(true) {
 		return x.shutdownError()
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.held.ReadBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
 	goesOn := x.setReadingBody(false)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, callers.ErrRefused):
+		return x.noMemoryError()
 	case !goesOn:
 		return x.shutdownError()
 	case errors.As(err, &tooLarge):
@@ -116,6 +120,21 @@
 	return nil
 }
 
+// noMemoryRetryAfter is the Retry-After of a request for which there is no memory. A body that has stopped gives way within
+// half a second.
+const noMemoryRetryAfter = 500 * time.Millisecond
+
+// noMemoryRule is the rule by which a request is refused for which there is no memory.
+const noMemoryRule = "caller_memory"
+
+// noMemoryError returns the error for a request for which there is no memory. Its body was not read to its end, so that it
+// was sent to no upstream.
+func (x *exchange) noMemoryError() *apierr.Error {
+	x.rule = noMemoryRule
+	x.w.Header().Set("Connection", "close")
+	return apierr.New(apierr.HostOverloaded, "").WithRetryAfter(noMemoryRetryAfter)
+}
+
 // buildRequest sets x.request, from which the broker assigns an upstream.
 func (x *exchange) buildRequest() {
 	request := assign.Request{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/forward"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/leader"
 	"github.com/jasminelock/jasminelock/throttle"
 	"github.com/jasminelock/jasminelock/watch"
@@ -176,7 +177,10 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), controller: http.NewResponseController(w)}
-	x.serve()
+	var err error
+	x.held, err = callers.Begin(r)
+	defer x.held.End()
+	x.serve(err == nil)
 }
 
 // Running returns the number of requests that have not ended.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/forward"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/leader"
 	"github.com/jasminelock/jasminelock/throttle"
 	"github.com/jasminelock/jasminelock/watch"
@@ -25,6 +26,8 @@
 	controller *http.ResponseController
 	arrived    time.Time
 	ctx        context.Context
+	// held is what the request holds of the memory for callers, nil if that is not counted.
+	held *callers.Request
 
 	view         *watch.View
 	requestInfo  RequestInfo
@@ -70,9 +73,13 @@
 // errDeadline is the context cause of a request whose deadline has passed.
 var errDeadline = errors.New("entry: request deadline exceeded")
 
-// serve handles the request from its admission to its log line.
-func (x *exchange) serve() {
+// serve handles the request from its admission to its log line. HasMemory is false if there is no memory for it.
+func (x *exchange) serve(hasMemory bool) {
 	defer x.logResult()
+	if !hasMemory {
+		x.writeError(x.noMemoryError())
+		return
+	}
 	stoppable, release := x.followShutdown(x.r.Context())
 	defer release()
 	if err := x.admit(); err != nil {
--- a/entry/response.go
+++ b/entry/response.go
@@ -16,6 +16,8 @@
 	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/forward"
+	"github.com/jasminelock/jasminelock/intake"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/sse"
 )
 
@@ -57,8 +59,10 @@
 // relayBuffered buffers up to maxBufferedBytes of a response before relaying it, so
 // that an interrupted response can still be replaced by that of another upstream.
 func (x *exchange) relayBuffered(resp *forward.Response, info ResponseInfo) assign.Outcome {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
-	if err != nil {
+	body, err := callers.Read(x.held, intake.Response, resp, resp.ContentLength, maxBufferedBytes)
+	complete := errors.Is(err, io.EOF)
+	// What there is no memory for is relayed as it arrives.
+	if err != nil && !complete && !errors.Is(err, callers.ErrRefused) {
 		return x.interrupted(err)
 	}
 	if info.Outcome == assign.Failed {
@@ -74,7 +78,8 @@
 		return assign.CallerLeft
 	}
 	x.timeToFirstToken = time.Since(x.arrived)
-	if len(body) == maxBufferedBytes {
+	if !complete {
+		x.held.ReleaseAll(intake.Response)
 		return x.relayRemainder(resp)
 	}
 	// An error response that is not retried is the caller's response, so the attempt has completed.
@@ -127,6 +132,10 @@
 	x.askToReconnect(h)
 	x.w.WriteHeader(resp.Status)
 	x.status, x.headerWritten = resp.Status, true
+	if !x.resumable() {
+		x.body = nil // no attempt follows
+		x.held.ReleaseAll(intake.Body)
+	}
 	return true
 }
 
@@ -239,6 +248,7 @@
 		h.Set("Retry-After", x.server.Codec.FormatRetryAfter(err.RetryAfter))
 	}
 	x.askToReconnect(h)
+	x.held.LimitDiscard()
 	x.w.WriteHeader(x.status)
 	if _, writeErr := x.w.Write(raw); writeErr != nil {
 		x.server.Log.Debug("error response not written to the caller", "request", x.requestInfo.AttemptID, "error", writeErr)
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/intake"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/upstream"
 )
@@ -22,6 +24,11 @@
 		writeError(w, apiErr)
 		return
 	}
+	held := callers.FromContext(r.Context())
+	if !held.Reserve(intake.Body, parsedCopies*int64(len(rawBody))) {
+		writeError(w, noMemoryError(w))
+		return
+	}
 	parsed, apiErr := parseCompletion(rawBody)
 	if apiErr != nil {
 		writeError(w, apiErr)
@@ -31,6 +38,7 @@
 	defer cancel()
 	keyRedactor := newRedactor(r.Header)
 	x := s.newExchange(w)
+	x.held = held
 	x.isStream = parsed.Stream
 	x.promptTokens = parsed.promptTokens
 	x.buildCall = func(d core.Dispatch) (upstream.Call, error) {
@@ -57,6 +65,10 @@
 	x.run(ctx, r.Context(), req)
 }
 
+// parsedCopies is how many times the body of a completion request is in memory besides its bytes as read: its fields, its
+// prompt, and the body for the engine, which is built with twice its size.
+const parsedCopies = 4
+
 // priorityOf returns the priority that the request header sets, PriorityPrompt by default.
 func priorityOf(h http.Header) record.Priority {
 	if h.Get(HeaderRequestPriority) == record.PriorityBatch.String() {
@@ -71,19 +83,23 @@
 // errResponseTooLarge is returned for a response larger than maxResponseBytes.
 var errResponseTooLarge = errors.New("gateway: upstream response exceeds the size limit")
 
-// readResponse reads the whole response body, or returns errResponseTooLarge.
-func readResponse(resp *upstream.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
+// readResponse reads the whole response body, or returns errResponseTooLarge, also if there is no memory for it.
+func (x *exchange) readResponse(resp *upstream.Response) ([]byte, error) {
+	x.held.ReleaseAll(intake.Response) // of an earlier attempt
+	body, err := callers.Read(x.held, intake.Response, resp.Body, -1, maxResponseBytes)
+	switch {
+	case err == nil || errors.Is(err, callers.ErrRefused):
 		return nil, errResponseTooLarge
+	case errors.Is(err, io.EOF):
+		return body, nil
 	}
-	return body, err
+	return nil, err
 }
 
 // relayBuffered reads an engine's whole response before it writes the first byte to the
 // caller, so that an attempt that is interrupted midway can be retried.
 func relayBuffered(ctx context.Context, x *exchange, resp *upstream.Response) attemptResult {
-	body, err := readResponse(resp)
+	body, err := x.readResponse(resp)
 	if err != nil {
 		return failedResult(ctx, err)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/request"
@@ -22,6 +23,8 @@
 	server *Server
 	w      http.ResponseWriter
 	ticket Ticket
+	// held is what the request holds of the memory for callers, nil if that is not counted.
+	held *callers.Request
 	// buildCall builds the upstream call of an attempt.
 	buildCall func(d core.Dispatch) (upstream.Call, error)
 	// relay writes an upstream's response to the caller.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/blackboard"
 	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/sched"
 	"github.com/jasminelock/jasminelock/upstream"
 )
@@ -148,6 +149,16 @@
 		id = uuid.NewString()
 	}
 	w.Header().Set("X-Request-Id", id)
+	held, err := callers.Begin(r)
+	defer held.End()
+	if err != nil {
+		writeError(w, noMemoryError(w))
+		return
+	}
+	if held != nil {
+		held.SetKey(callerSecret(r.Header))
+		r = r.WithContext(callers.WithRequest(r.Context(), held))
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -3,13 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/intake/callers"
 )
 
 // completionRequest holds the fields of a completion request that the gateway uses. All
@@ -182,14 +182,25 @@
 	maxModelBytes = 300
 )
 
+// noMemoryError returns the error for a request for which there is no memory, and closes its connection.
+func noMemoryError(w http.ResponseWriter) *apierr.Error {
+	w.Header().Set("Connection", "close")
+	return apierr.New(apierr.HostOverloaded, "")
+}
+
 // readBody reads the request body. It returns BodyTooLarge if the body is larger than
-// MaxBodyBytes, and RequestTimeout if it does not arrive within the server's read timeout.
+// MaxBodyBytes, RequestTimeout if it does not arrive within the server's read timeout, and HostOverloaded if there is no memory
+// for it.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *apierr.Error) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.MaxBodyBytes))
+	held := callers.FromContext(r.Context())
+	raw, err := held.ReadBody(http.MaxBytesReader(w, r.Body, s.limits.MaxBodyBytes), r.ContentLength, s.limits.MaxBodyBytes)
+	held.LimitDiscard()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return raw, nil
+	case errors.Is(err, callers.ErrRefused):
+		return nil, noMemoryError(w)
 	case errors.As(err, &tooLarge):
 		return nil, apierr.New(apierr.BodyTooLarge, "at most %d bytes", s.limits.MaxBodyBytes)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/request"
 	"github.com/jasminelock/jasminelock/upstream"
 )
@@ -39,6 +40,7 @@
 	defer cancel()
 	keyRedactor := newRedactor(r.Header)
 	x := s.newExchange(w)
+	x.held = callers.FromContext(r.Context())
 	x.relay = relayService
 	x.buildCall = func(d core.Dispatch) (upstream.Call, error) {
 		return upstream.Call{
@@ -60,7 +62,7 @@
 	if resp.Header.Get(upstream.HeaderNotRun) == "true" {
 		return attemptResult{outcome: request.NotExecuted}
 	}
-	body, err := readResponse(resp)
+	body, err := x.readResponse(resp)
 	if err != nil {
 		return failedResult(ctx, err)
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -21,6 +21,8 @@
 	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/entry"
 	"github.com/jasminelock/jasminelock/forward"
+	"github.com/jasminelock/jasminelock/intake"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/leader"
 	"github.com/jasminelock/jasminelock/logsink"
 	"github.com/jasminelock/jasminelock/peer"
@@ -85,8 +87,11 @@
 	links   *peer.Links
 	pool    *forward.Pool
 	server  *entry.Server
-	metrics *hostMetrics
-	started time.Time
+	// callers admits the connections and requests of callers, operators those of operators and of the platform's checks.
+	callers   *callers.Gate
+	operators *callers.Gate
+	metrics   *hostMetrics
+	started   time.Time
 }
 
 // New returns a host that does not serve until Run is called.
@@ -97,7 +102,11 @@
 	h.log = hclog.New(&hclog.LoggerOptions{
 		Name: s.Host, Output: h.sink, Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON,
 	})
-	var err error
+	limits, err := callers.LimitsOf(s.MemoryMB, s.Descriptors, s.Callers.Shares())
+	if err != nil {
+		return nil, err
+	}
+	h.callers, h.operators = callers.NewGate(limits), callers.NewGate(operatorLimits)
 	if h.metrics, err = newHostMetrics(h); err != nil {
 		return nil, err
 	}
@@ -144,6 +153,10 @@
 	return assign.ByArrival
 }
 
+// operatorLimits are the limits of operators' connections and of those of the platform's checks, so that callers which find
+// these listeners take no memory there.
+var operatorLimits = intake.Limits{Bytes: 4 << 20, Connections: 64, PerConnection: 1 << 20, PerKey: 4 << 20}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Run serves until the context ends, until the shutdown started by Drain is complete,
@@ -193,27 +206,28 @@
 	return nil
 }
 
-// listener is a server with the address that it listens on and the settings field of
-// that address.
+// listener is a server with the address that it listens on, the settings field of
+// that address, and the gate that admits its connections.
 type listener struct {
 	field, address string
 	server         *http.Server
+	gate           *callers.Gate
 }
 
 // serve runs all HTTP listeners until the context ends, a listener fails or the host
 // has drained.
 func (h *Host) serve(ctx context.Context, group *sync.WaitGroup) error {
-	callers := h.newServer(h.server)
+	callersServer := h.newServer(h.server, h.callers)
 	listeners := []listener{
-		{"listen.callers", h.settings.Listen.Callers, callers},
-		{"listen.readiness", h.settings.Listen.Readiness, h.newServer(platform.ReadinessHandler(h.ready))},
+		{"listen.callers", h.settings.Listen.Callers, callersServer, h.callers},
+		{"listen.readiness", h.settings.Listen.Readiness, h.newServer(platform.ReadinessHandler(h.ready), h.operators), h.operators},
 		{
 			"listen.directory", h.settings.Listen.Directory,
-			h.newServer(platform.DirectoryHandler(h.addressesForZone, directoryTTL(h.settings))),
+			h.newServer(platform.DirectoryHandler(h.addressesForZone, directoryTTL(h.settings)), h.callers), h.callers,
 		},
 	}
 	if h.settings.Listen.Metrics != "" {
-		listeners = append(listeners, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(h.operatorHandler())})
+		listeners = append(listeners, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(h.operatorHandler(), h.operators), h.operators})
 	}
 	failed := make(chan error, len(listeners))
 	var callersListener net.Listener
@@ -222,7 +236,8 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", spec.field, err)
 		}
-		if spec.server == callers {
+		netListener = spec.gate.Listen(netListener)
+		if spec.server == callersServer {
 			callersListener = netListener
 		}
 		group.Go(func() {
@@ -243,11 +258,13 @@
 	}
 }
 
-func (h *Host) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+func (h *Host) newServer(handler http.Handler, gate *callers.Gate) *http.Server {
+	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: h.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	gate.Attach(server)
+	return server
 }
 
 func listen(ctx context.Context, address string) (net.Listener, error) {
--- a/host/metrics.go
+++ b/host/metrics.go
@@ -60,7 +60,7 @@
 		metric.WithDescription("Time from a request's arrival to its end"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
 	m.timeToFirstToken, firstTokenErr = meter.Float64Histogram("jasminelock.entry.first_token", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request's arrival to the start of its answer"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
-	return m, errors.Join(append(errs, durationErr, firstTokenErr, m.registerGauges(meter, h))...)
+	return m, errors.Join(append(errs, durationErr, firstTokenErr, m.registerGauges(meter, h), h.callers.RegisterMetrics(meter))...)
 }
 
 // registerGauges registers the gauges, whose values are read when the metrics are collected.
--- /dev/null
+++ b/intake/budget_test.go
@@ -0,0 +1,290 @@
+package intake_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/intake"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// at returns the time after a number of milliseconds.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+const mb = 1 << 20
+
+func testLimits() intake.Limits {
+	return intake.Limits{Bytes: 8 * mb, Connections: 100, PerConnection: 6 * mb, PerKey: 7 * mb}
+}
+
+// account is a budget with helpers for tests.
+type account struct {
+	*intake.Budget
+	t *testing.T
+}
+
+func newAccount(t *testing.T, l intake.Limits) account { return account{intake.New(l), t} }
+
+func (a account) open(ms int) *intake.Conn {
+	c := &intake.Conn{}
+	_, admitted := a.Open(at(ms), c)
+	require.True(a.t, admitted)
+	return c
+}
+
+// reading returns a connection with a body of which received bytes have arrived and are held.
+func (a account) reading(ms int, expected, received int64) *intake.Conn {
+	c := a.open(ms)
+	_, ok := a.Begin(at(ms), c)
+	require.True(a.t, ok)
+	a.ReadBody(at(ms), c, expected, 4*mb)
+	_, ok = a.Reserve(at(ms), c, intake.Body, received)
+	require.True(a.t, ok)
+	c.Received(at(ms), int(received))
+	return c
+}
+
+// A limit that ordinary callers reach would refuse them. The smallest host of the users' deployments must serve 250
+// connections, all with a request, 30 bodies of 14 KB at once, and then one body of the largest size.
+func TestLimits_OrdinaryLoadOfSmallestHost(t *testing.T) {
+	limits := intake.NewLimits(144*mb, 3075, intake.DefaultShares())
+	a := newAccount(t, limits)
+	for i := range 250 {
+		c := a.open(0)
+		victims, ok := a.HeadArrived(at(0), c, intake.HeadBytes(1000, 20))
+		require.True(t, ok)
+		require.Empty(t, victims)
+		victims, ok = a.Begin(at(0), c)
+		require.True(t, ok)
+		require.Empty(t, victims)
+		if i < 30 {
+			a.SetKey(c, "key")
+			a.ReadBody(at(0), c, 14_000, 4*mb)
+			victims, ok = a.Reserve(at(0), c, intake.Body, 14_000)
+			require.True(t, ok)
+			require.Empty(t, victims)
+		}
+	}
+	a = newAccount(t, limits)
+	c := a.reading(0, 4*mb, 0)
+	a.SetKey(c, "key")
+	for size := int64(16 << 10); size <= 4*mb; size *= 2 {
+		_, ok := a.Reserve(at(0), c, intake.Body, size)
+		require.True(t, ok, "a body of %d bytes", size)
+		a.Release(c, intake.Body, size/2)
+	}
+	require.True(t, a.BodyRead(c))
+}
+
+// Bodies that have stopped must give way to a body that arrives, although they lack only a byte.
+func TestReserve_StoppedBodiesGiveWay(t *testing.T) {
+	a := newAccount(t, testLimits())
+	var stopped []*intake.Conn
+	for range 5 {
+		stopped = append(stopped, a.reading(0, mb, mb-1))
+	}
+	c := a.reading(0, mb, 16)
+	victims, ok := a.Reserve(at(600), c, intake.Body, mb)
+	require.True(t, ok)
+	require.Len(t, victims, 1)
+	require.Contains(t, stopped, victims[0])
+	require.False(t, a.BodyRead(victims[0]), "a request that was given up must not be sent to an upstream")
+	require.True(t, a.BodyRead(c))
+}
+
+// While all bodies arrive, one that is nearly whole must not be given up for one that has just begun, but the other way round.
+func TestReserve_NearlyWholeIsKept(t *testing.T) {
+	a := newAccount(t, testLimits())
+	var nearlyWhole []*intake.Conn
+	for range 5 {
+		nearlyWhole = append(nearlyWhole, a.reading(0, mb, mb-100))
+	}
+	begun := a.reading(0, 4*mb, mb/2)
+	_, ok := a.Reserve(at(100), begun, intake.Body, mb)
+	require.False(t, ok)
+	for _, c := range nearlyWhole {
+		require.False(t, c.Evicted())
+	}
+	_, _ = a.Reserve(at(100), nearlyWhole[0], intake.Body, mb/2)
+	require.True(t, begun.Evicted())
+	require.False(t, nearlyWhole[1].Evicted())
+}
+
+// A caller that sends a byte now and then must not keep its memory while memory is short.
+func TestReserve_TricklingBodyGivesWay(t *testing.T) {
+	a := newAccount(t, testLimits())
+	for i := range 5 {
+		c := a.reading(0, mb, mb-100)
+		if i == 0 {
+			defer func() { require.True(t, c.Evicted()) }()
+		}
+	}
+	trickling := a.reading(0, 4*mb, mb/2)
+	c := a.reading(0, mb, 16)
+	for ms := 100; ms <= 30_000; ms += 100 {
+		trickling.Received(at(ms), 1)
+	}
+	_, ok := a.Reserve(at(30_000), c, intake.Body, 2*mb)
+	require.True(t, ok)
+}
+
+// While memory is not short, no rate is demanded.
+func TestReserve_NoRateWhileNotShort(t *testing.T) {
+	a := newAccount(t, testLimits())
+	slow := a.reading(0, mb, 100)
+	victims, ok := a.Reserve(at(9_000), a.open(9_000), intake.Body, mb)
+	require.True(t, ok)
+	require.Empty(t, victims)
+	require.True(t, a.BodyRead(slow))
+}
+
+// A complete request must not be given up: an upstream may have it.
+func TestReserve_CompleteRequestIsKept(t *testing.T) {
+	a := newAccount(t, testLimits())
+	complete := a.reading(0, 4*mb, 4*mb)
+	require.True(t, a.BodyRead(complete))
+	more := a.reading(0, 4*mb, mb)
+	victims, ok := a.Reserve(at(60_000), more, intake.Body, 4*mb)
+	require.False(t, ok)
+	require.Empty(t, victims)
+	require.False(t, complete.Evicted())
+}
+
+// A caller that does not read its response holds it and the request. One that reads slowly does not stop.
+func TestReserve_SlowReaderGivesWay(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lastProgress int
+		evicted      bool
+	}{"does not read": {0, true}, "reads slowly": {8_000, false}} {
+		t.Run(name, func(t *testing.T) {
+			a := newAccount(t, testLimits())
+			reader := a.reading(0, 4*mb, 4*mb)
+			require.True(t, a.BodyRead(reader))
+			reader.Writing(at(tc.lastProgress))
+			_, ok := a.Reserve(at(10_000), a.reading(10_000, 4*mb, mb), intake.Body, 4*mb)
+			require.False(t, ok, "what is given up is free only when the connection has ended")
+			require.Equal(t, tc.evicted, reader.Evicted())
+		})
+	}
+}
+
+// One connection and one key must not take everything. Within a key, what has stopped gives way.
+func TestReserve_Shares(t *testing.T) {
+	limits := testLimits()
+	limits.PerConnection, limits.PerKey = 2*mb, 3*mb
+	a := newAccount(t, limits)
+	_, ok := a.Reserve(at(0), a.reading(0, 4*mb, mb), intake.Body, mb)
+	require.False(t, ok)
+	var greedy []*intake.Conn
+	for range 2 {
+		c := a.reading(0, 2*mb, mb)
+		a.SetKey(c, "greedy")
+		greedy = append(greedy, c)
+	}
+	_, ok = a.Reserve(at(100), greedy[0], intake.Body, mb)
+	require.False(t, ok)
+	other := a.reading(100, 2*mb, mb)
+	a.SetKey(other, "other")
+	greedy[0].Received(at(600), 1000)
+	victims, ok := a.Reserve(at(600), greedy[0], intake.Body, mb-intake.RequestBytes)
+	require.True(t, ok)
+	require.Equal(t, []*intake.Conn{greedy[1]}, victims)
+}
+
+// At the limit of connections a new one must replace the one that is least likely in use, and never one with a request.
+func TestOpen_ReplacesLongestWaiting(t *testing.T) {
+	limits := testLimits()
+	limits.Connections = 5
+	a := newAccount(t, limits)
+	underWay, usedIdle, unused, head, lateIdle := a.open(0), a.open(1), a.open(2), a.open(3), a.open(4)
+	_, _ = a.Begin(at(5), underWay)
+	for ms, c := range map[int]*intake.Conn{6: usedIdle, 7: lateIdle} {
+		_, _ = a.Begin(at(5), c)
+		a.End(at(ms), c)
+	}
+	_, _ = a.HeadArrived(at(8), head, 100)
+	var order []*intake.Conn
+	for range 4 {
+		c := &intake.Conn{}
+		victim, admitted := a.Open(at(2000), c)
+		require.True(t, admitted)
+		order = append(order, victim)
+		_, _ = a.Begin(at(2000), c)
+	}
+	require.Equal(t, []*intake.Conn{head, unused, usedIdle, lateIdle}, order)
+	_, admitted := a.Open(at(2000), &intake.Conn{})
+	require.False(t, admitted)
+	require.False(t, underWay.Evicted())
+	require.Equal(t, 5, a.Connections())
+}
+
+// Whatever callers do, no more is held than the limit, the sums agree, a request that was given up is never sent, and
+// nothing is left once all connections have ended.
+func TestBudget_RandomClients(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		limits := testLimits()
+		limits.Connections, limits.PerConnection, limits.PerKey = 20, 3*mb, 5*mb
+		a := newAccount(t, limits)
+		var open []*intake.Conn
+		reading := map[*intake.Conn]bool{}
+		now := 0
+		for range 2000 {
+			now += random.IntN(200)
+			if len(open) == 0 || random.IntN(8) == 0 {
+				c := &intake.Conn{}
+				victim, admitted := a.Open(at(now), c)
+				require.False(t, victim != nil && reading[victim], "a connection with a request was closed for a new one")
+				if admitted {
+					open = append(open, c)
+				}
+				continue
+			}
+			i := random.IntN(len(open))
+			c := open[i]
+			switch random.IntN(8) {
+			case 0:
+				_, _ = a.HeadArrived(at(now), c, random.Int64N(mb))
+			case 1:
+				if _, ok := a.Begin(at(now), c); ok && !reading[c] {
+					a.SetKey(c, []string{"", "a", "b"}[random.IntN(3)])
+					a.ReadBody(at(now), c, []int64{-1, 4 * mb}[random.IntN(2)], 4*mb)
+					reading[c] = true
+				}
+			case 2, 3, 4:
+				_, _ = a.Reserve(at(now), c, intake.Kinds()[random.IntN(4)], random.Int64N(mb))
+				c.Received(at(now), random.IntN(mb))
+			case 5:
+				a.Release(c, intake.Body, random.Int64N(mb))
+			case 6:
+				if reading[c] {
+					require.Equal(t, !c.Evicted(), a.BodyRead(c))
+					a.End(at(now), c)
+					delete(reading, c)
+				}
+			case 7:
+				a.Close(c)
+				delete(reading, c)
+				open = append(open[:i], open[i+1:]...)
+			}
+			sum := int64(0)
+			for _, k := range intake.Kinds() {
+				require.GreaterOrEqual(t, a.Held(k), int64(0))
+				sum += a.Held(k)
+			}
+			require.LessOrEqual(t, sum, limits.Bytes)
+			require.LessOrEqual(t, a.Connections(), limits.Connections)
+		}
+		for _, c := range open {
+			a.Close(c)
+		}
+		for _, k := range intake.Kinds() {
+			require.Zero(t, a.Held(k))
+		}
+		require.Zero(t, a.Connections())
+	}
+}
--- /dev/null
+++ b/intake/connections.go
@@ -0,0 +1,140 @@
+package intake
+
+import "time"
+
+// list is a list of connections, linked by their fields.
+type list struct{ first, last *Conn }
+
+func (l *list) add(c *Conn) {
+	c.previous, c.next = l.last, nil
+	if l.last != nil {
+		l.last.next = c
+	} else {
+		l.first = c
+	}
+	l.last = c
+}
+
+func (l *list) remove(c *Conn) {
+	if c.previous != nil {
+		c.previous.next = c.next
+	} else {
+		l.first = c.next
+	}
+	if c.next != nil {
+		c.next.previous = c.previous
+	} else {
+		l.last = c.previous
+	}
+	c.previous, c.next = nil, nil
+}
+
+// setState changes the state of a connection. Those without a request under way are listed.
+func (b *Budget) setState(now time.Time, c *Conn, s state) {
+	if c.state != underWay {
+		b.waiting[c.state].remove(c)
+	}
+	c.state, c.since = s, now
+	c.waiting.Store(s != underWay)
+	if s != underWay {
+		b.waiting[s].add(c)
+	}
+}
+
+// Open adds a connection. If there are too many, it returns another one to close in its favour. It reports false if there is
+// none, so that the new one must be closed.
+func (b *Budget) Open(now time.Time, c *Conn) (victim *Conn, admitted bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.open >= b.limits.Connections {
+		if victim = b.longestWaiting(now); victim == nil {
+			b.refused[noConnection]++
+			return nil, false
+		}
+		b.evict(victim, connectionsFull)
+		b.close(victim)
+	}
+	b.open++
+	c.open, c.state, c.since = true, unused, now
+	c.waiting.Store(true)
+	b.waiting[unused].add(c)
+	return victim, true
+}
+
+// arrivalTime is the time within which the head of a sound caller arrives: it is sent in one piece, right after the connection
+// is opened. Connections that have waited for longer are closed before those that have carried a request.
+const arrivalTime = time.Second
+
+// longestWaiting returns the connection to close in favour of a new one, nil if all have a request under way: a head that
+// does not end, then a connection that was never used, then the one that has been idle for longest.
+func (b *Budget) longestWaiting(now time.Time) *Conn {
+	for _, s := range []state{readingHead, unused} {
+		if c := b.waiting[s].first; c != nil && now.Sub(c.since) >= arrivalTime {
+			return c
+		}
+	}
+	for _, s := range []state{idle, unused, readingHead} {
+		if c := b.waiting[s].first; c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// Close removes a connection. What it held is released.
+func (b *Budget) Close(c *Conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.close(c)
+}
+
+func (b *Budget) close(c *Conn) {
+	if !c.open {
+		return
+	}
+	c.open = false
+	b.open--
+	if c.state != underWay {
+		b.waiting[c.state].remove(c)
+	}
+	c.state = underWay // so that it is no longer listed
+	b.releaseAll(c)
+	c.waiting.Store(false)
+}
+
+// Begin marks that the head of a request is complete. It reports false if the connection is being closed, or if there is no
+// memory for the request, which must then be refused.
+func (b *Budget) Begin(now time.Time, c *Conn) (victims []*Conn, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !c.open || c.evicted.Load() {
+		return nil, false
+	}
+	if c.state != underWay {
+		b.setState(now, c, underWay)
+	}
+	c.body = progress{}
+	c.received.Store(0)
+	return b.reserve(now, c, Request, RequestBytes)
+}
+
+// HeadComplete marks that the bytes that arrive from now on are no part of a head.
+func (b *Budget) HeadComplete(now time.Time, c *Conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.open && c.state != underWay {
+		b.setState(now, c, underWay)
+	}
+}
+
+// End marks that the connection waits for the next request. What the last one held is released.
+func (b *Budget) End(now time.Time, c *Conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !c.open {
+		return
+	}
+	b.releaseAll(c)
+	c.body = progress{}
+	b.setState(now, c, idle)
+}
--- a/intake/deployment_test.go
+++ b/intake/deployment_test.go
@@ -182,9 +182,14 @@
 	return p
 }
 
-// limitsText returns the settings of the limits that the programs know. Before they had a memory budget they knew none but
-// memory_mb of jasminelock-entry.
-func limitsText(crowd, bool) string { return "" }
+// limitsText returns the settings of the limits. Memory_mb of jasminelock-entry is set elsewhere.
+func limitsText(d crowd, withMemory bool) string {
+	text := fmt.Sprintf(`"descriptors": %d,`, d.descriptors)
+	if withMemory {
+		text += fmt.Sprintf(` "memory_mb": %d,`, d.memoryMB)
+	}
+	return text
+}
 
 func startProgram(t *testing.T, path, text string) *program {
 	dir := t.TempDir()
--- /dev/null
+++ b/intake/memory.go
@@ -0,0 +1,271 @@
+package intake
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// progress is how a request's body arrives.
+type progress struct {
+	// reading is set while the body is being read.
+	reading bool
+	// expected is the length of the body, -1 if it is not known, and limit the largest that is accepted.
+	expected, limit int64
+	// markedAt and marked are a time and what had arrived then. Rate is what arrived in a second before that; it is not
+	// known before the first minObservation has passed.
+	markedAt  time.Time
+	marked    int64
+	rate      float64
+	rateKnown bool
+}
+
+const (
+	// minObservation is the time over which the progress of a head or a body is measured, and after which one that does not
+	// arrive counts as stopped.
+	minObservation = 500 * time.Millisecond
+	// paceTime is the time within which a body must be on the way to arrive, while memory is short: in this time, as much as
+	// is held for it must arrive. It is the time-out of a body while memory is not short.
+	paceTime = 10 * time.Second
+	// slowReaderTime is how long a write to a caller may make no progress while memory is short.
+	slowReaderTime = 3 * time.Second
+	// minRemaining is the least number of bytes that a body is taken to lack.
+	minRemaining = 16 << 10
+	// advantage is how many times more another body must lack before it is given up for one that arrives as well.
+	advantage = 2
+)
+
+// ReadBody marks that the body of the request is being read, expected being its length, -1 if it is not known, and limit the
+// largest that is accepted.
+func (b *Budget) ReadBody(now time.Time, c *Conn, expected, limit int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.received.Store(0)
+	c.receivedAt.Store(now.UnixNano())
+	c.body = progress{reading: true, expected: expected, limit: limit, markedAt: now}
+}
+
+// BodyRead marks the end of reading the body. It reports false if the request was given up meanwhile and must be refused.
+// After it reported true, the connection is closed only once the caller does not read the response.
+func (b *Budget) BodyRead(c *Conn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.body.reading = false
+	return c.open && !c.evicted.Load()
+}
+
+// SetKey sets the key of the request, "" for none.
+func (b *Budget) SetKey(c *Conn, key string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addToKey(c.key, -c.total)
+	c.key = key
+	b.addToKey(c.key, c.total)
+}
+
+func (b *Budget) addToKey(key string, n int64) {
+	if key == "" || n == 0 {
+		return
+	}
+	if b.keys[key] += n; b.keys[key] <= 0 {
+		delete(b.keys, key)
+	}
+}
+
+// HeadArrived reserves memory for a part of a head. It reports false if the connection must be closed.
+func (b *Budget) HeadArrived(now time.Time, c *Conn, n int64) (victims []*Conn, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !c.open || c.evicted.Load() {
+		return nil, false
+	}
+	if c.state == underWay { // net/http reads ahead
+		return nil, true
+	}
+	if c.state != readingHead {
+		b.setState(now, c, readingHead)
+	}
+	return b.reserve(now, c, Head, n)
+}
+
+// Reserve reserves n bytes. It returns the connections that are closed for it. It reports false if the bytes are not granted;
+// nothing is reserved then.
+func (b *Budget) Reserve(now time.Time, c *Conn, k Kind, n int64) (victims []*Conn, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !c.open || c.evicted.Load() {
+		return nil, false
+	}
+	return b.reserve(now, c, k, n)
+}
+
+const (
+	// shortShare is the share of the limit above which memory is short. Above it, other connections are closed for what is
+	// granted, and what they hold is free only when they have ended.
+	shortShare = 0.75
+	// smallBytes is what is granted above shortShare although nothing can be closed for it, so that an ordinary request is
+	// served beside large ones that are sound.
+	smallBytes = RequestBytes
+)
+
+func (b *Budget) reserve(now time.Time, c *Conn, k Kind, n int64) (victims []*Conn, ok bool) {
+	if c.total+n > b.limits.PerConnection {
+		b.refused[overConnectionShare]++
+		return nil, false
+	}
+	if over := b.keys[c.key] + n - b.limits.PerKey; c.key != "" && over > 0 {
+		if victims, ok = b.makeRoom(now, c, over, c.key); !ok {
+			b.refused[overKeyShare]++
+			return victims, false
+		}
+	}
+	if over := b.total - b.leaving + n - int64(shortShare*float64(b.limits.Bytes)); over > 0 {
+		more, found := b.makeRoom(now, c, over, "")
+		victims = append(victims, more...)
+		if !found && n > smallBytes && !c.mostlyReceived() {
+			b.refused[memoryFull]++
+			return victims, false
+		}
+	}
+	if b.total+n > b.limits.Bytes {
+		b.refused[memoryFull]++
+		return victims, false
+	}
+	b.add(c, k, n)
+	return victims, true
+}
+
+// mostlyReceived reports whether at least half of the body that is being read has arrived.
+func (c *Conn) mostlyReceived() bool { return c.body.reading && c.received.Load() >= c.remaining() }
+
+func (b *Budget) add(c *Conn, k Kind, n int64) {
+	c.held[k] += n
+	c.total += n
+	b.held[k] += n
+	b.total += n
+	b.addToKey(c.key, n)
+	if c.evicted.Load() {
+		b.leaving += n
+	}
+	if c.total > 0 {
+		b.conns[c] = struct{}{}
+	} else {
+		delete(b.conns, c)
+	}
+}
+
+// Release releases n bytes of a kind.
+func (b *Budget) Release(c *Conn, k Kind, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.add(c, k, -min(n, c.held[k]))
+}
+
+// ReleaseAll releases all that is held of a kind.
+func (b *Budget) ReleaseAll(c *Conn, k Kind) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.add(c, k, -c.held[k])
+}
+
+func (b *Budget) releaseAll(c *Conn) {
+	for k := range kinds {
+		b.add(c, k, -c.held[k])
+	}
+	c.key = ""
+}
+
+// candidate is a connection that can be closed, and what it lacks. Those that have stopped are closed first, those that hold
+// most before others; then those that lack most.
+type candidate struct {
+	conn      *Conn
+	stopped   bool
+	remaining int64
+}
+
+func compareCandidates(a, b candidate) int {
+	switch {
+	case a.stopped != b.stopped:
+		if a.stopped {
+			return -1
+		}
+		return 1
+	case a.stopped:
+		return int(min(1, max(-1, b.conn.total-a.conn.total)))
+	}
+	return int(min(1, max(-1, b.remaining-a.remaining)))
+}
+
+// makeRoom evicts connections that hold n bytes in sum, all of the key unless it is "", in favour of one. If those that may be
+// evicted do not hold that much, it reports false and evicts only those that have stopped.
+func (b *Budget) makeRoom(now time.Time, favoured *Conn, n int64, key string) (victims []*Conn, ok bool) {
+	own := favoured.remaining()
+	var all []candidate
+	possibleRoom := int64(0)
+	for c := range b.conns {
+		if c == favoured || c.evicted.Load() || (key != "" && c.key != key) {
+			continue
+		}
+		stopped, possible := c.stopped(now)
+		remaining := c.remaining()
+		if possible && (stopped || remaining > advantage*own) {
+			all = append(all, candidate{c, stopped, remaining})
+			possibleRoom += c.total
+		}
+	}
+	ok = possibleRoom >= n
+	slices.SortFunc(all, compareCandidates)
+	for room := int64(0); len(all) > 0 && room < n && (ok || all[0].stopped); all = all[1:] {
+		victim := all[0].conn
+		room += victim.total
+		b.evict(victim, noProgress)
+		victims = append(victims, victim)
+	}
+	return victims, ok
+}
+
+// remaining returns the number of bytes that a request lacks until its body is complete.
+func (c *Conn) remaining() int64 {
+	received := c.received.Load()
+	switch {
+	case !c.body.reading:
+		return minRemaining
+	case c.body.expected >= 0:
+		return max(minRemaining, c.body.expected-received)
+	}
+	return max(minRemaining, min(received, c.body.limit-received))
+}
+
+// stopped reports whether what a connection sends or receives makes too little progress while memory is short, and whether
+// it may be closed at all: while it sends a head or a body, or does not read its response.
+func (c *Conn) stopped(now time.Time) (stopped, possible bool) {
+	switch {
+	case c.state == readingHead:
+		return now.Sub(c.since) >= minObservation, true
+	case c.body.reading:
+		silent := now.UnixNano()-c.receivedAt.Load() >= int64(minObservation)
+		return silent || c.body.observe(now, c.received.Load())*paceTime.Seconds() < float64(c.total), true
+	}
+	since := c.writingSince.Load()
+	slow := c.state == underWay && since != 0 && now.UnixNano()-since >= int64(slowReaderTime)
+	return slow, slow
+}
+
+// observe returns the bytes of a body that arrive in a second.
+func (p *progress) observe(now time.Time, received int64) float64 {
+	if elapsed := now.Sub(p.markedAt); elapsed >= minObservation {
+		p.rate, p.rateKnown = float64(received-p.marked)/elapsed.Seconds(), true
+		p.markedAt, p.marked = now, received
+	}
+	if !p.rateKnown {
+		return math.Inf(1)
+	}
+	return p.rate
+}
+
+// evict marks that a connection is to be closed. What it holds no longer counts as held once memory is looked for.
+func (b *Budget) evict(c *Conn, r Reason) {
+	c.evicted.Store(true)
+	b.leaving += c.total
+	b.refused[r]++
+}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -23,8 +23,12 @@
 	MemoryMB int `json:"memory_mb"`
 	// Cores is the processor time available to the process, in cores. Hosts with more
 	// cores are assigned more work.
-	Cores float64    `json:"cores"`
-	Fleet EntryFleet `json:"fleet"`
+	Cores float64 `json:"cores"`
+	// Descriptors is the number of file descriptors that the process may open. Default: its own limit (RLIMIT_NOFILE).
+	Descriptors int `json:"descriptors,omitzero"`
+	// Callers holds the shares of memory and descriptors for callers.
+	Callers Callers    `json:"callers,omitzero"`
+	Fleet   EntryFleet `json:"fleet"`
 	// Features are the names of the optional parts of the platform's contract that are in force.
 	Features []string `json:"features,omitempty"`
 	// Grace is the time from the first termination signal to the final one.
@@ -103,6 +107,7 @@
 		return nil, problems
 	}
 	setDefault(&s.Log.Level, "info")
+	s.Callers.setDefaults()
 	if problems = s.Validate(); len(problems) > 0 {
 		return nil, parsed.addPositions(problems)
 	}
@@ -132,6 +137,7 @@
 	}
 	v.checkAddress("store", s.Store)
 	v.check(s.MemoryMB > 0, "memory_mb", "want the memory in megabytes, above 0")
+	v.checkCallers(&s.Callers, s.Descriptors)
 	v.check(s.Cores > 0, "cores", "want a number of cores above 0")
 	v.check(s.Fleet.RetryRatio >= 0 && s.Fleet.RetrySlack >= 0, "fleet.retry_ratio", "want 0 or more")
 	v.check(s.Fleet.RateWindow > 0, "fleet.rate_window", "want a duration above 0")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,6 +53,12 @@
 	Fleet Fleet `json:"fleet"`
 	// Requests holds the limits of one request.
 	Requests Requests `json:"requests,omitzero"`
+	// MemoryMB is the memory available to the process, in megabytes. Default: half of the machine's.
+	MemoryMB int `json:"memory_mb,omitzero"`
+	// Descriptors is the number of file descriptors that the process may open. Default: its own limit (RLIMIT_NOFILE).
+	Descriptors int `json:"descriptors,omitzero"`
+	// Callers holds the shares of memory and descriptors for callers.
+	Callers Callers `json:"callers,omitzero"`
 	// Log selects the log level and format.
 	Log Log `json:"log,omitzero"`
 	// Drain holds the time limits of a graceful shutdown.
@@ -178,6 +184,7 @@
 	setDefault(&s.Log.Level, "info")
 	setDefault(&s.Drain.Timeout, Duration(3*time.Minute))
 	setDefault(&s.Drain.LocateWait, Duration(20*time.Second))
+	s.Callers.setDefaults()
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -24,6 +24,8 @@
 	v.check(isBaseURL(s.Platform.URL), "platform.url", "want an address such as http://10.0.0.1:9000, not %q", s.Platform.URL)
 	v.check(s.Requests.MaxBodyBytes > 0, "requests.max_body_bytes", "want a number of bytes above 0")
 	v.check(s.Requests.MaxHeaderBytes > 0, "requests.max_header_bytes", "want a number of bytes above 0")
+	v.check(s.MemoryMB >= 0, "memory_mb", "want the memory in megabytes, or 0 for half of the machine's")
+	v.checkCallers(&s.Callers, s.Descriptors)
 	v.check(slices.Contains(logLevels, s.Log.Level), "log.level", "want one of %v, not %q", logLevels, s.Log.Level)
 	// A request that arrives at the end of LocateWait may take its whole Timeout.
 	needed := s.Drain.LocateWait + s.Requests.Timeout
--- a/structure_test.go
+++ b/structure_test.go
@@ -29,7 +29,7 @@
 var platformUsers = []string{"host"}
 
 // decisionPackages are deterministic: the time and the random source are passed in.
-var decisionPackages = []string{"core", "sched", "limit", "locate", "request", "quarantine", "fleet", "membership", "spread", "assign", "catalog", "throttle"}
+var decisionPackages = []string{"core", "sched", "limit", "locate", "request", "quarantine", "fleet", "membership", "spread", "assign", "catalog", "throttle", "intake"}
 
 // forbiddenImports are the packages that a decision package may not import.
 var forbiddenImports = []string{"net", "net/http", "os", "math/rand", "crypto/rand"}
