intake: reservations wait for what is being closed; slow callers are no fault of upstreams

Cause: a body for which others gave way was still refused until these had ended, so that a large sound body lost beside stopped ones. An upstream that cuts off a response which its caller does not read was suspected of a crash.

Changed: a reservation that only waits for connections which are being closed is tried for 100 ms before it is refused. The limit also holds while connections are being closed (found by TestBudget_RandomClients).

Measured: go test ./intake/callers -run StoppedBody refused the sound body before. go test ./host -run SlowCaller fails with the rule removed.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -57,6 +57,8 @@
 	unframed   bool
 	// timeToFirstToken is the time from the arrival to the start of the response body.
 	timeToFirstToken time.Duration
+	// writes tells whether the caller is slow to read its response.
+	writes writeTimes
 	// maxEventGap is the longest gap between two consecutive events.
 	maxEventGap time.Duration
 	// timeToGrant is the time from the arrival to the last assignment.
--- a/entry/response.go
+++ b/entry/response.go
@@ -74,9 +74,11 @@
 	if !x.writeHeader(resp) {
 		return x.cancelledOutcome()
 	}
+	writeStart := time.Now()
 	if _, err := x.w.Write(body); err != nil {
 		return assign.CallerLeft
 	}
+	x.writes.record(writeStart, time.Now())
 	x.timeToFirstToken = time.Since(x.arrived)
 	if !complete {
 		x.held.ReleaseAll(intake.Response)
@@ -92,9 +94,11 @@
 	for relayed := 0; relayed < maxResponseBytes; {
 		n, err := resp.Read(buf)
 		relayed += n
+		writeStart := time.Now()
 		if _, writeErr := x.w.Write(buf[:n]); writeErr != nil {
 			return assign.CallerLeft
 		}
+		x.writes.record(writeStart, time.Now())
 		switch {
 		case errors.Is(err, io.EOF):
 			return assign.Completed
@@ -111,11 +115,16 @@
 }
 
 // interrupted returns the outcome of a response whose body could not be read to its
-// end, and records the failure unless the caller left or the deadline passed.
+// end, and records the failure unless the caller left or the deadline passed. An upstream
+// interrupts a response that is not read; this is no failure of the upstream.
 func (x *exchange) interrupted(err error) assign.Outcome {
 	if x.ctx.Err() != nil {
 		return x.cancelledOutcome()
 	}
+	if x.writes.callerIsSlow(time.Now()) {
+		x.recordFailure("response interrupted after the caller was slow to read", err)
+		return assign.CallerLeft
+	}
 	x.recordFailure("response interrupted", err)
 	return assign.Lost
 }
@@ -174,15 +183,18 @@
 		if id != "" {
 			x.lastEventID = id
 		}
+		writeStart := time.Now()
 		if _, err := x.w.Write(event); err != nil {
 			return assign.CallerLeft
 		}
 		if events.HasBufferedEvent() {
+			x.writes.record(writeStart, time.Now())
 			continue
 		}
 		if err := x.controller.Flush(); err != nil {
 			return assign.CallerLeft
 		}
+		x.writes.record(writeStart, time.Now())
 	}
 }
 
--- a/intake/callers/callers.go
+++ b/intake/callers/callers.go
@@ -82,6 +82,26 @@
 	}
 }
 
+const (
+	// pendingTries is how often a reservation is tried that waits for connections which are being closed, and pendingWait the
+	// time between two tries. Their goroutines need only be scheduled.
+	pendingTries = 20
+	pendingWait  = 5 * time.Millisecond
+)
+
+// granted carries out a reservation and reports whether it was granted.
+func (g *Gate) granted(reserve func(now time.Time) ([]*intake.Conn, intake.Verdict)) bool {
+	for range pendingTries {
+		victims, verdict := reserve(time.Now())
+		g.evict(victims...)
+		if verdict != intake.Pending {
+			return verdict == intake.Granted
+		}
+		time.Sleep(pendingWait)
+	}
+	return false
+}
+
 // evict ends the connections. A request whose body is being read is answered by its handler.
 func (g *Gate) evict(victims ...*intake.Conn) {
 	for _, v := range victims {
@@ -108,9 +128,10 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.account.Waiting() {
-		victims, ok := c.gate.budget.HeadArrived(time.Now(), &c.account, intake.HeadBytes(n, bytes.Count(b[:n], lineEnd)))
-		c.gate.evict(victims...)
-		if !ok {
+		size := intake.HeadBytes(n, bytes.Count(b[:n], lineEnd))
+		if !c.gate.granted(func(now time.Time) ([]*intake.Conn, intake.Verdict) {
+			return c.gate.budget.HeadArrived(now, &c.account, size)
+		}) {
 			_ = c.Close()
 			return 0, io.EOF // net/http answers other errors
 		}
--- a/intake/callers/request.go
+++ b/intake/callers/request.go
@@ -26,9 +26,7 @@
 		return nil, nil
 	}
 	request := &Request{conn: c, bodyLeft: r.ContentLength != 0}
-	victims, ok := c.gate.budget.Begin(time.Now(), &c.account)
-	c.gate.evict(victims...)
-	if !ok {
+	if !c.gate.granted(func(now time.Time) ([]*intake.Conn, intake.Verdict) { return c.gate.budget.Begin(now, &c.account) }) {
 		return request, ErrRefused
 	}
 	return request, nil
@@ -69,9 +67,9 @@
 	if r == nil {
 		return true
 	}
-	victims, ok := r.conn.gate.budget.Reserve(time.Now(), &r.conn.account, k, n)
-	r.conn.gate.evict(victims...)
-	return ok
+	return r.conn.gate.granted(func(now time.Time) ([]*intake.Conn, intake.Verdict) {
+		return r.conn.gate.budget.Reserve(now, &r.conn.account, k, n)
+	})
 }
 
 // Release releases n bytes.
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -102,13 +102,13 @@
 	c.waiting.Store(false)
 }
 
-// Begin marks that the head of a request is complete. It reports false if the connection is being closed, or if there is no
-// memory for the request, which must then be refused.
-func (b *Budget) Begin(now time.Time, c *Conn) (victims []*Conn, ok bool) {
+// Begin marks that the head of a request is complete, and reserves memory for its state. The request must be refused if that
+// is, or if the connection is being closed.
+func (b *Budget) Begin(now time.Time, c *Conn) (victims []*Conn, v Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !c.open || c.evicted.Load() {
-		return nil, false
+		return nil, Refused
 	}
 	if c.state != underWay {
 		b.setState(now, c, underWay)
--- a/intake/memory.go
+++ b/intake/memory.go
@@ -72,15 +72,28 @@
 	}
 }
 
-// HeadArrived reserves memory for a part of a head. It reports false if the connection must be closed.
-func (b *Budget) HeadArrived(now time.Time, c *Conn, n int64) (victims []*Conn, ok bool) {
+// Verdict is the answer to a reservation.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Refused means that nothing was reserved.
+	Refused Verdict = iota
+	// Granted means that the bytes were reserved.
+	Granted
+	// Pending means that nothing was reserved, but that connections which are being closed will soon release enough.
+	Pending
+)
+
+// HeadArrived reserves memory for a part of a head. If it is refused, the connection must be closed.
+func (b *Budget) HeadArrived(now time.Time, c *Conn, n int64) (victims []*Conn, v Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !c.open || c.evicted.Load() {
-		return nil, false
+		return nil, Refused
 	}
 	if c.state == underWay { // net/http reads ahead
-		return nil, true
+		return nil, Granted
 	}
 	if c.state != readingHead {
 		b.setState(now, c, readingHead)
@@ -88,13 +101,12 @@
 	return b.reserve(now, c, Head, n)
 }
 
-// Reserve reserves n bytes. It returns the connections that are closed for it. It reports false if the bytes are not granted;
-// nothing is reserved then.
-func (b *Budget) Reserve(now time.Time, c *Conn, k Kind, n int64) (victims []*Conn, ok bool) {
+// Reserve reserves n bytes. It returns the connections that are to be closed for it.
+func (b *Budget) Reserve(now time.Time, c *Conn, k Kind, n int64) (victims []*Conn, v Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !c.open || c.evicted.Load() {
-		return nil, false
+		return nil, Refused
 	}
 	return b.reserve(now, c, k, n)
 }
@@ -108,15 +120,16 @@
 	smallBytes = RequestBytes
 )
 
-func (b *Budget) reserve(now time.Time, c *Conn, k Kind, n int64) (victims []*Conn, ok bool) {
+func (b *Budget) reserve(now time.Time, c *Conn, k Kind, n int64) (victims []*Conn, v Verdict) {
 	if c.total+n > b.limits.PerConnection {
 		b.refused[overConnectionShare]++
-		return nil, false
+		return nil, Refused
 	}
 	if over := b.keys[c.key] + n - b.limits.PerKey; c.key != "" && over > 0 {
+		var ok bool
 		if victims, ok = b.makeRoom(now, c, over, c.key); !ok {
 			b.refused[overKeyShare]++
-			return victims, false
+			return victims, Refused
 		}
 	}
 	if over := b.total - b.leaving + n - int64(shortShare*float64(b.limits.Bytes)); over > 0 {
@@ -124,15 +137,18 @@
 		victims = append(victims, more...)
 		if !found && n > smallBytes && !c.mostlyReceived() {
 			b.refused[memoryFull]++
-			return victims, false
+			return victims, Refused
 		}
 	}
-	if b.total+n > b.limits.Bytes {
-		b.refused[memoryFull]++
-		return victims, false
+	switch {
+	case b.total+n <= b.limits.Bytes:
+		b.add(c, k, n)
+		return victims, Granted
+	case b.total-b.leaving+n <= b.limits.Bytes:
+		return victims, Pending
 	}
-	b.add(c, k, n)
-	return victims, true
+	b.refused[memoryFull]++
+	return victims, Refused
 }
 
 // mostlyReceived reports whether at least half of the body that is being read has arrived.
