--- a/host/metrics.go
+++ b/host/metrics.go
@@ -75,7 +75,7 @@
 	m.turnError, turnErr = meter.Float64Histogram("jasminelock.entry.turn_error", metric.WithUnit("s"),
 		metric.WithDescription("Time by which the turn of a request that waited came later than estimated at its admission"),
 		metric.WithExplicitBucketBoundaries(turnErrorBuckets...))
-	return m, errors.Join(append(errs, durationErr, firstTokenErr, turnErr, m.registerGauges(meter, h))...)
+	return m, errors.Join(append(errs, durationErr, firstTokenErr, turnErr, m.registerGauges(meter, h), h.callers.RegisterMetrics(meter))...)
 }
 
 // registerGauges registers the gauges, whose values are read when the metrics are collected.
