--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -56,6 +56,9 @@
 		if skipped >= o.MaxStaleResponses {
 			return nil, fmt.Errorf("%w: response to another request", ErrMalformed)
 		}
+		if omitsBody(resp) {
+			return nil, fmt.Errorf("%w: response to another request omits the body that it states", ErrMalformed)
+		}
 		switch n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBodyBytes)); {
 		case err != nil:
 			return nil, connectionError(err)
@@ -81,6 +84,13 @@
 	return header != "" && id != "" && resp.Header.Get(header) == "" && resp.StatusCode >= http.StatusMultipleChoices
 }
 
+// omitsBody reports whether a response states a body that it does not have: one with status 304, or
+// one to a HEAD request. An upstream that sends the body nevertheless would have it read as the next
+// response of the connection.
+func omitsBody(resp *http.Response) bool {
+	return (resp.StatusCode == http.StatusNotModified || resp.Request.Method == http.MethodHead) && statusline.StatesBody(resp)
+}
+
 // write sends the request. It returns ErrNotSent if the write failed before the
 // kernel accepted any byte, and ErrInterrupted if it failed later.
 func (c *conn) write(r *Request) error {
@@ -150,12 +160,12 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
+		if err := statusline.CheckFraming(resp); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
 		if statusline.IsFinal(resp.StatusCode) {
 			return resp, nil
 		}
-		if err := statusline.CheckInterim(resp); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
-		}
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -122,14 +122,15 @@
 }
 
 // Close releases the connection. The connection is reused only if the whole body was
-// read, no bytes followed it and the context was not cancelled; otherwise it is closed.
+// read, no bytes followed it, no body was stated that the response cannot have, and the
+// context was not cancelled; otherwise it is closed.
 func (r *Response) Close() {
 	if r.closed {
 		return
 	}
 	r.closed = true
 	stopped := r.stopAbort()
-	if !r.complete || !stopped || r.response.Close || r.Unframed() || len(r.conn.ids) >= maxRequestsPerConnection || !r.conn.reusable() {
+	if !r.complete || !stopped || r.response.Close || r.Unframed() || omitsBody(r.response) || len(r.conn.ids) >= maxRequestsPerConnection || !r.conn.reusable() {
 		r.conn.close()
 		return
 	}
--- a/forward/hostile_test.go
+++ b/forward/hostile_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/statusline"
 )
 
 // maxAllocBytes is how many bytes may be allocated for one invalid response. The
@@ -149,6 +151,7 @@
 		f.Add([]byte(h.begin + h.endless[:min(len(h.endless), 64)]))
 	}
 	f.Add([]byte("HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 000 Odd\r\n\r\nHTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\n" + idHeader + ": 0\r\nContent-Length: 2\r\n\r\nnoHTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 2\r\n\r\nok"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		c := newConn(replayConn{in: bytes.NewReader(raw)}, "u", "a", time.Minute)
@@ -158,6 +161,7 @@
 				errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 			return
 		}
+		require.True(t, statusline.IsFinal(resp.Status), "status %d", resp.Status)
 		resp.stopAbort, resp.pool = func() bool { return true }, newTestPool()
 		if resp.Status < http.StatusMultipleChoices {
 			require.Equal(t, "1", resp.Header.Get(idHeader))
--- a/forward/status_test.go
+++ b/forward/status_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -71,11 +73,12 @@
 	}
 }
 
-// Guards against the body of an interim response, which it cannot have, being read as the response.
-func TestDo_InterimResponseWithBody(t *testing.T) {
+// Guards against the body of an interim response or of one with status 204, which cannot have one, being read as the next
+// response.
+func TestDo_ImpossibleBody(t *testing.T) {
 	forged := replica.ForgedResponse(idHeader + ": 2\r\n")
-	for _, status := range []int{100, 102, 103} {
-		for _, odd := range replica.InterimWithBody(status, forged) {
+	for _, status := range []int{100, 102, 103, 204} {
+		for _, odd := range replica.ImpossibleBodies(status, forged) {
 			requireRejected(t, odd, false)
 			requireRejected(t, odd, true)
 		}
@@ -98,7 +101,7 @@
 	const head = idHeader + ": 1\r\nContent-Length: 2\r\n\r\nok"
 	for line, status := range map[string]int{
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK": 200, "HTTP/1.1 102\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 201 Created": 201,
-		"HTTP/1.0 200 OK": 200, "HTTP/1.1 200": 200, "HTTP/1.1 200 ": 200, "HTTP/1.1 299 Two": 299, "HTTP/1.1 404 Not Found": 404, "HTTP/1.1 599 Last": 599,
+		"HTTP/1.1 103 A\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK": 200, "HTTP/1.0 200 OK": 200, "HTTP/1.1 200": 200, "HTTP/1.1 200 ": 200, "HTTP/1.1 299 Two": 299, "HTTP/1.1 404 Not Found": 404, "HTTP/1.1 599 Last": 599,
 	} {
 		upstream := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
 			_, _ = readRequest(r)
@@ -113,3 +116,33 @@
 		resp.Close()
 	}
 }
+
+// Guards against the body that an upstream sends late with a response that has none being read as the response to the next
+// request of the connection, or as the response to a request that skips it.
+func TestDo_OmittedBody(t *testing.T) {
+	const head = "Content-Length: 45\r\n\r\n"
+	for _, c := range []struct{ method, line string }{{http.MethodHead, "HTTP/1.1 200 OK"}, {http.MethodGet, "HTTP/1.1 304 Not Modified"}} {
+		for _, id := range []string{"1", "other"} {
+			upstream := startUpstream(t, func(conn net.Conn, r *bufio.Reader) {
+				_, _ = readRequest(r)
+				_, _ = io.WriteString(conn, c.line+"\r\n"+idHeader+": "+id+"\r\n"+head)
+				if id == "other" {
+					_, _ = io.WriteString(conn, replica.ForgedResponse(idHeader+": 1\r\n"))
+				}
+				_, _ = readRequest(r)
+			})
+			p, req := newTestPool(), newRequest("1")
+			req.Method = c.method
+			resp, err := p.Do(t.Context(), "u", upstream.address, req, time.Minute)
+			if id == "other" {
+				require.ErrorIs(t, err, ErrMalformed)
+				continue
+			}
+			require.NoError(t, err)
+			_, err = io.ReadAll(resp)
+			require.NoError(t, err)
+			resp.Close()
+			require.Empty(t, p.idle["u"])
+		}
+	}
+}
--- a/standin/replica/odd.go
+++ b/standin/replica/odd.go
@@ -64,9 +64,9 @@
 	}
 }
 
-// InterimWithBody returns interim responses that state a body, which they cannot have.
-func InterimWithBody(status int, body string) []OddResponse {
-	head := fmt.Sprintf("HTTP/1.1 %d Interim\r\n", status)
+// ImpossibleBodies returns responses that state a body, which they cannot have because of their status.
+func ImpossibleBodies(status int, body string) []OddResponse {
+	head := fmt.Sprintf("HTTP/1.1 %d Bodyless\r\n", status)
 	length, chunks := fmt.Sprintf("Length: %d\r\n\r\n%s", len(body), body), fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	return []OddResponse{
 		{"length", head + "Content-" + length, false},
--- a/statusline/conn.go
+++ b/statusline/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"strings"
 	"sync"
 )
 
@@ -53,20 +54,24 @@
 	unchecked phase = iota
 	// inLine is the phase of the status line.
 	inLine
-	// inFields is the phase of the fields of an interim response, until their blank line.
+	// inFields is the phase of the fields of an interim response or one with status 204, until their
+	// blank line.
 	inFields
 )
 
-// maxFieldName is the length of the longest field name that is looked for, with its colon.
-const maxFieldName = len("transfer-encoding:")
+// maxFieldBytes is how much of a field is looked at. It holds the names that are looked for, and a
+// length of 0 with some space.
+const maxFieldBytes = 64
 
-// head checks the status lines of the interim responses and of the final one, and the fields of the
-// interim ones.
+// head checks the status lines of the interim responses and of the final one, and the fields of
+// those that must not state a body.
 type head struct {
 	phase phase
 	line  Line
 	// field holds the beginning of the present line of the fields.
 	field []byte
+	// length reports whether the line before was a length of 0.
+	length bool
 	// err is the error for an invalid byte. Nothing is checked after it.
 	err error
 }
@@ -98,38 +103,40 @@
 	case err != nil:
 		return err
 	case !complete:
-	case IsFinal(h.line.Status()):
+	case !isBodyless(h.line.Status()):
 		h.phase = unchecked
 	default:
-		h.phase, h.field = inFields, h.field[:0]
+		h.phase, h.field, h.length = inFields, h.field[:0], false
 		if b != '\n' {
-			h.field = append(h.field, b) // the rest of the status line counts as a line of its own
+			h.field = append(h.field, '-') // the rest of the status line counts as a field, not as the blank line
 		}
 	}
 	return nil
 }
 
-// addToField adds a byte to the present line of an interim response's fields.
+// addToField adds a byte to the present line of the fields.
 func (h *head) addToField(b byte) error {
 	if b != '\n' {
-		if len(h.field) < maxFieldName {
+		if len(h.field) < maxFieldBytes {
 			h.field = append(h.field, b)
 		}
 		return nil
 	}
-	name, _, isField := bytes.Cut(bytes.ToLower(h.field), []byte(":"))
-	blank := len(bytes.TrimSuffix(h.field, []byte("\r"))) == 0
+	line := bytes.TrimSuffix(h.field, []byte("\r"))
 	h.field = h.field[:0]
-	switch {
-	case isField && framesBody(string(name)):
-		return errInterimBody(h.line.Status())
-	case blank:
-		h.start()
+	if len(line) == 0 {
+		if IsFinal(h.line.Status()) {
+			h.phase = unchecked
+		} else {
+			h.start()
+		}
+		return nil
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	continued := h.length && (line[0] == ' ' || line[0] == '\t')
+	h.length = strings.EqualFold(string(name), "content-length")
+	if continued || strings.EqualFold(string(name), "transfer-encoding") || h.length && string(bytes.Trim(value, " \t")) != "0" {
+		return errFraming(h.line.Status())
 	}
 	return nil
 }
-
-// framesBody reports whether a field states how the body of a response is framed.
-func framesBody(lowerCaseName string) bool {
-	return lowerCaseName == "content-length" || lowerCaseName == "transfer-encoding"
-}
--- a/statusline/statusline.go
+++ b/statusline/statusline.go
@@ -90,15 +90,27 @@
 // Status returns the status once it is complete.
 func (l *Line) Status() int { return l.status }
 
-// CheckInterim returns an error if an interim response states a body. Its bytes would be read as the
-// next response.
-func CheckInterim(resp *http.Response) error {
-	if len(resp.TransferEncoding) > 0 || len(resp.Header["Content-Length"]) > 0 {
-		return errInterimBody(resp.StatusCode)
+// CheckFraming returns an error if a response that cannot have a body because of its status, an
+// interim one or 204, states one. Its bytes would be read as the next response.
+func CheckFraming(resp *http.Response) error {
+	if !isBodyless(resp.StatusCode) {
+		return nil
+	}
+	if StatesBody(resp) {
+		return errFraming(resp.StatusCode)
 	}
 	return nil
 }
 
-func errInterimBody(status int) error {
-	return fmt.Errorf("%w: interim response %d states a body", ErrInvalid, status)
+// StatesBody reports whether the fields of a response state a body, whether or not it has one.
+func StatesBody(resp *http.Response) bool {
+	lengths := resp.Header["Content-Length"]
+	return len(resp.TransferEncoding) > 0 || len(lengths) > 1 || len(lengths) == 1 && lengths[0] != "0"
+}
+
+// isBodyless reports whether a response with the status must not state a body. 304 may.
+func isBodyless(status int) bool { return status < minFinal || status == http.StatusNoContent }
+
+func errFraming(status int) error {
+	return fmt.Errorf("%w: a response with status %d states a body", ErrInvalid, status)
 }
--- a/statusline/transport_test.go
+++ b/statusline/transport_test.go
@@ -86,11 +86,12 @@
 	}
 }
 
-// Guards against the body of an interim response, which it cannot have, being read as the response.
-func TestTransport_InterimResponseWithBody(t *testing.T) {
+// Guards against the body of an interim response or of one with status 204, which cannot have one, being read as the next
+// response.
+func TestTransport_ImpossibleBody(t *testing.T) {
 	transport := statusline.NewTransport(&http.Transport{})
-	for _, status := range []int{100, 102, 103} {
-		for _, odd := range replica.InterimWithBody(status, replica.ForgedResponse("")) {
+	for _, status := range []int{100, 102, 103, 204} {
+		for _, odd := range replica.ImpossibleBodies(status, replica.ForgedResponse("")) {
 			require.NoError(t, checkRejected(t, transport, odd, false), odd.Name)
 			require.NoError(t, checkRejected(t, transport, odd, true), odd.Name)
 		}
@@ -110,7 +111,7 @@
 	}
 	for _, o := range []replica.OddResponse{
 		odd("000", "length"), odd("042", "close"), odd("+20", "empty"), odd("104", "length"), odd("199", "close"), odd("600", "length"), odd("999", "empty"),
-		replica.InterimWithBody(http.StatusEarlyHints, replica.ForgedResponse(""))[0],
+		replica.ImpossibleBodies(http.StatusEarlyHints, replica.ForgedResponse(""))[0],
 	} {
 		require.Error(t, checkRejected(t, &http.Transport{}, o, false), o.Name)
 	}
@@ -152,6 +153,20 @@
 	}
 }
 
+// Guards against the end of a status line without a reason being taken for the end of an interim response.
+func TestTransport_InterimResponseWithoutReason(t *testing.T) {
+	const final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	server, err := replica.ServeOdd("", replica.OddResponse{Bytes: "HTTP/1.1 102\r\n\r\nHTTP/1.1 103 \nLink: x\n\n" + final})
+	require.NoError(t, err)
+	defer server.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address(), nil)
+	require.NoError(t, err)
+	resp, err := statusline.NewTransport(&http.Transport{}).RoundTrip(req)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, resp.Body.Close())
+}
+
 // Guards against interim responses without end that are read without a limit, and against memory that grows with their lines.
 func TestTransport_EndlessInterimResponses(t *testing.T) {
 	const maxAllocBytes = 8 << 20
