--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -25,6 +25,9 @@
 	Limits Limits
 	// Scheduling is the order of waiting requests in services whose upstreams state no pace.
 	Scheduling Scheduling
+	// LearnPace has requests assigned by the remaining work and the pace of upstreams also in services whose upstreams
+	// state no pace. It is then learned from measurements.
+	LearnPace bool
 	// Random breaks ties. It must not be shared.
 	Random *rand.Rand
 }
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -264,7 +264,7 @@
 		return o, false
 	case ok:
 		return o, false
-	case !a.makesRoom(u, e, &o):
+	case !a.makesRoom(now, u, e, &o):
 		return a.warmOption(now, o, e)
 	case !u.isWarm(ref.Adapter) && !a.coldLoads.mayStart():
 		return o, false
@@ -285,11 +285,11 @@
 
 // makesRoom reports whether another adapter may be loaded on an engine, if necessary by evicting one that less urgent
 // requests use.
-func (a *Assigner) makesRoom(u *upstream, e *requestState, o *option) bool {
+func (a *Assigner) makesRoom(now time.Time, u *upstream, e *requestState, o *option) bool {
 	if a.hasRoom(u) {
 		return true
 	}
-	if o.evicts = a.lessUrgentSlot(u, e); o.evicts == nil {
+	if o.evicts = a.lessUrgentSlot(now, u, e); o.evicts == nil {
 		return false
 	}
 	o.cost += evictUsedCost
--- a/assign/copies_test.go
+++ b/assign/copies_test.go
@@ -28,7 +28,7 @@
 func TestCopies_HotAdapter(t *testing.T) {
 	for _, scheduling := range []Scheduling{ByUrgency, ByArrival} {
 		w := newSimulation(t, 1, 3, 3)
-		w.assigner.options.Scheduling = scheduling
+		w.assigner.options.Scheduling, w.assigner.options.LearnPace = scheduling, scheduling == ByUrgency
 		w.run(50 * time.Millisecond)
 		number := uint64(0)
 		w.submitEvery(&number, "a", time.Second, 3*time.Second)
@@ -45,7 +45,7 @@
 // A hot adapter takes the slots of idle ones, and an adapter with little demand takes none.
 func TestCopies_ReclaimIdleSlots(t *testing.T) {
 	w := newSimulation(t, 1, 2, 2)
-	w.assigner.options.Scheduling = ByUrgency
+	w.assigner.options.Scheduling, w.assigner.options.LearnPace = ByUrgency, true
 	w.run(50 * time.Millisecond)
 	number := uint64(0)
 	for _, adapter := range []string{"idle1", "idle2", "idle3", "a"} {
--- a/assign/line.go
+++ b/assign/line.go
@@ -135,7 +135,7 @@
 	}
 	entry := &waitingEntry{
 		Value: e, Organisation: e.request.Organisation, Rank: e.request.Rank(), EnqueuedAt: e.request.Arrived,
-		Target: e.request.Target, LastUseful: e.lastUseful, Work: e.work,
+		Target: e.request.Target.Add(-firstTokenTime(&e.request)), LastUseful: e.lastUseful, Work: e.work,
 	}
 	// A request that is of no use soon after its target, or before it, has to be treated as late before that.
 	if urgent := e.lastUseful.Add(-lateTurns*l.rank(e.request.Rank()).interval - l.prior.gap); urgent.Before(entry.Target) {
--- a/assign/remainingwork.go
+++ b/assign/remainingwork.go
@@ -25,7 +25,9 @@
 )
 
 // byWork reports whether requests are assigned to the upstream by its remaining work and its pace.
-func (u *upstream) byWork() bool { return u.service != nil && u.service.ranked(u.options) }
+func (u *upstream) byWork() bool {
+	return u.service != nil && (u.service.statesPace || u.options.LearnPace)
+}
 
 // requestWork is what is known of the work of a request.
 type requestWork struct {
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -158,14 +158,18 @@
 	return least
 }
 
+// evictUsedAfter is the time that a request waits before an adapter in use makes way for it. Usually a slot becomes free
+// sooner, and an adapter that is being evicted serves nobody.
+const evictUsedAfter = 2 * freeSlotWait
+
 // evictUsedCost is the cost of evicting an adapter that less urgent requests use, about the time until these have ended.
 const evictUsedCost = 500 * time.Millisecond
 
 // lessUrgentSlot returns an adapter on an engine without room that makes way for a queued request of a ranked service,
 // since all requests that use it or wait for it are of less urgent ranks; of several, the one with the fewest of them
 // on the engine. It returns nil if there is none.
-func (a *Assigner) lessUrgentSlot(u *upstream, e *requestState) *slot {
-	if e.waiting == nil || a.evictionsHeld || u.pendingLoads() >= maxPendingLoads {
+func (a *Assigner) lessUrgentSlot(now time.Time, u *upstream, e *requestState) *slot {
+	if e.waiting == nil || a.evictionsHeld || u.pendingLoads() >= maxPendingLoads || now.Sub(e.submittedAt) < evictUsedAfter {
 		return nil
 	}
 	rank := e.waiting.CurrentRank()
@@ -175,7 +179,7 @@
 			continue
 		}
 		used[other.slot]++
-		if other.request.Priority <= rank {
+		if other.request.Rank() <= rank {
 			used[other.slot] += u.engine.BatchSize
 		}
 	}
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -21,6 +21,8 @@
 	// the time of two requests, before the request is displaced. An estimate that varies must not refuse admitted
 	// requests.
 	turnTolerance = 0.05
+	// usualBacklog is the time for which a request usually waits on its engine for the prompts assigned before it.
+	usualBacklog = 120 * time.Millisecond
 	// minCheckInterval is the time after which a waiting request is checked again at the earliest.
 	minCheckInterval = 10 * time.Millisecond
 	// minRate is the lowest rate of work, in units of time per time, that estimates assume.
@@ -150,7 +152,7 @@
 	}
 	last := r.Deadline.Add(-min(need, time.Duration(maxServiceFraction*float64(r.Deadline.Sub(r.Arrived)))))
 	if first := r.FirstEventDeadline; !first.IsZero() {
-		wait := time.Duration(r.PromptTokens)*assumedPrefillPerToken + maxWorkBacklog
+		wait := firstTokenTime(r)
 		if bound := first.Add(-min(wait, time.Duration(maxServiceFraction*float64(first.Sub(r.Arrived))))); bound.Before(last) {
 			last = bound
 		}
@@ -168,6 +170,14 @@
 	return last
 }
 
+// firstTokenTime is the usual time from the assignment of a request to its first token.
+func firstTokenTime(r *Request) time.Duration {
+	if r.PromptTokens == 0 {
+		return 0
+	}
+	return time.Duration(r.PromptTokens)*assumedPrefillPerToken + usualBacklog
+}
+
 // turnEstimate is the expected time until a request's turn, and what is ahead of the request.
 type turnEstimate struct {
 	rank int
--- a/assign/unevenengines_test.go
+++ b/assign/unevenengines_test.go
@@ -215,7 +215,7 @@
 // startLeader starts an Assigner without state, like that of a new leader.
 func (f *unevenFleet) startLeader(fence int64) {
 	f.assigner = New(Options{
-		SendsOrders: true, Fence: fence, Share: 1, Random: rand.New(rand.NewPCG(f.seed, uint64(fence)+7)), Limits: simLimits, Scheduling: f.scheduling,
+		SendsOrders: true, Fence: fence, Share: 1, Random: rand.New(rand.NewPCG(f.seed, uint64(fence)+7)), Limits: simLimits, Scheduling: f.scheduling, LearnPace: f.scheduling == ByUrgency,
 	})
 	f.handle(ConfigUpdated{catalog.NewConfig(catalog.ConfigParts{Version: 1, Services: []catalog.Service{{Name: "s", Engine: &catalog.Engine{
 		BatchSize: unevenBatch, CacheTokens: unevenCache, AdapterSlots: 6, WeightsMB: 100,
--- a/assign/work_test.go
+++ b/assign/work_test.go
@@ -12,7 +12,7 @@
 func TestExpectedWork_Learned(t *testing.T) {
 	w := newSimulation(t, 1, 1, 2)
 	a, now := w.assigner, w.now
-	a.options.Scheduling = ByUrgency
+	a.options.Scheduling, a.options.LearnPace = ByUrgency, true
 	s := a.service("s")
 	request := func(n uint64, organisation string) Request {
 		r := modelRequest(now, n)
--- a/assign/workchoice_test.go
+++ b/assign/workchoice_test.go
@@ -204,7 +204,7 @@
 		t.Run(fmt.Sprint("slow start ", slowStart), func(t *testing.T) {
 			w := newSimulation(t, 1, 1, 2)
 			a, now := w.assigner, w.now
-			a.options.Scheduling = ByUrgency
+			a.options.Scheduling, a.options.LearnPace = ByUrgency, true
 			u := a.upstreams["e0"]
 			if slowStart {
 				u.slowStart.limits = catalog.SlowStart{RequestsPerSecond: 1e6}
--- a/host/host.go
+++ b/host/host.go
@@ -129,8 +129,8 @@
 		Tables: tables, Source: h.watcher, Cores: s.Cores, Fenced: s.Fleet.Fenced, Random: newRandom(),
 		HolderPause: time.Duration(s.Fleet.HolderPause), Clock: timeSinceBoot,
 		MaxPropagation: time.Duration(min(s.Fleet.MaxConfigDelay, s.Fleet.MaxDrainDelay)),
-		Scheduling:     scheduling(s),
-		Engines:        &countedEngines{Engines: platform.NewEngines(h.pool, h.rateLimitStated), orders: h.metrics.orders},
+		Scheduling:     scheduling(s), LearnPace: s.Fleet.LearnPace,
+		Engines: &countedEngines{Engines: platform.NewEngines(h.pool, h.rateLimitStated), orders: h.metrics.orders},
 		Limits: assign.Limits{
 			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack,
 			RateWindow: time.Duration(s.Fleet.RateWindow), RateTolerance: s.Fleet.RateTolerance, RateSlackTokens: s.Fleet.RateSlackTokens,
--- a/leader/broker.go
+++ b/leader/broker.go
@@ -58,6 +58,8 @@
 	Limits  assign.Limits
 	// Scheduling is the order of waiting requests.
 	Scheduling assign.Scheduling
+	// LearnPace has the pace of upstreams learned where they do not state it.
+	LearnPace bool
 	// Fenced is set if engines reject orders with a fencing token older than the newest one they have seen.
 	Fenced bool
 	// HolderPause is how long a host that has sent orders to engines must not lead again once another host has
@@ -224,7 +226,7 @@
 		locations:  map[catalog.AdapterRef]adapterLocation{}, startedAt: time.Now(), leaderlessSince: time.Now(),
 		view: &watch.View{Versions: catalog.Versions{}},
 	}
-	b.local = assign.New(assign.Options{Share: startupShare, Limits: o.Limits, Scheduling: o.Scheduling, Random: o.Random})
+	b.local = assign.New(assign.Options{Share: startupShare, Limits: o.Limits, Scheduling: o.Scheduling, LearnPace: o.LearnPace, Random: o.Random})
 	b.localTimer.fire = func() { b.update(b.tickLocal) }
 	b.leadingTimer.fire = func() { b.update(b.tickLeading) }
 	return b
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -278,7 +278,7 @@
 	b.log.Info("this host leads", "fence", fence)
 	b.leader.termFence, b.leader.reclaiming, b.heldOrders = fence, false, nil
 	b.leading = assign.New(assign.Options{
-		SendsOrders: true, Fence: fence, Share: 1, FirstInFleet: before.version == 0 && (!before.outdated() || !b.leader.hasLostLeader), Limits: b.options.Limits, Scheduling: b.options.Scheduling,
+		SendsOrders: true, Fence: fence, Share: 1, FirstInFleet: before.version == 0 && (!before.outdated() || !b.leader.hasLostLeader), Limits: b.options.Limits, Scheduling: b.options.Scheduling, LearnPace: b.options.LearnPace,
 		Random: b.options.Random, HoldEvictions: now.Add(followerReportTime),
 	})
 	b.lastClaimID, b.claimedLease = 0, nil
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -86,6 +86,9 @@
 	MaxDirectoryTTL Duration `json:"answer_life"`
 	// Scheduling is the order of waiting requests, "arrival" or "urgency". If it is empty, Entry.Features decide.
 	Scheduling string `json:"scheduling,omitempty"`
+	// LearnPace has requests assigned by the remaining work and the speed of upstreams also where these do not state
+	// their pace. It suits services whose upstreams differ in speed; usual ones are served better without it.
+	LearnPace bool `json:"learn_pace,omitempty"`
 }
 
 // LoadEntry reads an entry host's settings file, sets defaults and validates it.
