--- a/assign/slots.go
+++ b/assign/slots.go
@@ -158,9 +158,9 @@
 	return least
 }
 
-// evictUsedAfter is the time that a request waits before an adapter in use makes way for it. Usually a slot becomes free
-// sooner, and an adapter that is being evicted serves nobody.
-const evictUsedAfter = 2 * freeSlotWait
+// evictUsedAfter is the fraction of its useful time that a request waits before an adapter in use makes way for it.
+// Usually a slot becomes free sooner, and an adapter that is being evicted serves nobody.
+const evictUsedAfter = 0.5
 
 // evictUsedCost is the cost of evicting an adapter that less urgent requests use, about the time until these have ended.
 const evictUsedCost = 500 * time.Millisecond
@@ -169,7 +169,8 @@
 // since all requests that use it or wait for it are of less urgent ranks; of several, the one with the fewest of them
 // on the engine. It returns nil if there is none.
 func (a *Assigner) lessUrgentSlot(now time.Time, u *upstream, e *requestState) *slot {
-	if e.waiting == nil || a.evictionsHeld || u.pendingLoads() >= maxPendingLoads || now.Sub(e.submittedAt) < evictUsedAfter {
+	if e.waiting == nil || a.evictionsHeld || u.pendingLoads() >= maxPendingLoads ||
+		now.Sub(e.submittedAt) < fractionOf(e.lastUseful.Sub(e.submittedAt), evictUsedAfter) {
 		return nil
 	}
 	rank := e.waiting.CurrentRank()
@@ -185,7 +186,7 @@
 	}
 	var least *slot
 	for _, s := range u.slots {
-		if s.state != slotResident || used[s] >= u.engine.BatchSize || a.waitsFor(u, s, rank) {
+		if s.state != slotResident || used[s] >= u.engine.BatchSize || !a.keptByLessUrgent(u, s, rank) {
 			continue
 		}
 		if least == nil || used[s] < used[least] || (used[s] == used[least] && s.ref.Adapter < least.ref.Adapter) {
@@ -195,10 +196,11 @@
 	return least
 }
 
-// waitsFor reports whether a request of the given rank or a more urgent one waits for an adapter.
-func (a *Assigner) waitsFor(u *upstream, s *slot, rank int) bool {
+// keptByLessUrgent reports whether waiting requests of less urgent ranks than the given one would keep an adapter in its
+// slot. Without them, the slot becomes free by itself once its requests have ended.
+func (a *Assigner) keptByLessUrgent(u *upstream, s *slot, rank int) bool {
 	q, ok := a.queues.byKey[queueKey{u.record.Service, s.ref}]
-	return ok && (q.ordered == nil || q.ordered.FirstRank() <= rank)
+	return ok && q.ordered != nil && q.ordered.FirstRank() > rank
 }
 
 // hasEvictable reports whether an adapter may be evicted.
