--- a/assign/turn.go
+++ b/assign/turn.go
@@ -23,6 +23,8 @@
 	turnTolerance = 0.05
 	// usualBacklog is the time for which a request usually waits on its engine for the prompts assigned before it.
 	usualBacklog = 120 * time.Millisecond
+	// firstEventReserve is how much later than usual a first token may come after a late assignment.
+	firstEventReserve = 130 * time.Millisecond
 	// minCheckInterval is the time after which a waiting request is checked again at the earliest.
 	minCheckInterval = 10 * time.Millisecond
 	// minRate is the lowest rate of work, in units of time per time, that estimates assume.
@@ -152,7 +154,7 @@
 	}
 	last := r.Deadline.Add(-min(need, time.Duration(maxServiceFraction*float64(r.Deadline.Sub(r.Arrived)))))
 	if first := r.FirstEventDeadline; !first.IsZero() {
-		wait := firstTokenTime(r)
+		wait := firstTokenTime(r) + firstEventReserve
 		if bound := first.Add(-min(wait, time.Duration(maxServiceFraction*float64(first.Sub(r.Arrived))))); bound.Before(last) {
 			last = bound
 		}
