assign: ranked services with paused, evacuated and refusing upstreams, and with arbitrary figures

Running the tests of assign and leader with all services ranked found five faults: a priority from a message allocated state for each rank up to it (TestReceive_ArbitraryMessages ran out of memory), now at most 16 ranks; requests queued while all upstreams are paused waited for the end of the pause; the theoretical capacity of before an evacuation's end was used for up to 100 ms; Retry-After ignored the back-off of upstreams; refusals under rate limits had rule turn.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -179,6 +179,7 @@
 func (a *Assigner) Handle(now time.Time, ev Event) []Decision {
 	switch e := ev.(type) {
 	case ConfigUpdated:
+		a.invalidateCapacity()
 		a.config = e.Config
 		a.configureEngines(now)
 		a.configureLines(now)
@@ -188,8 +189,10 @@
 		a.retireOldVersions(now)
 		a.serveWaiting(now)
 	case EvacuationsUpdated:
+		a.invalidateCapacity()
 		a.updateEvacuations(now, e.Zones)
 	case UpstreamsUpdated:
+		a.invalidateCapacity()
 		a.updateUpstreams(now, e.Upstreams)
 		a.serveWaiting(now)
 	case RequestSubmitted:
@@ -218,6 +221,7 @@
 
 // handleUpstreamEvent applies what an upstream has answered or stated about itself.
 func (a *Assigner) handleUpstreamEvent(now time.Time, ev Event) {
+	a.invalidateCapacity()
 	switch e := ev.(type) {
 	case UpstreamLeaving:
 		a.markLeaving(now, e)
--- a/assign/line.go
+++ b/assign/line.go
@@ -11,6 +11,13 @@
 // that routine requests do not compete with urgent ones while they still have time.
 const agingTime = 10 * time.Second
 
+// maxRank is the least urgent rank; less urgent priorities count as this one. State is kept for each rank, and priorities
+// come from other hosts.
+const maxRank = 15
+
+// rankOf returns the rank of a new request.
+func rankOf(r *Request) int { return min(max(r.Priority, 0), maxRank) }
+
 // waitingEntry is a queued request of a ranked service.
 type waitingEntry = fairshare.Entry[*requestState]
 
@@ -118,11 +125,11 @@
 		q.ordered = l.newQueue()
 	}
 	entry := &waitingEntry{
-		Value: e, Organisation: e.request.Organisation, Rank: e.request.Priority, EnqueuedAt: e.request.Arrived,
+		Value: e, Organisation: e.request.Organisation, Rank: rankOf(&e.request), EnqueuedAt: e.request.Arrived,
 		Target: e.request.Target, LastUseful: e.lastUseful, Work: e.work,
 	}
 	// A request that is of no use soon after its target, or before it, has to be treated as late before that.
-	if urgent := e.lastUseful.Add(-lateTurns*l.rank(max(e.request.Priority, 0)).interval - l.prior.gap); urgent.Before(entry.Target) {
+	if urgent := e.lastUseful.Add(-lateTurns*l.rank(rankOf(&e.request)).interval - l.prior.gap); urgent.Before(entry.Target) {
 		entry.Target = urgent
 	}
 	e.waiting = entry
@@ -259,7 +266,7 @@
 // charge counts the work of a request that is assigned to an upstream.
 func (l *line) charge(now time.Time, e *requestState) {
 	l.grants++
-	rank, organisation := max(e.request.Priority, 0), e.request.Organisation
+	rank, organisation := rankOf(&e.request), e.request.Organisation
 	if e.waiting != nil {
 		rank = e.waiting.CurrentRank()
 	}
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -41,9 +41,12 @@
 	return s.line
 }
 
+// maxWork bounds the expected work of a request.
+const maxWork = time.Minute
+
 // prepareRanked computes what the order of a ranked service needs to know of a request.
 func (a *Assigner) prepareRanked(now time.Time, s *service, e *requestState) {
-	e.work = max(a.expectedWork(s, &e.request), time.Microsecond)
+	e.work = min(max(a.expectedWork(s, &e.request), time.Microsecond), maxWork)
 	e.lastUseful = a.lastUseful(now, s, e)
 }
 
@@ -52,7 +55,7 @@
 func (a *Assigner) submitRanked(now time.Time, s *service, e *requestState) {
 	l := s.line
 	a.prepareRanked(now, s, e)
-	rank := max(e.request.Priority, 0)
+	rank := rankOf(&e.request)
 	l.arrived(now, rank, e)
 	if l.count == 0 && a.place(now, e) {
 		l.admitted(now, rank, e)
@@ -92,7 +95,8 @@
 		return "no_upstream", true
 	case late <= 0 && !s.line.endangersOthers(now, e.waiting) && !s.line.endangersLate(now, e.waiting, t.wait):
 		return "", false
-	case s.rateWait(now, int(t.count)) >= t.wait:
+	}
+	if _, _, limited := s.fleetRate(now); limited {
 		return UpstreamRate, true
 	}
 	return Turn, true
@@ -124,6 +128,9 @@
 	if shorter < 0 {
 		shorter = t.wait
 	}
+	if host := e.request.ID.Host; !s.accepts(now, host) {
+		shorter = max(shorter, s.hostRetryDelay(now, host))
+	}
 	turn := now.Add(max(shorter, minRetryAfter))
 	if promised := l.ranks[t.rank].promisedUntil.Add(step); turn.Before(promised) {
 		turn = promised
@@ -151,7 +158,7 @@
 		if !ok || !o.ready {
 			break
 		}
-		a.serveOn(now, o.upstream)
+		a.offer(now, o, e)
 		if e.upstream != nil {
 			return true
 		}
@@ -195,16 +202,17 @@
 // serveRankedQueue looks for an upstream that is ready for one of the first requests of a queue, and offers it to all
 // requests that could use it, in their order. It reports whether a request was assigned.
 func (a *Assigner) serveRankedQueue(now time.Time, s *service, q *queue) bool {
-	var found *upstream
+	var found option
+	var forEntry *requestState
 	var aside [maxFailedTries]*waitingEntry
 	tried := 0
-	for tried < maxFailedTries && found == nil {
+	for tried < maxFailedTries && forEntry == nil {
 		entry := q.ordered.Head(now)
 		if entry == nil {
 			break
 		}
 		if o, ok := a.readyOption(now, s, entry.Value); ok {
-			found = o.upstream
+			found, forEntry = o, entry.Value
 			break
 		}
 		q.ordered.SetAside(entry)
@@ -214,14 +222,24 @@
 	for _, entry := range aside[:tried] {
 		q.ordered.Restore(entry)
 	}
-	if found == nil {
+	if forEntry == nil {
 		return false
 	}
 	before := s.line.grants
-	a.serveOn(now, found)
+	a.offer(now, found, forEntry)
 	return s.line.grants > before
 }
 
+// offer offers an upstream that is ready for a queued request to all that could use it, in their order. An upstream that
+// is paused after failures, which is used if all are, is assigned the request itself.
+func (a *Assigner) offer(now time.Time, o option, e *requestState) {
+	if o.upstream.usable(now) {
+		a.serveOn(now, o.upstream)
+		return
+	}
+	a.grant(now, e, o)
+}
+
 // serveRankedOn assigns queued requests to an upstream that may have room now, in their order.
 func (a *Assigner) serveRankedOn(now time.Time, u *upstream) {
 	l := u.service.line
--- a/assign/rankedfaults_test.go
+++ b/assign/rankedfaults_test.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -193,3 +194,18 @@
 		Organisations: []catalog.Organisation{{Name: organisation, Priority: priority, HasPriority: true}},
 	})
 }
+
+// A host sends a request with figures that no caller can have. Guards against state that is allocated for each rank up to
+// the stated one, and against sums that overflow.
+func TestRanked_ArbitraryFigures(t *testing.T) {
+	w := newRankedSimulation(t, 1, 1, "a")
+	for i, n := range []int{math.MaxInt, math.MinInt, -1} {
+		for k := range uint64(20) {
+			w.submit(uint64(i)*100+k+1, "a", func(r *Request) { r.Priority, r.PromptTokens, r.OutputTokens, r.ExpectedOutput = n, n, n, n })
+		}
+	}
+	require.LessOrEqual(t, len(w.assigner.service("s").line.ranks), maxRank+1)
+	id := w.submit(1000, "a")
+	w.run(5 * time.Second)
+	require.Contains(t, w.granted, id)
+}
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -173,7 +173,7 @@
 			continue
 		}
 		used[other.slot]++
-		if other.request.Priority <= rank {
+		if rankOf(&other.request) <= rank {
 			used[other.slot] += u.engine.BatchSize
 		}
 	}
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -91,18 +92,14 @@
 		meanWork = work / time.Duration(count)
 	}
 	c := capacityEstimate{opensIn: maxKnownRetryAfter}
-	present := 0
+	present, paused := 0, s.allPaused(now)
 	for _, u := range s.upstreams {
-		if u.draining() {
+		if u.draining() || (now.Before(u.pausedUntil) && !paused) {
 			continue
 		}
 		present++
 		c.requestTime += u.requestTime
-		opensIn := max(u.pausedUntil.Sub(now), u.fullUntil.Sub(now), 0)
-		c.opensIn = min(c.opensIn, opensIn)
-		if now.Before(u.pausedUntil) {
-			continue
-		}
+		c.opensIn = min(c.opensIn, max(u.fullUntil.Sub(now), 0))
 		rate, gap := u.workRate(now, meanWork)
 		c.rate += rate
 		c.gap = max(c.gap, gap)
@@ -112,6 +109,20 @@
 	return c
 }
 
+// allPaused reports whether all upstreams of a service are paused after failures. They are then used nevertheless.
+func (s *service) allPaused(now time.Time) bool {
+	return !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() && !now.Before(u.pausedUntil) })
+}
+
+// invalidateCapacity has the theoretical capacity of all services computed again when it is needed next.
+func (a *Assigner) invalidateCapacity() {
+	for _, s := range a.services {
+		if s.line != nil {
+			s.line.priorAt = time.Time{}
+		}
+	}
+}
+
 // maxGap bounds the time between two requests to an upstream that is taken into account.
 const maxGap = time.Second
 
@@ -148,7 +159,7 @@
 		}
 		need = time.Duration(r.PromptTokens)*assumedPrefillPerToken + time.Duration(output)*typicalTokenTime
 	}
-	last := r.Deadline.Add(-min(need, time.Duration(maxServiceFraction*float64(r.Deadline.Sub(r.Arrived)))))
+	last := r.Deadline.Add(-min(max(need, 0), time.Duration(maxServiceFraction*float64(r.Deadline.Sub(r.Arrived)))))
 	if !a.options.SendsOrders && !a.heldAdapter(s, e) {
 		// No order makes an upstream ready for the request.
 		from := r.Arrived
