--- a/assign/rankedretry_test.go
+++ b/assign/rankedretry_test.go
@@ -71,3 +71,63 @@
 		})
 	}
 }
+
+// retryError returns the median error of Retry-After in an overload that lasts: 40 fresh requests arrive per second where
+// 25 are served, and a quarter of the refused callers return after Retry-After. It returns the number of callers that
+// were served after their return, too.
+func retryError(t *testing.T, ranks int) (median float64, served int) {
+	w := newRankedSimulation(t, 1, 2, "a")
+	type promise struct {
+		retryAfter time.Duration
+		refusedAt  time.Time
+	}
+	number := uint64(0)
+	returned := map[RequestID]promise{}
+	var send func(rank int, promised *promise)
+	send = func(rank int, promised *promise) {
+		number++
+		id := w.submit(number, "a", func(r *Request) {
+			r.Priority, r.Organisation = rank, "org"+strconv.Itoa(int(number)%3)
+			r.Target, r.Deadline = w.now.Add(time.Second), w.now.Add(3*time.Second)
+		})
+		r, refused := w.refused[id]
+		switch {
+		case refused && number%4 == 0:
+			next := promise{r.RetryAfter, w.now}
+			w.schedule(r.RetryAfter, func() { send(rank, &next) })
+		case !refused && promised != nil:
+			returned[id] = *promised
+		}
+	}
+	for range 2000 {
+		for i := range 2 {
+			send(i%ranks, nil)
+		}
+		w.run(50 * time.Millisecond)
+	}
+	var errors []float64
+	for id, p := range returned {
+		if g, ok := w.granted[id]; ok {
+			turn := w.submittedAt[id].Add(g.Held).Sub(p.refusedAt)
+			errors = append(errors, (p.retryAfter-turn).Abs().Seconds()/turn.Seconds())
+		}
+	}
+	require.Greater(t, len(errors), 20)
+	slices.Sort(errors)
+	return errors[len(errors)/2], len(errors)
+}
+
+// Guards against a Retry-After that is far from the turn while fresh requests keep arriving.
+func TestRanked_RetryAfterInLastingOverload(t *testing.T) {
+	median, served := retryError(t, 1)
+	t.Logf("%d callers were served after their return, median error %.2f", served, median)
+	require.Less(t, median, 1.0/3)
+}
+
+// Half of the requests are more urgent and take most of the capacity. Guards against a Retry-After of the others that is
+// far from their turn.
+func TestRanked_RetryAfterBehindMoreUrgent(t *testing.T) {
+	median, served := retryError(t, 2)
+	t.Logf("%d callers were served after their return, median error %.2f", served, median)
+	require.Less(t, median, 1.0/3)
+}
