--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -36,6 +36,8 @@
 	config       tables.Config
 	// grace and directoryTTL are settings of the hosts.
 	grace, directoryTTL time.Duration
+	// scheduling is the setting of the same name of the hosts.
+	scheduling string
 }
 
 type runningHost struct {
@@ -165,7 +167,7 @@
 		},
 		Fleet: settings.EntryFleet{
 			RetryRatio: 0.2, RetrySlack: 50, RateWindow: settings.Duration(8 * time.Second), Fenced: true,
-			MaxDirectoryTTL: settings.Duration(d.directoryTTL),
+			MaxDirectoryTTL: settings.Duration(d.directoryTTL), Scheduling: d.scheduling,
 		},
 		Log: settings.Log{Level: "error"},
 	}
