--- a/assign/line.go
+++ b/assign/line.go
@@ -81,8 +81,11 @@
 	served float64
 	// rate is the organisation's configured rate, 0 for none.
 	rate float64
-	// arrivals is the rate of work of the organisation's requests, admitted or not.
-	arrivals decayingRate
+	// arrivals is the rate of work of the organisation's requests, admitted or not; arrivalRate is its value as of
+	// arrivalRateAt.
+	arrivals      decayingRate
+	arrivalRate   float64
+	arrivalRateAt time.Time
 	// done is the rate of the work that is begun for the organisation.
 	done decayingRate
 	// order holds the counters that share an organisation's turns between its adapters.
@@ -202,7 +205,9 @@
 // arrived counts the work of a new request, whether it is admitted or not: an organisation that sends more than its
 // share uses its share.
 func (l *line) arrived(now time.Time, rank int, e *requestState) {
-	l.account(l.rank(rank), e.request.Organisation).arrivals.add(now, e.work.Seconds())
+	acct := l.account(l.rank(rank), e.request.Organisation)
+	acct.arrivals.add(now, e.work.Seconds())
+	acct.arrivalRateAt = time.Time{}
 }
 
 // admitted counts the work of a new request that is admitted.
@@ -210,6 +215,15 @@
 	l.rank(rank).arrivals.add(now, e.work.Seconds())
 }
 
+// arrivalsAt returns the rate of work of an organisation's requests. It is computed once per passInterval, in which it
+// hardly changes, since estimates visit all accounts.
+func (c *account) arrivalsAt(now time.Time) float64 {
+	if now.Sub(c.arrivalRateAt) >= passInterval {
+		c.arrivalRate, c.arrivalRateAt = c.arrivals.rate(now), now
+	}
+	return c.arrivalRate
+}
+
 // prune drops the accounts of organisations that send hardly anything.
 func (r *rankLine) prune(now time.Time) {
 	for i := len(r.list) - 1; i >= 0; i-- {
@@ -312,7 +326,7 @@
 	share := max(rate, minRate) / float64(max(len(r.list), 1))
 	n := 0.0
 	for _, acct := range r.list {
-		n += min(1, (acct.arrivals.rate(now)+acct.work.Seconds())/share)
+		n += min(1, (acct.arrivalsAt(now)+acct.work.Seconds())/share)
 	}
 	return max(n, 1)
 }
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -233,6 +233,7 @@
 // offer offers an upstream that is ready for a queued request to all that could use it, in their order. An upstream that
 // is paused after failures, which is used if all are, is assigned the request itself.
 func (a *Assigner) offer(now time.Time, o option, e *requestState) {
+	a.loadOnIdle(now, o.upstream.service, e.request.Adapter)
 	if o.upstream.usable(now) {
 		a.serveOn(now, o.upstream)
 		return
--- a/assign/rankedcost_test.go
+++ b/assign/rankedcost_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/catalog"
 )
 
 const (
@@ -73,3 +75,21 @@
 		})
 	}
 }
+
+// BenchmarkRankedAdmission measures the submission of a request that is queued, with the estimate of its turn, beside
+// requests of many organisations.
+func BenchmarkRankedAdmission(b *testing.B) {
+	w := newRankedSimulationWithQueue(&testing.T{}, 30)
+	n := uint64(10_000_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		r := Request{
+			ID: RequestID{"h", n}, Service: "s", Organisation: fmt.Sprintf("org%d", n%costOrganisations),
+			Adapter: catalog.AdapterRef{Model: simModel, Adapter: fmt.Sprintf("cold%d", n%5000)}, PromptTokens: 500, OutputTokens: 50,
+			Arrived: w.now, Target: w.now.Add(time.Second), Deadline: w.now.Add(9000 * time.Second),
+		}
+		w.assigner.Handle(w.now, RequestSubmitted{r})
+		w.assigner.Handle(w.now, RequestWithdrawn{r.ID})
+	}
+}
--- a/assign/rankedupstreams_test.go
+++ b/assign/rankedupstreams_test.go
@@ -85,3 +85,41 @@
 	require.Contains(t, w.refused, unknown)
 	require.Zero(t, w.loads)
 }
+
+// An upstream states its pace while requests wait, so that the service becomes ranked. Guards against requests that are
+// lost or counted twice on the way, and against an order that stays as it was.
+func TestRanked_FromFirstStatedPace(t *testing.T) {
+	w := newSimulation(t, 1, 1, 3)
+	w.run(50 * time.Millisecond)
+	w.submit(1, "a")
+	w.submit(2, "b")
+	w.run(1500 * time.Millisecond)
+	n := uint64(10)
+	for range 20 {
+		for i, name := range []string{"a", "b"} {
+			w.submit(n, name, func(r *Request) {
+				r.Priority, r.Target, r.Deadline = 2*i, w.now.Add(10*time.Second), w.now.Add(20*time.Second)
+			})
+			n++
+		}
+	}
+	a := w.assigner
+	waiting := a.Waiting()
+	require.Greater(t, waiting, 20)
+	a.service("s").statesPace = true
+	w.run(10 * time.Millisecond)
+	s := a.service("s")
+	require.NotNil(t, s.line)
+	require.Equal(t, a.Waiting(), s.line.count)
+	require.Zero(t, a.queues.unranked)
+	w.run(5 * time.Second)
+	require.Empty(t, w.refused)
+	require.Zero(t, a.Waiting())
+	var last [2]time.Duration
+	for id, g := range w.granted {
+		if id.Number >= 10 && g.Ranked {
+			last[id.Number%2] = max(last[id.Number%2], g.Held)
+		}
+	}
+	require.Less(t, last[0], last[1], "the more urgent requests are served first")
+}
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -285,7 +285,7 @@
 		if other.count > 0 {
 			request = work / float64(other.count)
 		}
-		part := min(work+other.arrivals.rate(now)*wait, (turn-served)*weight(other)+request)
+		part := min(work+other.arrivalsAt(now)*wait, (turn-served)*weight(other)+request)
 		t.ahead += time.Duration(part * float64(time.Second))
 		t.count += part / request
 	}
