assign: bounded promises to refused callers; admitted requests that come back displace nobody

Each refusal of an urgent caller put back the turns promised to less urgent ones without bound: after 30 s of 100 refusals/s they were told to return after 27 s with 20 s to their deadline; the promise is now bounded to 10 s. Requests that hosts submit again to a new leader counted as pushing back one another, and those of a rank with one active organisation as pushed by organisations that no longer wait.

--- a/assign/line.go
+++ b/assign/line.go
@@ -257,7 +257,14 @@
 	l.uncountEntry(entry, from)
 	l.countEntry(entry)
 	l.ranks[from].checks.remove(entry.Value)
-	l.ranks[entry.CurrentRank()].scheduleCheck(entry.Value, 0)
+	l.startChecks(entry.Value)
+}
+
+// startChecks schedules the checks of a request that is new in its rank.
+func (l *line) startChecks(e *requestState) {
+	r := l.ranks[e.waiting.CurrentRank()]
+	e.pushedAtAdmission = r.pushed
+	r.scheduleCheck(e, 0)
 }
 
 // remove takes a request out of the line.
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -35,7 +35,7 @@
 			a.queues.remove(e)
 			a.prepareRanked(now, s, e)
 			a.enqueue(now, e)
-			s.line.ranks[e.waiting.CurrentRank()].scheduleCheck(e, 0)
+			s.line.startChecks(e)
 		}
 	})
 	return s.line
@@ -74,7 +74,8 @@
 	}
 	l.admitted(now, t.rank, e)
 	e.estimatedTurn, e.pushedAtAdmission = t.wait, l.ranks[t.rank].pushed
-	l.pushBack(t.rank, time.Duration(float64(e.work)/l.rate.estimate(now, a.capacity(now, s).rate)))
+	// A request that another Assigner had admitted was ahead of the others already.
+	l.pushBack(t.rank, time.Duration(float64(e.work)/l.rate.estimate(now, a.capacity(now, s).rate)), !e.request.Admitted)
 	l.ranks[t.rank].scheduleCheck(e, e.lastUseful.Sub(now)-t.wait)
 }
 
@@ -113,6 +114,9 @@
 	})
 }
 
+// maxPromise bounds the time by which the turns of refused callers are put back for others, who may not return.
+const maxPromise = 10 * time.Second
+
 // turnRetryAfter returns the time after which the turn of a refused caller is likely. Callers that can return before
 // their deadline each get a turn after the one before; turns of more urgent ranks put back those of less urgent ones.
 func (a *Assigner) turnRetryAfter(now time.Time, s *service, e *requestState, t turnEstimate) time.Duration {
@@ -142,7 +146,7 @@
 		l.ranks[t.rank].promisedUntil = turn
 		for _, r := range l.ranks[t.rank+1:] {
 			if r.promisedUntil.After(now) {
-				r.promisedUntil = r.promisedUntil.Add(step)
+				r.promisedUntil = now.Add(min(r.promisedUntil.Add(step).Sub(now), maxPromise))
 			}
 		}
 	}
@@ -327,11 +331,11 @@
 }
 
 // pushBack records that a new request has put back the turns of the less urgent ranks and, by fair sharing, of the
-// other organisations of its own rank.
-func (l *line) pushBack(rank int, d time.Duration) {
+// other organisations of its own rank. A request that displaces others has put back what was admitted before it.
+func (l *line) pushBack(rank int, d time.Duration, displaces bool) {
 	for i, r := range l.ranks[min(rank, len(l.ranks)):] {
 		r.delay += d
-		if i > 0 || len(r.accounts) > 1 {
+		if displaces && (i > 0 || r.waiting > 1) {
 			r.pushed += d
 		}
 	}
@@ -379,6 +383,6 @@
 		a.queues.remove(e)
 		e.request.Priority = o.Priority
 		a.enqueue(now, e)
-		e.line.ranks[e.waiting.CurrentRank()].scheduleCheck(e, 0)
+		e.line.startChecks(e)
 	})
 }
--- a/assign/rankedfaults_test.go
+++ b/assign/rankedfaults_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -140,6 +141,7 @@
 	var waiting []Request
 	for n := range uint64(200) {
 		w.submit(n+1, "a", func(r *Request) {
+			r.Organisation = "org" + strconv.Itoa(int(n%3))
 			r.Target, r.Deadline = w.now.Add(2*time.Second), w.now.Add(6*time.Second)
 			waiting = append(waiting, *r)
 		})
@@ -161,10 +163,32 @@
 		}
 		r.Admitted = true
 		w.handle(RequestSubmitted{r})
+	}
+	w.run(50 * time.Millisecond)
+	for _, r := range waiting {
 		require.NotContains(t, w.refused, r.ID)
 	}
 }
 
+// Many urgent callers are refused for a long time. Guards against less urgent callers that are told to return ever later
+// for urgent ones who may not return.
+func TestRanked_RetryAfterStaysBounded(t *testing.T) {
+	w := newRankedSimulation(t, 1, 1, "a")
+	n := uint64(0)
+	var last RequestID
+	for range 600 {
+		for range 5 {
+			n++
+			w.submit(n, "a", func(r *Request) { r.Priority, r.Deadline = 0, w.now.Add(20*time.Second) })
+		}
+		n++
+		last = w.submit(n, "a", func(r *Request) { r.Priority, r.Deadline = 1, w.now.Add(20*time.Second) })
+		w.run(50 * time.Millisecond)
+	}
+	require.Contains(t, w.refused, last)
+	require.LessOrEqual(t, w.refused[last].RetryAfter, 20*time.Second, "the bound of 10 s, and half of the time that the caller has")
+}
+
 // The configuration changes while requests wait. Guards against ranks that stay as they were.
 func TestRanked_RankFollowsConfiguration(t *testing.T) {
 	w := newRankedSimulation(t, 1, 1, "a")
