--- a/assign/events.go
+++ b/assign/events.go
@@ -85,7 +85,7 @@
 // Rank returns the rank of the request in a ranked service; 0 is served first. An organisation's priority goes before
 // that of its routes, which then ranks the organisation's kinds of requests.
 func (r *Request) Rank() int {
-	return max(r.Priority, 0)*routeRanks + min(max(r.RoutePriority, 0), routeRanks-1)
+	return min(max(r.Priority, 0), maxPriority)*routeRanks + min(max(r.RoutePriority, 0), routeRanks-1)
 }
 
 // retry reports whether the request has been assigned to an upstream before.
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -35,15 +35,18 @@
 			a.queues.remove(e)
 			a.prepareRanked(now, s, e)
 			a.enqueue(now, e)
-			s.line.ranks[e.waiting.CurrentRank()].scheduleCheck(e, 0)
+			s.line.startChecks(e)
 		}
 	})
 	return s.line
 }
 
+// maxWork bounds the expected work of a request.
+const maxWork = time.Minute
+
 // prepareRanked computes what the order of a ranked service needs to know of a request.
 func (a *Assigner) prepareRanked(now time.Time, s *service, e *requestState) {
-	e.work = max(a.expectedWork(s, &e.request), time.Microsecond)
+	e.work = min(max(a.expectedWork(s, &e.request), time.Microsecond), maxWork)
 	e.lastUseful = a.lastUseful(now, s, e)
 }
 
@@ -71,7 +74,8 @@
 	}
 	l.admitted(now, t.rank, e)
 	e.estimatedTurn, e.pushedAtAdmission = t.wait, l.ranks[t.rank].pushed
-	l.pushBack(t.rank, time.Duration(float64(e.work)/l.rate.estimate(now, a.capacity(now, s).rate)))
+	// A request that another Assigner had admitted was ahead of the others already.
+	l.pushBack(t.rank, time.Duration(float64(e.work)/l.rate.estimate(now, a.capacity(now, s).rate)), !e.request.Admitted)
 	l.ranks[t.rank].scheduleCheck(e, e.lastUseful.Sub(now)-t.wait)
 }
 
@@ -92,7 +96,8 @@
 		return "no_upstream", true
 	case late <= 0 && !s.line.endangersOthers(now, e.waiting) && !s.line.endangersLate(now, e.waiting, t.wait):
 		return "", false
-	case s.rateWait(now, int(t.count)) >= t.wait:
+	}
+	if _, _, limited := s.fleetRate(now); limited {
 		return UpstreamRate, true
 	}
 	return Turn, true
@@ -109,6 +114,9 @@
 	})
 }
 
+// maxPromise bounds the time by which the turns of refused callers are put back for others, who may not return.
+const maxPromise = 10 * time.Second
+
 // turnRetryAfter returns the time after which the turn of a refused caller is likely. Callers that can return before
 // their deadline each get a turn after the one before; turns of more urgent ranks put back those of less urgent ones.
 func (a *Assigner) turnRetryAfter(now time.Time, s *service, e *requestState, t turnEstimate) time.Duration {
@@ -124,6 +132,9 @@
 	if shorter < 0 {
 		shorter = t.wait
 	}
+	if host := e.request.ID.Host; !s.accepts(now, host) {
+		shorter = max(shorter, s.hostRetryDelay(now, host))
+	}
 	turn := now.Add(max(shorter, minRetryAfter))
 	if promised := l.ranks[t.rank].promisedUntil.Add(step); turn.Before(promised) {
 		turn = promised
@@ -135,7 +146,7 @@
 		l.ranks[t.rank].promisedUntil = turn
 		for _, r := range l.ranks[t.rank+1:] {
 			if r.promisedUntil.After(now) {
-				r.promisedUntil = r.promisedUntil.Add(step)
+				r.promisedUntil = now.Add(min(r.promisedUntil.Add(step).Sub(now), maxPromise))
 			}
 		}
 	}
@@ -151,7 +162,7 @@
 		if !ok || !o.ready {
 			break
 		}
-		a.serveOn(now, o.upstream)
+		a.offer(now, o, e)
 		if e.upstream != nil {
 			return true
 		}
@@ -195,16 +206,17 @@
 // serveRankedQueue looks for an upstream that is ready for one of the first requests of a queue, and offers it to all
 // requests that could use it, in their order. It reports whether a request was assigned.
 func (a *Assigner) serveRankedQueue(now time.Time, s *service, q *queue) bool {
-	var found *upstream
+	var found option
+	var forEntry *requestState
 	var aside [maxFailedTries]*waitingEntry
 	tried := 0
-	for tried < maxFailedTries && found == nil {
+	for tried < maxFailedTries && forEntry == nil {
 		entry := q.ordered.Head(now)
 		if entry == nil {
 			break
 		}
 		if o, ok := a.readyOption(now, s, entry.Value); ok {
-			found = o.upstream
+			found, forEntry = o, entry.Value
 			break
 		}
 		q.ordered.SetAside(entry)
@@ -214,14 +226,25 @@
 	for _, entry := range aside[:tried] {
 		q.ordered.Restore(entry)
 	}
-	if found == nil {
+	if forEntry == nil {
 		return false
 	}
 	before := s.line.grants
-	a.serveOn(now, found)
+	a.offer(now, found, forEntry)
 	return s.line.grants > before
 }
 
+// offer offers an upstream that is ready for a queued request to all that could use it, in their order. An upstream that
+// is paused after failures, which is used if all are, is assigned the request itself.
+func (a *Assigner) offer(now time.Time, o option, e *requestState) {
+	a.loadOnIdle(now, o.upstream.service, e.request.Adapter)
+	if o.upstream.usable(now) {
+		a.serveOn(now, o.upstream)
+		return
+	}
+	a.grant(now, e, o)
+}
+
 // serveRankedOn assigns queued requests to an upstream that may have room now, in their order.
 func (a *Assigner) serveRankedOn(now time.Time, u *upstream) {
 	l := u.service.line
@@ -308,11 +331,11 @@
 }
 
 // pushBack records that a new request has put back the turns of the less urgent ranks and, by fair sharing, of the
-// other organisations of its own rank.
-func (l *line) pushBack(rank int, d time.Duration) {
+// other organisations of its own rank. A request that displaces others has put back what was admitted before it.
+func (l *line) pushBack(rank int, d time.Duration, displaces bool) {
 	for i, r := range l.ranks[min(rank, len(l.ranks)):] {
 		r.delay += d
-		if i > 0 || len(r.accounts) > 1 {
+		if displaces && (i > 0 || r.waiting > 1) {
 			r.pushed += d
 		}
 	}
@@ -360,6 +383,6 @@
 		a.queues.remove(e)
 		e.request.Priority = o.Priority
 		a.enqueue(now, e)
-		e.line.ranks[e.waiting.CurrentRank()].scheduleCheck(e, 0)
+		e.line.startChecks(e)
 	})
 }
