--- a/assign/pace.go
+++ b/assign/pace.go
@@ -20,9 +20,10 @@
 	// so that a deviation of momentaryPaceTime is never in the majority.
 	paceSamples        = 9
 	paceSampleInterval = 150 * time.Millisecond
-	// paceHalfLife is the time after which the slow component counts half, on a logarithmic scale, if there are no
-	// further figures. An upstream that was slow for long, and therefore gets no requests, is tried again.
+	// paceHalfLife is the time after which the slow component counts half, on a logarithmic scale, if there have been no
+	// further figures for paceKeptFor. An upstream that was slow for long, and therefore gets no requests, is tried again.
 	paceHalfLife = 30 * time.Second
+	paceKeptFor  = 10 * time.Second
 	// samePaceRatio is the ratio up to which a pace does not count as deviating from the slow component.
 	samePaceRatio = 1.2
 )
@@ -106,7 +107,11 @@
 	if p.slow == 0 {
 		return 1
 	}
-	return math.Pow(p.slow, math.Exp2(-float64(now.Sub(p.at))/float64(paceHalfLife)))
+	unused := now.Sub(p.at) - paceKeptFor
+	if unused <= 0 {
+		return p.slow
+	}
+	return math.Pow(p.slow, math.Exp2(-float64(unused)/float64(paceHalfLife)))
 }
 
 // current returns the pace that is expected now.
--- a/assign/workchoice.go
+++ b/assign/workchoice.go
@@ -14,9 +14,9 @@
 	maxWorkBacklog = 250 * time.Millisecond
 	// maxRequestTime bounds the expected time of a request to a plain service.
 	maxRequestTime = time.Minute
-	// freeSlotWeight is the weight of the work on a plain upstream that has a free slot as far as is known: other hosts
-	// may just have taken it. With 1, requests went to idle slow upstreams instead of fast ones with free slots.
-	freeSlotWeight = 0.2
+	// freeSlotWeight is the weight of the work on a plain upstream beside the wait of those that find no free slot: other
+	// hosts may just have taken a slot. With 1, requests went to idle slow upstreams instead of fast ones with free slots.
+	freeSlotWeight = 0.25
 	// fullBatchWait is the typical time until an engine whose batch other hosts have filled runs another request.
 	fullBatchWait = 200 * time.Millisecond
 	// minRemainingFraction is the fraction of its time that a request to a plain service is taken to need still, for
@@ -74,7 +74,7 @@
 	ahead := u.remainingPlainWork(now) + fractionOf(own, u.others.expected(now))
 	slots := float64(u.slotCount())
 	queued := max(float64(len(u.running))+u.others.expected(now)+1-slots, 0)
-	return u.timeFor(now, own+fractionOf(ahead, min(freeSlotWeight+queued/slots, 1)/slots))
+	return u.timeFor(now, own+fractionOf(own, queued/slots)+fractionOf(ahead, freeSlotWeight/slots))
 }
 
 // expectedRequestTimeOf returns the expected time of a request, which is estimated once.
@@ -103,7 +103,7 @@
 
 const (
 	// othersWeight is the weight of a new figure in the average.
-	othersWeight = 0.1
+	othersWeight = 0.2
 	// othersLoadAge is the age at which a figure counts as little as the average. Requests to plain services last some
 	// tens of milliseconds.
 	othersLoadAge = 150 * time.Millisecond
--- a/assign/workchoice_test.go
+++ b/assign/workchoice_test.go
@@ -122,16 +122,16 @@
 		}
 	}
 	state(1.7, 3*time.Second)
-	require.InDelta(t, 1.7, p.slowComponent(now), 0.03)
-	require.InDelta(t, 1.7, p.current(now), 0.03)
+	require.InDelta(t, 1.7, p.slowComponent(now), 1e-9)
+	require.InDelta(t, 1.7, p.current(now), 1e-9)
 	state(4.25, 500*time.Millisecond)
-	require.InDelta(t, 1.7, p.slowComponent(now), 0.03)
-	require.InDelta(t, 4.25, p.current(now), 0.03)
+	require.InDelta(t, 1.7, p.slowComponent(now), 1e-9)
+	require.InDelta(t, 4.25, p.current(now), 1e-9)
 	require.Equal(t, 425*time.Millisecond/10, p.timeFor(now, 10*time.Millisecond))
 	require.InDelta(t, float64(1700*time.Millisecond), float64(p.timeFor(now, time.Second)), float64(600*time.Millisecond))
-	require.InDelta(t, 1.7, p.current(now.Add(momentaryPaceTime)), 0.03, "without a further statement")
+	require.InDelta(t, 1.7, p.current(now.Add(momentaryPaceTime)), 1e-9, "without a further statement")
 	state(4.25, 3*time.Second)
-	require.InDelta(t, 4.25, p.slowComponent(now), 0.03, "another kind of machine")
+	require.InDelta(t, 4.25, p.slowComponent(now), 1e-9, "another kind of machine")
 }
 
 // Until a statement is old, work that outlasts the moment takes longer than at the slow component, and never longer than
