forward, gateway: idle connections to upstreams are bounded; slow callers are no fault of engines

Cause: a host could keep 16 idle connections for each of 1,900 upstreams, more than its descriptors. An engine that cuts off a stream which its caller does not read counted as lost for jasminelockd.

Changed: Pool.MaxIdle, a quarter of the descriptors less 200. The measure of slow callers moves to package callers, and package gateway uses it for streams.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -58,7 +58,7 @@
 	// timeToFirstToken is the time from the arrival to the start of the response body.
 	timeToFirstToken time.Duration
 	// writes tells whether the caller is slow to read its response.
-	writes writeTimes
+	writes callers.WriteTimes
 	// maxEventGap is the longest gap between two consecutive events.
 	maxEventGap time.Duration
 	// timeToGrant is the time from the arrival to the last assignment.
--- a/entry/response.go
+++ b/entry/response.go
@@ -78,7 +78,7 @@
 	if _, err := x.w.Write(body); err != nil {
 		return assign.CallerLeft
 	}
-	x.writes.record(writeStart, time.Now())
+	x.writes.Record(writeStart, time.Now())
 	x.timeToFirstToken = time.Since(x.arrived)
 	if !complete {
 		x.held.ReleaseAll(intake.Response)
@@ -98,7 +98,7 @@
 		if _, writeErr := x.w.Write(buf[:n]); writeErr != nil {
 			return assign.CallerLeft
 		}
-		x.writes.record(writeStart, time.Now())
+		x.writes.Record(writeStart, time.Now())
 		switch {
 		case errors.Is(err, io.EOF):
 			return assign.Completed
@@ -121,7 +121,7 @@
 	if x.ctx.Err() != nil {
 		return x.cancelledOutcome()
 	}
-	if x.writes.callerIsSlow(time.Now()) {
+	if x.writes.CallerIsSlow(time.Now()) {
 		x.recordFailure("response interrupted after the caller was slow to read", err)
 		return assign.CallerLeft
 	}
@@ -188,13 +188,13 @@
 			return assign.CallerLeft
 		}
 		if events.HasBufferedEvent() {
-			x.writes.record(writeStart, time.Now())
+			x.writes.Record(writeStart, time.Now())
 			continue
 		}
 		if err := x.controller.Flush(); err != nil {
 			return assign.CallerLeft
 		}
-		x.writes.record(writeStart, time.Now())
+		x.writes.Record(writeStart, time.Now())
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -75,6 +75,8 @@
 	IdleTimeout time.Duration
 	// MaxIdlePerUpstream is the maximum number of idle connections per upstream.
 	MaxIdlePerUpstream int
+	// MaxIdle is the maximum number of idle connections to all upstreams, 0 for no limit.
+	MaxIdle int
 	// RequestIDHeader is the name of the header that carries the request's id and is echoed by
 	// responses. A response with another id belongs to an earlier request and is
 	// skipped.
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -17,10 +17,12 @@
 	options Options
 	dialer  net.Dialer
 
-	// mu guards idle. It is never held during network I/O.
+	// mu guards the fields below. It is never held during network I/O.
 	mu sync.Mutex
-	// idle holds the idle connections by upstream, the last used one at the end.
+	// idle holds the idle connections by upstream, the last used one at the end. An upstream without any has no entry.
 	idle map[string][]*conn
+	// idleCount is the number of idle connections.
+	idleCount int
 }
 
 // TCP keep-alive probes close a connection whose peer no longer responds.
@@ -106,7 +108,7 @@
 			continue
 		}
 		conns = slices.Delete(conns, i, i+1)
-		p.idle[key] = conns
+		p.setIdle(key, conns)
 		if usable {
 			return c
 		}
@@ -115,19 +117,42 @@
 	return nil
 }
 
+// setIdle replaces the idle connections to an upstream.
+func (p *Pool) setIdle(key string, conns []*conn) {
+	p.idleCount += len(conns) - len(p.idle[key])
+	if len(conns) == 0 {
+		delete(p.idle, key)
+		return
+	}
+	p.idle[key] = conns
+}
+
+// closeAnyIdle closes the oldest idle connection to an upstream that is drawn at random, since looking for the oldest of all
+// would take longer with every upstream.
+func (p *Pool) closeAnyIdle() {
+	for key, conns := range p.idle {
+		conns[0].close()
+		p.setIdle(key, append(conns[:0:0], conns[1:]...))
+		return
+	}
+}
+
 // putIdle returns a connection to the pool. If the upstream has MaxIdlePerUpstream idle
-// connections, the oldest one is closed.
+// connections, the oldest one is closed; if all upstreams have MaxIdle, one of any upstream.
 func (p *Pool) putIdle(c *conn) {
 	now := time.Now()
 	c.idleSince, c.idleUntil = now, now.Add(c.idleTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.options.MaxIdle > 0 && p.idleCount >= p.options.MaxIdle {
+		p.closeAnyIdle()
+	}
 	conns := p.idle[c.key]
 	if len(conns) >= p.options.MaxIdlePerUpstream {
 		conns[0].close()
 		conns = append(conns[:0], conns[1:]...)
 	}
-	p.idle[c.key] = append(conns, c)
+	p.setIdle(c.key, append(conns, c))
 }
 
 // Sweep closes the idle connections that have expired, and all those whose key is not
@@ -145,11 +170,7 @@
 			}
 			c.close()
 		}
-		if len(kept) == 0 {
-			delete(p.idle, key)
-			continue
-		}
-		p.idle[key] = kept
+		p.setIdle(key, kept)
 	}
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -40,6 +40,8 @@
 	promptTokens int64
 	// headerWritten reports whether the response header has been written.
 	headerWritten bool
+	// writes tells whether the caller is slow to read a stream.
+	writes callers.WriteTimes
 	// isStream reports whether the caller requested an event stream.
 	isStream bool
 	// dispatchedAt is the start time of the current attempt.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/request"
@@ -112,6 +113,9 @@
 	if ctx.Err() != nil {
 		s.exchange.cancelUpstream(ctx)
 	}
+	if s.exchange.writes.CallerIsSlow(time.Now()) {
+		result.connectionLost = false // an upstream cuts off a stream that is not read; it is not down
+	}
 	if !s.exchange.headerWritten {
 		return result
 	}
@@ -134,10 +138,13 @@
 		x.w.WriteHeader(http.StatusOK)
 	}
 	x.extendWriteDeadline()
+	begun := time.Now()
 	if _, err := x.w.Write(event); err != nil {
 		return err
 	}
-	return x.controller.Flush()
+	err := x.controller.Flush()
+	x.writes.Record(begun, time.Now())
+	return err
 }
 
 // usageFields holds the fields of a response body or stream event that report its usage.
--- a/host/host.go
+++ b/host/host.go
@@ -112,6 +112,7 @@
 	tables := &countedTables{tables: platform.NewTables(s.Store), calls: h.metrics.storeCalls}
 	h.pool = forward.New(forward.Options{
 		DialTimeout: dialTimeout, TCPUserTimeout: tcpUserTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: maxIdlePerUpstream,
+		MaxIdle:         limits.IdleUpstreamConnections,
 		RequestIDHeader: platform.Codec{}.AttemptIDHeader(), MaxStaleResponses: maxStaleResponses,
 	})
 	h.watcher = watch.New(watch.Options{
--- a/entry/slowcaller.go
+++ b/intake/callers/writetimes.go
@@ -1,4 +1,4 @@
-package entry
+package callers
 
 import "time"
 
@@ -12,9 +12,9 @@
 	slowCallerBlame = 2 * time.Second
 )
 
-// writeTimes tells whether a caller is slow to read its response, from the durations of the writes to it. While a write lasts,
+// WriteTimes tells whether a caller is slow to read its response, from the durations of the writes to it. While a write lasts,
 // nothing is read from the upstream.
-type writeTimes struct {
+type WriteTimes struct {
 	// begun is the begin of the current window, writing the duration of the writes in it.
 	begun   time.Time
 	writing time.Duration
@@ -22,8 +22,8 @@
 	slowAt time.Time
 }
 
-// record adds a write.
-func (w *writeTimes) record(begun, ended time.Time) {
+// Record adds a write.
+func (w *WriteTimes) Record(begun, ended time.Time) {
 	if w.begun.IsZero() {
 		w.begun = begun
 	}
@@ -38,8 +38,8 @@
 	w.begun, w.writing = ended, 0
 }
 
-// callerIsSlow reports whether the caller was slow to read a short time ago, so that an upstream may have given up a response
+// CallerIsSlow reports whether the caller was slow to read a short time ago, so that an upstream may have given up a response
 // that was not read.
-func (w *writeTimes) callerIsSlow(now time.Time) bool {
+func (w *WriteTimes) CallerIsSlow(now time.Time) bool {
 	return !w.slowAt.IsZero() && now.Sub(w.slowAt) < slowCallerBlame
 }
--- a/entry/slowcaller_test.go
+++ b/intake/callers/writetimes_test.go
@@ -1,10 +1,12 @@
-package entry
+package callers_test
 
 import (
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/intake/callers"
 )
 
 // A stream whose caller reads as fast as events come must be blamed on the upstream if it breaks off, one whose caller blocks
@@ -22,14 +24,14 @@
 		"reads without pause": {0, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var w writeTimes
+			var w callers.WriteTimes
 			now := begin
 			for range 100 {
-				w.record(now, now.Add(tc.write))
+				w.Record(now, now.Add(tc.write))
 				now = now.Add(tc.write + tc.pause)
 			}
-			require.Equal(t, tc.slow, w.callerIsSlow(now))
-			require.False(t, w.callerIsSlow(now.Add(slowCallerBlame)))
+			require.Equal(t, tc.slow, w.CallerIsSlow(now))
+			require.False(t, w.CallerIsSlow(now.Add(5*time.Second)))
 		})
 	}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -56,6 +56,8 @@
 	Bytes int64
 	// Connections is the number of open connections.
 	Connections int
+	// IdleUpstreamConnections is the number of connections to upstreams that may be kept for reuse. Package forward enforces it.
+	IdleUpstreamConnections int
 	// PerConnection and PerKey are the memory that one connection and the requests with one key may hold.
 	PerConnection, PerKey int64
 }
@@ -86,10 +88,12 @@
 // NewLimits returns the limits for a process with the given memory in bytes and number of descriptors.
 func NewLimits(memory int64, descriptors int, s Shares) Limits {
 	half := s.Memory * float64(memory) / 2
-	byDescriptors := int(s.Descriptors * float64(descriptors-ReservedDescriptors))
+	free := float64(descriptors - ReservedDescriptors)
+	byDescriptors := int(s.Descriptors * free)
 	return Limits{
 		Bytes: int64(half), Connections: max(minConnections, min(int(half/ConnectionBytes), byDescriptors)),
-		PerConnection: int64(s.Connection * half), PerKey: int64(s.Key * half),
+		IdleUpstreamConnections: max(minConnections, int((1-s.Descriptors)/2*free)),
+		PerConnection:           int64(s.Connection * half), PerKey: int64(s.Key * half),
 	}
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/intake"
 )
 
 const validSettings = `{
@@ -65,3 +67,18 @@
 	require.True(t, errors.As(err, &problems))
 	require.Len(t, problems, 3)
 }
+
+// Shares that are missing must get defaults, also in settings that were not read from a file, or callers would get nothing; a
+// share that is none must be refused.
+func TestCallers_Shares(t *testing.T) {
+	require.Equal(t, intake.DefaultShares(), Callers{}.Shares())
+	require.Equal(t, 0.4, Callers{MemoryShare: 0.4}.Shares().Memory)
+	var entry Entry
+	entry.Callers = Callers{MemoryShare: 1.5, ConnectionShare: 0.5, KeyShare: -1, DescriptorShare: 0.5}
+	entry.Descriptors = -1
+	text := entry.Validate().Error()
+	for _, field := range []string{"callers.memory_share", "callers.key_share", "descriptors"} {
+		require.Contains(t, text, field)
+	}
+	require.NotContains(t, text, "callers.connection_share")
+}
