intake: callers that do not read must not keep all connections

Cause: net/http reads the rest of an unread body and writes the end of a response without a limit. 600 clients that sent requests in a pipeline and read nothing took all connections of jasminelockd, and no ordinary request was answered any more (found by the new kind of client in TestProcess_UncontrolledClients; 30 s without an answer). The listeners for the directory, readiness and operators could be held by bodies that stop.

Changed: the end of a response is written for 10 s at most. At the limit of connections, if all have a request under way, one whose caller has read nothing for 3 s is replaced. Handlers that read no body are wrapped.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -169,11 +169,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	handler := d.callerHandler()
-	callers := d.callerServer(handler)
-	operators := &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: gateway.DefaultReadTimeout}
+	callerServer := d.callerServer(handler)
+	operators := &http.Server{Handler: callers.Handler(d.operatorHandler()), ReadHeaderTimeout: gateway.DefaultReadTimeout}
 	d.operators.Attach(operators)
 	var group sync.WaitGroup
-	group.Go(func() { _ = callers.Serve(d.callerListener) })
+	group.Go(func() { _ = callerServer.Serve(d.callerListener) })
 	group.Go(func() { _ = operators.Serve(d.operatorListener) })
 	group.Go(func() { d.work.run(ctx, d.execute) })
 	if d.links != nil {
@@ -195,7 +195,7 @@
 	if d.isDraining() {
 		d.leave()
 	}
-	_ = callers.Close()
+	_ = callerServer.Close()
 	_ = operators.Close()
 	cancel()
 	group.Wait()
--- a/host/host.go
+++ b/host/host.go
@@ -216,14 +216,14 @@
 	callersServer := h.newServer(h.server, h.callers)
 	listeners := []listener{
 		{"listen.callers", h.settings.Listen.Callers, callersServer, h.callers},
-		{"listen.readiness", h.settings.Listen.Readiness, h.newServer(platform.ReadinessHandler(h.ready), h.operators), h.operators},
+		{"listen.readiness", h.settings.Listen.Readiness, h.newServer(callers.Handler(platform.ReadinessHandler(h.ready)), h.operators), h.operators},
 		{
 			"listen.directory", h.settings.Listen.Directory,
-			h.newServer(platform.DirectoryHandler(h.addressesForZone, directoryTTL(h.settings)), h.callers), h.callers,
+			h.newServer(callers.Handler(platform.DirectoryHandler(h.addressesForZone, directoryTTL(h.settings))), h.callers), h.callers,
 		},
 	}
 	if h.settings.Listen.Metrics != "" {
-		listeners = append(listeners, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(h.operatorHandler(), h.operators), h.operators})
+		listeners = append(listeners, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(callers.Handler(h.operatorHandler()), h.operators), h.operators})
 	}
 	failed := make(chan error, len(listeners))
 	var callersListener net.Listener
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -219,6 +219,26 @@
 	require.Equal(t, 5, a.Connections())
 }
 
+// Callers that do not read their responses must not keep all connections: a new one replaces one of theirs, but none that reads.
+func TestOpen_ReplacesSlowReader(t *testing.T) {
+	limits := testLimits()
+	limits.Connections = 3
+	a := newAccount(t, limits)
+	var conns []*intake.Conn
+	for range 3 {
+		c := a.open(0)
+		_, _ = a.Begin(at(0), c)
+		conns = append(conns, c)
+	}
+	conns[1].Writing(at(0))
+	conns[2].Writing(at(2_000))
+	_, admitted := a.Open(at(1_000), &intake.Conn{})
+	require.False(t, admitted)
+	victim, admitted := a.Open(at(4_000), &intake.Conn{})
+	require.True(t, admitted)
+	require.Equal(t, conns[1], victim)
+}
+
 // Whatever callers do, no more is held than the limit, the sums agree, a request that was given up is never sent, and
 // nothing is left once all connections have ended.
 func TestBudget_RandomClients(t *testing.T) {
--- a/intake/callers/pressure_test.go
+++ b/intake/callers/pressure_test.go
@@ -90,6 +90,20 @@
 	require.Eventually(t, func() bool { return gate.Budget().Connections() == 0 }, testTimeout, pollInterval)
 }
 
+// A handler that reads no body must not leave its connection to a caller that stops inside one.
+func TestHandler_UnreadBodyEnds(t *testing.T) {
+	gate := callers.NewGate(wide)
+	server := &http.Server{Handler: callers.Handler(http.NotFoundHandler())}
+	gate.Attach(server)
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(gate.Listen(raw)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	code, _ := status(dial(t, raw.Addr().String(), "x", 1000, 999))
+	require.Equal(t, http.StatusNotFound, code)
+	require.Eventually(t, func() bool { return gate.Budget().Connections() == 0 }, testTimeout, pollInterval)
+}
+
 // At the limit of connections a new one must be served, and the one that waits longest be closed.
 func TestGate_NewConnectionReplacesIdle(t *testing.T) {
 	limits := wide
--- a/intake/callers/request.go
+++ b/intake/callers/request.go
@@ -26,6 +26,7 @@
 		return nil, nil
 	}
 	request := &Request{conn: c, bodyLeft: r.ContentLength != 0}
+	_ = c.SetWriteDeadline(time.Time{}) // that of End; fails only on a closed connection
 	if !c.gate.granted(func(now time.Time) ([]*intake.Conn, intake.Verdict) { return c.gate.budget.Begin(now, &c.account) }) {
 		return request, ErrRefused
 	}
@@ -45,6 +46,25 @@
 		r.conn.gate.budget.ReleaseAll(&r.conn.account, k)
 	}
 	r.LimitDiscard()
+	_ = r.conn.SetWriteDeadline(time.Now().Add(maxFlushTime)) // fails only on a closed connection
+}
+
+// maxFlushTime is how long net/http may write the end of a response after the handler has ended. It has no limit of its own, so
+// that a caller which does not read would keep the connection.
+const maxFlushTime = 10 * time.Second
+
+// Handler returns a handler that counts the requests to another one that does not do it itself.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request, err := Begin(r)
+		defer request.End()
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // LimitDiscard limits how long net/http reads the rest of a body that was not read to its end. It is called before the response
--- a/intake/clients_test.go
+++ b/intake/clients_test.go
@@ -42,6 +42,8 @@
 		{"idle connections", 600, memoryMB, 400, func(net.Conn, string, string) error { return nil }},
 		{"large responses unread", clients, memoryMB, descriptors, sendForLarge},
 		{"streams unread", clients, memoryMB, descriptors, sendForStream},
+		{"pipelined requests unread", 600, memoryMB, 400, sendPipelined},
+		{"bodies that are not read, one byte short", 600, memoryMB, 400, sendUnwantedBody},
 	}
 }
 
@@ -139,6 +141,24 @@
 	return err
 }
 
+// sendPipelined sends many requests without reading the responses. The path does not exist, so that each is refused at once.
+func sendPipelined(c net.Conn, _, header string) error {
+	requests := strings.Repeat(requestLine("GET", "/none", header)+headEnd[2:], 50)
+	for range 200 {
+		_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)) // the host stops reading
+		if _, err := io.WriteString(c, requests); err != nil {
+			break
+		}
+	}
+	return c.SetWriteDeadline(time.Time{})
+}
+
+// sendUnwantedBody sends a request that is refused before its body is read, and most of the body.
+func sendUnwantedBody(c net.Conn, _, header string) error {
+	_, err := fmt.Fprintf(c, "%sContent-Length: 1000%s%s", requestLine("POST", "/none", header), headEnd, strings.Repeat("b", 999))
+	return err
+}
+
 // reconnectDelay is the time after which a client whose connection was closed opens another one.
 const reconnectDelay = 100 * time.Millisecond
 
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -65,8 +65,9 @@
 // is opened. Connections that have waited for longer are closed before those that have carried a request.
 const arrivalTime = time.Second
 
-// longestWaiting returns the connection to close in favour of a new one, nil if all have a request under way: a head that
-// does not end, then a connection that was never used, then the one that has been idle for longest.
+// longestWaiting returns the connection to close in favour of a new one: a head that does not end, then a connection that was
+// never used, then the one that has been idle for longest. If all have a request under way, it returns one whose caller does not
+// read its response, or nil.
 func (b *Budget) longestWaiting(now time.Time) *Conn {
 	for _, s := range []state{readingHead, unused} {
 		if c := b.waiting[s].first; c != nil && now.Sub(c.since) >= arrivalTime {
@@ -78,6 +79,11 @@
 			return c
 		}
 	}
+	for c := range b.conns { // those with a request under way hold memory
+		if !c.evicted.Load() && c.slowReader(now) {
+			return c
+		}
+	}
 	return nil
 }
 
--- a/intake/memory.go
+++ b/intake/memory.go
@@ -262,11 +262,16 @@
 		silent := now.UnixNano()-c.receivedAt.Load() >= int64(minObservation)
 		return silent || c.body.observe(now, c.received.Load())*paceTime.Seconds() < float64(c.total), true
 	}
-	since := c.writingSince.Load()
-	slow := c.state == underWay && since != 0 && now.UnixNano()-since >= int64(slowReaderTime)
+	slow := c.slowReader(now)
 	return slow, slow
 }
 
+// slowReader reports whether the caller does not read its response.
+func (c *Conn) slowReader(now time.Time) bool {
+	since := c.writingSince.Load()
+	return c.state == underWay && since != 0 && now.UnixNano()-since >= int64(slowReaderTime)
+}
+
 // observe returns the bytes of a body that arrive in a second.
 func (p *progress) observe(now time.Time, received int64) float64 {
 	if elapsed := now.Sub(p.markedAt); elapsed >= minObservation {
