--- a/host/host.go
+++ b/host/host.go
@@ -22,7 +22,6 @@
 	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/entry"
 	"github.com/jasminelock/jasminelock/forward"
-	"github.com/jasminelock/jasminelock/intake"
 	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/leader"
 	"github.com/jasminelock/jasminelock/logsink"
@@ -109,13 +108,14 @@
 	if err != nil {
 		return nil, err
 	}
-	h.callers, h.operators = callers.NewGate(limits), callers.NewGate(operatorLimits)
+	h.callers, h.operators = callers.NewGate(limits), callers.NewOperatorGate()
 	if h.metrics, err = newHostMetrics(h); err != nil {
 		return nil, err
 	}
 	tables := &countedTables{tables: platform.NewTables(s.Store), calls: h.metrics.storeCalls}
 	h.pool = forward.New(forward.Options{
 		DialTimeout: dialTimeout, TCPUserTimeout: tcpUserTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: maxIdlePerUpstream,
+		MaxIdle:         limits.IdleUpstreamConnections,
 		RequestIDHeader: platform.Codec{}.AttemptIDHeader(), MaxStaleResponses: maxStaleResponses,
 	})
 	h.watcher = watch.New(watch.Options{
@@ -156,10 +156,6 @@
 	return assign.ByArrival
 }
 
-// operatorLimits are the limits of operators' connections and of those of the platform's checks, so that callers which find
-// these listeners take no memory there.
-var operatorLimits = intake.Limits{Bytes: 4 << 20, Connections: 64, PerConnection: 1 << 20, PerKey: 4 << 20}
-
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Run serves until the context ends, until the shutdown started by Drain is complete,
@@ -223,14 +219,14 @@
 	callersServer := h.newServer(h.server, h.callers)
 	listeners := []listener{
 		{"listen.callers", h.settings.Listen.Callers, callersServer, h.callers},
-		{"listen.readiness", h.settings.Listen.Readiness, h.newServer(platform.ReadinessHandler(h.ready), h.operators), h.operators},
+		{"listen.readiness", h.settings.Listen.Readiness, h.newServer(callers.Handler(platform.ReadinessHandler(h.ready)), h.operators), h.operators},
 		{
 			"listen.directory", h.settings.Listen.Directory,
-			h.newServer(platform.DirectoryHandler(h.addressesForZone, directoryTTL(h.settings)), h.callers), h.callers,
+			h.newServer(callers.Handler(platform.DirectoryHandler(h.addressesForZone, directoryTTL(h.settings))), h.callers), h.callers,
 		},
 	}
 	if h.settings.Listen.Metrics != "" {
-		listeners = append(listeners, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(h.operatorHandler(), h.operators), h.operators})
+		listeners = append(listeners, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(callers.Handler(h.operatorHandler()), h.operators), h.operators})
 	}
 	failed := make(chan error, len(listeners))
 	var callersListener net.Listener
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -219,6 +219,26 @@
 	require.Equal(t, 5, a.Connections())
 }
 
+// Callers that do not read their responses must not keep all connections: a new one replaces one of theirs, but none that reads.
+func TestOpen_ReplacesSlowReader(t *testing.T) {
+	limits := testLimits()
+	limits.Connections = 3
+	a := newAccount(t, limits)
+	var conns []*intake.Conn
+	for range 3 {
+		c := a.open(0)
+		_, _ = a.Begin(at(0), c)
+		conns = append(conns, c)
+	}
+	conns[1].Writing(at(0))
+	conns[2].Writing(at(2_000))
+	_, admitted := a.Open(at(1_000), &intake.Conn{})
+	require.False(t, admitted)
+	victim, admitted := a.Open(at(4_000), &intake.Conn{})
+	require.True(t, admitted)
+	require.Equal(t, conns[1], victim)
+}
+
 // Whatever callers do, no more is held than the limit, the sums agree, a request that was given up is never sent, and
 // nothing is left once all connections have ended.
 func TestBudget_RandomClients(t *testing.T) {
@@ -285,3 +305,46 @@
 		require.Zero(t, a.Connections())
 	}
 }
+
+// BenchmarkBudget_Request measures what the account of one request with a body of 14 KB costs, beside 250 open connections.
+func BenchmarkBudget_Request(b *testing.B) {
+	budget := intake.New(intake.NewLimits(144*mb, 3075, intake.DefaultShares()))
+	var conns []*intake.Conn
+	for range 250 {
+		c := &intake.Conn{}
+		budget.Open(start, c)
+		conns = append(conns, c)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		c := conns[i%len(conns)]
+		budget.HeadArrived(start, c, intake.HeadBytes(600, 15))
+		budget.Begin(start, c)
+		budget.SetKey(c, "key")
+		budget.ReadBody(start, c, 14_000, 4*mb)
+		budget.Reserve(start, c, intake.Body, 14_000)
+		c.Received(start, 14_000)
+		budget.BodyRead(c)
+		for _, k := range intake.Kinds() {
+			budget.ReleaseAll(c, k)
+		}
+		budget.End(start, c)
+	}
+}
+
+// BenchmarkBudget_Short measures a refused reservation while memory is short and held by as many requests as fit.
+func BenchmarkBudget_Short(b *testing.B) {
+	limits := intake.NewLimits(144*mb, 3075, intake.DefaultShares())
+	budget := intake.New(limits)
+	for budget.Held(intake.Request) < limits.Bytes-2*intake.RequestBytes {
+		c := &intake.Conn{}
+		budget.Open(start, c)
+		budget.Begin(start, c)
+	}
+	c := &intake.Conn{}
+	budget.Open(start, c)
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.Reserve(start, c, intake.Body, mb)
+	}
+}
