configcheck, platform, cmd: jasminelock check FILE

Cause: a mistake in a configuration showed only after it had been sent: hosts refuse a configuration with an unknown kind as a whole, and say nothing of a route that another one shadows, of a split of weight 0, or of a time-out that a stop cuts.

--- a/cmd/jasminelock/main.go
+++ b/cmd/jasminelock/main.go
@@ -45,7 +45,7 @@
 	root.PersistentFlags().StringVar(&o.platform, "platform", os.Getenv("JASMINELOCK_PLATFORM"), "base address of the platform's services")
 	root.PersistentFlags().StringVar(&o.output, "output", formatTable, "output format, json or table")
 	root.PersistentFlags().StringVar(&o.operator, "operator", os.Getenv("USER"), "name to record with a change")
-	root.AddCommand(applyCommand(o), getCommand(o), historyCommand(o), keyCommand(o), explainCommand(o), traceCommand(), statusCommand(o), demoCommand(), benchCommand())
+	root.AddCommand(applyCommand(o), checkCommand(o), getCommand(o), historyCommand(o), keyCommand(o), explainCommand(o), traceCommand(), statusCommand(o), demoCommand(), benchCommand())
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
