forward, statusline: a response of HTTP/1.0 with Transfer-Encoding is invalid

Cause: HTTP/1.0 has no Transfer-Encoding, and http.ReadResponse ignores the field there. A caller received the chunk sizes of such a response as a part of its body, with status 200.

Change: such a response ends the attempt, as RFC 9112, 6.1 has it for faulty framing. forward records the head of a response of HTTP/1.0 while http.ReadResponse reads it; statusline's connections check the fields. Responses of HTTP/1.1 are not recorded.

Measurement: without the check, "HTTP/1.0 200 OK, Transfer-Encoding: chunked" is taken as a response with status 200, on one buffer and on several; with it, TestDo_InvalidStatusLine and TestTransport_EncodingOfHTTP10 pass.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -153,10 +153,17 @@
 	c.limited.setLimit(maxHeaderBytes)
 	defer c.limited.removeLimit()
 	for {
-		if err := c.checkStatusLine(); err != nil {
+		line, err := c.checkStatusLine()
+		if err != nil {
 			return nil, err
 		}
+		if line.IsHTTP10() {
+			c.recordHead()
+		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err == nil && line.IsHTTP10() {
+			err = statusline.CheckFieldsHTTP10(c.limited.stopRecording())
+		}
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
@@ -171,23 +178,29 @@
 
 // checkStatusLine checks the beginning of the next status line without reading it. Each byte is
 // checked as it arrives, since an upstream in trouble may send no more.
-func (c *conn) checkStatusLine() error {
-	var line statusline.Line
+func (c *conn) checkStatusLine() (*statusline.Line, error) {
+	line := &statusline.Line{}
 	for n := 1; ; n++ {
 		b, err := c.reader.Peek(n)
 		if err != nil {
-			return connectionError(err)
+			return nil, connectionError(err)
 		}
 		complete, err := line.Add(b[n-1])
 		if err != nil {
-			return fmt.Errorf("%w: %w", ErrMalformed, err)
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
 		if complete {
-			return nil
+			return line, nil
 		}
 	}
 }
 
+// recordHead has the bytes recorded that http.ReadResponse reads next.
+func (c *conn) recordHead() {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // peeking at what is buffered cannot fail
+	c.limited.record(buffered)
+}
+
 // reusable reports whether nothing is left to read or write after a response, so that
 // the connection can be reused.
 func (c *conn) reusable() bool {
@@ -229,6 +242,21 @@
 	in        io.Reader
 	hasLimit  bool
 	remaining int
+	// recorded holds what was read since record was called, and recording is set. The limit must be set meanwhile.
+	recorded  []byte
+	recording bool
+}
+
+// record has what is read recorded after the given bytes.
+func (l *limitedReader) record(before []byte) {
+	l.recorded, l.recording = append([]byte(nil), before...), true
+}
+
+// stopRecording returns what was recorded.
+func (l *limitedReader) stopRecording() []byte {
+	recorded := l.recorded
+	l.recorded, l.recording = nil, false
+	return recorded
 }
 
 // setLimit limits the reader to n more bytes.
@@ -247,5 +275,8 @@
 	}
 	n, err := l.in.Read(b[:min(len(b), l.remaining)])
 	l.remaining -= n
+	if l.recording {
+		l.recorded = append(l.recorded, b[:n]...)
+	}
 	return n, err
 }
--- a/forward/status_test.go
+++ b/forward/status_test.go
@@ -85,12 +85,14 @@
 	}
 }
 
-// Guards against a status line that is no line of HTTP/1.1, and against interim responses of HTTP/1.0, which has none.
+// Guards against a status line that is no line of HTTP/1.1, and against interim responses and encodings of HTTP/1.0, which has
+// none: the caller would receive the framing of chunks.
 func TestDo_InvalidStatusLine(t *testing.T) {
 	const head = idHeader + ": 2\r\nContent-Length: 2\r\n\r\nok"
 	for _, line := range []string{
 		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "http/1.1 200 OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/11 200 OK", " HTTP/1.1 200 OK",
 		"HTTP/1.x 200 OK", "HTTP/1.10 200 OK", "\r\nHTTP/1.1 200 OK", "ICY 200 OK", "garbage", "HTTP/1.0 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", "HTTP/1.0 200 OK\r\nX-Long: " + strings.Repeat("x", 3*readBufferBytes) + "\r\ntransfer-encoding: chunked",
 	} {
 		requireRejected(t, replica.OddResponse{Name: line, Bytes: line + "\r\n" + head}, false)
 	}
--- a/statusline/conn.go
+++ b/statusline/conn.go
@@ -54,8 +54,8 @@
 	unchecked phase = iota
 	// inLine is the phase of the status line.
 	inLine
-	// inFields is the phase of the fields of an interim response or one with status 204, until their
-	// blank line.
+	// inFields is the phase of the fields of an interim response, of one with status 204 or of one of
+	// HTTP/1.0, until their blank line.
 	inFields
 )
 
@@ -64,7 +64,7 @@
 const maxFieldBytes = 64
 
 // head checks the status lines of the interim responses and of the final one, and the fields of
-// those that must not state a body.
+// those that must not state a body or its encoding.
 type head struct {
 	phase phase
 	line  Line
@@ -103,7 +103,7 @@
 	case err != nil:
 		return err
 	case !complete:
-	case !isBodyless(h.line.Status()):
+	case !isBodyless(h.line.Status()) && !h.line.IsHTTP10():
 		h.phase = unchecked
 	default:
 		h.phase, h.field, h.length = inFields, h.field[:0], false
@@ -135,8 +135,12 @@
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	continued := h.length && (line[0] == ' ' || line[0] == '\t')
 	h.length = strings.EqualFold(string(name), "content-length")
-	if continued || strings.EqualFold(string(name), "transfer-encoding") || h.length && string(bytes.Trim(value, " \t")) != "0" {
+	encoded, stated := isTransferEncoding(name), continued || h.length && string(bytes.Trim(value, " \t")) != "0"
+	switch {
+	case isBodyless(h.line.Status()) && (encoded || stated):
 		return errFraming(h.line.Status())
+	case h.line.IsHTTP10() && encoded:
+		return errHTTP10
 	}
 	return nil
 }
--- a/statusline/fuzz_test.go
+++ b/statusline/fuzz_test.go
@@ -46,6 +46,12 @@
 				break
 			}
 		}
+		if l.IsHTTP10() {
+			head, _ := r.Peek(r.Buffered()) // the buffer holds all that there is
+			if err := CheckFieldsHTTP10(head); err != nil {
+				return nil, err
+			}
+		}
 		resp, err := http.ReadResponse(r, nil) //nolint:bodyclose // there is no connection
 		if err != nil {
 			return nil, err
@@ -67,6 +73,7 @@
 		"", "HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 104 X\r\n\r\n", "HTTP/1.1 101 X\r\n\r\n", "HTTP/1.1 +20 X\r\n\r\n", "HTTP/1.1 103 X\r\nLink: x\r\n\r\n",
 		"HTTP/1.1 103\n\n", "HTTP/1.1 102 X\r\nContent-Length: 45\r\n\r\n", "HTTP/1.1 100\r\nTransfer-Encoding: chunked\r\n\r\n2d\r\n", "HTTP/1.1 103 X\r\nA: b\r\n\tContent-Length: 45\r\n\r\n",
 		"HTTP/1.1 103 X\r\nA: b\r\n \r\n\r\n", "HTTP/1.1 103 X\r\n\r\r\n\r\n", "HTTP/1.1 103 X\r\nContent-Length : 45\r\n\r\n", "HTTP/1.0 103 X\r\n\r\n",
+		"HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.0 204 X\r\nTransfer-Encoding: x\r\n\r\n", "HTTP/1.0 200 X\r\nA: b\r\n Transfer-Encoding: x\r\n\r\n",
 		"HTTP/1.1 204 X\r\nContent-Length: 45\r\n\r\n", "HTTP/1.1 204 X\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 204 X\r\nContent-Length: 0\r\n 5\r\n\r\n",
 	} {
 		f.Add([]byte(begin+forged), uint8(0))
@@ -75,8 +82,8 @@
 	f.Fuzz(func(t *testing.T, raw []byte, size uint8) {
 		checked := &conn{Conn: piecesConn{in: bytes.NewReader(raw), size: int(size) + 1}}
 		checked.expectResponse()
-		got, err := readAsTransport(bufio.NewReader(checked))                //nolint:bodyclose // there is no connection
-		want, wantErr := readStrictly(bufio.NewReader(bytes.NewReader(raw))) //nolint:bodyclose // there is no connection
+		got, err := readAsTransport(bufio.NewReader(checked))                                 //nolint:bodyclose // there is no connection
+		want, wantErr := readStrictly(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)+16)) //nolint:bodyclose // there is no connection
 		if err != nil {
 			require.Error(t, wantErr, "%q", raw)
 			return
--- a/statusline/statusline.go
+++ b/statusline/statusline.go
@@ -7,9 +7,11 @@
 package statusline
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // ErrInvalid reports a response that HTTP/1.1 does not allow.
@@ -90,6 +92,31 @@
 // Status returns the status once it is complete.
 func (l *Line) Status() int { return l.status }
 
+// IsHTTP10 reports whether the response is one of HTTP/1.0, once the status is complete.
+func (l *Line) IsHTTP10() bool { return l.minor == '0' }
+
+// CheckFieldsHTTP10 returns an error if the head of a response of HTTP/1.0, which begins with its
+// status line and may be followed by other bytes, has a Transfer-Encoding. That version has none:
+// http.ReadResponse ignores the field and reads the framing as a part of the body.
+func CheckFieldsHTTP10(head []byte) error {
+	for line := range bytes.SplitSeq(head, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			break
+		}
+		if name, _, _ := bytes.Cut(line, []byte(":")); isTransferEncoding(name) {
+			return errHTTP10
+		}
+	}
+	return nil
+}
+
+var errHTTP10 = fmt.Errorf("%w: a response of HTTP/1.0 has a Transfer-Encoding", ErrInvalid)
+
+func isTransferEncoding(name []byte) bool {
+	return strings.EqualFold(string(name), "transfer-encoding")
+}
+
 // CheckFraming returns an error if a response that cannot have a body because of its status, an
 // interim one or 204, states one. Its bytes would be read as the next response.
 func CheckFraming(resp *http.Response) error {
--- a/statusline/transport_test.go
+++ b/statusline/transport_test.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// Guards against the framing of chunks being read as a part of the body: HTTP/1.0 has no Transfer-Encoding.
+func TestTransport_EncodingOfHTTP10(t *testing.T) {
+	odd := replica.OddResponse{Bytes: "HTTP/1.0 200 OK\r\nLink: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Ends: true}
+	require.NoError(t, checkRejected(t, statusline.NewTransport(&http.Transport{}), odd, false))
+	require.Error(t, checkRejected(t, &http.Transport{}, odd, false), "the check finds the fault of the transport of net/http")
+}
+
 // The check above finds the faults of the transport of net/http.
 func TestTransportCheck_FindsUncheckedResponses(t *testing.T) {
 	odd := func(status, framing string) replica.OddResponse {
