--- a/assign/rankedshares_test.go
+++ b/assign/rankedshares_test.go
@@ -35,7 +35,7 @@
 	require.NotEmpty(t, w.refused)
 	for _, r := range w.refused {
 		require.Equal(t, Turn, r.Rule)
-		require.Regexp(t, `^rank 1, turn in \d+ ms, \d+ requests with \d+ ms of work ahead$`, r.Detail)
+		require.Regexp(t, `^rank 3, turn in \d+ ms, \d+ requests with \d+ ms of work ahead$`, r.Detail)
 	}
 	waited := 0
 	for _, g := range w.granted {
