assign: adapters in use make way for urgent requests after 250 ms, few of them at once

Since an adapter in use made way only after half of the useful time of the urgent request, because many urgent requests that each evicted one at once served callers worse. TestRanked_UrgentRequestGetsSlot failed with that. They make way after 250 ms now, one on each engine at once and a twentieth of the service's slots on all; the slot whose requests are expected to end first is taken.

TestRanked_UrgentRequestGetsSlot passes.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -119,6 +119,8 @@
 	line *line
 	// streamingRoutes holds the routes of the service whose last answer was a stream.
 	streamingRoutes map[string]bool
+	// evictingUsed is the number of adapters in use that are making way for more urgent requests.
+	evictingUsed int
 }
 
 // ranked reports whether the waiting requests of a service are ordered by rank and shared fairly.
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -85,7 +85,7 @@
 	}
 	if best.needsLoad {
 		if best.evicts != nil {
-			best.evicts.state = slotEvicting
+			best.upstream.evictUsed(best.evicts)
 		}
 		a.claimSlot(e, a.startLoad(now, best.upstream, e.request.Adapter))
 		return best, false
@@ -289,10 +289,12 @@
 	if a.hasRoom(u) {
 		return true
 	}
-	if o.evicts = a.lessUrgentSlot(now, u, e); o.evicts == nil {
+	victim, end := a.lessUrgentSlot(now, u, e)
+	if victim == nil {
 		return false
 	}
-	o.cost += evictUsedCost
+	o.evicts = victim
+	o.cost += end
 	return true
 }
 
--- a/assign/rankedfaults_test.go
+++ b/assign/rankedfaults_test.go
@@ -235,3 +235,51 @@
 	w.run(5 * time.Second)
 	require.Contains(t, w.granted, id)
 }
+
+// Routine requests use all slots of many engines when urgent requests for as many other adapters arrive. Guards against
+// adapters that are all evicted at once, so that their slots serve nobody.
+func TestRanked_FewAdaptersInUseMakeWay(t *testing.T) {
+	const engines, slots = 20, 3
+	var adapters []string
+	for i := range slots {
+		adapters = append(adapters, "r"+strconv.Itoa(i))
+	}
+	w := newRankedSimulation(t, 1, engines, adapters...)
+	n := uint64(0)
+	send := func(count int) {
+		for range count {
+			n++
+			w.submit(n, adapters[n%slots], func(r *Request) {
+				r.Priority, r.Target, r.Deadline = 2, w.now.Add(10*time.Second), w.now.Add(30*time.Second)
+			})
+		}
+	}
+	send(20 * engines)
+	w.run(500 * time.Millisecond)
+	for i := range 100 {
+		w.submit(uint64(10_000+i), "u"+strconv.Itoa(i), func(r *Request) {
+			r.Priority, r.Target, r.Deadline = 0, w.now.Add(time.Second), w.now.Add(5*time.Second)
+		})
+	}
+	most := 0
+	for range 400 {
+		w.run(10 * time.Millisecond)
+		send(2)
+		inUse := 0
+		for _, e := range w.engines {
+			require.LessOrEqual(t, len(e.evicting), 1, e.id)
+			inUse += len(e.evicting)
+		}
+		most = max(most, inUse)
+	}
+	served := 0
+	for id := range w.granted {
+		if id.Number >= 10_000 {
+			served++
+		}
+	}
+	t.Logf("%d of 100 urgent requests served, at most %d adapters in use evicted at once", served, most)
+	require.LessOrEqual(t, most, engines*slots/20)
+	require.Positive(t, most)
+	require.Positive(t, served)
+}
--- a/assign/rankedproperty_test.go
+++ b/assign/rankedproperty_test.go
@@ -229,6 +229,17 @@
 	if s.line == nil {
 		return
 	}
+	evicting := 0
+	for _, u := range s.upstreams {
+		for _, held := range u.slots {
+			if held.evictsUsed {
+				evicting++
+			}
+		}
+	}
+	if evicting != s.evictingUsed {
+		r.violate("%d adapters in use accounted as making way, %d do", s.evictingUsed, evicting)
+	}
 	waiting := 0
 	work, count := make([]time.Duration, len(s.line.ranks)), make([]int, len(s.line.ranks))
 	for _, e := range a.requests {
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -42,6 +42,8 @@
 	evictAccepted bool
 	// evictAcceptedAt is the time at which the engine first accepted that order.
 	evictAcceptedAt time.Time
+	// evictsUsed is true while the adapter, which was in use, makes way for a more urgent request.
+	evictsUsed bool
 }
 
 // Assumptions about loads. The times are those that users' deployments state for an adapter. They rank the ways to
@@ -95,6 +97,7 @@
 		delete(u.slots, s.ref.Adapter)
 		u.adapterIndex.remove(s)
 		u.coldLoads.discard(s)
+		u.evictedUsed(s)
 	}
 	if s.state == slotEvicting || s.state == slotResident {
 		u.markWarm(now, s.ref.Adapter)
@@ -158,42 +161,84 @@
 	return least
 }
 
-// evictUsedAfter is the fraction of its useful time that a request waits before an adapter in use makes way for it.
-// Usually a slot becomes free sooner, and an adapter that is being evicted serves nobody.
-const evictUsedAfter = 0.5
-
-// evictUsedCost is the cost of evicting an adapter that less urgent requests use, about the time until these have ended.
-const evictUsedCost = 500 * time.Millisecond
+const (
+	// evictUsedAfter is the time that a request waits before an adapter in use makes way for it. Usually a slot becomes
+	// free sooner.
+	evictUsedAfter = 250 * time.Millisecond
+	// maxEvictingUsed is the fraction of a service's slots that may be making way for urgent requests at once, one slot at
+	// least. An adapter that is being evicted serves nobody: with 250 urgent requests without a slot and no bound, callers
+	// of 60 engines with 5 slots each were served much worse.
+	maxEvictingUsed = 0.05
+)
 
 // lessUrgentSlot returns an adapter on an engine without room that makes way for a queued request of a ranked service,
-// since all requests that use it or wait for it are of less urgent ranks; of several, the one with the fewest of them
-// on the engine. It returns nil if there is none.
-func (a *Assigner) lessUrgentSlot(now time.Time, u *upstream, e *requestState) *slot {
-	if e.waiting == nil || a.evictionsHeld || u.pendingLoads() >= maxPendingLoads ||
-		now.Sub(e.submittedAt) < fractionOf(e.lastUseful.Sub(e.submittedAt), evictUsedAfter) {
-		return nil
+// since all requests that use it or wait for it are of less urgent ranks; of several, the one whose requests are expected
+// to end first, and the time until then. It returns nil if there is none.
+func (a *Assigner) lessUrgentSlot(now time.Time, u *upstream, e *requestState) (*slot, time.Duration) {
+	if e.waiting == nil || a.evictionsHeld || now.Sub(e.submittedAt) < evictUsedAfter || !u.mayEvictUsed() ||
+		u.pendingLoads() >= maxPendingLoads {
+		return nil, 0
 	}
 	rank := e.waiting.CurrentRank()
-	used := map[*slot]int{}
-	for _, other := range u.running {
-		if other.slot == nil {
+	ends, urgent := a.slotEnds(now, u, rank)
+	var first *slot
+	for _, s := range u.slots {
+		if s.state != slotResident || urgent[s] || !a.keptByLessUrgent(u, s, rank) {
 			continue
 		}
-		used[other.slot]++
-		if other.request.Rank() <= rank {
-			used[other.slot] += u.engine.BatchSize
+		if first == nil || ends[s] < ends[first] || (ends[s] == ends[first] && s.ref.Adapter < first.ref.Adapter) {
+			first = s
 		}
 	}
-	var least *slot
-	for _, s := range u.slots {
-		if s.state != slotResident || used[s] >= u.engine.BatchSize || !a.keptByLessUrgent(u, s, rank) {
-			continue
+	return first, ends[first]
+}
+
+// slotEnds returns the expected time until the requests that run on each slot of an engine end, and the slots that
+// requests of the given rank or more urgent ones use.
+func (a *Assigner) slotEnds(now time.Time, u *upstream, rank int) (ends map[*slot]time.Duration, urgent map[*slot]bool) {
+	ends, urgent = map[*slot]time.Duration{}, map[*slot]bool{}
+	for _, e := range u.running {
+		if e.slot != nil {
+			ends[e.slot] = max(ends[e.slot], a.expectedEnd(now, u, e))
+			urgent[e.slot] = urgent[e.slot] || e.request.Rank() <= rank
 		}
-		if least == nil || used[s] < used[least] || (used[s] == used[least] && s.ref.Adapter < least.ref.Adapter) {
-			least = s
+	}
+	return ends, urgent
+}
+
+// mayEvictUsed reports whether another adapter in use may make way on an engine: one on each at once, and
+// maxEvictingUsed of the slots of the service.
+func (u *upstream) mayEvictUsed() bool {
+	limit := max(int(maxEvictingUsed*float64(u.engine.AdapterSlots*len(u.service.upstreams))), 1)
+	if u.service.evictingUsed >= limit {
+		return false
+	}
+	for _, s := range u.slots {
+		if s.evictsUsed {
+			return false
 		}
 	}
-	return least
+	return true
+}
+
+// evictUsed has an adapter in use make way for a more urgent request.
+func (u *upstream) evictUsed(s *slot) {
+	s.state, s.evictsUsed = slotEvicting, true
+	u.service.evictingUsed++
+}
+
+// evictedUsed records that a slot no longer makes way: it has become free, or its engine is gone.
+func (u *upstream) evictedUsed(s *slot) {
+	if s.evictsUsed {
+		s.evictsUsed = false
+		u.service.evictingUsed--
+	}
+}
+
+// expectedEnd returns the expected time until a request that runs on an engine ends.
+func (a *Assigner) expectedEnd(now time.Time, u *upstream, e *requestState) time.Duration {
+	total := u.timeFor(now, u.prefillWork(e.prefillAhead+e.prefillTokens)) + time.Duration(a.expectedTokensOf(e))*u.tokenTime(now)
+	return max(total-now.Sub(e.grantedAt), fractionOf(total, minRemainingFraction))
 }
 
 // keptByLessUrgent reports whether waiting requests of less urgent ranks than the given one would keep an adapter in its
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -211,6 +211,7 @@
 	a.adapterIndex.removeUpstream(u)
 	for _, held := range u.slots {
 		a.coldLoads.discard(held)
+		u.evictedUsed(held)
 	}
 	a.queues.each(func(e *requestState) {
 		if e.slot != nil && e.slot.upstream == u {
