assign: engines that are busy with a former leader's requests are no measurement of the rate of work

Both cases are the first 200 ms after a change of leader: the new Assigner finds the engine full with adopted requests, assigns nothing, and counts that time as measured, so that the rate falls from 1 to 0.56 (0.51 with seed 4) and an urgent request is refused. While nothing has been assigned yet, the theoretical rate counts for as long as an engine can be busy with what it was assigned in advance (maxBacklog).

--- a/assign/rankedfaults_test.go
+++ b/assign/rankedfaults_test.go
@@ -283,3 +283,27 @@
 	require.Positive(t, most)
 	require.Positive(t, served)
 }
+
+// A new leader takes over an engine that is busy with what the former leader has assigned. Guards against a rate of work
+// measured while the engine cannot begin anything, for which requests were refused although there was capacity.
+func TestRanked_NewLeaderMeasuresNoBusyEngine(t *testing.T) {
+	w := newRankedSimulation(t, 1, 1, "a")
+	request := func(n uint64, timeout time.Duration) Request {
+		return Request{
+			ID: RequestID{"h", n}, Service: "s", Organisation: "free", Adapter: catalog.AdapterRef{Model: simModel, Adapter: "a"},
+			PromptTokens: 2000, OutputTokens: 100, Arrived: w.now, Target: w.now.Add(timeout / 4), Deadline: w.now.Add(timeout),
+		}
+	}
+	for n := range uint64(6) {
+		w.handle(RequestAdopted{Request: request(n+1, 5*time.Second), Upstream: "e0"})
+	}
+	for n := range uint64(30) {
+		waiting := request(100+n, 5*time.Second)
+		waiting.Admitted = true
+		w.handle(RequestSubmitted{waiting})
+	}
+	require.Equal(t, 30, w.assigner.Waiting())
+	w.run(200 * time.Millisecond)
+	id := w.submit(1000, "a", func(r *Request) { r.Target, r.Deadline = w.now.Add(time.Second), w.now.Add(5*time.Second) })
+	require.NotContains(t, w.refused, id)
+}
--- a/assign/rankedproperty_test.go
+++ b/assign/rankedproperty_test.go
@@ -267,7 +267,12 @@
 // Random loads, ends of engines, changes of leader and changes of configuration. Guards against priority inversion,
 // starvation, urgent requests that are refused for others behind them, and sums that drift from what they count.
 func TestRanked_Properties(t *testing.T) {
+	// Seed 155 has a new leader that finds its only engine busy.
+	seeds := []uint64{155}
 	for seed := range uint64(20) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		r := newRandomRun(t, seed, ByUrgency)
 		r.run(20 * time.Second)
 		require.Empty(t, r.violations, "seed %d", seed)
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -62,9 +62,13 @@
 	}
 }
 
-// estimate returns the rate of work, given the theoretical rate.
+// estimate returns the rate of work, given the theoretical rate. At first, upstreams may still be busy with what another
+// Assigner has assigned to them, up to maxBacklog. That they begin nothing then is no measurement.
 func (r *workRate) estimate(now time.Time, prior float64) float64 {
 	r.advance(now)
+	if r.work == 0 && r.busy < maxBacklog.Seconds() {
+		return max(prior, minRate)
+	}
 	return max((r.work+prior*priorTime.Seconds())/(r.busy+priorTime.Seconds()), minRate)
 }
 
