--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -117,6 +117,8 @@
 	statesPace bool
 	// line orders the waiting requests, nil while the service is not ranked.
 	line *line
+	// lastLoadAt is the time of the last order to load an adapter.
+	lastLoadAt time.Time
 	// streamingRoutes holds the routes of the service whose last answer was a stream.
 	streamingRoutes map[string]bool
 	// evictingUsed is the number of adapters in use that are making way for more urgent requests.
--- a/assign/orders.go
+++ b/assign/orders.go
@@ -72,6 +72,7 @@
 		victim := a.victim(now, u)
 		victim.state = slotEvicting
 	}
+	u.service.lastLoadAt = now
 	s := u.addSlot(now, ref, slotQueued)
 	s.version = a.versions[ref]
 	if s.cold = !u.isWarm(ref.Adapter); s.cold {
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -162,8 +162,9 @@
 }
 
 const (
-	// evictUsedAfter is the time that a request waits before an adapter in use makes way for it. Usually a slot becomes
-	// free sooner.
+	// evictUsedAfter is the time for which a request must have waited, and no load have begun in its service, before an
+	// adapter in use makes way for it. While slots become free by themselves, an adapter that is being evicted costs more
+	// than it gains.
 	evictUsedAfter = 250 * time.Millisecond
 	// maxEvictingUsed is the fraction of a service's slots that may be making way for urgent requests at once, one slot at
 	// least. An adapter that is being evicted serves nobody: with 250 urgent requests without a slot and no bound, callers
@@ -175,8 +176,8 @@
 // since all requests that use it or wait for it are of less urgent ranks; of several, the one whose requests are expected
 // to end first, and the time until then. It returns nil if there is none.
 func (a *Assigner) lessUrgentSlot(now time.Time, u *upstream, e *requestState) (*slot, time.Duration) {
-	if e.waiting == nil || a.evictionsHeld || now.Sub(e.submittedAt) < evictUsedAfter || !u.mayEvictUsed() ||
-		u.pendingLoads() >= maxPendingLoads {
+	if e.waiting == nil || a.evictionsHeld || now.Sub(e.submittedAt) < evictUsedAfter ||
+		now.Sub(u.service.lastLoadAt) < evictUsedAfter || u.pendingLoads() >= maxPendingLoads || !u.mayEvictUsed() {
 		return nil, 0
 	}
 	rank := e.waiting.CurrentRank()
