assign: requests that change their rank are told at once when they are displaced

A request that aged, or whose organisation got another priority, forgot what had put back its turn in its former rank: it was checked 10 ms later as one that nothing had displaced, and told at its last useful moment, with rule expired. What put it back still counts now. A request that moves up also puts back the ranks that it passes, which was not counted at all, and one that the operator moves down has been put back. A displacement counts the work that was begun last as it is done; before, the rate varied by one request with the time since then.

--- a/assign/line.go
+++ b/assign/line.go
@@ -273,10 +273,29 @@
 	l.uncountEntry(entry, from)
 	l.countEntry(entry)
 	l.ranks[from].checks.remove(entry.Value)
-	l.startChecks(entry.Value)
+	l.changedRank(entry.Value, from)
 }
 
-// startChecks schedules the checks of a request that is new in its rank.
+// changedRank schedules the checks of a request that has changed its rank. What had put back the request's turn since its
+// admission still counts in the new rank. A request that moves up puts back the ranks that it passes and, by fair sharing,
+// the other organisations of its new rank; one that moves down has been put back itself.
+func (l *line) changedRank(e *requestState, from int) {
+	r, before := l.ranks[e.waiting.CurrentRank()], l.ranks[from]
+	e.pushedAtAdmission = r.pushed - (before.pushed - e.pushedAtAdmission)
+	if rank := e.waiting.CurrentRank(); rank < from {
+		l.pushBack(rank, from, l.timeOf(e), true)
+	} else if rank > from {
+		e.pushedAtAdmission--
+	}
+	r.scheduleCheck(e, 0)
+}
+
+// timeOf returns the time in which the service does the work of a request.
+func (l *line) timeOf(e *requestState) time.Duration {
+	return time.Duration(float64(e.work) / l.rate.estimate(l.rate.at, l.prior.rate))
+}
+
+// startChecks schedules the checks of a request that was queued before the service became ranked.
 func (l *line) startChecks(e *requestState) {
 	r := l.ranks[e.waiting.CurrentRank()]
 	e.pushedAtAdmission = r.pushed
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -75,7 +75,8 @@
 	l.admitted(now, t.rank, e)
 	e.estimatedTurn, e.pushedAtAdmission = t.wait, l.ranks[t.rank].pushed
 	// A request that another Assigner had admitted was ahead of the others already.
-	l.pushBack(t.rank, time.Duration(float64(e.work)/l.rate.estimate(now, a.capacity(now, s).rate)), !e.request.Admitted)
+	a.capacity(now, s)
+	l.pushBack(t.rank, len(l.ranks), l.timeOf(e), !e.request.Admitted)
 	l.ranks[t.rank].scheduleCheck(e, e.lastUseful.Sub(now)-t.wait)
 }
 
@@ -330,10 +331,11 @@
 	r.scheduleCheck(e, min(slack, e.lastUseful.Sub(now)))
 }
 
-// pushBack records that a new request has put back the turns of the less urgent ranks and, by fair sharing, of the
-// other organisations of its own rank. A request that displaces others has put back what was admitted before it.
-func (l *line) pushBack(rank int, d time.Duration, displaces bool) {
-	for i, r := range l.ranks[min(rank, len(l.ranks)):] {
+// pushBack records that a request that is new in a rank has put back the turns of the other organisations of that rank, by
+// fair sharing, and of the less urgent ranks before the given one. A request that displaces others has put back what was
+// admitted before it.
+func (l *line) pushBack(rank, before int, d time.Duration, displaces bool) {
+	for i, r := range l.ranks[min(rank, len(l.ranks)):min(before, len(l.ranks))] {
 		r.delay += d
 		if displaces && (i > 0 || r.waiting > 1) {
 			r.pushed += d
@@ -380,9 +382,10 @@
 		if e.waiting == nil || o == nil || !o.HasPriority || o.Priority == e.request.Priority {
 			return
 		}
+		from := e.waiting.CurrentRank()
 		a.queues.remove(e)
 		e.request.Priority = o.Priority
 		a.enqueue(now, e)
-		e.line.startChecks(e)
+		e.line.changedRank(e, from)
 	})
 }
--- a/assign/rankedfaults_test.go
+++ b/assign/rankedfaults_test.go
@@ -1,6 +1,8 @@
 package assign
 
 import (
+	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -307,3 +309,109 @@
 	id := w.submit(1000, "a", func(r *Request) { r.Target, r.Deadline = w.now.Add(time.Second), w.now.Add(5*time.Second) })
 	require.NotContains(t, w.refused, id)
 }
+
+// ageDisplacement is a run in which requests of 280 ms each wait at one engine that others displace.
+type ageDisplacement struct {
+	w             *simulation
+	organisations int
+}
+
+func newAgeDisplacement(t *testing.T, organisations int) *ageDisplacement {
+	w := newRankedSimulation(t, 1, 1, "a", "b")
+	w.prefillOfTokens = true
+	return &ageDisplacement{w, organisations}
+}
+
+// send submits requests of a priority, for two adapters in turn, with the given numbers.
+func (d *ageDisplacement) send(from, count, priority int, timeout time.Duration, change ...func(*Request)) {
+	for n := from; n < from+count; n++ {
+		d.w.submit(uint64(n), string("ab"[n%2]), append([]func(*Request){func(r *Request) {
+			r.Organisation, r.Priority, r.PromptTokens = "org"+strconv.Itoa(n/2%d.organisations), priority, 7000
+			r.Target, r.Deadline = d.w.now.Add(timeout/2), d.w.now.Add(timeout)
+		}}, change...)...)
+	}
+}
+
+// requireToldAtOnce requires that an event displaces some requests of the given numbers and no others, that those told
+// later than 10 ms after it are as many as the estimate's tolerance may keep, and that none is said to have expired.
+func (d *ageDisplacement) requireToldAtOnce(t *testing.T, from, to uint64, event func()) {
+	t.Helper()
+	w, before := d.w, maps.Clone(d.w.refused)
+	event()
+	w.run(10 * time.Millisecond)
+	atOnce := len(w.refused) - len(before)
+	left := time.Duration(0)
+	for _, e := range w.assigner.requests {
+		if e.upstream == nil && e.request.ID.Number >= from && e.request.ID.Number < to {
+			left = max(left, e.lastUseful.Sub(w.now))
+		}
+	}
+	w.run(30 * time.Second)
+	late := len(w.refused) - len(before) - atOnce
+	t.Logf("%d displaced, told within 10 ms; %d later", atOnce, late)
+	for id, r := range w.refused {
+		if _, ok := before[id]; !ok {
+			require.Equal(t, Displaced, r.Rule, "%v", id)
+			require.True(t, id.Number >= from && id.Number < to, "%v", id)
+		}
+	}
+	require.Positive(t, atOnce)
+	// A request is kept while 95% of the time until its turn, less two requests, is no more than it has.
+	const work = 280 * time.Millisecond
+	kept := float64(left+2*work)/(1-turnTolerance) - float64(left)
+	require.LessOrEqual(t, float64(late), math.Ceil(kept/float64(work)))
+}
+
+// Waiting requests have aged, or are about to age again, when urgent ones arrive. Guards against callers of displaced
+// requests that are told only at their last useful moment, and are told then that nothing has displaced them.
+func TestRanked_AgedAreToldAtOnce(t *testing.T) {
+	for _, organisations := range []int{1, 2, 4} {
+		for _, wait := range []time.Duration{agingTime - 5*time.Millisecond, agingTime + time.Second} {
+			t.Run(fmt.Sprintf("%d organisations, %s", organisations, wait), func(t *testing.T) {
+				d := newAgeDisplacement(t, organisations)
+				d.send(1, 100, 2, 30*time.Second)
+				d.w.run(wait)
+				d.requireToldAtOnce(t, 1, 101, func() { d.send(1000, 40, 0, 15*time.Second) })
+			})
+		}
+	}
+}
+
+// Requests that age go before those of the ranks that they pass. Guards against callers of those that are told late.
+func TestRanked_DisplacedByAgedAreToldAtOnce(t *testing.T) {
+	for _, organisations := range []int{1, 2, 4} {
+		t.Run(strconv.Itoa(organisations)+" organisations", func(t *testing.T) {
+			d := newAgeDisplacement(t, organisations)
+			d.send(1, 80, 3, 40*time.Second)
+			d.w.run(agingTime - time.Second)
+			d.send(1000, 20, 2, 9*time.Second, func(r *Request) { r.RoutePriority = 1 })
+			aged := func() bool { return d.w.assigner.service("s").line.ranks[2*routeRanks].count > 0 }
+			d.requireToldAtOnce(t, 1000, 1020, func() {
+				for range 2000 {
+					if d.w.run(time.Millisecond); aged() {
+						return
+					}
+				}
+				t.Fatal("no request ages")
+			})
+		})
+	}
+}
+
+// The operator gives an organisation a less urgent priority than that of the others. Guards against callers of displaced
+// requests that are told late since their requests have changed their rank.
+func TestRanked_DisplacedByConfigurationAreToldAtOnce(t *testing.T) {
+	d := newAgeDisplacement(t, 2)
+	d.send(1, 64, 1, 25*time.Second, func(r *Request) {
+		if r.Organisation == "org1" {
+			r.Target, r.Deadline = d.w.now.Add(5*time.Second), d.w.now.Add(12*time.Second)
+		}
+	})
+	d.w.run(time.Second)
+	d.requireToldAtOnce(t, 1, 65, func() {
+		d.w.config = catalog.NewConfig(catalog.ConfigParts{Version: 5, Services: []catalog.Service{*d.w.config.Service("s")}, Organisations: []catalog.Organisation{
+			{Name: "org0"}, {Name: "org1", HasPriority: true, Priority: 3},
+		}})
+		d.w.handle(ConfigUpdated{d.w.config})
+	})
+}
--- a/assign/rankedproperty_test.go
+++ b/assign/rankedproperty_test.go
@@ -25,6 +25,9 @@
 	// seenGrants counts the grants that were checked.
 	seenGrants map[RequestID]bool
 	violations []string
+	// aging has some requests wait for long enough to age; aged counts those that have been granted then.
+	aging bool
+	aged  int
 }
 
 func newRandomRun(t *testing.T, seed uint64, scheduling Scheduling) *randomRun {
@@ -79,6 +82,9 @@
 	w := r.w
 	r.number++
 	timeout := time.Duration(1500+r.random.IntN(6000)) * time.Millisecond
+	if r.aging && r.random.IntN(4) == 0 {
+		timeout += agingTime + time.Duration(r.random.IntN(10_000))*time.Millisecond
+	}
 	r.number++
 	adapter := string("abcd"[r.random.IntN(4)])
 	id := w.submit(r.number, adapter, func(q *Request) {
@@ -157,6 +163,9 @@
 			continue
 		}
 		r.seenGrants[id] = true
+		if g.Held > agingTime {
+			r.aged++
+		}
 		r.checkGrant(g)
 	}
 	for id, e := range a.requests {
@@ -280,6 +289,21 @@
 	}
 }
 
+// As TestRanked_Properties, with requests that have time enough to age. Guards against sums and orders that are right only
+// as long as no request changes its rank.
+func TestRanked_PropertiesOfAging(t *testing.T) {
+	aged := 0
+	for seed := range uint64(20) {
+		r := newRandomRun(t, seed, ByUrgency)
+		r.aging = true
+		r.run(30 * time.Second)
+		require.Empty(t, r.violations, "seed %d", seed)
+		aged += r.aged
+	}
+	t.Logf("%d requests were granted after aging", aged)
+	require.Greater(t, aged, 100)
+}
+
 // The former order estimates a request's wait over all that wait and serves by target first. Guards against checks that
 // find nothing.
 func TestRanked_PropertiesFindEstimateOverAll(t *testing.T) {
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -36,6 +36,9 @@
 type workRate struct {
 	work, busy float64
 	at         time.Time
+	// last is the work that was counted last, at lastAt.
+	last   float64
+	lastAt time.Time
 	// saturated is set while waiting requests lack capacity, as of the last pass.
 	saturated bool
 }
@@ -49,6 +52,7 @@
 	decay := math.Exp2(-float64(elapsed) / float64(rateHalfLife))
 	r.work *= decay
 	r.busy *= decay
+	r.last *= decay
 	if r.saturated && !r.at.IsZero() {
 		r.busy += elapsed.Seconds()
 	}
@@ -59,6 +63,7 @@
 	r.advance(now)
 	if r.saturated {
 		r.work += work.Seconds()
+		r.last, r.lastAt = work.Seconds(), now
 	}
 }
 
@@ -72,6 +77,17 @@
 	return max((r.work+prior*priorTime.Seconds())/(r.busy+priorTime.Seconds()), minRate)
 }
 
+// smooth returns the rate of work with the last work counted as it is done. Otherwise the rate varies by one request with
+// the time since that was begun, and with it the number of requests that one event displaces.
+func (r *workRate) smooth(now time.Time, prior float64) float64 {
+	rate := r.estimate(now, prior)
+	if r.last == 0 {
+		return rate
+	}
+	done := min(rate*now.Sub(r.lastAt).Seconds()/r.last, 1)
+	return max(rate+(done-0.5)*r.last/(r.busy+priorTime.Seconds()), minRate)
+}
+
 // capacityEstimate is what is known of the capacity of a service without a measurement.
 type capacityEstimate struct {
 	// rate is the work per time that the upstreams can do.
@@ -222,6 +238,9 @@
 	rate := max(c.rate, minRate)
 	if _, _, limited := s.fleetRate(now); !limited {
 		rate = s.line.rate.estimate(now, c.rate)
+		if future == withoutArrivals {
+			rate = s.line.rate.smooth(now, c.rate)
+		}
 	}
 	t := s.line.estimate(now, e.waiting, rate, future)
 	t.wait = min(max(t.wait, c.opensIn, s.rateWait(now, int(t.count))), maxKnownRetryAfter)
