assign: refused callers are promised turns at the rate of their rank, and after their deadline, too

In a lasting overload, Retry-After pointed to the time at which the queue has room, at the rate of work of all ranks, and promises ended at the caller's deadline: callers returned to a full queue and waited there for about as long again. A promise now takes the time of the work at the rate that more urgent ranks leave, and promises reach 10 s ahead (maxPromise).

--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -118,11 +118,13 @@
 // maxPromise bounds the time by which the turns of refused callers are put back for others, who may not return.
 const maxPromise = 10 * time.Second
 
-// turnRetryAfter returns the time after which the turn of a refused caller is likely. Callers that can return before
-// their deadline each get a turn after the one before; turns of more urgent ranks put back those of less urgent ones.
+// turnRetryAfter returns the time after which the turn of a refused caller is likely. Callers each get a turn after the one
+// before, at the rate of work that more urgent ranks leave; turns of more urgent ranks put back those of less urgent ones.
+// Turns after the deadline count too: with turns before it only, callers of an overload that lasts returned to a full queue
+// and waited there for about as long again.
 func (a *Assigner) turnRetryAfter(now time.Time, s *service, e *requestState, t turnEstimate) time.Duration {
 	l := s.line
-	step := time.Duration(float64(e.work) / l.rate.estimate(now, a.capacity(now, s).rate))
+	step := time.Duration(float64(e.work) / l.rateLeft(now, t.rank, l.rate.estimate(now, a.capacity(now, s).rate)))
 	if perSecond, _, limited := s.fleetRate(now); limited && perSecond > 0 {
 		step = max(step, time.Duration(float64(time.Second)/perSecond))
 	}
@@ -141,7 +143,7 @@
 		turn = promised
 	}
 	spread := step
-	if turn.After(e.request.Deadline) {
+	if turn.Sub(now) > maxPromise {
 		spread = max(e.request.Deadline.Sub(now)/2, step)
 	} else {
 		l.ranks[t.rank].promisedUntil = turn
@@ -155,6 +157,19 @@
 	return min(wait, maxKnownRetryAfter)
 }
 
+// minRateLeft is the fraction of the rate of work that a rank is assumed to get at least, though more urgent requests use all
+// of it: they may end.
+const minRateLeft = 0.1
+
+// rateLeft returns what the requests of more urgent ranks leave of a rate of work.
+func (l *line) rateLeft(now time.Time, rank int, rate float64) float64 {
+	left := rate
+	for _, r := range l.ranks[:rank] {
+		left -= r.arrivals.rate(now)
+	}
+	return max(left, minRateLeft*rate)
+}
+
 // compete lets a new request, which is queued, compete with the other ones for the upstreams that it could use now. It
 // reports whether the request was assigned.
 func (a *Assigner) compete(now time.Time, s *service, e *requestState) bool {
