--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -75,7 +75,8 @@
 	l.admitted(now, t.rank, e)
 	e.estimatedTurn, e.pushedAtAdmission = t.wait, l.ranks[t.rank].pushed
 	// A request that another Assigner had admitted was ahead of the others already.
-	l.pushBack(t.rank, time.Duration(float64(e.work)/l.rate.estimate(now, a.capacity(now, s).rate)), !e.request.Admitted)
+	a.capacity(now, s)
+	l.pushBack(t.rank, len(l.ranks), l.timeOf(e), !e.request.Admitted)
 	l.ranks[t.rank].scheduleCheck(e, e.lastUseful.Sub(now)-t.wait)
 }
 
@@ -117,11 +118,13 @@
 // maxPromise bounds the time by which the turns of refused callers are put back for others, who may not return.
 const maxPromise = 10 * time.Second
 
-// turnRetryAfter returns the time after which the turn of a refused caller is likely. Callers that can return before
-// their deadline each get a turn after the one before; turns of more urgent ranks put back those of less urgent ones.
+// turnRetryAfter returns the time after which the turn of a refused caller is likely. Callers each get a turn after the one
+// before, at the rate of work that more urgent ranks leave; turns of more urgent ranks put back those of less urgent ones.
+// Turns after the deadline count too: with turns before it only, callers of an overload that lasts returned to a full queue
+// and waited there for about as long again.
 func (a *Assigner) turnRetryAfter(now time.Time, s *service, e *requestState, t turnEstimate) time.Duration {
 	l := s.line
-	step := time.Duration(float64(e.work) / l.rate.estimate(now, a.capacity(now, s).rate))
+	step := time.Duration(float64(e.work) / l.rateLeft(now, t.rank, l.rate.estimate(now, a.capacity(now, s).rate)))
 	if perSecond, _, limited := s.fleetRate(now); limited && perSecond > 0 {
 		step = max(step, time.Duration(float64(time.Second)/perSecond))
 	}
@@ -140,7 +143,7 @@
 		turn = promised
 	}
 	spread := step
-	if turn.After(e.request.Deadline) {
+	if turn.Sub(now) > maxPromise {
 		spread = max(e.request.Deadline.Sub(now)/2, step)
 	} else {
 		l.ranks[t.rank].promisedUntil = turn
@@ -154,6 +157,19 @@
 	return min(wait, maxKnownRetryAfter)
 }
 
+// minRateLeft is the fraction of the rate of work that a rank is assumed to get at least, though more urgent requests use all
+// of it: they may end.
+const minRateLeft = 0.1
+
+// rateLeft returns what the requests of more urgent ranks leave of a rate of work.
+func (l *line) rateLeft(now time.Time, rank int, rate float64) float64 {
+	left := rate
+	for _, r := range l.ranks[:rank] {
+		left -= r.arrivals.rate(now)
+	}
+	return max(left, minRateLeft*rate)
+}
+
 // compete lets a new request, which is queued, compete with the other ones for the upstreams that it could use now. It
 // reports whether the request was assigned.
 func (a *Assigner) compete(now time.Time, s *service, e *requestState) bool {
@@ -330,10 +346,11 @@
 	r.scheduleCheck(e, min(slack, e.lastUseful.Sub(now)))
 }
 
-// pushBack records that a new request has put back the turns of the less urgent ranks and, by fair sharing, of the
-// other organisations of its own rank. A request that displaces others has put back what was admitted before it.
-func (l *line) pushBack(rank int, d time.Duration, displaces bool) {
-	for i, r := range l.ranks[min(rank, len(l.ranks)):] {
+// pushBack records that a request that is new in a rank has put back the turns of the other organisations of that rank, by
+// fair sharing, and of the less urgent ranks before the given one. A request that displaces others has put back what was
+// admitted before it.
+func (l *line) pushBack(rank, before int, d time.Duration, displaces bool) {
+	for i, r := range l.ranks[min(rank, len(l.ranks)):min(before, len(l.ranks))] {
 		r.delay += d
 		if displaces && (i > 0 || r.waiting > 1) {
 			r.pushed += d
@@ -380,9 +397,10 @@
 		if e.waiting == nil || o == nil || !o.HasPriority || o.Priority == e.request.Priority {
 			return
 		}
+		from := e.waiting.CurrentRank()
 		a.queues.remove(e)
 		e.request.Priority = o.Priority
 		a.enqueue(now, e)
-		e.line.startChecks(e)
+		e.line.changedRank(e, from)
 	})
 }
