intake: at the limit, connections are given back; what parsing takes is counted

The lines of a body that arrives with its head counted as header lines.

Changed: at the limit of connections each response asks to close; the end of a response that is not read is waited for 500 ms when a new connection needs the place. Completions count 160 bytes for each field and 32 for each element besides. Only lines of the head count as such.

Ruled out: leaving new connections in the kernel's queue, where an ordinary caller would wait behind all others.

--- a/entry/response.go
+++ b/entry/response.go
@@ -148,9 +148,9 @@
 	return true
 }
 
-// askToReconnect tells the caller of a host that is stopping not to reuse the connection.
+// askToReconnect tells the caller of a host that is stopping, or that has too many connections, not to reuse the connection.
 func (x *exchange) askToReconnect(h http.Header) {
-	if x.server.Shutdown.InProgress() {
+	if x.server.Shutdown.InProgress() || x.held.MustClose() {
 		h.Set("Connection", "close")
 	}
 }
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -25,7 +26,7 @@
 		return
 	}
 	held := callers.FromContext(r.Context())
-	if !held.Reserve(intake.Body, parsedCopies*int64(len(rawBody))) {
+	if !held.Reserve(intake.Body, parsedBytes(rawBody)) {
 		writeError(w, noMemoryError(w))
 		return
 	}
@@ -65,9 +66,22 @@
 	x.run(ctx, r.Context(), req)
 }
 
-// parsedCopies is how many times the body of a completion request is in memory besides its bytes as read: its fields, its
-// prompt, and the body for the engine, which is built with twice its size.
-const parsedCopies = 4
+// What a completion request takes in memory besides its bytes as read.
+const (
+	// parsedCopies is how many times its bytes are copied: its fields, its prompt, and the body for the engine, which is built
+	// with twice its size.
+	parsedCopies = 4
+	// fieldBytes is the memory of a field besides its bytes, in a map that grows by doubling, and elementBytes that of an
+	// element of a list of prompts. A body of many short fields takes ten times its size.
+	fieldBytes   = 160
+	elementBytes = 32
+)
+
+// parsedBytes returns the most memory that a completion request takes besides its bytes as read.
+func parsedBytes(raw []byte) int64 {
+	fields, elements := bytes.Count(raw, []byte(`":`)), bytes.Count(raw, []byte(","))
+	return parsedCopies*int64(len(raw)) + fieldBytes*int64(fields) + elementBytes*int64(elements)
+}
 
 // priorityOf returns the priority that the request header sets, PriorityPrompt by default.
 func priorityOf(h http.Header) record.Priority {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,6 +155,9 @@
 		writeError(w, noMemoryError(w))
 		return
 	}
+	if held.MustClose() {
+		w.Header().Set("Connection", "close")
+	}
 	if held != nil {
 		held.SetKey(callerSecret(r.Header))
 		r = r.WithContext(callers.WithRequest(r.Context(), held))
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -239,6 +239,26 @@
 	require.Equal(t, conns[1], victim)
 }
 
+// A caller that has got its response but for the end, and does not read it, must give way soon.
+func TestOpen_ReplacesSlowReaderOfEnd(t *testing.T) {
+	limits := testLimits()
+	limits.Connections = 1
+	for name, finished := range map[string]bool{"handler runs": false, "handler has ended": true} {
+		t.Run(name, func(t *testing.T) {
+			a := newAccount(t, limits)
+			c := a.open(0)
+			_, _ = a.HeadArrived(at(0), c, 100)
+			_, _ = a.Begin(at(0), c)
+			c.Writing(at(0))
+			if finished {
+				a.Finish(c)
+			}
+			_, admitted := a.Open(at(600), &intake.Conn{})
+			require.Equal(t, finished, admitted)
+		})
+	}
+}
+
 // Whatever callers do, no more is held than the limit, the sums agree, a request that was given up is never sent, and
 // nothing is left once all connections have ended.
 func TestBudget_RandomClients(t *testing.T) {
--- a/intake/callers/callers.go
+++ b/intake/callers/callers.go
@@ -128,7 +128,11 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.account.Waiting() {
-		size := intake.HeadBytes(n, bytes.Count(b[:n], lineEnd))
+		head := b[:n]
+		if end := bytes.Index(head, headEnd); end >= 0 {
+			head = head[:end+len(headEnd)] // a body follows, whose lines are not parsed
+		}
+		size := intake.HeadBytes(len(head), bytes.Count(head, lineEnd))
 		if !c.gate.granted(func(now time.Time) ([]*intake.Conn, intake.Verdict) {
 			return c.gate.budget.HeadArrived(now, &c.account, size)
 		}) {
@@ -139,7 +143,10 @@
 	return n, err
 }
 
-var lineEnd = []byte{'\n'}
+var (
+	lineEnd = []byte("\n")
+	headEnd = []byte("\r\n\r\n")
+)
 
 // writeBytes is how much is written at once, so that a slow caller that reads is told from one that does not.
 const writeBytes = 16 << 10
--- a/intake/callers/pressure_test.go
+++ b/intake/callers/pressure_test.go
@@ -90,6 +90,24 @@
 	require.Eventually(t, func() bool { return gate.Budget().Connections() == 0 }, testTimeout, pollInterval)
 }
 
+// The lines of a body that arrives with its head must not count as header lines: 250 requests with bodies of short lines would
+// take the memory of a small host.
+func TestGate_BodyIsNoHead(t *testing.T) {
+	reached, done := make(chan struct{}), make(chan struct{})
+	address, gate := serve(t, wide, func(*callers.Request, http.ResponseWriter, *http.Request) {
+		reached <- struct{}{}
+		<-done
+	})
+	defer close(done)
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3000\r\n\r\n%s", strings.Repeat("\n", 3000))
+	require.NoError(t, err)
+	<-reached
+	require.Less(t, gate.Budget().Held(intake.Head), int64(4<<10))
+}
+
 // A handler that reads no body must not leave its connection to a caller that stops inside one.
 func TestHandler_UnreadBodyEnds(t *testing.T) {
 	gate := callers.NewGate(wide)
--- a/intake/callers/request.go
+++ b/intake/callers/request.go
@@ -42,9 +42,7 @@
 	if r == nil {
 		return
 	}
-	for _, k := range []intake.Kind{intake.Body, intake.Response, intake.Request} {
-		r.conn.gate.budget.ReleaseAll(&r.conn.account, k)
-	}
+	r.conn.gate.budget.Finish(&r.conn.account)
 	r.LimitDiscard()
 	_ = r.conn.SetWriteDeadline(time.Now().Add(maxFlushTime)) // fails only on a closed connection
 }
@@ -58,8 +56,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request, err := Begin(r)
 		defer request.End()
-		if err != nil {
+		if err != nil || request.MustClose() {
 			w.Header().Set("Connection", "close")
+		}
+		if err != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -67,6 +67,10 @@
 	})
 }
 
+// MustClose reports whether the response must ask the caller to close its connection, since there are as many as the limit. One
+// that pipelines requests would be under way all the time, and keep its place.
+func (r *Request) MustClose() bool { return r != nil && r.conn.gate.budget.ConnectionsFull() }
+
 // LimitDiscard limits how long net/http reads the rest of a body that was not read to its end. It is called before the response
 // is written.
 func (r *Request) LimitDiscard() {
--- a/intake/clients_test.go
+++ b/intake/clients_test.go
@@ -42,6 +42,7 @@
 		{"idle connections", 600, memoryMB, 400, func(net.Conn, string, string) error { return nil }},
 		{"large responses unread", clients, memoryMB, descriptors, sendForLarge},
 		{"streams unread", clients, memoryMB, descriptors, sendForStream},
+		{"whole bodies of many fields", clients, memoryMB, descriptors, sendManyFields},
 		{"pipelined requests unread", 600, memoryMB, 400, sendPipelined},
 		{"bodies that are not read, one byte short", 600, memoryMB, 400, sendUnwantedBody},
 	}
@@ -141,6 +142,25 @@
 	return err
 }
 
+// manyFields is a body of JSON that takes many times its size once it is parsed.
+var manyFields = sync.OnceValue(func() string {
+	var b strings.Builder
+	b.WriteString(`{"model":"m"`)
+	for i := 0; b.Len() < maxBodyBytes*6/10; i++ {
+		fmt.Fprintf(&b, `,"%x":1`, i)
+	}
+	return b.String() + "}"
+})
+
+// sendManyFields sends a whole request, to where jasminelockd takes completions; for jasminelock-entry it is a plain one.
+func sendManyFields(c net.Conn, path, header string) error {
+	if path == daemonPath {
+		path = "/v1/completions"
+	}
+	_, err := fmt.Fprintf(c, "%sContent-Length: %d%s%s", requestLine("POST", path, header), len(manyFields()), headEnd, manyFields())
+	return err
+}
+
 // sendPipelined sends many requests without reading the responses. The path does not exist, so that each is refused at once.
 func sendPipelined(c net.Conn, _, header string) error {
 	requests := strings.Repeat(requestLine("GET", "/none", header)+headEnd[2:], 50)
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -119,7 +119,7 @@
 	if c.state != underWay {
 		b.setState(now, c, underWay)
 	}
-	c.body = progress{}
+	c.body, c.finished = progress{}, false
 	c.received.Store(0)
 	return b.reserve(now, c, Request, RequestBytes)
 }
@@ -133,6 +133,17 @@
 	}
 }
 
+// Finish marks that the handler of a request has ended. What the request holds is released, except its head, which net/http keeps
+// until the connection is idle.
+func (b *Budget) Finish(c *Conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.finished = true
+	for _, k := range []Kind{Body, Response, Request} {
+		b.add(c, k, -c.held[k])
+	}
+}
+
 // End marks that the connection waits for the next request. What the last one held is released.
 func (b *Budget) End(now time.Time, c *Conn) {
 	b.mu.Lock()
--- a/intake/deployment_test.go
+++ b/intake/deployment_test.go
@@ -142,6 +142,9 @@
 	return p
 }
 
+// daemonPath is the beginning of the path of a plain request to jasminelockd.
+const daemonPath = "/stock/"
+
 // startDaemon starts jasminelockd with the platform and a plain service.
 func startDaemon(t *testing.T, bin string, d crowd) *program {
 	platformServer, err := standin.Serve("127.0.0.1:0", platform.New())
@@ -177,7 +180,7 @@
   "requests": {"max_body_bytes": %d}, "log": {"level": "error"},
 }`, limitsText(d, true), a[0], a[1], platformServer.URL, maxBodyBytes)
 	p := startProgram(t, filepath.Join(bin, "jasminelockd"), text)
-	p.address, p.path, p.readyURL, p.header = a[0], "/stock/", "http://"+a[0]+"/readyz", "Host: x\r\n"
+	p.address, p.path, p.readyURL, p.header = a[0], daemonPath, "http://"+a[0]+"/readyz", "Host: x\r\n"
 	p.awaitReady(t)
 	return p
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -134,6 +134,8 @@
 	held  [kinds]int64
 	total int64
 	body  progress
+	// finished is set when the handler of the request under way has ended.
+	finished bool
 	// previous and next link the connections of a state that is waited in, the first to get into it at the front.
 	previous, next *Conn
 }
--- a/intake/memory.go
+++ b/intake/memory.go
@@ -27,7 +27,9 @@
 	// paceTime is the time within which a body must be on the way to arrive, while memory is short: in this time, as much as
 	// is held for it must arrive. It is the time-out of a body while memory is not short.
 	paceTime = 10 * time.Second
-	// slowReaderTime is how long a write to a caller may make no progress while memory is short.
+	// slowReaderTime is how long a write to a caller may make no progress while memory is short, or while all connections have a
+	// request under way. Once the handler has ended, when only the end of a response is left, this is minObservation: callers
+	// that pipeline requests and read nothing come back at once, and would leave others no turn.
 	slowReaderTime = 3 * time.Second
 	// minRemaining is the least number of bytes that a body is taken to lack.
 	minRemaining = 16 << 10
@@ -268,8 +270,12 @@
 
 // slowReader reports whether the caller does not read its response.
 func (c *Conn) slowReader(now time.Time) bool {
+	limit := slowReaderTime
+	if c.finished {
+		limit = minObservation
+	}
 	since := c.writingSince.Load()
-	return c.state == underWay && since != 0 && now.UnixNano()-since >= int64(slowReaderTime)
+	return c.state == underWay && since != 0 && now.UnixNano()-since >= int64(limit)
 }
 
 // observe returns the bytes of a body that arrive in a second.
--- a/intake/stats.go
+++ b/intake/stats.go
@@ -36,6 +36,9 @@
 	return b.open
 }
 
+// ConnectionsFull reports whether there are as many connections as the limit.
+func (b *Budget) ConnectionsFull() bool { return b.Connections() >= b.limits.Connections }
+
 // Held returns the bytes that are held of a kind.
 func (b *Budget) Held(k Kind) int64 {
 	b.mu.Lock()
