intake: the test of which connection is replaced ends requests in a fixed order

Cause: it went over a map, so that the two idle connections changed places in some runs; seen once in go test ./intake.

Measured: go test -count=40 ./intake -run 'Open_|Reserve_|Limits_' passes.

--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -199,9 +199,9 @@
 	a := newAccount(t, limits)
 	underWay, usedIdle, unused, head, lateIdle := a.open(0), a.open(1), a.open(2), a.open(3), a.open(4)
 	_, _ = a.Begin(at(5), underWay)
-	for ms, c := range map[int]*intake.Conn{6: usedIdle, 7: lateIdle} {
+	for i, c := range []*intake.Conn{usedIdle, lateIdle} {
 		_, _ = a.Begin(at(5), c)
-		a.End(at(ms), c)
+		a.End(at(6+i), c)
 	}
 	_, _ = a.HeadArrived(at(8), head, 100)
 	var order []*intake.Conn
