assign: hot adapters get copies also for requests that are assigned in their turn

In a ranked service, a request that competes with waiting ones, or is served from the queue, is assigned through offer, which did not consider a further copy of its adapter; only place did. Queues of hot adapters, for which copies are made, thus kept copies from being made.

--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -256,6 +256,7 @@
 	a.loadOnIdle(now, o.upstream.service, e.request.Adapter)
 	if o.upstream.usable(now) {
 		a.serveOn(now, o.upstream)
+		a.copyHotAdapter(now, o.upstream.service, e)
 		return
 	}
 	a.grant(now, e, o)
