assign: a request that is assigned at once puts back the turns of those that wait

submitRanked returned before pushBack for a request that won an upstream in competition with waiting ones, so that its work moved no check of them forward, and did not count as a reason to displace them. An organisation without waiting requests also puts back the only other one that waits; it was not counted as another one.

TestRanked_AssignedAtOncePutsBackOthers fails without the change. go test ./assign: pass.

--- a/assign/line.go
+++ b/assign/line.go
@@ -283,18 +283,13 @@
 	r, before := l.ranks[e.waiting.CurrentRank()], l.ranks[from]
 	e.pushedAtAdmission = r.pushed - (before.pushed - e.pushedAtAdmission)
 	if rank := e.waiting.CurrentRank(); rank < from {
-		l.pushBack(rank, from, l.timeOf(e), true)
+		l.pushBack(rank, from, e, true)
 	} else if rank > from {
 		e.pushedAtAdmission--
 	}
 	r.scheduleCheck(e, 0)
 }
 
-// timeOf returns the time in which the service does the work of a request.
-func (l *line) timeOf(e *requestState) time.Duration {
-	return time.Duration(float64(e.work) / l.rate.estimate(l.rate.at, l.prior.rate))
-}
-
 // startChecks schedules the checks of a request that was queued before the service became ranked.
 func (l *line) startChecks(e *requestState) {
 	r := l.ranks[e.waiting.CurrentRank()]
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -62,8 +62,10 @@
 		return
 	}
 	a.enqueue(now, e)
+	rank = e.waiting.CurrentRank()
 	if l.count > 1 && a.compete(now, s, e) {
 		l.admitted(now, rank, e)
+		l.pushBack(rank, len(l.ranks), e, !e.request.Admitted)
 		return
 	}
 	t := a.estimateTurn(now, s, e, withArrivals)
@@ -75,8 +77,7 @@
 	l.admitted(now, t.rank, e)
 	e.estimatedTurn, e.pushedAtAdmission = t.wait, l.ranks[t.rank].pushed
 	// A request that another Assigner had admitted was ahead of the others already.
-	a.capacity(now, s)
-	l.pushBack(t.rank, len(l.ranks), l.timeOf(e), !e.request.Admitted)
+	l.pushBack(t.rank, len(l.ranks), e, !e.request.Admitted)
 	l.ranks[t.rank].scheduleCheck(e, e.lastUseful.Sub(now)-t.wait)
 }
 
@@ -350,15 +351,25 @@
 // pushBack records that a request that is new in a rank has put back the turns of the other organisations of that rank, by
 // fair sharing, and of the less urgent ranks before the given one. A request that displaces others has put back what was
 // admitted before it.
-func (l *line) pushBack(rank, before int, d time.Duration, displaces bool) {
+func (l *line) pushBack(rank, before int, e *requestState, displaces bool) {
+	d := time.Duration(float64(e.work) / l.rate.estimate(l.rate.at, l.prior.rate))
 	for i, r := range l.ranks[min(rank, len(l.ranks)):min(before, len(l.ranks))] {
 		r.delay += d
-		if displaces && (i > 0 || r.waiting > 1) {
+		if displaces && (i > 0 || r.othersWait(e.request.Organisation)) {
 			r.pushed += d
 		}
 	}
 }
 
+// othersWait reports whether requests of other organisations than the given one wait.
+func (r *rankLine) othersWait(organisation string) bool {
+	others := r.waiting
+	if own, ok := r.accounts[organisation]; ok && own.count > 0 {
+		others--
+	}
+	return others > 0
+}
+
 // pushAll has all waiting requests checked again.
 func (l *line) pushAll() {
 	for _, r := range l.ranks {
--- a/assign/rankedfaults_test.go
+++ b/assign/rankedfaults_test.go
@@ -415,3 +415,26 @@
 		d.w.handle(ConfigUpdated{d.w.config})
 	})
 }
+
+// Requests that fill the KV cache wait for one another, and a small urgent one is assigned at once. Guards against waiting
+// requests that are not checked again for work that went before them without waiting.
+func TestRanked_AssignedAtOncePutsBackOthers(t *testing.T) {
+	w := newRankedSimulation(t, 1, 1, "a")
+	for n := range uint64(6) {
+		w.submit(n+1, "a", func(r *Request) {
+			r.Organisation, r.Priority, r.PromptTokens, r.Deadline = "org"+strconv.Itoa(int(n)%2), 2, 70_000, w.now.Add(60*time.Second)
+		})
+	}
+	w.run(200 * time.Millisecond)
+	require.Equal(t, 4, w.assigner.Waiting())
+	less := w.assigner.service("s").line.ranks[2*routeRanks]
+	pushed := less.pushed
+	id := w.submit(100, "a", func(r *Request) { r.Priority, r.PromptTokens = 0, 1000 })
+	require.Contains(t, w.granted, id)
+	require.Greater(t, less.pushed, pushed)
+	// A request of the same rank puts back the other organisations, also if its own has none that waits.
+	pushed = less.pushed
+	id = w.submit(101, "a", func(r *Request) { r.Organisation, r.Priority, r.PromptTokens = "other", 2, 100 })
+	require.Contains(t, w.granted, id)
+	require.Greater(t, less.pushed, pushed)
+}
