--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -23,10 +23,25 @@
 	FirstInFleet bool
 	// Limits are the fleet-wide bounds on retries and on organisations' rates.
 	Limits Limits
+	// Scheduling is the order of waiting requests in services whose upstreams state no pace.
+	Scheduling Scheduling
+	// LearnPace has requests assigned by the remaining work and the pace of upstreams also in services whose upstreams
+	// state no pace. It is then learned from measurements.
+	LearnPace bool
 	// Random breaks ties. It must not be shared.
 	Random *rand.Rand
 }
 
+// Scheduling is an order of waiting requests.
+type Scheduling uint8
+
+const (
+	// ByArrival serves requests that can still meet their target first, then by priority and arrival.
+	ByArrival Scheduling = iota
+	// ByUrgency serves requests by rank, then fairly between organisations.
+	ByUrgency
+)
+
 // Limits are the fleet-wide bounds, as configured for the deployment.
 type Limits struct {
 	// RetryRatio is the number of retries allowed per request.
@@ -65,6 +80,7 @@
 	adapterIndex   adapterIndex
 	coldLoads      coldLoadLimiter
 	demand         map[catalog.AdapterRef]*decayingRate
+	costs          costs
 	// lastPassAt is the time of the last pass over all queues.
 	lastPassAt time.Time
 	// wakeups orders upstreams by the time of their next check; staleWakeups are the upstreams whose wake-up time
@@ -80,6 +96,7 @@
 	candidateBuffer []*upstream
 	queueBuffer     []*queue
 	decisions       []Decision
+	rankStats       rankStats
 }
 
 // service holds the state of one service and its upstreams.
@@ -96,10 +113,25 @@
 	prefillSpeedAt time.Time
 	// lastReturn is the turn of the last caller that was refused because of rate limits and can return in time.
 	lastReturn time.Time
+	// statesPace is true once an upstream of the service has stated its pace.
+	statesPace bool
+	// line orders the waiting requests, nil while the service is not ranked.
+	line *line
+	// lastLoadAt is the time of the last order to load an adapter.
+	lastLoadAt time.Time
+	// streamingRoutes holds the routes of the service whose last answer was a stream.
+	streamingRoutes map[string]bool
+	// evictingUsed is the number of adapters in use that are making way for more urgent requests.
+	evictingUsed int
 }
 
+// ranked reports whether the waiting requests of a service are ordered by rank and shared fairly.
+func (s *service) ranked(o *Options) bool { return o.Scheduling == ByUrgency || s.statesPace }
+
 // requestState is the state of a request that has not ended.
 type requestState struct {
+	requestWork
+	requestRank
 	request     Request
 	submittedAt time.Time
 	// upstream is the upstream that the request is assigned to, nil while it is queued.
@@ -127,6 +159,7 @@
 		requests: map[RequestID]*requestState{}, queues: newQueues(), usages: map[string]*usage{},
 		rateLimiters: map[throttle.Incarnation]*throttle.Limiter{},
 		adapterIndex: newAdapterIndex(), coldLoads: newColdLoadLimiter(), demand: map[catalog.AdapterRef]*decayingRate{},
+		costs: newCosts(),
 	}
 }
 
@@ -146,16 +179,20 @@
 func (a *Assigner) Handle(now time.Time, ev Event) []Decision {
 	switch e := ev.(type) {
 	case ConfigUpdated:
+		a.invalidateCapacity()
 		a.config = e.Config
 		a.configureEngines(now)
+		a.configureLines(now)
 		a.serveWaiting(now)
 	case VersionsUpdated:
 		a.versions = e.Versions
 		a.retireOldVersions(now)
 		a.serveWaiting(now)
 	case EvacuationsUpdated:
+		a.invalidateCapacity()
 		a.updateEvacuations(now, e.Zones)
 	case UpstreamsUpdated:
+		a.invalidateCapacity()
 		a.updateUpstreams(now, e.Upstreams)
 		a.serveWaiting(now)
 	case RequestSubmitted:
@@ -184,9 +221,12 @@
 
 // handleUpstreamEvent applies what an upstream has answered or stated about itself.
 func (a *Assigner) handleUpstreamEvent(now time.Time, ev Event) {
+	a.invalidateCapacity()
 	switch e := ev.(type) {
 	case UpstreamLeaving:
 		a.markLeaving(now, e)
+	case LoadStated:
+		a.loadStated(now, e)
 	case RateLimitUpdated:
 		a.updateRateLimit(now, e)
 	case RateLimitEnded:
@@ -227,6 +267,10 @@
 	}
 	a.requests[r.ID] = e
 	a.recordDemand(now, r.Adapter)
+	if a.lineOf(now, s) != nil {
+		a.submitRanked(now, s, e)
+		return
+	}
 	if a.takeTurn(now, s, e) || a.place(now, e) {
 		return
 	}
@@ -236,7 +280,7 @@
 		a.refuse(now, e, apierr.QueueFull, a.retryAfter(now, e), rule)
 		return
 	}
-	a.enqueue(e)
+	a.enqueue(now, e)
 }
 
 // adopt records a request that is already running on an upstream.
@@ -244,7 +288,7 @@
 	if _, ok := a.requests[ev.Request.ID]; ok {
 		return
 	}
-	e := &requestState{request: ev.Request}
+	e := &requestState{request: ev.Request, requestWork: requestWork{adopted: true}}
 	u, ok := a.upstreams[ev.Upstream]
 	if !ok {
 		return
@@ -257,8 +301,7 @@
 	a.startAttempt(now, e, u, held)
 	if ev.FirstByteReceived {
 		u.finishPrefill(now, e)
-		u.streams++
-		e.streaming = true
+		u.addStream(now, e)
 	}
 }
 
@@ -278,8 +321,7 @@
 	}
 	e.upstream.learnPrefillTime(now, e)
 	e.upstream.finishPrefill(now, e)
-	e.upstream.streams++
-	e.streaming = true
+	e.upstream.addStream(now, e)
 	a.serveOn(now, e.upstream)
 }
 
@@ -293,6 +335,7 @@
 	a.endAttempt(now, e)
 	delete(a.requests, ev.ID)
 	u.recordOutcome(now, e, ev)
+	a.learnCost(now, u, e, &ev)
 	if ev.Outcome.NotRun() {
 		a.refund(now, e)
 	}
@@ -338,12 +381,8 @@
 	a.releaseClaim(e)
 	e.upstream, e.slot, e.grantedAt = u, s, now
 	e.prefillTokens = u.uncachedTokens(now, &e.request)
-	u.recordPrefill(now, time.Duration(e.prefillTokens)*u.prefillPerToken)
-	e.prefillAhead = u.pendingPrefillTokens
+	a.addWork(now, e, u, s)
 	u.running[e.request.ID] = e
-	u.pendingPrefillTokens += e.prefillTokens
-	u.prefillLoad.add(now, (time.Duration(e.prefillTokens) * u.prefillPerToken).Seconds())
-	u.cacheTokens += e.request.PromptTokens + e.request.OutputTokens
 	if s != nil {
 		s.claims++
 		s.lastUsed = now
@@ -357,10 +396,10 @@
 	u := e.upstream
 	u.finishPrefill(now, e)
 	if e.streaming {
-		u.streams--
+		u.removeStream(now, e)
 	}
 	delete(u.running, e.request.ID)
-	u.cacheTokens -= e.request.PromptTokens + e.request.OutputTokens
+	u.cacheTokens -= e.cacheTokens
 	if e.slot != nil {
 		e.slot.claims--
 		e.slot.lastUsed = now
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -52,6 +52,8 @@
 	// ready is true if the request can be assigned to the upstream now.
 	ready bool
 	cost  time.Duration
+	// evicts is the adapter in use that has to make room for a more urgent request, nil if there is no need.
+	evicts *slot
 	// score is the cost by which options are compared.
 	score time.Duration
 	rule  string
@@ -61,34 +63,50 @@
 // was assigned.
 func (a *Assigner) place(now time.Time, e *requestState) bool {
 	s := a.service(e.request.Service)
+	best, ok := a.readyOption(now, s, e)
+	if !ok {
+		return false
+	}
+	a.loadOnIdle(now, s, e.request.Adapter)
+	a.grant(now, e, best)
+	a.copyHotAdapter(now, s, e)
+	return true
+}
+
+// readyOption returns the best option for a request if the request can be assigned to it now. Otherwise it starts the
+// load of the adapter or claims a slot that holds it, and returns false.
+func (a *Assigner) readyOption(now time.Time, s *service, e *requestState) (option, bool) {
 	best, ok := a.bestOption(now, s, e)
 	if !ok {
 		if held := a.exhaustedHolder(now, s, e); held != nil {
 			a.claimSlot(e, held)
 		}
-		return false
+		return best, false
 	}
 	if best.needsLoad {
+		if best.evicts != nil {
+			best.upstream.evictUsed(best.evicts)
+		}
 		a.claimSlot(e, a.startLoad(now, best.upstream, e.request.Adapter))
-		return false
+		return best, false
 	}
 	if !best.ready {
 		a.claimSlot(e, best.slot)
-		return false
+		return best, false
 	}
-	a.loadOnIdle(now, s, e.request.Adapter)
-	a.grant(now, e, best)
-	return true
+	return best, true
 }
 
 // grant assigns a request to the upstream of an option.
 func (a *Assigner) grant(now time.Time, e *requestState, o option) {
 	u := o.upstream
+	queued := a.grantRanked(now, e)
 	a.startAttempt(now, e, u, o.slot)
 	u.rateLimit.Take(now)
 	g := Grant{
 		ID: e.request.ID, Upstream: u.record.ID, StartedAt: u.record.StartedAt, Rule: o.rule, Expected: o.cost,
 		RateLimit: u.rateLimit.State(now), Held: now.Sub(e.submittedAt),
+		Turn: e.estimatedTurn, Ranked: queued,
 	}
 	if o.slot != nil {
 		g.Version = o.slot.version
@@ -181,17 +199,19 @@
 		o.cost += crossZoneCost
 	}
 	if u.engine == nil {
+		if u.byWork() {
+			o.cost += a.plainWorkCost(now, u, e)
+			o.ready, o.rule = true, "least_work"
+			return o, true
+		}
 		return u.plainOption(o)
 	}
-	if !u.models[e.request.Adapter.Model] || !u.fits(&e.request) {
+	if !u.models[e.request.Adapter.Model] || !a.fits(u, e) {
 		return o, false
 	}
-	backlog := u.backlog()
-	prefill := time.Duration(u.uncachedTokens(now, &e.request)) * u.prefillPerToken
-	o.ready = backlog <= maxBacklog && u.mayPrefill(now, prefill)
-	o.cost += backlog + prefill
-	o.cost += time.Duration(decodeDelayWeight * float64(prefill) * float64(len(u.running)))
-	o.cost += time.Duration(u.prefillLoad.rate(now) * float64(decodeDelayCost(&e.request)))
+	cost, ready := a.engineCost(now, u, e)
+	o.cost += cost
+	o.ready = ready
 	if e.request.Adapter.Adapter == "" {
 		o.rule = "least_expected"
 		return o, true
@@ -199,6 +219,20 @@
 	return a.adapterOption(now, o, e, held)
 }
 
+// engineCost returns the cost of serving a request on an engine that holds its adapter, and whether the request can be
+// assigned now.
+func (a *Assigner) engineCost(now time.Time, u *upstream, e *requestState) (cost time.Duration, ready bool) {
+	if u.byWork() {
+		return a.workCost(now, u, e)
+	}
+	backlog := u.backlog()
+	prefill := u.prefillWork(u.uncachedTokens(now, &e.request))
+	cost = backlog + prefill
+	cost += time.Duration(decodeDelayWeight * float64(prefill) * float64(len(u.running)))
+	cost += time.Duration(u.prefillLoad.rate(now) * float64(decodeDelayCost(&e.request)))
+	return cost, backlog <= maxBacklog && u.mayPrefill(now, prefill)
+}
+
 // idleBonus lowers the cost of a rate-limited upstream that has been sent less than it accepts, the more the longer
 // this lasts. Without requests it would not be found out that the limit no longer holds.
 func idleBonus(now time.Time, u *upstream) time.Duration {
@@ -230,7 +264,7 @@
 		return o, false
 	case ok:
 		return o, false
-	case !a.hasRoom(u):
+	case !a.makesRoom(now, u, e, &o):
 		return a.warmOption(now, o, e)
 	case !u.isWarm(ref.Adapter) && !a.coldLoads.mayStart():
 		return o, false
@@ -249,6 +283,21 @@
 	return o, true
 }
 
+// makesRoom reports whether another adapter may be loaded on an engine, if necessary by evicting one that less urgent
+// requests use.
+func (a *Assigner) makesRoom(now time.Time, u *upstream, e *requestState, o *option) bool {
+	if a.hasRoom(u) {
+		return true
+	}
+	victim, end := a.lessUrgentSlot(now, u, e)
+	if victim == nil {
+		return false
+	}
+	o.evicts = victim
+	o.cost += end
+	return true
+}
+
 // warmOption waits for a free slot on an engine that held the adapter recently. Its cost grows with the time that
 // the request has waited, so that a load from the weight store elsewhere becomes the better option.
 func (a *Assigner) warmOption(now time.Time, o option, e *requestState) (option, bool) {
@@ -297,13 +346,12 @@
 }
 
 // fits reports whether an engine has room for a request in its batch and its KV cache. An idle engine always has.
-func (u *upstream) fits(r *Request) bool {
+func (a *Assigner) fits(u *upstream, e *requestState) bool {
 	if len(u.running) == 0 {
 		return true
 	}
-	need := r.PromptTokens + r.OutputTokens
 	return len(u.running) < u.engine.BatchSize &&
-		float64(u.cacheTokens+need) <= cacheMargin*float64(u.engine.CacheTokens)
+		float64(u.cacheTokens+a.cacheNeed(u, e)) <= cacheMargin*float64(u.engine.CacheTokens)
 }
 
 // plainOption returns how an upstream of a plain service would serve a request. The cost is the average request
--- a/assign/events.go
+++ b/assign/events.go
@@ -37,8 +37,10 @@
 
 // Request describes a request that needs an upstream.
 type Request struct {
-	ID           RequestID
-	Service      string
+	ID      RequestID
+	Service string
+	// Route is the name of the route, "" if unknown.
+	Route        string
 	Organisation string
 	Adapter      catalog.AdapterRef
 	// PromptTokens and OutputTokens are upper bounds on the tokens of the prompt and of the answer.
@@ -50,25 +52,42 @@
 	PrefixBlocks []PrefixBlock
 	// Cost is the number of tokens counted against the organisation's rate.
 	Cost int64
-	// Priority ranks requests; 0 is the highest.
-	Priority int
+	// Priority ranks requests; 0 is the highest. RoutePriority is that of the route, which ranks the requests of
+	// organisations whose own priority replaces it.
+	Priority      int
+	RoutePriority int
 	// Zone is the availability zone of the host that submitted the request.
 	Zone    string
 	Arrived time.Time
 	// Target is the time at which the answer, or its first event, is due.
 	Target time.Time
+	// FirstEventDeadline is the time at which the caller stops waiting for the first event of a stream, the zero time
+	// if it waits for it until Deadline.
+	FirstEventDeadline time.Time
 	// Deadline is the time at which the caller stops waiting.
 	Deadline time.Time
 	// Avoid lists the IDs of the upstreams that have already been tried.
 	Avoid []string
 	// Charged is true if the cost was already counted with an earlier attempt.
-	Charged     bool
+	Charged bool
+	// Admitted is true if the request was waiting at another Assigner, which had admitted it.
+	Admitted    bool
 	Fingerprint Fingerprint
 	// Resource is like Fingerprint, but leaves out the method and the query, which may differ between repeats of a
 	// request that crashes upstreams. It is zero if it adds no information.
 	Resource Fingerprint
 }
 
+// routeRanks is the number of ranks that requests of the same priority are divided into by the priorities of their
+// routes.
+const routeRanks = 3
+
+// Rank returns the rank of the request in a ranked service; 0 is served first. An organisation's priority goes before
+// that of its routes, which then ranks the organisation's kinds of requests.
+func (r *Request) Rank() int {
+	return min(max(r.Priority, 0), maxPriority)*routeRanks + min(max(r.RoutePriority, 0), routeRanks-1)
+}
+
 // retry reports whether the request has been assigned to an upstream before.
 func (r *Request) retry() bool { return len(r.Avoid) > 0 }
 
@@ -142,6 +161,16 @@
 // FirstByteReceived reports that the first byte of an answer's body has been received.
 type FirstByteReceived struct{ ID RequestID }
 
+// LoadStated reports the load that an upstream stated in the header of an answer.
+type LoadStated struct {
+	// ID is the request that was answered. Upstream and StartedAt identify the upstream if the request was assigned by
+	// another Assigner.
+	ID        RequestID
+	Upstream  string
+	StartedAt int64
+	Load      Load
+}
+
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	ID        RequestID
@@ -162,6 +191,8 @@
 type UpstreamFeedback struct {
 	// Load is the upstream's own count of its requests, nil if it reported none.
 	Load *Load
+	// OutputTokens is the number of tokens of a complete answer, 0 if unknown.
+	OutputTokens int
 	// BackOff is the time for which the upstream accepts no further request from the host that sent this one.
 	BackOff time.Duration
 }
@@ -177,6 +208,9 @@
 type Load struct {
 	Running int
 	Waiting int
+	// Pace is the time that work takes on the upstream at this moment, relative to the usual: larger is slower. It is 0
+	// if the upstream does not state it.
+	Pace float64
 }
 
 // RateLimitUpdated reports the rate limit of an upstream, and the share of it that the Assigner may use. The limit
@@ -258,6 +292,7 @@
 func (RequestWithdrawn) isEvent()   {}
 func (FirstByteReceived) isEvent()  {}
 func (AttemptEnded) isEvent()       {}
+func (LoadStated) isEvent()         {}
 func (UpstreamLeaving) isEvent()    {}
 func (RateLimitUpdated) isEvent()   {}
 func (RateLimitEnded) isEvent()     {}
@@ -283,8 +318,11 @@
 	Expected time.Duration
 	// RateLimit is the state of the upstream's rate limit after this assignment.
 	RateLimit throttle.State
-	// Held is the time from the submission of the request to this decision.
-	Held time.Duration
+	// Held is the time from the submission of the request to this decision. Turn is the estimate of it at admission, for a
+	// request that was queued in a ranked service; it is valid if Ranked is set.
+	Held   time.Duration
+	Turn   time.Duration
+	Ranked bool
 }
 
 // Refuse ends a request that has not been assigned to an upstream, or is not assigned again.
--- a/assign/ratelimit.go
+++ b/assign/ratelimit.go
@@ -196,7 +196,7 @@
 	if a.queues.count == 0 || len(a.rateLimiters) == 0 || !s.rateLimited() {
 		return false
 	}
-	a.enqueue(e)
+	a.enqueue(now, e)
 	e.queue.sort(now)
 	for _, u := range s.upstreams {
 		if u.rateLimit != nil {
@@ -213,12 +213,16 @@
 // refuseUnservable refuses the queued requests that the rate limits of their service's upstreams do not let through
 // in time any more, because more urgent ones have arrived or a limit has changed.
 func (a *Assigner) refuseUnservable(now time.Time) {
-	if a.queues.count == 0 || len(a.rateLimiters) == 0 || now.Sub(a.lastQueueCheck) < queueCheckInterval {
+	if a.queues.unranked == 0 || len(a.rateLimiters) == 0 || now.Sub(a.lastQueueCheck) < queueCheckInterval {
 		return
 	}
 	a.lastQueueCheck = now
 	queued := map[string][]*requestState{}
-	a.queues.each(func(e *requestState) { queued[e.request.Service] = append(queued[e.request.Service], e) })
+	a.queues.each(func(e *requestState) {
+		if e.waiting == nil {
+			queued[e.request.Service] = append(queued[e.request.Service], e)
+		}
+	})
 	for name, waiting := range queued {
 		s := a.service(name)
 		if _, _, limited := s.fleetRate(now); !limited {
--- a/assign/refusal.go
+++ b/assign/refusal.go
@@ -21,8 +21,11 @@
 
 // refuseExpired refuses the requests that have been queued for as long as they may be.
 func (a *Assigner) refuseExpired(now time.Time) {
+	if a.queues.unranked == 0 {
+		return
+	}
 	a.queues.each(func(e *requestState) {
-		if now.Before(e.queueDeadline(a)) {
+		if e.waiting != nil || now.Before(e.queueDeadline(a)) {
 			return
 		}
 		a.refund(now, e)
@@ -43,7 +46,7 @@
 // refusal.
 func (a *Assigner) refusalRule(now time.Time, e *requestState) (string, bool) {
 	s := a.service(e.request.Service)
-	if !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() }) {
+	if !s.hasUpstream() {
 		return "no_upstream", true
 	}
 	if _, _, limited := s.fleetRate(now); limited && !now.Add(s.rateWait(now, a.queuedBefore(now, s, e))).Before(e.queueDeadline(a)) {
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -28,6 +28,8 @@
 	// claims counts the requests that run on the adapter or are queued for it on this engine.
 	claims   int
 	lastUsed time.Time
+	// load is the fraction of the engine's time that requests for the adapter use, if requests are assigned by work.
+	load decayingRate
 	// readyAt is the time at which a load is expected to have ended, or at which the engine is polled again for the
 	// end of an eviction.
 	readyAt time.Time
@@ -40,6 +42,8 @@
 	evictAccepted bool
 	// evictAcceptedAt is the time at which the engine first accepted that order.
 	evictAcceptedAt time.Time
+	// evictsUsed is true while the adapter, which was in use, makes way for a more urgent request.
+	evictsUsed bool
 }
 
 // Assumptions about loads. The times are those that users' deployments state for an adapter. They rank the ways to
@@ -93,6 +97,7 @@
 		delete(u.slots, s.ref.Adapter)
 		u.adapterIndex.remove(s)
 		u.coldLoads.discard(s)
+		u.evictedUsed(s)
 	}
 	if s.state == slotEvicting || s.state == slotResident {
 		u.markWarm(now, s.ref.Adapter)
@@ -156,6 +161,94 @@
 	return least
 }
 
+const (
+	// evictUsedAfter is the time for which a request must have waited, and no load have begun in its service, before an
+	// adapter in use makes way for it. While slots become free by themselves, an adapter that is being evicted costs more
+	// than it gains.
+	evictUsedAfter = 250 * time.Millisecond
+	// maxEvictingUsed is the fraction of a service's slots that may be making way for urgent requests at once, one slot at
+	// least. An adapter that is being evicted serves nobody: with 250 urgent requests without a slot and no bound, callers
+	// of 60 engines with 5 slots each were served much worse.
+	maxEvictingUsed = 0.05
+)
+
+// lessUrgentSlot returns an adapter on an engine without room that makes way for a queued request of a ranked service,
+// since all requests that use it or wait for it are of less urgent ranks; of several, the one whose requests are expected
+// to end first, and the time until then. It returns nil if there is none.
+func (a *Assigner) lessUrgentSlot(now time.Time, u *upstream, e *requestState) (*slot, time.Duration) {
+	if e.waiting == nil || a.evictionsHeld || now.Sub(e.submittedAt) < evictUsedAfter ||
+		now.Sub(u.service.lastLoadAt) < evictUsedAfter || u.pendingLoads() >= maxPendingLoads || !u.mayEvictUsed() {
+		return nil, 0
+	}
+	rank := e.waiting.CurrentRank()
+	ends, urgent := a.slotEnds(now, u, rank)
+	var first *slot
+	for _, s := range u.slots {
+		if s.state != slotResident || urgent[s] || !a.keptByLessUrgent(u, s, rank) {
+			continue
+		}
+		if first == nil || ends[s] < ends[first] || (ends[s] == ends[first] && s.ref.Adapter < first.ref.Adapter) {
+			first = s
+		}
+	}
+	return first, ends[first]
+}
+
+// slotEnds returns the expected time until the requests that run on each slot of an engine end, and the slots that
+// requests of the given rank or more urgent ones use.
+func (a *Assigner) slotEnds(now time.Time, u *upstream, rank int) (ends map[*slot]time.Duration, urgent map[*slot]bool) {
+	ends, urgent = map[*slot]time.Duration{}, map[*slot]bool{}
+	for _, e := range u.running {
+		if e.slot != nil {
+			ends[e.slot] = max(ends[e.slot], a.expectedEnd(now, u, e))
+			urgent[e.slot] = urgent[e.slot] || e.request.Rank() <= rank
+		}
+	}
+	return ends, urgent
+}
+
+// mayEvictUsed reports whether another adapter in use may make way on an engine: one on each at once, and
+// maxEvictingUsed of the slots of the service.
+func (u *upstream) mayEvictUsed() bool {
+	limit := max(int(maxEvictingUsed*float64(u.engine.AdapterSlots*len(u.service.upstreams))), 1)
+	if u.service.evictingUsed >= limit {
+		return false
+	}
+	for _, s := range u.slots {
+		if s.evictsUsed {
+			return false
+		}
+	}
+	return true
+}
+
+// evictUsed has an adapter in use make way for a more urgent request.
+func (u *upstream) evictUsed(s *slot) {
+	s.state, s.evictsUsed = slotEvicting, true
+	u.service.evictingUsed++
+}
+
+// evictedUsed records that a slot no longer makes way: it has become free, or its engine is gone.
+func (u *upstream) evictedUsed(s *slot) {
+	if s.evictsUsed {
+		s.evictsUsed = false
+		u.service.evictingUsed--
+	}
+}
+
+// expectedEnd returns the expected time until a request that runs on an engine ends.
+func (a *Assigner) expectedEnd(now time.Time, u *upstream, e *requestState) time.Duration {
+	total := u.timeFor(now, u.prefillWork(e.prefillAhead+e.prefillTokens)) + time.Duration(a.expectedTokensOf(e))*u.tokenTime(now)
+	return max(total-now.Sub(e.grantedAt), fractionOf(total, minRemainingFraction))
+}
+
+// keptByLessUrgent reports whether waiting requests of less urgent ranks than the given one would keep an adapter in its
+// slot. Without them, the slot becomes free by itself once its requests have ended.
+func (a *Assigner) keptByLessUrgent(u *upstream, s *slot, rank int) bool {
+	q, ok := a.queues.byKey[queueKey{u.record.Service, s.ref}]
+	return ok && q.ordered != nil && q.ordered.FirstRank() > rank
+}
+
 // hasEvictable reports whether an adapter may be evicted.
 func (a *Assigner) hasEvictable(u *upstream) bool {
 	if a.evictionsHeld {
--- /dev/null
+++ b/assign/turn.go
@@ -0,0 +1,404 @@
+package assign
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// rateHalfLife is the half-life of the measured rate of work. priorTime is the time for which the theoretical rate
+	// counts in it. Within a second of a full queue, the measurement outweighs the prior.
+	rateHalfLife = 3 * time.Second
+	priorTime    = 250 * time.Millisecond
+	// capacityMaxAge is the time for which the theoretical rate of a service is reused.
+	capacityMaxAge = 100 * time.Millisecond
+	// maxServiceFraction is the maximum fraction of a request's time that it is assumed to need on the upstream. The
+	// expected output may be far from the real one.
+	maxServiceFraction = 0.5
+	// turnTolerance is the fraction by which the estimated turn of a waiting request may exceed what is useful, beside
+	// the time of two requests, before the request is displaced. An estimate that varies must not refuse admitted
+	// requests.
+	turnTolerance = 0.05
+	// usualBacklog is the time for which a request usually waits on its engine for the prompts assigned before it.
+	usualBacklog = 120 * time.Millisecond
+	// firstEventReserve is how much later than usual a first token may come after a late assignment.
+	firstEventReserve = 130 * time.Millisecond
+	// minCheckInterval is the time after which a waiting request is checked again at the earliest.
+	minCheckInterval = 10 * time.Millisecond
+	// minRate is the lowest rate of work, in units of time per time, that estimates assume.
+	minRate = 1e-3
+)
+
+// workRate measures the work per time that a service begins while requests wait for capacity.
+type workRate struct {
+	work, busy float64
+	at         time.Time
+	// last is the work that was counted last, at lastAt.
+	last   float64
+	lastAt time.Time
+	// saturated is set while waiting requests lack capacity, as of the last pass.
+	saturated bool
+}
+
+// advance counts the time since the last call.
+func (r *workRate) advance(now time.Time) {
+	elapsed := now.Sub(r.at)
+	if elapsed <= 0 {
+		return
+	}
+	decay := math.Exp2(-float64(elapsed) / float64(rateHalfLife))
+	r.work *= decay
+	r.busy *= decay
+	r.last *= decay
+	if r.saturated && !r.at.IsZero() {
+		r.busy += elapsed.Seconds()
+	}
+	r.at = now
+}
+
+func (r *workRate) served(now time.Time, work time.Duration) {
+	r.advance(now)
+	if r.saturated {
+		r.work += work.Seconds()
+		r.last, r.lastAt = work.Seconds(), now
+	}
+}
+
+// estimate returns the rate of work, given the theoretical rate. At first, upstreams may still be busy with what another
+// Assigner has assigned to them, up to maxBacklog. That they begin nothing then is no measurement.
+func (r *workRate) estimate(now time.Time, prior float64) float64 {
+	r.advance(now)
+	if r.work == 0 && r.busy < maxBacklog.Seconds() {
+		return max(prior, minRate)
+	}
+	return max((r.work+prior*priorTime.Seconds())/(r.busy+priorTime.Seconds()), minRate)
+}
+
+// smooth returns the rate of work with the last work counted as it is done. Otherwise the rate varies by one request with
+// the time since that was begun, and with it the number of requests that one event displaces.
+func (r *workRate) smooth(now time.Time, prior float64) float64 {
+	rate := r.estimate(now, prior)
+	if r.last == 0 {
+		return rate
+	}
+	done := min(rate*now.Sub(r.lastAt).Seconds()/r.last, 1)
+	return max(rate+(done-0.5)*r.last/(r.busy+priorTime.Seconds()), minRate)
+}
+
+// capacityEstimate is what is known of the capacity of a service without a measurement.
+type capacityEstimate struct {
+	// rate is the work per time that the upstreams can do.
+	rate float64
+	// opensIn is the time until the first upstream may be assigned requests.
+	opensIn time.Duration
+	// requestTime is the mean time of a request of a plain service.
+	requestTime time.Duration
+	// gap is the longest time between two requests to an upstream that its own limits impose.
+	gap time.Duration
+}
+
+// capacity returns the theoretical capacity of a service. Limits on the number of requests count with the mean work of
+// those that wait.
+func (a *Assigner) capacity(now time.Time, s *service) capacityEstimate {
+	l := s.line
+	if !l.priorAt.IsZero() && now.Sub(l.priorAt) < capacityMaxAge {
+		return l.prior
+	}
+	work, count := time.Duration(0), 0
+	for _, r := range l.ranks {
+		work, count = work+r.work, count+r.count
+	}
+	meanWork := assumedRequestTime
+	if count > 0 {
+		meanWork = work / time.Duration(count)
+	}
+	c := capacityEstimate{opensIn: maxKnownRetryAfter}
+	present, paused := 0, s.allPaused(now)
+	for _, u := range s.upstreams {
+		if u.draining() || (now.Before(u.pausedUntil) && !paused) {
+			continue
+		}
+		present++
+		c.requestTime += u.requestTime
+		c.opensIn = min(c.opensIn, max(u.fullUntil.Sub(now), 0))
+		rate, gap := u.workRate(now, meanWork)
+		c.rate += rate
+		c.gap = max(c.gap, gap)
+	}
+	c.requestTime /= time.Duration(max(present, 1))
+	l.prior, l.priorAt = c, now
+	return c
+}
+
+// allPaused reports whether all upstreams of a service are paused after failures. They are then used nevertheless.
+func (s *service) allPaused(now time.Time) bool {
+	return !slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return !u.draining() && !now.Before(u.pausedUntil) })
+}
+
+// invalidateCapacity has the theoretical capacity of all services computed again when it is needed next.
+func (a *Assigner) invalidateCapacity() {
+	for _, s := range a.services {
+		if s.line != nil {
+			s.line.priorAt = time.Time{}
+		}
+	}
+}
+
+// maxGap bounds the time between two requests to an upstream that is taken into account.
+const maxGap = time.Second
+
+// workRate returns the theoretical rate of work of an upstream, and the time between two requests that its own limits
+// impose.
+func (u *upstream) workRate(now time.Time, meanWork time.Duration) (float64, time.Duration) {
+	rate := float64(assumedPrefillPerToken) / float64(max(u.prefillPerToken, 1))
+	limit := math.Inf(1)
+	if u.engine == nil {
+		rate = float64(max(u.record.Slots, 1)) * float64(assumedRequestTime) / float64(max(u.requestTime, 1))
+	}
+	if u.rateLimit != nil {
+		limit = u.rateLimit.Rate(now)
+	}
+	if u.slowStart.active(now) {
+		limit = min(limit, slowStartFraction*u.slowStart.limits.RequestsPerSecond*u.slowStart.options.Share)
+	}
+	gap := time.Duration(float64(time.Second) / max(limit, 1/maxGap.Seconds()))
+	if math.IsInf(limit, 1) {
+		gap = 0
+	}
+	return min(rate, limit*meanWork.Seconds()), gap
+}
+
+// lastUseful returns the last time at which it is of use to assign a request to an upstream: its deadline less the time
+// needed to serve it.
+func (a *Assigner) lastUseful(now time.Time, s *service, e *requestState) time.Time {
+	r := &e.request
+	need := a.capacity(now, s).requestTime
+	if configured := a.config.Service(s.name); configured != nil && configured.Engine != nil {
+		output := r.ExpectedOutput
+		if output == 0 {
+			output = r.OutputTokens / 2
+		}
+		need = time.Duration(r.PromptTokens)*assumedPrefillPerToken + time.Duration(output)*typicalTokenTime
+	}
+	last := r.Deadline.Add(-min(max(need, 0), time.Duration(maxServiceFraction*float64(r.Deadline.Sub(r.Arrived)))))
+	if first := r.FirstEventDeadline; !first.IsZero() {
+		wait := firstTokenTime(r) + firstEventReserve
+		if bound := first.Add(-min(wait, time.Duration(maxServiceFraction*float64(first.Sub(r.Arrived))))); bound.Before(last) {
+			last = bound
+		}
+	}
+	if !a.options.SendsOrders && !a.heldAdapter(s, e) {
+		// No order makes an upstream ready for the request.
+		from := r.Arrived
+		if r.Admitted {
+			from = now
+		}
+		if bound := from.Add(maxWaitWithoutOrders); bound.Before(last) {
+			return bound
+		}
+	}
+	return last
+}
+
+// firstTokenTime is the usual time from the assignment of a request to its first token.
+func firstTokenTime(r *Request) time.Duration {
+	if r.PromptTokens == 0 {
+		return 0
+	}
+	return time.Duration(r.PromptTokens)*assumedPrefillPerToken + usualBacklog
+}
+
+// turnEstimate is the expected time until a request's turn, and what is ahead of the request.
+type turnEstimate struct {
+	rank int
+	wait time.Duration
+	// ahead is the work of the requests that go before, count their approximate number.
+	ahead time.Duration
+	count float64
+	// request is the work of the request itself, in seconds.
+	request float64
+}
+
+// perRequest returns the time that passes for each request that goes before.
+func (t turnEstimate) perRequest() time.Duration {
+	return time.Duration(float64(t.wait) / max(t.count, 1))
+}
+
+// String describes the estimate in logs.
+func (t turnEstimate) String() string {
+	return fmt.Sprintf("rank %d, turn in %d ms, %.0f requests with %d ms of work ahead", t.rank, t.wait.Milliseconds(), t.count, t.ahead.Milliseconds())
+}
+
+// estimateTurn estimates the turn of a queued request.
+func (a *Assigner) estimateTurn(now time.Time, s *service, e *requestState, future arrivalForecast) turnEstimate {
+	c := a.capacity(now, s)
+	rate := max(c.rate, minRate)
+	if _, _, limited := s.fleetRate(now); !limited {
+		rate = s.line.rate.estimate(now, c.rate)
+		if future == withoutArrivals {
+			rate = s.line.rate.smooth(now, c.rate)
+		}
+	}
+	t := s.line.estimate(now, e.waiting, rate, future)
+	t.wait = min(max(t.wait, c.opensIn, s.rateWait(now, int(t.count))), maxKnownRetryAfter)
+	if !s.accepts(now, e.request.ID.Host) {
+		t.wait = max(t.wait, s.hostRetryDelay(now, e.request.ID.Host))
+	}
+	if e.queue.key.adapter.Adapter != "" && !a.heldAdapter(s, e) {
+		t.wait = max(t.wait, a.loadWait(now, e))
+	}
+	return t
+}
+
+// loadWait returns the expected time until the adapter of a request is loaded.
+func (a *Assigner) loadWait(now time.Time, e *requestState) time.Duration {
+	if e.slot != nil {
+		return max(e.slot.readyAt.Sub(now), 0)
+	}
+	return coldLoad
+}
+
+// arrivalForecast states whether an estimate includes the requests that are likely to arrive and go first. It does when a
+// request is admitted, so that the request is served, and does not when an admitted request is to be displaced.
+type arrivalForecast bool
+
+const (
+	withArrivals    arrivalForecast = true
+	withoutArrivals arrivalForecast = false
+)
+
+// maxEstimateSteps bounds the steps in which an estimate counts the work that arrives while the request waits.
+const maxEstimateSteps = 5
+
+// estimate returns the turn of an entry at a rate of work.
+func (l *line) estimate(now time.Time, entry *waitingEntry, rate float64, future arrivalForecast) turnEstimate {
+	rank := entry.CurrentRank()
+	r := l.ranks[rank]
+	acct := r.accounts[entry.Organisation]
+	own, ownCount := acct.ahead(entry)
+	t := turnEstimate{rank: rank, request: entry.Work.Seconds()}
+	for range maxEstimateSteps {
+		before, arriving := t.wait, t.wait
+		if future == withoutArrivals {
+			arriving = 0
+		}
+		t.ahead, t.count = own, ownCount
+		for _, urgent := range l.ranks[:rank] {
+			t.ahead += urgent.work + time.Duration(urgent.arrivals.rate(now)*float64(arriving))
+			t.count += float64(urgent.count)
+		}
+		l.addShares(now, r, acct, own, arriving, &t)
+		t.wait = min(time.Duration(float64(t.ahead)/rate), maxKnownRetryAfter)
+		if t.wait-before < estimatePrecision || future == withoutArrivals {
+			break
+		}
+	}
+	return t
+}
+
+// estimatePrecision is the change of the estimate below which no further step is made.
+const estimatePrecision = 5 * time.Millisecond
+
+// addShares adds what fair sharing gives to the other organisations of a rank before an organisation's counter has
+// grown by the given work: each is served until its counter has passed that value, but no more than waits or arrives.
+func (l *line) addShares(now time.Time, r *rankLine, acct *account, own, arriving time.Duration, t *turnEstimate) {
+	scale := l.weights.scale()
+	weight := func(c *account) float64 {
+		if scale == 0 || c.rate == 0 {
+			return 1
+		}
+		return c.rate * scale
+	}
+	wait, clock := arriving.Seconds(), r.counters.Clock()
+	turn := acct.served + own.Seconds()/weight(acct)
+	for _, other := range r.list {
+		served := other.served
+		if other.count == 0 {
+			served = max(served, clock)
+		}
+		if other == acct || served > turn {
+			continue
+		}
+		work, request := other.work.Seconds(), t.request
+		if other.count > 0 {
+			request = work / float64(other.count)
+		}
+		part := min(work+other.arrivalsAt(now)*wait, (turn-served)*weight(other)+request)
+		t.ahead += time.Duration(part * float64(time.Second))
+		t.count += part / request
+	}
+}
+
+// ahead returns the work of an organisation that has to be done before one of its entries, and the approximate number
+// of requests. An entry that would put others of its organisation past their last useful moment is late itself.
+func (c *account) ahead(entry *waitingEntry) (time.Duration, float64) {
+	name := adapterKey(&entry.Value.request)
+	own, count := time.Duration(0), 0.0
+	for other := range c.adapters[name].entries {
+		if other != entry && dueBefore(other, entry) {
+			own += other.Work
+			count++
+		}
+	}
+	total, share := own, own+2*entry.Work
+	for other, held := range c.adapters {
+		if other != name {
+			served := min(held.work, share)
+			total += served
+			count += float64(len(held.entries)) * float64(served) / max(float64(held.work), 1)
+		}
+	}
+	return total, count
+}
+
+// scheduleCheck schedules the next check of a request, after its turn may have moved back by the given time.
+func (r *rankLine) scheduleCheck(e *requestState, slack time.Duration) {
+	e.checkAt = r.delay + max(slack, minCheckInterval)
+	if e.checkIndex > 0 {
+		heap.Fix(&r.checks, e.checkIndex-1)
+		return
+	}
+	heap.Push(&r.checks, e)
+}
+
+// checkHeap orders requests by the delay at which they have to be checked.
+type checkHeap []*requestState
+
+// Len implements heap.Interface.
+func (h checkHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h checkHeap) Less(i, j int) bool { return h[i].checkAt < h[j].checkAt }
+
+// Swap implements heap.Interface.
+func (h checkHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].checkIndex, h[j].checkIndex = i+1, j+1
+}
+
+// Push implements heap.Interface.
+func (h *checkHeap) Push(x any) {
+	e := x.(*requestState) //nolint:errcheck,forcetypeassert // only scheduleCheck pushes
+	*h = append(*h, e)
+	e.checkIndex = len(*h)
+}
+
+// Pop implements heap.Interface.
+func (h *checkHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	e.checkIndex = 0
+	return e
+}
+
+// remove takes a request out of the heap. It does nothing if the request is not in it.
+func (h *checkHeap) remove(e *requestState) {
+	if e.checkIndex > 0 {
+		heap.Remove(h, e.checkIndex-1)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,7 @@
 	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/gateway"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/peer"
 	"github.com/jasminelock/jasminelock/settings"
@@ -29,6 +32,10 @@
 // callerIdleTimeout is how long an idle connection of a caller is kept open.
 const callerIdleTimeout = 2 * time.Minute
 
+// memoryLimitShare is the share of the process's memory that is set as the soft memory limit of the Go runtime, if the memory is
+// stated. Near it the garbage collector runs more often.
+const memoryLimitShare = 0.6
+
 // Daemon is one host.
 type Daemon struct {
 	settings       *settings.Settings
@@ -52,8 +59,10 @@
 	freshUntil atomic.Pointer[time.Time]
 	leases     *leaseKeeper
 
-	callerListener   net.Listener
-	operatorListener net.Listener
+	callerListener net.Listener
+	// callers admits the connections and requests of callers, operators the connections of operators.
+	callers, operators *callers.Gate
+	operatorListener   net.Listener
 
 	// announceMu serialises announcements and the withdrawal, so that no announcement follows the
 	// withdrawal. It guards withdrawn.
@@ -81,6 +90,14 @@
 
 		incarnation: uint64(time.Now().UnixMilli()),
 	}
+	limits, err := callers.LimitsOf(s.MemoryMB, s.Descriptors, s.Callers.Shares())
+	if err != nil {
+		return nil, eris.Wrap(err, "limits of the process")
+	}
+	d.callers, d.operators = callers.NewGate(limits), callers.NewOperatorGate()
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
+	}
 	d.stopping, d.stop = context.WithCancel(context.Background())
 	d.outcomes = outcome.New(d.platform, d.platform.Objects())
 	c := core.New(core.Options{
@@ -88,12 +105,11 @@
 		Host: s.Host, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.leases = newLeaseKeeper(d.platform, s.Host, time.Now)
-	var err error
 	if d.metrics, err = newDaemonMetrics(); err != nil {
 		return nil, eris.Wrap(err, "metrics")
 	}
 	d.runtime = newRuntime(d.log, d.metrics, c, d.work, d.send)
-	if err := d.metrics.registerGauges(d.board, d.runtime.InFlight); err != nil {
+	if err := errors.Join(d.metrics.registerGauges(d.board, d.runtime.InFlight), d.callers.RegisterMetrics(d.metrics.provider.Meter("daemon"))); err != nil {
 		return nil, eris.Wrap(err, "metrics")
 	}
 	d.platform.ObserveErrors(d.metrics.countStoreError)
@@ -101,10 +117,12 @@
 	if d.callerListener, err = listen.Listen(context.Background(), "tcp", s.Listen.Callers); err != nil {
 		return nil, eris.Wrap(err, "listen.callers")
 	}
+	d.callerListener = d.callers.Listen(d.callerListener)
 	if d.operatorListener, err = listen.Listen(context.Background(), "tcp", s.Listen.Operators); err != nil {
 		_ = d.callerListener.Close()
 		return nil, eris.Wrap(err, "listen.operators")
 	}
+	d.operatorListener = d.operators.Listen(d.operatorListener)
 	if err := d.listenPeers(); err != nil {
 		_ = d.callerListener.Close()
 		_ = d.operatorListener.Close()
@@ -151,10 +169,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	handler := d.callerHandler()
-	callers := d.callerServer(handler)
-	operators := &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: gateway.DefaultReadTimeout}
+	callerServer := d.callerServer(handler)
+	operators := &http.Server{Handler: callers.Handler(d.operatorHandler()), ReadHeaderTimeout: gateway.DefaultReadTimeout}
+	d.operators.Attach(operators)
 	var group sync.WaitGroup
-	group.Go(func() { _ = callers.Serve(d.callerListener) })
+	group.Go(func() { _ = callerServer.Serve(d.callerListener) })
 	group.Go(func() { _ = operators.Serve(d.operatorListener) })
 	group.Go(func() { d.work.run(ctx, d.execute) })
 	if d.links != nil {
@@ -176,7 +195,7 @@
 	if d.isDraining() {
 		d.leave()
 	}
-	_ = callers.Close()
+	_ = callerServer.Close()
 	_ = operators.Close()
 	cancel()
 	group.Wait()
@@ -203,12 +222,14 @@
 
 func (d *Daemon) callerServer(handler http.Handler) *http.Server {
 	r := d.settings.Requests
-	return &http.Server{
+	server := &http.Server{
 		Handler:        handler,
 		ReadTimeout:    time.Duration(r.ReadTimeout),
 		IdleTimeout:    callerIdleTimeout,
 		MaxHeaderBytes: r.MaxHeaderBytes,
 	}
+	d.callers.Attach(server)
+	return server
 }
 
 // ready reports whether callers may be sent to this host: it has a configuration that is confirmed to be
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/forward"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/leader"
 	"github.com/jasminelock/jasminelock/throttle"
 	"github.com/jasminelock/jasminelock/watch"
@@ -119,6 +120,13 @@
 	// Rule names the rule by which the request was refused instead of being sent to
 	// an upstream, "" if it was not refused.
 	Rule string
+	// Rank is the priority of the request, 0 being the highest. Queued is set if the last assignment was made from the
+	// queue of a ranked service, Held after the time for which the request had waited there, and Turn the time that was
+	// expected at its admission.
+	Rank   int
+	Queued bool
+	Held   time.Duration
+	Turn   time.Duration
 	// Failure is the reason of the last failed attempt, "" if none failed.
 	Failure string
 	// Duration is the time from the arrival to the end of the request.
@@ -176,7 +184,10 @@
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	x := &exchange{server: s, w: w, r: r, arrived: time.Now(), controller: http.NewResponseController(w)}
-	x.serve()
+	var err error
+	x.held, err = callers.Begin(r)
+	defer x.held.End()
+	x.serve(err == nil)
 }
 
 // Running returns the number of requests that have not ended.
--- a/entry/response.go
+++ b/entry/response.go
@@ -16,6 +16,8 @@
 	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/catalog"
 	"github.com/jasminelock/jasminelock/forward"
+	"github.com/jasminelock/jasminelock/intake"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/sse"
 )
 
@@ -57,8 +59,10 @@
 // relayBuffered buffers up to maxBufferedBytes of a response before relaying it, so
 // that an interrupted response can still be replaced by that of another upstream.
 func (x *exchange) relayBuffered(resp *forward.Response, info ResponseInfo) assign.Outcome {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes))
-	if err != nil {
+	body, err := callers.Read(x.held, intake.Response, resp, resp.ContentLength, maxBufferedBytes)
+	complete := errors.Is(err, io.EOF)
+	// What there is no memory for is relayed as it arrives.
+	if err != nil && !complete && !errors.Is(err, callers.ErrRefused) {
 		return x.interrupted(err)
 	}
 	if info.Outcome == assign.Failed {
@@ -70,11 +74,14 @@
 	if !x.writeHeader(resp) {
 		return x.cancelledOutcome()
 	}
+	writeStart := time.Now()
 	if _, err := x.w.Write(body); err != nil {
 		return assign.CallerLeft
 	}
+	x.writes.Record(writeStart, time.Now())
 	x.timeToFirstToken = time.Since(x.arrived)
-	if len(body) == maxBufferedBytes {
+	if !complete {
+		x.held.ReleaseAll(intake.Response)
 		return x.relayRemainder(resp)
 	}
 	// An error response that is not retried is the caller's response, so the attempt has completed.
@@ -87,9 +94,11 @@
 	for relayed := 0; relayed < maxResponseBytes; {
 		n, err := resp.Read(buf)
 		relayed += n
+		writeStart := time.Now()
 		if _, writeErr := x.w.Write(buf[:n]); writeErr != nil {
 			return assign.CallerLeft
 		}
+		x.writes.Record(writeStart, time.Now())
 		switch {
 		case errors.Is(err, io.EOF):
 			return assign.Completed
@@ -106,11 +115,16 @@
 }
 
 // interrupted returns the outcome of a response whose body could not be read to its
-// end, and records the failure unless the caller left or the deadline passed.
+// end, and records the failure unless the caller left or the deadline passed. An upstream
+// interrupts a response that is not read; this is no failure of the upstream.
 func (x *exchange) interrupted(err error) assign.Outcome {
 	if x.ctx.Err() != nil {
 		return x.cancelledOutcome()
 	}
+	if x.writes.CallerIsSlow(time.Now()) {
+		x.recordFailure("response interrupted after the caller was slow to read", err)
+		return assign.CallerLeft
+	}
 	x.recordFailure("response interrupted", err)
 	return assign.Lost
 }
@@ -127,12 +141,16 @@
 	x.askToReconnect(h)
 	x.w.WriteHeader(resp.Status)
 	x.status, x.headerWritten = resp.Status, true
+	if !x.resumable() {
+		x.body = nil // no attempt follows
+		x.held.ReleaseAll(intake.Body)
+	}
 	return true
 }
 
-// askToReconnect tells the caller of a host that is stopping not to reuse the connection.
+// askToReconnect tells the caller of a host that is stopping, or that has too many connections, not to reuse the connection.
 func (x *exchange) askToReconnect(h http.Header) {
-	if x.server.Shutdown.InProgress() {
+	if x.server.Shutdown.InProgress() || x.held.MustClose() {
 		h.Set("Connection", "close")
 	}
 }
@@ -165,16 +183,30 @@
 		if id != "" {
 			x.lastEventID = id
 		}
+		x.events++
+		writeStart := time.Now()
 		if _, err := x.w.Write(event); err != nil {
 			return assign.CallerLeft
 		}
 		if events.HasBufferedEvent() {
+			x.writes.Record(writeStart, time.Now())
 			continue
 		}
 		if err := x.controller.Flush(); err != nil {
 			return assign.CallerLeft
 		}
+		x.writes.Record(writeStart, time.Now())
+	}
+}
+
+// outputTokens returns the number of tokens of a complete stream, 0 if unknown: the events of another stream's beginning
+// were relayed before this request, or the service does not state the tokens per event.
+func (x *exchange) outputTokens() int {
+	service := x.view.Config.Service(x.request.Service)
+	if x.requestInfo.LastEventID != "" || service == nil || service.Engine == nil {
+		return 0
 	}
+	return x.events * service.Engine.TokensPerEvent
 }
 
 // follows reports whether a stream that was interrupted after the event with the id last may go on with the event with the
@@ -239,6 +271,7 @@
 		h.Set("Retry-After", x.server.Codec.FormatRetryAfter(err.RetryAfter))
 	}
 	x.askToReconnect(h)
+	x.held.LimitDiscard()
 	x.w.WriteHeader(x.status)
 	if _, writeErr := x.w.Write(raw); writeErr != nil {
 		x.server.Log.Debug("error response not written to the caller", "request", x.requestInfo.AttemptID, "error", writeErr)
@@ -300,6 +333,7 @@
 	x.server.Observe(Result{
 		Route: route, Status: x.status, Reason: x.reason, Rule: x.rule, Failure: x.failure, Duration: duration,
 		TimeToFirstToken: x.timeToFirstToken, Attempts: x.sentCount, Tokens: tokens,
+		Rank: x.request.Priority, Queued: x.grant.Ranked, Held: x.grant.Held, Turn: x.grant.Turn,
 	})
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/jasminelock/jasminelock/statusline"
 )
 
 // maxInlineBodyBytes is the largest request body, in bytes, that is written before the
@@ -54,6 +56,9 @@
 		if skipped >= o.MaxStaleResponses {
 			return nil, fmt.Errorf("%w: response to another request", ErrMalformed)
 		}
+		if omitsBody(resp) {
+			return nil, fmt.Errorf("%w: response to another request omits the body that it states", ErrMalformed)
+		}
 		switch n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBodyBytes)); {
 		case err != nil:
 			return nil, connectionError(err)
@@ -79,6 +84,13 @@
 	return header != "" && id != "" && resp.Header.Get(header) == "" && resp.StatusCode >= http.StatusMultipleChoices
 }
 
+// omitsBody reports whether a response states a body that it does not have: one with status 304, or
+// one to a HEAD request. An upstream that sends the body nevertheless would have it read as the next
+// response of the connection.
+func omitsBody(resp *http.Response) bool {
+	return (resp.StatusCode == http.StatusNotModified || resp.Request.Method == http.MethodHead) && statusline.StatesBody(resp)
+}
+
 // write sends the request. It returns ErrNotSent if the write failed before the
 // kernel accepted any byte, and ErrInterrupted if it failed later.
 func (c *conn) write(r *Request) error {
@@ -141,19 +153,54 @@
 	c.limited.setLimit(maxHeaderBytes)
 	defer c.limited.removeLimit()
 	for {
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, connectionError(err)
+		line, err := c.checkStatusLine()
+		if err != nil {
+			return nil, err
+		}
+		if line.IsHTTP10() {
+			c.recordHead()
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err == nil && line.IsHTTP10() {
+			err = statusline.CheckFieldsHTTP10(c.limited.stopRecording())
+		}
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if err := statusline.CheckFraming(resp); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
+		if statusline.IsFinal(resp.StatusCode) {
 			return resp, nil
 		}
 	}
 }
 
+// checkStatusLine checks the beginning of the next status line without reading it. Each byte is
+// checked as it arrives, since an upstream in trouble may send no more.
+func (c *conn) checkStatusLine() (*statusline.Line, error) {
+	line := &statusline.Line{}
+	for n := 1; ; n++ {
+		b, err := c.reader.Peek(n)
+		if err != nil {
+			return nil, connectionError(err)
+		}
+		complete, err := line.Add(b[n-1])
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
+		if complete {
+			return line, nil
+		}
+	}
+}
+
+// recordHead has the bytes recorded that http.ReadResponse reads next.
+func (c *conn) recordHead() {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // peeking at what is buffered cannot fail
+	c.limited.record(buffered)
+}
+
 // reusable reports whether nothing is left to read or write after a response, so that
 // the connection can be reused.
 func (c *conn) reusable() bool {
@@ -195,6 +242,21 @@
 	in        io.Reader
 	hasLimit  bool
 	remaining int
+	// recorded holds what was read since record was called, and recording is set. The limit must be set meanwhile.
+	recorded  []byte
+	recording bool
+}
+
+// record has what is read recorded after the given bytes.
+func (l *limitedReader) record(before []byte) {
+	l.recorded, l.recording = append([]byte(nil), before...), true
+}
+
+// stopRecording returns what was recorded.
+func (l *limitedReader) stopRecording() []byte {
+	recorded := l.recorded
+	l.recorded, l.recording = nil, false
+	return recorded
 }
 
 // setLimit limits the reader to n more bytes.
@@ -213,5 +275,8 @@
 	}
 	n, err := l.in.Read(b[:min(len(b), l.remaining)])
 	l.remaining -= n
+	if l.recording {
+		l.recorded = append(l.recorded, b[:n]...)
+	}
 	return n, err
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/core"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/outcome"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/request"
@@ -22,6 +23,8 @@
 	server *Server
 	w      http.ResponseWriter
 	ticket Ticket
+	// held is what the request holds of the memory for callers, nil if that is not counted.
+	held *callers.Request
 	// buildCall builds the upstream call of an attempt.
 	buildCall func(d core.Dispatch) (upstream.Call, error)
 	// relay writes an upstream's response to the caller.
@@ -37,6 +40,8 @@
 	promptTokens int64
 	// headerWritten reports whether the response header has been written.
 	headerWritten bool
+	// writes tells whether the caller is slow to read a stream.
+	writes callers.WriteTimes
 	// isStream reports whether the caller requested an event stream.
 	isStream bool
 	// dispatchedAt is the start time of the current attempt.
--- a/host/host.go
+++ b/host/host.go
@@ -12,6 +12,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -21,6 +22,7 @@
 	"github.com/jasminelock/jasminelock/drain"
 	"github.com/jasminelock/jasminelock/entry"
 	"github.com/jasminelock/jasminelock/forward"
+	"github.com/jasminelock/jasminelock/intake/callers"
 	"github.com/jasminelock/jasminelock/leader"
 	"github.com/jasminelock/jasminelock/logsink"
 	"github.com/jasminelock/jasminelock/peer"
@@ -85,8 +87,13 @@
 	links   *peer.Links
 	pool    *forward.Pool
 	server  *entry.Server
-	metrics *hostMetrics
-	started time.Time
+	// callers admits the connections and requests of callers, operators those of operators and of the platform's checks.
+	callers   *callers.Gate
+	operators *callers.Gate
+	metrics   *hostMetrics
+	started   time.Time
+	// settled is set once this host may serve callers by the tables that it has read.
+	settled atomic.Bool
 }
 
 // New returns a host that does not serve until Run is called.
@@ -97,13 +104,18 @@
 	h.log = hclog.New(&hclog.LoggerOptions{
 		Name: s.Host, Output: h.sink, Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON,
 	})
-	var err error
+	limits, err := callers.LimitsOf(s.MemoryMB, s.Descriptors, s.Callers.Shares())
+	if err != nil {
+		return nil, err
+	}
+	h.callers, h.operators = callers.NewGate(limits), callers.NewOperatorGate()
 	if h.metrics, err = newHostMetrics(h); err != nil {
 		return nil, err
 	}
 	tables := &countedTables{tables: platform.NewTables(s.Store), calls: h.metrics.storeCalls}
 	h.pool = forward.New(forward.Options{
 		DialTimeout: dialTimeout, TCPUserTimeout: tcpUserTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdlePerUpstream: maxIdlePerUpstream,
+		MaxIdle:         limits.IdleUpstreamConnections,
 		RequestIDHeader: platform.Codec{}.AttemptIDHeader(), MaxStaleResponses: maxStaleResponses,
 	})
 	h.watcher = watch.New(watch.Options{
@@ -117,14 +129,15 @@
 		Tables: tables, Source: h.watcher, Cores: s.Cores, Fenced: s.Fleet.Fenced, Random: newRandom(),
 		HolderPause: time.Duration(s.Fleet.HolderPause), Clock: timeSinceBoot,
 		MaxPropagation: time.Duration(min(s.Fleet.MaxConfigDelay, s.Fleet.MaxDrainDelay)),
-		Engines:        &countedEngines{Engines: platform.NewEngines(h.pool, h.rateLimitStated), orders: h.metrics.orders},
+		Scheduling:     scheduling(s), LearnPace: s.Fleet.LearnPace,
+		Engines: &countedEngines{Engines: platform.NewEngines(h.pool, h.rateLimitStated), orders: h.metrics.orders},
 		Limits: assign.Limits{
 			RetryRatio: s.Fleet.RetryRatio, RetrySlack: s.Fleet.RetrySlack,
 			RateWindow: time.Duration(s.Fleet.RateWindow), RateTolerance: s.Fleet.RateTolerance, RateSlackTokens: s.Fleet.RateSlackTokens,
 		},
 	})
 	h.server = entry.New(entry.Options{
-		Log: h.log.Named("entry"), Codec: platform.Codec{}, Broker: h.broker, Pool: h.pool, View: h.watcher.View,
+		Log: h.log.Named("entry"), Codec: platform.Codec{}, Broker: h.broker, Pool: h.pool, View: h.callerView,
 		Shutdown: h.shutdown, Random: rand.Float64, Observe: h.metrics.recordResult,
 	})
 	return h, nil
@@ -135,6 +148,14 @@
 	h.broker.RateLimitStated(u, sentAt, s)
 }
 
+// scheduling returns the order of waiting requests that the settings ask for.
+func scheduling(s *settings.Entry) assign.Scheduling {
+	if s.Fleet.Scheduling == "urgency" || (s.Fleet.Scheduling == "" && platform.RanksRequests(s.Features)) {
+		return assign.ByUrgency
+	}
+	return assign.ByArrival
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // Run serves until the context ends, until the shutdown started by Drain is complete,
@@ -184,27 +205,28 @@
 	return nil
 }
 
-// listener is a server with the address that it listens on and the settings field of
-// that address.
+// listener is a server with the address that it listens on, the settings field of
+// that address, and the gate that admits its connections.
 type listener struct {
 	field, address string
 	server         *http.Server
+	gate           *callers.Gate
 }
 
 // serve runs all HTTP listeners until the context ends, a listener fails or the host
 // has drained.
 func (h *Host) serve(ctx context.Context, group *sync.WaitGroup) error {
-	callers := h.newServer(h.server)
+	callersServer := h.newServer(h.server, h.callers)
 	listeners := []listener{
-		{"listen.callers", h.settings.Listen.Callers, callers},
-		{"listen.readiness", h.settings.Listen.Readiness, h.newServer(platform.ReadinessHandler(h.ready))},
+		{"listen.callers", h.settings.Listen.Callers, callersServer, h.callers},
+		{"listen.readiness", h.settings.Listen.Readiness, h.newServer(callers.Handler(platform.ReadinessHandler(h.ready)), h.operators), h.operators},
 		{
 			"listen.directory", h.settings.Listen.Directory,
-			h.newServer(platform.DirectoryHandler(h.addressesForZone, directoryTTL(h.settings))),
+			h.newServer(callers.Handler(platform.DirectoryHandler(h.addressesForZone, directoryTTL(h.settings))), h.callers), h.callers,
 		},
 	}
 	if h.settings.Listen.Metrics != "" {
-		listeners = append(listeners, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(h.operatorHandler())})
+		listeners = append(listeners, listener{"listen.metrics", h.settings.Listen.Metrics, h.newServer(callers.Handler(h.operatorHandler()), h.operators), h.operators})
 	}
 	failed := make(chan error, len(listeners))
 	var callersListener net.Listener
@@ -213,7 +235,8 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", spec.field, err)
 		}
-		if spec.server == callers {
+		netListener = spec.gate.Listen(netListener)
+		if spec.server == callersServer {
 			callersListener = netListener
 		}
 		group.Go(func() {
@@ -234,11 +257,13 @@
 	}
 }
 
-func (h *Host) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+func (h *Host) newServer(handler http.Handler, gate *callers.Gate) *http.Server {
+	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: h.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	gate.Attach(server)
+	return server
 }
 
 func listen(ctx context.Context, address string) (net.Listener, error) {
--- a/leader/broker.go
+++ b/leader/broker.go
@@ -56,6 +56,10 @@
 	Cores   float64
 	Engines Engines
 	Limits  assign.Limits
+	// Scheduling is the order of waiting requests.
+	Scheduling assign.Scheduling
+	// LearnPace has the pace of upstreams learned where they do not state it.
+	LearnPace bool
 	// Fenced is set if engines reject orders with a fencing token older than the newest one they have seen.
 	Fenced bool
 	// HolderPause is how long a host that has sent orders to engines must not lead again once another host has
@@ -77,15 +81,22 @@
 	// SetLowLatency sets whether this host leads or is strong enough to lead, so that it reads the tables with low
 	// latency.
 	SetLowLatency(on bool)
-	// KnownVersions returns the store versions up to which the operator's table and the table of upstreams have been read.
+	// KnownVersions returns the store positions up to which the operator's table and the table of upstreams have been read.
 	KnownVersions() (operator, upstreams int64)
-	// SetKnownVersions confirms that all changes up to the given store versions have been relayed.
+	// SetKnownVersions confirms that all changes up to the given store positions have been relayed.
 	SetKnownVersions(operator, upstreams int64)
 	// ApplyRelayedConfig applies a relayed configuration, which may be empty, the adapter versions announced, and the
 	// complete set of evacuated zones.
 	ApplyRelayedConfig(packed []byte, versions catalog.Versions, evacuated watch.Evacuations)
 	// ApplyRelayedUpstreams applies a relayed list of upstreams: all of them, or those that have changed or are gone.
 	ApplyRelayedUpstreams(p watch.RelayedUpstreams)
+	// ObserveEra records an era of the store that this host has learned of.
+	ObserveEra(era int64)
+	// LearnTables adds what another host knows of the time before the store was restored from a copy.
+	LearnTables(p watch.PriorTables)
+	// Departed returns the incarnations of upstreams that are known to be gone or draining. It must not be called with the
+	// Broker locked.
+	Departed() []watch.Incarnation
 	// StoreAge returns the time since the store was last read.
 	StoreAge() time.Duration
 }
@@ -166,6 +177,9 @@
 	announced     memberList
 	memberListDue bool
 	relay         relayState
+	era           storeEra
+	// heldOrders are the orders that are held back while the lease is being claimed again.
+	heldOrders []assign.Order
 
 	localTimer   wakeTimer
 	leadingTimer wakeTimer
@@ -184,6 +198,10 @@
 	renewalOverdue bool
 	// yielding is set if the leader lets a stronger host take over.
 	yielding bool
+	// termFence is the fencing token with which this host began to lead. It differs from fence if the lease was claimed
+	// again since. reclaiming is set while this leader has to claim its lease again in a new era of the store.
+	termFence  int64
+	reclaiming bool
 	// steppingAside is set if this host, the leader, is about to release the lease.
 	steppingAside bool
 	// ledSince is when this host began to follow the present leader, which may be itself.
@@ -210,7 +228,7 @@
 		locations:  map[catalog.AdapterRef]adapterLocation{}, startedAt: time.Now(), leaderlessSince: time.Now(),
 		view: &watch.View{Versions: catalog.Versions{}},
 	}
-	b.local = assign.New(assign.Options{Share: startupShare, Limits: o.Limits, Random: o.Random})
+	b.local = assign.New(assign.Options{Share: startupShare, Limits: o.Limits, Scheduling: o.Scheduling, LearnPace: o.LearnPace, Random: o.Random})
 	b.localTimer.fire = func() { b.update(b.tickLocal) }
 	b.leadingTimer.fire = func() { b.update(b.tickLeading) }
 	return b
@@ -227,6 +245,7 @@
 	b.update(func(now time.Time) {
 		r.ID, r.Zone = t.request.ID, b.options.Zone
 		t.request, t.decided, t.upstream, t.firstByteReceived = r, false, "", false
+		t.load, t.loadPassedOn = nil, false
 		b.submit(now, t)
 	})
 }
@@ -301,20 +320,13 @@
 	})
 }
 
-// FirstByteReceived records that the first byte of an answer has arrived.
-func (b *Broker) FirstByteReceived(t *Ticket) {
-	b.update(func(now time.Time) {
-		t.firstByteReceived = true
-		b.forwardEvent(now, t, assign.FirstByteReceived{ID: t.request.ID}, &wire.FirstByteReceived{Number: t.request.ID.Number})
-	})
-}
-
 // AttemptEnded records how an attempt ended. The ticket's ID replaces the event's.
 func (b *Broker) AttemptEnded(t *Ticket, ev assign.AttemptEnded) {
 	b.update(func(now time.Time) {
 		ev.ID = t.request.ID
 		b.feedback.setBackOff(now, t.upstream, ev.Feedback.BackOff)
 		b.recordAttempt(now, t, &ev)
+		ev = b.endOfAttempt(now, t, ev)
 		t.upstream = ""
 		b.forwardEvent(now, t, ev, endedMessage(&ev))
 	})
@@ -356,6 +368,7 @@
 	b.update(func(now time.Time) {
 		before := b.view
 		b.view = v
+		b.observeEra(store.EraOf(max(v.Evacuated.StoreVersion, v.UpstreamsVersion)))
 		b.recordUpstreamEnds(now, before)
 		b.applyView(now, b.handleLocal)
 		b.updateLimitedServices(now)
--- a/leader/stats.go
+++ b/leader/stats.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jasminelock/jasminelock/assign"
 	"github.com/jasminelock/jasminelock/throttle"
 )
 
@@ -32,6 +33,22 @@
 	RequestsPerSecond    float64
 	OwnRequestsPerSecond float64
 	OldestRateLimitAge   time.Duration
+	// StoreEra is the era of the store, 0 if it states none. LeaseReclaims is the number of times that this host, as the
+	// leader, has claimed its lease again in a new era.
+	StoreEra      int64
+	LeaseReclaims int64
+}
+
+// OrganisationShares returns what organisations get of the ranked services whose requests this host assigns.
+func (b *Broker) OrganisationShares() []assign.OrganisationShare {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	shares := b.local.OrganisationShares(now)
+	if b.leading != nil {
+		shares = append(shares, b.leading.OrganisationShares(now)...)
+	}
+	return shares
 }
 
 // Stats returns a summary of the broker's state.
@@ -39,7 +56,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	s := Stats{Waiting: b.local.Waiting(), ExhaustedOrganisations: len(b.exhausted)}
+	s := Stats{Waiting: b.local.Waiting(), ExhaustedOrganisations: len(b.exhausted), StoreEra: b.era.number, LeaseReclaims: b.era.reclaims}
 	s.Suspected = b.ledger.CountSuspects(now)
 	for _, r := range b.refusals(now) {
 		if _, isPart := r.Key.Part(); isPart {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -23,8 +23,14 @@
 	MemoryMB int `json:"memory_mb"`
 	// Cores is the processor time available to the process, in cores. Hosts with more
 	// cores are assigned more work.
-	Cores float64    `json:"cores"`
-	Fleet EntryFleet `json:"fleet"`
+	Cores float64 `json:"cores"`
+	// Descriptors is the number of file descriptors that the process may open. Default: its own limit (RLIMIT_NOFILE).
+	Descriptors int `json:"descriptors,omitzero"`
+	// Callers holds the shares of memory and descriptors for callers.
+	Callers Callers    `json:"callers,omitzero"`
+	Fleet   EntryFleet `json:"fleet"`
+	// Features are the names of the optional parts of the platform's contract that are in force.
+	Features []string `json:"features,omitempty"`
 	// Grace is the time from the first termination signal to the final one.
 	Grace Duration `json:"grace"`
 	Log   Log      `json:"log,omitzero"`
@@ -78,6 +84,11 @@
 	MaxDrainDelay  Duration `json:"drain_within"`
 	// MaxDirectoryTTL is the maximum time for which callers cache an answer of the directory.
 	MaxDirectoryTTL Duration `json:"answer_life"`
+	// Scheduling is the order of waiting requests, "arrival" or "urgency". If it is empty, Entry.Features decide.
+	Scheduling string `json:"scheduling,omitempty"`
+	// LearnPace has requests assigned by the remaining work and the speed of upstreams also where these do not state
+	// their pace. It suits services whose upstreams differ in speed; usual ones are served better without it.
+	LearnPace bool `json:"learn_pace,omitempty"`
 }
 
 // LoadEntry reads an entry host's settings file, sets defaults and validates it.
@@ -99,12 +110,16 @@
 		return nil, problems
 	}
 	setDefault(&s.Log.Level, "info")
+	s.Callers.setDefaults()
 	if problems = s.Validate(); len(problems) > 0 {
 		return nil, parsed.addPositions(problems)
 	}
 	return &s, nil
 }
 
+// schedulings are the valid values of EntryFleet.Scheduling.
+var schedulings = []string{"", "arrival", "urgency"}
+
 // minGrace is the minimum time in which a host can redirect its callers to other hosts.
 const minGrace = Duration(time.Second)
 
@@ -125,6 +140,7 @@
 	}
 	v.checkAddress("store", s.Store)
 	v.check(s.MemoryMB > 0, "memory_mb", "want the memory in megabytes, above 0")
+	v.checkCallers(&s.Callers, s.Descriptors)
 	v.check(s.Cores > 0, "cores", "want a number of cores above 0")
 	v.check(s.Fleet.RetryRatio >= 0 && s.Fleet.RetrySlack >= 0, "fleet.retry_ratio", "want 0 or more")
 	v.check(s.Fleet.RateWindow > 0, "fleet.rate_window", "want a duration above 0")
@@ -133,6 +149,7 @@
 	v.check(s.Fleet.MaxConfigDelay >= 0, "fleet.config_within", "want a duration of 0 or more")
 	v.check(s.Fleet.MaxDrainDelay >= 0, "fleet.drain_within", "want a duration of 0 or more")
 	v.check(s.Fleet.MaxDirectoryTTL > 0, "fleet.answer_life", "want a duration above 0")
+	v.check(slices.Contains(schedulings, s.Fleet.Scheduling), "fleet.scheduling", "want \"arrival\" or \"urgency\"")
 	v.check(slices.Contains(logLevels, s.Log.Level), "log.level", "want one of %v, not %q", logLevels, s.Log.Level)
 	return v.problems
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -4,7 +4,6 @@
 package replica
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -100,12 +99,15 @@
 	options Options
 
 	// mu guards all below.
-	mu        sync.Mutex
-	requests  []Request
-	adapters  map[string]int64
-	sequence  int64
-	faults    Faults
-	cancelled int
+	mu       sync.Mutex
+	requests []Request
+	adapters map[string]int64
+	sequence int64
+	// highestFence is the highest fencing token of an order. orders are all orders.
+	highestFence int64
+	orders       []Order
+	faults       Faults
+	cancelled    int
 	// crash takes the replica down; it may be nil.
 	crash func()
 	// crashParts are the parts of prompts that crash the replica, crashEnding is how it ends.
@@ -115,6 +117,8 @@
 	partCrashes []time.Time
 	// rateLimit is the limit that answers state, "" for none.
 	rateLimit string
+	// pace is the pace that answers state, "" for none.
+	pace string
 }
 
 // Faults are the faults that a test can inject. A number is that of the requests,
@@ -162,6 +166,22 @@
 	r.rateLimit = text
 }
 
+// SetPace sets the pace that every answer states, "" for none. The replica does not work at that pace.
+func (r *Replica) SetPace(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pace = text
+}
+
+// load returns the load that answers state. The caller holds r.mu.
+func (r *Replica) load() string {
+	const counts = "1,0,8"
+	if r.pace == "" {
+		return counts
+	}
+	return counts + "," + r.pace
+}
+
 // SetCrashParts sets the parts of prompts that crash the replica, unless they are the last part, and how it
 // ends.
 func (r *Replica) SetCrashParts(ending CrashEnding, ids ...string) {
@@ -247,7 +267,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.adapters)
-	r.sequence = 0
+	r.sequence, r.highestFence = 0, 0
 }
 
 // Requests returns the requests that were executed or rejected.
@@ -306,45 +326,6 @@
 	}
 }
 
-type orderBody struct {
-	Operation string `json:"operation"`
-	Adapter   string `json:"adapter"`
-	Version   int64  `json:"version"`
-	Expect    int64  `json:"expect"`
-}
-
-func (r *Replica) order(w http.ResponseWriter, req *http.Request) {
-	var o orderBody
-	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	status := r.applyOrder(o)
-	if r.consume(&r.faults.LoseOrders) {
-		panic(http.ErrAbortHandler)
-	}
-	w.WriteHeader(status)
-}
-
-func (r *Replica) applyOrder(o orderBody) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_, held := r.adapters[o.Adapter]
-	switch {
-	case o.Expect != r.sequence:
-		return http.StatusConflict
-	case o.Operation == "load" && held:
-		return http.StatusOK
-	case o.Operation == "load":
-		r.adapters[o.Adapter] = max(o.Version, 1)
-		r.sequence++
-		return http.StatusAccepted
-	}
-	delete(r.adapters, o.Adapter)
-	r.sequence++
-	return http.StatusOK
-}
-
 func (r *Replica) report(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -375,12 +356,12 @@
 	body := readBody(req)
 	full := r.consume(&r.faults.Full)
 	r.mu.Lock()
-	leaving, retryAfter, crash, rateLimit := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.rateLimit
+	leaving, retryAfter, crash, rateLimit, load := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.rateLimit, r.load()
 	r.mu.Unlock()
 	r.AddRequest(Request{req.Method, req.RequestURI, req.Header.Clone(), string(body), !full, time.Now(), rateLimit})
 	h := w.Header()
 	h.Set("Jasminelock-Attempt-Id", req.Header.Get("Jasminelock-Attempt-Id"))
-	h.Set("Jasminelock-Replica-Load", "1,0,8")
+	h.Set("Jasminelock-Replica-Load", load)
 	if rateLimit != "" {
 		h.Set("Server-Limit", rateLimit)
 	}
--- a/wire/assign.go
+++ b/wire/assign.go
@@ -72,6 +72,15 @@
 	Resource []byte `cbor:"20,keyasint,omitempty"`
 	// ExpectedOutput is the caller's estimate of the output length, in tokens.
 	ExpectedOutput int `cbor:"19,keyasint,omitempty"`
+	// Route is the name of the request's route. Hosts of older builds leave it out.
+	Route string `cbor:"21,keyasint,omitempty"`
+	// RoutePriority is the priority of the route. Hosts of older builds leave it out.
+	RoutePriority int `cbor:"22,keyasint,omitempty"`
+	// FirstEventMillis is the time until the caller stops waiting for the first event of a stream, in milliseconds, 0
+	// if that is no earlier than the deadline.
+	FirstEventMillis int64 `cbor:"23,keyasint,omitempty"`
+	// Admitted is set if the request was waiting at a former leader, or at its host, which had admitted it.
+	Admitted bool `cbor:"24,keyasint,omitempty"`
 }
 
 // WithdrawRequest cancels a waiting request.
@@ -82,6 +91,14 @@
 // FirstByteReceived reports that the first byte of an answer's body has arrived.
 type FirstByteReceived struct {
 	Number uint64 `cbor:"1,keyasint"`
+	// PacePercent is the time that work takes on the upstream, in percent of the usual, as stated in
+	// the answer's header. It is 0 if the upstream does not state it, or the sender's build does not
+	// pass it on.
+	PacePercent uint16 `cbor:"2,keyasint,omitempty"`
+	// Running and Waiting are the upstream's own request counts. They are valid if PacePercent is
+	// not 0; otherwise they are sent with AttemptEnded.
+	Running int `cbor:"3,keyasint,omitempty"`
+	Waiting int `cbor:"4,keyasint,omitempty"`
 }
 
 // AttemptEnded reports the outcome of an attempt.
@@ -98,6 +115,10 @@
 	// BackOffMillis is the time for which the upstream accepts no request from the sender,
 	// in milliseconds.
 	BackOffMillis int64 `cbor:"6,keyasint,omitempty"`
+	// PacePercent is as in FirstByteReceived. If it was sent with that message, this one carries no load.
+	PacePercent uint16 `cbor:"8,keyasint,omitempty"`
+	// OutputTokens is the number of tokens of a complete stream, 0 if unknown.
+	OutputTokens int `cbor:"9,keyasint,omitempty"`
 }
 
 // UpstreamLeaving reports that an upstream has announced to a host that it is leaving.
@@ -161,6 +182,10 @@
 	HeldMillis int64 `cbor:"7,keyasint,omitempty"`
 	// RateLimit is the state of the upstream's rate limit, nil if it has none.
 	RateLimit *RateLimitState `cbor:"8,keyasint,omitempty"`
+	// Ranked is set if the request was queued in a ranked service. TurnMillis is then the estimate of HeldMillis at its
+	// admission.
+	Ranked     bool  `cbor:"9,keyasint,omitempty"`
+	TurnMillis int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Refuse rejects a request, which is assigned to no upstream.
@@ -204,6 +229,11 @@
 	// RateLimitVersion is the version of the host's list of upstreams' rate limits, 1 if it
 	// has none yet. Hosts of builds without rate limits send 0.
 	RateLimitVersion uint64 `cbor:"9,keyasint,omitempty"`
+	// StoreEra is the highest era of the store that the host knows of.
+	StoreEra int64 `cbor:"10,keyasint,omitempty"`
+	// KnowsPriorEra means that the host knows the tables from before the store was last
+	// restored from a copy.
+	KnowsPriorEra bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Successor announces a new leader. The new leader sends it to the leader that it
@@ -230,7 +260,7 @@
 type LeaderHeartbeat struct {
 	// Fence is the fencing token of the leader's lease.
 	Fence int64 `cbor:"1,keyasint"`
-	// LeaseVersion is the version of the lease's row after its last renewal.
+	// LeaseVersion is the position of the lease's row after its last renewal.
 	LeaseVersion int64 `cbor:"2,keyasint"`
 	// RenewalOverdue means that the renewal of the leader's lease is overdue.
 	RenewalOverdue bool `cbor:"3,keyasint,omitempty"`
@@ -251,10 +281,10 @@
 	// TablesChecksum is a checksum of the leader's copy of the platform's tables, which it has
 	// relayed.
 	TablesChecksum uint64 `cbor:"12,keyasint,omitempty"`
-	// OperatorVersion is the store version up to which the leader has read the operator's
+	// OperatorVersion is the store position, of era and version, up to which the leader has read the operator's
 	// table.
 	OperatorVersion int64 `cbor:"13,keyasint,omitempty"`
-	// UpstreamsVersion is the store version up to which the leader has read the upstreams'
+	// UpstreamsVersion is the store position up to which the leader has read the upstreams'
 	// table.
 	UpstreamsVersion int64 `cbor:"14,keyasint,omitempty"`
 	// StoreAgeMillis is the time since the leader last read the store, in milliseconds.
@@ -272,6 +302,11 @@
 	// DecidesSuspects means that the leader decides for all hosts which suspects are
 	// refused. Hosts decide themselves if the leader's build does not.
 	DecidesSuspects bool `cbor:"18,keyasint,omitempty"`
+	// StoreEra is the highest era of the store that the leader knows of.
+	StoreEra int64 `cbor:"19,keyasint,omitempty"`
+	// WantsTables asks the receiver for a ConfigPush, since the leader does not know the
+	// tables from before the store was last restored from a copy.
+	WantsTables bool `cbor:"20,keyasint,omitempty"`
 }
 
 // LimitUsage is the share of its rate limit that an organisation has used across the
@@ -291,8 +326,14 @@
 	Versions []AdapterVersion `cbor:"2,keyasint,omitempty"`
 	// EvacuatedZones are all availability zones whose upstreams must receive no requests.
 	EvacuatedZones []string `cbor:"3,keyasint,omitempty"`
-	// EvacuatedVersion is the store version as of which the evacuated zones are known.
+	// EvacuatedVersion is the store position as of which the evacuated zones are known.
 	EvacuatedVersion int64 `cbor:"4,keyasint,omitempty"`
+	// KnowsPriorEra means that the sender knows the tables from before the store was last
+	// restored from a copy, so that the evacuated zones are complete.
+	KnowsPriorEra bool `cbor:"5,keyasint,omitempty"`
+	// Departed are the upstreams that the sender knows to be gone or draining. It is set
+	// only in the answer to LeaderHeartbeat.WantsTables.
+	Departed []UpstreamLeaving `cbor:"6,keyasint,omitempty"`
 }
 
 // AdapterVersion is the announced version of an adapter.
@@ -308,7 +349,7 @@
 	Complete         bool       `cbor:"1,keyasint,omitempty"`
 	Upstreams        []Upstream `cbor:"2,keyasint,omitempty"`
 	RemovedUpstreams []string   `cbor:"3,keyasint,omitempty"`
-	// UpstreamsVersion is the store version up to which the sender has read the upstreams.
+	// UpstreamsVersion is the store position up to which the sender has read the upstreams.
 	UpstreamsVersion int64 `cbor:"5,keyasint,omitempty"`
 	// Packed is the output of PackUpstreams. If it is set, Upstreams is empty.
 	Packed []byte `cbor:"4,keyasint,omitempty"`
