--- a/assign/line.go
+++ b/assign/line.go
@@ -47,7 +47,9 @@
 	// count is the number of waiting requests.
 	count   int
 	weights weights
-	rate    workRate
+	// queueOptions are shared by all queues.
+	queueOptions fairshare.Options[*requestState]
+	rate         workRate
 	// prior is the rate of work as computed at priorAt.
 	prior   capacityEstimate
 	priorAt time.Time
@@ -118,7 +120,12 @@
 }
 
 func newLine(s *service, w weights, stats *rankStats) *line {
-	return &line{service: s, weights: w, stats: stats}
+	l := &line{service: s, weights: w, stats: stats}
+	l.queueOptions = fairshare.Options[*requestState]{
+		Counters:  func(rank int) *fairshare.Counters { return l.rank(rank).counters },
+		AgingTime: agingTime, AgingRanks: routeRanks, Moved: l.moved, Interval: l.interval,
+	}
+	return l
 }
 
 func (l *line) rank(rank int) *rankLine {
@@ -130,18 +137,10 @@
 	return l.ranks[rank]
 }
 
-// newQueue returns the order of a queue of the service.
-func (l *line) newQueue() *fairshare.Queue[*requestState] {
-	return fairshare.NewQueue(fairshare.Options[*requestState]{
-		Counters:  func(rank int) *fairshare.Counters { return l.rank(rank).counters },
-		AgingTime: agingTime, AgingRanks: routeRanks, Moved: l.moved, Interval: l.interval,
-	})
-}
-
 // add counts a request that begins to wait.
 func (l *line) add(now time.Time, q *queue, e *requestState) {
 	if q.ordered == nil {
-		q.ordered = l.newQueue()
+		q.ordered = fairshare.NewQueue(&l.queueOptions)
 	}
 	entry := &waitingEntry{
 		Value: e, Organisation: e.request.Organisation, Rank: e.request.Rank(), EnqueuedAt: e.request.Arrived,
--- a/fairshare/order_test.go
+++ b/fairshare/order_test.go
@@ -18,7 +18,7 @@
 		}
 		return byRank[rank]
 	}
-	return NewQueue(Options[int]{
+	return NewQueue(&Options[int]{
 		Counters: counters, AgingTime: 10 * time.Second,
 		Interval: func(*Entry[int]) (time.Duration, time.Duration) { return interval, 0 },
 	}), counters
--- a/fairshare/queue.go
+++ b/fairshare/queue.go
@@ -47,7 +47,7 @@
 // organisations, then by what they lose by waiting. No operation visits all requests: a lane's place in the order is
 // updated when the lane reaches the front, which is sound because counters only grow.
 type Queue[T any] struct {
-	options Options[T]
+	options *Options[T]
 	// ranks holds the lanes of each rank, as a heap by the recorded counter.
 	ranks    []laneHeap[T]
 	lanes    map[laneKey]*lane[T]
@@ -75,10 +75,8 @@
 	organisation string
 }
 
-// NewQueue returns an empty queue.
-func NewQueue[T any](o Options[T]) *Queue[T] {
-	return &Queue[T]{options: o, lanes: map[laneKey]*lane[T]{}}
-}
+// NewQueue returns an empty queue. Queues may share their options, which must not be modified.
+func NewQueue[T any](o *Options[T]) *Queue[T] { return &Queue[T]{options: o} }
 
 // Len returns how many requests are waiting.
 func (q *Queue[T]) Len() int { return q.length }
@@ -101,6 +99,9 @@
 	q.SetAside(e)
 	q.length--
 	q.options.Counters(e.rank).RemoveWaiting(e.Organisation)
+	if q.length == 0 {
+		q.ranks, q.lanes, q.aging = nil, nil, nil // most queues are empty, and there is one for each adapter
+	}
 }
 
 // Dequeue removes a request and charges its cost to its organisation.
@@ -138,6 +139,9 @@
 	l, ok := q.lanes[key]
 	if !ok {
 		l = &lane[T]{organisation: e.Organisation, rank: e.rank, served: q.options.Counters(e.rank).Served(e.Organisation)}
+		if q.lanes == nil {
+			q.lanes = map[laneKey]*lane[T]{}
+		}
 		q.lanes[key] = l
 		for len(q.ranks) <= e.rank {
 			q.ranks = append(q.ranks, nil)
--- a/fairshare/queue_test.go
+++ b/fairshare/queue_test.go
@@ -11,7 +11,7 @@
 var testStart = time.Unix(1000, 0)
 
 func newTestQueue(c *Counters) *Queue[int] {
-	return NewQueue(Options[int]{Counters: func(int) *Counters { return c }, AgingTime: AgingTime})
+	return NewQueue(&Options[int]{Counters: func(int) *Counters { return c }, AgingTime: AgingTime})
 }
 
 // dispatch dispatches up to n requests and returns how many of each organisation.
--- a/sched/policy.go
+++ b/sched/policy.go
@@ -34,11 +34,13 @@
 	names    map[string]*requestGroup
 	pools    map[string]*requestGroup
 
-	counters  *fairshare.Counters
-	waiting   map[RequestID]*waitingRequest
-	deadlines deadlineHeap
-	running   map[RequestID]runningSlot
-	drain     drainRate
+	counters *fairshare.Counters
+	// queueOptions are shared by all queues.
+	queueOptions *fairshare.Options[*waitingRequest]
+	waiting      map[RequestID]*waitingRequest
+	deadlines    deadlineHeap
+	running      map[RequestID]runningSlot
+	drain        drainRate
 
 	// pendingGroups are the groups that have requests waiting.
 	pendingGroups map[*requestGroup]struct{}
@@ -103,11 +105,12 @@
 
 // New returns an empty scheduler for one host.
 func New(o Options) *Policy {
+	counters := fairshare.NewCounters()
 	return &Policy{
 		host: o.Host, zone: o.Zone, random: o.Random, config: record.NewConfig(),
 		upstreams: map[string]*upstreamView{}, engines: map[string][]*upstreamView{},
 		adapters: map[record.AdapterRef]*requestGroup{}, names: map[string]*requestGroup{}, pools: map[string]*requestGroup{},
-		counters: fairshare.NewCounters(), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
+		counters: counters, queueOptions: queueOptions(counters), waiting: map[RequestID]*waitingRequest{}, running: map[RequestID]runningSlot{},
 		pendingGroups: map[*requestGroup]struct{}{}, remoteLoads: map[*requestGroup]struct{}{},
 		unresponsiveOwners: map[string]struct{}{}, receivedLoads: map[loadKey]*receivedLoad{},
 		shares: newLoadShares(), slotsByOrg: map[string]*orgSlots{},
@@ -234,7 +237,7 @@
 	organisation, ownerSlots := p.organisationSlots(ref.Name)
 	return &requestGroup{
 		organisation: organisation, ownerSlots: ownerSlots, ref: ref, name: name, model: model,
-		queue: p.newQueue(), retryAt: map[string]time.Time{},
+		queue: fairshare.NewQueue(p.queueOptions), retryAt: map[string]time.Time{},
 	}
 }
 
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -52,11 +52,11 @@
 	return 0
 }
 
-// newQueue returns a queue that is ordered by the counters of the host's organisations, which cover both ranks.
-func (p *Policy) newQueue() *fairshare.Queue[*waitingRequest] {
-	return fairshare.NewQueue(fairshare.Options[*waitingRequest]{
-		Counters: func(int) *fairshare.Counters { return p.counters }, AgingTime: fairshare.AgingTime,
-	})
+// queueOptions returns the options of queues that are ordered by the given counters, which cover both ranks.
+func queueOptions(c *fairshare.Counters) *fairshare.Options[*waitingRequest] {
+	return &fairshare.Options[*waitingRequest]{
+		Counters: func(int) *fairshare.Counters { return c }, AgingTime: fairshare.AgingTime,
+	}
 }
 
 func (p *Policy) groupOf(r Request) *requestGroup {
