--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -399,7 +399,7 @@
 		u.removeStream(now, e)
 	}
 	delete(u.running, e.request.ID)
-	u.cacheTokens -= e.cacheTokens
+	u.cacheTokens -= e.request.cacheTokens()
 	if e.slot != nil {
 		e.slot.claims--
 		e.slot.lastUsed = now
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -351,7 +351,7 @@
 		return true
 	}
 	return len(u.running) < u.engine.BatchSize &&
-		float64(u.cacheTokens+a.cacheNeed(u, e)) <= cacheMargin*float64(u.engine.CacheTokens)
+		float64(u.cacheTokens+e.request.cacheTokens()) <= cacheMargin*float64(u.engine.CacheTokens)
 }
 
 // plainOption returns how an upstream of a plain service would serve a request. The cost is the average request
--- a/assign/events.go
+++ b/assign/events.go
@@ -88,6 +88,10 @@
 	return min(max(r.Priority, 0), maxPriority)*routeRanks + min(max(r.RoutePriority, 0), routeRanks-1)
 }
 
+// cacheTokens returns the KV cache, in tokens, that the request may use at most. An engine may crash if the requests that it
+// holds exceed its memory, so that the expected output is not enough to reserve.
+func (r *Request) cacheTokens() int { return r.PromptTokens + r.OutputTokens }
+
 // retry reports whether the request has been assigned to an upstream before.
 func (r *Request) retry() bool { return len(r.Avoid) > 0 }
 
--- a/assign/remainingwork.go
+++ b/assign/remainingwork.go
@@ -35,8 +35,6 @@
 	// assigned.
 	paceAtGrant    float64
 	runningAtGrant int
-	// cacheTokens is the KV cache that is reserved for the request.
-	cacheTokens int
 	// expectedTokens is the expected output and expectedTime the expected time on a plain service at usual pace, each
 	// 0 until it is estimated.
 	expectedTokens int
@@ -57,8 +55,7 @@
 	u.pendingPrefillTokens += e.prefillTokens
 	u.addPrefill(now, e)
 	u.prefillLoad.add(now, prefill.Seconds())
-	e.cacheTokens = a.cacheNeed(u, e)
-	u.cacheTokens += e.cacheTokens
+	u.cacheTokens += e.request.cacheTokens()
 	switch {
 	case !u.byWork():
 	case u.engine == nil:
--- a/assign/workchoice.go
+++ b/assign/workchoice.go
@@ -55,16 +55,6 @@
 	return e.expectedTokens
 }
 
-// cacheNeed returns the KV cache, in tokens, that a request may use at most or, if requests are assigned by work, is
-// expected to use.
-func (a *Assigner) cacheNeed(u *upstream, e *requestState) int {
-	r := &e.request
-	if !u.byWork() {
-		return r.PromptTokens + r.OutputTokens
-	}
-	return r.PromptTokens + min(r.OutputTokens, a.expectedTokensOf(e))
-}
-
 // slotCount returns the number of requests that the upstream runs at once.
 func (u *upstream) slotCount() int { return max(u.record.Slots, 1) }
 
