--- a/assign/firsttoken_test.go
+++ b/assign/firsttoken_test.go
@@ -104,6 +104,7 @@
 
 // The bound must find an Assigner that does not consider the pace: the one of a service whose upstreams state none.
 func TestUnevenEngines_PaceIgnored(t *testing.T) {
+	t.Parallel()
 	perSecond := unevenLoads[len(unevenLoads)-1]
 	oracle := unevenOracle(perSecond)
 	got := unevenResult(t, perSecond, unevenReport{missing: 1})
--- a/assign/ranked_test.go
+++ b/assign/ranked_test.go
@@ -222,6 +222,7 @@
 // organisation that gets more than its share by sending more requests, by using more adapters, or by sending dearer or
 // cheaper requests.
 func TestRanked_FairBetweenOrganisations(t *testing.T) {
+	t.Parallel()
 	others := []orgLoad{{name: "b", perSecond: 4}, {name: "c", perSecond: 4.5}, {name: "d", perSecond: 4}, {name: "e", perSecond: 5}}
 	with := func(greedy orgLoad, change func(o *orgLoad)) []orgLoad {
 		all := slices.Clone(others)
--- a/assign/rankedcost_test.go
+++ b/assign/rankedcost_test.go
@@ -42,6 +42,7 @@
 // engines. It consists of the choice of an upstream, a pass over the first queues every 10 ms, and the queues of its
 // engine when the request starts and ends.
 func TestRanked_CostIndependentOfQueueLength(t *testing.T) {
+	t.Parallel()
 	const requests = 200
 	const pass = maxQueuesPerPass * maxFailedTries * (sampledCandidates + 2) / 10
 	for _, engines := range []int{30, 300, 3000} {
--- a/assign/rankedproperty_test.go
+++ b/assign/rankedproperty_test.go
@@ -276,6 +276,7 @@
 // Random loads, ends of engines, changes of leader and changes of configuration. Guards against priority inversion,
 // starvation, urgent requests that are refused for others behind them, and sums that drift from what they count.
 func TestRanked_Properties(t *testing.T) {
+	t.Parallel()
 	// Seed 155 has a new leader that finds its only engine busy.
 	seeds := []uint64{155}
 	for seed := range uint64(20) {
@@ -292,6 +293,7 @@
 // As TestRanked_Properties, with requests that have time enough to age. Guards against sums and orders that are right only
 // as long as no request changes its rank.
 func TestRanked_PropertiesOfAging(t *testing.T) {
+	t.Parallel()
 	aged := 0
 	for seed := range uint64(20) {
 		r := newRandomRun(t, seed, ByUrgency)
@@ -307,6 +309,7 @@
 // The former order estimates a request's wait over all that wait and serves by target first. Guards against checks that
 // find nothing.
 func TestRanked_PropertiesFindEstimateOverAll(t *testing.T) {
+	t.Parallel()
 	found := map[bool]int{}
 	for seed := range uint64(20) {
 		r := newRandomRun(t, seed, ByArrival)
--- a/assign/rankedretry_test.go
+++ b/assign/rankedretry_test.go
@@ -9,6 +9,26 @@
 	"github.com/stretchr/testify/require"
 )
 
+// promise is the Retry-After that a refused caller was given.
+type promise struct {
+	retryAfter time.Duration
+	refusedAt  time.Time
+}
+
+// medianTurnError returns the median error of the promises of returned requests, and the number of those that were served.
+func medianTurnError(t *testing.T, w *simulation, returned map[RequestID]promise) (median float64, served int) {
+	var errors []float64
+	for id, p := range returned {
+		if g, ok := w.granted[id]; ok {
+			turn := w.submittedAt[id].Add(g.Held).Sub(p.refusedAt)
+			errors = append(errors, (p.retryAfter-turn).Abs().Seconds()/turn.Seconds())
+		}
+	}
+	require.Greater(t, len(errors), 20)
+	slices.Sort(errors)
+	return errors[len(errors)/2], len(errors)
+}
+
 // More requests arrive at once than can be served in time, and all refused callers come back after Retry-After with a
 // new request. The error is the difference between Retry-After and the time until the returned caller's turn, relative
 // to the latter. Guards against a Retry-After that has no relation to the queue, against callers that return all at
@@ -17,10 +37,6 @@
 	for _, ranks := range []int{1, 2} {
 		t.Run(strconv.Itoa(ranks)+" ranks", func(t *testing.T) {
 			w := newRankedSimulation(t, 1, 2, "a")
-			type promise struct {
-				retryAfter time.Duration
-				refusedAt  time.Time
-			}
 			number, again := uint64(0), 0
 			returned := map[RequestID]promise{}
 			perRank := make([][]float64, ranks)
@@ -50,17 +66,9 @@
 				send(i % ranks)
 			}
 			w.run(15 * time.Second)
-			var errors []float64
-			for id, p := range returned {
-				if g, ok := w.granted[id]; ok {
-					turn := w.submittedAt[id].Add(g.Held).Sub(p.refusedAt)
-					errors = append(errors, (p.retryAfter-turn).Abs().Seconds()/turn.Seconds())
-				}
-			}
-			require.Greater(t, len(errors), 20)
-			slices.Sort(errors)
-			t.Logf("%d callers were served after their return, %d refused again, median error %.2f", len(errors), again, errors[len(errors)/2])
-			require.Less(t, errors[len(errors)/2], 1.0/3)
+			median, served := medianTurnError(t, w, returned)
+			t.Logf("%d callers were served after their return, %d refused again, median error %.2f", served, again, median)
+			require.Less(t, median, 1.0/3)
 			for rank, after := range perRank {
 				slices.Sort(after)
 				t.Logf("rank %d: %d refused, median Retry-After %.2f s", rank, len(after), after[len(after)/2])
@@ -77,10 +85,6 @@
 // were served after their return, too.
 func retryError(t *testing.T, ranks int) (median float64, served int) {
 	w := newRankedSimulation(t, 1, 2, "a")
-	type promise struct {
-		retryAfter time.Duration
-		refusedAt  time.Time
-	}
 	number := uint64(0)
 	returned := map[RequestID]promise{}
 	var send func(rank int, promised *promise)
@@ -105,16 +109,7 @@
 		}
 		w.run(50 * time.Millisecond)
 	}
-	var errors []float64
-	for id, p := range returned {
-		if g, ok := w.granted[id]; ok {
-			turn := w.submittedAt[id].Add(g.Held).Sub(p.refusedAt)
-			errors = append(errors, (p.retryAfter-turn).Abs().Seconds()/turn.Seconds())
-		}
-	}
-	require.Greater(t, len(errors), 20)
-	slices.Sort(errors)
-	return errors[len(errors)/2], len(errors)
+	return medianTurnError(t, w, returned)
 }
 
 // Guards against a Retry-After that is far from the turn while fresh requests keep arriving.
@@ -127,6 +122,7 @@
 // Half of the requests are more urgent and take most of the capacity. Guards against a Retry-After of the others that is
 // far from their turn.
 func TestRanked_RetryAfterBehindMoreUrgent(t *testing.T) {
+	t.Parallel()
 	median, served := retryError(t, 2)
 	t.Logf("%d callers were served after their return, median error %.2f", served, median)
 	require.Less(t, median, 1.0/3)
--- a/assign/unevenadapters_test.go
+++ b/assign/unevenadapters_test.go
@@ -65,6 +65,7 @@
 // token must be no longer than without the pace and without further copies of hot adapters, and no more requests may be
 // refused.
 func TestUnevenEngines_Adapters(t *testing.T) {
+	t.Parallel()
 	for _, perSecond := range []float64{40, 60} {
 		result := func(stated bool) (time.Duration, int) {
 			var times []time.Duration
--- a/assign/unevenplain_test.go
+++ b/assign/unevenplain_test.go
@@ -167,6 +167,7 @@
 // Plain upstreams of uneven speed, some of them slower for a moment, used by hosts that do not know of one another. The
 // bound is that of engines; without the pace it must be exceeded.
 func TestUnevenPlain_ResponseTime(t *testing.T) {
+	t.Parallel()
 	for _, perSecond := range []float64{100, 300, 600} {
 		for seed := range uint64(3) {
 			oracle := newPlainFleet(seed, true)
--- a/leader/bystanders_test.go
+++ b/leader/bystanders_test.go
@@ -15,6 +15,7 @@
 // arrive one after the other. Guards against the refusal of requests that ran beside a crashing one, also while
 // leaders are killed and while the store is away, and against telling them apart at the cost of more engines.
 func TestCrashingRequest_BystandersServed(t *testing.T) {
+	t.Parallel()
 	for name, disturb := range map[string]func(p *partTraffic, until time.Time){
 		"calm": func(*partTraffic, time.Time) {},
 		"leaders killed": func(p *partTraffic, until time.Time) {
--- a/leader/promptpart_test.go
+++ b/leader/promptpart_test.go
@@ -16,6 +16,7 @@
 // One part of a prompt crashes each engine that begins to answer on it, in requests of which no two are alike. Guards
 // against crashes that are counted by the whole request only.
 func TestPromptPart_RefusedFleetWide(t *testing.T) {
+	t.Parallel()
 	for _, play := range []struct {
 		name       string
 		crashAfter time.Duration
@@ -228,6 +229,7 @@
 // A refused part becomes harmless. Guards against a refusal without an end, and against the loss of many engines to find
 // out whether it has ended. Its requests are told the true time.
 func TestPromptPart_RefusalEnds(t *testing.T) {
+	t.Parallel()
 	withPartTraffic(t, 1, func(p *partTraffic) {
 		p.harmful["harmful"] = true
 		p.warmUp("system")
@@ -381,6 +383,7 @@
 // The harmful part comes to a fleet of the design scale, beside a sixth of the engines that end together. Guards against
 // a bound that grows with the number of hosts, and against evidence that exceeds a host's limit of control traffic.
 func TestPromptPart_DesignScale(t *testing.T) {
+	t.Parallel()
 	withPartTrafficOn(t, fleetSize{hosts: designHosts, engines: 300}, 1, func(p *partTraffic) {
 		p.harmful["harmful"] = true
 		p.warmUp("system", "topic")
--- a/leader/ratelimit_test.go
+++ b/leader/ratelimit_test.go
@@ -152,6 +152,7 @@
 
 // Guards against shares that are too large in total, or rounded up to one request each, on many hosts.
 func TestRateLimit_ManyHosts(t *testing.T) {
+	t.Parallel()
 	forEachService(t, 390, func(l *limitedLoad) {
 		l.state(0, 1)
 		stated := time.Now()
@@ -168,6 +169,7 @@
 // Guards against hosts that do not hear of a limit which an upstream first states while there is no leader, and do not
 // hear that it has ended.
 func TestRateLimit_StatedWithoutLeader(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{7, 390} {
 		withLimitedLoad(t, "plain", hosts, func(l *limitedLoad) {
 			l.f.cutStore(true)
--- a/leader/restore_test.go
+++ b/leader/restore_test.go
@@ -231,6 +231,7 @@
 // Copies, restores and faults, in series and at once. Engines that check no fencing tokens must never receive orders of two
 // holders at a time.
 func TestRestore_SingleHolderUnderFaults(t *testing.T) {
+	t.Parallel()
 	seeds := uint64(30)
 	if testing.Short() {
 		seeds = 15
@@ -271,6 +272,7 @@
 
 // Checks that the tests above find hosts that do not regard the era in one place.
 func TestRestore_MutantsDetected(t *testing.T) {
+	t.Parallel()
 	require.NotEmpty(t, isolatedHolder(t, waitIgnored))
 	require.NotEmpty(t, isolatedHolder(t, rowEraIgnored))
 	require.Zero(t, renewedByCoincidence(t, writeEraIgnored))
--- a/leader/scale_test.go
+++ b/leader/scale_test.go
@@ -107,6 +107,7 @@
 // Many hosts have a different view at once, as after a partition. The leader must relay the tables to one host
 // after another, so that its link carries them.
 func TestRelay_FullPushesRateLimited(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := largeFleet(t, 60)
 		random := rand.New(rand.NewPCG(1, 1))
--- a/leader/unfenced_test.go
+++ b/leader/unfenced_test.go
@@ -210,6 +210,7 @@
 // Freezes, cuts, lost answers and a slow store, in series and at once. Engines must never receive orders of two
 // holders at a time.
 func TestUnfenced_SingleHolderUnderFaults(t *testing.T) {
+	t.Parallel()
 	seeds := uint64(30)
 	if testing.Short() {
 		seeds = 15
@@ -227,6 +228,7 @@
 
 // Checks that violations finds a leader whose clock leaves out the time for which its machine was suspended.
 func TestUnfenced_StoppedClockDetected(t *testing.T) {
+	t.Parallel()
 	found := 0
 	for seed := range uint64(10) {
 		withUnfencedFleet(t, seed, func(f *fleet, e *unfencedEngine, random *rand.Rand) {
