assign, configcheck: repeated code in one place

Both passes over the first requests of a queue share one loop, and the type that a field of a record takes is described in package record alone. No behaviour changes.

--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -224,30 +224,16 @@
 // requests that could use it, in their order. It reports whether a request was assigned.
 func (a *Assigner) serveRankedQueue(now time.Time, s *service, q *queue) bool {
 	var found option
-	var forEntry *requestState
-	var aside [maxFailedTries]*waitingEntry
-	tried := 0
-	for tried < maxFailedTries && forEntry == nil {
-		entry := q.ordered.Head(now)
-		if entry == nil {
-			break
-		}
-		if o, ok := a.readyOption(now, s, entry.Value); ok {
-			found, forEntry = o, entry.Value
-			break
-		}
-		q.ordered.SetAside(entry)
-		aside[tried] = entry
-		tried++
-	}
-	for _, entry := range aside[:tried] {
-		q.ordered.Restore(entry)
-	}
-	if forEntry == nil {
+	e := q.firstAccepted(now, func(e *requestState) bool {
+		o, ok := a.readyOption(now, s, e)
+		found = o
+		return ok
+	})
+	if e == nil {
 		return false
 	}
 	before := s.line.grants
-	a.offer(now, found, forEntry)
+	a.offer(now, found, e)
 	return s.line.grants > before
 }
 
@@ -279,14 +265,22 @@
 
 // serveFirstOn assigns one of the first requests of a queue to an upstream, and reports whether it did.
 func (a *Assigner) serveFirstOn(now time.Time, q *queue, u *upstream) bool {
+	return q.firstAccepted(now, func(e *requestState) bool { return a.placeOn(now, e, u) }) != nil
+}
+
+// firstAccepted returns the first request of a queue that is accepted, nil if none of the first maxFailedTries is. Accept may
+// remove the request that it accepts from the queue.
+func (q *queue) firstAccepted(now time.Time, accept func(*requestState) bool) *requestState {
+	var accepted *requestState
 	var aside [maxFailedTries]*waitingEntry
-	tried, served := 0, false
-	for tried < maxFailedTries && !served {
+	tried := 0
+	for tried < maxFailedTries {
 		entry := q.ordered.Head(now)
 		if entry == nil {
 			break
 		}
-		if served = a.placeOn(now, entry.Value, u); served {
+		if accept(entry.Value) {
+			accepted = entry.Value
 			break
 		}
 		q.ordered.SetAside(entry)
@@ -296,7 +290,7 @@
 	for _, entry := range aside[:tried] {
 		q.ordered.Restore(entry)
 	}
-	return served
+	return accepted
 }
 
 // checkTurns refuses the waiting requests whose turn would come too late. A request is looked at only after its turn
--- a/configcheck/document.go
+++ b/configcheck/document.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/tailscale/hujson"
+
+	"github.com/jasminelock/jasminelock/record"
 )
 
 // Rule names what is wrong with a configuration.
@@ -178,7 +180,7 @@
 		v = v.Clone()
 		v.Standardize()
 		if json.Unmarshal(v.Pack(), out.Addr().Interface()) != nil {
-			d.Add(Invalid, path, "want %s", wantedType(out.Kind()))
+			d.Add(Invalid, path, "want %s", record.ExpectedType(out.Kind()))
 		}
 	}
 }
@@ -215,15 +217,3 @@
 	}
 	return reflect.Value{}, false
 }
-
-func wantedType(k reflect.Kind) string {
-	switch k {
-	case reflect.String:
-		return "text in quotes"
-	case reflect.Bool:
-		return "true or false"
-	case reflect.Float64:
-		return "a number without quotes"
-	}
-	return "a whole number without quotes"
-}
--- a/record/fields.go
+++ b/record/fields.go
@@ -66,12 +66,13 @@
 			continue
 		}
 		if json.Unmarshal(raw, fields.Field(i).Addr().Interface()) != nil {
-			d.addProblem("spec."+name, expectedType(fields.Field(i).Kind()))
+			d.addProblem("spec."+name, ExpectedType(fields.Field(i).Kind()))
 		}
 	}
 }
 
-func expectedType(k reflect.Kind) string {
+// ExpectedType describes the JSON value that a field of a kind takes.
+func ExpectedType(k reflect.Kind) string {
 	switch k {
 	case reflect.String:
 		return "text in quotes"
