Comments and names of the tests of overload, responses and check in plain terms

Groups of test clients are called clientGroup. Comments that were wrong are corrected: which kinds run at the users' sizes, which were fixed before the memory budget, what the usage of a process states, in which order the records of a test file come, and that the largest body is checked without other load. Two cases of TestWriteTimes_CallerIsSlow are named after what they do.

No check, bound or behaviour changes.

--- a/configcheck/diff.go
+++ b/configcheck/diff.go
@@ -47,7 +47,7 @@
 type fields map[string]string
 
 // Diff returns the changes between two configurations as encoding/json decodes them, in order.
-// Entries of lists are told by their names, or by their kinds and names.
+// Entries of lists are identified by their names, or by their kinds and names.
 func Diff(before, after any) []Change {
 	b, a := items(before), items(after)
 	all := maps.Clone(b)
@@ -108,7 +108,7 @@
 	}
 }
 
-// entryName returns the name by which an entry of a list is told, or its index.
+// entryName returns the name that identifies an entry of a list, or its index.
 func entryName(v any, index int) string {
 	object, _ := v.(map[string]any)
 	for _, field := range []string{"name", "service"} {
--- a/configcheck/document.go
+++ b/configcheck/document.go
@@ -22,7 +22,7 @@
 
 // The rules.
 const (
-	// Invalid is a field with a value that hosts do not accept or misread.
+	// Invalid is a field with a value that hosts reject or misread.
 	Invalid Rule = "invalid"
 	// UnknownField is a field that hosts ignore.
 	UnknownField Rule = "unknown_field"
--- a/configcheck/records.go
+++ b/configcheck/records.go
@@ -34,7 +34,7 @@
 			valid = append(valid, e)
 		}
 	}
-	before, _ := record.NewConfig().Apply(1, base) // records in force that are invalid are none of the file's
+	before, _ := record.NewConfig().Apply(1, base) // invalid records in force are not reported for the file
 	after, _ := before.Apply(2, valid)
 	c.collecting = true
 	c.checkConfig(before)
@@ -90,7 +90,7 @@
 	c.doc.Add(rule, path+"."+field, "%s", message)
 }
 
-// references adds the references to records that do not exist.
+// references adds findings for references to records that do not exist.
 func (c *recordsCheck) references() {
 	for _, err := range c.config.Check() {
 		var problem *record.DecodeError
@@ -100,7 +100,7 @@
 	}
 }
 
-// routes adds routes that no request reaches, and those that outlast a host's stop.
+// routes adds findings for routes that no request reaches, and for those whose timeout exceeds the grace time.
 func (c *recordsCheck) routes() {
 	pools := map[string]bool{}
 	for _, u := range c.config.Upstreams() {
@@ -128,7 +128,7 @@
 	return "spec.timeout"
 }
 
-// services adds upstreams of plain services that no route leads to.
+// services adds findings for upstreams of plain services that no route leads to.
 func (c *recordsCheck) services() {
 	routed := map[string]bool{}
 	for _, r := range c.config.Routes() {
@@ -141,7 +141,7 @@
 	}
 }
 
-// rates adds bursts that no request fits.
+// rates adds findings for bursts that are lower than the cost of one request.
 func (c *recordsCheck) rates() {
 	for name, rate := range c.config.Rates() {
 		for _, r := range c.config.Routes() {
@@ -153,7 +153,7 @@
 	}
 }
 
-// keys adds keys of the file whose organisation may spend nothing.
+// keys adds findings for keys of the file whose organisation has no rate, so that all their requests are refused.
 func (c *recordsCheck) keys() {
 	for ref, e := range c.records {
 		decoded, err := record.Decode(e)
@@ -168,7 +168,7 @@
 	}
 }
 
-// adapters adds adapters that no request can name.
+// adapters adds findings for adapters without a version, which no request can name.
 func (c *recordsCheck) adapters() {
 	versions := map[string]bool{}
 	for ref := range c.config.Versions() {
--- a/configcheck/records_test.go
+++ b/configcheck/records_test.go
@@ -15,7 +15,7 @@
 
 const hash = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 
-// sound returns a line for each record of a configuration without findings, by the record's name.
+// sound returns the spec of each record of a configuration without findings, by the record's kind and name.
 func sound() map[string]string {
 	return map[string]string{
 		"organisation/acme": `{}`,
@@ -30,7 +30,8 @@
 	}
 }
 
-// file returns the records as a file with a comment on the first line, and one record on each line, in the order of the names.
+// file returns the records as a file with a comment on the first line, and one record on each line. They are in the order of
+// their kinds, those of one kind in no particular order.
 func file(records map[string]string) string {
 	var lines []string
 	for _, kind := range record.Kinds() {
@@ -142,7 +143,7 @@
 	require.Equal(t, `~ route/stock: spec.timeout: "30s" -> "20s"`, changes[0].String())
 }
 
-// Guards against a file that ends the check.
+// Guards against a file that makes the check panic.
 func FuzzCheckRecords(f *testing.F) {
 	f.Add(file(sound()), "[]")
 	f.Add(`[null,{},{"schema":2,"kind":"version","name":"a@1","spec":null},{"schema":1,"kind":"route","name":"r","spec":{"prefix":""}}]`, file(sound()))
--- a/forward/status_test.go
+++ b/forward/status_test.go
@@ -57,7 +57,7 @@
 	<-closed
 }
 
-// An upstream in trouble answers with a status that is none, on a new connection and on one that has served a request, with a
+// An upstream in trouble answers with an invalid status, on a new connection and on one that has served a request, with a
 // body that looks like a response. Guards against the body being read as the response, and against an attempt that waits for
 // its deadline.
 func TestDo_InvalidStatus(t *testing.T) {
@@ -98,7 +98,7 @@
 	}
 }
 
-// Interim responses before the final one, and final ones of all kinds, are taken as before.
+// Guards against valid statuses that are rejected: final ones of all kinds, and interim responses before them.
 func TestDo_ValidStatus(t *testing.T) {
 	const head = idHeader + ": 1\r\nContent-Length: 2\r\n\r\nok"
 	for line, status := range map[string]int{
--- a/gateway/invalidstatus_test.go
+++ b/gateway/invalidstatus_test.go
@@ -19,7 +19,7 @@
 	"github.com/jasminelock/jasminelock/standin/replica"
 )
 
-// Engines and plain services answer with a status that is none, and a body that looks like a response. Guards against callers that
+// Engines and plain services answer with an invalid status, and a body that looks like a response. Guards against callers that
 // receive that body as a success, that wait until their deadline (504), or that are told that the call has not run.
 func TestInvalidStatus(t *testing.T) {
 	t.Parallel()
--- a/host/invalidstatus_test.go
+++ b/host/invalidstatus_test.go
@@ -20,7 +20,7 @@
 // requests properly.
 type oddReplica struct {
 	controls map[string]*replica.Replica
-	// response selects among replica.OddResponses of status.
+	// status is that of the responses, and response the index in replica.OddResponses.
 	status   atomic.Value
 	response atomic.Int64
 	reached  atomic.Int64
@@ -55,7 +55,7 @@
 	return o
 }
 
-// Engines and plain services answer with a status that is none, and a body that is a signed response. Guards against callers that
+// Engines and plain services answer with an invalid status, and a body that is a signed response. Guards against callers that
 // receive that body as a success, that wait until their deadline (504), or that are told that the request has not run.
 func TestInvalidStatus_CallersGet502AtOnce(t *testing.T) {
 	for kind, service := range map[string]string{"book": "app", "status": "app", "chat": "engines", "resume": "engines"} {
@@ -92,7 +92,7 @@
 	}
 }
 
-// One of two upstreams answers with a status that is none. Guards against a request that may be repeated and is not.
+// One of two upstreams answers with an invalid status. Guards against a request that may be repeated and is not.
 func TestInvalidStatus_RepeatableRequestsAreServedElsewhere(t *testing.T) {
 	d := newDeployment(t)
 	odd := d.addOddReplicas(1, "app")
--- a/host/restore_test.go
+++ b/host/restore_test.go
@@ -62,7 +62,7 @@
 	}, nil)
 }
 
-// The leader lives through a drill. Guards against hosts that ignore the changes made after it, since their versions are
+// The leader keeps running during a drill. Guards against hosts that ignore the changes made after it, since their versions are
 // below the last known one, or since the hosts continue the feed at a version that was issued again.
 func TestRestore_ChangesAfterwards(t *testing.T) {
 	for _, issuedAgain := range []bool{false, true} {
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -48,8 +48,8 @@
 	return c
 }
 
-// A limit that ordinary callers reach would refuse them. The smallest host of the users' deployments must serve 250
-// connections, all with a request, 30 bodies of 14 KB at once, and then one body of the largest size.
+// Guards against default limits that ordinary callers reach. The smallest host of the users' deployments must serve 250
+// connections, all with a request, with 30 bodies of 14 KB at once; and, without that load, one body of the largest size.
 func TestLimits_OrdinaryLoadOfSmallestHost(t *testing.T) {
 	limits := intake.NewLimits(144*mb, 3075, intake.DefaultShares())
 	a := newAccount(t, limits)
@@ -96,7 +96,8 @@
 	require.True(t, a.BodyRead(c))
 }
 
-// While all bodies arrive, one that is nearly whole must not be given up for one that has just begun, but the other way round.
+// While all bodies arrive, one that is nearly complete must not be given up for one that has just begun; the latter is given up
+// for the former.
 func TestReserve_NearlyWholeIsKept(t *testing.T) {
 	a := newAccount(t, testLimits())
 	var nearlyWhole []*intake.Conn
@@ -239,7 +240,7 @@
 	require.Equal(t, conns[1], victim)
 }
 
-// A caller that has got its response but for the end, and does not read it, must give way soon.
+// Guards against connections that are kept for seconds by callers that leave only the end of their responses unread.
 func TestOpen_ReplacesSlowReaderOfEnd(t *testing.T) {
 	limits := testLimits()
 	limits.Connections = 1
--- a/intake/callers/callers_test.go
+++ b/intake/callers/callers_test.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// testTimeout is how long a condition is waited for. It is long, so that only a condition that never holds fails a test.
 const (
+	// testTimeout is how long a condition is waited for. It is long, so that only a condition that never holds fails a test.
 	testTimeout  = 30 * time.Second
 	pollInterval = 5 * time.Millisecond
 )
--- a/intake/callers/pressure_test.go
+++ b/intake/callers/pressure_test.go
@@ -143,7 +143,7 @@
 	require.Equal(t, 3, gate.Budget().Connections())
 }
 
-// errTimeout returns err if it is a time-out.
+// errTimeout returns err if it is a time-out, else an error that matches no other.
 func errTimeout(err error) error {
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/intake/callers/writetimes_test.go
+++ b/intake/callers/writetimes_test.go
@@ -20,8 +20,8 @@
 		"fast":                {time.Millisecond, 30 * time.Millisecond, false},
 		"slow all the time":   {300 * time.Millisecond, time.Millisecond, true},
 		"does not read":       {5 * time.Second, 0, true},
-		"one short hiccup":    {100 * time.Millisecond, 400 * time.Millisecond, false},
-		"reads without pause": {0, 0, false},
+		"slow for a fifth":    {100 * time.Millisecond, 400 * time.Millisecond, false},
+		"writes take no time": {0, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var w callers.WriteTimes
--- a/intake/clients_test.go
+++ b/intake/clients_test.go
@@ -16,9 +16,9 @@
 // maxBodyBytes is the limit of a request's body in the settings of these tests.
 const maxBodyBytes = 1 << 20
 
-// crowd is a number of clients of one kind. Each opens a connection, sends what its kind sends and leaves the connection
-// open. If the host closes it, the client opens another one until the crowd is dismissed.
-type crowd struct {
+// clientGroup is a number of clients of one kind. Each opens a connection, sends what its kind sends and leaves the connection
+// open. If the host closes it, the client opens another one until the group is stopped.
+type clientGroup struct {
 	name    string
 	clients int
 	// memoryMB and descriptors are the settings of the host, and the bounds that it must respect.
@@ -27,11 +27,12 @@
 	send func(c net.Conn, path, header string) error
 }
 
-// crowds are the kinds of uncontrolled clients that ended a process in a trial, and those that hold memory or descriptors in
-// other ways. The numbers of clients and the bounds were fixed before the host had a memory budget.
-func crowds() []crowd {
+// clientGroups returns the kinds of uncontrolled clients that ended a process in a trial, and those that hold memory or
+// descriptors in other ways. The numbers of clients and the bounds of the first ten were fixed before the host had a memory
+// budget. The last three were added with the fixes for the faults that they show.
+func clientGroups() []clientGroup {
 	const clients, memoryMB, descriptors = 250, 64, 4100
-	return []crowd{
+	return []clientGroup{
 		{"whole bodies one byte short", clients, memoryMB, descriptors, sendWhole},
 		{"bodies in pieces one byte short", clients, memoryMB, descriptors, sendInPieces},
 		{"large chunks one byte short", clients, memoryMB, descriptors, chunkSender(256<<10, maxBodyBytes-1)},
@@ -48,10 +49,10 @@
 	}
 }
 
-// crowdsOfSize are the kinds that send bodies, at the sizes of the users' hosts.
-func crowdsOfSize(clients int) []crowd {
-	var all []crowd
-	for _, c := range crowds() {
+// clientGroupsOfSize returns all kinds with the given number of clients, at the size of the users' hosts.
+func clientGroupsOfSize(clients int) []clientGroup {
+	var all []clientGroup
+	for _, c := range clientGroups() {
 		c.clients, c.memoryMB, c.descriptors = clients, 184, 4100
 		all = append(all, c)
 	}
@@ -152,7 +153,7 @@
 	return b.String() + "}"
 })
 
-// sendManyFields sends a whole request, to where jasminelockd takes completions; for jasminelock-entry it is a plain one.
+// sendManyFields sends a complete request: a completion to jasminelockd, a plain request to jasminelock-entry.
 func sendManyFields(c net.Conn, path, header string) error {
 	if path == daemonPath {
 		path = "/v1/completions"
@@ -182,16 +183,16 @@
 // reconnectDelay is the time after which a client whose connection was closed opens another one.
 const reconnectDelay = 100 * time.Millisecond
 
-// start starts the clients. Sent is closed when each has sent all that it sends once, or was cut off in it. Dismiss ends them.
-func (d crowd) start(address, path, header string) (sent <-chan struct{}, dismiss func()) {
+// start starts the clients. Sent is closed when each has sent everything once, or was cut off while sending. Stop ends them.
+func (g clientGroup) start(address, path, header string) (sent <-chan struct{}, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var group, first sync.WaitGroup
-	first.Add(d.clients)
-	for i := range d.clients {
+	first.Add(g.clients)
+	for i := range g.clients {
 		group.Go(func() {
 			var once sync.Once
 			for ctx.Err() == nil {
-				_ = d.play(ctx, address, path, strings.ReplaceAll(header, "ID", fmt.Sprintf("c%d-%d", i, attempts.Add(1))), func() { once.Do(first.Done) })
+				_ = g.play(ctx, address, path, strings.ReplaceAll(header, "ID", fmt.Sprintf("c%d-%d", i, attempts.Add(1))), func() { once.Do(first.Done) })
 				once.Do(first.Done)
 				select {
 				case <-ctx.Done():
@@ -207,9 +208,9 @@
 
 var attempts atomic.Int64
 
-// play opens a connection, sends, and waits until the host closes the connection or the context ends. It reads nothing
-// but the end of the connection, which shows since the receive buffer is small.
-func (d crowd) play(ctx context.Context, address, path, header string, sent func()) error {
+// play opens a connection, sends, and waits until the host closes the connection or the context ends. It reads nothing. The
+// receive buffer is small, so that a response soon blocks the host.
+func (g clientGroup) play(ctx context.Context, address, path, header string, sent func()) error {
 	dialer := net.Dialer{Timeout: 5 * time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
 	}}
@@ -219,7 +220,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
-	if err := d.send(c, path, header); err != nil {
+	if err := g.send(c, path, header); err != nil {
 		return err
 	}
 	sent()
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// list is a list of connections, linked by their fields.
+// list is a doubly linked list of connections, in the order in which they were added.
 type list struct{ first, last *Conn }
 
 func (l *list) add(c *Conn) {
@@ -29,7 +29,8 @@
 	c.previous, c.next = nil, nil
 }
 
-// setState changes the state of a connection. Those without a request under way are listed.
+// setState changes the state of a connection and moves it to the list of that state. Connections with a request under way
+// are in no list.
 func (b *Budget) setState(now time.Time, c *Conn, s state) {
 	if c.state != underWay {
 		b.waiting[c.state].remove(c)
@@ -108,8 +109,8 @@
 	c.waiting.Store(false)
 }
 
-// Begin marks that the head of a request is complete, and reserves memory for its state. The request must be refused if that
-// is, or if the connection is being closed.
+// Begin marks that the head of a request is complete, and reserves memory for its state. The request must be refused if the
+// reservation is. It is refused for a connection that is being closed.
 func (b *Budget) Begin(now time.Time, c *Conn) (victims []*Conn, v Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/intake/deployment_test.go
+++ b/intake/deployment_test.go
@@ -102,7 +102,7 @@
 const largeBytes = 2 << 20
 
 // startEntry starts jasminelock-entry with a store and a plain replica.
-func startEntry(t *testing.T, bin string, d crowd) *program {
+func startEntry(t *testing.T, bin string, g clientGroup) *program {
 	store := tables.New()
 	storeServer, err := standin.Serve("127.0.0.1:0", store)
 	require.NoError(t, err)
@@ -133,7 +133,7 @@
   "fleet": {"retry_ratio": 0.2, "retry_slack": 50, "rate_window": "8s", "fenced": true, "holder_pause": "3s",
             "config_within": "2s", "drain_within": "2s", "answer_life": "1s"},
   "log": {"level": "error", "json": true},
-}`, storeServer.URL[len("http://"):], d.memoryMB, limitsText(d, false), a[0], a[1], a[2], a[3], a[4])
+}`, storeServer.URL[len("http://"):], g.memoryMB, limitsText(g, false), a[0], a[1], a[2], a[3], a[4])
 	p := startProgram(t, filepath.Join(bin, "jasminelock-entry"), text)
 	p.address, p.path, p.readyURL = a[0], "/status/", caller.ReadyURL(a[1])
 	p.header = "Host: " + caller.HostName + "\r\n" + caller.HeaderAttempt + ": ID\r\n" +
@@ -146,7 +146,7 @@
 const daemonPath = "/stock/"
 
 // startDaemon starts jasminelockd with the platform and a plain service.
-func startDaemon(t *testing.T, bin string, d crowd) *program {
+func startDaemon(t *testing.T, bin string, g clientGroup) *program {
 	platformServer, err := standin.Serve("127.0.0.1:0", platform.New())
 	require.NoError(t, err)
 	t.Cleanup(platformServer.Close)
@@ -178,7 +178,7 @@
   "listen": {"callers": %q, "operators": %q},
   "platform": {"url": %q, "poll_interval": "100ms"}, "fleet": {"hosts": 1},
   "requests": {"max_body_bytes": %d}, "log": {"level": "error"},
-}`, limitsText(d, true), a[0], a[1], platformServer.URL, maxBodyBytes)
+}`, limitsText(g, true), a[0], a[1], platformServer.URL, maxBodyBytes)
 	p := startProgram(t, filepath.Join(bin, "jasminelockd"), text)
 	p.address, p.path, p.readyURL, p.header = a[0], daemonPath, "http://"+a[0]+"/readyz", "Host: x\r\n"
 	p.awaitReady(t)
@@ -186,10 +186,10 @@
 }
 
 // limitsText returns the settings of the limits. Memory_mb of jasminelock-entry is set elsewhere.
-func limitsText(d crowd, withMemory bool) string {
-	text := fmt.Sprintf(`"descriptors": %d,`, d.descriptors)
+func limitsText(g clientGroup, withMemory bool) string {
+	text := fmt.Sprintf(`"descriptors": %d,`, g.descriptors)
 	if withMemory {
-		text += fmt.Sprintf(` "memory_mb": %d,`, d.memoryMB)
+		text += fmt.Sprintf(` "memory_mb": %d,`, g.memoryMB)
 	}
 	return text
 }
@@ -252,7 +252,7 @@
 	return nil
 }
 
-// usage returns the resident memory in MB and the number of open descriptors of the process, now and at the peak of memory.
+// usage returns the peak of the resident memory of the process since its start, in MB, and the number of its open descriptors.
 func (p *program) usage() (peakMB, descriptors int, err error) {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.process.Pid))
 	if err != nil {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -136,7 +136,7 @@
 	body  progress
 	// finished is set when the handler of the request under way has ended.
 	finished bool
-	// previous and next link the connections of a state that is waited in, the first to get into it at the front.
+	// previous and next are the neighbours in the list of the state, in the order in which connections entered it.
 	previous, next *Conn
 }
 
@@ -165,7 +165,7 @@
 	mu sync.Mutex
 	// conns are the open connections with memory held. Those without are only counted.
 	conns map[*Conn]struct{}
-	// waiting are the connections of the states that are waited in.
+	// waiting lists the connections without a request under way, by their state.
 	waiting [states]list
 	open    int
 	held    [kinds]int64
--- a/intake/memory.go
+++ b/intake/memory.go
@@ -12,8 +12,8 @@
 	reading bool
 	// expected is the length of the body, -1 if it is not known, and limit the largest that is accepted.
 	expected, limit int64
-	// markedAt and marked are a time and what had arrived then. Rate is what arrived in a second before that; it is not
-	// known before the first minObservation has passed.
+	// markedAt is the end of the last observation, and marked the number of bytes that had arrived then. Rate is the number of
+	// bytes per second during that observation; rateKnown is set once the first one has lasted for minObservation.
 	markedAt  time.Time
 	marked    int64
 	rate      float64
@@ -290,7 +290,8 @@
 	return p.rate
 }
 
-// evict marks that a connection is to be closed. What it holds no longer counts as held once memory is looked for.
+// evict marks that a connection is to be closed. What it holds is counted in leaving until it has been closed, so that no
+// further connections are evicted for the same bytes.
 func (b *Budget) evict(c *Conn, r Reason) {
 	c.evicted.Store(true)
 	b.leaving += c.total
--- a/intake/memory_test.go
+++ b/intake/memory_test.go
@@ -23,7 +23,7 @@
 	const clients = 250
 	for _, tc := range []struct {
 		name  string
-		start func(*testing.T, string, crowd) *program
+		start func(*testing.T, string, clientGroup) *program
 		path  string
 		bound int
 	}{
@@ -33,7 +33,7 @@
 		{"daemon, idle after a request", startDaemon, "", intake.ConnectionBytes},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			p := tc.start(t, bin, crowd{memoryMB: 400, descriptors: 4100})
+			p := tc.start(t, bin, clientGroup{memoryMB: 400, descriptors: 4100})
 			before := p.residentKB(t)
 			for range clients {
 				c, err := net.Dial("tcp", p.address)
--- a/statusline/transport_test.go
+++ b/statusline/transport_test.go
@@ -71,7 +71,7 @@
 	return ctx.Err()
 }
 
-// A server in trouble answers with a status that is none, with a body that looks like a response. Guards against the body being
+// A server in trouble answers with an invalid status, with a body that looks like a response. Guards against the body being
 // read as the response, a request that waits for its deadline or is repeated, and a connection that is used again.
 func TestTransport_InvalidStatus(t *testing.T) {
 	transport := statusline.NewTransport(&http.Transport{})
@@ -124,7 +124,7 @@
 	}
 }
 
-// Valid responses are returned as before, over TLS, too.
+// Guards against valid responses that are rejected, also over TLS.
 func TestTransport_ValidResponses(t *testing.T) {
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Link", "x")
--- a/upstream/status_test.go
+++ b/upstream/status_test.go
@@ -13,7 +13,7 @@
 	"github.com/jasminelock/jasminelock/upstream"
 )
 
-// An upstream in trouble answers calls, reports and orders with a status that is none, with a body that looks like a response, on
+// An upstream in trouble answers calls, reports and orders with an invalid status, with a body that looks like a response, on
 // a new connection and on one that has been used. Guards against that body being taken as the response, against a call that
 // waits for its deadline, and against an error that says that the call was not sent.
 func TestClient_InvalidStatus(t *testing.T) {
