intake: evicted once, slow readers found, largest completions granted

Four faults that a review of the tests found, each with a test that failed before:

- A head that was evicted for memory stayed listed until it was closed, and a new connection could evict it again.
What it held was counted twice as leaving, for good, so memory never counted as short again and stopped bodies kept theirs.
An evicted connection is not listed any more.
- A caller that reads nothing was only looked for among connections that hold memory.
The second request of a pipeline holds no head, so after its handler had ended its connection kept its place (9 s in the test).
All connections with a request under way are looked at now.
- If the end of a head arrived in two pieces, the lines of the body counted as header lines: 778 KB held for a body of 3,000 bytes.
The end of the head is found across reads.
- A completion with a body of the largest size, 4 MB, takes five times its bytes in jasminelockd.
Its connection may hold 9 MB on a host of 144 MB, so it was refused although nothing else was held.
The limits are raised where the largest request needs it.

jasminelock check accepted bodies of 1/8 of the memory, of which a connection may hold 1/16, with two buffers while one grows.

--- a/configcheck/document.go
+++ b/configcheck/document.go
@@ -63,9 +63,9 @@
 	MemoryBytes int64
 }
 
-// bodyMemoryShare is the part of a host's memory that the largest request body may take, 1/8: a host
-// keeps the body until its request has ended, and must serve other requests meanwhile.
-const bodyMemoryShare = 8
+// bodyMemoryShare is the part of a host's memory that the largest request body may take, 1/32. By default, the requests of one
+// connection may hold 1/16 of it, and two buffers are held while one grows.
+const bodyMemoryShare = 32
 
 // MaxBodyBytes returns the largest request body that fits the share of the memory, 0 if unknown.
 func (l Limits) MaxBodyBytes() int64 { return l.MemoryBytes / bodyMemoryShare }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,6 +94,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "limits of the process")
 	}
+	limits = limits.Fitting(gateway.LargestRequestBytes(s.Requests.MaxBodyBytes))
 	d.callers, d.operators = callers.NewGate(limits), callers.NewOperatorGate()
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -83,6 +83,15 @@
 	return parsedCopies*int64(len(raw)) + fieldBytes*int64(fields) + elementBytes*int64(elements)
 }
 
+// ordinaryOverheadBytes is the memory of a completion besides its body and the copies of it: its state, its head of 32 KB, and a
+// thousand fields.
+const ordinaryOverheadBytes = 512 << 10
+
+// LargestRequestBytes returns the memory that a completion with the largest body takes.
+func LargestRequestBytes(maxBody int64) int64 {
+	return (1+parsedCopies)*maxBody + ordinaryOverheadBytes
+}
+
 // priorityOf returns the priority that the request header sets, PriorityPrompt by default.
 func priorityOf(h http.Header) record.Priority {
 	if h.Get(HeaderRequestPriority) == record.PriorityBatch.String() {
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -260,6 +260,55 @@
 	}
 }
 
+// Guards against an account of evicted connections that stays too high if one is evicted twice: for memory, and for a new
+// connection before the first eviction is carried out. Memory then never counts as short, and nothing that stopped gives way.
+func TestOpen_EvictedConnectionIsNotEvictedAgain(t *testing.T) {
+	l := testLimits()
+	l.Connections = 10
+	a := newAccount(t, l)
+	head, body := a.open(0), a.open(0)
+	_, _ = a.HeadArrived(at(0), head, 5*mb)
+	_, _ = a.Begin(at(0), body)
+	a.ReadBody(at(600), body, 2*mb, 4*mb)
+	victims, _ := a.Reserve(at(600), body, intake.Body, 2*mb)
+	require.Len(t, victims, 1)
+	var others []*intake.Conn
+	for a.Connections() < l.Connections {
+		c := a.open(700)
+		_, _ = a.Begin(at(700), c)
+		others = append(others, c)
+	}
+	_, _ = a.Open(at(1100), &intake.Conn{})
+	for _, c := range append(others, head, body) {
+		a.Close(c)
+	}
+	for range 4 {
+		c := a.reading(2000, 2*mb, 0)
+		_, _ = a.Reserve(at(2000), c, intake.Body, 3*mb/2)
+	}
+	victims, verdict := a.Reserve(at(4000), a.reading(4000, 2*mb, 0), intake.Body, 3*mb/2)
+	require.NotEmpty(t, victims, "verdict %d: bodies that have stopped give way", verdict)
+}
+
+// Guards against a caller of pipelined requests that reads nothing and keeps its place: its second request holds no head, so that
+// after Finish it holds no memory and is not found among those to replace.
+func TestOpen_ReplacesSlowReaderOfPipelinedEnd(t *testing.T) {
+	l := testLimits()
+	l.Connections = 1
+	a := newAccount(t, l)
+	c := a.open(0)
+	_, _ = a.HeadArrived(at(0), c, 100)
+	_, _ = a.Begin(at(0), c)
+	a.Finish(c)
+	a.End(at(1), c)
+	a.HeadComplete(at(2), c) // already in the buffer of net/http
+	_, _ = a.Begin(at(2), c)
+	c.Writing(at(3))
+	a.Finish(c)
+	_, admitted := a.Open(at(9_000), &intake.Conn{})
+	require.True(t, admitted)
+}
+
 // Whatever callers do, no more is held than the limit, the sums agree, a request that was given up is never sent, and
 // nothing is left once all connections have ended.
 func TestBudget_RandomClients(t *testing.T) {
--- a/intake/callers/callers.go
+++ b/intake/callers/callers.go
@@ -120,6 +120,8 @@
 	net.Conn
 	gate    *Gate
 	account intake.Conn
+	// lineBytes is the length of the last line of the head so far.
+	lineBytes int
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -132,10 +134,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.account.Waiting() {
-		head := b[:n]
-		if end := bytes.Index(head, headEnd); end >= 0 {
-			head = head[:end+len(headEnd)] // a body follows, whose lines are not parsed
-		}
+		head := b[:c.headLength(b[:n])] // a body may follow, whose lines are not parsed
 		size := intake.HeadBytes(len(head), bytes.Count(head, lineEnd))
 		if !c.gate.granted(func(now time.Time) ([]*intake.Conn, intake.Verdict) {
 			return c.gate.budget.HeadArrived(now, &c.account, size)
@@ -147,10 +146,24 @@
 	return n, err
 }
 
-var (
-	lineEnd = []byte("\n")
-	headEnd = []byte("\r\n\r\n")
-)
+var lineEnd = []byte("\n")
+
+// headLength returns how many of the bytes belong to a head, which ends with its first empty line.
+func (c *conn) headLength(b []byte) int {
+	for i, x := range b {
+		switch x {
+		case '\n':
+			if c.lineBytes == 0 {
+				return i + 1
+			}
+			c.lineBytes = 0
+		case '\r':
+		default:
+			c.lineBytes++
+		}
+	}
+	return len(b)
+}
 
 // writeBytes is how much is written at once, so that a slow caller that reads is told from one that does not.
 const writeBytes = 16 << 10
--- a/intake/callers/pressure_test.go
+++ b/intake/callers/pressure_test.go
@@ -108,6 +108,26 @@
 	require.Less(t, gate.Budget().Held(intake.Head), int64(4<<10))
 }
 
+// The end of a head may arrive in two pieces. The lines of a body that follows it were then counted as header lines.
+func TestGate_BodyAfterDividedHeadIsNoHead(t *testing.T) {
+	reached, done := make(chan struct{}, 1), make(chan struct{})
+	address, gate := serve(t, wide, func(*callers.Request, http.ResponseWriter, *http.Request) {
+		reached <- struct{}{}
+		<-done
+	})
+	defer close(done)
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3000\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return gate.Budget().Held(intake.Head) > 0 }, testTimeout, pollInterval)
+	_, err = io.WriteString(c, "\r\n"+strings.Repeat("\n", 3000))
+	require.NoError(t, err)
+	<-reached
+	require.Less(t, gate.Budget().Held(intake.Head), int64(4<<10))
+}
+
 // A handler that reads no body must not leave its connection to a caller that stops inside one.
 func TestHandler_UnreadBodyEnds(t *testing.T) {
 	gate := callers.NewGate(wide)
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -40,6 +40,7 @@
 	if s != underWay {
 		b.waiting[s].add(c)
 	}
+	b.track(c)
 }
 
 // Open adds a connection. If there are too many, it returns another one to close in its favour. It reports false if there is
@@ -80,7 +81,7 @@
 			return c
 		}
 	}
-	for c := range b.conns { // those with a request under way hold memory
+	for c := range b.conns {
 		if !c.evicted.Load() && c.slowReader(now) {
 			return c
 		}
@@ -106,6 +107,7 @@
 	}
 	c.state = underWay // so that it is no longer listed
 	b.releaseAll(c)
+	b.track(c)
 	c.waiting.Store(false)
 }
 
@@ -154,5 +156,7 @@
 	}
 	b.releaseAll(c)
 	c.body = progress{}
-	b.setState(now, c, idle)
+	if !c.evicted.Load() {
+		b.setState(now, c, idle)
+	}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -6,6 +6,7 @@
 package intake
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,6 +98,14 @@
 	}
 }
 
+// Fitting returns the limits, raised where a single request that takes the given bytes would be refused although nothing else is
+// held.
+func (l Limits) Fitting(request int64) Limits {
+	l.PerConnection, l.PerKey = max(l.PerConnection, request), max(l.PerKey, request)
+	l.Bytes = max(l.Bytes, int64(math.Ceil(float64(request)/shortShare)))
+	return l
+}
+
 // state is what a connection is doing.
 type state uint8
 
@@ -163,7 +172,7 @@
 	limits Limits
 
 	mu sync.Mutex
-	// conns are the open connections with memory held. Those without are only counted.
+	// conns are the open connections that hold memory or have a request under way. The others are only listed in waiting.
 	conns map[*Conn]struct{}
 	// waiting lists the connections without a request under way, by their state.
 	waiting [states]list
--- a/intake/memory.go
+++ b/intake/memory.go
@@ -165,7 +165,12 @@
 	if c.evicted.Load() {
 		b.leaving += n
 	}
-	if c.total > 0 {
+	b.track(c)
+}
+
+// track keeps conns up to date.
+func (b *Budget) track(c *Conn) {
+	if c.total > 0 || (c.open && c.state == underWay) {
 		b.conns[c] = struct{}{}
 	} else {
 		delete(b.conns, c)
@@ -221,7 +226,7 @@
 	var all []candidate
 	possibleRoom := int64(0)
 	for c := range b.conns {
-		if c == favoured || c.evicted.Load() || (key != "" && c.key != key) {
+		if c == favoured || c.total == 0 || c.evicted.Load() || (key != "" && c.key != key) {
 			continue
 		}
 		stopped, possible := c.stopped(now)
@@ -291,8 +296,13 @@
 }
 
 // evict marks that a connection is to be closed. What it holds is counted in leaving until it has been closed, so that no
-// further connections are evicted for the same bytes.
+// further connections are evicted for the same bytes. It is not listed any more, so that it is not evicted again in favour of a new
+// connection.
 func (b *Budget) evict(c *Conn, r Reason) {
+	if c.state != underWay {
+		b.waiting[c.state].remove(c)
+		c.state = underWay
+	}
 	c.evicted.Store(true)
 	b.leaving += c.total
 	b.refused[r]++
