assign, fairshare, workcost: clarify comments and names of tests

In the property test, what was called rank is the priority after aging, and is named so. No check, bound or product code changes.

--- a/assign/firsttoken_test.go
+++ b/assign/firsttoken_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// unevenReport is a quality of the reports of load: their age, the fraction of them that state no pace, and the order of
-// requests while there is no statement.
+// unevenReport is a quality of the load reports: the age of the pace in them, the fraction of them that state no pace, and
+// the Assigner's scheduling. With ByUrgency, the Assigner learns the pace from measurements (LearnPace).
 type unevenReport struct {
 	name       string
 	age        time.Duration
@@ -19,7 +19,6 @@
 	scheduling Scheduling
 }
 
-// unevenReports are the qualities of the reports of load.
 var unevenReports = []unevenReport{
 	{name: "current"},
 	{name: "old", age: 200 * time.Millisecond},
@@ -27,7 +26,7 @@
 	{name: "missing", missing: 1, scheduling: ByUrgency},
 }
 
-// unevenLoads are about half and three quarters of the rate at which the oracle's times begin to grow without bound.
+// unevenLoads are 0.6 and 0.78 of 100 requests per second, at which the oracle's times grow without bound.
 var unevenLoads = []float64{60, 78}
 
 const unevenSeeds = 3
@@ -58,8 +57,8 @@
 	return percentile95(times)
 }
 
-// Engines of uneven speed, some of them slower for a moment, with requests of very different cost. Without the pace and
-// the remaining work of each engine, requests queue behind others on slow engines.
+// Engines of uneven speed, some of them slower for a moment, with requests of very different cost. Guards against requests
+// that queue behind others on slow engines because the pace or the remaining work of the engines is not considered.
 func TestUnevenEngines_TimeToFirstToken(t *testing.T) {
 	for _, perSecond := range unevenLoads {
 		oracle := unevenOracle(perSecond)
@@ -73,7 +72,8 @@
 	}
 }
 
-// A new leader knows no speeds. It must know them again within a second, from the answers to its own and to adopted requests.
+// Guards against a new leader that does not know the engines' paces within a second, from the answers to its own and to
+// adopted requests.
 func TestUnevenEngines_NewLeaderLearnsPace(t *testing.T) {
 	const changeAt = 10 * time.Second
 	f := newUnevenFleet(1, unevenLoads[1], ByArrival)
--- a/assign/ranked_test.go
+++ b/assign/ranked_test.go
@@ -16,16 +16,13 @@
 // startRankedLeader starts an Assigner without state that orders requests by urgency.
 func (w *simulation) startRankedLeader() {
 	w.fence++
-	w.assigner = New(Options{SendsOrders: true, Fence: w.fence, Share: 1, Random: w.random, Limits: simLimits, Scheduling: testScheduling})
+	w.assigner = New(Options{SendsOrders: true, Fence: w.fence, Share: 1, Random: w.random, Limits: simLimits, Scheduling: ByUrgency})
 	w.handle(ConfigUpdated{w.config})
 	w.handle(VersionsUpdated{w.versions})
 	w.handle(UpstreamsUpdated{w.records})
 }
 
-// testScheduling is the order under test.
-const testScheduling = ByUrgency
-
-// newRankedSimulation returns a simulation whose engines hold the given adapters.
+// newRankedSimulation returns a simulation of a ranked service whose engines hold the given adapters.
 func newRankedSimulation(t *testing.T, seed uint64, engines int, adapters ...string) *simulation {
 	w := newSimulation(t, seed, engines, max(len(adapters), 3))
 	for _, e := range w.engines {
@@ -41,7 +38,7 @@
 // simPlainTime is the time that a plain upstream takes for a request.
 const simPlainTime = 20 * time.Millisecond
 
-// addPlain adds upstreams of the plain service that accept the given number of requests per second.
+// addSlowPlain adds upstreams of the plain service, each in a slow start that allows the given number of requests per second.
 func (w *simulation) addSlowPlain(upstreams int, perSecond float64) {
 	listed := map[string]*catalog.Upstream{}
 	for id, u := range w.records {
@@ -60,13 +57,13 @@
 	w.handle(UpstreamsUpdated{listed})
 }
 
-// submitPlain submits a request to the plain service.
+// submitRankedPlain submits a request to the plain service. Unlike submitPlain, it keeps the number of prompt tokens.
 func (w *simulation) submitRankedPlain(number uint64, change ...func(*Request)) RequestID {
 	id := w.submit(number, "", append(change, func(r *Request) { r.Service, r.Adapter = "plain", simNoAdapter })...)
 	return id
 }
 
-// endPlain has the granted plain requests end after simPlainTime.
+// endRankedPlain schedules the ends of the granted plain requests that are not in ended, simPlainTime from now.
 func (w *simulation) endRankedPlain(ended map[RequestID]bool) {
 	for id := range w.granted {
 		if w.adapters[id] == "" && !ended[id] {
@@ -139,14 +136,16 @@
 type orgLoad struct {
 	name      string
 	perSecond float64
-	// adapters is the number of adapters, 1 if it is 0. promptTokens is the cost of a request, 2000 if it is 0.
+	// adapters is the number of adapters, 0 for one. promptTokens is the length of a prompt, 0 for 2000 tokens.
 	adapters     int
 	promptTokens int
-	weight       float64
+	// weight is the weight of the organisation, 0 for none, which counts as 1.
+	weight float64
 }
 
-// shares runs organisations' loads at random times and returns the work that each was sent, that was done for it, and
-// the number of its requests that were refused only after they had been admitted.
+// runShares submits the organisations' requests at random times. It returns, for each organisation, the work that it sent
+// and the work that was assigned to upstreams, in requests of 2000 prompt tokens, and the number of its requests that were
+// refused after they had been admitted.
 func (w *simulation) runShares(seed uint64, loads []orgLoad, d time.Duration) (sent, served map[string]float64, late map[string]int) {
 	sent, served, late = map[string]float64{}, map[string]float64{}, map[string]int{}
 	// The arrivals do not depend on the Assigner's use of its random source.
@@ -246,8 +245,8 @@
 	}
 }
 
-// An Assigner that does not know the costs shares turns by the number of requests. Guards against a check of shares that
-// does not find this.
+// An Assigner that is told the same prompt length for all requests shares turns by the number of requests. Guards against a
+// check of shares that does not detect this.
 func TestRanked_FairSharesFindSharingByNumber(t *testing.T) {
 	loads := []orgLoad{{name: "cheap", perSecond: 60, promptTokens: 500}, {name: "dear", perSecond: 20, promptTokens: 4000}}
 	for _, hides := range []bool{false, true} {
--- a/assign/rankedcost_test.go
+++ b/assign/rankedcost_test.go
@@ -38,9 +38,9 @@
 	return w
 }
 
-// The number of options that are considered for a request is bounded, regardless of the queue and of the number of
-// engines. It consists of the choice of an upstream, a pass over the first queues every 10 ms, and the queues of its
-// engine when the request starts and ends.
+// Guards against a number of options considered per request that grows with the number of engines or of waiting requests,
+// for an adapter that one engine holds. The bound is the sum of the choice of an upstream, a pass over the first queues every
+// 10 ms, and the queues of the engine when the request starts and when it ends.
 func TestRanked_CostIndependentOfQueueLength(t *testing.T) {
 	t.Parallel()
 	const requests = 200
--- a/assign/rankedfaults_test.go
+++ b/assign/rankedfaults_test.go
@@ -73,7 +73,7 @@
 	}
 	t.Logf("%d waiting, %d displaced within 10 ms", waiting, displaced)
 	require.Equal(t, before+displaced, len(w.refused))
-	// As many as the urgent ones take the place of, less what the tolerance of the estimate keeps.
+	// At most one is displaced for each urgent request; fewer, since the estimate's tolerance keeps some of them.
 	require.Greater(t, displaced, urgent/3)
 	require.LessOrEqual(t, displaced, urgent)
 	w.run(7 * time.Second)
@@ -97,7 +97,7 @@
 	id := w.submitBehind(t, 2)
 	served := func() bool { return slices.Contains(grantedIDs(w), id) }
 	n := uint64(100)
-	// Three urgent requests are there for each that the engine serves.
+	// Three urgent requests arrive in the time in which the engine serves one.
 	for range int(2*agingTime/(80*time.Millisecond)) + 50 {
 		for range 3 {
 			n++
@@ -114,14 +114,15 @@
 	require.Greater(t, w.granted[id].Held, agingTime)
 }
 
-// submitBehind fills the engine and submits a request of the given rank that has 60 s.
-func (w *simulation) submitBehind(t *testing.T, rank int) RequestID {
+// submitBehind fills the engine and submits a request of the given priority with 60 s to its deadline. It returns the ID of
+// that request, which waits.
+func (w *simulation) submitBehind(t *testing.T, priority int) RequestID {
 	t.Helper()
 	for n := range uint64(20) {
 		w.submit(n+1, "a", func(r *Request) { r.Deadline = w.now.Add(10 * time.Second) })
 	}
 	id := w.submit(50, "a", func(r *Request) {
-		r.Priority, r.Organisation, r.Target, r.Deadline = rank, "patient", w.now.Add(time.Second), w.now.Add(60*time.Second)
+		r.Priority, r.Organisation, r.Target, r.Deadline = priority, "patient", w.now.Add(time.Second), w.now.Add(60*time.Second)
 	})
 	require.NotContains(t, w.granted, id)
 	require.NotContains(t, w.refused, id)
@@ -239,7 +240,7 @@
 }
 
 // Routine requests use all slots of many engines when urgent requests for as many other adapters arrive. Guards against
-// adapters that are all evicted at once, so that their slots serve nobody.
+// evicting all of these adapters at once, since a slot serves no request during an eviction.
 func TestRanked_FewAdaptersInUseMakeWay(t *testing.T) {
 	const engines, slots = 20, 3
 	var adapters []string
@@ -310,20 +311,20 @@
 	require.NotContains(t, w.refused, id)
 }
 
-// ageDisplacement is a run in which requests of 280 ms each wait at one engine that others displace.
-type ageDisplacement struct {
+// displacement is a run in which requests of 280 ms each wait for one engine and others displace them.
+type displacement struct {
 	w             *simulation
 	organisations int
 }
 
-func newAgeDisplacement(t *testing.T, organisations int) *ageDisplacement {
+func newDisplacement(t *testing.T, organisations int) *displacement {
 	w := newRankedSimulation(t, 1, 1, "a", "b")
 	w.prefillOfTokens = true
-	return &ageDisplacement{w, organisations}
+	return &displacement{w, organisations}
 }
 
 // send submits requests of a priority, for two adapters in turn, with the given numbers.
-func (d *ageDisplacement) send(from, count, priority int, timeout time.Duration, change ...func(*Request)) {
+func (d *displacement) send(from, count, priority int, timeout time.Duration, change ...func(*Request)) {
 	for n := from; n < from+count; n++ {
 		d.w.submit(uint64(n), string("ab"[n%2]), append([]func(*Request){func(r *Request) {
 			r.Organisation, r.Priority, r.PromptTokens = "org"+strconv.Itoa(n/2%d.organisations), priority, 7000
@@ -332,9 +333,10 @@
 	}
 }
 
-// requireToldAtOnce requires that an event displaces some requests of the given numbers and no others, that those told
-// later than 10 ms after it are as many as the estimate's tolerance may keep, and that none is said to have expired.
-func (d *ageDisplacement) requireToldAtOnce(t *testing.T, from, to uint64, event func()) {
+// requireToldAtOnce requires that an event displaces some of the requests with numbers from from to below to and no others,
+// that no more of them are refused later than 10 ms after it than the estimate's tolerance may keep, and that none is refused
+// with another rule than Displaced.
+func (d *displacement) requireToldAtOnce(t *testing.T, from, to uint64, event func()) {
 	t.Helper()
 	w, before := d.w, maps.Clone(d.w.refused)
 	event()
@@ -368,7 +370,7 @@
 	for _, organisations := range []int{1, 2, 4} {
 		for _, wait := range []time.Duration{agingTime - 5*time.Millisecond, agingTime + time.Second} {
 			t.Run(fmt.Sprintf("%d organisations, %s", organisations, wait), func(t *testing.T) {
-				d := newAgeDisplacement(t, organisations)
+				d := newDisplacement(t, organisations)
 				d.send(1, 100, 2, 30*time.Second)
 				d.w.run(wait)
 				d.requireToldAtOnce(t, 1, 101, func() { d.send(1000, 40, 0, 15*time.Second) })
@@ -377,11 +379,12 @@
 	}
 }
 
-// Requests that age go before those of the ranks that they pass. Guards against callers of those that are told late.
+// Requests that move up by aging displace requests of the ranks that they pass. Guards against callers of displaced requests
+// that are told late.
 func TestRanked_DisplacedByAgedAreToldAtOnce(t *testing.T) {
 	for _, organisations := range []int{1, 2, 4} {
 		t.Run(strconv.Itoa(organisations)+" organisations", func(t *testing.T) {
-			d := newAgeDisplacement(t, organisations)
+			d := newDisplacement(t, organisations)
 			d.send(1, 80, 3, 40*time.Second)
 			d.w.run(agingTime - time.Second)
 			d.send(1000, 20, 2, 9*time.Second, func(r *Request) { r.RoutePriority = 1 })
@@ -401,7 +404,7 @@
 // The operator gives an organisation a less urgent priority than that of the others. Guards against callers of displaced
 // requests that are told late since their requests have changed their rank.
 func TestRanked_DisplacedByConfigurationAreToldAtOnce(t *testing.T) {
-	d := newAgeDisplacement(t, 2)
+	d := newDisplacement(t, 2)
 	d.send(1, 64, 1, 25*time.Second, func(r *Request) {
 		if r.Organisation == "org1" {
 			r.Target, r.Deadline = d.w.now.Add(5*time.Second), d.w.now.Add(12*time.Second)
--- a/assign/rankedproperty_test.go
+++ b/assign/rankedproperty_test.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// check checks that no request went before a more urgent one which could have used the same engine, that none waits in
-// vain, and that what is accounted equals what there is.
+// check records a violation if a request was assigned before a more urgent one that could have used the same engine, if a
+// request still waits 50 ms after its last useful moment, or if a sum differs from what it counts.
 func (r *randomRun) check() {
 	w, a := r.w, r.w.assigner
 	for id, g := range w.granted {
@@ -176,8 +176,8 @@
 	r.checkAccounts()
 }
 
-// rankAt returns the rank of a request at a time.
-func rankAt(q *Request, at time.Time) int {
+// agedPriority returns the priority of a request at a time, after aging.
+func agedPriority(q *Request, at time.Time) int {
 	return max(q.Priority-int(at.Sub(q.Arrived)/agingTime), 0)
 }
 
@@ -188,17 +188,17 @@
 		return // the order at the time of the grant is no longer known
 	}
 	for _, x := range a.requests {
-		if x.upstream != nil || rankAt(&x.request, w.now) >= rankAt(&granted.request, w.now) {
+		if x.upstream != nil || agedPriority(&x.request, w.now) >= agedPriority(&granted.request, w.now) {
 			continue
 		}
 		if s, ok := granted.upstream.slots[x.request.Adapter.Adapter]; ok && s.state == slotResident && x.submittedAt.Before(w.now) {
-			r.violate("%v of rank %d is granted %s, for which %v of rank %d waits", g.ID, rankAt(&granted.request, w.now), g.Upstream, x.request.ID, rankAt(&x.request, w.now))
+			r.violate("%v of priority %d is granted %s, for which %v of priority %d waits", g.ID, agedPriority(&granted.request, w.now), g.Upstream, x.request.ID, agedPriority(&x.request, w.now))
 		}
 	}
 }
 
-// checkUrgentRefusal checks that a request of the most urgent rank is refused only if the work of its rank fills the
-// time that it has.
+// checkUrgentRefusal records a violation if a request of priority 0 is refused although the waiting work of that priority
+// leaves time for it.
 func (r *randomRun) checkUrgentRefusal(id RequestID) {
 	w, a := r.w, r.w.assigner
 	refusal, refused := w.refused[id]
@@ -208,7 +208,7 @@
 	}
 	work := time.Duration(0)
 	for _, e := range a.requests {
-		if e.upstream != nil || rankAt(&e.request, w.now) > 0 {
+		if e.upstream != nil || agedPriority(&e.request, w.now) > 0 {
 			continue
 		}
 		if work += 80 * time.Millisecond; e.request.Organisation == request.Organisation && w.now.After(e.request.Target) && r.scheduling == ByUrgency {
@@ -217,7 +217,7 @@
 	}
 	// Half of the time counts for the estimate's uncertainty and for what has been assigned already.
 	if useful := request.Deadline.Sub(w.now) - 500*time.Millisecond; work/time.Duration(len(w.records)) < useful/2-600*time.Millisecond {
-		r.violate("%v is refused (%s, %s) although %s of work of its rank waits for %d engines and it has %s", id, refusal.Rule, refusal.Detail, work, len(w.records), useful)
+		r.violate("%v is refused (%s, %s) although %s of work of its priority waits for %d engines and it has %s", id, refusal.Rule, refusal.Detail, work, len(w.records), useful)
 	}
 }
 
@@ -247,7 +247,7 @@
 		}
 	}
 	if evicting != s.evictingUsed {
-		r.violate("%d adapters in use accounted as making way, %d do", s.evictingUsed, evicting)
+		r.violate("%d adapters in use accounted as being evicted, %d are", s.evictingUsed, evicting)
 	}
 	waiting := 0
 	work, count := make([]time.Duration, len(s.line.ranks)), make([]int, len(s.line.ranks))
@@ -290,8 +290,8 @@
 	}
 }
 
-// As TestRanked_Properties, with requests that have time enough to age. Guards against sums and orders that are right only
-// as long as no request changes its rank.
+// As TestRanked_Properties, with some requests whose deadlines are far enough for aging. Guards against sums and orders that
+// are right only as long as no request changes its rank.
 func TestRanked_PropertiesOfAging(t *testing.T) {
 	t.Parallel()
 	aged := 0
@@ -306,8 +306,8 @@
 	require.Greater(t, aged, 100)
 }
 
-// The former order estimates a request's wait over all that wait and serves by target first. Guards against checks that
-// find nothing.
+// Order by arrival estimates a request's wait over all waiting requests and serves in the order of targets. Guards against
+// property checks that detect neither.
 func TestRanked_PropertiesFindEstimateOverAll(t *testing.T) {
 	t.Parallel()
 	found := map[bool]int{}
--- a/assign/unevenadapters_test.go
+++ b/assign/unevenadapters_test.go
@@ -10,8 +10,8 @@
 	"github.com/jasminelock/jasminelock/catalog"
 )
 
-// unevenAdapters is the number of adapters, of which unevenEngines times unevenSlots are resident at once. Their demand
-// falls with the rank, and the ranks change in every turn of unevenRanksTurn.
+// unevenAdapters is the number of adapters. Each engine has unevenSlots adapter slots. The demand for an adapter falls with
+// its place in an order that changes every unevenRanksTurn.
 const (
 	unevenAdapters  = 36
 	unevenSlots     = 6
@@ -25,13 +25,13 @@
 		f.orders[e.id] = newSimEngine(e.id, unevenSlots)
 	}
 	f.adapter = func() string {
-		rank := min(int(f.random.ExpFloat64()*unevenAdapters/5), unevenAdapters-1)
+		place := min(int(f.random.ExpFloat64()*unevenAdapters/5), unevenAdapters-1)
 		turn := int(f.now.Sub(f.start) / unevenRanksTurn)
-		return "a" + strconv.Itoa((rank+turn*7)%unevenAdapters)
+		return "a" + strconv.Itoa((place+turn*7)%unevenAdapters)
 	}
 }
 
-// carryOut has an engine handle an order.
+// carryOut passes an order to its engine, which receives it after 1 ms, and its result to the Assigner.
 func (f *unevenFleet) carryOut(o Order) {
 	f.schedule(f.now.Add(time.Millisecond), func() {
 		result := f.orders[o.Upstream.ID].handleOrder(f.now, o)
@@ -39,7 +39,7 @@
 	})
 }
 
-// engineReport returns the report of an engine.
+// engineReport returns what an engine reports as loaded: its adapters, or only the model if no adapters are used.
 func (f *unevenFleet) engineReport(id string) *Report {
 	if e, ok := f.orders[id]; ok {
 		return e.report(f.now)
@@ -47,7 +47,8 @@
 	return &Report{Loaded: []catalog.LoadedModel{{Model: simModel}}}
 }
 
-// useAdapter records that an engine begins or ends a request with an adapter. It reports whether the engine holds it.
+// useAdapter adds n to the number of requests that an engine runs with the adapter of a request. It returns false, and adds
+// nothing, if a request is to begin (n > 0) and the engine does not hold the adapter.
 func (f *unevenFleet) useAdapter(e *unevenEngine, r *unevenRequest, n int) bool {
 	engine, name := f.orders[e.id], r.request.Adapter.Adapter
 	if engine == nil || name == "" {
--- a/assign/unevenengines_test.go
+++ b/assign/unevenengines_test.go
@@ -99,7 +99,7 @@
 	return took + time.Duration(running)*unevenStepPerRequest + time.Duration(e.chunk)*unevenPrefillToken
 }
 
-// endStep ends a step and returns the requests that have their first token since, and those that have ended.
+// endStep ends a step and returns the requests whose first token it generated and those that it ended.
 func (e *unevenEngine) endStep() (started, ended []*unevenRequest) {
 	e.streams = slices.DeleteFunc(e.streams, func(r *unevenRequest) bool {
 		r.generated++
@@ -135,12 +135,13 @@
 	slow   []map[int]bool
 	events unevenEvents
 	order  int
-	// reportAge is the age of the pace that engines state, reported is false if they state none.
+	// reportAge is the age of the pace that engines state. reported returns false for a report that states no pace.
 	reportAge time.Duration
 	reported  func() bool
 	// perSecond is the rate of requests.
 	perSecond float64
-	// adapter returns the adapter of the next request. orders holds the engines' adapters, nil if none are used.
+	// adapter returns the adapter of the next request. orders holds, by engine ID, the state that adapter orders change, nil
+	// if no adapters are used.
 	adapter func() string
 	orders  map[string]*simEngine
 
@@ -305,7 +306,8 @@
 	return min(max(int(median*math.Exp(spread*f.random.NormFloat64())), 1), most)
 }
 
-// run submits requests at random times and lets choose assign each of them.
+// run submits requests at random times for unevenDuration, assigns each of them with choose, and returns when no event is
+// left.
 func (f *unevenFleet) run(choose func(r *unevenRequest)) {
 	number := uint64(0)
 	var arrive func()
@@ -350,7 +352,8 @@
 	return y
 }
 
-// firstTokenTimes returns the times to first token, without those of the first five seconds.
+// firstTokenTimes returns the times to first token of the requests that arrived after the first five seconds, 0 for a request
+// without a first token.
 func (f *unevenFleet) firstTokenTimes() []time.Duration {
 	var times []time.Duration
 	for _, r := range f.arrived {
--- a/assign/unevenplain_test.go
+++ b/assign/unevenplain_test.go
@@ -83,7 +83,7 @@
 	return f.upstreams[i].speed
 }
 
-// begin starts the waiting requests of an upstream for which it has slots.
+// begin starts waiting requests of an upstream while it has free slots.
 func (f *plainFleet) begin(i int) {
 	u := f.upstreams[i]
 	for len(u.waiting) > 0 && len(u.ends) < plainSlots {
@@ -164,8 +164,9 @@
 	return percentile95(f.times)
 }
 
-// Plain upstreams of uneven speed, some of them slower for a moment, used by hosts that do not know of one another. The
-// bound is that of engines; without the pace it must be exceeded.
+// Plain upstreams of uneven speed, some of them slower for a moment, used by hosts that do not know of one another. Guards
+// against hosts that do not consider the pace. The bound is that of engines; without a stated pace it must be exceeded, so
+// that the test detects an ignored pace.
 func TestUnevenPlain_ResponseTime(t *testing.T) {
 	t.Parallel()
 	for _, perSecond := range []float64{100, 300, 600} {
--- a/assign/work_test.go
+++ b/assign/work_test.go
@@ -62,7 +62,7 @@
 	require.Equal(t, before, a.expectedWork(a.service("plain"), &r))
 }
 
-// Without a stated pace and without ranking, nothing is learned and choices do not depend on it.
+// Guards against request times that are learned without a stated pace and without ranking.
 func TestExpectedWork_NotLearnedWithoutPace(t *testing.T) {
 	a, now := newPlainAssigner(t, 1)
 	r := plainRequest(now, 1)
--- a/assign/workchoice_test.go
+++ b/assign/workchoice_test.go
@@ -134,8 +134,8 @@
 	require.InDelta(t, 4.25, p.slowComponent(now), 1e-9, "another kind of machine")
 }
 
-// Until a statement is old, work that outlasts the moment takes longer than at the slow component, and never longer than
-// at the fast one.
+// While a pace slower than the slow component is expected to hold, the time for work grows with the work and lies between the
+// times at the slow and at the fast component.
 func TestPace_TimeForBetweenComponents(t *testing.T) {
 	var p pace
 	now := time.Unix(1000, 0)
--- a/fairshare/order_test.go
+++ b/fairshare/order_test.go
@@ -26,7 +26,8 @@
 
 func after(d time.Duration) time.Time { return testStart.Add(d) }
 
-// Guards against the order of an organisation's requests that loses more than it has to.
+// Guards against an order within an organisation in which more requests than necessary miss their target or their last useful
+// moment.
 func TestQueue_OrderWithinOrganisation(t *testing.T) {
 	const second = time.Second
 	entry := func(target, lastUseful time.Duration) *Entry[int] {
@@ -93,7 +94,8 @@
 	require.Equal(t, first, q.Head(testStart))
 }
 
-// naiveHead returns the rank and the organisation's counter of the request that goes first, by looking at all.
+// naiveHead returns the rank and the organisation's counter of the first request, found by a search over all entries; the rank
+// is -1 if there are none.
 func naiveHead(entries map[*Entry[int]]bool, counters func(int) *Counters) (rank int, served float64) {
 	rank = -1
 	for e := range entries {
@@ -105,7 +107,8 @@
 	return rank, served
 }
 
-// Random operations on two queues that share counters. Guards against a place in the order that is not updated.
+// Random operations on two queues that share counters. Guards against a lane whose place in the order is not updated when a
+// counter or a rank changes.
 func TestQueue_HeadIsFirstOfAll(t *testing.T) {
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 1))
--- a/workcost/workcost_test.go
+++ b/workcost/workcost_test.go
@@ -59,7 +59,7 @@
 	require.InDelta(t, 0.5, got.Spread, 0.1)
 }
 
-// Figures that are no work must not change or break an estimate.
+// Guards against recording figures that are not positive, and against an infinite figure that makes an estimate infinite.
 func TestObserve_InvalidFigures(t *testing.T) {
 	l := New(10)
 	for _, figure := range []float64{0, -1, math.NaN()} {
@@ -71,7 +71,7 @@
 	require.False(t, math.IsInf(l.Estimate(Key{Route: "r"}, 1).Mean(), 0))
 }
 
-// Callers choose organisations' adapters, so the memory must not grow with their number. Entries in use stay.
+// Guards against memory that grows with the number of adapters, which callers choose, and against the loss of entries in use.
 func TestLearner_Bounded(t *testing.T) {
 	l := New(30)
 	used := Key{Route: "r", Organisation: "o", Adapter: "used"}
