assign: a removed priority reaches waiting requests; token counts are bounded

- If an organisation lost the priority that goes before those of its routes, its waiting requests kept it until they were served.
They get that of their route with the configuration, as new requests do.
- The numbers of tokens of a request come from callers and other hosts and were added and multiplied unbounded.
With the largest integer, the KV cache that a request may use was -2 tokens, and its expected work negative, so that it was charged next to nothing.
They are bounded to 2^30.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -180,9 +180,10 @@
 	switch e := ev.(type) {
 	case ConfigUpdated:
 		a.invalidateCapacity()
+		former := a.config
 		a.config = e.Config
 		a.configureEngines(now)
-		a.configureLines(now)
+		a.configureLines(now, former)
 		a.serveWaiting(now)
 	case VersionsUpdated:
 		a.versions = e.Versions
@@ -251,6 +252,7 @@
 		a.removeRequest(now, old)
 	}
 	e := &requestState{request: r, submittedAt: now}
+	e.request.boundTokens()
 	s := a.service(r.Service)
 	switch {
 	case r.retry() && !s.retries.take(a.options):
@@ -289,6 +291,7 @@
 		return
 	}
 	e := &requestState{request: ev.Request, requestWork: requestWork{adopted: true}}
+	e.request.boundTokens()
 	u, ok := a.upstreams[ev.Upstream]
 	if !ok {
 		return
--- a/assign/events.go
+++ b/assign/events.go
@@ -88,6 +88,16 @@
 	return min(max(r.Priority, 0), maxPriority)*routeRanks + min(max(r.RoutePriority, 0), routeRanks-1)
 }
 
+// maxTokens bounds the numbers of tokens of a request, far above any context length. Sums of larger figures overflow.
+const maxTokens = 1 << 30
+
+// boundTokens bounds the numbers of tokens, which callers state.
+func (r *Request) boundTokens() {
+	for _, n := range []*int{&r.PromptTokens, &r.OutputTokens, &r.ExpectedOutput} {
+		*n = min(max(*n, 0), maxTokens)
+	}
+}
+
 // cacheTokens returns the KV cache, in tokens, that the request may use at most. An engine may crash if the requests that it
 // holds exceed its memory, so that the expected output is not enough to reserve.
 func (r *Request) cacheTokens() int { return r.PromptTokens + r.OutputTokens }
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/apierr"
+	"github.com/jasminelock/jasminelock/catalog"
 )
 
 // Rules of refusals in ranked services.
@@ -387,7 +388,7 @@
 
 // configureLines applies a configuration to the orders of ranked services: the weights, and the priorities of
 // organisations. The priority of a route has been applied to each request on its host.
-func (a *Assigner) configureLines(now time.Time) {
+func (a *Assigner) configureLines(now time.Time, former *catalog.Config) {
 	for _, s := range a.services {
 		if s.line != nil {
 			s.line.weights.configure(a.config)
@@ -399,14 +400,23 @@
 		}
 	}
 	a.queues.each(func(e *requestState) {
-		o := a.config.Organisation(e.request.Organisation)
-		if e.waiting == nil || o == nil || !o.HasPriority || o.Priority == e.request.Priority {
+		priority, ok := a.configuredPriority(&e.request, former)
+		if e.waiting == nil || !ok || priority == e.request.Priority {
 			return
 		}
 		from := e.waiting.CurrentRank()
 		a.queues.remove(e)
-		e.request.Priority = o.Priority
+		e.request.Priority = priority
 		a.enqueue(now, e)
 		e.line.changedRank(e, from)
 	})
 }
+
+// configuredPriority returns the priority that the configuration now gives a request, and false if it says nothing new about it.
+func (a *Assigner) configuredPriority(r *Request, former *catalog.Config) (int, bool) {
+	if o := a.config.Organisation(r.Organisation); o != nil && o.HasPriority {
+		return o.Priority, true
+	}
+	before := former.Organisation(r.Organisation)
+	return r.RoutePriority, before != nil && before.HasPriority
+}
--- a/assign/rankedfaults_test.go
+++ b/assign/rankedfaults_test.go
@@ -216,6 +216,27 @@
 	require.NotContains(t, w.granted, y, "requests of the organisation that is now more urgent go first")
 }
 
+// An organisation loses the priority that went before those of its routes. Guards against waiting requests that keep it.
+func TestRanked_RemovedPriorityFollowsRoute(t *testing.T) {
+	w := newRankedSimulation(t, 1, 1, "a")
+	w.config = w.configWithPriority("x", 0)
+	w.handle(ConfigUpdated{w.config})
+	for i := range uint64(40) {
+		w.submit(i+1, "a", func(r *Request) { r.Organisation, r.Deadline = "x", w.now.Add(30*time.Second) })
+	}
+	id := w.submit(100, "a", func(r *Request) {
+		r.Organisation, r.Priority, r.RoutePriority, r.Deadline = "x", 0, 2, w.now.Add(30*time.Second)
+	})
+	require.NotNil(t, w.assigner.requests[id].waiting)
+	w.config = catalog.NewConfig(catalog.ConfigParts{
+		Version: 10, Services: []catalog.Service{*w.config.Service("s")}, Organisations: []catalog.Organisation{{Name: "x"}},
+	})
+	w.handle(ConfigUpdated{w.config})
+	e := w.assigner.requests[id]
+	require.Equal(t, 2, e.request.Priority)
+	require.Equal(t, e.request.Rank(), e.waiting.CurrentRank())
+}
+
 // configWithPriority returns the configuration with a priority for an organisation.
 func (w *simulation) configWithPriority(organisation string, priority int) *catalog.Config {
 	return catalog.NewConfig(catalog.ConfigParts{
@@ -234,6 +255,10 @@
 		}
 	}
 	require.LessOrEqual(t, len(w.assigner.service("s").line.ranks), maxRank+1)
+	for _, e := range w.assigner.requests {
+		require.GreaterOrEqual(t, e.request.cacheTokens(), 0)
+		require.GreaterOrEqual(t, w.assigner.expectedWork(w.assigner.service("s"), &e.request), time.Duration(0))
+	}
 	id := w.submit(1000, "a")
 	w.run(5 * time.Second)
 	require.Contains(t, w.granted, id)
