Tests of restores, paces and statuses: comments name the failure they guard against

Several comments named more than their test checks, or were broken by a wrong line break. A log text said "lead" for the leader. No check, bound or behaviour changes.

--- a/leader/era.go
+++ b/leader/era.go
@@ -205,7 +205,7 @@
 
 // pushKnownTables sends the leader what this host knows of the operator's table.
 func (b *Broker) pushKnownTables(to string) {
-	b.log.Info("sending the tables to a lead that has started after the store was restored", "lead", to)
+	b.log.Info("sending the tables to a leader that has started after the store was restored", "lead", to)
 	push := b.configPush(b.packedConfig(), nil)
 	go func() {
 		for _, u := range b.options.Source.Departed() {
@@ -229,7 +229,7 @@
 const learnTime = followerReportTime + 2*heartbeatInterval
 
 // Settled reports whether this host, which has started after the store was restored from a copy, has heard of the other
-// hosts, or has waited for them in vain.
+// hosts, or has waited for them long enough.
 func (b *Broker) Settled() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/leader/load_test.go
+++ b/leader/load_test.go
@@ -29,8 +29,8 @@
 	time.Sleep(10 * time.Millisecond)
 }
 
-// An upstream states its pace in an answer to a follower. The leader must learn it with the first byte, and must not take
-// it for current at the end of the stream.
+// An upstream states its pace in an answer to a follower. Guards against a leader that does not learn it with the first byte,
+// and against one that uses it as a new statement at the end of the stream.
 func TestPace_LeaderLearns(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		leader := f.hosts[f.leaders()[0]]
@@ -56,7 +56,8 @@
 	})
 }
 
-// A new leader, and a host without a leader, must know the pace from the next answers or from their own ones.
+// Guards against hosts that do not know the pace without a leader, and against a new leader that does not learn it from the
+// next answer.
 func TestPace_LeaderLost(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		for _, h := range f.hosts {
@@ -109,7 +110,7 @@
 	})
 }
 
-// A pace must survive its encoding, and an invalid one must not become one.
+// Guards against a pace, load or route that its encoding changes, and against a negative pace that is sent as a valid one.
 func TestPace_Encoding(t *testing.T) {
 	for _, pace := range []float64{0, 0.05, 0.7, 1, 1.7, 4.25, 20} {
 		require.InDelta(t, pace, decodePace(pacePercent(pace)), 1e-9)
--- a/leader/restore_test.go
+++ b/leader/restore_test.go
@@ -92,8 +92,8 @@
 	require.Equal(t, int64(1), renewedByCoincidence(t, noMutant))
 }
 
-// The leader is killed, or cut off the store and the other hosts, while the store is away. Guards against a claim before the
-// lost lease has expired, and against a fleet that stays without a leader.
+// The leader is killed, or frozen and cut off from the store, while the store is unavailable. Guards against a claim before the
+// lost lease and the holder pause are over, and against a fleet that stays without a leader.
 func TestRestore_LeaderLost(t *testing.T) {
 	for name := range copiedLeases(t, "h1") {
 		for _, killed := range []bool{true, false} {
@@ -181,8 +181,9 @@
 	return n
 }
 
-// Engines check fencing tokens. The leader lives on, or is killed while the store is away. Guards against orders that engines
-// refuse, and against cold adapters that are not served within 3 s of the store's return.
+// Engines check fencing tokens. The leader keeps running, or is killed while the store is unavailable. Guards against orders
+// that engines refuse after the first second, and against a fleet that sends no order of the new era within 3 s of the store's
+// return.
 func TestRestore_FencedEngines(t *testing.T) {
 	for _, killed := range []bool{false, true} {
 		for copied := range copiedLeases(t, "h1") {
@@ -228,8 +229,8 @@
 	})
 }
 
-// Copies, restores and faults, in series and at once. Engines that check no fencing tokens must never receive orders of two
-// holders at a time.
+// Random restores, beside freezes, hosts cut off from the store, lost answers and a slow store. Guards against orders of two
+// holders at the same time to engines that check no fencing tokens.
 func TestRestore_SingleHolderUnderFaults(t *testing.T) {
 	t.Parallel()
 	seeds := uint64(30)
@@ -265,12 +266,12 @@
 	return violations
 }
 
-// Guards against a host that claims the lease of the copy while the holder of the lost one still sends orders.
+// Guards against a host that claims the copied lease while the holder of the lost lease still sends orders.
 func TestRestore_IsolatedHolder(t *testing.T) {
 	require.Empty(t, isolatedHolder(t, noMutant))
 }
 
-// Checks that the tests above find hosts that do not regard the era in one place.
+// Checks that the tests of unfenced engines above detect hosts that ignore the era in one place.
 func TestRestore_MutantsDetected(t *testing.T) {
 	t.Parallel()
 	require.NotEmpty(t, isolatedHolder(t, waitIgnored))
@@ -317,8 +318,8 @@
 	return &v
 }
 
-// A host that has started after the restore leads, and knows only the copy. Guards against lost orders of the operator that
-// the other hosts still know, and against callers that the host serves before it has heard of the others.
+// A host that has started after the restore leads, and knows only the copy. Guards against evacuations and departed upstreams
+// that the other hosts still know and the leader does not ask for, and against a leader that counts as settled before.
 func TestRestore_FreshLeaderLearns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
@@ -348,7 +349,7 @@
 	})
 }
 
-// Hosts tell of eras that the store has not stated. Guards against a host that discards the store's answers from then on.
+// Hosts report eras that the store has not stated. Guards against a host that then discards the store's answers as outdated.
 func TestRestore_WrongEraHeard(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		leader := f.leaders()[0]
@@ -364,8 +365,8 @@
 	})
 }
 
-// A new leader restores the usage from a row that is older than the copy. Guards against a window's allowance that is granted
-// twice, and against a fleet that starts for the first time and refuses its callers.
+// A new leader restores the usage from a row that was written in an older era. Guards against a leader that assumes no use
+// since the record, and against use that is assumed when a fleet starts for the first time.
 func TestRestore_UsageAssumed(t *testing.T) {
 	for _, fresh := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
--- a/leader/restoredstore_test.go
+++ b/leader/restoredstore_test.go
@@ -26,18 +26,18 @@
 	return []watch.Incarnation{{ID: "left", StartedAt: 1}}
 }
 
-// mutant is a fault of a host that does not regard the era of the store in one place.
+// mutant selects a place in which hosts ignore the era of the store.
 type mutant int
 
 const (
 	noMutant mutant = iota
 	// eraIgnored hides the era from hosts.
 	eraIgnored
-	// writeEraIgnored takes each answer to a write for one of the era in which the row was read.
+	// writeEraIgnored makes answers to writes state the era in which the row was read.
 	writeEraIgnored
-	// rowEraIgnored takes each row for one that was written in the present era.
+	// rowEraIgnored makes the row of the lease state the present era, whenever it was written.
 	rowEraIgnored
-	// waitIgnored does not wait before a claim in a new era.
+	// waitIgnored makes hosts claim the lease in a new era without waiting; see ignoreWaits.
 	waitIgnored
 )
 
@@ -91,7 +91,8 @@
 	f.era++
 }
 
-// ignoreWaits makes hosts take the present era for an old one, for some seconds.
+// ignoreWaits moves the time at which hosts have first seen the present era into the past, for 4 s, so that they do not wait
+// before they claim the lease.
 func (f *fleet) ignoreWaits() {
 	for range 400 {
 		time.Sleep(10 * time.Millisecond)
--- a/store/status_test.go
+++ b/store/status_test.go
@@ -11,8 +11,8 @@
 	"github.com/jasminelock/jasminelock/store"
 )
 
-// The store answers with a status that is none, with a body that looks like a response, on a new connection and on one that has
-// been used. Guards against a write that seems committed, a read of that body, and a call that waits for its deadline.
+// The store answers with an invalid status and a body that looks like a response, on a new connection and on a reused one. Guards
+// against a write that counts as committed, a body that is read as a response, and a call that waits until its deadline.
 func TestClient_InvalidStatus(t *testing.T) {
 	const first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 	for name, call := range map[string]func(ctx context.Context, c *store.Client) error{
--- a/watch/evacuations.go
+++ b/watch/evacuations.go
@@ -12,8 +12,8 @@
 )
 
 // evacuationHold is how long a host keeps what it knew of a zone after the store was restored from a copy that says
-// otherwise. The operator writes the order again. A lifted order whose row is absent from the copy needs no write, so that a
-// host must not wait for one for ever. 30 s leave the operator the time to notice the drill.
+// otherwise. The operator writes lost orders again. An order that was lifted, and whose row the copy lacks, is not written
+// again, so that the hold must end by itself. 30 s give the operator time to notice the drill.
 const evacuationHold = 30 * time.Second
 
 // maxZoneOrders is the number of orders of one zone whose versions are remembered.
--- a/watch/restore_test.go
+++ b/watch/restore_test.go
@@ -18,7 +18,7 @@
 type restorableFeed struct {
 	*fakeFeed
 	era int64
-	// hideEra is the mutant that states no era.
+	// hideEra hides the era from the watcher, as a mutant that ignores eras.
 	hideEra bool
 }
 
@@ -105,7 +105,7 @@
 	})
 }
 
-// settle is a time within which a watcher has read all changes.
+// settle is the time after which a watcher is expected to have read all changes.
 const settle = 3 * time.Second
 
 // changesAfterRestore reports whether an evacuation and the end of an upstream that follow a restore are in force. The
@@ -130,12 +130,12 @@
 	return inForce
 }
 
-// Guards against changes after a restore that are missed, since their versions were issued again.
+// Guards against changes after a restore that are missed because their versions were issued again.
 func TestRestore_ChangesInForce(t *testing.T) {
 	require.True(t, changesAfterRestore(t, false))
 }
 
-// Checks that the check above finds a watcher that does not see eras.
+// Checks that changesAfterRestore detects a watcher that ignores eras.
 func TestRestore_IgnoredEraDetected(t *testing.T) {
 	require.False(t, changesAfterRestore(t, true))
 }
--- a/watch/restorerandom_test.go
+++ b/watch/restorerandom_test.go
@@ -11,16 +11,16 @@
 	"github.com/jasminelock/jasminelock/catalog"
 )
 
-// Random writes, outages and restores. At the end the view must equal what the operator and the upstreams have written
-// last; it must list no upstream by an entry that this host has
-// read and that it has known to be gone.
+// Random writes, outages and restores; lost rows are written again at once. Guards against a final view that lacks a live
+// upstream or differs from the operator's last orders, and against one that lists an upstream that this host has known to be
+// gone, by an entry that it has read before.
 func TestRestore_Random(t *testing.T) {
 	for seed := range uint64(100) {
 		require.Empty(t, randomRestores(t, seed, false), "seed %d", seed)
 	}
 }
 
-// Checks that the random test finds a watcher that does not see eras.
+// Checks that the random test detects a watcher that ignores eras.
 func TestRestore_RandomDetectsIgnoredEra(t *testing.T) {
 	found := 0
 	for seed := range uint64(100) {
@@ -45,10 +45,10 @@
 		evacuated, alive, seen, gone := map[string]bool{}, map[string]int64{}, map[Incarnation]bool{}, map[Incarnation]bool{}
 		config, copied := int64(0), 0
 		zone := func() string { return "z" + strconv.Itoa(r.IntN(3)) }
-		// ambiguous holds the zones of which two orders have the same version in two eras: a host cannot tell them apart
-		// and keeps what it knows for evacuationHold. read holds, for
-		// each entry that the watcher has read before it knew its upstream to be gone, one more than the era of that read. An
-		// entry that was written while the store did not answer is not known.
+		// ambiguous holds the zones of which two orders have the same version in two eras: a host cannot distinguish them
+		// and keeps what it knows for evacuationHold. read holds, for each entry that the watcher has read before it knew
+		// its upstream to be gone, one more than the era of that read. An entry that was written while the store did not
+		// answer is not in it.
 		type row struct {
 			key     string
 			version int64
--- a/wire/era_test.go
+++ b/wire/era_test.go
@@ -6,8 +6,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against fields of the era that a host of an older build does not understand: it must decode the messages as before,
-// and messages without them must decode as those of era 0.
+// Guards against era fields that keep a host of an older build from decoding a host's heartbeat, and against a heartbeat of an
+// older build that does not decode as one of era 0.
 func TestEra_OlderBuild(t *testing.T) {
 	raw, err := encMode.Marshal(&HostHeartbeat{Zone: "z", TablesChecksum: 7, StoreEra: 3, KnowsPriorEra: true})
 	require.NoError(t, err)
@@ -26,7 +26,7 @@
 	require.False(t, newer.KnowsPriorEra)
 }
 
-// Guards against messages that grow while the store states no era.
+// Guards against a leader's heartbeat that grows while the store states no era.
 func TestEra_NoEraAddsNoBytes(t *testing.T) {
 	type olderHeartbeat struct {
 		Fence        int64 `cbor:"1,keyasint"`
