leader: full use is assumed again after a lost claim

After a restore of the store, a host that claims the lease assumes full use of the rates since the outdated record. Its claim wrote that record again in the new era. If it was lost before its first renewal, the next leader took the record for a current one and assumed no use, so that one window of every rate could be granted twice (used 0.00 where 1.00 is assumed).

The record of usage now states the era in which a holder has made it. A claim keeps the earlier one, except where the fleet starts for the first time.

TestRestore_UsageAssumedAgain fails before and passes after.

--- a/leader/claim.go
+++ b/leader/claim.go
@@ -69,12 +69,16 @@
 		Host: b.options.Host, URL: b.options.PeerURL, Secret: secret, Strongest: seen.maxCores, Claim: b.newClaimID(&seen), Era: seen.era,
 	}
 	b.mu.Lock()
+	fleetStarts := seen.version == 0 && !b.leader.hasLostLeader
 	l.Suspects, l.RateLimits = b.newSuspectRecord(time.Now()), b.recordedRateLimits(time.Now())
 	b.mu.Unlock()
 	sentAt := b.options.Clock()
 	if seen.storeTime > 0 {
 		l.Usage, l.RenewedMS = seen.usage, seen.storeTimeAt(sentAt).Milliseconds()
 	}
+	if fleetStarts {
+		l.Usage.Era = seen.era // nothing has been used before
+	}
 	stamp, err := b.writeLease(ctx, l, seen.version)
 	version := stamp.Version
 	b.update(func(now time.Time) {
--- a/leader/restore_test.go
+++ b/leader/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -390,3 +391,37 @@
 		})
 	}
 }
+
+// A host claims the lease after a restore and is lost before it has renewed it. The next leader must assume full use as well:
+// the claim's row is of the new era, but the usage in it is not.
+func TestRestore_UsageAssumedAgain(t *testing.T) {
+	for _, fresh := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t)
+			f.era = 1
+			if !fresh {
+				raw, err := cbor.Marshal(lease{Host: "gone", Secret: "s", Usage: usageRecord{ClockMS: 1}})
+				require.NoError(t, err)
+				f.rows[leaseKey], f.version = store.Row{Key: leaseKey, Value: raw, Version: 1}, 1
+			}
+			time.Sleep(10 * time.Second)
+			f.add("h1", 0.4)
+			f.add("h2", 0.4)
+			for len(f.leaders()) == 0 {
+				time.Sleep(5 * time.Millisecond)
+			}
+			first := f.leaders()[0]
+			f.kill(first)
+			second := f.otherThan(first)
+			for !slices.Equal(f.leaders(), []string{second.name}) {
+				time.Sleep(5 * time.Millisecond)
+			}
+			_, leading := second.state()
+			second.broker.mu.Lock()
+			used := leading.UsedFraction(time.Now(), "o")
+			second.broker.mu.Unlock()
+			require.Equal(t, fresh, used == 0, "used %.2f", used)
+			f.end()
+		})
+	}
+}
--- a/leader/usage.go
+++ b/leader/usage.go
@@ -12,6 +12,9 @@
 	// ClockMS is the store's clock at the time of the record, in milliseconds.
 	ClockMS int64           `cbor:"1,keyasint"`
 	Used    []recordedUsage `cbor:"2,keyasint"`
+	// Era is the era of the store in which a holder of the lease has recorded the usage. A claim writes the earlier record
+	// again as it was found.
+	Era int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // recordedUsage is the usage of one organisation at one time.
@@ -27,7 +30,7 @@
 
 // newUsageRecord returns the usage of organisations, to be stored with the lease. The caller must hold the lock.
 func (b *Broker) newUsageRecord(now time.Time) usageRecord {
-	r := usageRecord{ClockMS: b.leader.row.storeTimeAt(b.options.Clock()).Milliseconds()}
+	r := usageRecord{ClockMS: b.leader.row.storeTimeAt(b.options.Clock()).Milliseconds(), Era: b.leader.row.era}
 	if b.leading == nil {
 		return r
 	}
@@ -62,10 +65,16 @@
 	b.log.Warn("usage of organisations since the copy is lost; full use is assumed", "since", age)
 }
 
+// usageOutdated reports whether the store was restored from a copy since the usage in the row was recorded. It may be, though a
+// claim has written the row since.
+func (v *leaseView) usageOutdated() bool {
+	return v.era > 0 && (v.version == 0 || v.usage.Era != v.era)
+}
+
 // restoreUsage restores the usage recorded by the last leader. Later usage is unknown: each organisation is
 // assumed to have used its full rate from the record until its next renewal was due.
 func (b *Broker) restoreUsage(now time.Time, row *leaseView) {
-	if row.outdated() {
+	if row.usageOutdated() {
 		b.restoreOutdatedUsage(now, row)
 		return
 	}
