intake: new requests leave room for bodies; the share of a key holds without bodies

What callers saw: beside 2,000 clients that open streams and read nothing, ordinary requests at jasminelock-entry were refused with host_overloaded for 30 s (47 of 47 tries); beside 2,000 clients that send large completions, ordinary requests at jasminelockd timed out (7 of 7 tries).

Causes: - The share of a key was only checked where a body or a response reserves memory. Requests without a body took more than the share, and every request with a body and the same key was refused. It is checked as soon as the key is known. - Heads and the state of new requests were granted up to the limit, so that they took whatever became free. They are granted up to 0.9 of the limit. - A connection read a large body that had arrived for a whole time slice of 10 ms. It yields the processor after each 64 KB.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -36,7 +36,9 @@
 	if err := x.authorise(config); err != nil {
 		return err
 	}
-	x.held.SetKey(x.requestInfo.Key)
+	if !x.held.SetKey(x.requestInfo.Key) {
+		return x.noMemoryError()
+	}
 	x.deadline = x.arrived.Add(x.maxDuration())
 	if !x.server.Shutdown.Accepts(x.deadline) {
 		return x.shutdownError()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,7 +159,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	if held != nil {
-		held.SetKey(callerSecret(r.Header))
+		if !held.SetKey(callerSecret(r.Header)) {
+			writeError(w, noMemoryError(w))
+			return
+		}
 		r = r.WithContext(callers.WithRequest(r.Context(), held))
 	}
 	s.mux.ServeHTTP(w, r)
--- a/intake/callers/request.go
+++ b/intake/callers/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/jasminelock/jasminelock/intake"
@@ -79,11 +80,15 @@
 	}
 }
 
-// SetKey sets the caller's key, to which what the request holds is charged.
-func (r *Request) SetKey(key string) {
-	if r != nil {
-		r.conn.gate.budget.SetKey(&r.conn.account, key)
+// SetKey sets the caller's key, to which what the request holds is charged. It reports false if the request must be refused, since
+// the requests with the key hold their share.
+func (r *Request) SetKey(key string) bool {
+	if r == nil {
+		return true
 	}
+	return r.conn.gate.granted(func(now time.Time) ([]*intake.Conn, intake.Verdict) {
+		return r.conn.gate.budget.SetKey(now, &r.conn.account, key)
+	})
 }
 
 // Reserve reserves n bytes, and reports whether they were granted.
@@ -119,7 +124,7 @@
 	budget, account := r.conn.gate.budget, &r.conn.account
 	r.conn.setReadingBody(true)
 	budget.ReadBody(time.Now(), account, length, limit)
-	raw, err := readWhole(r, &countedReader{body, account}, length, limit)
+	raw, err := readWhole(r, &countedReader{Reader: body, account: account}, length, limit)
 	if !budget.BodyRead(account) {
 		// The connection still counts as being read from, so that it is not closed before the answer is written.
 		budget.ReleaseAll(account, intake.Body)
@@ -146,10 +151,16 @@
 	return raw, nil
 }
 
+// yieldBytes is the number of bytes of a body after which its connection yields the processor. A large body that is there already
+// would be read for a whole time slice, and with hundreds of them an ordinary request waits for seconds.
+const yieldBytes = 64 << 10
+
 // countedReader counts what it reads as received.
 type countedReader struct {
 	io.Reader
 	account *intake.Conn
+	// sinceYield is the number of bytes that were read since the connection has yielded the processor.
+	sinceYield int
 }
 
 func (r *countedReader) Read(b []byte) (int, error) {
@@ -157,6 +168,10 @@
 	if n > 0 {
 		r.account.Received(time.Now(), n)
 	}
+	if r.sinceYield += n; r.sinceYield >= yieldBytes {
+		r.sinceYield = 0
+		runtime.Gosched()
+	}
 	return n, err
 }
 
--- a/intake/memory.go
+++ b/intake/memory.go
@@ -56,13 +56,25 @@
 	return c.open && !c.evicted.Load()
 }
 
-// SetKey sets the key of the request, "" for none.
-func (b *Budget) SetKey(c *Conn, key string) {
+// SetKey charges what a request holds to a key, "" for none. The request must be refused if it is not granted: the key's requests
+// hold their share. As for new requests, part of the share is for the bodies of those that have begun.
+func (b *Budget) SetKey(now time.Time, c *Conn, key string) (victims []*Conn, v Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !c.open || c.evicted.Load() {
+		return nil, Refused
+	}
 	b.addToKey(c.key, -c.total)
 	c.key = key
-	b.addToKey(c.key, c.total)
+	b.addToKey(key, c.total)
+	if over := b.keys[key] - int64(newShare*float64(b.limits.PerKey)); key != "" && over > 0 {
+		var ok bool
+		if victims, ok = b.makeRoom(now, c, over, key); !ok {
+			b.refused[overKeyShare]++
+			return victims, Refused
+		}
+	}
+	return victims, Granted
 }
 
 func (b *Budget) addToKey(key string, n int64) {
@@ -120,6 +132,9 @@
 	// smallBytes is what is granted above shortShare although nothing can be closed for it, so that an ordinary request is
 	// served beside large ones that are sound.
 	smallBytes = RequestBytes
+	// newShare is the share of the limit up to which memory is granted for heads and for the state of new requests. The rest is for
+	// bodies and responses: a request that has begun was refused for its body otherwise, since new heads took what became free.
+	newShare = 0.9
 )
 
 func (b *Budget) reserve(now time.Time, c *Conn, k Kind, n int64) (victims []*Conn, v Verdict) {
@@ -142,11 +157,15 @@
 			return victims, Refused
 		}
 	}
+	limit := b.limits.Bytes
+	if k == Head || k == Request {
+		limit = int64(newShare * float64(limit))
+	}
 	switch {
-	case b.total+n <= b.limits.Bytes:
+	case b.total+n <= limit:
 		b.add(c, k, n)
 		return victims, Granted
-	case b.total-b.leaving+n <= b.limits.Bytes:
+	case b.total-b.leaving+n <= limit:
 		return victims, Pending
 	}
 	b.refused[memoryFull]++
