--- a/leader/restore_test.go
+++ b/leader/restore_test.go
@@ -380,13 +380,18 @@
 			}
 			time.Sleep(10 * time.Second)
 			h := f.add("h1", 0.4)
-			time.Sleep(4 * time.Second)
-			require.Equal(t, []string{"h1"}, f.leaders())
+			for len(f.leaders()) == 0 {
+				time.Sleep(5 * time.Millisecond)
+			}
 			_, leading := h.state()
 			h.broker.mu.Lock()
 			used := leading.UsedFraction(time.Now(), "o")
 			h.broker.mu.Unlock()
-			require.Equal(t, fresh, used == 0, "used %.2f", used)
+			if fresh {
+				require.Zero(t, used)
+			} else {
+				require.Greater(t, used, 0.95, "full use is assumed")
+			}
 			f.end()
 		})
 	}
@@ -420,7 +425,11 @@
 			second.broker.mu.Lock()
 			used := leading.UsedFraction(time.Now(), "o")
 			second.broker.mu.Unlock()
-			require.Equal(t, fresh, used == 0, "used %.2f", used)
+			if fresh {
+				require.Zero(t, used)
+			} else {
+				require.Greater(t, used, 0.95, "full use is assumed")
+			}
 			f.end()
 		})
 	}
