intake: a crowd that reads nothing gives way after 1 s; replaceable responses leave room for requests

All refusals came from the share of the key. Two causes: each such caller held its place for 3 s, so that 163 places a second met up to 15,000 requests; and responses that are kept only so that another upstream's can replace them held 5.6 MB of the key's 18 MB, for which others were refused.

Now such a response takes memory only up to half of a limit, and nothing gives way for it; and 32 or more callers that have read nothing for 1 s give way, longest first, while they hold more than half of a limit. A single slow reader keeps its 3 s (TestReserve_SlowReaderGivesWay is unchanged).

--- a/entry/response.go
+++ b/entry/response.go
@@ -59,7 +59,7 @@
 // relayBuffered buffers up to maxBufferedBytes of a response before relaying it, so
 // that an interrupted response can still be replaced by that of another upstream.
 func (x *exchange) relayBuffered(resp *forward.Response, info ResponseInfo) assign.Outcome {
-	body, err := callers.Read(x.held, intake.Response, resp, resp.ContentLength, maxBufferedBytes)
+	body, err := callers.Read(x.held, intake.Replaceable, resp, resp.ContentLength, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
 	// What there is no memory for is relayed as it arrives.
 	if err != nil && !complete && !errors.Is(err, callers.ErrRefused) {
@@ -81,7 +81,7 @@
 	x.writes.Record(writeStart, time.Now())
 	x.timeToFirstToken = time.Since(x.arrived)
 	if !complete {
-		x.held.ReleaseAll(intake.Response)
+		x.held.ReleaseAll(intake.Replaceable)
 		return x.relayRemainder(resp)
 	}
 	// An error response that is not retried is the caller's response, so the attempt has completed.
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -142,7 +142,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.finished = true
-	for _, k := range []Kind{Body, Response, Request} {
+	for _, k := range []Kind{Body, Response, Replaceable, Request} {
 		b.add(c, k, -c.held[k])
 	}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -23,16 +23,21 @@
 	Body
 	// Response is the part of a response that was read from the upstream and not yet passed on.
 	Response
+	// Replaceable is the part of a response that is kept so that another upstream's can replace it. Without memory for it, the
+	// response is passed on as it arrives, so that it takes no memory that anything else needs.
+	Replaceable
 	// Request is the state of a request under way, with its connection to an upstream.
 	Request
 	kinds
 )
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Head, Body, Response, Request} }
+func Kinds() []Kind { return []Kind{Head, Body, Response, Replaceable, Request} }
 
 // String returns the kind's name in metrics.
-func (k Kind) String() string { return [kinds]string{"head", "body", "response", "request"}[k] }
+func (k Kind) String() string {
+	return [kinds]string{"head", "body", "response", "replaceable", "request"}[k]
+}
 
 // What a connection and a request take besides the bytes of the caller. TestProcess_MemoryPerConnection measured 22 to 26 KB for
 // an idle connection that has carried a request, and 56 KB with a stream under way.
--- a/intake/memory.go
+++ b/intake/memory.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -31,6 +32,11 @@
 	// request under way. Once the handler has ended, when only the end of a response is left, this is minObservation: callers
 	// that pipeline requests and read nothing come back at once, and would leave others no turn.
 	slowReaderTime = 3 * time.Second
+	// blockedTime is slowReaderTime while at least blockedCrowd callers that read nothing hold more than blockedShare of the limit
+	// together. With slowReaderTime, a crowd that comes back at once would leave others one turn in hundreds.
+	blockedTime  = time.Second
+	blockedCrowd = 32
+	blockedShare = 0.5
 	// minRemaining is the least number of bytes that a body is taken to lack.
 	minRemaining = 16 << 10
 	// advantage is how many times more another body must lack before it is given up for one that arrives as well.
@@ -135,6 +141,8 @@
 	// newShare is the share of the limit up to which memory is granted for heads and for the state of new requests. The rest is for
 	// bodies and responses: a request that has begun was refused for its body otherwise, since new heads took what became free.
 	newShare = 0.9
+	// replaceableShare is the share of a limit up to which memory is granted to keep responses replaceable.
+	replaceableShare = 0.5
 )
 
 func (b *Budget) reserve(now time.Time, c *Conn, k Kind, n int64) (victims []*Conn, v Verdict) {
@@ -142,6 +150,10 @@
 		b.refused[overConnectionShare]++
 		return nil, Refused
 	}
+	if k == Replaceable && (b.total+n > int64(replaceableShare*float64(b.limits.Bytes)) ||
+		b.keys[c.key]+n > int64(replaceableShare*float64(b.limits.PerKey))) {
+		return nil, Refused // not counted: nothing is refused to the caller
+	}
 	if over := b.keys[c.key] + n - b.limits.PerKey; c.key != "" && over > 0 {
 		var ok bool
 		if victims, ok = b.makeRoom(now, c, over, c.key); !ok {
@@ -241,18 +253,12 @@
 // makeRoom evicts connections that hold n bytes in sum, all of the key unless it is "", in favour of one. If those that may be
 // evicted do not hold that much, it reports false and evicts only those that have stopped.
 func (b *Budget) makeRoom(now time.Time, favoured *Conn, n int64, key string) (victims []*Conn, ok bool) {
-	own := favoured.remaining()
-	var all []candidate
-	possibleRoom := int64(0)
-	for c := range b.conns {
-		if c == favoured || c.total == 0 || c.evicted.Load() || (key != "" && c.key != key) {
-			continue
-		}
-		stopped, possible := c.stopped(now)
-		remaining := c.remaining()
-		if possible && (stopped || remaining > advantage*own) {
-			all = append(all, candidate{c, stopped, remaining})
-			possibleRoom += c.total
+	all, possibleRoom, blocked := b.candidates(now, favoured, key)
+	if possibleRoom < n && blocked.crowd(b.limit(key)) {
+		longest := blocked.longest(n - possibleRoom)
+		all = append(all, longest...)
+		for _, c := range longest {
+			possibleRoom += c.conn.total
 		}
 	}
 	ok = possibleRoom >= n
@@ -266,6 +272,66 @@
 	return victims, ok
 }
 
+// candidates returns the connections, of the key unless it is "", that may be closed in favour of one, what they hold, and the
+// others whose callers do not read.
+func (b *Budget) candidates(now time.Time, favoured *Conn, key string) (all []candidate, room int64, blocked blockedReaders) {
+	own := favoured.remaining()
+	for c := range b.conns {
+		if c == favoured || c.total == 0 || c.evicted.Load() || (key != "" && c.key != key) {
+			continue
+		}
+		stopped, possible := c.stopped(now)
+		remaining := c.remaining()
+		switch {
+		case !possible:
+			blocked.add(now, c)
+		case stopped || remaining > advantage*own:
+			all = append(all, candidate{c, stopped, remaining})
+			room += c.total
+		}
+	}
+	return all, room, blocked
+}
+
+// limit returns the limit for a key, or that for all kinds together if the key is "".
+func (b *Budget) limit(key string) int64 {
+	if key != "" {
+		return b.limits.PerKey
+	}
+	return b.limits.Bytes
+}
+
+// blockedReaders are connections whose callers have read nothing of their responses for blockedTime.
+type blockedReaders struct {
+	conns []*Conn
+	bytes int64
+}
+
+func (r *blockedReaders) add(now time.Time, c *Conn) {
+	if c.blockedFor(now) >= blockedTime {
+		r.conns = append(r.conns, c)
+		r.bytes += c.total
+	}
+}
+
+// crowd reports whether the connections are many and hold much of a limit.
+func (r *blockedReaders) crowd(limit int64) bool {
+	return len(r.conns) >= blockedCrowd && float64(r.bytes) > blockedShare*float64(limit)
+}
+
+// longest returns the connections that have been blocked for longest and hold n bytes together, or all of them.
+func (r *blockedReaders) longest(n int64) (all []candidate) {
+	slices.SortFunc(r.conns, func(a, b *Conn) int { return cmp.Compare(a.writingSince.Load(), b.writingSince.Load()) })
+	for _, c := range r.conns {
+		if n <= 0 {
+			break
+		}
+		all = append(all, candidate{conn: c, stopped: true})
+		n -= c.total
+	}
+	return all
+}
+
 // remaining returns the number of bytes that a request lacks until its body is complete.
 func (c *Conn) remaining() int64 {
 	received := c.received.Load()
@@ -298,8 +364,16 @@
 	if c.finished {
 		limit = minObservation
 	}
+	return c.state == underWay && c.blockedFor(now) >= limit
+}
+
+// blockedFor returns how long a write to the caller has made no progress, -1 if there is none.
+func (c *Conn) blockedFor(now time.Time) time.Duration {
 	since := c.writingSince.Load()
-	return c.state == underWay && since != 0 && now.UnixNano()-since >= int64(limit)
+	if since == 0 {
+		return -1
+	}
+	return time.Duration(now.UnixNano() - since)
 }
 
 // observe returns the bytes of a body that arrive in a second.
--- a/intake/memory_test.go
+++ b/intake/memory_test.go
@@ -64,3 +64,61 @@
 	require.NoError(t, err)
 	return kilobytes
 }
+
+// Guards against callers that read no response and come back at once, so that others with their key got one turn in hundreds:
+// each held its memory for 3 s. Those that are blocked longest give way after 1 s, if such callers hold most of the memory.
+func TestReserve_BlockedReadersGiveWay(t *testing.T) {
+	for name, tc := range map[string]struct {
+		readers, now int
+		evicted      bool
+	}{
+		"most of the memory":               {56, 1_100, true},
+		"most of the memory, but not long": {56, 900, false},
+		"less than half":                   {31, 1_100, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			limits := testLimits()
+			limits.Bytes, limits.PerKey = 64*intake.RequestBytes, 64*intake.RequestBytes
+			a := newAccount(t, limits)
+			begin := func() *intake.Conn {
+				c := a.open(0)
+				_, verdict := a.Begin(at(0), c)
+				require.Equal(t, intake.Granted, verdict)
+				_, verdict = a.SetKey(at(0), c, "key")
+				require.Equal(t, intake.Granted, verdict)
+				return c
+			}
+			var readers []*intake.Conn
+			for i := range 56 {
+				c := begin()
+				if i < tc.readers {
+					readers = append(readers, c)
+					c.Writing(at(56 - i))
+				}
+			}
+			newcomer := a.open(tc.now)
+			_, _ = a.Begin(at(tc.now), newcomer)
+			victims, _ := a.SetKey(at(tc.now), newcomer, "key")
+			require.Equal(t, tc.evicted, readers[len(readers)-1].Evicted(), "the one that is blocked longest")
+			require.False(t, readers[0].Evicted())
+			require.LessOrEqual(t, len(victims), 2)
+		})
+	}
+}
+
+// What keeps a response replaceable must leave memory for requests: the response can be passed on as it arrives.
+func TestReserve_ReplaceableResponsesLeaveRoom(t *testing.T) {
+	limits := testLimits()
+	a := newAccount(t, limits)
+	granted := int64(0)
+	for range 64 {
+		c := a.open(0)
+		if victims, verdict := a.Reserve(at(0), c, intake.Replaceable, limits.Bytes/16); verdict == intake.Granted {
+			require.Empty(t, victims)
+			granted += limits.Bytes / 16
+		}
+	}
+	require.Equal(t, limits.Bytes/2, granted)
+	_, verdict := a.Begin(at(0), a.open(0))
+	require.Equal(t, intake.Granted, verdict)
+}
