configcheck: a deleted rate is reported at the keys it leaves without one

Operators saw no finding for a change that deletes an organisation's rate, though every request of its keys that costs tokens is refused from then on (429, request_over_burst, not to be repeated).

Only keys of the file were checked for a rate, not those in force. All keys are checked now, and what was wrong before the change is not reported, as for the other rules. Keys that are refused in any case are left out: withdrawn ones, and those of an organisation that is suspended.

The message said that every request of the key is refused. That was wrong for routes that cost no tokens; it names the error and the requests now. A test of core shows both for each limiter.

--- a/configcheck/records.go
+++ b/configcheck/records.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/record"
 )
 
@@ -40,7 +41,6 @@
 	c.checkConfig(before)
 	c.collecting = false
 	c.checkConfig(after)
-	c.keys()
 	doc.Sort()
 	return valid
 }
@@ -52,6 +52,7 @@
 	c.routes()
 	c.services()
 	c.rates()
+	c.keys()
 	c.adapters()
 }
 
@@ -153,17 +154,16 @@
 	}
 }
 
-// keys adds findings for keys of the file whose organisation has no rate, so that all their requests are refused.
+// keys adds findings for keys whose organisation has no rate: it may spend nothing. What costs no tokens is served all the same.
 func (c *recordsCheck) keys() {
-	for ref, e := range c.records {
-		decoded, err := record.Decode(e)
-		if err != nil || decoded.Key == nil || decoded.Key.Withdrawn {
-			continue
+	for name, key := range c.config.Keys() {
+		organisation, exists := c.config.Organisation(key.Organisation)
+		if key.Withdrawn || !exists || organisation.Suspended {
+			continue // its requests are refused in any case
 		}
-		name := decoded.Key.Organisation
-		_, exists := c.config.Organisation(name)
-		if _, limited := c.config.Rate(name); exists && !limited {
-			c.add(NeverUsed, ref, "spec.organisation", "organisation %s has no rate, so that every request of the key is refused", name)
+		if _, limited := c.config.Rate(key.Organisation); !limited {
+			c.add(NeverUsed, record.Ref{Kind: record.KindKey, Name: name}, "spec.organisation",
+				"organisation %s has no rate, so that each request of the key that costs tokens is refused as %s", key.Organisation, apierr.CostOverBurst)
 		}
 	}
 }
--- a/configcheck/records_test.go
+++ b/configcheck/records_test.go
@@ -119,7 +119,8 @@
 	require.Equal(t, configcheck.UnknownField, findings[len(findings)-1].Rule)
 }
 
-// Guards against findings for records in force that a change leaves as they are, and against a reference that a change breaks.
+// Guards against findings for records in force that a change leaves as they are, and against a reference or a key's rate that a
+// change takes away without a finding.
 func TestCheckRecords_AgainstThoseInForce(t *testing.T) {
 	var base []record.Envelope
 	whole := strings.TrimPrefix(file(sound()), "// records\n")
@@ -135,6 +136,19 @@
 		require.Zero(t, f.Line)
 	}
 
+	findings = checkRecords(t, `[{"schema":2,"kind":"rate","name":"acme","deleted":true}]`, base, configcheck.Limits{})
+	require.Len(t, findings, 1, "the key's requests are refused without the rate")
+	require.Equal(t, configcheck.NeverUsed, findings[0].Rule)
+	require.Equal(t, "key/acme-1.spec.organisation", findings[0].Field)
+	require.Zero(t, findings[0].Line)
+	require.Contains(t, findings[0].Message, "request_over_burst")
+	for _, refused := range []string{
+		`{"schema":2,"kind":"key","name":"acme-1","spec":{"organisation":"acme","hash":"` + hash + `","withdrawn":true}}`,
+		`{"schema":2,"kind":"organisation","name":"acme","spec":{"suspended":true}}`,
+	} {
+		require.Empty(t, checkRecords(t, `[{"schema":2,"kind":"rate","name":"acme","deleted":true},`+refused+`]`, base, configcheck.Limits{}))
+	}
+
 	doc, err := configcheck.Parse("f", []byte(change))
 	require.NoError(t, err)
 	changes, err := configcheck.Compare(base, configcheck.CheckRecords(doc, base, configcheck.Limits{}))
--- a/core/reservations_test.go
+++ b/core/reservations_test.go
@@ -148,3 +148,24 @@
 		require.Equal(t, tc.verdict.RetryAfter, err.RetryAfter)
 	}
 }
+
+// Guards against an organisation without a rate that may spend tokens, and against refusals of what costs none. The check of
+// records states both for the keys of such an organisation.
+func TestReserve_OrganisationWithoutARate(t *testing.T) {
+	now := time.Unix(1, 0)
+	for name, limiter := range map[string]limit.Limiter{
+		"static": limit.NewStatic(1), "leader": limit.NewLeaderLimiter(limit.LeaderOptions{Host: "h", Incarnation: 1}),
+	} {
+		for tokens, want := range map[int64]request.State{0: request.Queued, 10: request.Failed} { // with no upstream, it waits
+			c := New(Options{Board: blackboard.New(), Limiter: limiter, Scheduler: sched.NewLeastLoaded()})
+			e := &entry{request: Request{ID: 1, Tokens: tokens, Deadline: time.Unix(100, 0)}, org: "acme"}
+			e.machine.TransitionTo(request.Authorised)
+			var out decisions
+			c.reserve(now, e, &out)
+			require.Equal(t, want, e.machine.State(), "%s, %d tokens", name, tokens)
+			if tokens > 0 {
+				require.Equal(t, apierr.CostOverBurst, finishError(out).Kind, name)
+			}
+		}
+	}
+}
--- a/record/config.go
+++ b/record/config.go
@@ -70,6 +70,9 @@
 	return k, ok
 }
 
+// Keys returns all keys by name. The map must not be changed.
+func (c *Config) Keys() map[string]*Key { return c.keysByName }
+
 // ActiveKeyOf returns the organisation's first key by name that is not withdrawn.
 func (c *Config) ActiveKeyOf(org string) (*Key, bool) {
 	var found *Key
