configcheck: a secret of two keys is invalid, not a missing reference

The check reported a key whose hash another key has as missing_reference, though nothing is missing, and named the other key without its place.

It took all problems of record.Config.Check for missing references. The problem of a secret that two keys share states the other record now, and the check reports it as invalid, as it does for the platform's keys. The message says for which record hosts take the secret, and where that record is: its field and line, or that it is in force.

The case "key of the same hash" of TestCheckRecords wanted the wrong rule; it wants invalid and the place of the other key now. A new test fixes the whole finding where both keys are in the file and where either is in force; its 3 cases failed before.

--- a/configcheck/document.go
+++ b/configcheck/document.go
@@ -141,11 +141,16 @@
 
 // Add adds a finding at the line of the field, or of the nearest value around it.
 func (d *Document) Add(rule Rule, field, format string, args ...any) {
+	d.Findings = append(d.Findings, Finding{d.File, d.lineOf(field), field, rule, fmt.Sprintf(format, args...)})
+}
+
+// lineOf returns the line of a field, or of the nearest value around it.
+func (d *Document) lineOf(field string) int {
 	line, ok := d.lines[field]
 	for parent := field; !ok && parent != ""; line, ok = d.lines[parent] {
 		parent = parent[:max(strings.LastIndexAny(parent, ".["), 0)]
 	}
-	d.Findings = append(d.Findings, Finding{d.File, line, field, rule, fmt.Sprintf(format, args...)})
+	return line
 }
 
 // Sort sorts the findings by line.
--- a/configcheck/records.go
+++ b/configcheck/records.go
@@ -91,16 +91,30 @@
 	c.doc.Add(rule, path+"."+field, "%s", message)
 }
 
-// references adds findings for references to records that do not exist.
+// references adds findings for references to records that do not exist, and for secrets that two keys share.
 func (c *recordsCheck) references() {
 	for _, err := range c.config.Check() {
 		var problem *record.DecodeError
-		if errors.As(err, &problem) {
+		switch {
+		case !errors.As(err, &problem):
+		case problem.Duplicates != record.Ref{}:
+			c.add(Invalid, problem.Ref, problem.Field, "hosts take the secret for that of record %s, %s",
+				problem.Duplicates, c.place(problem.Duplicates, problem.Field))
+		default:
 			c.add(MissingReference, problem.Ref, problem.Field, "want %s", problem.Want)
 		}
 	}
 }
 
+// place describes where a field of a record is.
+func (c *recordsCheck) place(ref record.Ref, field string) string {
+	path, inFile := c.paths[ref]
+	if !inFile {
+		return "which is in force"
+	}
+	return fmt.Sprintf("at %s in line %d", join(path, field), c.doc.lineOf(join(path, field)))
+}
+
 // routes adds findings for routes that no request reaches, and for those whose timeout exceeds the grace time.
 func (c *recordsCheck) routes() {
 	pools := map[string]bool{}
--- a/record/check.go
+++ b/record/check.go
@@ -24,7 +24,7 @@
 }
 
 func (r *referenceCheck) addProblem(from Ref, field, want string) {
-	r.problems = append(r.problems, &DecodeError{from, field, want})
+	r.problems = append(r.problems, &DecodeError{Ref: from, Field: field, Want: want})
 }
 
 // requireExists adds a problem for the reference to the named record unless found is true.
@@ -49,7 +49,9 @@
 		from := Ref{KindKey, name}
 		r.organisation(from, k.Organisation)
 		if first := r.config.keys[k.Hash]; first != k {
-			r.addProblem(from, "spec.hash", "a secret that is not already used by key "+first.Name)
+			r.problems = append(r.problems, &DecodeError{
+				Ref: from, Field: "spec.hash", Want: "a secret that is not already used by key " + first.Name, Duplicates: Ref{KindKey, first.Name},
+			})
 		}
 	}
 }
--- a/record/decode.go
+++ b/record/decode.go
@@ -104,7 +104,7 @@
 }
 
 func (d *decoder) addProblem(field, want string) {
-	d.problems = append(d.problems, &DecodeError{d.envelope.Ref(), field, want})
+	d.problems = append(d.problems, &DecodeError{Ref: d.envelope.Ref(), Field: field, Want: want})
 }
 
 // require adds a problem with a field unless ok is true.
--- a/record/problems.go
+++ b/record/problems.go
@@ -10,6 +10,8 @@
 	Ref   Ref
 	Field string
 	Want  string
+	// Duplicates is the record that has the value already, the zero Ref if the problem is another one.
+	Duplicates Ref
 }
 
 // Error implements the error interface.
