check: the largest body against the memory of a host, for records too

For the platform's configuration, the check reports a largest body that does not fit a host's memory; for records it reported nothing. jasminelockd refuses no such body: it raises the limit of what callers may hold until one completion of the largest size fits (intake.Limits.Fitting), so that callers.memory_share is not kept and operators did not learn of it.

Records state neither figure. It uses the sums of the host: LargestRequestBytes and Fitting. If memory_mb is not set, the memory is that of the host's machine, which the check does not know, and nothing is reported.

Evidence: 256 MB with bodies of 8 MiB, 64 MB with the default of 4 MiB, and 1,024 MB with a share of 0.1 gave no finding, now one each; 1,024 MB with 8 MiB and the default share gives none.

--- a/cmd/jasminelock/check.go
+++ b/cmd/jasminelock/check.go
@@ -4,12 +4,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/jasminelock/jasminelock/configcheck"
+	"github.com/jasminelock/jasminelock/gateway"
+	"github.com/jasminelock/jasminelock/intake"
 	"github.com/jasminelock/jasminelock/platform"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/settings"
@@ -42,8 +45,10 @@
 		Use:   "check FILE",
 		Short: "Check a configuration before it is sent",
 		Long: "Check a file of records, an array, or the platform's configuration, an object: errors with line and field,\n" +
-			"entries that never take effect, and limits that contradict each other. Exit codes: 0 nothing was found,\n" +
-			"1 something was found, 2 a file cannot be read or parsed.",
+			"entries that never take effect, and limits that contradict each other. With --settings, time-outs are checked against\n" +
+			"the grace time of a host, and the largest body against its memory (memory_mb); for records, both are settings of\n" +
+			"jasminelockd, and the finding is in that file.\n" +
+			"Exit codes: 0 nothing was found, 1 something was found, 2 a file cannot be read or parsed.",
 		// A wrong command line must not look like a finding to a script.
 		Args: func(_ *cobra.Command, args []string) error {
 			if len(args) != 1 {
@@ -118,6 +123,11 @@
 		}
 		// A host that stops first waits until callers have learned of it.
 		limits.Grace = time.Duration(s.Drain.Timeout - s.Drain.LocateWait)
+		finding, err := checkLargestBody(settingsFile, s)
+		if err != nil {
+			return err
+		}
+		result.Findings = append(result.Findings, finding...)
 	}
 	var base []record.Envelope
 	if inForce != nil {
@@ -135,6 +145,34 @@
 	return err
 }
 
+// checkLargestBody returns a finding if one request with the largest body takes more than the share of a host's memory that is for
+// callers. Hosts raise the limit to what the request takes, so that the share is not kept. Records state neither figure; both
+// are settings of jasminelockd. Without memory_mb the memory is that of the machine, which is not known here.
+func checkLargestBody(file string, s *settings.Settings) ([]configcheck.Finding, error) {
+	if s.MemoryMB == 0 {
+		return nil, nil
+	}
+	const anyDescriptors = math.MaxInt32 // they bound connections alone
+	limits := intake.NewLimits(int64(s.MemoryMB)*bytesPerMB, anyDescriptors, s.Callers.Shares())
+	request := gateway.LargestRequestBytes(s.Requests.MaxBodyBytes)
+	raised := limits.Fitting(request)
+	if raised.Bytes == limits.Bytes {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := configcheck.Parse(file, raw)
+	if err != nil {
+		return nil, err
+	}
+	doc.Add(configcheck.Contradiction, "requests.max_body_bytes",
+		"a request with a body of %d bytes takes up to %d bytes; callers' share of the memory, %d bytes, is too small for it, and hosts raise it to %d",
+		s.Requests.MaxBodyBytes, request, limits.Bytes, raised.Bytes)
+	return doc.Findings, nil
+}
+
 func checkPlatform(result *checkResult, doc, inForce *configcheck.Document, settingsFile string) error {
 	var limits configcheck.Limits
 	if settingsFile != "" {
--- a/cmd/jasminelock/check_test.go
+++ b/cmd/jasminelock/check_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/configcheck"
 )
 
 // runCheck runs the check command and returns its exit code and what it wrote.
@@ -90,3 +93,45 @@
 	require.Equal(t, 0, code)
 	require.Contains(t, stdout, `"findings": []`)
 }
+
+// Guards against a largest body that takes more than callers' share of the memory, which the check of records did not report.
+// Records state neither, so that both are taken from the settings of the host. Request is the memory that one request takes.
+func TestCheck_LargestBodyAgainstMemory(t *testing.T) {
+	const body, request = 8 << 20, 5*8<<20 + 512<<10
+	records := writeFile(t, soundRecords)
+	for name, c := range map[string]struct {
+		settings string
+		line     int
+		message  string
+	}{
+		"over the share": {
+			`"memory_mb":256,` + "\n" + `"requests":{` + "\n" + `"max_body_bytes":8388608},`, 3,
+			fmt.Sprintf("a request with a body of %d bytes takes up to %d bytes; callers' share of the memory, %d bytes, is too small for it, and hosts raise it to %d",
+				body, request, 32<<20, 56623104),
+		},
+		"over a smaller share":   {`"memory_mb":1024,"callers":{"memory_share":0.1},"requests":{"max_body_bytes":8388608},`, 1, "callers' share of the memory, 53687091 bytes"},
+		"default, little memory": {`"memory_mb":64,`, 1, "a body of 4194304 bytes"},
+		"within the share":       {`"memory_mb":1024,"requests":{"max_body_bytes":8388608},`, 0, ""},
+		"memory not stated":      {`"requests":{"max_body_bytes":1073741824},`, 0, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			file := writeFile(t, "{"+c.settings+`"host":"h","zone":"z","listen":{"callers":"127.0.0.1:2","operators":"127.0.0.1:3"},
+"platform":{"url":"http://127.0.0.1:1"},"fleet":{"hosts":1}}`)
+			code, stdout, stderr := runCheck(t, records, "--settings", file, "--output", "json")
+			var result checkResult
+			require.NoError(t, json.Unmarshal([]byte(stdout), &result), stderr)
+			if c.line == 0 {
+				require.Equal(t, 0, code)
+				require.Empty(t, result.Findings)
+				return
+			}
+			require.Equal(t, 1, code)
+			require.Len(t, result.Findings, 1)
+			require.Equal(t, configcheck.Contradiction, result.Findings[0].Rule)
+			require.Equal(t, file, result.Findings[0].File)
+			require.Equal(t, c.line, result.Findings[0].Line)
+			require.Equal(t, "requests.max_body_bytes", result.Findings[0].Field)
+			require.Contains(t, result.Findings[0].Message, c.message)
+		})
+	}
+}
