gateway: no memory for an answer is reported as that

A caller whose answer jasminelockd had no memory for got upstream_failed, "the upstream failed: upstream NAME", though the host was short of memory; operators are sent to the upstream by it. ran was "ran" in every case, also if an engine had answered 400 or 404, which means that it has not run, and if a service had reported an error, which tells nothing.

readResponse took the refusal of the account of callers for a response over 16 MiB. It returns an error of its own now, and AttemptEnded states it.

The kind is answer_cut, or outcome_unknown for a request that may run once only, with the detail "this host has no memory for the answer" and the rule caller_memory. host_overloaded guarantees that the request has not run, so it cannot be used. A request is not retried, as before. ran follows the status: an engine's error status is treated as if its body had been read; a service's gives may_have_run; all else has run.

--- a/core/authorise.go
+++ b/core/authorise.go
@@ -116,7 +116,10 @@
 // attemptError returns the error for a request that ends with the given attempt.
 func (e *entry) attemptError(now time.Time, a AttemptEnded) *apierr.Error {
 	ran := e.machine.Ran()
-	kind := apierr.UpstreamFailed
+	kind, detail := apierr.UpstreamFailed, "upstream "+e.upstream
+	if a.NoMemory {
+		detail = "this host has no memory for the answer"
+	}
 	switch {
 	case a.Outcome == request.CallerLeft || e.callerLeft:
 		kind = apierr.CallerGone
@@ -124,10 +127,10 @@
 		kind = apierr.UpstreamRejected
 	case ran != apierr.NotRun && !e.repeatable():
 		kind = apierr.OutcomeUnknown
-	case a.AnswerStarted:
+	case a.AnswerStarted, a.NoMemory:
 		kind = apierr.AnswerCut
 	case !now.Before(e.request.Deadline):
 		kind = apierr.DeadlineExceeded
 	}
-	return e.withExecution(apierr.New(kind, "upstream %s", e.upstream))
+	return e.withExecution(apierr.New(kind, "%s", detail))
 }
--- a/core/events.go
+++ b/core/events.go
@@ -71,6 +71,8 @@
 	// ConnectionLost is set if the connection to the upstream broke, as it does when the upstream
 	// crashes.
 	ConnectionLost bool
+	// NoMemory is set if this host had no memory for the answer.
+	NoMemory bool
 	// UsedTokens is the usage that the upstream reported, -1 if unknown.
 	UsedTokens int64
 	FirstToken time.Duration
--- a/core/requests.go
+++ b/core/requests.go
@@ -142,6 +142,9 @@
 	c.applyScheduler(now, scheduled, out)
 }
 
+// noMemoryRule is the rule of a request that ended since there was no memory for its answer.
+const noMemoryRule = "caller_memory"
+
 func (c *Core) afterAttempt(now time.Time, e *entry, a AttemptEnded, out *decisions) {
 	if a.Outcome == request.Completed {
 		c.clearSuspect(now, e, out)
@@ -156,7 +159,11 @@
 	if executed && a.UsedTokens >= 0 {
 		c.settle(now, e, a.UsedTokens, out)
 	}
-	c.fail(now, e, e.attemptError(now, a), a.Outcome.String(), out)
+	rule := a.Outcome.String()
+	if a.NoMemory {
+		rule = noMemoryRule
+	}
+	c.fail(now, e, e.attemptError(now, a), rule, out)
 }
 
 // claim returns the decision that records the request's idempotency key.
--- a/core/retry.go
+++ b/core/retry.go
@@ -94,6 +94,8 @@
 // did not have the adapter loaded costs almost nothing and is not taken from the budgets.
 func (c *Core) mayRetry(now time.Time, e *entry, a AttemptEnded) bool {
 	switch {
+	case a.NoMemory: // there is none for the next answer either, and the upstream would run the request for nothing
+		return false
 	case c.stopping, a.Outcome == request.CallerLeft, a.Outcome == request.Rejected, a.Outcome == request.Errored:
 		return false
 	case e.callerLeft, e.machine.Attempts() >= MaxAttempts, !now.Before(e.request.Deadline):
--- a/gateway/completions.go
+++ b/gateway/completions.go
@@ -106,13 +106,18 @@
 // errResponseTooLarge is returned for a response larger than maxResponseBytes.
 var errResponseTooLarge = errors.New("gateway: upstream response exceeds the size limit")
 
-// readResponse reads the whole response body, or returns errResponseTooLarge, also if there is no memory for it.
+// errNoMemory is returned for a response for which this host has no memory.
+var errNoMemory = errors.New("gateway: no memory for the upstream's response")
+
+// readResponse reads the whole response body. It returns errResponseTooLarge or errNoMemory if that cannot be held.
 func (x *exchange) readResponse(resp *upstream.Response) ([]byte, error) {
 	x.held.ReleaseAll(intake.Response) // of an earlier attempt
 	body, err := callers.Read(x.held, intake.Response, resp.Body, -1, maxResponseBytes)
 	switch {
-	case err == nil || errors.Is(err, callers.ErrRefused):
+	case err == nil:
 		return nil, errResponseTooLarge
+	case errors.Is(err, callers.ErrRefused):
+		return nil, errNoMemory
 	case errors.Is(err, io.EOF):
 		return body, nil
 	}
@@ -123,6 +128,11 @@
 // caller, so that an attempt that is interrupted midway can be retried.
 func relayBuffered(ctx context.Context, x *exchange, resp *upstream.Response) attemptResult {
 	body, err := x.readResponse(resp)
+	if errors.Is(err, errNoMemory) {
+		if result, failed := resultOfErrorStatus(resp, nil); failed {
+			return result // the status tells what became of the request
+		}
+	}
 	if err != nil {
 		return failedResult(ctx, err)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -57,6 +57,8 @@
 	usedTokens int64
 	// connectionLost reports whether the connection to the upstream was lost.
 	connectionLost bool
+	// noMemory reports whether this host had no memory for the response.
+	noMemory bool
 }
 
 // unknownUsage is the number of used tokens if the upstream reported no usage.
@@ -114,7 +116,7 @@
 	result := x.send(ctx, d)
 	x.server.runtime.Handle(core.AttemptEnded{
 		ID: x.ticket.ID(), Outcome: result.outcome, NotLoaded: result.notLoaded, AnswerStarted: x.headerWritten,
-		ConnectionLost: result.connectionLost, UsedTokens: result.usedTokens, FirstToken: time.Since(startedAt),
+		ConnectionLost: result.connectionLost, NoMemory: result.noMemory, UsedTokens: result.usedTokens, FirstToken: time.Since(startedAt),
 	})
 }
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -69,6 +69,7 @@
 	engines      int
 	engine       engine.Settings
 	requests     settings.Requests
+	callers      settings.Callers
 	routeTimeout string // "1m" by default
 }
 
@@ -135,7 +136,7 @@
 			URL: platformURL, Timeout: settings.Duration(api.DefaultTimeout),
 			PollInterval: settings.Duration(20 * time.Millisecond),
 		},
-		Fleet: settings.Fleet{Hosts: max(o.hosts, 1)}, Requests: o.requests,
+		Fleet: settings.Fleet{Hosts: max(o.hosts, 1)}, Requests: o.requests, Callers: o.callers,
 		Drain: settings.Drain{Timeout: settings.Duration(time.Minute)},
 	}
 	if s.Requests.MaxBodyBytes == 0 {
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -28,6 +28,9 @@
 	if errors.Is(err, errResponseTooLarge) || errors.Is(err, sse.ErrEventTooLarge) {
 		return attemptResult{outcome: request.Errored, usedTokens: unknownUsage}
 	}
+	if errors.Is(err, errNoMemory) {
+		return attemptResult{outcome: request.Errored, noMemory: true, usedTokens: unknownUsage}
+	}
 	r := attemptResult{outcome: outcomeOfError(ctx, err), usedTokens: unknownUsage}
 	r.connectionLost = r.outcome == request.Lost && ctx.Err() == nil && !errors.Is(err, upstream.ErrAttemptMismatch)
 	return r
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -64,7 +64,11 @@
 	}
 	body, err := x.readResponse(resp)
 	if err != nil {
-		return failedResult(ctx, err)
+		result := failedResult(ctx, err)
+		if result.noMemory && resp.Status >= http.StatusBadRequest {
+			result.outcome = request.Lost // a service that reports an error may have run the request or not
+		}
+		return result
 	}
 	x.reportResponseStarted()
 	kept := http.Header{}
--- a/request/machine.go
+++ b/request/machine.go
@@ -72,7 +72,7 @@
 	Lost
 	// Interrupted means that the answer was interrupted after it had started.
 	Interrupted
-	// Errored means that the attempt was executed and ended in an error of the upstream.
+	// Errored means that the attempt was executed, and that its answer is an error or cannot be relayed.
 	Errored
 	// Rejected means that the upstream refused the request as invalid.
 	Rejected
