intake: descriptors above the limit of the process are reduced to it

Hosts whose setting descriptors is above RLIMIT_NOFILE admitted callers' connections and kept idle ones to upstreams as if the process could open that many, so that callers could take the last descriptors from upstreams, the store and other hosts.

The setting was taken as it is; only 0 stood for the limit of the process. A higher one is now reduced to the limit, with one warning. It is no error: settings are validated without the machine, and a host that has started with such a setting would not start any more.

Evidence: TestLimitsOf_DescriptorsAboveTheLimitOfTheProcess compares the limits for settings at, below and above RLIMIT_NOFILE; it failed above it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -90,7 +90,7 @@
 
 		incarnation: uint64(time.Now().UnixMilli()),
 	}
-	limits, err := callers.LimitsOf(s.MemoryMB, s.Descriptors, s.Callers.Shares())
+	limits, err := callers.LimitsOf(d.log, s.MemoryMB, s.Descriptors, s.Callers.Shares())
 	if err != nil {
 		return nil, eris.Wrap(err, "limits of the process")
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -104,7 +104,7 @@
 	h.log = hclog.New(&hclog.LoggerOptions{
 		Name: s.Host, Output: h.sink, Level: hclog.LevelFromString(s.Log.Level), JSONFormat: s.Log.JSON,
 	})
-	limits, err := callers.LimitsOf(s.MemoryMB, s.Descriptors, s.Callers.Shares())
+	limits, err := callers.LimitsOf(h.log, s.MemoryMB, s.Descriptors, s.Callers.Shares())
 	if err != nil {
 		return nil, err
 	}
--- a/intake/callers/limits.go
+++ b/intake/callers/limits.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sys/unix"
 
 	"github.com/jasminelock/jasminelock/intake"
@@ -16,8 +17,9 @@
 func NewOperatorGate() *Gate { return NewGate(operatorLimits) }
 
 // LimitsOf returns the limits of this process, given its memory in megabytes and its number of descriptors. 0 stands for half of
-// the machine's memory, and for the process's own limit (RLIMIT_NOFILE).
-func LimitsOf(memoryMB, descriptors int, s intake.Shares) (intake.Limits, error) {
+// the machine's memory, and for the process's own limit (RLIMIT_NOFILE). More descriptors than that limit are logged and reduced
+// to it: connections would be admitted that take the last descriptors from upstreams, the store and other hosts.
+func LimitsOf(log hclog.Logger, memoryMB, descriptors int, s intake.Shares) (intake.Limits, error) {
 	memory := int64(memoryMB) << 20
 	if memory == 0 {
 		var info unix.Sysinfo_t
@@ -26,12 +28,17 @@
 		}
 		memory = int64(info.Totalram) * int64(info.Unit) / 2
 	}
-	if descriptors == 0 {
-		var limit unix.Rlimit
-		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-			return intake.Limits{}, err
-		}
-		descriptors = int(min(limit.Cur, math.MaxInt32))
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return intake.Limits{}, err
+	}
+	available := int(min(limit.Cur, math.MaxInt32))
+	if descriptors > available {
+		log.Warn("setting descriptors is above the limit of the process (RLIMIT_NOFILE), which is used instead",
+			"descriptors", descriptors, "limit", available)
+	}
+	if descriptors == 0 || descriptors > available {
+		descriptors = available
 	}
 	return intake.NewLimits(memory, descriptors, s), nil
 }
