soak: a host that a late signal ends is started again

The fault "host stopped, signals repeated" sends three more signals within 3 s after the first. If another fault had ended the host meanwhile and started it again, they reached the new process, and no fault waited for its exit: each waits for the process that it has signalled first, and start does nothing while a process runs.

Each signal that ends a host now waits for the exit of the very process that got it, and then starts the host. The times and kinds of the faults and signals are drawn as before. Stops by a late signal, and by SIGINT and SIGHUP, are recorded as planned stops, so that their requests are checked as well.

Evidence: TestEntrySoak_OverlappingStopsLeaveTheHostRunning failed (host h0 is down), and passes 3 of 3 times with -race. The tests of the package pass.

--- a/soak/entryfaults.go
+++ b/soak/entryfaults.go
@@ -207,16 +207,21 @@
 	return s.replicas[r.IntN(len(s.replicas))]
 }
 
-// restart sends a host a signal that ends it, and starts it again after restartDelay. It records
-// a violation if the host does not exit within termTimeout or does not start.
+// restart sends a host, which may be frozen, a signal that ends it, and starts it again.
 func (s *entrySoak) restart(ctx context.Context, h *entryHost, sig syscall.Signal) {
+	h.signal(syscall.SIGCONT)
+	s.endAndStart(ctx, h, sig)
+}
+
+// endAndStart sends a host a signal that ends it, and starts it again after restartDelay. It waits for the process that got the
+// signal, which another fault may have just started; otherwise nothing would start the host again. It records a violation if the
+// host does not exit within termTimeout or does not start.
+func (s *entrySoak) endAndStart(ctx context.Context, h *entryHost, sig syscall.Signal) {
 	s.logf("host %s gets signal %s", h.name, sig)
-	planned := sig == syscall.SIGTERM
+	planned := sig != syscall.SIGKILL
 	defer s.recorder.beginPlanned(h.name, planned)()
-	h.signal(syscall.SIGCONT)
 	from := time.Now()
-	h.signal(sig)
-	if !h.wait(termTimeout) {
+	if !exitedWithin(h.end(sig), termTimeout) {
 		s.recorder.recordLateExit(h.name, from, sig)
 		h.kill()
 	}
--- a/soak/entrystops.go
+++ b/soak/entrystops.go
@@ -41,7 +41,8 @@
 	signals.Go(func() {
 		for range lateSignals {
 			sleep(ctx, time.Duration(r.Int64N(int64(time.Second))))
-			h.signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}[r.IntN(3)])
+			sig := []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}[r.IntN(3)]
+			signals.Go(func() { s.endAndStart(ctx, h, sig) }) // it may reach the next process of the host
 		}
 		s.putConfig()
 	})
@@ -78,7 +79,7 @@
 // disrupted otherwise meanwhile.
 func (rec *entryRecorder) recordLateExit(host string, signalled time.Time, sig syscall.Signal) {
 	rec.mu.Lock()
-	disrupted := sig == syscall.SIGTERM && rec.wasDisrupted(host, signalled, time.Now())
+	disrupted := sig != syscall.SIGKILL && rec.wasDisrupted(host, signalled, time.Now())
 	rec.mu.Unlock()
 	if !disrupted {
 		rec.recordViolation("host %s did not exit within %s of signal %s", host, termTimeout, sig)
--- a/soak/process.go
+++ b/soak/process.go
@@ -90,11 +90,27 @@
 	}
 }
 
+// end sends a signal that ends the process if it was started. It returns a channel that is closed when the process which got the
+// signal has exited, nil if none was started.
+func (p *process) end(s syscall.Signal) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s) // fails if it has exited
+	}
+	return p.exited
+}
+
 // wait waits for the process to exit and reports whether it did so within the timeout.
 func (p *process) wait(timeout time.Duration) bool {
 	p.mu.Lock()
 	exited := p.exited
 	p.mu.Unlock()
+	return exitedWithin(exited, timeout)
+}
+
+// exitedWithin waits until the channel is closed and reports whether that was within the timeout. It reports true for nil.
+func exitedWithin(exited <-chan struct{}, timeout time.Duration) bool {
 	if exited == nil {
 		return true
 	}
