gateway: TestInvalidStatus is bounded and checks the whole answer

The test sent a request until an upstream got it, without a bound, and looked at the last response only. It accepted every ran but not_run, every code, and any number of attempts of a call that runs once only.

It now waits 20 s at most, wants not_run of each response before an upstream got the request, and then the code, may_have_run, an answer within 10 s (the deadline is a minute), one attempt of a call that runs once only, and MaxAttempts of the others at most.

--- a/gateway/invalidstatus_test.go
+++ b/gateway/invalidstatus_test.go
@@ -14,13 +14,15 @@
 
 	"github.com/jasminelock/jasminelock/apierr"
 	"github.com/jasminelock/jasminelock/configstore"
+	"github.com/jasminelock/jasminelock/core"
 	"github.com/jasminelock/jasminelock/record"
 	"github.com/jasminelock/jasminelock/standin/engine"
 	"github.com/jasminelock/jasminelock/standin/replica"
 )
 
 // Engines and plain services answer with an invalid status, and a body that looks like a response. Guards against callers that
-// receive that body as a success, that wait until their deadline (504), or that are told that the call has not run.
+// receive that body as a success, that wait until their deadline (504), or that are told that the call has not run, and against
+// calls that run once only and are sent again.
 func TestInvalidStatus(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, fleetOptions{})
@@ -63,15 +65,42 @@
 				"/once": "x", "/often": "x", "/v1/chat/completions": strings.Replace(chatBody, "alice-menu", "alice-odd", 1),
 			} {
 				name := fmt.Sprintf("%s, %s, %s", status, response.Name, path)
-				var r reply
-				for before := reached.Load(); reached.Load() == before; time.Sleep(5 * time.Millisecond) {
-					r = f.mustDo(http.MethodPost, path, body, nil)
-				}
+				before := reached.Load()
+				r := f.mustReach(path, body, func() bool { return reached.Load() > before })
 				require.NoError(t, r.readErr, name)
 				require.NotContains(t, r.body, replica.ForgedBody, name)
+				kind, attempts := apierr.UpstreamFailed, int64(core.MaxAttempts)
+				if path == "/once" {
+					kind, attempts = apierr.OutcomeUnknown, 1
+				}
 				require.Equal(t, http.StatusBadGateway, r.status, "%s: %s", name, r.body)
-				require.NotEqual(t, apierr.NotRun.String(), r.errorBody(t).Ran, name)
+				require.Equal(t, kind.String(), r.errorBody(t).Code, name)
+				require.Equal(t, apierr.MayHaveRun.String(), r.errorBody(t).Ran, name)
+				require.LessOrEqual(t, reached.Load()-before, attempts, name)
 			}
 		}
 	}
 }
+
+// mustReach sends a request until reached reports that an upstream got it, and returns that response. Before that, every response
+// must be a refusal of a request that has not run, as while the records are not in force or the upstreams are avoided.
+func (f *fleet) mustReach(path, body string, reached func() bool) reply {
+	f.t.Helper()
+	for end := time.Now().Add(reachTimeout); ; time.Sleep(5 * time.Millisecond) {
+		sent := time.Now()
+		r := f.mustDo(http.MethodPost, path, body, nil)
+		if reached() {
+			require.Less(f.t, time.Since(sent), answerTimeout, path)
+			return r
+		}
+		require.Equal(f.t, apierr.NotRun.String(), r.errorBody(f.t).Ran, "%s: %s", path, r.body)
+		require.True(f.t, time.Now().Before(end), "%s reached no upstream within %s: %s", path, reachTimeout, r.body)
+	}
+}
+
+// reachTimeout is the time within which a request must reach an upstream, and answerTimeout the time within which that one must be
+// answered, its retries included. They leave room for a busy machine; the deadline of the requests is a minute.
+const (
+	reachTimeout  = 20 * time.Second
+	answerTimeout = 10 * time.Second
+)
