assign: the options for a widely held adapter are a bounded sample

Callers saw no fault yet: the leader's work per request grew with the number of engines that hold the request's adapter. With one adapter on all of 1,900 engines, 1,916 options were evaluated for each request, which the benchmark of cost did not show, as its adapters have few holders. With ranking, copyHotAdapter also looked at every copy for each assignment: 40% of the processor time of a simulation of 1,900 engines.

Cause: candidates returned all holders.

Up to 160 holders all of them are evaluated as before, with the same random numbers. Above, 32 random ones of the request's zone, 32 of all zones and the engine that was last assigned the longest known prefix are evaluated; the load per copy is that of a sample, too. The slots of such adapters are listed by zone in the adapter index.

TestRequestCost_HotAdapter, TestRequestCost_HotAdapterBesideQueue and TestWorkChoice_HotAdapter failed before: 316, 1916 and 3016 options at 300, 1,900 and 3,000 engines; 80 at each of them now, 46 at 30 before and after.

--- a/assign/assigner.go
+++ b/assign/assigner.go
@@ -91,9 +91,12 @@
 	lastSweepAt  time.Time
 	// optionsEvaluated counts the options whose cost was computed.
 	optionsEvaluated uint64
-	// candidateBuffer and queueBuffer are reused to avoid allocations: the first for each choice of an upstream,
-	// the second for each pass over the queues.
+	// prefixes are the upstreams that were last assigned each prefix.
+	prefixes recentPrefixes
+	// candidateBuffer, slotBuffer and queueBuffer are reused to avoid allocations: the first two for each choice of an
+	// upstream, the last for each pass over the queues.
 	candidateBuffer []*upstream
+	slotBuffer      []*slot
 	queueBuffer     []*queue
 	decisions       []Decision
 	rankStats       rankStats
@@ -391,6 +394,9 @@
 		s.lastUsed = now
 	}
 	u.rememberBlocks(now, &e.request)
+	if _, ok := a.adapterIndex.wide[serviceAdapter{u.service, e.request.Adapter}]; ok {
+		a.prefixes.record(&e.request, u)
+	}
 	u.slowStart.take(now)
 }
 
--- a/assign/choose.go
+++ b/assign/choose.go
@@ -163,34 +163,6 @@
 	return best, found
 }
 
-// candidates returns the upstreams to evaluate: all of a small service; of a large service those that hold the
-// adapter, the one that held it last and a random sample, so that the cost of a choice does not grow with the
-// number of upstreams.
-func (a *Assigner) candidates(s *service, e *requestState) []*upstream {
-	if len(s.upstreams) <= evaluateAllLimit {
-		return s.upstreams
-	}
-	a.candidateBuffer = a.candidateBuffer[:0]
-	for _, held := range a.adapterIndex.slots[e.request.Adapter] {
-		if held.upstream.service == s {
-			a.candidateBuffer = append(a.candidateBuffer, held.upstream)
-		}
-	}
-	if last := a.adapterIndex.lastHolder[e.request.Adapter]; last != nil && last.service == s {
-		a.candidateBuffer = append(a.candidateBuffer, last)
-	}
-	for range sampledCandidates {
-		a.candidateBuffer = append(a.candidateBuffer, s.upstreams[a.options.Random.IntN(len(s.upstreams))])
-	}
-	return a.candidateBuffer
-}
-
-// Bounds on the number of upstreams that are evaluated for one request.
-const (
-	evaluateAllLimit  = 24
-	sampledCandidates = 16
-)
-
 // option returns how an upstream would serve a request, and false if it cannot.
 func (a *Assigner) option(now time.Time, u *upstream, e *requestState, held bool) (option, bool) {
 	a.optionsEvaluated++
--- a/assign/copies.go
+++ b/assign/copies.go
@@ -33,7 +33,8 @@
 		return
 	}
 	load, copies := 0.0, 0
-	for _, held := range a.adapterIndex.slots[ref] {
+	holders, total := a.copiesOf(s, ref)
+	for _, held := range holders {
 		switch {
 		case held.upstream.service != s:
 		case held.state == slotQueued || held.state == slotLoading:
@@ -46,11 +47,26 @@
 	if copies == 0 || load < hotCopyLoad*float64(copies) {
 		return
 	}
-	if u := a.bestForCopy(now, s, e, copies); u != nil {
+	if u := a.bestForCopy(now, s, e, copies*total/len(holders)); u != nil {
 		a.startLoad(now, u, ref)
 	}
 }
 
+// copiesOf returns the slots of an adapter, of a widely held one a sample that includes the slot that was added last, and
+// the number of all its slots.
+func (a *Assigner) copiesOf(s *service, ref catalog.AdapterRef) (slots []*slot, total int) {
+	wide, ok := a.adapterIndex.wide[serviceAdapter{s, ref}]
+	if !ok {
+		slots = a.adapterIndex.slots[ref]
+		return slots, len(slots)
+	}
+	slots = a.sampleSlots(wide.slots)
+	if wide.lastAdded != nil {
+		slots[0] = wide.lastAdded
+	}
+	return slots, len(wide.slots)
+}
+
 // bestForCopy returns the engine on which a further copy of a request's adapter would serve requests first, nil if none
 // has room for it.
 func (a *Assigner) bestForCopy(now time.Time, s *service, e *requestState, copies int) *upstream {
--- a/assign/demand.go
+++ b/assign/demand.go
@@ -78,13 +78,20 @@
 type adapterIndex struct {
 	slots      map[catalog.AdapterRef][]*slot
 	lastHolder map[catalog.AdapterRef]*upstream
+	// wide holds the adapters that more than maxEvaluatedHolders engines of a service hold.
+	wide map[serviceAdapter]*wideAdapter
 }
 
 func newAdapterIndex() adapterIndex {
-	return adapterIndex{slots: map[catalog.AdapterRef][]*slot{}, lastHolder: map[catalog.AdapterRef]*upstream{}}
+	return adapterIndex{
+		slots: map[catalog.AdapterRef][]*slot{}, lastHolder: map[catalog.AdapterRef]*upstream{}, wide: map[serviceAdapter]*wideAdapter{},
+	}
 }
 
-func (h *adapterIndex) add(s *slot) { h.slots[s.ref] = append(h.slots[s.ref], s) }
+func (h *adapterIndex) add(s *slot) {
+	h.slots[s.ref] = append(h.slots[s.ref], s)
+	h.addWide(s)
+}
 
 func (h *adapterIndex) remove(s *slot) {
 	held := h.slots[s.ref]
@@ -100,6 +107,7 @@
 		h.slots[s.ref] = held
 	}
 	h.lastHolder[s.ref] = s.upstream
+	h.removeWide(s)
 }
 
 // removeUpstream removes an upstream from the index.
--- a/assign/slots.go
+++ b/assign/slots.go
@@ -25,6 +25,8 @@
 	ref      catalog.AdapterRef
 	version  int64
 	state    slotState
+	// zone is the availability zone under which adapterIndex lists the slot, if its adapter is widely held.
+	zone string
 	// claims counts the requests that run on the adapter or are queued for it on this engine.
 	claims   int
 	lastUsed time.Time
--- a/assign/unevenengines_test.go
+++ b/assign/unevenengines_test.go
@@ -138,8 +138,9 @@
 	// reportAge is the age of the pace that engines state. reported returns false for a report that states no pace.
 	reportAge time.Duration
 	reported  func() bool
-	// perSecond is the rate of requests.
+	// perSecond is the rate of requests, duration the time for which they arrive.
 	perSecond float64
+	duration  time.Duration
 	// adapter returns the adapter of the next request. orders holds, by engine ID, the state that adapter orders change, nil
 	// if no adapters are used.
 	adapter func() string
@@ -185,14 +186,19 @@
 )
 
 func newUnevenFleet(seed uint64, perSecond float64, scheduling Scheduling) *unevenFleet {
+	return newUnevenFleetOf(unevenEngines, unevenDuration, seed, perSecond, scheduling)
+}
+
+// newUnevenFleetOf returns a fleet of a number of engines that gets requests for a time.
+func newUnevenFleetOf(engines int, duration time.Duration, seed uint64, perSecond float64, scheduling Scheduling) *unevenFleet {
 	f := &unevenFleet{
-		perSecond: perSecond, seed: seed, scheduling: scheduling,
+		duration: duration, perSecond: perSecond, seed: seed, scheduling: scheduling,
 		random: rand.New(rand.NewPCG(seed, 7)), start: time.Unix(1_000_000, 0), now: time.Unix(1_000_000, 0),
 		byID: map[string]*unevenEngine{}, requests: map[RequestID]*unevenRequest{}, reported: func() bool { return true },
 		adapter: func() string { return "" },
 	}
 	records := map[string]*catalog.Upstream{}
-	for i := range unevenEngines {
+	for i := range engines {
 		e := &unevenEngine{id: "e" + strconv.Itoa(i), index: i, speed: unevenSpeeds[i%len(unevenSpeeds)]}
 		f.engines = append(f.engines, e)
 		f.byID[e.id] = e
@@ -201,9 +207,9 @@
 			Loaded: []catalog.LoadedModel{{Model: simModel}},
 		}
 	}
-	for range int(2*unevenDuration/unevenTurn) + 2 {
+	for range int(2*duration/unevenTurn) + 2 {
 		turn := map[int]bool{}
-		for _, i := range f.random.Perm(unevenEngines)[:unevenEngines/6] {
+		for _, i := range f.random.Perm(engines)[:engines/6] {
 			turn[i] = true
 		}
 		f.slow = append(f.slow, turn)
@@ -306,7 +312,7 @@
 	return min(max(int(median*math.Exp(spread*f.random.NormFloat64())), 1), most)
 }
 
-// run submits requests at random times for unevenDuration, assigns each of them with choose, and returns when no event is
+// run submits requests at random times for the duration, assigns each of them with choose, and returns when no event is
 // left.
 func (f *unevenFleet) run(choose func(r *unevenRequest)) {
 	number := uint64(0)
@@ -325,7 +331,7 @@
 		f.requests[r.request.ID] = r
 		f.arrived = append(f.arrived, r)
 		choose(r)
-		if f.now.Sub(f.start) < unevenDuration {
+		if f.now.Sub(f.start) < f.duration {
 			f.schedule(f.now.Add(time.Duration(f.random.ExpFloat64()/f.perSecond*float64(time.Second))), arrive)
 		}
 	}
--- a/assign/upstream.go
+++ b/assign/upstream.go
@@ -145,9 +145,11 @@
 	}
 	for id, record := range listed {
 		if u, ok := a.upstreams[id]; ok {
-			before := u.record.SlowStartRemaining
-			u.record = record
-			u.updateSlowStart(now, before)
+			before := u.record
+			if u.record = record; record.Zone != before.Zone {
+				a.adapterIndex.moveZone(u)
+			}
+			u.updateSlowStart(now, before.SlowStartRemaining)
 			if !a.options.SendsOrders {
 				u.syncFromRecord(now)
 			}
--- a/assign/workchoicecost_test.go
+++ b/assign/workchoicecost_test.go
@@ -32,6 +32,34 @@
 	require.LessOrEqual(t, evaluated(1900), evaluated(2*evaluateAllLimit)+requests)
 }
 
+// Guards against a number of options considered per request that grows with the number of engines that hold its adapter, if
+// upstreams are chosen by work.
+func TestWorkChoice_HotAdapter(t *testing.T) {
+	for _, engines := range hotAdapterEngines {
+		t.Run(fmt.Sprintf("%d engines", engines), func(t *testing.T) {
+			got := newPacedSimulation(t, engines).optionsPerRequest(200)
+			t.Logf("%.0f options evaluated per request", got)
+			require.LessOrEqual(t, got, float64(maxRequestOptions))
+		})
+	}
+}
+
+func BenchmarkWorkChoice_HotAdapter(b *testing.B) {
+	for _, engines := range hotAdapterEngines {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			w := newPacedSimulation(&testing.T{}, engines)
+			b.ReportAllocs()
+			n, before := uint64(0), w.assigner.optionsEvaluated
+			for b.Loop() {
+				n++
+				w.now = w.now.Add(time.Millisecond)
+				w.runRequest(n, "all")
+			}
+			b.ReportMetric(float64(w.assigner.optionsEvaluated-before)/float64(n), "options/op")
+		})
+	}
+}
+
 func BenchmarkWorkChoice(b *testing.B) {
 	for _, engines := range []int{30, 300, 1900} {
 		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
