leader: one wrong era no longer hides true eras below it

Seen: a host that has once been told of an era that the store does not confirm ignores all later messages about lower eras. It then learns of a restore only from its own next read of the store, which a host that relies on the leader's relay may not make for long.

Cause: hearOfEra kept the highest refuted era for ever and ignored every era up to it.

Change: a refuted era hides only repeats of itself, for 4 s. The limit of one read per second and host stays.

Evidence: TestRestore_TrueEraAfterWrongOne and TestRestore_RefutedEraBecomesTrue fail before the change (era 0 is known in place of 1) and pass after it. Mutants found by go test ./leader -run 'TestRestore_(TrueEra|RefutedEra|ReadsForWrong|WrongEra)': lower eras are hidden as well, no end of the time, repeats are not hidden, no limit per second, a claim counts without the store's answer. go test ./leader: all pass but TestRestore_ColdAdapterServed/unfenced (known red, 5.37 s).

--- a/leader/era.go
+++ b/leader/era.go
@@ -14,9 +14,10 @@
 	number int64
 	// seenAt is when this host first learned of the era, by Options.Clock.
 	seenAt time.Duration
-	// refuted is the highest era that another host has told of and the store has not confirmed. checkedAt is when this
-	// host last asked the store because of such a message.
+	// refuted is the era that another host has last told of and the store has not confirmed, at refutedAt. checkedAt is when
+	// this host last asked the store because of such a message.
 	refuted   int64
+	refutedAt time.Time
 	checkedAt time.Time
 	// askedFor is the host that this leader has asked for what it knows of the time before the restore, at askedAt.
 	askedFor string
@@ -49,10 +50,18 @@
 // eraCheckInterval is the interval at which a host asks the store for its era after others have told of a newer one.
 const eraCheckInterval = time.Second
 
+// refutedEraTime is how long an era that the store has not confirmed is not checked again. A change must be in force within
+// 5 s of the store's return, also for a host to which the store has stated the old era once more. Other eras are checked
+// meanwhile, since one wrong message must not hide a true era below it.
+const refutedEraTime = 4 * time.Second
+
 // hearOfEra handles an era of the store that another host has told of. Only the store's own answer counts, since a host that
 // takes a wrong era for the present one would discard every answer of the store.
 func (b *Broker) hearOfEra(now time.Time, era int64) {
-	if era <= max(b.era.number, b.era.refuted) || era > store.MaxEra || now.Sub(b.era.checkedAt) < eraCheckInterval {
+	if era <= b.era.number || era > store.MaxEra || now.Sub(b.era.checkedAt) < eraCheckInterval {
+		return
+	}
+	if era == b.era.refuted && now.Sub(b.era.refutedAt) < refutedEraTime {
 		return
 	}
 	b.era.checkedAt = now
@@ -63,10 +72,13 @@
 	go func() {
 		sleep(b.ctx, delay)
 		row, err := b.readLease(b.ctx)
-		b.update(func(time.Time) {
-			if err == nil {
-				b.observeEra(row.era)
-				b.era.refuted = max(b.era.refuted, era)
+		b.update(func(now time.Time) {
+			if err != nil {
+				return
+			}
+			b.observeEra(row.era)
+			if era > b.era.number {
+				b.era.refuted, b.era.refutedAt = era, now
 			}
 		})
 	}()
