watch: an upstream whose end was relayed does not come back with the next read of the copy

Seen: a host that has started after a restore follows a leader that has learned that an upstream has left. The leader relays its end; the host's next read of the whole table lists the upstream again, from the entry in the copy.

Cause: outside the first read of an era, only entries that were found outdated then, or learned from another host directly, were ignored. A relayed end was not remembered with the position of the entry.

Change: the memory of upstreams that are gone keeps whole positions in place of versions. In an era above 0, an entry that this host has read at that position before the upstream's end is outdated; one that is written again has a new position.

Evidence: TestRestore_RelayedEndKept fails without the change.

--- a/watch/restore_test.go
+++ b/watch/restore_test.go
@@ -336,3 +336,26 @@
 		require.NotNil(t, w.View().Upstreams["left"])
 	})
 }
+
+// A host that has read the copy follows a leader that has learned of the end of an upstream. Guards against an upstream that
+// comes back when the host reads the tables again, and against one that stays ignored after it has written its entry again.
+func TestRestore_RelayedEndKept(t *testing.T) {
+	runRestorable(t, false, func(feed *restorableFeed, w *Watcher) {
+		feed.era = 1
+		feed.put("up", "left", testUpstream("left"), false)
+		feed.put("up", "stays", testUpstream("stays"), false)
+		time.Sleep(settle)
+		w.SetRelayed(true)
+		w.ApplyRelayedUpstreams(RelayedUpstreams{StoreVersion: w.View().UpstreamsVersion, Gone: []string{"left"}})
+		require.Nil(t, w.View().Upstreams["left"])
+		w.SetRelayed(false)
+		time.Sleep(settle)
+		require.Nil(t, w.View().Upstreams["left"], "the whole table is read again")
+		require.NotNil(t, w.View().Upstreams["stays"])
+		require.Equal(t, 1, w.OutdatedUpstreams())
+		feed.put("up", "left", testUpstream("left"), false)
+		time.Sleep(settle)
+		require.NotNil(t, w.View().Upstreams["left"])
+		require.Zero(t, w.OutdatedUpstreams())
+	})
+}
--- a/watch/upstreammemory.go
+++ b/watch/upstreammemory.go
@@ -20,39 +20,44 @@
 
 func incarnationOf(u *catalog.Upstream) Incarnation { return Incarnation{u.ID, u.StartedAt} }
 
-// entryVersion is the version, without its era, of the last entry of an incarnation. An entry is outdated if it
-// reappears with this version or a lower one.
-type entryVersion struct {
+// entryPosition is the position of the last entry of an incarnation. After a restore, an entry is outdated if it reappears
+// with the version of this position or a lower one, whatever the era.
+type entryPosition struct {
 	startedAt int64
-	version   int64
+	at        store.Position
 }
 
-// unknownVersion is the version of an entry that another host has relayed: every entry of that incarnation that a
+// unknownPosition is the position of an entry that another host has relayed: every entry of that incarnation that a
 // restored store lists is outdated.
-const unknownVersion = math.MaxInt64
+const unknownPosition store.Position = math.MaxInt64
 
 // upstreamMemory is what a host remembers of upstreams to recognise outdated entries after the store was restored from a
 // copy.
 type upstreamMemory struct {
-	// entries holds the versions of the present entries, by ID. It lacks relayed ones.
-	entries map[string]entryVersion
-	// gone holds the last versions of incarnations that are gone; goneOrder is the order in which they were added.
-	gone      map[Incarnation]int64
+	// entries holds the positions of the present entries, by ID. It lacks relayed ones.
+	entries map[string]entryPosition
+	// gone holds the last positions of incarnations that are gone; goneOrder is the order in which they were added.
+	gone      map[Incarnation]store.Position
 	goneOrder []Incarnation
 	// stale holds, by ID, the positions of outdated entries that the store lists.
 	stale map[string]store.Position
 }
 
 func newUpstreamMemory() upstreamMemory {
-	return upstreamMemory{entries: map[string]entryVersion{}, gone: map[Incarnation]int64{}, stale: map[string]store.Position{}}
+	return upstreamMemory{entries: map[string]entryPosition{}, gone: map[Incarnation]store.Position{}, stale: map[string]store.Position{}}
 }
 
-// versionOf returns the version of the last entry of an upstream's incarnation.
-func (m *upstreamMemory) versionOf(u *catalog.Upstream) int64 {
+// positionOf returns the position of the last entry of an upstream's incarnation.
+func (m *upstreamMemory) positionOf(u *catalog.Upstream) store.Position {
 	if e, ok := m.entries[u.ID]; ok && e.startedAt == u.StartedAt {
-		return e.version
+		return e.at
 	}
-	return unknownVersion
+	return unknownPosition
+}
+
+// versionOf returns the version, without its era, of the last entry of an upstream's incarnation.
+func (m *upstreamMemory) versionOf(u *catalog.Upstream) int64 {
+	return store.VersionOf(m.positionOf(u))
 }
 
 // record records that the entry of an upstream was read at a position. old is the upstream known before, or nil.
@@ -62,7 +67,7 @@
 	}
 	delete(m.gone, incarnationOf(u))
 	delete(m.stale, u.ID)
-	m.entries[u.ID] = entryVersion{u.StartedAt, store.VersionOf(at)}
+	m.entries[u.ID] = entryPosition{u.StartedAt, at}
 }
 
 // recordRelayed records that another host has relayed an upstream. old is the upstream known before, or nil.
@@ -85,7 +90,7 @@
 	if _, known := m.gone[key]; !known {
 		m.goneOrder = append(m.goneOrder, key)
 	}
-	m.gone[key] = m.versionOf(u)
+	m.gone[key] = m.positionOf(u)
 	if m.entries[u.ID].startedAt == u.StartedAt {
 		delete(m.entries, u.ID)
 	}
@@ -97,13 +102,18 @@
 
 // isStale reports whether the entry of an upstream is outdated: the store lists it since it was restored from a copy,
 // the incarnation is known to be gone or draining, and the entry has not been written since. old is the upstream known
-// before, or nil. restored means that the entry was read for the first time in its era.
+// before, or nil. restored means that the entry was read for the first time in its era. Later, an entry is outdated if this
+// host has read it in this era before, and another host has told of the end of its upstream since.
 func (m *upstreamMemory) isStale(old, u *catalog.Upstream, at store.Position, restored bool) bool {
+	position, gone := m.gone[incarnationOf(u)]
 	if !restored {
+		if gone && position == at && store.EraOf(at) > 0 {
+			m.stale[u.ID] = at
+		}
 		listed, found := m.stale[u.ID]
 		return found && listed == at
 	}
-	last, gone := m.gone[incarnationOf(u)]
+	last := store.VersionOf(position)
 	if old != nil && old.StartedAt == u.StartedAt {
 		gone = false
 		if old.Draining && !u.Draining {
@@ -143,8 +153,8 @@
 		if u == nil || u.StartedAt != key.StartedAt || u.Draining {
 			continue
 		}
-		if version := w.known.versionOf(u); version != unknownVersion {
-			w.known.stale[key.ID] = store.NewPosition(era, version)
+		if w.known.positionOf(u) != unknownPosition {
+			w.known.stale[key.ID] = store.NewPosition(era, w.known.versionOf(u))
 		}
 		w.known.recordGone(u)
 		delete(next.Upstreams, key.ID)
