leader: a leader that still learns relays no tables of the copy

Seen: a host that has started after a restore leads and relays the copy's upstreams to a host that has lived through the restore. That host lists an upstream again that it knew to have left, forgets that it had left, and cannot tell the leader any more.

Cause: the leader relays the complete tables to each host whose view differs, at the same moment at which it asks the host for what it knows; the lists are of the same position, so that they are accepted.

Changes of upstreams are sent before the configuration, with which the receiver counts as knowing the tables.

--- a/leader/era.go
+++ b/leader/era.go
@@ -240,6 +240,12 @@
 // the time that they take to find it, and the answer of the first one that it asks.
 const learnTime = followerReportTime + 2*heartbeatInterval
 
+// learning reports whether this leader has started after the store was restored from a copy and may still learn what another
+// host knows of the time before.
+func (b *Broker) learning(now time.Time) bool {
+	return b.era.number > 0 && !b.view.Evacuated.Continuous && now.Sub(b.leader.ledSince) <= learnTime
+}
+
 // Settled reports whether this host, which has started after the store was restored from a copy, has heard of the other
 // hosts, or has waited for them long enough.
 func (b *Broker) Settled() bool {
--- a/leader/relay.go
+++ b/leader/relay.go
@@ -78,6 +78,8 @@
 	case b.view.Config == nil:
 	case b.inSyncWith(now, sum):
 		m.relayed, m.mismatches = true, 0
+	case b.learning(now):
+		// The copy's tables would make a host that has lived through the restore forget which upstreams have left.
 	case m.relayed && m.mismatches < maxMismatches:
 		m.mismatches++
 	case b.takeRelayBudget(now):
@@ -164,12 +166,14 @@
 		if !m.relayed {
 			continue // the complete tables are relayed to it first
 		}
-		if evacuations || len(config.Config)+len(config.Versions) > 0 {
-			b.sendTo(host, config)
-		}
+		// The upstreams go first: with the configuration, a host that has started after a restore of the store counts as
+		// knowing the tables.
 		if len(push.Upstreams)+len(push.Packed)+len(push.RemovedUpstreams) > 0 {
 			b.sendTo(host, push)
 		}
+		if evacuations || len(config.Config)+len(config.Versions) > 0 {
+			b.sendTo(host, config)
+		}
 	}
 }
 
