leader, host: a fresh host does not serve by the copy since its leader has read the same copy

Seen: two hosts that have started after a restore lead and follow. The follower serves callers by the copy (configuration 1 in place of 2, and so withdrawn keys) before any host that has lived through the restore has found the leader.

Cause: a follower counted as settled once its tables equalled the leader's, whatever the leader knew.

Evidence: the new tests follow tables by real watchers.

--- a/host/restore.go
+++ b/host/restore.go
@@ -13,7 +13,7 @@
 	if view.Config == nil || !view.UpstreamsRead {
 		return false
 	}
-	if h.watcher.Era() > 0 && !view.Evacuated.Continuous && !h.broker.Settled() {
+	if h.watcher.Era() > 0 && !h.broker.Settled() {
 		return false
 	}
 	h.settled.Store(true)
--- a/leader/era.go
+++ b/leader/era.go
@@ -252,11 +252,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	knows := b.view.Evacuated.Continuous
 	switch {
 	case b.leading != nil:
-		return b.view.Evacuated.Continuous || now.Sub(b.leader.ledSince) > learnTime
+		return knows || now.Sub(b.leader.ledSince) > learnTime
 	case b.leader.host != "":
-		return b.inSync
+		// A leader that has started after the restore as well may have learned nothing yet.
+		return b.inSync && (knows || now.Sub(b.leader.ledSince) > learnTime)
+	case knows:
+		return true
 	}
 	return now.Sub(b.startedAt) > startupWait && b.options.Clock()-b.era.seenAt > b.eraWaitTime()+learnTime
 }
--- a/leader/fleet_test.go
+++ b/leader/fleet_test.go
@@ -49,6 +49,8 @@
 	// engine handles orders and reports in place of the fleet itself, if it is set.
 	engine Engines
 	view   *watch.View
+	// tables is what hosts read through watchers of their own, in place of view, if it is set.
+	tables *watchedTables
 	// viewMu is held while a change of the view is passed to the hosts. It is taken before all other locks.
 	viewMu sync.Mutex
 	// filter changes messages on their way, or drops them by returning nil; it may be nil. It is called with sentMu
@@ -64,8 +66,10 @@
 	fleet  *fleet
 	name   string
 	broker *Broker
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// watcher is nil unless the fleet has tables.
+	watcher *watch.Watcher
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 	// cut is set if no message reaches or leaves the host.
 	cut bool
 	// learned is what this host has learned of the tables from another one.
@@ -201,8 +205,13 @@
 	if engines == nil {
 		engines = f
 	}
+	var source Source = h
+	if f.tables != nil {
+		h.watcher = f.tables.watcherOf(h)
+		source = h.watcher
+	}
 	h.broker = New(Options{
-		Log: hclog.NewNullLogger(), Host: name, Zone: "z", CallerAddress: name, PeerURL: name, Tables: h, Engines: engines, Source: h,
+		Log: hclog.NewNullLogger(), Host: name, Zone: "z", CallerAddress: name, PeerURL: name, Tables: h, Engines: engines, Source: source,
 		Cores: cores, Fenced: !f.unfenced, HolderPause: holderPause, MaxPropagation: 4 * time.Second, Clock: h.clock,
 		Random: rand.New(rand.NewPCG(1, hashName(name))),
 		Limits: assign.Limits{RetryRatio: 0.2, RetrySlack: 50, RateWindow: 8 * time.Second},
@@ -215,6 +224,10 @@
 	f.hosts[name] = h
 	f.mu.Unlock()
 	h.done.Go(func() { h.broker.Run(ctx) })
+	if f.tables != nil {
+		h.done.Go(func() { h.watcher.Run(ctx) })
+		return h
+	}
 	h.broker.UpdateView(f.view)
 	return h
 }
