--- a/leader/era.go
+++ b/leader/era.go
@@ -14,9 +14,10 @@
 	number int64
 	// seenAt is when this host first learned of the era, by Options.Clock.
 	seenAt time.Duration
-	// refuted is the highest era that another host has told of and the store has not confirmed. checkedAt is when this
-	// host last asked the store because of such a message.
+	// refuted is the era that another host has last told of and the store has not confirmed, at refutedAt. checkedAt is when
+	// this host last asked the store because of such a message.
 	refuted   int64
+	refutedAt time.Time
 	checkedAt time.Time
 	// askedFor is the host that this leader has asked for what it knows of the time before the restore, at askedAt.
 	askedFor string
@@ -49,10 +50,18 @@
 // eraCheckInterval is the interval at which a host asks the store for its era after others have told of a newer one.
 const eraCheckInterval = time.Second
 
+// refutedEraTime is how long an era that the store has not confirmed is not checked again. A change must be in force within
+// 5 s of the store's return, also for a host to which the store has stated the old era once more. Other eras are checked
+// meanwhile, since one wrong message must not hide a true era below it.
+const refutedEraTime = 4 * time.Second
+
 // hearOfEra handles an era of the store that another host has told of. Only the store's own answer counts, since a host that
 // takes a wrong era for the present one would discard every answer of the store.
 func (b *Broker) hearOfEra(now time.Time, era int64) {
-	if era <= max(b.era.number, b.era.refuted) || era > store.MaxEra || now.Sub(b.era.checkedAt) < eraCheckInterval {
+	if era <= b.era.number || era > store.MaxEra || now.Sub(b.era.checkedAt) < eraCheckInterval {
+		return
+	}
+	if era == b.era.refuted && now.Sub(b.era.refutedAt) < refutedEraTime {
 		return
 	}
 	b.era.checkedAt = now
@@ -63,10 +72,13 @@
 	go func() {
 		sleep(b.ctx, delay)
 		row, err := b.readLease(b.ctx)
-		b.update(func(time.Time) {
-			if err == nil {
-				b.observeEra(row.era)
-				b.era.refuted = max(b.era.refuted, era)
+		b.update(func(now time.Time) {
+			if err != nil {
+				return
+			}
+			b.observeEra(row.era)
+			if era > b.era.number {
+				b.era.refuted, b.era.refutedAt = era, now
 			}
 		})
 	}()
@@ -228,17 +240,27 @@
 // the time that they take to find it, and the answer of the first one that it asks.
 const learnTime = followerReportTime + 2*heartbeatInterval
 
+// learning reports whether this leader has started after the store was restored from a copy and may still learn what another
+// host knows of the time before.
+func (b *Broker) learning(now time.Time) bool {
+	return b.era.number > 0 && !b.view.Evacuated.Continuous && now.Sub(b.leader.ledSince) <= learnTime
+}
+
 // Settled reports whether this host, which has started after the store was restored from a copy, has heard of the other
 // hosts, or has waited for them long enough.
 func (b *Broker) Settled() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	knows := b.view.Evacuated.Continuous
 	switch {
 	case b.leading != nil:
-		return b.view.Evacuated.Continuous || now.Sub(b.leader.ledSince) > learnTime
+		return knows || now.Sub(b.leader.ledSince) > learnTime
 	case b.leader.host != "":
-		return b.inSync
+		// A leader that has started after the restore as well may have learned nothing yet.
+		return b.inSync && (knows || now.Sub(b.leader.ledSince) > learnTime)
+	case knows:
+		return true
 	}
 	return now.Sub(b.startedAt) > startupWait && b.options.Clock()-b.era.seenAt > b.eraWaitTime()+learnTime
 }
