store, standin/platform: the era of the platform's services

The services that jasminelockd uses may be restored from a copy and then state a higher era in the header Store-Era. The client ignored the header: a late response from before the restore was taken for the state of the restored store, and no caller could tell that versions of rows had been issued again.

The client decodes the header once, discards responses of an older era as unavailable, and reports the highest era seen. The stand-in takes copies and restores them; it states no era before the first restore. The protocol of these services has no reads from a version, so there is no 410 to simulate.

Evidence: go test ./store ./standin/platform

--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -42,6 +42,10 @@
 type Platform struct {
 	mux *http.ServeMux
 
+	// restoring is held for reading while a call is carried out and answered, and for writing during a restore, so that
+	// the era of an answer is the one in which the call was carried out. It is locked before mu.
+	restoring sync.RWMutex
+
 	// mu guards all below.
 	mu      sync.Mutex
 	faults  Faults
@@ -51,6 +55,8 @@
 	weights weightStore
 	hosts   map[string]hostEntry
 	history []hostList
+	// era is the number of restores. Era 0 is not stated in answers.
+	era int64
 }
 
 type hostEntry struct {
@@ -125,12 +131,26 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	p.mux.ServeHTTP(w, r)
+	p.serve(w, r)
 	if r.Method != http.MethodGet && p.loseAnswer() {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// serve carries out a call and states the era in the answer.
+func (p *Platform) serve(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/weights/") {
+		// A fetch takes long and the weight store is not restored.
+		p.stateEra(w)
+		p.mux.ServeHTTP(w, r)
+		return
+	}
+	p.restoring.RLock()
+	defer p.restoring.RUnlock()
+	p.stateEra(w)
+	p.mux.ServeHTTP(w, r)
+}
+
 func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/store/http.go
+++ b/store/http.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jasminelock/jasminelock/statusline"
@@ -32,6 +33,8 @@
 	// onUnavailable is called with the name of the service for each call that failed with
 	// ErrUnavailable.
 	onUnavailable func(service string)
+	// era is the highest era that a response has stated.
+	era atomic.Int64
 }
 
 // NewClient returns a client of the services at base, "http://ip:port". Each call
@@ -202,6 +205,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
+	if stated := eraOfHeader(resp.Header); !c.observeEra(stated) {
+		return nil, fmt.Errorf("%w: response of era %d, which is over", ErrUnavailable, stated)
+	}
 	switch {
 	case resp.StatusCode == http.StatusNotFound:
 		return nil, ErrNotFound
@@ -212,3 +218,17 @@
 	}
 	return answer, nil
 }
+
+// Era implements EraReporter: it returns the highest era that a response has stated.
+func (c *Client) Era() int64 { return c.era.Load() }
+
+// observeEra records the era of a response. It returns false if the era is over: the response is of a state that the
+// services no longer have.
+func (c *Client) observeEra(era int64) bool {
+	for {
+		known := c.era.Load()
+		if era <= known || c.era.CompareAndSwap(known, era) {
+			return era >= known
+		}
+	}
+}
