configstore, spread: revisions are compared together with the era

After a restore of the store from a copy, hosts ignored what an operator wrote until the store's revision had passed their own: with two changes lost, the next two were in force on no host that had lived through the restore, and the third was applied to a configuration that the store did not have. A withdrawn key could not be given back, nor another one be withdrawn.

The cause: revisions were numbers without an era. A revision now is a store.Position, made by the writer from the number of the change and the store's era; in era 0 nothing changes. A head that was written in an older era leaves a running host as it is. One of a newer era makes it replace its configuration as a whole, read in one era. Changes of one era are never applied to a configuration of another. A change is also conditional on the change that wrote the head, since the version of the head's row is issued again.

--- a/configstore/configstore.go
+++ b/configstore/configstore.go
@@ -7,6 +7,11 @@
 // holds the newest revision. A change is one transaction, conditional on the
 // head that it is based on, so that revisions are consecutive and a change is
 // accepted completely or not at all.
+//
+// A revision is a store.Position: the number of the change together with the era
+// of the store in which it was written. After a restore of the store from a copy,
+// numbers are issued again, in the new era. Numbers are consecutive across eras:
+// change 9 of era 1 may follow change 8 of era 0.
 package configstore
 
 import (
@@ -38,7 +43,7 @@
 
 // Change is one change of the configuration.
 type Change struct {
-	Revision int64 `json:"revision"`
+	Revision store.Position `json:"revision"`
 	// Operation is the id that the operator assigned to the change. It identifies the
 	// change after a lost reply.
 	Operation string `json:"operation"`
@@ -52,14 +57,14 @@
 
 // headRow is the row that every change updates.
 type headRow struct {
-	Revision  int64  `json:"revision"`
-	Operation string `json:"operation"`
+	Revision  store.Position `json:"revision"`
+	Operation string         `json:"operation"`
 }
 
 // operationRow is the row that determines the outcome of a change whose reply was lost.
 type operationRow struct {
-	Revision int64  `json:"revision"`
-	Digest   string `json:"digest"`
+	Revision store.Position `json:"revision"`
+	Digest   string         `json:"digest"`
 }
 
 func readHead(ctx context.Context, t store.TableService) (headRow, int64, error) {
@@ -78,7 +83,7 @@
 }
 
 // ReadHead returns the newest revision, 0 if no change has been written.
-func ReadHead(ctx context.Context, t store.TableService) (int64, error) {
+func ReadHead(ctx context.Context, t store.TableService) (store.Position, error) {
 	h, _, err := readHead(ctx, t)
 	return h.Revision, err
 }
@@ -87,12 +92,12 @@
 // sort by revision; 19 digits hold the largest int64.
 const changeKeyWidth = 19
 
-func changeKey(revision int64) string {
+func changeKey(revision store.Position) string {
 	return fmt.Sprintf("%0*d", changeKeyWidth, revision)
 }
 
 // ReadChanges returns up to limit changes after the given revision, oldest first.
-func ReadChanges(ctx context.Context, t store.TableService, after int64, limit int) ([]Change, error) {
+func ReadChanges(ctx context.Context, t store.TableService, after store.Position, limit int) ([]Change, error) {
 	rows, err := t.List(ctx, tableChanges, "", changeKey(after), limit)
 	if err != nil {
 		return nil, err
@@ -114,7 +119,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return ReadChanges(ctx, t, max(h.Revision-int64(limit), 0), limit)
+	first := max(store.VersionOf(h.Revision)-int64(limit), 0)
+	wanted := int(store.VersionOf(h.Revision) - first)
+	// The changes before the restore that began the head's era have keys of older eras.
+	for era := store.EraOf(h.Revision); ; era-- {
+		changes, err := ReadChanges(ctx, t, store.NewPosition(era, first), limit)
+		if err != nil || len(changes) >= wanted || era == 0 {
+			return changes, err
+		}
+	}
+}
+
+// nextRevision returns the revision of a change that is written in an era on top of the head.
+func nextRevision(head store.Position, era int64) store.Position {
+	return store.NewPosition(max(era, store.EraOf(head)), store.VersionOf(head)+1)
 }
 
 // Get returns one record, or store.ErrNotFound.
--- a/configstore/errors.go
+++ b/configstore/errors.go
@@ -4,14 +4,15 @@
 	"fmt"
 
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // ConflictError means that a record has changed since the operator read it.
 // Nothing was written.
 type ConflictError struct {
 	Ref      record.Ref
-	Expected int64
-	Found    int64
+	Expected store.Position
+	Found    store.Position
 }
 
 // Error implements the error interface.
@@ -38,7 +39,7 @@
 // Nothing was written.
 type OperationReusedError struct {
 	Operation string
-	Revision  int64
+	Revision  store.Position
 }
 
 // Error implements the error interface.
--- a/configstore/reader.go
+++ b/configstore/reader.go
@@ -27,32 +27,84 @@
 // Poll returns the newest configuration, or nil if it has not changed since the last
 // call. The errors in the slice are about records that were left out as invalid.
 func (r *Reader) Poll(ctx context.Context) (*record.Config, []error, error) {
+	var update *configUpdate
+	err := inOneEra(r.tables, func() (err error) {
+		update, err = r.poll(ctx)
+		return err
+	})
+	if err != nil || update == nil {
+		return nil, nil, err
+	}
+	r.config = update.config
+	return update.config, update.problems, nil
+}
+
+// poll reads what has changed, nil if nothing has.
+func (r *Reader) poll(ctx context.Context) (*configUpdate, error) {
 	h, _, err := readHead(ctx, r.tables)
 	if err != nil || h.Revision <= r.config.Revision {
-		return nil, nil, err
+		return nil, err
+	}
+	update := &configUpdate{tables: r.tables, config: r.config, newest: h.Revision}
+	if store.EraOf(h.Revision) != store.EraOf(r.config.Revision) {
+		// The restored store lacks changes of the older era that this reader may have.
+		update.config = record.NewConfig()
 	}
-	update := configUpdate{tables: r.tables, config: r.config, newest: h.Revision}
-	if h.Revision-r.config.Revision > maxIncrementalChanges || r.config.Revision == 0 {
+	if update.config.Revision == 0 || h.Revision-update.config.Revision > maxIncrementalChanges {
 		if err := update.loadRecords(ctx); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 	}
-	if err := update.applyChanges(ctx); err != nil {
-		return nil, nil, err
+	return update, update.applyChanges(ctx)
+}
+
+// maxEraAttempts is the maximum number of attempts to read in one era. The first responses
+// of a client raise its era once, and each restore does so again.
+const maxEraAttempts = 3
+
+// inOneEra calls read until all of its responses are of one era of the store.
+func inOneEra(t store.TableService, read func() error) error {
+	for range maxEraAttempts {
+		era := store.CurrentEra(t)
+		if err := read(); err != nil || store.CurrentEra(t) == era {
+			return err
+		}
 	}
-	r.config = update.config
-	return update.config, update.problems, nil
+	return fmt.Errorf("%w: restored during each of %d reads", store.ErrUnavailable, maxEraAttempts)
+}
+
+// News is what has been written after a revision.
+type News struct {
+	// Head is the newest revision. Era is the era of the store in which it was read.
+	Head store.Position
+	Era  int64
+	// Changes are the changes after the revision, oldest first, possibly only the first of them.
+	Changes []Change
+}
+
+// ReadNews reads the head and up to limit changes after a revision, all in one era.
+func ReadNews(ctx context.Context, t store.TableService, after store.Position, limit int) (News, error) {
+	var news News
+	err := inOneEra(t, func() (err error) {
+		news = News{}
+		if news.Head, err = ReadHead(ctx, t); err == nil && news.Head > after {
+			news.Changes, err = ReadChanges(ctx, t, after, limit)
+		}
+		news.Era = store.CurrentEra(t)
+		return err
+	})
+	return news, err
 }
 
 // configUpdate advances a configuration to the head.
 type configUpdate struct {
 	tables   store.TableService
 	config   *record.Config
-	newest   int64
+	newest   store.Position
 	problems []error
 }
 
-func (u *configUpdate) apply(revision int64, records []record.Envelope) {
+func (u *configUpdate) apply(revision store.Position, records []record.Envelope) {
 	next, problems := u.config.Apply(revision, records)
 	u.config = next
 	u.problems = append(u.problems, problems...)
--- a/configstore/references.go
+++ b/configstore/references.go
@@ -15,7 +15,7 @@
 // calls.
 func CheckReferences(t store.TableService, records []record.Envelope) Check {
 	reader := NewReader(t)
-	return func(ctx context.Context, revision int64) error {
+	return func(ctx context.Context, revision store.Position) error {
 		if _, _, err := reader.Poll(ctx); err != nil {
 			return err
 		}
@@ -23,7 +23,7 @@
 		if current.Revision != revision {
 			return fmt.Errorf("%w: the head changed during the reference check", store.ErrConflict)
 		}
-		next, problems := current.Apply(revision+1, records)
+		next, problems := current.Apply(nextRevision(revision, store.CurrentEra(t)), records)
 		if len(problems) == 0 {
 			problems = newProblems(current.Check(), next.Check())
 		}
@@ -65,7 +65,7 @@
 // CheckNew returns a check that the record ref does not exist. A deleted record counts
 // as absent.
 func CheckNew(t store.TableService, ref record.Ref) Check {
-	return func(ctx context.Context, _ int64) error {
+	return func(ctx context.Context, _ store.Position) error {
 		e, err := Get(ctx, t, ref)
 		switch {
 		case errors.Is(err, store.ErrNotFound), err == nil && e.Deleted:
@@ -79,7 +79,7 @@
 
 // CombineChecks returns a check that runs the checks in order and returns the first error.
 func CombineChecks(checks ...Check) Check {
-	return func(ctx context.Context, revision int64) error {
+	return func(ctx context.Context, revision store.Position) error {
 		for _, check := range checks {
 			if err := check(ctx, revision); err != nil {
 				return err
--- a/configstore/write.go
+++ b/configstore/write.go
@@ -27,7 +27,7 @@
 // Check validates a change before it is written on top of the given revision.
 // store.ErrConflict and an unavailable table service start another attempt; any other
 // error rejects the change.
-type Check func(ctx context.Context, revision int64) error
+type Check func(ctx context.Context, revision store.Position) error
 
 // Writer writes changes. Each change has an operation id, which is recorded with the
 // change: no change is applied twice, whichever replies are lost, and a change that
@@ -45,14 +45,14 @@
 }
 
 // Write writes a change without a check. See Writer.Write.
-func Write(ctx context.Context, t store.TableService, c Change) (int64, error) {
+func Write(ctx context.Context, t store.TableService, c Change) (store.Position, error) {
 	return NewWriter(t, nil).Write(ctx, c)
 }
 
 // Write applies a change in one transaction and returns its revision. A record with a
 // non-zero Revision must still be at that revision. If Write fails, the change was
 // not applied, unless the error is an UnknownOutcomeError.
-func (w *Writer) Write(ctx context.Context, c Change) (int64, error) {
+func (w *Writer) Write(ctx context.Context, c Change) (store.Position, error) {
 	if len(c.Records) == 0 || len(c.Records) > maxChangeRecords {
 		return 0, fmt.Errorf("configstore: a change must have 1 to %d records, got %d", maxChangeRecords, len(c.Records))
 	}
@@ -76,7 +76,7 @@
 	lostReply error
 }
 
-func (cw *changeWrite) run(ctx context.Context) (int64, error) {
+func (cw *changeWrite) run(ctx context.Context) (store.Position, error) {
 	unansweredCount := 0
 	for range maxAttempts {
 		revision, err := cw.tryOnce(ctx)
@@ -100,7 +100,7 @@
 
 // resolveFailure determines the result of a write that failed with err. If the reply
 // to a commit was lost, that commit may have taken effect and may even have caused err.
-func (cw *changeWrite) resolveFailure(ctx context.Context, err error) (int64, error) {
+func (cw *changeWrite) resolveFailure(ctx context.Context, err error) (store.Position, error) {
 	if cw.lostReply == nil {
 		return 0, err
 	}
@@ -116,7 +116,7 @@
 }
 
 // tryOnce attempts to write the change on top of the current head.
-func (cw *changeWrite) tryOnce(ctx context.Context) (int64, error) {
+func (cw *changeWrite) tryOnce(ctx context.Context) (store.Position, error) {
 	t := cw.writer.tables
 	h, headVersion, err := readHead(ctx, t)
 	if err != nil {
@@ -133,8 +133,8 @@
 			return 0, err
 		}
 	}
-	cw.change.Revision = h.Revision + 1
-	txn, err := cw.transaction(headVersion)
+	cw.change.Revision = nextRevision(h.Revision, store.CurrentEra(t))
+	txn, err := cw.transaction(h.Revision, headVersion)
 	if err != nil {
 		return 0, err
 	}
@@ -147,7 +147,7 @@
 
 // lookUpOperation returns the revision recorded for the change's operation id, and
 // whether there is one.
-func (cw *changeWrite) lookUpOperation(ctx context.Context) (revision int64, found bool, err error) {
+func (cw *changeWrite) lookUpOperation(ctx context.Context) (revision store.Position, found bool, err error) {
 	row, err := cw.writer.tables.Get(ctx, tableOperations, cw.change.Operation)
 	if errors.Is(err, store.ErrNotFound) {
 		return 0, false, nil
@@ -166,8 +166,10 @@
 }
 
 // transaction returns the change as one transaction, conditional on the head
-// and on the operation not being recorded.
-func (cw *changeWrite) transaction(headVersion int64) (store.Txn, error) {
+// and on the operation not being recorded. It is also conditional on the change
+// that wrote the head: after a restore of the store, the head's version may be
+// that of another head.
+func (cw *changeWrite) transaction(head store.Position, headVersion int64) (store.Txn, error) {
 	c := cw.change
 	c.Records = append([]record.Envelope{}, c.Records...)
 	var txn store.Txn
@@ -190,6 +192,9 @@
 		{Table: tableHead, Key: headKey, Version: headVersion},
 		{Table: tableOperations, Key: c.Operation, Version: 0},
 	}
+	if head > 0 {
+		txn.Conditions = append(txn.Conditions, store.Condition{Table: tableChanges, Key: changeKey(head), Version: 1})
+	}
 	return txn, nil
 }
 
--- a/daemon/config.go
+++ b/daemon/config.go
@@ -32,13 +32,9 @@
 // readConfigChanges reads the head revision and, if it is above r.After, up to changesPerRead changes that
 // follow r.After.
 func (d *Daemon) readConfigChanges(ctx context.Context, r spread.ReadStore) spread.StoreAnswer {
-	head, err := configstore.ReadHead(ctx, d.platform)
-	if err != nil || head <= r.After {
-		return spread.StoreAnswer{ID: r.ID, Head: head, Err: err}
-	}
-	changes, err := configstore.ReadChanges(ctx, d.platform, r.After, changesPerRead)
-	answer := spread.StoreAnswer{ID: r.ID, Head: head, Err: err}
-	for _, change := range changes {
+	news, err := configstore.ReadNews(ctx, d.platform, r.After, changesPerRead)
+	answer := spread.StoreAnswer{ID: r.ID, Head: news.Head, Era: news.Era, Err: err}
+	for _, change := range news.Changes {
 		answer.Changes = append(answer.Changes, spread.FromEnvelopes(change.Revision, change.Records))
 	}
 	return answer
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -33,6 +33,8 @@
 	changes    []spread.Change
 	acceptedAt []time.Time
 	storeDown  bool
+	// era is the number of restores of the table service.
+	era int64
 	// storeHangs leaves reads unanswered, instead of failing them, while the table
 	// service is down.
 	storeHangs bool
@@ -68,6 +70,8 @@
 	acceptAnything bool
 	// noReads drops all reads of the table service.
 	noReads bool
+	// ignoreEra leaves the era out of all revisions.
+	ignoreEra bool
 }
 
 type hostListSnapshot struct {
@@ -276,11 +280,14 @@
 		if w.storeDown && w.storeHangs {
 			return
 		}
-		answer := spread.StoreAnswer{ID: r.ID, Head: int64(len(w.changes))}
+		answer := spread.StoreAnswer{ID: r.ID, Head: w.head(), Era: w.era}
 		if w.storeDown || h.storeUnreachable {
 			answer.Err = store.ErrUnavailable
 		} else {
-			answer.Changes = slices.Clone(w.changes[min(r.After, answer.Head):])
+			first := slices.IndexFunc(w.changes, func(c spread.Change) bool { return c.Revision > r.After })
+			if first >= 0 {
+				answer.Changes = slices.Clone(w.changes[first:])
+			}
 		}
 		w.after(time.Duration(w.rand.Int64N(int64(50*time.Millisecond))), func() {
 			if h.startCount == startNumber {
@@ -292,13 +299,25 @@
 
 // acceptChange adds an accepted change of one record.
 func (w *world) acceptChange(kind, name, spec string) {
-	revision := int64(len(w.changes) + 1)
+	revision := store.NewPosition(w.era, int64(len(w.changes)+1))
+	if w.mutant.ignoreEra {
+		revision = store.VersionOf(revision)
+	}
 	w.changes = append(w.changes, spread.FromEnvelopes(revision, []record.Envelope{{
 		Schema: 1 + int(revision)%2, Kind: record.Kind(kind), Name: name, Spec: []byte(spec),
 	}}))
 	w.acceptedAt = append(w.acceptedAt, w.now)
 }
 
+// head returns the newest revision in the table service.
+func (w *world) head() store.Position { return w.changes[len(w.changes)-1].Revision }
+
+// restore restores the table service from a copy that has the first n changes.
+func (w *world) restore(n int) {
+	w.changes, w.acceptedAt = slices.Clone(w.changes[:n]), slices.Clone(w.acceptedAt[:n])
+	w.era++
+}
+
 // recordHostList records the current host list each second.
 func (w *world) recordHostList() {
 	l := hostListSnapshot{at: w.now}
--- a/spread/changes.go
+++ b/spread/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -18,12 +19,12 @@
 
 // Change is one accepted configuration change: the records written at a revision.
 type Change struct {
-	Revision int64
+	Revision store.Position
 	Records  []wire.ConfigRecord
 }
 
 // FromEnvelopes returns the change that consists of the given records.
-func FromEnvelopes(revision int64, envelopes []record.Envelope) Change {
+func FromEnvelopes(revision store.Position, envelopes []record.Envelope) Change {
 	c := Change{Revision: revision, Records: make([]wire.ConfigRecord, 0, len(envelopes))}
 	for _, e := range envelopes {
 		c.Records = append(c.Records, wire.ConfigRecord{
@@ -82,13 +83,16 @@
 	return messages
 }
 
-// changeLog retains the newest changes, without gaps, for hosts that missed some.
+// changeLog retains the newest changes of one era, without gaps, for hosts that missed some.
 type changeLog struct {
 	changes []Change
 	bytes   int
 }
 
 func (l *changeLog) add(c Change) {
+	if len(l.changes) > 0 && store.EraOf(l.changes[0].Revision) != store.EraOf(c.Revision) {
+		l.clear()
+	}
 	l.changes = append(l.changes, c)
 	l.bytes += c.bytes()
 	for len(l.changes) > 1 && (len(l.changes) > maxKeptChanges || l.bytes > maxKeptChangeBytes) {
@@ -104,7 +108,7 @@
 
 // after returns the changes that follow a revision. It returns false if the first of
 // them is no longer retained.
-func (l *changeLog) after(revision int64) ([]Change, bool) {
+func (l *changeLog) after(revision store.Position) ([]Change, bool) {
 	if len(l.changes) == 0 || l.changes[0].Revision > revision+1 {
 		return nil, false
 	}
@@ -117,7 +121,7 @@
 
 // assembly collects the parts of one change.
 type assembly struct {
-	revision int64
+	revision store.Position
 	parts    [][]wire.ConfigRecord
 	missing  int
 }
--- a/spread/freshness.go
+++ b/spread/freshness.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -279,8 +280,20 @@
 	}
 }
 
-// shortRevision returns a revision as encoded in an Ack, capped at the maximum of
-// uint32.
-func shortRevision(revision int64) uint32 {
-	return uint32(min(revision, math.MaxUint32))
+// Fields of a short revision of an era above 0.
+const (
+	shortEraFlag    = 1 << 31
+	shortEraShift   = 21
+	maxShortEra     = shortEraFlag>>shortEraShift - 1
+	maxShortVersion = 1<<shortEraShift - 1
+)
+
+// shortRevision returns a revision as encoded in an Ack. The order of revisions is
+// kept; those above a field's maximum are equal.
+func shortRevision(revision store.Position) uint32 {
+	era, version := store.EraOf(revision), store.VersionOf(revision)
+	if era == 0 {
+		return uint32(min(version, shortEraFlag-1))
+	}
+	return uint32(shortEraFlag | min(era, maxShortEra)<<shortEraShift | min(version, maxShortVersion))
 }
--- a/spread/readers.go
+++ b/spread/readers.go
@@ -49,7 +49,7 @@
 	if m.readSentAt.IsZero() && m.readDue(now) {
 		m.readSentAt = now
 		m.readID++
-		m.decisions = append(m.decisions, ReadStore{ID: m.readID, After: m.config.Revision})
+		m.decisions = append(m.decisions, ReadStore{ID: m.readID, After: m.readBase()})
 	}
 	return m.takeDecisions()
 }
@@ -94,7 +94,11 @@
 		m.freshness.recordFailedRead(sentAt)
 		return m.takeDecisions()
 	}
-	m.install(a.Changes)
+	if m.needsRebuild(a) {
+		m.addToRebuild(a)
+	} else {
+		m.install(a.Changes)
+	}
 	switch {
 	case m.config.Revision < a.Head:
 		m.nextRead = now // the answer did not hold all changes
--- a/spread/snapshot.go
+++ b/spread/snapshot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -26,13 +27,13 @@
 }
 
 type bucket struct {
-	revision int64
+	revision store.Position
 	packed   []byte
 	records  []wire.ConfigRecord
 }
 
 type bucketParts struct {
-	revision int64
+	revision store.Position
 	parts    [][]byte
 	missing  int
 }
@@ -45,8 +46,8 @@
 
 // lowestRevision returns the lowest revision of the buckets. Every change after it
 // is needed.
-func (f *fetch) lowestRevision() int64 {
-	lowest := int64(math.MaxInt64)
+func (f *fetch) lowestRevision() store.Position {
+	lowest := store.Position(math.MaxInt64)
 	for _, b := range f.buckets {
 		lowest = min(lowest, b.revision)
 	}
@@ -55,8 +56,8 @@
 
 // highestRevision returns the highest revision of the buckets. The buckets form a
 // consistent state only when all of them have been brought to it.
-func (f *fetch) highestRevision() int64 {
-	highest := int64(0)
+func (f *fetch) highestRevision() store.Position {
+	highest := store.Position(0)
 	for _, b := range f.buckets {
 		highest = max(highest, b.revision)
 	}
@@ -162,8 +163,8 @@
 	if f == nil || !f.complete() {
 		return
 	}
-	if f.highestRevision() <= m.config.Revision {
-		m.fetch = nil
+	if f.highestRevision() <= m.config.Revision || store.EraOf(f.lowestRevision()) != store.EraOf(f.highestRevision()) {
+		m.fetch = nil // buckets of two eras are not of one history; the next heartbeat starts a new pull
 		return
 	}
 	records, between, ok := m.fetchedRecords()
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -7,6 +7,12 @@
 // force, so that a host that missed a change can pull it. A host without state
 // pulls a compressed snapshot of all records from another host.
 //
+// A revision is a store.Position, ordered by era and number. After a restore of
+// the store from a copy, hosts keep what they have until a change of the new era
+// is accepted. They then replace the whole configuration, since the restored
+// store may lack changes of the older era: no change of one era is applied to a
+// configuration of another.
+//
 // The package is a pure state machine: its inputs are messages, answers of the
 // table service and the current time; its outputs are decisions. It uses no
 // network, no operating system and no clock.
@@ -18,6 +24,7 @@
 	"time"
 
 	"github.com/jasminelock/jasminelock/record"
+	"github.com/jasminelock/jasminelock/store"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -58,7 +65,7 @@
 // The caller passes the answer to Machine.HandleStoreAnswer.
 type ReadStore struct {
 	ID    uint64
-	After int64
+	After store.Position
 }
 
 // ApplyConfig requests that a configuration be put in force.
@@ -78,8 +85,10 @@
 	ID uint64
 	// Head is the newest revision. Changes are the changes after ReadStore.After, in
 	// order and without gaps, but possibly only the first of them.
-	Head    int64
+	Head    store.Position
 	Changes []Change
+	// Era is the era of the store in which the head and the changes were read.
+	Era int64
 	// Err is non-nil if the service could not be read.
 	Err error
 }
@@ -105,12 +114,14 @@
 	members  []Host
 	contacts []string
 	// peerRevisions is the highest revision that each other host is known to have.
-	peerRevisions map[string]int64
+	peerRevisions map[string]store.Position
 	// pendingChanges holds changes that arrived before their predecessors, by revision.
-	pendingChanges map[int64]Change
+	pendingChanges map[store.Position]Change
 	assemblies     map[string]*assembly
 	lastPullAt     map[string]time.Time
 	fetch          *fetch
+	// rebuild collects the configuration of a restored store, nil if none is being read.
+	rebuild *rebuild
 
 	reader   bool
 	nextRead time.Time
@@ -126,14 +137,14 @@
 func New(self Host, readInterval time.Duration, random *rand.Rand) *Machine {
 	return &Machine{
 		self: self, readInterval: readInterval, rand: random, config: record.NewConfig(),
-		members: []Host{self}, peerRevisions: map[string]int64{}, pendingChanges: map[int64]Change{},
+		members: []Host{self}, peerRevisions: map[string]store.Position{}, pendingChanges: map[store.Position]Change{},
 		assemblies: map[string]*assembly{}, lastPullAt: map[string]time.Time{},
 		freshness: newFreshness(self),
 	}
 }
 
 // Revision returns the revision in force.
-func (m *Machine) Revision() int64 { return m.config.Revision }
+func (m *Machine) Revision() store.Position { return m.config.Revision }
 
 // IsReader reports whether this host is one of the readers of its zone, which read
 // the table service at the configured read interval.
@@ -188,7 +199,7 @@
 
 // HandlePeerRevision handles the revision in a heartbeat from another host. A revision above the
 // one in force leads to a pull.
-func (m *Machine) HandlePeerRevision(now time.Time, from string, revision int64) []Decision {
+func (m *Machine) HandlePeerRevision(now time.Time, from string, revision store.Position) []Decision {
 	if revision > m.peerRevisions[from] {
 		m.peerRevisions[from] = revision
 	}
@@ -209,7 +220,7 @@
 }
 
 // pullBase returns the revision after which changes are needed.
-func (m *Machine) pullBase() int64 {
+func (m *Machine) pullBase() store.Position {
 	if m.fetch != nil && m.fetch.complete() {
 		return max(m.fetch.lowestRevision(), m.config.Revision)
 	}
@@ -312,6 +323,7 @@
 // contains.
 func (m *Machine) activate(config *record.Config, problems []error) {
 	m.config = config
+	m.rebuild = nil
 	m.decisions = append(m.decisions, ApplyConfig{Config: config, Problems: problems})
 	for r := range m.pendingChanges {
 		if r <= config.Revision {
@@ -326,7 +338,7 @@
 
 // relay sends the changes after a revision to the contacts that are not known to
 // have them.
-func (m *Machine) relay(before int64) {
+func (m *Machine) relay(before store.Position) {
 	changes, kept := m.changes.after(before)
 	if !kept || len(changes) > maxRelayedChanges {
 		return
