outcome: a restore of the store does not let a request run a second time on its host

After a restore of the store from a copy without a claim, a caller that repeated its request with the idempotency key had it run a second time, also on the host that had run it: the row was missing, so the key could be claimed. A claim that had ended since the copy was in progress again, then unknown.

The memory takes precedence over the store, and is written again when a response states a newer era.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -186,6 +186,7 @@
 	group.Go(func() { d.watchHosts(ctx) })
 	group.Go(func() { d.watchUpstreams(ctx) })
 	group.Go(func() { d.sweepOutcomes(ctx) })
+	group.Go(func() { d.writeOutcomesAgain(ctx) })
 	d.log.Info("serving", "callers", d.CallerURL(), "operators", d.OperatorURL())
 	select {
 	case <-ctx.Done():
--- a/outcome/fake_test.go
+++ b/outcome/fake_test.go
@@ -32,6 +32,29 @@
 	reads   int
 	// faultFunc returns the fault of the next call; nil means no faults.
 	faultFunc func(write bool) fault
+	era       int64
+}
+
+// Era implements store.EraReporter.
+func (p *fakePlatform) Era() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.era
+}
+
+// copyRows returns a copy of the rows.
+func (p *fakePlatform) copyRows() map[string]store.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.rows)
+}
+
+// restore replaces the rows by a copy and raises the era. The objects stay.
+func (p *fakePlatform) restore(rows map[string]store.Row) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rows = maps.Clone(rows)
+	p.era++
 }
 
 func newFakePlatform() *fakePlatform {
--- a/outcome/finish.go
+++ b/outcome/finish.go
@@ -24,6 +24,7 @@
 	} else {
 		next.Object = "outcome/" + c.row.Operation
 	}
+	c.store.memory.set(c.key, next, a.Body, time.Now())
 	return c.finish(ctx, next, a.Body, CompleteTimeout)
 }
 
@@ -35,6 +36,7 @@
 	if ran == apierr.NotRun {
 		next.State = stateFree
 	}
+	c.store.memory.set(c.key, next, nil, time.Now())
 	c.finish(context.Background(), next, nil, 0)
 }
 
@@ -63,7 +65,11 @@
 		defer func() { <-s.finishSlots }()
 		finishCtx, cancel := context.WithTimeout(context.Background(), FinishTimeout)
 		defer cancel()
-		stored <- c.finishWithRetry(finishCtx, next, object)
+		ok := c.finishWithRetry(finishCtx, next, object)
+		if ok {
+			s.memory.refresh(c.key, c.row.Operation, time.Now())
+		}
+		stored <- ok
 		s.mu.Lock()
 		delete(s.abandoned, c.row.Operation)
 		s.mu.Unlock()
@@ -127,9 +133,13 @@
 
 // Sweep deletes the expired rows of one page of the table and the objects named in
 // them. It returns the key after which the next page starts, "" at the end of the
-// table. Rows that cannot be decoded are kept.
+// table. Rows that cannot be decoded are kept. It also forgets claims that are
+// older than MemoryTime.
 func (s *Store) Sweep(ctx context.Context, after string) (next string, err error) {
 	rows, err := s.tables.List(ctx, table, "", after, sweepPageRows)
+	if err == nil {
+		s.forgetStored(time.Now())
+	}
 	if err != nil || len(rows) == 0 {
 		return "", err
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -8,6 +8,11 @@
 // marked unknown. If the host that holds a claim crashes, the outcome counts as
 // unknown after the claim's deadline, because it cannot be determined whether
 // the request ran.
+//
+// A restore of the store from a copy loses the rows written since the copy. Each
+// host remembers its own claims for MemoryTime and writes them again; what it
+// remembers takes precedence over the store. A request whose row is lost and
+// whose host has ended may run a second time.
 package outcome
 
 import (
@@ -16,6 +21,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -87,6 +93,10 @@
 	// dispatch and whose rows have not been freed yet.
 	mu        sync.Mutex
 	abandoned map[string]bool
+
+	memory *memory
+	// writtenEra is the era of the store in which the remembered claims were last written again.
+	writtenEra atomic.Int64
 }
 
 // New returns a Store on the given table service and object store.
@@ -94,6 +104,7 @@
 	return &Store{
 		tables: tables, objects: objects,
 		finishSlots: make(chan struct{}, MaxPendingFinishes), abandoned: map[string]bool{},
+		memory: newMemory(),
 	}
 }
 
@@ -127,6 +138,7 @@
 		now = time.Now()
 		switch {
 		case decision == decisionOwned:
+			s.memory.set(c.key, c.row, nil, now)
 			return c, nil, nil
 		case decision == decisionReplay || decision == decisionReject:
 			return nil, answer, apiErr
@@ -143,8 +155,11 @@
 // decisionUnavailable means that the state of the row could not be determined.
 const decisionUnavailable claimDecision = 255
 
-// tryBegin makes one attempt to claim the key by inserting the claim's row.
+// tryBegin makes one attempt to claim the key by inserting the claim's row, unless this host remembers an earlier claim.
 func (s *Store) tryBegin(ctx context.Context, c *Claim) (claimDecision, *Answer, *apierr.Error) {
+	if decision, answer, apiErr := s.recall(ctx, c); decision != decisionClaim {
+		return decision, answer, apiErr
+	}
 	err := c.write(ctx, c.row)
 	if err == nil {
 		return decisionOwned, nil, nil
@@ -162,7 +177,7 @@
 	case err != nil:
 		return decisionUnavailable, nil, nil
 	}
-	decision, apiErr := evaluateRow(time.Now(), found, &c.row, s.isAbandoned)
+	decision, apiErr := evaluateRow(time.Now(), found, &c.row, c.isFreed)
 	switch decision {
 	case decisionOwned:
 		c.version = version
@@ -223,6 +238,11 @@
 	return decisionReplay, answer, nil
 }
 
+// isFreed reports whether an operation belongs to a claim of this host on the same key whose request did not run.
+func (c *Claim) isFreed(operation string) bool {
+	return c.store.isAbandoned(operation) || c.store.memory.isFree(c.key, operation)
+}
+
 func (s *Store) isAbandoned(operation string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
