assign: a measured pace is learned from shorter prompts and deviates later

A trace of all assignments against the oracle's choice, per cause: of the requests whose first token took more than 330 ms, 243 (mean regret 286 ms) went elsewhere as the oracle's engine had no unreserved room in its KV cache, also with a stated pace (275); 89 (339 ms) went to an engine in a slow turn that was not yet known, 32 with a stated pace; 146 (126 ms) avoided an engine that was wrongly believed to be slow, 62 with a stated pace.

Only prompts of 400 tokens on were measured, though the expected time includes the fixed cost of a step, so that a turn of 600 ms was noticed late; and a measurement 20% from the slow component counted as a deviation, less than measurements vary. Measured paces now use prompts of 200 tokens on and 40%. Stated paces are treated as before, as is the room in the KV cache.

--- a/assign/pace.go
+++ b/assign/pace.go
@@ -26,6 +26,9 @@
 	paceKeptFor  = 10 * time.Second
 	// samePaceRatio is the ratio up to which a pace does not count as deviating from the slow component.
 	samePaceRatio = 1.2
+	// sameMeasuredRatio is samePaceRatio for measurements, which vary with the step in progress and with prompts that
+	// share it. With 1.2, engines at their usual pace were believed to be slower for a moment.
+	sameMeasuredRatio = 1.4
 )
 
 // BoundPace returns a stated pace limited to what upstreams can have, and 0, which means not stated, for a figure that
@@ -85,7 +88,11 @@
 	}
 	p.fast, p.at = figure, now
 	slow := p.slowComponent(now)
-	deviates := max(figure/slow, slow/figure) > samePaceRatio
+	ratio := sameMeasuredRatio
+	if p.stated {
+		ratio = samePaceRatio
+	}
+	deviates := max(figure/slow, slow/figure) > ratio
 	switch {
 	case !deviates:
 		p.deviatesSince = time.Time{}
--- a/assign/remainingwork.go
+++ b/assign/remainingwork.go
@@ -22,6 +22,9 @@
 	minPrefillPerToken = assumedPrefillPerToken / 20
 	// longOutputTokens is the shortest output from which the time per token is measured.
 	longOutputTokens = 16
+	// minPaceTokens is the smallest prefill from which the pace is measured. It is below minMeasuredTokens, since firstTokenOverhead
+	// accounts for the fixed cost of a step, and slowness that lasts for momentaryPaceTime is seen only by frequent figures.
+	minPaceTokens = 200
 )
 
 // byWork reports whether requests are assigned to the upstream by its remaining work and its pace.
@@ -186,7 +189,11 @@
 // learnPrefillPace updates the prefill speed from the time to a first token: the pace if the upstream does not state
 // it, else the time per token at usual pace. Slow starts are not learned, since they end.
 func (u *upstream) learnPrefillPace(now time.Time, e *requestState) {
-	if u.engine == nil || e.adopted || e.prefillTokens+e.prefillAhead < minMeasuredTokens || u.slowStart.active(now) {
+	least := minPaceTokens
+	if u.pace.stated {
+		least = minMeasuredTokens
+	}
+	if u.engine == nil || e.adopted || e.prefillTokens+e.prefillAhead < least || u.slowStart.active(now) {
 		return
 	}
 	expected := u.prefillWork(e.prefillTokens+e.prefillAhead) + firstTokenOverhead
