assign: displaced requests are refused when their place is taken

The tolerance covered errors of the estimate. The rate of work was measured from a point at which upstreams were still busy with what they had been assigned before requests waited, and the estimate left out the rest of the work begun last. Where upstreams state their rates, the intervals between turns are computed from these.

A request is displaced if others have just put back its turn, more work goes before it than at its admission, and its turn comes too late. The tolerance remains after a loss of capacity, which the measured rate follows within seconds.

--- a/assign/line.go
+++ b/assign/line.go
@@ -35,6 +35,10 @@
 	pushedAtAdmission time.Duration
 	checkAt           time.Duration
 	checkIndex        int
+	// dueAtAdmission is the service's work that had been begun, or waited ahead of the request, at its admission,
+	// lossesAtAdmission the value of line.losses then.
+	dueAtAdmission    time.Duration
+	lossesAtAdmission int
 }
 
 // line holds the waiting requests of a ranked service in the order in which they are served.
@@ -58,8 +62,11 @@
 	// all were checked.
 	checkedAt   time.Time
 	checkedRate float64
-	// grants counts the requests assigned to upstreams.
+	// losses counts the losses of capacity after which all waiting requests were checked again.
+	losses int
+	// grants counts the requests assigned to upstreams, begun is the sum of their work.
 	grants uint64
+	begun  time.Duration
 	stats  *rankStats
 }
 
@@ -82,8 +89,10 @@
 	// requests by the delay at which they have to be checked again.
 	delay  time.Duration
 	checks checkHeap
-	// pushed is the part of delay for which more urgent requests or a loss of capacity are the reason.
-	pushed time.Duration
+	// pushed is the part of delay for which more urgent requests or a loss of capacity are the reason, pushedAt the time of
+	// the last such request.
+	pushed   time.Duration
+	pushedAt time.Time
 	// promisedUntil is the turn of the last refused caller that may return in time.
 	promisedUntil time.Time
 }
@@ -285,6 +294,7 @@
 		l.pushBack(rank, from, e, true)
 	} else if rank > from {
 		e.pushedAtAdmission--
+		r.pushedAt = l.rate.at
 	}
 	r.scheduleCheck(e, 0)
 }
@@ -292,7 +302,7 @@
 // startChecks schedules the checks of a request that was queued before the service became ranked.
 func (l *line) startChecks(e *requestState) {
 	r := l.ranks[e.waiting.CurrentRank()]
-	e.pushedAtAdmission = r.pushed
+	e.pushedAtAdmission, e.lossesAtAdmission = r.pushed, l.losses
 	r.scheduleCheck(e, 0)
 }
 
@@ -306,7 +316,7 @@
 	l.count--
 	e.waiting = nil
 	if l.count == 0 {
-		l.rate.saturated = false
+		l.rate.setSaturated(l.rate.at, false, l.prior.rate)
 	}
 	if q.ordered.Len() == 0 && q.headIndex > 0 {
 		heap.Remove(&l.heads, q.headIndex-1)
@@ -316,6 +326,7 @@
 // charge counts the work of a request that is assigned to an upstream.
 func (l *line) charge(now time.Time, e *requestState) {
 	l.grants++
+	l.begun += e.work
 	rank, organisation := e.request.Rank(), e.request.Organisation
 	if e.waiting != nil {
 		rank = e.waiting.CurrentRank()
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -77,6 +77,8 @@
 	}
 	l.admitted(now, t.rank, e)
 	e.estimatedTurn, e.pushedAtAdmission = t.wait, l.ranks[t.rank].pushed
+	e.dueAtAdmission = l.begun + t.present
+	e.lossesAtAdmission = l.losses
 	// A request that another Assigner had admitted was ahead of the others already.
 	l.pushBack(t.rank, len(l.ranks), e, !e.request.Admitted)
 	l.ranks[t.rank].scheduleCheck(e, e.lastUseful.Sub(now)-t.wait)
@@ -137,6 +139,9 @@
 	if shorter < 0 {
 		shorter = t.wait
 	}
+	// Requests that are yet to arrive count up to maxPromise.
+	waiting := time.Duration(float64(t.present) / l.rate.estimate(now, a.capacity(now, s).rate))
+	shorter = min(shorter, max(now.Add(waiting).Sub(e.lastUseful), 0)+maxPromise)
 	if host := e.request.ID.Host; !s.accepts(now, host) {
 		shorter = max(shorter, s.hostRetryDelay(now, host))
 	}
@@ -193,7 +198,7 @@
 func (a *Assigner) serveLine(now time.Time, s *service) {
 	l := s.line
 	l.sweep(now)
-	l.updateIntervals(now, l.rate.estimate(now, a.capacity(now, s).rate))
+	l.updateIntervals(now, a.workRate(now, s))
 	var tried []*queue
 	lacking := false
 	for failed := 0; failed < maxQueuesPerPass && len(tried) < maxHeadsPerPass; {
@@ -215,8 +220,7 @@
 	for _, q := range tried {
 		l.updateHead(now, q)
 	}
-	l.rate.advance(now)
-	l.rate.saturated = lacking
+	l.rate.setSaturated(now, lacking, a.capacity(now, s).rate)
 	// A request whose last useful moment is now has had its chance.
 	a.checkTurns(now, s)
 }
@@ -331,8 +335,8 @@
 		return
 	}
 	t := a.estimateTurn(now, s, e, withoutArrivals)
-	late := time.Duration((1-turnTolerance)*float64(t.wait)) - 2*t.perRequest() - e.lastUseful.Sub(now)
-	if late > 0 && r.pushed > e.pushedAtAdmission {
+	late := t.wait - e.lastUseful.Sub(now)
+	if s.line.displaces(r, e, t, late) {
 		a.refuseQueued(now, s, e, t, Displaced)
 		return
 	}
@@ -343,6 +347,17 @@
 	r.scheduleCheck(e, min(slack, e.lastUseful.Sub(now)))
 }
 
+// displaces reports whether a waiting request whose turn would come too late by the given time is displaced. It is if others
+// have just put back its turn and more work goes before it than at its admission, or if capacity has been lost. A change of
+// the estimate displaces no request.
+func (l *line) displaces(r *rankLine, e *requestState, t turnEstimate, late time.Duration) bool {
+	if l.losses > e.lossesAtAdmission && late > time.Duration(turnTolerance*float64(t.wait))+2*t.perRequest() {
+		return true
+	}
+	now := l.rate.at
+	return late > 0 && r.pushed > e.pushedAtAdmission && now.Sub(r.pushedAt) <= minCheckInterval && l.begun+t.present > e.dueAtAdmission
+}
+
 // pushBack records that a request that is new in a rank has put back the turns of the other organisations of that rank, by
 // fair sharing, and of the less urgent ranks before the given one. A request that displaces others has put back what was
 // admitted before it.
@@ -352,6 +367,7 @@
 		r.delay += d
 		if displaces && (i > 0 || r.othersWait(e.request.Organisation)) {
 			r.pushed += d
+			r.pushedAt = l.rate.at
 		}
 	}
 }
@@ -365,8 +381,9 @@
 	return others > 0
 }
 
-// pushAll has all waiting requests checked again.
+// pushAll has all waiting requests checked again after a loss of capacity.
 func (l *line) pushAll() {
+	l.losses++
 	for _, r := range l.ranks {
 		r.delay += maxKnownRetryAfter
 		r.pushed++
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -9,18 +9,14 @@
 )
 
 const (
-	// rateHalfLife is the half-life of the measured rate of work. priorTime is the time for which the theoretical rate
-	// counts in it. Within a second of a full queue, the measurement outweighs the prior.
-	rateHalfLife = 3 * time.Second
-	priorTime    = 250 * time.Millisecond
 	// capacityMaxAge is the time for which the theoretical rate of a service is reused.
 	capacityMaxAge = 100 * time.Millisecond
 	// maxServiceFraction is the maximum fraction of a request's time that it is assumed to need on the upstream. The
 	// expected output may be far from the real one.
 	maxServiceFraction = 0.5
-	// turnTolerance is the fraction by which the estimated turn of a waiting request may exceed what is useful, beside
-	// the time of two requests, before the request is displaced. An estimate that varies must not refuse admitted
-	// requests.
+	// turnTolerance is the fraction by which the estimated turn may be wrong: a request is admitted only if its turn may come
+	// later by that much. After a loss of capacity, a waiting request is displaced only if its turn comes too late by more
+	// than that and the time of two requests, since the measured rate of work follows within seconds.
 	turnTolerance = 0.05
 	// usualBacklog is the time for which a request usually waits on its engine for the prompts assigned before it.
 	usualBacklog = 120 * time.Millisecond
@@ -32,62 +28,6 @@
 	minRate = 1e-3
 )
 
-// workRate measures the work per time that a service begins while requests wait for capacity.
-type workRate struct {
-	work, busy float64
-	at         time.Time
-	// last is the work that was counted last, at lastAt.
-	last   float64
-	lastAt time.Time
-	// saturated is set while waiting requests lack capacity, as of the last pass.
-	saturated bool
-}
-
-// advance counts the time since the last call.
-func (r *workRate) advance(now time.Time) {
-	elapsed := now.Sub(r.at)
-	if elapsed <= 0 {
-		return
-	}
-	decay := math.Exp2(-float64(elapsed) / float64(rateHalfLife))
-	r.work *= decay
-	r.busy *= decay
-	r.last *= decay
-	if r.saturated && !r.at.IsZero() {
-		r.busy += elapsed.Seconds()
-	}
-	r.at = now
-}
-
-func (r *workRate) served(now time.Time, work time.Duration) {
-	r.advance(now)
-	if r.saturated {
-		r.work += work.Seconds()
-		r.last, r.lastAt = work.Seconds(), now
-	}
-}
-
-// estimate returns the rate of work, given the theoretical rate. At first, upstreams may still be busy with what another
-// Assigner has assigned to them, up to maxBacklog. That they begin nothing then is no measurement.
-func (r *workRate) estimate(now time.Time, prior float64) float64 {
-	r.advance(now)
-	if r.work == 0 && r.busy < maxBacklog.Seconds() {
-		return max(prior, minRate)
-	}
-	return max((r.work+prior*priorTime.Seconds())/(r.busy+priorTime.Seconds()), minRate)
-}
-
-// smooth returns the rate of work with the last work counted as it is done. Otherwise the rate varies by one request with
-// the time since that was begun, and with it the number of requests that one event displaces.
-func (r *workRate) smooth(now time.Time, prior float64) float64 {
-	rate := r.estimate(now, prior)
-	if r.last == 0 {
-		return rate
-	}
-	done := min(rate*now.Sub(r.lastAt).Seconds()/r.last, 1)
-	return max(rate+(done-0.5)*r.last/(r.busy+priorTime.Seconds()), minRate)
-}
-
 // capacityEstimate is what is known of the capacity of a service without a measurement.
 type capacityEstimate struct {
 	// rate is the work per time that the upstreams can do.
@@ -215,9 +155,11 @@
 type turnEstimate struct {
 	rank int
 	wait time.Duration
-	// ahead is the work of the requests that go before, count their approximate number.
-	ahead time.Duration
-	count float64
+	// ahead is the work of the requests that go before, count their approximate number. present is the part of ahead that
+	// waits already.
+	ahead   time.Duration
+	present time.Duration
+	count   float64
 	// request is the work of the request itself, in seconds.
 	request float64
 }
@@ -232,17 +174,22 @@
 	return fmt.Sprintf("rank %d, turn in %d ms, %.0f requests with %d ms of work ahead", t.rank, t.wait.Milliseconds(), t.count, t.ahead.Milliseconds())
 }
 
+// workRate returns the rate of work of a service: what its upstreams state, or else what is measured.
+func (a *Assigner) workRate(now time.Time, s *service) float64 {
+	c := a.capacity(now, s)
+	if _, _, limited := s.fleetRate(now); limited {
+		return max(c.rate, minRate)
+	}
+	return s.line.rate.estimate(now, c.rate)
+}
+
 // estimateTurn estimates the turn of a queued request.
 func (a *Assigner) estimateTurn(now time.Time, s *service, e *requestState, future arrivalForecast) turnEstimate {
 	c := a.capacity(now, s)
-	rate := max(c.rate, minRate)
+	t := s.line.estimate(now, e.waiting, a.workRate(now, s), future)
 	if _, _, limited := s.fleetRate(now); !limited {
-		rate = s.line.rate.estimate(now, c.rate)
-		if future == withoutArrivals {
-			rate = s.line.rate.smooth(now, c.rate)
-		}
+		t.wait += s.line.rate.untilNext(now, c.rate)
 	}
-	t := s.line.estimate(now, e.waiting, rate, future)
 	t.wait = min(max(t.wait, c.opensIn, s.rateWait(now, int(t.count))), maxKnownRetryAfter)
 	if !s.accepts(now, e.request.ID.Host) {
 		t.wait = max(t.wait, s.hostRetryDelay(now, e.request.ID.Host))
@@ -291,6 +238,9 @@
 			t.count += float64(urgent.count)
 		}
 		l.addShares(now, r, acct, own, arriving, &t)
+		if arriving == 0 {
+			t.present = t.ahead
+		}
 		t.wait = min(time.Duration(float64(t.ahead)/rate), maxKnownRetryAfter)
 		if t.wait-before < estimatePrecision || future == withoutArrivals {
 			break
