assign: learned speeds are no loss of capacity

Waiting requests were displaced although nothing had gone before them: 5 to 10 of 750 in a minute of one engine whose requests vary in cost unknown to the Assigner, without one urgent request.

The theoretical capacity contains the learned prefill speed, which varies with the requests. A dip by a tenth counted as a loss of capacity. The check now compares the capacity without learned speeds, which changes with the upstreams and their limits.

--- a/assign/line.go
+++ b/assign/line.go
@@ -58,7 +58,7 @@
 	prior   capacityEstimate
 	priorAt time.Time
 	sweptAt time.Time
-	// checkedAt is the time of the last check of waiting requests, checkedRate the greatest theoretical capacity since
+	// checkedAt is the time of the last check of waiting requests, checkedRate the greatest capacity since
 	// all were checked.
 	checkedAt   time.Time
 	checkedRate float64
--- a/assign/ranked.go
+++ b/assign/ranked.go
@@ -302,7 +302,7 @@
 // may have moved back by as much as it can afford.
 func (a *Assigner) checkTurns(now time.Time, s *service) {
 	l := s.line
-	if rate := a.capacity(now, s).rate; rate < lostCapacity*l.checkedRate {
+	if rate := a.capacity(now, s).stated; rate < lostCapacity*l.checkedRate {
 		l.pushAll()
 		l.checkedRate = rate
 	} else {
@@ -321,7 +321,8 @@
 	}
 }
 
-// lostCapacity is the fraction of a service's theoretical capacity below which all waiting requests are checked again.
+// lostCapacity is the fraction of a service's capacity below which all waiting requests are checked again. The capacity is
+// that without learned speeds, which vary with the requests.
 const lostCapacity = 0.9
 
 // checkTurn refuses a waiting request if its turn would come too late, else schedules its next check.
--- a/assign/rankeddisplaced_test.go
+++ b/assign/rankeddisplaced_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -108,6 +109,56 @@
 	}
 }
 
+// The cost of requests varies unknown to the Assigner, so that its estimates vary. Guards against waiting requests that are
+// displaced since an estimate has changed: there are none without urgent requests, and else no more than urgent ones.
+func TestRanked_VaryingEstimatesDisplaceNone(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(5) {
+		for _, sendsUrgent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d, urgent %t", seed, sendsUrgent), func(t *testing.T) { testVaryingEstimates(t, seed, sendsUrgent) })
+		}
+	}
+}
+
+func testVaryingEstimates(t *testing.T, seed uint64, sendsUrgent bool) {
+	w := newRankedSimulation(t, seed, 1, "a", "b")
+	w.prefillOfTokens, w.hidesCost = true, true
+	const usefulFor = 6*time.Second - 2000*assumedPrefillPerToken - 50*typicalTokenTime
+	random := rand.New(rand.NewPCG(seed, 3))
+	number, urgent, early, told := uint64(0), 0, 0, map[RequestID]bool{}
+	for step := range 600 {
+		for range 2 {
+			number++
+			w.submit(number, "a", func(r *Request) {
+				r.Priority, r.PromptTokens = 2, int(2000*math.Exp(0.5*random.NormFloat64()-0.125))
+				r.Target, r.Deadline = w.now.Add(2*time.Second), w.now.Add(6*time.Second)
+			})
+		}
+		if sendsUrgent && step%10 == 5 {
+			urgent++
+			w.submit(1_000_000+number, "b", func(r *Request) {
+				r.PromptTokens, r.Target, r.Deadline = 2000, w.now.Add(2*time.Second), w.now.Add(4*time.Second)
+			})
+		}
+		for range 10 {
+			w.run(10 * time.Millisecond)
+			for id, refusal := range w.refused {
+				if refusal.Rule == Displaced && !told[id] {
+					told[id] = true
+					if w.now.Sub(w.submittedAt[id]) < usefulFor-20*time.Millisecond {
+						early++
+					}
+				}
+			}
+		}
+	}
+	for id := range w.refused {
+		require.Less(t, id.Number, uint64(1_000_000))
+	}
+	t.Logf("%d urgent requests, %d displaced, %d of them before their last useful moment, %d granted", urgent, len(told), early, len(w.granted))
+	require.LessOrEqual(t, early, urgent)
+}
+
 // Waiting requests have aged, or are about to age again, when urgent ones arrive. Guards against callers of displaced
 // requests that are told only at their last useful moment, and are told then that nothing has displaced them.
 func TestRanked_AgedAreToldAtOnce(t *testing.T) {
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -30,8 +30,9 @@
 
 // capacityEstimate is what is known of the capacity of a service without a measurement.
 type capacityEstimate struct {
-	// rate is the work per time that the upstreams can do.
-	rate float64
+	// rate is the work per time that the upstreams can do. stated is the same at the speeds and costs that are assumed of all
+	// upstreams and requests: it changes with the upstreams and their limits, and not with what is learned.
+	rate, stated float64
 	// opensIn is the time until the first upstream may be assigned requests.
 	opensIn time.Duration
 	// requestTime is the mean time of a request of a plain service.
@@ -64,8 +65,9 @@
 		present++
 		c.requestTime += u.requestTime
 		c.opensIn = min(c.opensIn, max(u.fullUntil.Sub(now), 0))
-		rate, gap := u.workRate(now, meanWork)
+		rate, stated, gap := u.workRate(now, meanWork)
 		c.rate += rate
+		c.stated += stated
 		c.gap = max(c.gap, gap)
 	}
 	c.requestTime /= time.Duration(max(present, 1))
@@ -90,13 +92,14 @@
 // maxGap bounds the time between two requests to an upstream that is taken into account.
 const maxGap = time.Second
 
-// workRate returns the theoretical rate of work of an upstream, and the time between two requests that its own limits
-// impose.
-func (u *upstream) workRate(now time.Time, meanWork time.Duration) (float64, time.Duration) {
-	rate := float64(assumedPrefillPerToken) / float64(max(u.prefillPerToken, 1))
+// workRate returns the theoretical rate of work of an upstream, the rate without what is learned, and the time between two
+// requests that its own limits impose.
+func (u *upstream) workRate(now time.Time, meanWork time.Duration) (rate, stated float64, gap time.Duration) {
+	rate, stated = float64(assumedPrefillPerToken)/float64(max(u.prefillPerToken, 1)), 1
 	limit := math.Inf(1)
 	if u.engine == nil {
-		rate = float64(max(u.record.Slots, 1)) * float64(assumedRequestTime) / float64(max(u.requestTime, 1))
+		stated = float64(max(u.record.Slots, 1))
+		rate = stated * float64(assumedRequestTime) / float64(max(u.requestTime, 1))
 	}
 	if u.rateLimit != nil {
 		limit = u.rateLimit.Rate(now)
@@ -104,11 +107,11 @@
 	if u.slowStart.active(now) {
 		limit = min(limit, slowStartFraction*u.slowStart.limits.RequestsPerSecond*u.slowStart.options.Share)
 	}
-	gap := time.Duration(float64(time.Second) / max(limit, 1/maxGap.Seconds()))
+	gap = time.Duration(float64(time.Second) / max(limit, 1/maxGap.Seconds()))
 	if math.IsInf(limit, 1) {
 		gap = 0
 	}
-	return min(rate, limit*meanWork.Seconds()), gap
+	return min(rate, limit*meanWork.Seconds()), min(stated, limit*assumedRequestTime.Seconds()), gap
 }
 
 // lastUseful returns the last time at which it is of use to assign a request to an upstream: its deadline less the time
