--- a/assign/ranked_test.go
+++ b/assign/ranked_test.go
@@ -155,7 +155,7 @@
 	for i := range next {
 		next[i] = w.now.Add(time.Duration(random.ExpFloat64() / loads[i].perSecond * float64(time.Second)))
 	}
-	number, submitted := uint64(10_000), map[RequestID]bool{}
+	number, submitted := uint64(10_000+len(w.submittedAt)), map[RequestID]bool{}
 	for end := w.now.Add(d); w.now.Before(end); w.run(time.Millisecond) {
 		for i, o := range loads {
 			for !next[i].After(w.now) {
