outcome: remembered claims take 1/16 of the memory at most

Hosts of jasminelockd with 184 MB could hold up to about 100 MB of claims of idempotency keys that they remember for a restore of the store: 32 MiB of answers and 65,536 claims, whatever the memory. TestLimitMemory guards the bound.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,6 +36,9 @@
 // stated. Near it the garbage collector runs more often.
 const memoryLimitShare = 0.6
 
+// outcomeMemoryDivisor is the memory of the process, if it is stated, over that for remembered claims of idempotency keys.
+const outcomeMemoryDivisor = 16
+
 // Daemon is one host.
 type Daemon struct {
 	settings       *settings.Settings
@@ -101,6 +104,9 @@
 	}
 	d.stopping, d.stop = context.WithCancel(context.Background())
 	d.outcomes = outcome.New(d.platform, d.platform.Objects())
+	if s.MemoryMB > 0 {
+		d.outcomes.LimitMemory(int64(s.MemoryMB) << 20 / outcomeMemoryDivisor)
+	}
 	c := core.New(core.Options{
 		Board: d.board, Limiter: newLimiter(s), Scheduler: newScheduler(s),
 		Host: s.Host, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/outcome/memory.go
+++ b/outcome/memory.go
@@ -14,6 +14,8 @@
 	// first; a body that exceeds the bound is left to the store.
 	maxMemoryClaims = 1 << 16
 	maxMemoryBytes  = 32 << 20
+	// claimBytes is the memory that a claim takes besides the body of its answer.
+	claimBytes = 1 << 10
 )
 
 // memory holds the last state of each claim of this host, so that a restore of the store does not revert it.
@@ -25,6 +27,8 @@
 	queue []queued
 	count uint64
 	bytes int
+	// maxClaims and maxBytes bound the claims and the bodies.
+	maxClaims, maxBytes int
 }
 
 type queued struct {
@@ -42,7 +46,16 @@
 	bodyless bool
 }
 
-func newMemory() *memory { return &memory{claims: map[string]*remembered{}} }
+func newMemory() *memory {
+	return &memory{claims: map[string]*remembered{}, maxClaims: maxMemoryClaims, maxBytes: maxMemoryBytes}
+}
+
+// LimitMemory bounds what the claims that this host remembers take, half of it for their answers. It is called before the first
+// Begin.
+func (s *Store) LimitMemory(bytes int64) {
+	s.memory.maxClaims = int(min(bytes/2/claimBytes, maxMemoryClaims))
+	s.memory.maxBytes = int(min(bytes/2, maxMemoryBytes))
+}
 
 // set records the state of a claim and forgets what exceeds the bounds.
 func (m *memory) set(key string, r row, body []byte, now time.Time) {
@@ -50,12 +63,12 @@
 	defer m.mu.Unlock()
 	m.remove(key)
 	c := &remembered{row: r, body: body}
-	if m.bytes+len(body) > maxMemoryBytes {
+	if m.bytes+len(body) > m.maxBytes {
 		c.body, c.row.Body, c.bodyless = nil, nil, true
 	}
 	m.bytes += len(c.body)
 	m.add(key, c, now)
-	for len(m.claims) > maxMemoryClaims || len(m.queue) > 4*maxMemoryClaims {
+	for len(m.claims) > m.maxClaims || len(m.queue) > 4*m.maxClaims {
 		m.forgetOldest()
 	}
 }
--- a/outcome/restore_test.go
+++ b/outcome/restore_test.go
@@ -157,3 +157,17 @@
 	require.Len(t, m.claims, maxMemoryClaims)
 	require.LessOrEqual(t, len(m.queue), 4*maxMemoryClaims)
 }
+
+// Guards against remembered claims that take 100 MB on hosts with less memory.
+func TestLimitMemory(t *testing.T) {
+	s := New(nil, nil)
+	s.LimitMemory(1 << 20)
+	for i := range 4096 {
+		s.memory.set(fmt.Sprint(i), row{}, make([]byte, 1<<10), time.Now())
+		require.LessOrEqual(t, s.memory.bytes+claimBytes*len(s.memory.claims), 1<<20)
+	}
+	require.Len(t, s.memory.claims, 512)
+	require.NotNil(t, s.memory.get("4095"))
+	s.LimitMemory(1 << 40)
+	require.Equal(t, []int{maxMemoryClaims, maxMemoryBytes}, []int{s.memory.maxClaims, s.memory.maxBytes})
+}
