intake: the limits of descriptors together stay below their number

Callers' connections (half), those to upstreams for their requests (half) and idle ones to upstreams (a quarter) added up to 1.25 times the descriptors. Hosts of the users' deployments are bounded by memory first and keep their limits; with 4 GB and 4,100 descriptors, connections were the last to be refused.

--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -80,6 +80,21 @@
 	require.True(t, a.BodyRead(c))
 }
 
+// Guards against limits that together exceed the descriptors: with a share of one half, callers' connections, those to upstreams
+// and idle ones added up to 1.25 times as many.
+func TestLimits_SumOfDescriptors(t *testing.T) {
+	for _, memory := range []int64{144 * mb, 4096 * mb, 1 << 40} {
+		for _, descriptors := range []int{400, 3075, 4100, 65_536} {
+			shares := intake.DefaultShares()
+			for _, shares.Descriptors = range []float64{0.1, 0.4, 0.5} {
+				l := intake.NewLimits(memory, descriptors, shares)
+				sum := 2*l.Connections + l.IdleUpstreamConnections + intake.ReservedDescriptors
+				require.LessOrEqual(t, sum, descriptors+8, "at least 8 idle connections are kept")
+			}
+		}
+	}
+}
+
 // Bodies that have stopped must give way to a body that arrives, although they lack only a byte.
 func TestReserve_StoppedBodiesGiveWay(t *testing.T) {
 	a := newAccount(t, testLimits())
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -74,15 +74,16 @@
 	Memory float64
 	// Connection and Key are the shares that one connection and one key may have of the memory besides connections.
 	Connection, Key float64
-	// Descriptors is the share of the descriptors that callers' connections may take, after ReservedDescriptors. The others
-	// are for connections to upstreams, hosts and the store.
+	// Descriptors is the share of the descriptors that callers' connections may take, after ReservedDescriptors. Each may have a
+	// request under way, with a connection to an upstream. Idle connections to upstreams take half of the remaining share, or
+	// what these leave if that is less.
 	Descriptors float64
 }
 
 // DefaultShares returns the shares of a process whose settings name none. On the smallest host of the users' deployments, with
 // 144 MB and 3,075 descriptors, they allow 658 connections and 18 MB besides.
 func DefaultShares() Shares {
-	return Shares{Memory: 0.25, Connection: 0.5, Key: 0.75, Descriptors: 0.5}
+	return Shares{Memory: 0.25, Connection: 0.5, Key: 0.75, Descriptors: 0.4}
 }
 
 // ReservedDescriptors is the number of descriptors that are not for connections: files, listeners and the runtime's own.
@@ -95,10 +96,10 @@
 func NewLimits(memory int64, descriptors int, s Shares) Limits {
 	half := s.Memory * float64(memory) / 2
 	free := float64(descriptors - ReservedDescriptors)
-	byDescriptors := int(s.Descriptors * free)
+	connections := max(minConnections, min(int(half/ConnectionBytes), int(s.Descriptors*free)))
 	return Limits{
-		Bytes: int64(half), Connections: max(minConnections, min(int(half/ConnectionBytes), byDescriptors)),
-		IdleUpstreamConnections: max(minConnections, int((1-s.Descriptors)/2*free)),
+		Bytes: int64(half), Connections: connections,
+		IdleUpstreamConnections: max(minConnections, min(int((1-s.Descriptors)/2*free), int(free)-2*connections)),
 		PerConnection:           int64(s.Connection * half), PerKey: int64(s.Key * half),
 	}
 }
--- a/settings/callers.go
+++ b/settings/callers.go
@@ -10,7 +10,7 @@
 	// hold. Defaults 0.5 and 0.75.
 	ConnectionShare float64 `json:"connection_share,omitzero"`
 	KeyShare        float64 `json:"key_share,omitzero"`
-	// DescriptorShare is the share of the descriptors, less 200, for callers' connections. Default 0.5.
+	// DescriptorShare is the share of the descriptors, less 200, for callers' connections. Default 0.4.
 	DescriptorShare float64 `json:"descriptor_share,omitzero"`
 }
 
