assign: an arrival visits a logarithmic part of its organisation's queue

Callers saw arrivals take longer the more requests of their own organisation waited: 86 us with 1,000 and 4.5 ms with 10,000 at 30 engines (arrival and withdrawal, BenchmarkRankedArrival), during which the leader decides nothing else.

Cause: the estimate of the turn summed the work of all requests of the organisation for the adapter, and the checks of the requests that the arrival puts back collected and sorted them.

The requests of an organisation are now kept in balanced trees: by due time, with the sums of work and with the least and the greatest time that requests have left at their turns; the late ones apart; and the adapters by their work.

TestRanked_ArrivalCostLogarithmicInOwnQueue counts visits. TestAccount_SameAsReference compares work, count and both checks with a computation over all requests, in 60,000 random states. TestAccount_ChecksOfSteadyQueue covers requests that are evenly spaced.

--- a/assign/feasible.go
+++ b/assign/feasible.go
@@ -1,19 +1,6 @@
 package assign
 
-import (
-	"slices"
-	"time"
-)
-
-// dueBefore reports whether an entry must be served before another one of the same organisation and rank, if both are
-// to be served in time. The order in which they are served is another one, since fresh requests go before late ones
-// that can wait; but a late request goes first when its last useful moment is close.
-func dueBefore(x, y *waitingEntry) bool {
-	if !x.LastUseful.Equal(y.LastUseful) {
-		return x.LastUseful.Before(y.LastUseful)
-	}
-	return x.Sequence() < y.Sequence()
-}
+import "time"
 
 // endangersOthers reports whether an entry would put another one of the same organisation, rank and adapter, which has to
 // be served after it, past its last useful moment. An admitted request is served, so the entry is not admitted then.
@@ -21,28 +8,47 @@
 	interval, margin := l.interval(entry)
 	rank := l.ranks[entry.CurrentRank()]
 	held := rank.accounts[entry.Organisation].adapters[adapterKey(&entry.Value.request)]
-	return held.losesLater(now, entry, margin, func(ahead int) time.Duration { return min(interval*time.Duration(ahead), rank.drain) })
+	return held.losesLater(now, entry, turnTimes{interval: interval, margin: margin, drain: rank.drain})
 }
 
-// losesLater reports whether an entry that is due after the given one is put past its last useful moment by it, given the
-// time until the turn of an entry that has others ahead of it.
-func (h *adapterAccount) losesLater(now time.Time, entry *waitingEntry, margin time.Duration, turn func(ahead int) time.Duration) bool {
-	var later []*waitingEntry
-	before := 0
-	for other := range h.entries {
-		switch {
-		case other == entry:
-		case dueBefore(other, entry):
-			before++
-		default:
-			later = append(later, other)
-		}
+// turnTimes are the times of an adapter's turns.
+type turnTimes struct {
+	// interval is the expected time between two turns, margin the time by which a turn may come later.
+	interval, margin time.Duration
+	// drain is the time in which all that waits can be done.
+	drain time.Duration
+}
+
+// turn returns the time until the turn of an entry that has others ahead of it.
+func (t turnTimes) turn(ahead int) time.Duration {
+	return min(t.interval*time.Duration(ahead), t.drain)
+}
+
+// losesLater reports whether an entry that is due after the given one is put past its last useful moment by it.
+func (h *adapterAccount) losesLater(now time.Time, entry *waitingEntry, t turnTimes) bool {
+	entries := &h.entries
+	// The given entry is at this index. It does not count among those ahead of the later ones.
+	index := h.before(entry).items
+	if index+1 >= entries.len() {
+		return false
 	}
-	slices.SortFunc(later, func(x, y *waitingEntry) int { return x.LastUseful.Compare(y.LastUseful) })
-	for i, other := range later {
-		left := other.LastUseful.Sub(now)
-		if turn(before+i) <= left && turn(before+i+1)+margin > left {
+	entries.setInterval(t.interval)
+	since := entries.dueSince(now)
+	for index++; index < entries.len(); {
+		left := entries.at(index).LastUseful.Sub(now)
+		switch {
+		case t.turn(index-1) > left:
+			// It is lost already. The next one that is not has its turn in time, or all that waits can be done in its time.
+			drained := now.Add(t.drain)
+			all := entries.before(func(e *waitingEntry) bool { return !e.LastUseful.Before(drained) }).items
+			index = min(entries.firstFrom(index+1, since-t.interval), max(all, index+1))
+		case t.turn(index)+t.margin > left:
 			return true
+		case t.drain+t.margin <= left:
+			return false
+		default:
+			// Turns come later by at most the interval for each entry, so the next one with less time is not lost already.
+			index = entries.firstBelow(index+1, since+t.margin)
 		}
 	}
 	return false
@@ -67,7 +73,8 @@
 		return false
 	}
 	interval, margin := l.interval(entry)
-	for _, held := range acct.adapters {
+	acct.expire(now)
+	for held := range acct.withLate {
 		if held.losesLate(now, interval, margin) {
 			return true
 		}
@@ -81,19 +88,13 @@
 
 // losesLate reports whether a late entry will not be served in time if all entries that are on time go before it.
 func (h *adapterAccount) losesLate(now time.Time, interval, margin time.Duration) bool {
-	var late []*waitingEntry
-	for entry := range h.entries {
-		if now.After(entry.Target) {
-			late = append(late, entry)
-		}
-	}
-	slices.SortFunc(late, func(x, y *waitingEntry) int { return x.LastUseful.Compare(y.LastUseful) })
-	onTime := len(h.entries) - len(late)
-	for i, entry := range late {
-		left := entry.LastUseful.Sub(now)
-		if turn := interval * time.Duration(i+onTime); turn+margin > left && left > interval {
-			return true
-		}
+	late := &h.late
+	next := now.Add(interval)
+	from := late.before(func(e *waitingEntry) bool { return e.LastUseful.After(next) }).items
+	if from == late.len() {
+		return false
 	}
-	return false
+	late.setInterval(interval)
+	onTime := time.Duration(h.entries.len() - late.len())
+	return late.firstBelow(from, late.dueSince(now)+interval*onTime+margin) < late.len()
 }
--- a/assign/line.go
+++ b/assign/line.go
@@ -68,6 +68,7 @@
 	grants uint64
 	begun  time.Duration
 	stats  *rankStats
+	trees  *accountTrees
 }
 
 // rankLine holds what is counted for the waiting requests of one rank.
@@ -97,39 +98,8 @@
 	promisedUntil time.Time
 }
 
-// account holds what is counted for an organisation in one rank. It is kept for some time after its last request.
-type account struct {
-	organisation string
-	// index is the account's place in rankLine.list.
-	index int
-	// number is the place in the order in which organisations began to wait, which decides between equal counters.
-	number uint64
-	// served is the organisation's counter, copied here since estimates visit all accounts.
-	served float64
-	// rate is the organisation's configured rate, 0 for none.
-	rate float64
-	// arrivals is the rate of work of the organisation's requests, admitted or not; arrivalRate is its value as of
-	// arrivalRateAt.
-	arrivals      decayingRate
-	arrivalRate   float64
-	arrivalRateAt time.Time
-	// done is the rate of the work that is begun for the organisation.
-	done decayingRate
-	// order holds the counters that share an organisation's turns between its adapters.
-	order    *fairshare.Counters
-	work     time.Duration
-	count    int
-	adapters map[string]*adapterAccount
-}
-
-// adapterAccount holds the waiting requests of an organisation for one adapter, in one rank.
-type adapterAccount struct {
-	work    time.Duration
-	entries map[*waitingEntry]struct{}
-}
-
 func newLine(s *service, w weights, stats *rankStats) *line {
-	l := &line{service: s, weights: w, stats: stats}
+	l := &line{service: s, weights: w, stats: stats, trees: newAccountTrees(&stats.visited)}
 	l.queueOptions = fairshare.Options[*requestState]{
 		Counters:  func(rank int) *fairshare.Counters { return l.rank(rank).counters },
 		AgingTime: agingTime, AgingRanks: routeRanks, Moved: l.moved, Interval: l.interval,
@@ -176,18 +146,8 @@
 		l.stats.accounts++
 		acct.number = l.stats.accounts
 	}
-	name := adapterKey(&entry.Value.request)
-	held, ok := acct.adapters[name]
-	if !ok {
-		held = &adapterAccount{entries: map[*waitingEntry]struct{}{}}
-		acct.adapters[name] = held
-	}
-	acct.order.AddWaiting(name)
+	acct.add(entry)
 	acct.served = r.counters.Served(entry.Organisation)
-	held.entries[entry] = struct{}{}
-	held.work += entry.Work
-	acct.work += entry.Work
-	acct.count++
 	r.work += entry.Work
 	r.count++
 }
@@ -196,16 +156,8 @@
 func (l *line) uncountEntry(entry *waitingEntry, rank int) {
 	r := l.ranks[rank]
 	acct := r.accounts[entry.Organisation]
-	name := adapterKey(&entry.Value.request)
-	held := acct.adapters[name]
-	delete(held.entries, entry)
-	held.work -= entry.Work
-	acct.order.RemoveWaiting(name)
-	if len(held.entries) == 0 {
-		delete(acct.adapters, name)
-	}
-	acct.work -= entry.Work
-	if acct.count--; acct.count == 0 {
+	acct.remove(entry)
+	if acct.count == 0 {
 		r.waiting--
 	}
 	r.work -= entry.Work
@@ -219,6 +171,8 @@
 		acct = &account{
 			organisation: organisation, index: len(r.list), rate: l.weights.configured(organisation),
 			arrivals: decayingRate{halfLife: arrivalHalfLife}, done: decayingRate{halfLife: doneHalfLife}, order: fairshare.NewCounters(), adapters: map[string]*adapterAccount{},
+			byWork: sumTree[*adapterAccount]{kind: &l.trees.byWork}, onTime: sumTree[*waitingEntry]{kind: &l.trees.byTarget},
+			withLate: map[*adapterAccount]struct{}{}, kinds: l.trees,
 		}
 		r.accounts[organisation] = acct
 		r.list = append(r.list, acct)
--- a/assign/turn.go
+++ b/assign/turn.go
@@ -59,6 +59,7 @@
 	c := capacityEstimate{opensIn: maxKnownRetryAfter}
 	present, paused := 0, s.allPaused(now)
 	for _, u := range s.upstreams {
+		a.rankStats.scanned++
 		if u.draining() || (now.Before(u.pausedUntil) && !paused) {
 			continue
 		}
@@ -285,28 +286,6 @@
 	}
 }
 
-// ahead returns the work of an organisation that has to be done before one of its entries, and the approximate number
-// of requests. An entry that would put others of its organisation past their last useful moment is late itself.
-func (c *account) ahead(entry *waitingEntry) (time.Duration, float64) {
-	name := adapterKey(&entry.Value.request)
-	own, count := time.Duration(0), 0.0
-	for other := range c.adapters[name].entries {
-		if other != entry && dueBefore(other, entry) {
-			own += other.Work
-			count++
-		}
-	}
-	total, share := own, own+2*entry.Work
-	for other, held := range c.adapters {
-		if other != name {
-			served := min(held.work, share)
-			total += served
-			count += float64(len(held.entries)) * float64(served) / max(float64(held.work), 1)
-		}
-	}
-	return total, count
-}
-
 // scheduleCheck schedules the next check of a request, after its turn may have moved back by the given time.
 func (r *rankLine) scheduleCheck(e *requestState, slack time.Duration) {
 	e.checkAt = r.delay + max(slack, minCheckInterval)
