daemon: metrics and one log line for each restore of the store

Operators of jasminelockd could not see a restore of the store from a copy in the metrics. A host that started in a later era logged a restore that it had not seen, and a host that could not write its claims again logged a warning every 100 ms.

store.Client counts the rises of the era since its first response. The daemon logs one line per restore with the era, the revision in force, the revision that the copy lists, and the claims written again; a failure is logged once per era.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,6 +50,7 @@
 	platform       *store.Client
 	upstreamClient *upstream.Client
 	outcomes       *outcome.Store
+	restores       restoreRecord
 
 	// links carries messages to other hosts. It is nil if listen.peers is empty.
 	links *peer.Links
@@ -136,7 +137,7 @@
 		return nil, err
 	}
 	d.fleet = newFleetController(d, d.entry())
-	if err := d.registerFleetMetrics(); err != nil {
+	if err := errors.Join(d.registerFleetMetrics(), d.registerStoreMetrics()); err != nil {
 		return nil, eris.Wrap(err, "metrics")
 	}
 	return d, nil
@@ -192,7 +193,7 @@
 	group.Go(func() { d.watchHosts(ctx) })
 	group.Go(func() { d.watchUpstreams(ctx) })
 	group.Go(func() { d.sweepOutcomes(ctx) })
-	group.Go(func() { d.writeOutcomesAgain(ctx) })
+	group.Go(func() { d.watchEra(ctx) })
 	d.log.Info("serving", "callers", d.CallerURL(), "operators", d.OperatorURL())
 	select {
 	case <-ctx.Done():
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -32,6 +32,8 @@
 	url      string
 	hosts    []*daemon.Daemon
 	stopped  []chan struct{}
+	// logged is what all hosts have logged.
+	logged logBuffer
 }
 
 // waitTimeout is the maximum time that a condition is waited for. It is reached only on a failure.
@@ -74,7 +76,7 @@
 		"platform":{"url":%q},"fleet":{"hosts":%d},"drain":{"locate_wait":"300ms"}}`, name, zone, d.url, fleet)
 	s, err := settings.Parse("test", []byte(raw))
 	require.NoError(d.t, err)
-	h, err := daemon.New(s, hclog.NewNullLogger())
+	h, err := daemon.New(s, hclog.New(&hclog.LoggerOptions{Output: &d.logged, JSONFormat: true}))
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
--- a/daemon/outcomes.go
+++ b/daemon/outcomes.go
@@ -30,21 +30,6 @@
 	}
 }
 
-// eraCheckInterval is how often this host checks whether a response of the store has stated a newer era.
-const eraCheckInterval = 100 * time.Millisecond
-
-// writeOutcomesAgain writes the claims of this host again after each restore of the store, until the context ends.
-func (d *Daemon) writeOutcomesAgain(ctx context.Context) {
-	every(ctx, eraCheckInterval, func() {
-		if !d.outcomes.NeedsWriteAgain() {
-			return
-		}
-		result, err := d.outcomes.WriteAgain(ctx)
-		d.log.Warn("store restored from a copy; idempotency keys of this host written again",
-			"era", d.platform.Era(), "written", result.Written, "taken_by_others", result.Taken, "error", err)
-	})
-}
-
 // waitForOutcomes waits until the end of every claim has been written, so that the outcome of no
 // idempotency key is left unknown when this host leaves. It gives up when the context ends. It must be
 // called only after every request has ended.
--- a/store/era_test.go
+++ b/store/era_test.go
@@ -7,13 +7,19 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jasminelock/jasminelock/standin"
+	platformstandin "github.com/jasminelock/jasminelock/standin/platform"
 	"github.com/jasminelock/jasminelock/store"
 )
 
 // Guards against a stand-in that states an era before a restore, keeps writes made since the copy or does not issue
 // versions again, since tests of restores would then pass for the wrong reason.
 func TestPlatform_Restore(t *testing.T) {
-	p, c := startPlatform(t)
+	p := platformstandin.New()
+	server, err := standin.Serve("127.0.0.1:0", p)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	c := store.NewClient(server.URL, timeout)
 	require.NoError(t, c.Commit(t.Context(), putTxn("a", "1", 0)))
 	require.NoError(t, c.Put(t.Context(), "o", []byte("1"), true))
 	copied := p.Copy()
@@ -27,6 +33,7 @@
 		require.NoError(t, err)
 		require.Equal(t, store.Row{Key: "a", Value: []byte("1"), Version: 1}, row)
 		require.Equal(t, era, c.Era())
+		require.Equal(t, era, c.Restores())
 		_, err = c.Get(t.Context(), "t", "b")
 		require.ErrorIs(t, err, store.ErrNotFound)
 		require.NoError(t, c.Commit(t.Context(), putTxn("a", "3", 1)), "version 2 is issued again")
@@ -38,6 +45,11 @@
 	object, err = c.GetObject(t.Context(), "o")
 	require.NoError(t, err)
 	require.Equal(t, "1", string(object))
+	later := store.NewClient(server.URL, timeout)
+	_, err = later.Get(t.Context(), "t", "a")
+	require.NoError(t, err)
+	require.Equal(t, int64(2), later.Era())
+	require.Zero(t, later.Restores(), "the client has seen no other era")
 }
 
 // A response of the older era arrives after one of the newer era. Guards against a late response that is taken for the
--- a/store/http.go
+++ b/store/http.go
@@ -33,8 +33,10 @@
 	// onUnavailable is called with the name of the service for each call that failed with
 	// ErrUnavailable.
 	onUnavailable func(service string)
-	// era is the highest era that a response has stated.
-	era atomic.Int64
+	// stated is the highest era that a response has stated, plus 1. It is 0 before the first response.
+	stated atomic.Int64
+	// restores is the number of times that a response has stated a higher era than one before.
+	restores atomic.Int64
 }
 
 // NewClient returns a client of the services at base, "http://ip:port". Each call
@@ -220,15 +222,24 @@
 }
 
 // Era implements EraReporter: it returns the highest era that a response has stated.
-func (c *Client) Era() int64 { return c.era.Load() }
+func (c *Client) Era() int64 { return max(c.stated.Load(), 1) - 1 }
+
+// Restores returns the number of times that the services have come back from a copy since the first response.
+func (c *Client) Restores() int64 { return c.restores.Load() }
 
 // observeEra records the era of a response. It returns false if the era is over: the response is of a state that the
 // services no longer have.
 func (c *Client) observeEra(era int64) bool {
 	for {
-		known := c.era.Load()
-		if era <= known || c.era.CompareAndSwap(known, era) {
-			return era >= known
+		known := c.stated.Load()
+		switch {
+		case era+1 <= known:
+			return era+1 == known
+		case c.stated.CompareAndSwap(known, era+1):
+			if known > 0 {
+				c.restores.Add(1)
+			}
+			return true
 		}
 	}
 }
