--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -105,3 +105,21 @@
 	}
 	require.Equal(t, MaxEntries, tr.Len())
 }
+
+// A merge removes a suspicion if its holder has cleared it. Guards against one that is removed by the late message of an earlier
+// holder, after the request has crashed another upstream.
+func TestTracker_ClearedByHolderOnly(t *testing.T) {
+	a, b, c := NewTracker("a"), NewTracker("b"), NewTracker("c")
+	tell := func(to *Tracker, suspicions []Suspicion) {
+		for _, s := range suspicions {
+			to.Learn(startTime, s)
+		}
+	}
+	first := a.RecordCrash(startTime, "c1", []Key{{1}})
+	tell(b, first)
+	tell(c, first)
+	tell(c, b.RecordCrash(startTime, "c2", []Key{{1}}))
+	tell(c, a.ClearSuspect(startTime, Key{1}))
+	require.Equal(t, Quarantined, verdict(c, startTime.Add(DecisionDelay), Key{1}))
+	require.Equal(t, Quarantined, verdict(b, startTime.Add(DecisionDelay), Key{1}))
+}
