--- a/wire/era_test.go
+++ b/wire/era_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/store"
 )
 
 // Guards against era fields that keep a host of an older build from decoding a host's heartbeat, and against a heartbeat of an
@@ -38,3 +40,21 @@
 	require.NoError(t, err)
 	require.Equal(t, older, newer)
 }
+
+// Guards against positions that lose their era in a message.
+func TestEra_PositionsKept(t *testing.T) {
+	at := func(version int64) store.Position { return store.NewPosition(store.MaxEra, version) }
+	for _, m := range []Message{
+		&LeaderHeartbeat{Fence: at(1), LeaseVersion: at(2), OperatorVersion: at(3), UpstreamsVersion: at(4), StoreEra: store.MaxEra},
+		&HostHeartbeat{StoreEra: store.MaxEra},
+		&Successor{Fence: at(1)},
+		&ConfigPush{EvacuatedVersion: at(1)},
+		&UpstreamPush{UpstreamsVersion: at(1)},
+	} {
+		raw, err := Encode(m)
+		require.NoError(t, err)
+		decoded, err := Decode(raw)
+		require.NoError(t, err)
+		require.Equal(t, m, decoded)
+	}
+}
