--- a/review/driver-2/client.go
+++ b/review/driver-2/client.go
@@ -36,7 +36,7 @@
 	for {
 		for _, i := range rand.Perm(len(d.machines))[:min(3, len(d.machines))] {
 			m := d.machines[i]
-			resp, err := client.Get("http://" + m.directory + "/v1/resolve?name=" + d.host + "&region=r&zone=" + url.QueryEscape(cmp.Or(d.zone, m.zone)))
+			resp, err := client.Get("http://" + m.directory + names["resolve"] + "?name=" + d.host + "&region=r&zone=" + url.QueryEscape(cmp.Or(d.zone, m.zone)))
 			if err != nil {
 				continue
 			}
@@ -130,12 +130,12 @@
 	a = attempt{id: newAttemptID(), address: c.address, kept: c.used, sentAt: time.Now()}
 	c.used = true
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nJasminelock-Attempt-Id: %s\r\nJasminelock-Deadline-Ms: %d\r\n", r.method, r.path, r.host, a.id, r.deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", r.method, r.path, r.host, names["attempt"], a.id, names["deadline"], r.deadline.Milliseconds())
 	if r.key != "" {
 		fmt.Fprintf(&b, "Authorization: Token %s\r\n", r.key)
 	}
 	if r.model != "" {
-		fmt.Fprintf(&b, "Jasminelock-Model: %s\r\n", r.model)
+		fmt.Fprintf(&b, "%s: %s\r\n", names["model"], r.model)
 	}
 	if r.usage != "" {
 		fmt.Fprintf(&b, "Jasminelock-Token-Usage: %s\r\n", r.usage)
@@ -170,6 +170,14 @@
 	impatient bool
 }
 
+// disconnect closes the user's connection.
+func (u *user) disconnect() {
+	if u.conn != nil {
+		_ = u.conn.Close()
+		u.conn = nil
+	}
+}
+
 func (u *user) do(r *request) {
 	if u.conn != nil && !u.directory.lists(u.conn.address) {
 		_ = u.conn.Close()
--- a/review/driver-2/engine.go
+++ b/review/driver-2/engine.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -122,9 +123,9 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/v1/report":
+	case names["report"]:
 		e.report(w)
-	case "/v1/order":
+	case names["order"]:
 		e.order(w, r)
 	default:
 		e.serve(w, r)
@@ -149,12 +150,17 @@
 	Adapter   string `json:"adapter"`
 	Expect    *int64 `json:"expect"`
 	Holder    string `json:"holder"`
-	Fence     int64  `json:"fencing_token"`
+	Fence     int64  `json:"-"`
 }
 
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
 	var o orderBody
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 || o.Model != e.model || o.Adapter == "" {
+	raw, _ := io.ReadAll(r.Body)
+	err := json.Unmarshal(raw, &o)
+	var fields map[string]json.RawMessage
+	_ = json.Unmarshal(raw, &fields)
+	_ = json.Unmarshal(fields[names["fence"]], &o.Fence)
+	if err != nil || o.Holder == "" || o.Fence == 0 || o.Model != e.model || o.Adapter == "" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -230,7 +236,7 @@
 
 func (e *engine) reject(w http.ResponseWriter, r *http.Request, status int) {
 	h := w.Header()
-	h.Set("Jasminelock-Attempt-Id", r.Header.Get("Jasminelock-Attempt-Id"))
+	h.Set(names["attempt"], r.Header.Get(names["attempt"]))
 	h.Set("Jasminelock-Replica-Load", e.loadHeader())
 	if status == http.StatusServiceUnavailable {
 		h.Set("Jasminelock-Not-Executed", "1")
@@ -247,11 +253,11 @@
 			break
 		}
 	}
-	model, adapter, _ := strings.Cut(r.Header.Get("Jasminelock-Model"), "/")
+	model, adapter, _ := strings.Cut(r.Header.Get(names["model"]), "/")
 	prompt, output, _ := strings.Cut(r.Header.Get("Jasminelock-Token-Usage"), ",")
 	promptTokens, _ := strconv.Atoi(prompt)
 	outputTokens, _ := strconv.Atoi(output)
-	id := r.Header.Get("Jasminelock-Attempt-Id")
+	id := r.Header.Get(names["attempt"])
 	e.mu.Lock()
 	switch {
 	case model != e.model || !e.adapters[adapter]:
@@ -303,7 +309,7 @@
 		e.mu.Unlock()
 	}()
 	h := w.Header()
-	h.Set("Jasminelock-Attempt-Id", id)
+	h.Set(names["attempt"], id)
 	h.Set("Jasminelock-Response-Signature", e.id+"."+id)
 	h.Set("Jasminelock-Weight-Versions", "1")
 	h.Set("Content-Type", "text/event-stream")
--- a/review/driver-2/grey.go
+++ b/review/driver-2/grey.go
@@ -3,9 +3,11 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,7 +20,7 @@
 )
 
 // playGrey has one server of three fail a part of the requests that it has run. A request that isn't idempotent and has run must not
-// be answered with a status that promises the opposite.
+// be answered with a status that promises the opposite: its client sends it again, as the pages say, and the job is booked twice.
 func playGrey(rec *recorder, dir string, trouble bool) int {
 	machines, servers, ok := startBooking(rec, dir, &hotDay{})
 	defer func() {
@@ -44,28 +46,36 @@
 		time.AfterFunc(greyFrom+greyFor, func() { fail(0) })
 	}
 	var mu sync.Mutex
+	var jobs atomic.Int64
 	statuses, ids := map[int]int{}, map[string]int{}
 	end := time.Now().Add(greyLength)
 	var users sync.WaitGroup
 	for range 12 {
 		users.Go(func() {
+			answered := 0
 			u := &user{directory: d, failed: map[string]time.Time{}, done: func(a *attempt, r *request) {
 				mu.Lock()
 				defer mu.Unlock()
 				statuses[a.status]++
-				ids[a.id] = a.status
+				ids[a.id], answered = a.status, a.status
 				rec.line("client %s %s: status %d, not executed %q, signature %q", a.id, r.path, a.status, a.header.Get("Jasminelock-Not-Executed"),
 					a.header.Get("Jasminelock-Response-Signature"))
 			}}
 			for time.Now().Before(end) {
-				u.do(&request{method: http.MethodPost, host: "jobs.example", path: "/book/1", key: "key-owner", body: []byte(`{"job":1}`), deadline: time.Second})
+				job := &request{method: http.MethodPost, host: "jobs.example", path: "/book/1", key: "key-owner", body: fmt.Appendf(nil, `{"job":%d}`, jobs.Add(1)), deadline: time.Second}
+				answered = 0
+				u.do(job)
+				if answered == http.StatusServiceUnavailable || answered == http.StatusTooManyRequests {
+					u.disconnect()
+					u.do(job) // "They retry unsafe requests only after a promise", these clients once, each time on a new connection
+				}
 				time.Sleep(time.Duration(rand.ExpFloat64() * float64(400*time.Millisecond)))
 			}
 		})
 	}
 	users.Wait()
 	close(stop)
-	promised := 0
+	promised, twice, booked := 0, 0, map[string]int{}
 	for _, p := range servers {
 		p.mu.Lock()
 		for id, times := range p.ran {
@@ -75,9 +85,18 @@
 				rec.line("%s ran %s %d times; the client was answered %d", p.id, id, len(times), ids[id])
 			}
 		}
+		for job, n := range p.jobs {
+			booked[job] += n
+		}
 		p.mu.Unlock()
 	}
-	rec.say("answers by status: %v; requests that have run and were answered with a promise that they have not: %d", statuses, promised)
+	for job, n := range booked {
+		if n > 1 {
+			twice++
+			rec.line("job %s was booked %d times", job, n)
+		}
+	}
+	rec.say("answers by status: %v; requests that have run and were answered with a promise that they have not: %d; jobs booked twice: %d", statuses, promised, twice)
 	switch {
 	case statuses[200] < 100:
 		return exitNotRun
--- a/review/driver-2/handover.go
+++ b/review/driver-2/handover.go
@@ -27,7 +27,7 @@
 var handoverBounds = bounds{
 	retryRatio: 0.2, retrySlack: 182, rateWindow: "8s", rateOver: 0.1, rateSlack: 17000, grace: "8s", holderPause: "3s", configWithin: "3s",
 	drainWithin: "3s", answerLife: "5s", memoryMB: 536, descriptors: 8192, cores: 0.8,
-	features: []string{"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "fleet", "stream", "engine", "tenants", "quota", "pressure", "platform"},
+	features: []string{"base", "drain", "config", "cost", "retry", "recover", "health", "pool", "fleet", "stream", "engine", names["organisations"], "quota", "pressure", "platform"},
 }
 
 type kindOfRequest struct {
@@ -59,7 +59,7 @@
 			"models": []any{map[string]any{"name": "m0", "weights_mb": 16100, "load_s": 0.6, "adapters": 10000, "adapter_mb": 14}},
 		}}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 20000},
-		"tenants": []any{
+		names["organisations"]: []any{
 			map[string]any{"name": "t1", "api_keys": []string{"key-one"}, "unit": "token_stream", "plain_tokens": 200, "rate_per_s": 0, "burst": 0},
 			map[string]any{"name": "t2", "api_keys": []string{"key-two"}, "unit": "token_stream", "plain_tokens": 200, "rate_per_s": 0, "burst": 0},
 		},
--- a/review/driver-2/hottenant.go
+++ b/review/driver-2/hot.go
@@ -37,13 +37,13 @@
 // usual is the tenant's usual number of requests a second.
 func (d *hotDay) usual() float64 { return d.rate * usualShare / plainTokens }
 
-// hotTenantDay is the day of case 7: one tenant sends many times its usual.
+// hotTenantDay is the day of case 9: one tenant sends many times its usual.
 var hotTenantDay = hotDay{length: 34 * time.Second, hotFrom: 12 * time.Second, hotFor: 6500 * time.Millisecond, hotTimes: 7.5, rate: 16_800, burst: 16_800}
 
 var smallBounds = bounds{
 	retryRatio: 0.2, retrySlack: 54, rateWindow: "8s", rateOver: quotaOver, rateSlack: quotaSlack, grace: "8s", holderPause: "3s", configWithin: "2s",
 	drainWithin: "2s", answerLife: "5s", memoryMB: 284, descriptors: 4100, cores: 0.4,
-	features: []string{"base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine", "tenants", "quota", "platform"},
+	features: []string{"base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine", names["organisations"], "quota", "platform"},
 }
 
 func bookingConfig(day *hotDay) map[string]any {
@@ -58,7 +58,7 @@
 		"routes":   []any{route("job-book", "/book/", "unsafe", 1), route("job-status", "/status/", "safe", 2)},
 		"services": []any{map[string]any{"name": "booking-app"}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 20000},
-		"tenants": []any{map[string]any{
+		names["organisations"]: []any{map[string]any{
 			"name": "owner", "api_keys": []string{"key-owner"}, "unit": "token_stream", "plain_tokens": plainTokens, "rate_per_s": day.rate, "burst": day.burst,
 		}},
 	}
@@ -195,7 +195,7 @@
 		for id, times := range p.ran {
 			sent, known := sentAt[id]
 			if !known || p.tenants[id] != "owner" || len(times) != 1 {
-				rec.say("request %s: known %t, tenant %q, ran %d times", id, known, p.tenants[id], len(times))
+				rec.say("request %s: known %t, organisation %q, ran %d times", id, known, p.tenants[id], len(times))
 				p.mu.Unlock()
 				return exitBroken
 			}
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -46,8 +46,8 @@
 }
 
 var cases = map[string]func(rec *recorder, dir string, trouble bool) int{
-	"handover":  playHandover,
-	"hottenant": playHotTenant,
-	"freeze":    playFreeze,
-	"grey":      playGrey,
+	"handover": playHandover,
+	"hot":      playHotTenant,
+	"freeze":   playFreeze,
+	"grey":     playGrey,
 }
--- a/review/driver-2/plain.go
+++ b/review/driver-2/plain.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,6 +28,8 @@
 	// ran holds when each request began to run, by its attempt id; tenants holds the tenant that was sent with it.
 	ran     map[string][]time.Time
 	tenants map[string]string
+	// jobs counts how often each body was run.
+	jobs map[string]int
 	// fails is the share of the requests that the server has run and then answers with 503, as a server does that could not
 	// reach what is behind it.
 	fails float64
@@ -35,7 +38,7 @@
 func startPlainServer(store *tableStore, id, service, zone string, slots, queue int, work time.Duration) (*plainServer, error) {
 	p := &plainServer{
 		id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, store: store, born: time.Now().UnixMilli(),
-		free: make(chan struct{}, slots), ran: map[string][]time.Time{}, tenants: map[string]string{},
+		free: make(chan struct{}, slots), ran: map[string][]time.Time{}, tenants: map[string]string{}, jobs: map[string]int{},
 	}
 	for range slots {
 		p.free <- struct{}{}
@@ -65,7 +68,7 @@
 func (p *plainServer) head(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w.Header().Set("Jasminelock-Attempt-Id", r.Header.Get("Jasminelock-Attempt-Id"))
+	w.Header().Set(names["attempt"], r.Header.Get(names["attempt"]))
 	w.Header().Set("Jasminelock-Replica-Load", fmt.Sprintf("%d,%d,%d", p.running, p.waiting, p.slots))
 }
 
@@ -75,13 +78,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	buf := make([]byte, 32<<10)
-	for {
-		if _, err := r.Body.Read(buf); err != nil {
-			break
-		}
-	}
-	id := r.Header.Get("Jasminelock-Attempt-Id")
+	body, _ := io.ReadAll(r.Body)
+	id := r.Header.Get(names["attempt"])
 	p.mu.Lock()
 	full := p.waiting >= p.queue
 	if !full {
@@ -106,7 +104,8 @@
 	p.waiting--
 	p.running++
 	p.ran[id] = append(p.ran[id], time.Now())
-	p.tenants[id] = r.Header.Get("Jasminelock-Tenant")
+	p.tenants[id] = r.Header.Get(names["organisation"])
+	p.jobs[string(body)]++
 	fails := rand.Float64() < p.fails
 	p.mu.Unlock()
 	defer func() {
--- a/review/driver-2/store.go
+++ b/review/driver-2/store.go
@@ -73,9 +73,9 @@
 		return "", err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/rows-tx", func(w http.ResponseWriter, r *http.Request) { s.commit(machine, w, r) })
-	mux.HandleFunc("GET /v1/rows-get", s.get)
-	mux.HandleFunc("GET /v1/rows-feed", s.feed)
+	mux.HandleFunc("POST "+names["transaction"], func(w http.ResponseWriter, r *http.Request) { s.commit(machine, w, r) })
+	mux.HandleFunc("GET "+names["read"], s.get)
+	mux.HandleFunc("GET "+names["feed"], s.feed)
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(2 * time.Millisecond)
