--- a/cmd/jasminelock/hosts.go
+++ b/cmd/jasminelock/hosts.go
@@ -17,8 +17,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/jasminelock/jasminelock/daemon"
+	"github.com/jasminelock/jasminelock/httpcheck"
 	"github.com/jasminelock/jasminelock/record"
-	"github.com/jasminelock/jasminelock/statusline"
 )
 
 // Limits of a request to a host: its duration, the size of the response, and the
@@ -30,7 +30,7 @@
 )
 
 // hostClient is the client of hosts' operators' listeners.
-var hostClient = &http.Client{Transport: statusline.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+var hostClient = &http.Client{Transport: httpcheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
 
 // getJSON sends a GET request to a host's operators' listener and decodes the JSON
 // response into out.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/jasminelock/jasminelock/statusline"
+	"github.com/jasminelock/jasminelock/httpcheck"
 )
 
 // maxInlineBodyBytes is the largest request body, in bytes, that is written before the
@@ -88,7 +88,7 @@
 // one to a HEAD request. An upstream that sends the body nevertheless would have it read as the next
 // response of the connection.
 func omitsBody(resp *http.Response) bool {
-	return (resp.StatusCode == http.StatusNotModified || resp.Request.Method == http.MethodHead) && statusline.StatesBody(resp)
+	return (resp.StatusCode == http.StatusNotModified || resp.Request.Method == http.MethodHead) && httpcheck.StatesBody(resp)
 }
 
 // write sends the request. It returns ErrNotSent if the write failed before the
@@ -162,15 +162,15 @@
 		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err == nil && line.IsHTTP10() {
-			err = statusline.CheckFieldsHTTP10(c.limited.stopRecording())
+			err = httpcheck.CheckFieldsHTTP10(c.limited.stopRecording())
 		}
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
-		if err := statusline.CheckFraming(resp); err != nil {
+		if err := httpcheck.CheckFraming(resp); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
-		if statusline.IsFinal(resp.StatusCode) {
+		if httpcheck.IsFinal(resp.StatusCode) {
 			return resp, nil
 		}
 	}
@@ -178,8 +178,8 @@
 
 // checkStatusLine checks the beginning of the next status line without reading it. Each byte is
 // checked as it arrives, since an upstream in trouble may send no more.
-func (c *conn) checkStatusLine() (*statusline.Line, error) {
-	line := &statusline.Line{}
+func (c *conn) checkStatusLine() (*httpcheck.Line, error) {
+	line := &httpcheck.Line{}
 	for n := 1; ; n++ {
 		b, err := c.reader.Peek(n)
 		if err != nil {
--- a/forward/hostile_test.go
+++ b/forward/hostile_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/jasminelock/jasminelock/statusline"
+	"github.com/jasminelock/jasminelock/httpcheck"
 )
 
 // maxAllocBytes is how many bytes may be allocated for one invalid response. The
@@ -161,7 +161,7 @@
 				errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 			return
 		}
-		require.True(t, statusline.IsFinal(resp.Status), "status %d", resp.Status)
+		require.True(t, httpcheck.IsFinal(resp.Status), "status %d", resp.Status)
 		resp.stopAbort, resp.pool = func() bool { return true }, newTestPool()
 		if resp.Status < http.StatusMultipleChoices {
 			require.Equal(t, "1", resp.Header.Get(idHeader))
--- a/statusline/conn.go
+++ b/httpcheck/conn.go
@@ -1,4 +1,4 @@
-package statusline
+package httpcheck
 
 import (
 	"bytes"
--- a/statusline/statusline.go
+++ b/httpcheck/line.go
@@ -1,10 +1,10 @@
-// Package statusline checks the beginning of HTTP/1.1 responses before net/http reads them.
+// Package httpcheck checks what net/http does not check of HTTP/1.1 responses.
 //
 // http.ReadResponse accepts statuses such as 000 and +20, and the client of net/http takes every
 // status from 102 to 199 except 101 for an interim response: it reads the body of such a response as
 // the next response. A server in trouble can thereby make it return content that the server never
 // sent as a response.
-package statusline
+package httpcheck
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 )
 
 // ErrInvalid reports a response that HTTP/1.1 does not allow.
-var ErrInvalid = errors.New("statusline: invalid response")
+var ErrInvalid = errors.New("httpcheck: invalid response")
 
 // The least and the greatest status of a final response.
 const (
--- a/statusline/transport_test.go
+++ b/httpcheck/transport_test.go
@@ -1,4 +1,4 @@
-package statusline_test
+package httpcheck_test
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/jasminelock/jasminelock/httpcheck"
 	"github.com/jasminelock/jasminelock/standin/replica"
-	"github.com/jasminelock/jasminelock/statusline"
 )
 
 // answerTimeout is the deadline of a request to a server that answers outside the protocol. A request that reaches it has waited
@@ -55,7 +55,7 @@
 			}
 		case ctx.Err() != nil:
 			return errors.New("not answered before the deadline")
-		case !errors.Is(err, statusline.ErrInvalid) || (reused && sent == 1):
+		case !errors.Is(err, httpcheck.ErrInvalid) || (reused && sent == 1):
 			return fmt.Errorf("request %d: error is %w", sent, err)
 		default:
 			rejected = true
@@ -77,7 +77,7 @@
 // A server in trouble answers with an invalid status, with a body that looks like a response. Guards against the body being
 // read as the response, a request that waits for its deadline or is repeated, and a connection that is used again.
 func TestTransport_InvalidStatus(t *testing.T) {
-	transport := statusline.NewTransport(&http.Transport{})
+	transport := httpcheck.NewTransport(&http.Transport{})
 	for _, status := range replica.InvalidStatuses() {
 		t.Run(status, func(t *testing.T) {
 			t.Parallel()
@@ -92,7 +92,7 @@
 // Guards against the body of an interim response or of one with status 204, which cannot have one, being read as the next
 // response.
 func TestTransport_ImpossibleBody(t *testing.T) {
-	transport := statusline.NewTransport(&http.Transport{})
+	transport := httpcheck.NewTransport(&http.Transport{})
 	for _, status := range []int{100, 102, 103, 204} {
 		for _, odd := range replica.ImpossibleBodies(status, replica.ForgedResponse("")) {
 			require.NoError(t, checkRejected(t, transport, odd, false), odd.Name)
@@ -104,7 +104,7 @@
 // Guards against the framing of chunks being read as a part of the body: HTTP/1.0 has no Transfer-Encoding.
 func TestTransport_EncodingOfHTTP10(t *testing.T) {
 	odd := replica.OddResponse{Bytes: "HTTP/1.0 200 OK\r\nLink: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Ends: true}
-	require.NoError(t, checkRejected(t, statusline.NewTransport(&http.Transport{}), odd, false))
+	require.NoError(t, checkRejected(t, httpcheck.NewTransport(&http.Transport{}), odd, false))
 	require.Error(t, checkRejected(t, &http.Transport{}, odd, false), "the check finds the fault of the transport of net/http")
 }
 
@@ -147,7 +147,7 @@
 		} else {
 			server.Start()
 		}
-		client := &http.Client{Transport: statusline.NewTransport(base)}
+		client := &http.Client{Transport: httpcheck.NewTransport(base)}
 		for _, status := range []int{200, 204, 299, 304, 404, 500, 599} {
 			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, fmt.Sprintf("%s/%d", server.URL, status), nil)
 			require.NoError(t, err)
@@ -171,7 +171,7 @@
 	defer server.Close()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address(), nil)
 	require.NoError(t, err)
-	resp, err := statusline.NewTransport(&http.Transport{}).RoundTrip(req)
+	resp, err := httpcheck.NewTransport(&http.Transport{}).RoundTrip(req)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.NoError(t, resp.Body.Close())
@@ -194,7 +194,7 @@
 	require.NoError(t, err)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	_, err = statusline.NewTransport(&http.Transport{MaxResponseHeaderBytes: 64 << 10}).RoundTrip(req) //nolint:bodyclose // it must fail
+	_, err = httpcheck.NewTransport(&http.Transport{MaxResponseHeaderBytes: 64 << 10}).RoundTrip(req) //nolint:bodyclose // it must fail
 	runtime.ReadMemStats(&after)
 	require.Error(t, err)
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocBytes))
--- a/store/http.go
+++ b/store/http.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jasminelock/jasminelock/statusline"
+	"github.com/jasminelock/jasminelock/httpcheck"
 )
 
 // Client limits.
@@ -43,7 +43,7 @@
 // fails with ErrUnavailable after timeout.
 func NewClient(base string, timeout time.Duration) *Client {
 	return &Client{
-		baseURL: strings.TrimSuffix(base, "/"), client: &http.Client{Timeout: timeout, Transport: statusline.NewTransport(newTransport())},
+		baseURL: strings.TrimSuffix(base, "/"), client: &http.Client{Timeout: timeout, Transport: httpcheck.NewTransport(newTransport())},
 		onUnavailable: func(string) {},
 	}
 }
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"github.com/jasminelock/jasminelock/statusline"
+	"github.com/jasminelock/jasminelock/httpcheck"
 )
 
 // Timeouts and bounds of a Client. reportTimeout also bounds reading cache events;
@@ -51,8 +51,8 @@
 	singleUseTransport.DisableKeepAlives = true
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
-		shared:    &http.Client{Transport: statusline.NewTransport(transport), CheckRedirect: noRedirect},
-		singleUse: &http.Client{Transport: statusline.NewTransport(singleUseTransport), CheckRedirect: noRedirect},
+		shared:    &http.Client{Transport: httpcheck.NewTransport(transport), CheckRedirect: noRedirect},
+		singleUse: &http.Client{Transport: httpcheck.NewTransport(singleUseTransport), CheckRedirect: noRedirect},
 	}
 }
 
