A response that was reset during the upload seemed complete

What callers saw: a replica answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as the complete response.

Cause: the kernel reports a reset, or a time-out, to one call on the socket only. If that is the write of the request body, a read after it returns io.EOF as after a clean close. A body without a length or chunks ends with io.EOF, so that forward and the client of net/http, with which jasminelockd calls upstreams and the store, took it for complete, over TLS too.

Change: the clients' connections remember what the kernel has reported to a write. A read that finds the end waits for a write in progress, which it interrupts, and fails if the connection was broken. EPIPE means that the other side had closed the connection before, so that a complete response stays one.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -20,6 +20,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"github.com/jasminelock/jasminelock/httpcheck"
 )
 
 // Errors of Pool.Do. Only after ErrNotSent is it certain that the upstream has not
@@ -143,6 +145,8 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
+	// raw is the connection under Conn.
+	raw     net.Conn
 	key     string
 	address string
 	// limited limits what reader reads from the connection.
@@ -183,9 +187,10 @@
 
 // newConn wraps an open connection to an upstream.
 func newConn(raw net.Conn, key, address string, idleTimeout time.Duration) *conn {
-	limited := &limitedReader{in: raw}
+	checked := httpcheck.WithTrueEOF(raw)
+	limited := &limitedReader{in: checked}
 	return &conn{
-		Conn: raw, key: key, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes),
+		Conn: checked, raw: raw, key: key, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes),
 		idleTimeout: idleTimeout,
 	}
 }
@@ -194,7 +199,7 @@
 // Closing drops the bytes that have not reached the upstream, so that they do not arrive
 // late.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a closed connection, which sends nothing more
 	}
 	_ = c.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -180,7 +180,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.raw.(*net.TCPConn)
 	if !ok {
 		return true
 	}
--- a/gateway/invalidstatus_test.go
+++ b/gateway/invalidstatus_test.go
@@ -30,13 +30,8 @@
 	var odd atomic.Pointer[replica.OddResponse]
 	var reached atomic.Int64
 	raw, err := replica.ServeRaw(func(c *net.TCPConn, req *http.Request) bool {
-		if strings.HasPrefix(req.URL.Path, "/v1/") && req.URL.Path != "/v1/chat/completions" {
-			recorder := httptest.NewRecorder()
-			engineStandin.ServeHTTP(recorder, req)
-			resp := recorder.Result()
-			defer func() { _ = resp.Body.Close() }()
-			resp.ContentLength = int64(recorder.Body.Len())
-			return resp.Write(c) == nil
+		if isControl(req) {
+			return answerControl(c, req, engineStandin)
 		}
 		reached.Add(1)
 		return odd.Load().Send(c)
@@ -50,11 +45,11 @@
 		envelope("route", "once", `{"prefix":"/once","pool":"odd","cost_tokens":1}`),
 		envelope("route", "often", `{"prefix":"/often","pool":"odd","cost_tokens":1,"repeatable":true}`),
 	}
-	for i := range 24 { // each is avoided for a while after such a response
-		records = append(records,
-			envelope("upstream", fmt.Sprintf("odd-%d", i), fmt.Sprintf(`{"class":"service","url":"http://%s","zone":"a","pool":"odd"}`, raw.Address())),
-			envelope("upstream", fmt.Sprintf("odd-engine-%d", i), fmt.Sprintf(
-				`{"class":"engine","url":"http://%s","zone":"a","model":"odd","adapter_slots":4,"max_batch":16}`, raw.Address())))
+	const upstreams = 24 // each is avoided for a while after such a response
+	records = append(records, serviceUpstreams("odd", raw.Address(), upstreams)...)
+	for i := range upstreams {
+		records = append(records, envelope("upstream", fmt.Sprintf("odd-engine-%d", i), fmt.Sprintf(
+			`{"class":"engine","url":"http://%s","zone":"a","model":"odd","adapter_slots":4,"max_batch":16}`, raw.Address())))
 	}
 	_, err = configstore.Write(t.Context(), f.client, configstore.Change{Operation: "odd", Records: records})
 	require.NoError(t, err)
@@ -82,6 +77,31 @@
 	}
 }
 
+// isControl reports whether a request is none of a caller: an order, or a request for a report.
+func isControl(req *http.Request) bool {
+	return strings.HasPrefix(req.URL.Path, "/v1/") && req.URL.Path != "/v1/chat/completions"
+}
+
+// answerControl writes the response of a stand-in to a control request, and reports whether it could.
+func answerControl(c net.Conn, req *http.Request, standin http.Handler) bool {
+	recorder := httptest.NewRecorder()
+	standin.ServeHTTP(recorder, req)
+	resp := recorder.Result()
+	defer func() { _ = resp.Body.Close() }()
+	resp.ContentLength = int64(recorder.Body.Len())
+	return resp.Write(c) == nil
+}
+
+// serviceUpstreams returns the records of n upstreams of a pool of plain services, all at one address.
+func serviceUpstreams(pool, address string, n int) []record.Envelope {
+	var records []record.Envelope
+	for i := range n {
+		records = append(records, envelope("upstream", fmt.Sprintf("%s-%d", pool, i), fmt.Sprintf(
+			`{"class":"service","url":"http://%s","zone":"a","pool":%q}`, address, pool)))
+	}
+	return records
+}
+
 // mustReach sends a request until reached reports that an upstream got it, and returns that response. Before that, every response
 // must be a refusal of a request that has not run, as while the records are not in force or the upstreams are avoided.
 func (f *fleet) mustReach(path, body string, reached func() bool) reply {
--- a/httpcheck/transport.go
+++ b/httpcheck/transport.go
@@ -21,9 +21,16 @@
 // NewTransport returns a Transport that sends requests over base. It replaces the dial functions of
 // base by ones that call DialContext. Requests over TLS use HTTP/1.1, too.
 func NewTransport(base *http.Transport) *Transport {
-	dial := dialFunc(base.DialContext)
-	if dial == nil {
-		dial = new(net.Dialer).DialContext
+	dialRaw := dialFunc(base.DialContext)
+	if dialRaw == nil {
+		dialRaw = new(net.Dialer).DialContext
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dialRaw(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return WithTrueEOF(raw), nil
 	}
 	base.DialContext = checked(dial)
 	base.DialTLSContext = checked(dialTLS(dial, base.TLSClientConfig, base.TLSHandshakeTimeout))
--- /dev/null
+++ b/standin/replica/early.go
@@ -0,0 +1,67 @@
+package replica
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// EarlyEnd is how a replica ends the connection on which it has answered a request whose body it has not read.
+type EarlyEnd struct {
+	Name string
+	// Broken reports whether an answer that only the end of the connection frames is broken off by it.
+	Broken bool
+	end    func(c *net.TCPConn, r *http.Request)
+}
+
+// End ends the connection of a request.
+func (e EarlyEnd) End(c *net.TCPConn, r *http.Request) { e.end(c, r) }
+
+// resetAfter resets a connection after a pause.
+func resetAfter(pause time.Duration) func(c *net.TCPConn, r *http.Request) {
+	return func(c *net.TCPConn, _ *http.Request) {
+		if pause > 0 {
+			time.Sleep(pause)
+		}
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// EarlyEnds returns the ways in which a connection may end while the body of a request is still being written.
+func EarlyEnds() []EarlyEnd {
+	return []EarlyEnd{
+		{"reset at once", true, resetAfter(0)},
+		{"reset after 0.1 ms", true, resetAfter(100 * time.Microsecond)},
+		{"reset after 1 ms", true, resetAfter(time.Millisecond)},
+		{"reset after 20 ms", true, resetAfter(20 * time.Millisecond)},
+		{"closed with unread bytes", true, func(c *net.TCPConn, _ *http.Request) {
+			awaitUnread(c)
+			_ = c.Close() // the kernel resets the connection
+		}},
+		{"ended, body read", false, func(c *net.TCPConn, r *http.Request) {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = c.Close()
+		}},
+		{"body read, closed", false, func(c *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = c.Close()
+		}},
+	}
+}
+
+// awaitUnread returns once the kernel holds bytes that were not read from the connection.
+func awaitUnread(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+		return n > 0 || err != nil
+	})
+}
--- a/standin/replica/raw.go
+++ b/standin/replica/raw.go
@@ -17,6 +17,8 @@
 type Raw struct {
 	listener net.Listener
 	answer   func(c *net.TCPConn, r *http.Request) bool
+	// early reports whether answer is called before the body of the request has been read.
+	early bool
 	// open is the number of open connections, received that of the requests.
 	open, received atomic.Int64
 }
@@ -24,12 +26,22 @@
 // ServeRaw starts a replica on loopback. It calls answer with each request, whose body has been read. Answer writes to the
 // connection and reports whether more requests may follow on it; otherwise the connection is closed.
 func ServeRaw(answer func(c *net.TCPConn, r *http.Request) bool) (*Raw, error) {
+	return serveRaw(answer, false)
+}
+
+// ServeEarly starts a replica like that of ServeRaw, but answer is called with a request as soon as its head has been read. Answer
+// may read the body. No other request may follow on the connection unless it has.
+func ServeEarly(answer func(c *net.TCPConn, r *http.Request) bool) (*Raw, error) {
+	return serveRaw(answer, true)
+}
+
+func serveRaw(answer func(c *net.TCPConn, r *http.Request) bool, early bool) (*Raw, error) {
 	var listen net.ListenConfig
 	listener, err := listen.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	raw := &Raw{listener: listener, answer: answer}
+	raw := &Raw{listener: listener, answer: answer, early: early}
 	go raw.accept()
 	return raw, nil
 }
@@ -65,12 +77,14 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(req.Body)
-		if err != nil {
-			return
+		if !r.early {
+			body, err := io.ReadAll(req.Body)
+			if err != nil {
+				return
+			}
+			req.Body = io.NopCloser(bytes.NewReader(body))
 		}
 		r.received.Add(1)
-		req.Body = io.NopCloser(bytes.NewReader(body))
 		if !r.answer(c, req) {
 			return
 		}
