A complete response to an upload that the server did not read was lost

What callers saw: jasminelockd answered 502, or took the store for unavailable, though the other side had answered a long upload completely, without a length, and had closed the connection in order.

Cause: a server that closes a connection without reading the rest of the upload resets it after that. The write of the body then fails with EPIPE, and the client of net/http closes the connection at once, also where the response has arrived and has not been read. forward reads it, so that jasminelock-entry was right already.

Change: EPIPE means that the server had closed the connection before. The connection of the clients then waits until bytes of a response, or the end, have been read, and reports success to the writer if there is a response. If there is none, the error stays, since net/http may repeat a request that was not written.

--- a/httpcheck/conn.go
+++ b/httpcheck/conn.go
@@ -2,18 +2,31 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 )
 
 // conn is a connection of a client of net/http. It checks the beginning of each response that is
 // read from it.
 type conn struct {
 	net.Conn
-	// mu guards head: the goroutine of a request calls expectResponse, that of the connection Read.
+	// mu guards the fields below: the goroutine of a request calls expectResponse, those of the connection Read and Write.
 	mu   sync.Mutex
 	head head
+	// expecting reports whether a request has been assigned the connection, responding whether bytes were read since the
+	// last one, ended whether no more can be read.
+	expecting, responding, ended bool
+	// changed is signalled when responding or ended changes.
+	changed sync.Cond
+}
+
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw}
+	c.changed.L = &c.mu
+	return c
 }
 
 // expectResponse has the next bytes checked as the beginning of a response.
@@ -21,6 +34,44 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.start()
+	c.expecting, c.responding = true, false
+}
+
+// Write implements net.Conn. If the server has closed the connection after it began to respond, Write
+// reports success, though the bytes are lost: at an error, net/http would close the connection before it
+// has read the response.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, syscall.EPIPE) && c.awaitResponse() {
+		return len(b), nil
+	}
+	return n, err
+}
+
+// awaitResponse waits until bytes of a response have been read, or until there can be none. It reports
+// whether there are some.
+func (c *conn) awaitResponse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.expecting && !c.responding && !c.ended {
+		c.changed.Wait()
+	}
+	return c.responding
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.recordRead(0, net.ErrClosed)
+	return c.Conn.Close()
+}
+
+// recordRead records the result of a Read.
+func (c *conn) recordRead(n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responding = c.responding || n > 0
+	c.ended = c.ended || err != nil
+	c.changed.Broadcast()
 }
 
 // failure returns the error for the invalid byte that was read, or nil.
@@ -38,6 +89,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
+	c.recordRead(n, err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if valid, invalid := c.head.check(b[:n]); invalid != nil {
--- a/httpcheck/fuzz_test.go
+++ b/httpcheck/fuzz_test.go
@@ -80,7 +80,7 @@
 		f.Add([]byte(begin+forged), uint8(255))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte, size uint8) {
-		checked := &conn{Conn: piecesConn{in: bytes.NewReader(raw), size: int(size) + 1}}
+		checked := newConn(piecesConn{in: bytes.NewReader(raw), size: int(size) + 1})
 		checked.expectResponse()
 		got, err := readAsTransport(bufio.NewReader(checked))                                 //nolint:bodyclose // there is no connection
 		want, wantErr := readStrictly(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)+16)) //nolint:bodyclose // there is no connection
--- a/httpcheck/transport.go
+++ b/httpcheck/transport.go
@@ -44,7 +44,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: raw}, nil
+		return newConn(raw), nil
 	}
 }
 
--- a/standin/replica/early.go
+++ b/standin/replica/early.go
@@ -31,6 +31,18 @@
 	}
 }
 
+// endThenReset ends the answer on a connection, and resets the connection after a pause.
+func endThenReset(pause time.Duration) func(c *net.TCPConn, r *http.Request) {
+	return func(c *net.TCPConn, _ *http.Request) {
+		awaitUnread(c)
+		_ = c.CloseWrite()
+		if pause > 0 {
+			time.Sleep(pause)
+		}
+		_ = c.Close()
+	}
+}
+
 // EarlyEnds returns the ways in which a connection may end while the body of a request is still being written.
 func EarlyEnds() []EarlyEnd {
 	return []EarlyEnd{
@@ -42,6 +54,8 @@
 			awaitUnread(c)
 			_ = c.Close() // the kernel resets the connection
 		}},
+		{"ended, reset at once", false, endThenReset(0)},
+		{"ended, reset after 5 ms", false, endThenReset(5 * time.Millisecond)},
 		{"ended, body read", false, func(c *net.TCPConn, r *http.Request) {
 			_ = c.CloseWrite()
 			_, _ = io.Copy(io.Discard, r.Body)
