jasminelockd took broken reports and answers to orders for complete

What was seen: an upstream's load report or list of cache events counted though its response had broken off after the JSON value, and an order counted as carried out though the response to it had broken off in its body.

Cause: the report was decoded without reading the response to its end, and the error of reading the response to an order was ignored.

Evidence, before: upstream/TestController_BrokenResponsesAreErrors failed for an order whose response ended with its head (71 of 132 bytes) and for a report in chunks without the last one. An order whose response breaks off is now an error like a lost response: what became of it is learned from the engine's reports.

--- a/standin/replica/odd.go
+++ b/standin/replica/odd.go
@@ -40,7 +40,36 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(ForgedBody), ForgedBody)
 }
 
-// OddResponse is a response with an invalid status.
+// InvalidFieldLines returns lines that no head and no trailer of HTTP/1.1 may begin with.
+func InvalidFieldLines() []string {
+	lines := []string{
+		"X Odd: x", "X-Odd : x", "X-Odd  : x", "X-Odd\t: x", "Content-Length : 2", "content-length : 2", "Content Length: 2",
+		"Transfer-Encoding : chunked", "X(Odd): x", "X-Ödd: x", ": x", " : x", " X-Odd: x", "X-Odd", "X-Odd: a\x00b", "X-Odd: a\rb", "X-Odd: a\x7f",
+	}
+	for b := range byte(' ') {
+		if b != '\n' {
+			lines = append(lines, "X"+string(b)+"Odd: x")
+		}
+	}
+	return append(lines, "X\x7fOdd: x")
+}
+
+// SampleFieldLines returns a few of InvalidFieldLines of each kind.
+func SampleFieldLines() []string {
+	return []string{"X Odd: x", "X-Odd : x", "Content-Length : 2", "Transfer-Encoding : chunked", "X\x00Odd: x", ": x"}
+}
+
+// JSONResponses returns valid responses with a body, framed by its length, by chunks, and by the end of the connection.
+func JSONResponses(body string) []string {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	return []string{
+		head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		head + "Connection: close\r\n\r\n" + body,
+	}
+}
+
+// OddResponse is a response that HTTP/1.1 does not allow.
 type OddResponse struct {
 	Name string
 	// Bytes is all that is sent.
@@ -64,6 +93,40 @@
 	}
 }
 
+// FieldResponses returns responses with status 200 that are valid but for a line of their head, of that of an interim response
+// before them, or of their trailer. The line stands alone, and with a frame of the body by its length, by chunks and by the end
+// of the connection. Fields are added to the head.
+func FieldResponses(line, fields, body string) []OddResponse {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	length, chunks := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), fmt.Sprintf("\r\n%x\r\n%s\r\n0\r\n", len(body), body)
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	head := ok + line + "\r\n" + fields
+	return []OddResponse{
+		{"length", head + length, false},
+		{"chunks", head + chunked + chunks + "\r\n", false},
+		{"chunks, not stated", head + chunks + "\r\n", true},
+		{"close", head + "Connection: close\r\n\r\n" + body, true},
+		{"close, open", head + "\r\n" + body, false},
+		{"interim", "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + ok + fields + length, false},
+		{"trailer", ok + fields + chunked + chunks + line + "\r\n\r\n", false},
+	}
+}
+
+// IsTrailer reports whether only the trailer of one of FieldResponses is invalid, which is known after the body.
+func (o OddResponse) IsTrailer() bool { return o.Name == "trailer" }
+
+// SampleResponses returns invalid responses of each kind, without further fields, by their status or their invalid line.
+func SampleResponses() map[string][]OddResponse {
+	all := map[string][]OddResponse{}
+	for _, status := range SampleStatuses() {
+		all[status] = OddResponses(status, "", ForgedResponse(""))
+	}
+	for _, line := range SampleFieldLines() {
+		all[line] = FieldResponses(line, "", "{}")
+	}
+	return all
+}
+
 // ImpossibleBodies returns responses that state a body, which they cannot have because of their status.
 func ImpossibleBodies(status int, body string) []OddResponse {
 	head := fmt.Sprintf("HTTP/1.1 %d Bodyless\r\n", status)
--- a/upstream/http.go
+++ b/upstream/http.go
@@ -135,7 +135,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("upstream: GET request failed with status %d", resp.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(result)
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
 }
 
 // adapterOrder is the body of a load or unload order, in vLLM's format.
@@ -165,7 +169,8 @@
 }
 
 // sendOrder sends an order with its fencing number to an engine. It returns ErrFenced for status
-// 412, ErrNoSlot for 507 and another error for any other status but 200.
+// 412, ErrNoSlot for 507 and another error for any other status but 200, and for a response that
+// breaks off.
 func (c *Client) sendOrder(ctx context.Context, url string, body any, fence int64) error {
 	raw, err := json.Marshal(body)
 	if err != nil {
@@ -184,7 +189,10 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	detail, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return err
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return nil
