Responses with a blank in the name of a field reached callers

What callers saw: an upstream in trouble sent a response in whose head, in that of an interim response or in the trailer the name of a field held a blank. jasminelock-entry passed the response on with that line; where the name was "Content-Length " or "Transfer-Encoding ", both daemons delivered a body that was not the upstream's, with the framing of its chunks. Control bytes in names and values were rejected already.

Cause: http.ReadResponse accepts blanks in names and leaves such names as they are, so that a length or an encoding that is stated with one does not count.

Evidence, before: host/TestInvalidField failed for each kind of request at the first line ("X Odd: x": 200), gateway/TestInvalidResponse for "Transfer-Encoding : chunked", forward/TestDo_InvalidField and httpcheck/TestTransport_InvalidField for each line with a blank, InvalidResponse of platform, store and upstream for these lines in each call.

Change: a response is invalid if the name of a field is no token. forward checks each head that it has read; clients of net/http check the bytes before, as they do with the status line; both check the trailer at the end of the body.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -65,6 +65,9 @@
 		case n == maxStaleBodyBytes:
 			return nil, fmt.Errorf("%w: body of a response to another request: %w", ErrMalformed, errSizeLimit)
 		}
+		if err := httpcheck.CheckFields(resp.Trailer); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
 	}
 }
 
@@ -164,10 +167,10 @@
 		if err == nil && line.IsHTTP10() {
 			err = httpcheck.CheckFieldsHTTP10(c.limited.stopRecording())
 		}
-		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		if err == nil {
+			err = httpcheck.CheckHead(resp)
 		}
-		if err := httpcheck.CheckFraming(resp); err != nil {
+		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
 		if httpcheck.IsFinal(resp.StatusCode) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -111,10 +111,13 @@
 	return resp, nil
 }
 
-// Read reads the body. It returns io.EOF only after a complete body.
+// Read reads the body. It returns io.EOF only after a complete body with a valid trailer, if it has one.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.response.Body.Read(b)
 	if errors.Is(err, io.EOF) {
+		if invalid := httpcheck.CheckFields(r.response.Trailer); invalid != nil {
+			return n, fmt.Errorf("%w: %w", ErrMalformed, invalid)
+		}
 		r.complete = true
 	}
 	return n, err
--- a/forward/status_test.go
+++ b/forward/status_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -42,6 +43,10 @@
 	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
 	defer cancel()
 	resp, err := p.Do(ctx, "u", upstream.address, newRequest("2"), time.Minute)
+	if err == nil && odd.IsTrailer() {
+		_, err = io.ReadAll(resp)
+		resp.Close()
+	}
 	if err == nil {
 		t.Errorf("%s, reused %t: status %d taken as a response", odd.Name, reused, resp.Status)
 		resp.Close()
@@ -51,7 +56,9 @@
 		t.Errorf("%s, reused %t: not answered before the deadline", odd.Name, reused)
 		return
 	}
-	require.ErrorIs(t, err, ErrMalformed, "%s, reused %t", odd.Name, reused)
+	if !odd.IsTrailer() { // the error of a body may be that of net/http
+		require.ErrorIs(t, err, ErrMalformed, "%s, reused %t", odd.Name, reused)
+	}
 	require.EqualValues(t, 1, upstream.dials.Load(), "%s, reused %t", odd.Name, reused)
 	require.Empty(t, p.idle["u"])
 	<-closed
@@ -98,6 +105,51 @@
 	}
 }
 
+// An upstream answers with a line in a head or a trailer that is no field. Guards against the response being taken for a valid one,
+// with a body that is not that of the upstream where the line would have framed it.
+func TestDo_InvalidField(t *testing.T) {
+	for _, line := range replica.InvalidFieldLines() {
+		t.Run(strconv.Quote(line), func(t *testing.T) {
+			t.Parallel()
+			for _, odd := range replica.FieldResponses(line, idHeader+": 2\r\n", "ok") {
+				requireRejected(t, odd, false)
+				requireRejected(t, odd, true)
+			}
+		})
+	}
+}
+
+// Guards against valid names and values of fields that are rejected, in heads and trailers, also in lines that are folded.
+func TestDo_ValidFields(t *testing.T) {
+	const fields = "!#$%&'*+-.^_`|~09aZ: \t a\x80\xff: b \t\r\nX-Folded: a\r\n b : c\r\n\td: e\r\nX-Empty:\r\n"
+	upstream := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		id, _ := readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n"+fields+"\r\nHTTP/1.1 200 OK\r\n"+fields+idHeader+": "+id+
+			"\r\nTrailer: X-Late\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+fields+"X-Late: x\r\n\r\n")
+		_, _ = r.ReadByte()
+	})
+	p := newTestPool()
+	body, err := get(t, p, upstream, "1")
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	require.Len(t, p.idle["u"], 1)
+}
+
+// An upstream answers an earlier request with an invalid trailer. Guards against the next bytes being read as a response.
+func TestDo_InvalidTrailerOfOtherRequest(t *testing.T) {
+	upstream := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = readRequest(r)
+		for _, odd := range replica.FieldResponses("X-Odd : x", idHeader+": other\r\n", "ok") {
+			if odd.IsTrailer() {
+				odd.Send(c)
+			}
+		}
+		writeResponse(c, "1", "ok")
+	})
+	_, err := get(t, newTestPool(), upstream, "1")
+	require.ErrorIs(t, err, ErrMalformed)
+}
+
 // Guards against valid statuses that are rejected: final ones of all kinds, and interim responses before them.
 func TestDo_ValidStatus(t *testing.T) {
 	const head = idHeader + ": 1\r\nContent-Length: 2\r\n\r\nok"
--- a/gateway/invalidstatus_test.go
+++ b/gateway/invalidresponse_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -20,10 +22,10 @@
 	"github.com/jasminelock/jasminelock/standin/replica"
 )
 
-// Engines and plain services answer with an invalid status, and a body that looks like a response. Guards against callers that
+// Engines and plain services answer with an invalid status, and a body that looks like a response, or with an invalid field. Guards against callers that
 // receive that body as a success, that wait until their deadline (504), or that are told that the call has not run, and against
 // calls that run once only and are sent again.
-func TestInvalidStatus(t *testing.T) {
+func TestInvalidResponse(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, fleetOptions{})
 	engineStandin := engine.New(engine.Settings{Model: "odd", AdapterSlots: 4})
@@ -53,23 +55,27 @@
 	}
 	_, err = configstore.Write(t.Context(), f.client, configstore.Change{Operation: "odd", Records: records})
 	require.NoError(t, err)
-	for _, status := range []string{"000", "199", "600"} {
-		for _, response := range replica.OddResponses(status, "", replica.ForgedResponse("")) {
+	invalid := replica.SampleResponses()
+	maps.DeleteFunc(invalid, func(kind string, _ []replica.OddResponse) bool {
+		return slices.Contains(replica.SampleStatuses(), kind) && !slices.Contains([]string{"000", "199", "600"}, kind)
+	})
+	for kind, responses := range invalid {
+		for _, response := range responses {
 			odd.Store(&response)
 			for path, body := range map[string]string{
 				"/once": "x", "/often": "x", "/v1/chat/completions": strings.Replace(chatBody, "alice-menu", "alice-odd", 1),
 			} {
-				name := fmt.Sprintf("%s, %s, %s", status, response.Name, path)
+				name := fmt.Sprintf("%q, %s, %s", kind, response.Name, path)
 				before := reached.Load()
 				r := f.mustReach(path, body, func() bool { return reached.Load() > before })
 				require.NoError(t, r.readErr, name)
 				require.NotContains(t, r.body, replica.ForgedBody, name)
-				kind, attempts := apierr.UpstreamFailed, int64(core.MaxAttempts)
+				failure, attempts := apierr.UpstreamFailed, int64(core.MaxAttempts)
 				if path == "/once" {
-					kind, attempts = apierr.OutcomeUnknown, 1
+					failure, attempts = apierr.OutcomeUnknown, 1
 				}
 				require.Equal(t, http.StatusBadGateway, r.status, "%s: %s", name, r.body)
-				require.Equal(t, kind.String(), r.errorBody(t).Code, name)
+				require.Equal(t, failure.String(), r.errorBody(t).Code, name)
 				require.Equal(t, apierr.MayHaveRun.String(), r.errorBody(t).Ran, name)
 				require.LessOrEqual(t, reached.Load()-before, attempts, name)
 			}
--- a/host/invalidstatus_test.go
+++ b/host/invalidresponse_test.go
@@ -16,14 +16,26 @@
 	"github.com/jasminelock/jasminelock/standin/tables"
 )
 
-// oddReplica answers requests with odd responses, whose body is a signed response to the same request. It answers control
-// requests properly.
+// oddReplica answers requests with odd responses. It answers control requests properly.
 type oddReplica struct {
 	controls map[string]*replica.Replica
-	// status is that of the responses, and response the index in replica.OddResponses.
-	status   atomic.Value
-	response atomic.Int64
-	reached  atomic.Int64
+	// response returns the response to a request with the lines that sign it.
+	response atomic.Pointer[func(signature string) replica.OddResponse]
+	// reached counts the requests that have reached the replica, sent those that callers have sent to reach it.
+	reached, sent atomic.Int64
+}
+
+// answerWith sets the responses of the replica.
+func (o *oddReplica) answerWith(response func(signature string) replica.OddResponse) {
+	o.response.Store(&response)
+}
+
+// invalidStatus returns responses with the status of the form at an index of replica.OddResponses, whose body is a signed response
+// to the same request.
+func invalidStatus(status string, form int) func(signature string) replica.OddResponse {
+	return func(signature string) replica.OddResponse {
+		return replica.OddResponses(status, signature, replica.ForgedResponse(signature))[form]
+	}
 }
 
 func (o *oddReplica) serve(c *net.TCPConn, req *http.Request) bool {
@@ -35,8 +47,8 @@
 		return false
 	}
 	o.reached.Add(1)
-	_, fields, _ := strings.Cut(replica.SignedHead(req, streamType), "\r\n")
-	return replica.OddResponses(o.status.Load().(string), fields, replica.ForgedResponse(fields))[o.response.Load()].Send(c) //nolint:forcetypeassert // only strings are stored
+	_, signature, _ := strings.Cut(replica.SignedHead(req, streamType), "\r\n")
+	return (*o.response.Load())(signature).Send(c)
 }
 
 // addOddReplicas starts an oddReplica and lists it as n upstreams of each service.
@@ -55,6 +67,20 @@
 	return o
 }
 
+// mustReach sends requests of a kind until one has reached the replica, and returns the response to that.
+func (r *runningHost) mustReach(odd *oddReplica, kind string, toEngine bool) response {
+	for reached := odd.reached.Load(); ; time.Sleep(5 * time.Millisecond) {
+		n := odd.sent.Add(1)
+		c := caller.Call{Method: http.MethodPost, Path: fmt.Sprintf("/%s/%d", kind, n), Body: fmt.Sprint(n), ID: fmt.Sprint(n), Key: "key"}
+		if toEngine {
+			c.Model, c.Adapter, c.PromptTokens, c.OutputTokens = "m", "a1", 10, 10
+		}
+		if got := r.send(c, nil); odd.reached.Load() > reached {
+			return got
+		}
+	}
+}
+
 // Engines and plain services answer with an invalid status, and a body that is a signed response. Guards against callers that
 // receive that body as a success, that wait until their deadline (504), or that are told that the request has not run.
 func TestInvalidStatus_CallersGet502AtOnce(t *testing.T) {
@@ -64,20 +90,10 @@
 			d := newDeployment(t)
 			odd := d.addOddReplicas(24, service) // each is avoided for a while after such a response
 			h := d.addHost("h1")
-			tries := 0
 			for _, status := range replica.SampleStatuses() {
 				for i, form := range replica.OddResponses(status, "", "") {
-					odd.status.Store(status)
-					odd.response.Store(int64(i))
-					var got response
-					for reached := odd.reached.Load(); odd.reached.Load() == reached; time.Sleep(5 * time.Millisecond) {
-						tries++
-						c := caller.Call{Method: http.MethodPost, Path: fmt.Sprintf("/%s/%d", kind, tries), Body: fmt.Sprint(tries), ID: fmt.Sprint(tries), Key: "key"}
-						if service == "engines" {
-							c.Model, c.Adapter, c.PromptTokens, c.OutputTokens = "m", "a1", 10, 10
-						}
-						got = h.send(c, nil)
-					}
+					odd.answerWith(invalidStatus(status, i))
+					got := h.mustReach(odd, kind, service == "engines")
 					require.NotContains(t, got.body, replica.ForgedBody, "%s, %s", status, form.Name)
 					if kind == "resume" {
 						require.Equal(t, brokenStream, got.body, "%s, %s", status, form.Name)
@@ -96,7 +112,7 @@
 func TestInvalidStatus_RepeatableRequestsAreServedElsewhere(t *testing.T) {
 	d := newDeployment(t)
 	odd := d.addOddReplicas(1, "app")
-	odd.status.Store("000")
+	odd.answerWith(invalidStatus("000", 0))
 	d.addReplica("app", replica.Options{ID: "sound"})
 	h := d.addHost("h1")
 	for n := 0; odd.reached.Load() == 0; n++ {
@@ -106,3 +122,34 @@
 		require.Contains(t, resp.body, "answer of sound")
 	}
 }
+
+// Engines and plain services answer with a line in a head or a trailer that is no field. Guards against callers that receive the
+// response, that line, or a body that is not that of the upstream.
+func TestInvalidField_CallersGetNoSuccess(t *testing.T) {
+	for kind, service := range map[string]string{"book": "app", "status": "app", "chat": "engines", "resume": "engines"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			odd := d.addOddReplicas(24, service) // each is avoided for a while after such a response
+			h := d.addHost("h1")
+			for _, line := range replica.SampleFieldLines() {
+				for i, form := range replica.FieldResponses(line, "", "") {
+					name := fmt.Sprintf("%q, %s", line, form.Name)
+					odd.answerWith(func(signature string) replica.OddResponse {
+						return replica.FieldResponses(line, signature, streamBody(3, 4))[i]
+					})
+					got := h.mustReach(odd, kind, service == "engines")
+					if kind == "resume" || kind == "chat" && form.IsTrailer() {
+						require.Error(t, got.err, "%s: the stream must not seem complete", name)
+						continue
+					}
+					require.NoError(t, got.err, name)
+					require.Equal(t, http.StatusBadGateway, got.status, "%s: %s", name, got.body)
+					for field := range got.header {
+						require.NotContains(t, field, " ", name)
+					}
+				}
+			}
+		})
+	}
+}
--- a/httpcheck/conn.go
+++ b/httpcheck/conn.go
@@ -102,12 +102,11 @@
 type phase int
 
 const (
-	// unchecked is the phase after the status line of a final response, and before the first request.
+	// unchecked is the phase after the head of a final response, and before the first request.
 	unchecked phase = iota
 	// inLine is the phase of the status line.
 	inLine
-	// inFields is the phase of the fields of an interim response, of one with status 204 or of one of
-	// HTTP/1.0, until their blank line.
+	// inFields is the phase of the fields, until their blank line.
 	inFields
 )
 
@@ -115,11 +114,13 @@
 // length of 0 with some space.
 const maxFieldBytes = 64
 
-// head checks the status lines of the interim responses and of the final one, and the fields of
-// those that must not state a body or its encoding.
+// head checks the heads of the interim responses and of the final one: their status lines, the names of
+// their fields, and whether a response states a body or its encoding that must not.
 type head struct {
 	phase phase
 	line  Line
+	// inName reports whether the name in the present line of the fields, if it has one, has not ended.
+	inName bool
 	// field holds the beginning of the present line of the fields.
 	field []byte
 	// length reports whether the line before was a length of 0.
@@ -151,17 +152,27 @@
 		return h.addToField(b)
 	}
 	complete, err := h.line.Add(b)
-	switch {
-	case err != nil:
+	if err != nil || !complete {
 		return err
-	case !complete:
-	case !isBodyless(h.line.Status()) && !h.line.IsHTTP10():
-		h.phase = unchecked
-	default:
-		h.phase, h.field, h.length = inFields, h.field[:0], false
-		if b != '\n' {
-			h.field = append(h.field, '-') // the rest of the status line counts as a field, not as the blank line
-		}
+	}
+	h.phase, h.field, h.length, h.inName = inFields, h.field[:0], false, true
+	if b != '\n' {
+		h.field, h.inName = append(h.field, '-'), false // the rest of the status line counts as a field, not as the blank line
+	}
+	return nil
+}
+
+// checkName checks the next byte of a line of the fields, other than the line end, if it may belong to the name.
+func (h *head) checkName(b byte) error {
+	first := len(h.field) == 0
+	switch {
+	case !h.inName || first && b == '\r':
+	case first && (b == ' ' || b == '\t'): // the line continues the one before
+		h.inName = false
+	case !first && b == ':':
+		h.inName = false
+	case !isNameByte(b):
+		return errName(string(append(h.field, b)))
 	}
 	return nil
 }
@@ -169,13 +180,14 @@
 // addToField adds a byte to the present line of the fields.
 func (h *head) addToField(b byte) error {
 	if b != '\n' {
+		err := h.checkName(b)
 		if len(h.field) < maxFieldBytes {
 			h.field = append(h.field, b)
 		}
-		return nil
+		return err
 	}
 	line := bytes.TrimSuffix(h.field, []byte("\r"))
-	h.field = h.field[:0]
+	h.field, h.inName = h.field[:0], true
 	if len(line) == 0 {
 		if IsFinal(h.line.Status()) {
 			h.phase = unchecked
--- a/httpcheck/fuzz_test.go
+++ b/httpcheck/fuzz_test.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := CheckFraming(resp); err != nil {
+		if err := CheckHead(resp); err != nil {
 			return nil, err
 		}
 		if IsFinal(resp.StatusCode) {
@@ -72,6 +72,7 @@
 	for _, begin := range []string{
 		"", "HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 104 X\r\n\r\n", "HTTP/1.1 101 X\r\n\r\n", "HTTP/1.1 +20 X\r\n\r\n", "HTTP/1.1 103 X\r\nLink: x\r\n\r\n",
 		"HTTP/1.1 103\n\n", "HTTP/1.1 102 X\r\nContent-Length: 45\r\n\r\n", "HTTP/1.1 100\r\nTransfer-Encoding: chunked\r\n\r\n2d\r\n", "HTTP/1.1 103 X\r\nA: b\r\n\tContent-Length: 45\r\n\r\n",
+		"HTTP/1.1 200 X\r\nX-Odd : x\r\n\r\n", "HTTP/1.1 200 X\r\nX\x00: x\r\n\r\n", "HTTP/1.1 200 X\r\nA: b\r\n c d\r\n\r\n", "HTTP/1.1 200\n: x\n\n", "HTTP/1.1 103 X\n X: x\n\n",
 		"HTTP/1.1 103 X\r\nA: b\r\n \r\n\r\n", "HTTP/1.1 103 X\r\n\r\r\n\r\n", "HTTP/1.1 103 X\r\nContent-Length : 45\r\n\r\n", "HTTP/1.0 103 X\r\n\r\n",
 		"HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.0 204 X\r\nTransfer-Encoding: x\r\n\r\n", "HTTP/1.0 200 X\r\nA: b\r\n Transfer-Encoding: x\r\n\r\n",
 		"HTTP/1.1 204 X\r\nContent-Length: 45\r\n\r\n", "HTTP/1.1 204 X\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 204 X\r\nContent-Length: 0\r\n 5\r\n\r\n",
--- a/httpcheck/line.go
+++ b/httpcheck/line.go
@@ -117,16 +117,14 @@
 	return strings.EqualFold(string(name), "transfer-encoding")
 }
 
-// CheckFraming returns an error if a response that cannot have a body because of its status, an
-// interim one or 204, states one. Its bytes would be read as the next response.
-func CheckFraming(resp *http.Response) error {
-	if !isBodyless(resp.StatusCode) {
-		return nil
-	}
-	if StatesBody(resp) {
+// CheckHead returns an error that wraps ErrInvalid if the head of an interim or final response, which
+// http.ReadResponse has read, is invalid: the name of a field is no token, or the response states a body
+// that it cannot have because of its status, so that the bytes would be read as the next response.
+func CheckHead(resp *http.Response) error {
+	if isBodyless(resp.StatusCode) && StatesBody(resp) {
 		return errFraming(resp.StatusCode)
 	}
-	return nil
+	return CheckFields(resp.Header)
 }
 
 // StatesBody reports whether the fields of a response state a body, whether or not it has one.
--- a/httpcheck/transport.go
+++ b/httpcheck/transport.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -12,7 +14,8 @@
 )
 
 // Transport is an http.RoundTripper that fails with an error that wraps ErrInvalid as soon as the
-// beginning of a response is invalid, and closes the connection.
+// beginning of a response is invalid, and closes the connection. So does a read of the body at its end
+// if the trailer is invalid.
 type Transport struct{ base *http.Transport }
 
 // dialFunc opens a connection.
@@ -95,15 +98,49 @@
 	switch {
 	case err != nil && c != nil && c.failure() != nil:
 		return nil, c.failure()
-	case err != nil || IsFinal(resp.StatusCode):
-		return resp, err
+	case err != nil:
+		return nil, err
 	}
-	// The bytes came before the request was assigned the connection, so that they were not checked.
-	if c != nil {
-		_ = c.Close()
+	// Bytes that came before the request was assigned the connection were not checked.
+	if err := checkFinal(resp); err != nil {
+		if c != nil {
+			_ = c.Close()
+		}
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	resp.Body = &body{ReadCloser: resp.Body, resp: resp, conn: c}
+	return resp, nil
+}
+
+// checkFinal returns an error if the head of a final response is invalid.
+func checkFinal(resp *http.Response) error {
+	if !IsFinal(resp.StatusCode) {
+		return fmt.Errorf("%w: status %03d", ErrInvalid, resp.StatusCode)
+	}
+	return CheckHead(resp)
+}
+
+// body is the body of a response. It checks the trailer.
+type body struct {
+	io.ReadCloser
+	resp *http.Response
+	conn *conn
+}
+
+// Read implements io.Reader. It returns io.EOF only if the trailer is valid.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if invalid := CheckFields(b.resp.Trailer); invalid != nil {
+		if b.conn != nil {
+			_ = b.conn.Close() // it may be in use again, for a request that is lost with it
+		}
+		return n, invalid
 	}
-	_ = resp.Body.Close()
-	return nil, fmt.Errorf("%w: status %03d", ErrInvalid, resp.StatusCode)
+	return n, err
 }
 
 // CloseIdleConnections closes the connections that are not in use. http.Client calls it.
--- a/httpcheck/transport_test.go
+++ b/httpcheck/transport_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -26,8 +27,9 @@
 const firstResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
 
 // checkRejected sends a request to a server that answers it with odd, and another one before that on the same connection if
-// reused is set. It returns an error unless the request fails before its deadline, is sent once, and leaves no connection open.
-func checkRejected(t *testing.T, transport http.RoundTripper, odd replica.OddResponse, reused bool) error {
+// reused is set. It returns an error unless the request fails before its deadline, with want if that is not nil, is sent once, and
+// leaves no connection open.
+func checkRejected(t *testing.T, transport http.RoundTripper, odd replica.OddResponse, reused bool, want error) error {
 	t.Helper()
 	first := ""
 	if reused {
@@ -46,16 +48,18 @@
 		require.NoError(t, err)
 		sent++
 		resp, err := transport.RoundTrip(req)
+		var body []byte
+		if err == nil {
+			body, err = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
 		switch {
+		case err == nil && (!reused || string(body) != "first"):
+			return fmt.Errorf("status %d taken as a response, with body %q", resp.StatusCode, body)
 		case err == nil:
-			body, err := io.ReadAll(resp.Body)
-			_ = resp.Body.Close()
-			if err != nil || !reused || string(body) != "first" {
-				return fmt.Errorf("status %d taken as a response, with body %q", resp.StatusCode, body)
-			}
 		case ctx.Err() != nil:
 			return errors.New("not answered before the deadline")
-		case !errors.Is(err, httpcheck.ErrInvalid) || (reused && sent == 1):
+		case want != nil && !errors.Is(err, want) || (reused && sent == 1):
 			return fmt.Errorf("request %d: error is %w", sent, err)
 		default:
 			rejected = true
@@ -82,8 +86,8 @@
 		t.Run(status, func(t *testing.T) {
 			t.Parallel()
 			for _, odd := range replica.OddResponses(status, "", replica.ForgedResponse("")) {
-				require.NoError(t, checkRejected(t, transport, odd, false), odd.Name)
-				require.NoError(t, checkRejected(t, transport, odd, true), odd.Name)
+				require.NoError(t, checkRejected(t, transport, odd, false, httpcheck.ErrInvalid), odd.Name)
+				require.NoError(t, checkRejected(t, transport, odd, true, httpcheck.ErrInvalid), odd.Name)
 			}
 		})
 	}
@@ -95,17 +99,32 @@
 	transport := httpcheck.NewTransport(&http.Transport{})
 	for _, status := range []int{100, 102, 103, 204} {
 		for _, odd := range replica.ImpossibleBodies(status, replica.ForgedResponse("")) {
-			require.NoError(t, checkRejected(t, transport, odd, false), odd.Name)
-			require.NoError(t, checkRejected(t, transport, odd, true), odd.Name)
+			require.NoError(t, checkRejected(t, transport, odd, false, httpcheck.ErrInvalid), odd.Name)
+			require.NoError(t, checkRejected(t, transport, odd, true, httpcheck.ErrInvalid), odd.Name)
 		}
 	}
 }
 
+// A server answers with a line in a head or a trailer that is no field. Guards against the response being taken for a valid one,
+// with a body that is not that of the server where the line would have framed it.
+func TestTransport_InvalidField(t *testing.T) {
+	transport := httpcheck.NewTransport(&http.Transport{})
+	for _, line := range replica.InvalidFieldLines() {
+		t.Run(strconv.Quote(line), func(t *testing.T) {
+			t.Parallel()
+			for _, odd := range replica.FieldResponses(line, "", "ok") {
+				require.NoError(t, checkRejected(t, transport, odd, false, nil), odd.Name)
+				require.NoError(t, checkRejected(t, transport, odd, true, nil), odd.Name)
+			}
+		})
+	}
+}
+
 // Guards against the framing of chunks being read as a part of the body: HTTP/1.0 has no Transfer-Encoding.
 func TestTransport_EncodingOfHTTP10(t *testing.T) {
 	odd := replica.OddResponse{Bytes: "HTTP/1.0 200 OK\r\nLink: x\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Ends: true}
-	require.NoError(t, checkRejected(t, httpcheck.NewTransport(&http.Transport{}), odd, false))
-	require.Error(t, checkRejected(t, &http.Transport{}, odd, false), "the check finds the fault of the transport of net/http")
+	require.NoError(t, checkRejected(t, httpcheck.NewTransport(&http.Transport{}), odd, false, httpcheck.ErrInvalid))
+	require.Error(t, checkRejected(t, &http.Transport{}, odd, false, httpcheck.ErrInvalid), "the check finds the fault of the transport of net/http")
 }
 
 // The check above finds the faults of the transport of net/http.
@@ -123,7 +142,7 @@
 		odd("000", "length"), odd("042", "close"), odd("+20", "empty"), odd("104", "length"), odd("199", "close"), odd("600", "length"), odd("999", "empty"),
 		replica.ImpossibleBodies(http.StatusEarlyHints, replica.ForgedResponse(""))[0],
 	} {
-		require.Error(t, checkRejected(t, &http.Transport{}, o, false), o.Name)
+		require.Error(t, checkRejected(t, &http.Transport{}, o, false, httpcheck.ErrInvalid), o.Name)
 	}
 }
 
--- a/store/invalidresponse_test.go
+++ b/store/invalidresponse_test.go
@@ -13,7 +13,7 @@
 
 // The store answers with an invalid status and a body that looks like a response, on a new connection and on a reused one. Guards
 // against a write that counts as committed, a body that is read as a response, and a call that waits until its deadline.
-func TestClient_InvalidStatus(t *testing.T) {
+func TestClient_InvalidResponse(t *testing.T) {
 	const first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 	for name, call := range map[string]func(ctx context.Context, c *store.Client) error{
 		"read": func(ctx context.Context, c *store.Client) error {
@@ -24,10 +24,10 @@
 		"object": func(ctx context.Context, c *store.Client) error { return c.Put(ctx, "o", []byte("1"), true) },
 		"delete": func(ctx context.Context, c *store.Client) error { return c.Delete(ctx, "o") },
 	} {
-		for _, status := range replica.SampleStatuses() {
-			t.Run(name+"/"+status, func(t *testing.T) {
+		for kind, responses := range replica.SampleResponses() {
+			t.Run(name+"/"+kind, func(t *testing.T) {
 				t.Parallel()
-				for _, odd := range replica.OddResponses(status, "", replica.ForgedResponse("")) {
+				for _, odd := range responses {
 					for _, first := range []string{"", first} {
 						server, err := replica.ServeOdd(first, odd)
 						require.NoError(t, err)
--- a/upstream/invalidresponse_test.go
+++ b/upstream/invalidresponse_test.go
@@ -16,7 +16,7 @@
 // An upstream in trouble answers calls, reports and orders with an invalid status, with a body that looks like a response, on
 // a new connection and on one that has been used. Guards against that body being taken as the response, against a call that
 // waits for its deadline, and against an error that says that the call was not sent.
-func TestClient_InvalidStatus(t *testing.T) {
+func TestClient_InvalidResponse(t *testing.T) {
 	const first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 	for name, call := range map[string]func(ctx context.Context, c *upstream.Client, base string) error{
 		"call": func(ctx context.Context, c *upstream.Client, base string) error {
@@ -43,10 +43,10 @@
 			return c.Load(ctx, base, upstream.LoadOrder{Name: "a", Source: "s", Fence: 1})
 		},
 	} {
-		for _, status := range replica.SampleStatuses() {
-			t.Run(name+"/"+status, func(t *testing.T) {
+		for kind, responses := range replica.SampleResponses() {
+			t.Run(name+"/"+kind, func(t *testing.T) {
 				t.Parallel()
-				for _, odd := range replica.OddResponses(status, "", replica.ForgedResponse("")) {
+				for _, odd := range responses {
 					for _, first := range []string{"", first} {
 						if first != "" && name == "call on a new connection" {
 							continue
