A link to another host was opened by a response outside the protocol

What was seen: what answers at the address of another host could accept a link with an invalid response: one with a blank in the name of a field, in its head or that of an interim response; one with status 104 or 199, whose body was read as the acceptance; one that states a body, or of HTTP/1.0.

Cause: links were opened over the client of net/http without the checks that all others have, since these rejected status 101.

Change: links use httpcheck.Transport, which accepts 101 where the request asks for another protocol.

--- a/httpcheck/conn.go
+++ b/httpcheck/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,10 +30,12 @@
 	return c
 }
 
-// expectResponse has the next bytes checked as the beginning of a response.
-func (c *conn) expectResponse() {
+// expectResponse has the next bytes checked as the beginning of a response to a request, which asks for another
+// protocol if upgrade is set.
+func (c *conn) expectResponse(upgrade bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.head.upgrade = upgrade
 	c.head.start()
 	c.expecting, c.responding = true, false
 }
@@ -49,14 +52,14 @@
 }
 
 // awaitResponse waits until bytes of a response have been read, or until there can be none. It reports
-// whether there are some.
+// whether there are some, and the connection still carries HTTP.
 func (c *conn) awaitResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.expecting && !c.responding && !c.ended {
 		c.changed.Wait()
 	}
-	return c.responding
+	return c.responding && !c.head.switched()
 }
 
 // Close implements net.Conn.
@@ -119,6 +122,8 @@
 type head struct {
 	phase phase
 	line  Line
+	// upgrade reports whether the request asks for another protocol.
+	upgrade bool
 	// inName reports whether the name in the present line of the fields, if it has one, has not ended.
 	inName bool
 	// field holds the beginning of the present line of the fields.
@@ -130,7 +135,12 @@
 }
 
 // start expects the first byte of a response.
-func (h *head) start() { h.phase, h.line = inLine, Line{} }
+func (h *head) start() { h.phase, h.line = inLine, Line{upgrade: h.upgrade} }
+
+// switched reports whether the connection carries another protocol from now on.
+func (h *head) switched() bool {
+	return h.phase == unchecked && h.line.Status() == http.StatusSwitchingProtocols
+}
 
 // check checks the next bytes. It returns the number of valid ones, and an error if not all are.
 func (h *head) check(b []byte) (int, error) {
@@ -189,10 +199,10 @@
 	line := bytes.TrimSuffix(h.field, []byte("\r"))
 	h.field, h.inName = h.field[:0], true
 	if len(line) == 0 {
-		if IsFinal(h.line.Status()) {
-			h.phase = unchecked
-		} else {
+		if IsInterim(h.line.Status()) {
 			h.start()
+		} else {
+			h.phase = unchecked
 		}
 		return nil
 	}
--- a/httpcheck/fuzz_test.go
+++ b/httpcheck/fuzz_test.go
@@ -82,7 +82,7 @@
 	}
 	f.Fuzz(func(t *testing.T, raw []byte, size uint8) {
 		checked := newConn(piecesConn{in: bytes.NewReader(raw), size: int(size) + 1})
-		checked.expectResponse()
+		checked.expectResponse(false)
 		got, err := readAsTransport(bufio.NewReader(checked))                                 //nolint:bodyclose // there is no connection
 		want, wantErr := readStrictly(bufio.NewReaderSize(bytes.NewReader(raw), len(raw)+16)) //nolint:bodyclose // there is no connection
 		if err != nil {
--- a/httpcheck/line.go
+++ b/httpcheck/line.go
@@ -26,8 +26,8 @@
 // IsFinal reports whether a status is that of a final response.
 func IsFinal(status int) bool { return minFinal <= status && status <= maxFinal }
 
-// IsInterim reports whether a status is that of an interim response. 101 is none: no request asks
-// for another protocol.
+// IsInterim reports whether a status is that of an interim response. 101 is none: it is final where a
+// request asks for another protocol, and invalid elsewhere.
 func IsInterim(status int) bool {
 	switch status {
 	case http.StatusContinue, http.StatusProcessing, http.StatusEarlyHints:
@@ -42,6 +42,8 @@
 	count  int
 	minor  byte
 	status int
+	// upgrade reports whether the request asks for another protocol, so that the status may be 101.
+	upgrade bool
 }
 
 // pattern is the form of the beginning of a status line. d stands for a digit.
@@ -83,7 +85,8 @@
 }
 
 func (l *Line) checkStatus() error {
-	if IsFinal(l.status) || IsInterim(l.status) && l.minor != '0' {
+	isSwitch := l.upgrade && l.status == http.StatusSwitchingProtocols
+	if IsFinal(l.status) || (isSwitch || IsInterim(l.status)) && l.minor != '0' {
 		return nil
 	}
 	return fmt.Errorf("%w: status %03d of HTTP/1.%c", ErrInvalid, l.status, l.minor)
--- a/httpcheck/transport.go
+++ b/httpcheck/transport.go
@@ -87,9 +87,10 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[conn]
+	upgrade := r.Header.Get("Upgrade") != ""
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
-			c.expectResponse()
+			c.expectResponse(upgrade)
 			used.Store(c)
 		}
 	}}
@@ -100,6 +101,8 @@
 		return nil, c.failure()
 	case err != nil:
 		return nil, err
+	case upgrade && resp.StatusCode == http.StatusSwitchingProtocols:
+		return resp, nil
 	}
 	// Bytes that came before the request was assigned the connection were not checked.
 	if err := checkFinal(resp); err != nil {
--- a/peer/link.go
+++ b/peer/link.go
@@ -14,6 +14,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/jasminelock/jasminelock/httpcheck"
 	"github.com/jasminelock/jasminelock/wire"
 )
 
@@ -126,7 +127,7 @@
 		header.Set("Authorization", bearerPrefix+l.options.Secret())
 	}
 	conn, resp, err := websocket.Dial(ctx, url+Path,
-		&websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}, HTTPHeader: header})
+		&websocket.DialOptions{HTTPClient: &http.Client{Transport: httpcheck.NewTransport(transport)}, HTTPHeader: header})
 	if err != nil {
 		return nil, err
 	}
