store.Client took the first 64 MB of a longer object for the object

What was seen: a response without end, or longer than the client reads, was cut at 64 MB and returned as a whole object. Rows were not affected: a part of their JSON is an error.

Cause: the reader was limited and its end taken for that of the response.

Evidence, before: store/TestClient_ObjectBeyondLimit got the object without an error. A longer response now counts as the service being unavailable.

--- a/store/early_test.go
+++ b/store/brokenanswers_test.go
@@ -43,3 +43,18 @@
 		})
 	}
 }
+
+// The store answers with an object that is longer than the client reads. Guards against a part of it that is taken for the whole.
+func TestClient_ObjectBeyondLimit(t *testing.T) {
+	raw, err := replica.ServeRaw(func(c *net.TCPConn, _ *http.Request) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		for part := make([]byte, 1<<20); err == nil; {
+			_, err = c.Write(part)
+		}
+		return false
+	})
+	require.NoError(t, err)
+	t.Cleanup(raw.Close)
+	_, err = store.NewClient("http://"+raw.Address(), time.Minute).GetObject(t.Context(), "o")
+	require.ErrorIs(t, err, store.ErrUnavailable)
+}
--- a/store/http.go
+++ b/store/http.go
@@ -203,9 +203,12 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	switch {
+	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case len(answer) > maxAnswerBytes:
+		return nil, fmt.Errorf("%w: response of more than %d bytes", ErrUnavailable, maxAnswerBytes)
 	}
 	if stated := eraOfHeader(resp.Header); !c.observeEra(stated) {
 		return nil, fmt.Errorf("%w: response of era %d, which is over", ErrUnavailable, stated)
