--- a/httpcheck/line.go
+++ b/httpcheck/line.go
@@ -2,8 +2,9 @@
 //
 // http.ReadResponse accepts statuses such as 000 and +20, and the client of net/http takes every
 // status from 102 to 199 except 101 for an interim response: it reads the body of such a response as
-// the next response. A server in trouble can thereby make it return content that the server never
-// sent as a response.
+// the next response. Both accept blanks in the names of fields, and take the end of a broken connection
+// for that of a closed one. A server in trouble can thereby make them return content that the server
+// never sent as a response, or a part of one.
 package httpcheck
 
 import (
--- a/httpcheck/transport_test.go
+++ b/httpcheck/transport_test.go
@@ -144,6 +144,11 @@
 	} {
 		require.Error(t, checkRejected(t, &http.Transport{}, o, false, httpcheck.ErrInvalid), o.Name)
 	}
+	for _, o := range replica.FieldResponses("X Odd: x", "", "ok") {
+		if o.Name != "close, open" { // net/http waits for the end of the body
+			require.Error(t, checkRejected(t, &http.Transport{}, o, false, nil), o.Name)
+		}
+	}
 }
 
 // Guards against valid responses that are rejected, also over TLS.
