upstream: the test of broken responses sends each call on a connection of its own

Cause: in the test. Its server closes the connection after a response, and the order was sent on the same one before the close had arrived; an order is not repeated by itself. The check is the same; the test uses one listener, not one for each length.

--- a/upstream/brokenanswers_test.go
+++ b/upstream/brokenanswers_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -17,17 +18,19 @@
 // is taken for complete.
 func TestController_BrokenResponsesAreErrors(t *testing.T) {
 	const report = `{"incarnation":"i","sequence":4,"adapters":[{"name":"a@1"}]}`
-	client := upstream.NewClient()
 	for framing, response := range replica.JSONResponses(report) {
+		var sent atomic.Int64
+		raw, err := replica.ServeRaw(func(c *net.TCPConn, _ *http.Request) bool {
+			_, _ = io.WriteString(c, response[:sent.Load()])
+			return false
+		})
+		require.NoError(t, err)
+		t.Cleanup(raw.Close)
 		for after := range len(response) + 1 {
-			raw, err := replica.ServeRaw(func(c *net.TCPConn, _ *http.Request) bool {
-				_, _ = io.WriteString(c, response[:after])
-				return false
-			})
-			require.NoError(t, err)
-			got, reportErr := client.Report(t.Context(), "http://"+raw.Address())
-			orderErr := client.Load(t.Context(), "http://"+raw.Address(), upstream.LoadOrder{Name: "a@1", Source: "s", Fence: 1})
-			raw.Close()
+			sent.Store(int64(after))
+			// Each call has a client of its own, since the server closes the connection after a response.
+			got, reportErr := upstream.NewClient().Report(t.Context(), "http://"+raw.Address())
+			orderErr := upstream.NewClient().Load(t.Context(), "http://"+raw.Address(), upstream.LoadOrder{Name: "a@1", Source: "s", Fence: 1})
 			if after == len(response) {
 				require.NoError(t, reportErr)
 				require.EqualValues(t, 4, got.Sequence)
