standin: ports that are reserved for a listener, for all tests and soaks that start hosts

Tests of package host looked for a free port by listening on it, closed the listener and gave the port to a host that listened some time later. Soaks, the tests of intake and of the page of first steps had copies of the same search.

The five copies and their ranges of ports are gone.

--- a/firststeps_test.go
+++ b/firststeps_test.go
@@ -3,18 +3,17 @@
 import (
 	"bytes"
 	"fmt"
-	"maps"
 	"net"
 	"os"
 	"os/exec"
 	"regexp"
-	"slices"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/jasminelock/jasminelock/standin"
 )
 
 const firstStepsPage = "docs/operators/first-steps.md"
@@ -51,34 +50,21 @@
 	free := map[string]string{}
 	return loopbackPort.ReplaceAllStringFunc(page, func(port string) string {
 		if free[port] == "" {
-			free[port] = freePort(t, free)
+			free[port] = reservedPort(t)
 		}
 		return free[port]
 	})
 }
 
-// The range of ports that are tried. It lies below the system's ephemeral ports:
-// an outgoing connection could take one of those before the program listens on it.
-const (
-	firstPort = 20000
-	portCount = 10000
-)
-
-// freePort returns a port that nothing listens on and that is not a value of taken.
-func freePort(t *testing.T, taken map[string]string) string {
+// reservedPort returns a port on loopback that is kept for a listener until the end of the test.
+func reservedPort(t *testing.T) string {
 	t.Helper()
-	for i := range portCount {
-		port := strconv.Itoa(firstPort + (os.Getpid()+i)%portCount)
-		if slices.Contains(slices.Collect(maps.Values(taken)), port) {
-			continue
-		}
-		if l, err := net.Listen("tcp", "127.0.0.1:"+port); err == nil {
-			require.NoError(t, l.Close())
-			return port
-		}
-	}
-	t.Fatal("no free port")
-	return ""
+	reserved, err := standin.ReservePort()
+	require.NoError(t, err)
+	t.Cleanup(reserved.Release)
+	_, port, err := net.SplitHostPort(reserved.Address())
+	require.NoError(t, err)
+	return port
 }
 
 const stepMark = "=== step "
--- a/host/deployment_test.go
+++ b/host/deployment_test.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,28 +43,13 @@
 	done     chan error
 }
 
-// Ports that hosts listen on. They are below the ephemeral ports, since an outgoing
-// connection could take such a port before the host does, and apart from those of other
-// tests.
-const (
-	firstPort = 10000
-	portCount = 2000
-)
-
-var portsTried atomic.Int64
-
-func freeAddress(t *testing.T) string {
+// reservedAddress returns an address on loopback that is kept for a listener until the end of the test.
+func reservedAddress(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		offset := (int64(os.Getpid())*37 + portsTried.Add(1)) % portCount
-		address := "127.0.0.1:" + strconv.FormatInt(firstPort+offset, 10)
-		if listener, err := net.Listen("tcp", address); err == nil {
-			require.NoError(t, listener.Close())
-			return address
-		}
-	}
-	t.Fatal("no free port for a listener")
-	return ""
+	port, err := standin.ReservePort()
+	require.NoError(t, err)
+	t.Cleanup(port.Release)
+	return port.Address()
 }
 
 func route(name, kind, service string, attempts int) tables.Route {
@@ -163,7 +144,7 @@
 	entrySettings := &settings.Entry{
 		Host: name, Zone: "z", Store: d.storeAddress, MemoryMB: 200, Cores: 1, Grace: settings.Duration(d.grace),
 		Listen: settings.EntryListen{
-			Callers: freeAddress(d.t), Readiness: freeAddress(d.t), Directory: freeAddress(d.t), Peers: freeAddress(d.t), Metrics: freeAddress(d.t),
+			Callers: reservedAddress(d.t), Readiness: reservedAddress(d.t), Directory: reservedAddress(d.t), Peers: reservedAddress(d.t), Metrics: reservedAddress(d.t),
 		},
 		Fleet: settings.EntryFleet{
 			RetryRatio: 0.2, RetrySlack: 50, RateWindow: settings.Duration(8 * time.Second), Fenced: true,
--- a/intake/deployment_test.go
+++ b/intake/deployment_test.go
@@ -60,14 +60,14 @@
 	return dir
 }
 
-// freeAddresses returns addresses on loopback that are free, all different.
-func freeAddresses(t *testing.T, n int) []string {
+// reservedAddresses returns n addresses on loopback that are kept for listeners until the end of the test.
+func reservedAddresses(t *testing.T, n int) []string {
 	var all []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := standin.ReservePort()
 		require.NoError(t, err)
-		defer l.Close()
-		all = append(all, l.Addr().String())
+		t.Cleanup(port.Release)
+		all = append(all, port.Address())
 	}
 	return all
 }
@@ -126,7 +126,7 @@
 		Organisations: []tables.Organisation{{Name: "org", Keys: []string{"key"}, PlainTokens: 1, TokensPerSecond: 1e6, BurstTokens: 1e6}},
 	})
 	store.PutUpstream("p", tables.Upstream{Service: "app", Address: replica.URL[len("http://"):], Slots: 1000, StartedAt: 1})
-	a := freeAddresses(t, 5)
+	a := reservedAddresses(t, 5)
 	text := fmt.Sprintf(`{
   "host": "h", "zone": "z", "store": %q, "memory_mb": %d, "cores": 1, "grace": "8s", %s
   "listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q, "metrics": %q},
@@ -172,7 +172,7 @@
 		},
 	})
 	require.NoError(t, err)
-	a := freeAddresses(t, 2)
+	a := reservedAddresses(t, 2)
 	text := fmt.Sprintf(`{
   "host": "h", "zone": "z", %s
   "listen": {"callers": %q, "operators": %q},
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -180,7 +180,7 @@
 	addresses := make([]string, 4) // callers, operators, peers and the relay to peers
 	for j := range addresses {
 		var err error
-		if addresses[j], err = freeAddress(); err != nil {
+		if addresses[j], err = reserveAddress(); err != nil {
 			return err
 		}
 	}
--- a/soak/entries.go
+++ b/soak/entries.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -324,31 +322,3 @@
 	s.hosts = append(s.hosts, h)
 	return h.start()
 }
-
-// Range of the ports that hosts listen on. It lies below the ports of outgoing connections,
-// which could otherwise take a host's port while the host is down.
-const (
-	firstPort = 12000
-	portCount = 8000
-)
-
-// reservedAddresses holds the addresses that reserveAddress has returned or tried in this
-// process.
-var reservedAddresses sync.Map
-
-// reserveAddress returns a free loopback address in the range of ports that no outgoing
-// connection uses. It never returns an address twice, and returns an error after 200 tries.
-func reserveAddress() (string, error) {
-	for range 200 {
-		address := "127.0.0.1:" + strconv.Itoa(firstPort+rand.IntN(portCount))
-		if _, drawn := reservedAddresses.LoadOrStore(address, true); drawn {
-			continue
-		}
-		l, err := net.Listen("tcp", address) //nolint:noctx // closed at once
-		if err != nil {
-			continue
-		}
-		return address, l.Close()
-	}
-	return "", errors.New("soak: no free port found for a host")
-}
--- a/soak/process.go
+++ b/soak/process.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/jasminelock/jasminelock/standin"
 )
 
 // startTimeout is how long a process may take to print its address, to get ready or to exit after
@@ -160,13 +161,12 @@
 	return strings.TrimSpace(line)
 }
 
-// freeAddress returns a loopback address that is free at the time of the call. A fixed address
-// lets a host start again where it was.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
+// reserveAddress returns a loopback address that is kept for a listener until this process ends, so that a host can
+// start again where it was.
+func reserveAddress() (string, error) {
+	port, err := standin.ReservePort()
 	if err != nil {
 		return "", err
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return port.Address(), nil
 }
