entry: a refusal that an upstream does not prove is no longer relayed

What callers saw: an upstream that had run a booking and answered 503, without the header that states that it has not, had that 503 passed on.

Cause: ParseResponse rightly takes such a response for the failure of a request that may have run, so that the attempt is not repeated. relayBuffered then treats every failure that is the last one alike, and relays its status, for every kind of route.

Ruled out: a wrong outcome (the attempts were counted as run, and none was repeated by the host: sent=1 ran=1 in the log); the host's own refusals (each 503 bore the upstream's signature).

The codec, which knows what a status promises to callers, now marks such a response, and the exchange fails the attempt: another upstream where the route allows it, else 502 upstream_failed with "ran": "may_have_run" and no signature. The log names the status and that the proof was missing. Failures that promise nothing are relayed as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,9 @@
 	// Signed reports whether the response carries the upstream's signature.
 	Signed  bool
 	Outcome assign.Outcome
+	// UnprovenRefusal reports whether callers would take the status as a promise that the request has not run,
+	// although the upstream does not state that. Such a response must not be relayed.
+	UnprovenRefusal bool
 	// Feedback is the feedback of the upstream on its own load.
 	Feedback assign.UpstreamFeedback
 	// Leaving reports whether the upstream is leaving and takes no new requests.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -300,7 +300,7 @@
 	x.server.Broker.LoadStated(x.ticket, info.Feedback.Load)
 	if info.Outcome.NotRun() {
 		x.recordFailure("rejected: "+info.Outcome.String(), nil)
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxRejectionBytes)) // lets the connection be reused
+		x.discardBody(resp)
 		return info.Outcome, info.Feedback
 	}
 	x.ranCount++
@@ -312,8 +312,13 @@
 	return outcome, info.Feedback
 }
 
-// maxRejectionBytes limits how much of a rejection's body is read.
-const maxRejectionBytes = 4 << 10
+// maxDiscardedBytes limits how much of a body is read that is not relayed.
+const maxDiscardedBytes = 4 << 10
+
+// discardBody reads the body of a response that is not relayed, so that the connection can be reused.
+func (x *exchange) discardBody(resp *forward.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardedBytes)) // a connection with an unread body is closed
+}
 
 // sendOutcome returns the outcome of an attempt that got no response header.
 func (x *exchange) sendOutcome(err error) assign.Outcome {
--- a/entry/response.go
+++ b/entry/response.go
@@ -36,6 +36,11 @@
 // relay relays an upstream's response to the caller and returns the outcome of
 // the attempt.
 func (x *exchange) relay(resp *forward.Response, info ResponseInfo) assign.Outcome {
+	if info.UnprovenRefusal {
+		x.recordFailure("responded with status "+strconv.Itoa(resp.Status)+", but without stating that the request has not run", nil)
+		x.discardBody(resp)
+		return assign.Failed
+	}
 	if info.Outcome == assign.Completed && !info.Signed {
 		x.recordFailure("success without a signature", nil)
 		return assign.Failed
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -92,8 +93,9 @@
 type Faults struct {
 	// Full rejects requests without executing them.
 	Full int
-	// Fail answers requests with 500.
-	Fail int
+	// Fail answers requests that were executed with FailStatus, 500 if that is 0.
+	Fail       int
+	FailStatus int
 	// DropConnections closes the connection instead of sending an answer.
 	DropConnections int
 	// CutAfterEvents is the number of events after which a stream is cut.
@@ -242,7 +244,7 @@
 	body := readBody(req)
 	full := r.consume(&r.faults.Full)
 	r.mu.Lock()
-	leaving, retryAfter, crash, rateLimit, load := r.faults.Leaving, r.faults.RetryAfter, r.crash, r.rateLimit, r.load()
+	leaving, retryAfter, failStatus, crash, rateLimit, load := r.faults.Leaving, r.faults.RetryAfter, r.faults.FailStatus, r.crash, r.rateLimit, r.load()
 	r.mu.Unlock()
 	r.AddRequest(Request{req.Method, req.RequestURI, req.Header.Clone(), string(body), !full, time.Now(), rateLimit})
 	h := w.Header()
@@ -276,7 +278,7 @@
 		h.Set("Jasminelock-Response-Signature", r.options.ID)
 	}
 	if r.consume(&r.faults.Fail) {
-		w.WriteHeader(http.StatusInternalServerError)
+		w.WriteHeader(cmp.Or(failStatus, http.StatusInternalServerError))
 		return
 	}
 	if r.consume(&r.faults.Endless) {
