gateway: an engine's 408, 409 or 429 no longer counts as proof that a request has not run

Callers were told 400 upstream_rejected with "ran": "not_run", and not to repeat it, of requests that an engine may have run and answered 408 or 429 in an overload.

Only the statuses that speak of the request itself count as such a refusal now. All others may have run: they are retried, since text generation is repeatable, and end in upstream_failed, may_have_run, unless the engine's header proves that it has not run them.

--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -46,12 +46,24 @@
 		return attemptResult{outcome: request.NotExecuted, notLoaded: isUnknownModel(body)}, true
 	case resp.Header.Get(upstream.HeaderNotRun) == "true":
 		return attemptResult{outcome: request.NotExecuted}, true
-	case resp.Status < http.StatusInternalServerError:
+	case isInvalidRequest(resp.Status):
 		return attemptResult{outcome: request.Rejected}, true
 	}
 	return attemptResult{outcome: request.Lost, usedTokens: unknownUsage}, true
 }
 
+// isInvalidRequest reports whether an engine's status means that the request is not valid, so that the engine has not run
+// it. Other client errors, such as 408 and 429, depend on the engine's state, and may follow a run.
+func isInvalidRequest(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusMethodNotAllowed, http.StatusNotAcceptable,
+		http.StatusLengthRequired, http.StatusRequestEntityTooLarge, http.StatusRequestURITooLong, http.StatusUnsupportedMediaType,
+		http.StatusUnprocessableEntity, http.StatusRequestHeaderFieldsTooLarge:
+		return true
+	}
+	return false
+}
+
 // engineError holds the fields of an engine's error body that the gateway uses.
 type engineError struct {
 	Error struct {
