entry: the body of a refusal that is not relayed is awaited for 50 ms at most

What callers saw: an upstream that refuses a request in a whole head, and whose body does not follow, held the request until its deadline: 504 after 20 s, though it was known from the head on that another upstream may have it, or that none will. The body is read only so that the connection can be reused.

Response.Discard reads it for a bounded time and then aborts the connection, which is not used again. TestRefusal_BodyNotAwaited got 504 in place of 503 and 502 with a bound of an hour.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -300,7 +299,7 @@
 	x.server.Broker.LoadStated(x.ticket, info.Feedback.Load)
 	if info.Outcome.NotRun() {
 		x.recordFailure("rejected: "+info.Outcome.String(), nil)
-		x.discardBody(resp)
+		resp.Discard(maxDiscardedBytes, discardTimeout)
 		return info.Outcome, info.Feedback
 	}
 	x.ranCount++
@@ -312,13 +311,12 @@
 	return outcome, info.Feedback
 }
 
-// maxDiscardedBytes limits how much of a body is read that is not relayed.
-const maxDiscardedBytes = 4 << 10
-
-// discardBody reads the body of a response that is not relayed, so that the connection can be reused.
-func (x *exchange) discardBody(resp *forward.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxDiscardedBytes)) // a connection with an unread body is closed
-}
+// Limits of what is read of a body that is not relayed, so that the connection can be reused. What follows the attempt
+// waits for it.
+const (
+	maxDiscardedBytes = 4 << 10
+	discardTimeout    = 50 * time.Millisecond
+)
 
 // sendOutcome returns the outcome of an attempt that got no response header.
 func (x *exchange) sendOutcome(err error) assign.Outcome {
--- a/entry/response.go
+++ b/entry/response.go
@@ -38,7 +38,7 @@
 func (x *exchange) relay(resp *forward.Response, info ResponseInfo) assign.Outcome {
 	if info.UnprovenRefusal {
 		x.recordFailure("responded with status "+strconv.Itoa(resp.Status)+", but without stating that the request has not run", nil)
-		x.discardBody(resp)
+		resp.Discard(maxDiscardedBytes, discardTimeout)
 		return assign.Failed
 	}
 	if info.Outcome == assign.Completed && !info.Signed {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -123,6 +123,15 @@
 	return n, err
 }
 
+// Discard reads the rest of the body, so that Close can reuse the connection. It gives up after limit bytes, or after timeout.
+func (r *Response) Discard(limit int64, timeout time.Duration) {
+	giveUp := time.AfterFunc(timeout, r.conn.abort)
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit)) // Close closes a connection whose body was not read to its end
+	if !giveUp.Stop() {
+		r.complete = false // the connection has been aborted
+	}
+}
+
 // Unframed reports whether only the end of the connection marks the end of the body.
 func (r *Response) Unframed() bool {
 	return r.ContentLength == -1 && len(r.response.TransferEncoding) == 0
--- a/host/unprovenrefusal_test.go
+++ b/host/unprovenrefusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 
@@ -9,6 +10,7 @@
 
 	"github.com/jasminelock/jasminelock/standin/caller"
 	"github.com/jasminelock/jasminelock/standin/replica"
+	"github.com/jasminelock/jasminelock/standin/tables"
 )
 
 // Upstreams run requests and answer 408, 429 or 503 without stating that they have not run. Callers take such a status as a promise, and
@@ -61,3 +63,33 @@
 	require.Equal(t, http.StatusGatewayTimeout, resp.status)
 	require.NotEmpty(t, resp.header.Get(caller.HeaderSignature))
 }
+
+// An upstream refuses a request, and the body of that response never comes. Guards against a request that waits for such a body until
+// its deadline, though it is known what becomes of it.
+func TestRefusal_BodyNotAwaited(t *testing.T) {
+	for name, tc := range map[string]struct {
+		proof  string
+		status int
+	}{
+		"proven":   {caller.HeaderNotRun + ": 1\r\n", http.StatusServiceUnavailable},
+		"unproven": {"", http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			raw, err := replica.ServeRaw(func(c *net.TCPConn, req *http.Request) bool {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%sContent-Length: 100\r\n\r\n",
+					caller.HeaderAttempt, req.Header.Get(caller.HeaderAttempt), tc.proof)
+				_, _ = c.Read(make([]byte, 1)) // returns when the host closes the connection
+				return false
+			})
+			require.NoError(t, err)
+			t.Cleanup(raw.Close)
+			d.tables.PutUpstream("p1", tables.Upstream{Service: "app", Address: raw.Address(), Slots: 8, StartedAt: 1})
+			h := d.addHost("h1")
+			resp := h.request(http.MethodPost, "/book/1", "order", nil)
+			require.NoError(t, resp.err)
+			require.Equal(t, tc.status, resp.status, resp.body)
+		})
+	}
+}
