entry, gateway: a part of a response is never complete for callers of HTTP/1.0

What callers saw: a response that broke off after more than the 256 KB that are buffered reached callers of HTTP/1.0 as a whole one with status 200, whatever the framing of the upstream, with an upload or without; so did streams after their first event, and responses that were cut when the host stopped.

Cause: the length that an upstream states was dropped, and HTTP/1.0 has no chunks, so that only the end of the connection marked the end of the body. Aborting a response closes the connection, which looks the same. Callers of HTTP/1.1 get chunks, whose end is missing.

Now the length is passed on where it is known, and stated where the body was buffered whole; jasminelockd states it for every response that it buffers. Where it is not known, a caller of HTTP/1.0 has its connection reset unless the response is complete: SO_LINGER is 0 from the head on, and set back once the last byte has been handed to the kernel. That holds also for ends that no code sees, as that of the process.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -46,8 +46,10 @@
 	rateLimit throttle.State
 	// headerWritten reports whether the response header has been written.
 	headerWritten bool
-	stop          stopState
-	lastEventID   string
+	// closeDelimited reports whether only the end of the caller's connection marks the end of the response.
+	closeDelimited bool
+	stop           stopState
+	lastEventID    string
 	// events counts the events of the stream that were relayed, over all attempts.
 	events int
 	// eventGaps classifies the gaps between the events of the last attempt.
@@ -98,7 +100,11 @@
 	defer func() { _ = x.controller.SetWriteDeadline(time.Time{}) }() // for the connection's next request
 	x.ticket = x.server.Broker.NewTicket()
 	defer x.server.Broker.Withdraw(x.ticket)
-	x.writeError(x.run())
+	err := x.run()
+	if err == nil {
+		x.completeCloseDelimited()
+	}
+	x.writeError(err)
 }
 
 // run has the request assigned and sent until it ends. It returns nil if a complete response was written.
--- a/entry/response.go
+++ b/entry/response.go
@@ -76,7 +76,11 @@
 	if info.Outcome == assign.Failed && (x.canRetry() || x.headerWritten) {
 		return assign.Failed
 	}
-	if !x.writeHeader(resp) {
+	length := resp.ContentLength
+	if complete {
+		length = int64(len(body))
+	}
+	if !x.writeHeader(resp, length) {
 		return x.cancelledOutcome()
 	}
 	writeStart := time.Now()
@@ -134,8 +138,9 @@
 	return assign.Lost
 }
 
-// writeHeader writes the response header. It reports false, and writes nothing, if the host has given up the request.
-func (x *exchange) writeHeader(resp *forward.Response) bool {
+// writeHeader writes the response header. Length is that of the body, -1 if it is not known. It reports false, and writes
+// nothing, if the host has given up the request.
+func (x *exchange) writeHeader(resp *forward.Response, length int64) bool {
 	if !x.beginResponse() {
 		return false
 	}
@@ -144,6 +149,14 @@
 		h[name] = values
 	}
 	x.askToReconnect(h)
+	switch {
+	case !hasBody(x.r.Method, resp.Status):
+	case length >= 0:
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	case !x.r.ProtoAtLeast(1, 1):
+		x.closeDelimited = true
+		x.held.ResetOnClose(true)
+	}
 	x.w.WriteHeader(resp.Status)
 	x.status, x.headerWritten = resp.Status, true
 	if !x.resumable() {
@@ -153,6 +166,22 @@
 	return true
 }
 
+// hasBody reports whether the response to a request can have a body.
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// completeCloseDelimited marks the end of a response that only the end of its connection marks, since its caller speaks HTTP/1.0 and
+// the length was not known.
+func (x *exchange) completeCloseDelimited() {
+	if !x.closeDelimited {
+		return
+	}
+	if err := x.controller.Flush(); err == nil {
+		x.held.ResetOnClose(false)
+	}
+}
+
 // askToReconnect tells the caller of a host that is stopping, or that has too many connections, not to reuse the connection.
 func (x *exchange) askToReconnect(h http.Header) {
 	if x.server.Shutdown.InProgress() || x.held.MustClose() {
@@ -243,7 +272,7 @@
 		return true
 	}
 	x.timeToFirstToken = time.Since(x.arrived)
-	return x.writeHeader(resp)
+	return x.writeHeader(resp, -1) // others may continue the stream
 }
 
 // writeError sends err to the caller. Once the response header has been written, it
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -187,6 +187,10 @@
 // writeResponse writes the status and a buffered body to the caller.
 func (x *exchange) writeResponse(status int, body []byte, usedTokens int64) attemptResult {
 	x.extendWriteDeadline()
+	if len(body) > 0 {
+		// Without it, a caller of HTTP/1.0 takes the end of the connection for the end of the response.
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write(body); err != nil {
 		return attemptResult{outcome: request.CallerLeft, usedTokens: usedTokens}
--- a/intake/callers/callers.go
+++ b/intake/callers/callers.go
@@ -196,6 +196,19 @@
 	return nil
 }
 
+// setResetOnClose sets whether the connection is reset when it is closed, also by the end of the process.
+func (c *conn) setResetOnClose(reset bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := -1 // the default: what was written is sent first
+	if reset {
+		linger = 0
+	}
+	_ = tcp.SetLinger(linger) // fails only on a closed connection
+}
+
 // SetReadDeadline implements net.Conn. A request that was given up reads no more.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/intake/callers/request.go
+++ b/intake/callers/request.go
@@ -72,6 +72,15 @@
 // that pipelines requests would be under way all the time, and keep its place.
 func (r *Request) MustClose() bool { return r != nil && r.conn.gate.budget.ConnectionsFull() }
 
+// ResetOnClose sets whether the caller's connection is reset when it is closed. It is set while a response is being written
+// whose end only the end of the connection marks: whatever else ends the connection, the end of the process too, must not look
+// like the end of the response.
+func (r *Request) ResetOnClose(reset bool) {
+	if r != nil {
+		r.conn.setResetOnClose(reset)
+	}
+}
+
 // LimitDiscard limits how long net/http reads the rest of a body that was not read to its end. It is called before the response
 // is written.
 func (r *Request) LimitDiscard() {
