httpcheck: a response whose connection is reset while the request is still being sent is not complete

A replica whose process ends midway cannot be told from one that closes too soon: the kernel closes its connections in the same way. What can be told is whether the request reached the other side. So it is the safe reading that such a response has broken off; the request may have run.

Cause: a read that found the end interrupted the write of the request, and took its failure with EPIPE for a clean close.

A connection now knows whether a request is still being written. A read that finds the end waits for 0.5 s at most until it has been, and until the kernel has an acknowledgement of all of it, and fails if a write failed or the connection was reset. A server that closes its side and reads on is waited for; one that takes no more, and resets nothing, counts as before.

The tests of early answers asked for the opposite in two of their endings: a half-close, then a reset at once or after 5 ms, counted as complete. They encode the reading that is given up, and now ask for 0 of n in place of n of n.

--- a/httpcheck/conn.go
+++ b/httpcheck/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 // read from it.
 type conn struct {
 	net.Conn
+	// transport is the connection under Conn, below TLS.
+	transport *Conn
 	// mu guards the fields below: the goroutine of a request calls expectResponse, those of the connection Read and Write.
 	mu   sync.Mutex
 	head head
@@ -24,8 +27,15 @@
 	changed sync.Cond
 }
 
+// newConn returns a connection over one that NewTransport has dialled.
 func newConn(raw net.Conn) *conn {
 	c := &conn{Conn: raw}
+	if secured, ok := raw.(*tls.Conn); ok {
+		raw = secured.NetConn()
+	}
+	if c.transport, _ = raw.(*Conn); c.transport == nil {
+		c.transport = WithTrueEOF(raw) // of a test, which reads from Conn
+	}
 	c.changed.L = &c.mu
 	return c
 }
@@ -38,6 +48,7 @@
 	c.head.upgrade = upgrade
 	c.head.start()
 	c.expecting, c.responding = true, false
+	c.transport.BeginRequest()
 }
 
 // Write implements net.Conn. If the server has closed the connection after it began to respond, Write
--- a/httpcheck/transport.go
+++ b/httpcheck/transport.go
@@ -88,12 +88,19 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[conn]
 	upgrade := r.Header.Get("Upgrade") != ""
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			c.expectResponse(upgrade)
-			used.Store(c)
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				c.expectResponse(upgrade)
+				used.Store(c)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if c := used.Load(); c != nil {
+				c.transport.EndRequest()
+			}
+		},
+	}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	c := used.Load()
 	switch {
--- a/standin/replica/early.go
+++ b/standin/replica/early.go
@@ -12,7 +12,8 @@
 // EarlyEnd is how a replica ends the connection on which it has answered a request whose body it has not read.
 type EarlyEnd struct {
 	Name string
-	// Broken reports whether an answer that only the end of the connection frames is broken off by it.
+	// Broken reports whether an answer that only the end of the connection frames is broken off by it, since the connection is
+	// reset before the request has reached the replica whole.
 	Broken bool
 	end    func(c *net.TCPConn, r *http.Request)
 }
@@ -83,8 +84,10 @@
 			awaitUnread(c)
 			_ = c.Close() // the kernel resets the connection
 		}},
-		{"ended, reset at once", false, endThenReset(0)},
-		{"ended, reset after 5 ms", false, endThenReset(5 * time.Millisecond)},
+		// The kernel ends the answer if nothing is unread at this moment, and resets the connection at the next bytes.
+		{"closed at once", true, func(c *net.TCPConn, _ *http.Request) { _ = c.Close() }},
+		{"ended, reset at once", true, endThenReset(0)},
+		{"ended, reset after 5 ms", true, endThenReset(5 * time.Millisecond)},
 		{"ended, body read", false, func(c *net.TCPConn, r *http.Request) {
 			_ = c.CloseWrite()
 			_, _ = io.Copy(io.Discard, r.Body)
