soak: replicas fail requests that they have run with 503, 429 and 408, too

The fault "replica fails requests" answered 500 only, and the check of refusals knew 503 and 429. The check now knows all four statuses that promise; its test has a booking that ran and was answered 408.

--- a/soak/entries_test.go
+++ b/soak/entries_test.go
@@ -51,6 +51,7 @@
 	}{
 		{call{kind: "book", status: 200, body: "answer of p0 to /book/1", path: "/book/1", complete: true}, 2},
 		{call{kind: "chat", status: 503}, 1},
+		{call{kind: "book", status: 408}, 1},
 		{call{kind: "book", status: 200, body: "answer of p0 to /book/2", path: "/book/1", complete: true}, 1},
 		{call{kind: "resume", status: 200, body: stream, complete: true}, 1},
 		{call{kind: "status", status: 200, body: "x to /s", path: "/s", key: "old", sentAt: now, complete: true}, 1},
@@ -60,7 +61,7 @@
 		require.Len(t, s.Violations, before+1, "%+v", c.call)
 	}
 	s.checkReceived(&replica.Request{Header: http.Header{caller.HeaderKey: {"x"}}})
-	require.Len(t, s.Violations, 7)
+	require.Len(t, s.Violations, 8)
 }
 
 // Crashing requests that are sent on after the hosts must know of them are a violation, except
--- a/soak/entryfaults.go
+++ b/soak/entryfaults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"sync"
 	"syscall"
@@ -165,13 +166,18 @@
 	}},
 	{"replica fails requests", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
 		e := s.randomReplica(r)
-		e.SetFaults(replica.Faults{Full: 3, Fail: 3, DropConnections: 3, CutStreams: 3, CutAfterEvents: 2, LoseOrders: 3})
+		// Not drawn from r, so that a seed draws the same faults as before.
+		status := failStatuses[len(e.Requests())%len(failStatuses)]
+		e.SetFaults(replica.Faults{Full: 3, Fail: 3, FailStatus: status, DropConnections: 3, CutStreams: 3, CutAfterEvents: 2, LoseOrders: 3})
 		sleep(ctx, randomFaultTime(r))
 		e.SetFaults(replica.Faults{})
 	}},
 	{"key replaced", func(_ context.Context, s *entrySoak, _ *rand.Rand) { s.replaceKey() }},
 }
 
+// failStatuses are the statuses with which replicas fail requests that they have run. Some would promise callers that they have not.
+var failStatuses = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
 // linkDelay is the delay that slow links add to every byte. A heartbeat and its answer still
 // arrive within the time after which a host counts as gone.
 const linkDelay = 250 * time.Millisecond
--- a/soak/entryload.go
+++ b/soak/entryload.go
@@ -190,8 +190,7 @@
 	if nonRepeatable && runs > 1 {
 		s.addViolation("%s %s may run at most once but ran %d times", c.kind, c.id, runs)
 	}
-	saysNotRun := c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
-	if nonRepeatable && saysNotRun && runs > 0 {
+	if nonRepeatable && slices.Contains(refusalStatuses, c.status) && runs > 0 {
 		s.addViolation("%s %s was refused with status %d but ran", c.kind, c.id, c.status)
 	}
 	if c.status != http.StatusOK {
@@ -205,6 +204,11 @@
 	}
 }
 
+// refusalStatuses are the statuses that promise that the request has not run.
+var refusalStatuses = []int{
+	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
+
 // isPlain reports whether the request is one to a plain service.
 func (c *call) isPlain() bool {
 	return slices.Contains([]string{"book", "status", holdKind, holdSafeKind}, c.kind)
