--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -101,21 +101,21 @@
 	b.Grow(1024 + min(len(r.Body), maxInlineBodyBytes))
 	writeHeader(&b, r)
 	c.bodyWritten = nil
-	c.checked.BeginRequest()
+	c.BeginRequest()
 	if len(r.Body) <= maxInlineBodyBytes {
-		defer c.checked.EndRequest()
+		defer c.EndRequest()
 		b.Write(r.Body)
 		return c.writeAll(b.Bytes())
 	}
 	if err := c.writeAll(b.Bytes()); err != nil {
-		c.checked.EndRequest()
+		c.EndRequest()
 		return err
 	}
 	bodyWritten := make(chan error, 1)
 	c.bodyWritten = bodyWritten
 	go func() {
 		_, err := c.Write(r.Body)
-		c.checked.EndRequest()
+		c.EndRequest()
 		bodyWritten <- err
 	}()
 	return nil
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -156,9 +156,8 @@
 
 // conn is one connection to an upstream.
 type conn struct {
-	net.Conn
-	// checked is the same as Conn, raw the connection under it.
-	checked *httpcheck.Conn
+	*httpcheck.Conn
+	// raw is the connection under Conn.
 	raw     net.Conn
 	key     string
 	address string
@@ -203,7 +202,7 @@
 	checked := httpcheck.WithTrueEOF(raw)
 	limited := &limitedReader{in: checked}
 	return &conn{
-		Conn: checked, checked: checked, raw: raw, key: key, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes),
+		Conn: checked, raw: raw, key: key, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes),
 		idleTimeout: idleTimeout,
 	}
 }
--- a/httpcheck/conn.go
+++ b/httpcheck/conn.go
@@ -34,7 +34,7 @@
 		raw = secured.NetConn()
 	}
 	if c.transport, _ = raw.(*Conn); c.transport == nil {
-		c.transport = WithTrueEOF(raw) // of a test, which reads from Conn
+		c.transport = WithTrueEOF(raw) // in tests, which dial themselves
 	}
 	c.changed.L = &c.mu
 	return c
