--- a/soak/entryfaults.go
+++ b/soak/entryfaults.go
@@ -166,9 +166,7 @@
 	}},
 	{"replica fails requests", func(ctx context.Context, s *entrySoak, r *rand.Rand) {
 		e := s.randomReplica(r)
-		// Not drawn from r, so that a seed draws the same faults as before.
-		status := failStatuses[len(e.Requests())%len(failStatuses)]
-		e.SetFaults(replica.Faults{Full: 3, Fail: 3, FailStatus: status, DropConnections: 3, CutStreams: 3, CutAfterEvents: 2, LoseOrders: 3})
+		e.SetFaults(replicaFaults(len(e.Requests())))
 		sleep(ctx, randomFaultTime(r))
 		e.SetFaults(replica.Faults{})
 	}},
@@ -178,6 +176,15 @@
 // failStatuses are the statuses with which replicas fail requests that they have run. Some would promise callers that they have not.
 var failStatuses = []int{http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
 
+// replicaFaults returns the faults of a replica that fails requests. They depend on the number of requests that it has had, not on a
+// draw, so that a seed draws the same faults of the deployment as before there were several kinds.
+func replicaFaults(requests int) replica.Faults {
+	if status := failStatuses[requests%len(failStatuses)]; status != http.StatusInternalServerError {
+		return replica.Faults{Fail: 10, FailStatus: status} // no others before them, after which hosts avoid the replica
+	}
+	return replica.Faults{Full: 3, Fail: 3, DropConnections: 3, CutStreams: 3, CutAfterEvents: 2, LoseOrders: 3}
+}
+
 // linkDelay is the delay that slow links add to every byte. A heartbeat and its answer still
 // arrive within the time after which a host counts as gone.
 const linkDelay = 250 * time.Millisecond
